--- /dev/null
+++ b/src/limpetdrift/__init__.py
@@ -0,0 +1,1 @@
+"""A serving layer for language model prompts of very unlike lengths."""
--- /dev/null
+++ b/src/limpetdrift/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""How instances act together: placement, limits, membership, recovery."""
--- /dev/null
+++ b/src/limpetdrift/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The small programs, each a thin module over the layers below."""
--- /dev/null
+++ b/src/limpetdrift/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, verdicts, and one adapter for each outside system."""
--- /dev/null
+++ b/src/limpetdrift/protocol/codec.py
@@ -0,0 +1,52 @@
+"""JSON to and from the frozen data classes of the messages."""
+
+from typing import TypeVar
+
+import msgspec
+from expression import Error, Ok, Result
+
+from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.transport.messages import Headers, Request, Response
+
+Message = TypeVar('Message')
+
+JSON_HEADERS: Headers = (('content-type', 'application/json'),)
+LINES_HEADERS: Headers = (('content-type', 'application/x-ndjson'),)
+
+
+def encode(message: object) -> bytes:
+    """Return the message as JSON."""
+    return msgspec.json.encode(message)
+
+
+def encode_line(message: object) -> bytes:
+    """Return the message as one line of JSON."""
+    return msgspec.json.encode(message) + b'\n'
+
+
+def decode(payload: bytes, kind: type[Message]) -> Result[Message, Failure]:
+    """Read a message; unknown keys are passed over, wrong types are not."""
+    try:
+        return Ok(msgspec.json.decode(payload, type=kind))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return Error(not_run(Reason.BAD_REQUEST, str(error)))
+
+
+def json_request(method: str, path: str, message: object = None) -> Request:
+    """Build a request whose body is the message."""
+    body = b'' if message is None else encode(message)
+    return Request(method=method, path=path, headers=JSON_HEADERS, body=body)
+
+
+def json_response(
+    message: object,
+    *,
+    status: int = 200,
+    headers: Headers = (),
+) -> Response:
+    """Build a response whose body is the message."""
+    return Response(
+        status=status,
+        headers=(*JSON_HEADERS, *headers),
+        body=encode(message),
+    )
--- /dev/null
+++ b/src/limpetdrift/protocol/verdict.py
@@ -0,0 +1,124 @@
+"""What is known about a request that did not get its answer.
+
+Every failure in the system carries a verdict. ``NOT_RUN`` is said only with
+proof: the request was never sent, the connection was refused before the
+first byte, or the endpoint gave a documented refusal.
+"""
+
+from dataclasses import dataclass, replace
+from enum import StrEnum, unique
+
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
+
+
+@unique
+class Verdict(StrEnum):
+    """Whether a failed request may have had an effect."""
+
+    NOT_RUN = 'not-run'
+    MAY_HAVE_RUN = 'may-have-run'
+    RAN = 'ran'
+
+
+@unique
+class Reason(StrEnum):
+    """Why a request failed or an attempt was given up.
+
+    Each reason labels one counter series, so the set is closed.
+    """
+
+    BAD_REQUEST = 'bad-request'
+    BODY_TOO_LARGE = 'body-too-large'
+    UNAUTHORIZED = 'unauthorized'
+    FORBIDDEN = 'forbidden'
+    NOT_FOUND = 'not-found'
+    METHOD_NOT_ALLOWED = 'method-not-allowed'
+    UNKNOWN_MODEL = 'unknown-model'
+    DEADLINE = 'deadline'
+    DRAINING = 'draining'
+    CUT_OFF = 'cut-off'
+    OVERLOADED = 'overloaded'
+    RATE_LIMITED = 'rate-limited'
+    CONCURRENCY_LIMITED = 'concurrency-limited'
+    RETRY_BUDGET = 'retry-budget'
+    NO_ENDPOINT = 'no-endpoint'
+    NO_MEMORY = 'no-memory'
+    ENDPOINT_LEAVING = 'endpoint-leaving'
+    ENDPOINT_REFUSED = 'endpoint-refused'
+    ENDPOINT_FAILED = 'endpoint-failed'
+    CONNECT_FAILED = 'connect-failed'
+    CONNECTION_BROKEN = 'connection-broken'
+    SILENT = 'silent'
+    TIMEOUT = 'timeout'
+    BAD_ANSWER = 'bad-answer'
+    QUARANTINED = 'quarantined'
+    STORE_UNAVAILABLE = 'store-unavailable'
+    STORE_RATE = 'store-rate'
+    CLAIMED_ELSEWHERE = 'claimed-elsewhere'
+    OWNER_UNREACHABLE = 'owner-unreachable'
+    STREAM_UNKNOWN = 'stream-unknown'
+    CONFLICT = 'conflict'
+    CANCELLED = 'cancelled'
+    INTERNAL = 'internal'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Failure:
+    """A failed request: what is known, why, and when to come back.
+
+    ``alternatives`` lists addresses of entries that may serve the request
+    instead. ``retry_after_seconds`` is ``None`` where coming back is no use.
+    """
+
+    verdict: Verdict
+    reason: Reason
+    detail: str = ''
+    retry_after_seconds: float | None = None
+    alternatives: tuple[str, ...] = ()
+
+    def with_verdict(self, verdict: Verdict) -> 'Failure':
+        """Return the same failure with another verdict."""
+        return replace(self, verdict=verdict)
+
+
+def not_run(
+    reason: Reason,
+    detail: str = '',
+    *,
+    retry_after_seconds: float | None = None,
+    alternatives: tuple[str, ...] = (),
+) -> Failure:
+    """Build a failure that is proved to have had no effect."""
+    return Failure(
+        verdict=Verdict.NOT_RUN,
+        reason=reason,
+        detail=detail,
+        retry_after_seconds=retry_after_seconds,
+        alternatives=alternatives,
+    )
+
+
+def may_have_run(
+    reason: Reason,
+    detail: str = '',
+    *,
+    retry_after_seconds: float | None = None,
+) -> Failure:
+    """Build a failure whose request may have had its effect."""
+    return Failure(
+        verdict=Verdict.MAY_HAVE_RUN,
+        reason=reason,
+        detail=detail,
+        retry_after_seconds=retry_after_seconds,
+    )
+
+
+class FailureError(Exception):
+    """Carries a failure out of a body that yields or streams.
+
+    Elsewhere failures travel as the error side of an ``expression`` result.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(f'{failure.reason}: {failure.detail}')
+        self.failure = failure
--- /dev/null
+++ b/src/limpetdrift/state/__init__.py
@@ -0,0 +1,1 @@
+"""What is kept: configuration documents, claims, leases and ledgers."""
--- /dev/null
+++ b/src/limpetdrift/telemetry.py
@@ -0,0 +1,80 @@
+"""Counters and histograms by OpenTelemetry, read in Prometheus format.
+
+Instruments are made on first use and kept by name, so a module only says
+what it counts:
+
+>>> count('refusals', reason='draining')
+
+Durations are in seconds.
+"""
+
+from functools import cache
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Counter, Histogram, Meter
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.view import (
+    ExplicitBucketHistogramAggregation,
+    View,
+)
+from prometheus_client import REGISTRY, generate_latest
+
+_SECONDS_BUCKETS = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.39,
+    0.8,
+    1.6,
+    3.2,
+    6.4,
+    12.8,
+    30.0,
+    60.0,
+    120.0,
+)
+
+
+@cache
+def _meter() -> Meter:
+    provider = MeterProvider(
+        metric_readers=[PrometheusMetricReader()],
+        views=[
+            View(
+                instrument_name='*_seconds',
+                aggregation=ExplicitBucketHistogramAggregation(
+                    _SECONDS_BUCKETS,
+                ),
+            ),
+        ],
+    )
+    return provider.get_meter('limpetdrift')
+
+
+@cache
+def _counter(name: str) -> Counter:
+    return _meter().create_counter(f'limpet_{name}')
+
+
+@cache
+def _histogram(name: str) -> Histogram:
+    return _meter().create_histogram(f'limpet_{name}')
+
+
+def count(name: str, amount: int = 1, **labels: str) -> None:
+    """Add to the counter ``limpet_<name>_total``."""
+    _counter(name).add(amount, labels)
+
+
+def observe(name: str, seconds: float, **labels: str) -> None:
+    """Record a duration in the histogram ``limpet_<name>``."""
+    _histogram(name).record(seconds, labels)
+
+
+def exposition() -> bytes:
+    """Return all metrics in the Prometheus text format."""
+    _meter()
+    return generate_latest(REGISTRY)
--- /dev/null
+++ b/src/limpetdrift/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP over trio: a server, a pooling client, and their messages."""
--- /dev/null
+++ b/src/limpetdrift/transport/messages.py
@@ -0,0 +1,68 @@
+"""HTTP messages as frozen data, and the limits that apply to them."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+Headers = tuple[tuple[str, str], ...]
+
+DEFAULT_BODY_LIMIT_BYTES = 16_777_216
+DEFAULT_HEADER_LIMIT_BYTES = 32_768
+
+
+@dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class Address:
+    """An IP address and TCP port, such as ``127.0.0.1:8100``."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f'{self.host}:{self.port}'
+
+
+def parse_address(text: str) -> Address:
+    """Read ``host:port``; raise ``ValueError`` when it is not one.
+
+    >>> parse_address('127.0.0.1:8100').port
+    8100
+    """
+    host, separator, port = text.rpartition(':')
+    if not (host and separator and port.isdigit()):
+        raise ValueError(f'expected host:port, got {text!r}')
+    return Address(host=host, port=int(port))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """One HTTP request with its whole body.
+
+    ``path`` carries no query; ``query`` holds its decoded pairs. Header
+    names are lower case.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    headers: Headers = ()
+    body: bytes = b''
+
+    def header(self, name: str, default: str = '') -> str:
+        """Return the first header of that lower-case name."""
+        return next(_named(self.headers, name), default)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Response:
+    """One HTTP response with its whole body."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+
+    def header(self, name: str, default: str = '') -> str:
+        """Return the first header of that lower-case name."""
+        return next(_named(self.headers, name), default)
+
+
+def _named(headers: Headers, wanted: str) -> Iterator[str]:
+    return (text for name, text in headers if name == wanted)
--- /dev/null
+++ b/src/limpetdrift/transport/routing.py
@@ -0,0 +1,77 @@
+"""A table of routes: method and path pattern to handler.
+
+A pattern's segments in braces match any one segment:
+
+>>> routes = Routes()
+>>> routes.add('GET', '/v1/streams/{stream}', show_stream)  # doctest: +SKIP
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from limpetdrift.transport.messages import Response
+from limpetdrift.transport.server import Exchange
+
+Parameters = dict[str, str]
+RouteHandler = Callable[[Exchange, Parameters], Awaitable[None]]
+
+_NOT_FOUND = 404
+_NOT_ALLOWED = 405
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Route:
+    method: str
+    segments: tuple[str, ...]
+    handler: RouteHandler
+
+
+class Routes:
+    """Dispatches each exchange to the first route that fits."""
+
+    def __init__(self) -> None:
+        self._routes: list[_Route] = []
+
+    def add(self, method: str, pattern: str, handler: RouteHandler) -> None:
+        """Register a handler."""
+        self._routes.append(
+            _Route(
+                method=method,
+                segments=_split(pattern),
+                handler=handler,
+            ),
+        )
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange; this is the server's handler."""
+        request = exchange.request
+        segments = _split(request.path)
+        status = _NOT_FOUND
+        for route in self._routes:
+            parameters = _match(route.segments, segments)
+            if parameters is None:
+                continue
+            if route.method == request.method:
+                await route.handler(exchange, parameters)
+                return
+            status = _NOT_ALLOWED
+        await exchange.respond(Response(status=status))
+
+
+def _split(path: str) -> tuple[str, ...]:
+    return tuple(path.strip('/').split('/'))
+
+
+def _match(
+    pattern: tuple[str, ...],
+    segments: tuple[str, ...],
+) -> Parameters | None:
+    if len(pattern) != len(segments):
+        return None
+    parameters: Parameters = {}
+    for expected, actual in zip(pattern, segments, strict=True):
+        if expected.startswith('{'):
+            parameters[expected.strip('{}')] = actual
+        elif expected != actual:
+            return None
+    return parameters
--- /dev/null
+++ b/src/limpetdrift/transport/server.py
@@ -0,0 +1,294 @@
+"""An HTTP/1.1 server: one task for each connection, written straight down.
+
+A handler is an async function that takes an ``Exchange``. It answers with
+``respond`` for a whole body, or with ``start``, ``send`` and ``finish`` for a
+stream. Input that breaks a limit is answered with a 4xx and counted; it never
+reaches a handler.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import trio
+from absl import logging
+
+from limpetdrift import telemetry
+from limpetdrift.transport.messages import (
+    DEFAULT_BODY_LIMIT_BYTES,
+    DEFAULT_HEADER_LIMIT_BYTES,
+    Address,
+    Headers,
+    Request,
+    Response,
+)
+
+RECEIVE_BYTES = 65_536
+_TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
+_BAD_INPUT = 400
+_TIMED_OUT = 408
+_TOO_LARGE = 413
+_HEADERS_TOO_LARGE = 431
+_FAILED = 500
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLimits:
+    """Bounds on what one connection may ask of the server.
+
+    ``head_seconds`` bounds the wait for a whole request head once its first
+    byte came, ``idle_seconds`` the wait for that byte, ``body_seconds`` each
+    wait for more of a body, and ``write_seconds`` each write to a reader.
+    """
+
+    body_bytes: int = DEFAULT_BODY_LIMIT_BYTES
+    header_bytes: int = DEFAULT_HEADER_LIMIT_BYTES
+    idle_seconds: float = 75.0
+    head_seconds: float = 10.0
+    body_seconds: float = 10.0
+    write_seconds: float = 20.0
+
+
+class BadInputError(Exception):
+    """The peer broke a limit or the protocol; carries the status to send."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+class _Connection:
+    """The h11 state and the stream of one accepted connection."""
+
+    def __init__(self, *, stream: trio.abc.Stream, limits: ServerLimits):
+        self.stream = stream
+        self.limits = limits
+        self.protocol = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=limits.header_bytes,
+        )
+
+    async def next_event(self, seconds: float) -> h11.Event | type:
+        """Return the next event, waiting at most so long for each read."""
+        while True:
+            event = self.protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            with trio.fail_after(seconds):
+                received = await self.stream.receive_some(RECEIVE_BYTES)
+            self.protocol.receive_data(received)
+
+    async def send(self, event: h11.Event) -> None:
+        """Write one event; raise when the reader takes too long."""
+        payload = self.protocol.send(event)
+        if payload:
+            with trio.fail_after(self.limits.write_seconds):
+                await self.stream.send_all(payload)
+
+
+class Exchange:
+    """One request and the means to answer it once."""
+
+    def __init__(self, *, request: Request, connection: _Connection) -> None:
+        self.request = request
+        self._connection = connection
+        self._started = False
+        self._finished = False
+
+    @property
+    def started(self) -> bool:
+        """Whether a response head was sent."""
+        return self._started
+
+    async def respond(self, response: Response) -> None:
+        """Send a whole response."""
+        length = str(len(response.body))
+        headers = (*response.headers, ('content-length', length))
+        await self.start(response.status, headers)
+        if response.body:
+            await self.send(response.body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers = ()) -> None:
+        """Send the head of a response; without a length it is chunked."""
+        self._started = True
+        await self._connection.send(
+            h11.Response(status_code=status, headers=list(headers)),
+        )
+
+    async def send(self, payload: bytes) -> None:
+        """Send a part of the body."""
+        await self._connection.send(h11.Data(data=payload))
+
+    async def finish(self) -> None:
+        """End the body; the connection can then take the next request."""
+        self._finished = True
+        await self._connection.send(h11.EndOfMessage())
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Server:
+    """A handler with its limits, bound to listeners by ``serve``."""
+
+    handler: Handler
+    limits: ServerLimits = field(default_factory=ServerLimits)
+
+    async def serve(
+        self,
+        listeners: list[trio.abc.Listener],
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept connections until cancelled."""
+        await trio.serve_listeners(
+            self.handle_stream,
+            listeners,
+            task_status=task_status,
+        )
+
+    async def handle_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve the requests of one connection, in order."""
+        connection = _Connection(stream=stream, limits=self.limits)
+        try:
+            await self._serve_requests(connection)
+        except _CLOSING_ERRORS as error:
+            telemetry.count('transport_closed', reason=type(error).__name__)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, connection: _Connection) -> None:
+        while True:
+            try:
+                request = await _receive_request(connection)
+            except BadInputError as error:
+                await _refuse(connection, error)
+                return
+            if request is None:
+                return
+            await self._answer(connection, request)
+            if connection.protocol.our_state is not h11.DONE:
+                return
+            if connection.protocol.their_state is not h11.DONE:
+                return
+            connection.protocol.start_next_cycle()
+
+    async def _answer(self, connection: _Connection, request: Request) -> None:
+        exchange = Exchange(request=request, connection=connection)
+        try:
+            await self.handler(exchange)
+        except _STREAM_ERRORS:
+            raise
+        except Exception:
+            logging.exception('handler failed: %s', request.path)
+            telemetry.count('handler_errors')
+            if not exchange.started:
+                await exchange.respond(Response(status=_FAILED))
+
+
+_STREAM_ERRORS = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+)
+_CLOSING_ERRORS = (*_STREAM_ERRORS, h11.LocalProtocolError)
+
+
+async def listen(address: Address) -> list[trio.SocketListener]:
+    """Open listeners for one IP address and port."""
+    return await trio.open_tcp_listeners(address.port, host=address.host)
+
+
+def bound_address(listeners: list[trio.SocketListener]) -> Address:
+    """Return the address a listener got, which settles port zero."""
+    host, port = listeners[0].socket.getsockname()[:2]
+    return Address(host=host, port=port)
+
+
+async def _receive_request(connection: _Connection) -> Request | None:
+    try:
+        head = await _receive_head(connection)
+        if head is None:
+            return None
+        return await _receive_body(connection, head)
+    except h11.RemoteProtocolError as error:
+        status = error.error_status_hint or _BAD_INPUT
+        raise BadInputError(status, str(error)) from error
+    except trio.TooSlowError as error:
+        raise BadInputError(_TIMED_OUT, 'request came too slowly') from error
+
+
+async def _receive_head(connection: _Connection) -> h11.Request | None:
+    limits = connection.limits
+    if not connection.protocol.trailing_data[0]:
+        received = b''
+        with trio.move_on_after(limits.idle_seconds):
+            received = await connection.stream.receive_some(RECEIVE_BYTES)
+        if not received:
+            return None
+        connection.protocol.receive_data(received)
+    with trio.fail_after(limits.head_seconds):
+        event = await connection.next_event(limits.head_seconds)
+    return event if isinstance(event, h11.Request) else None
+
+
+async def _receive_body(connection: _Connection, head: h11.Request) -> Request:
+    limits = connection.limits
+    _check_length(head, limits.body_bytes)
+    if connection.protocol.they_are_waiting_for_100_continue:
+        await connection.send(
+            h11.InformationalResponse(status_code=100, headers=[]),
+        )
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = await connection.next_event(limits.body_seconds)
+        if isinstance(event, h11.EndOfMessage):
+            return _make_request(head, b''.join(parts))
+        if not isinstance(event, h11.Data):
+            raise BadInputError(_BAD_INPUT, 'body ended early')
+        size += len(event.data)
+        if size > limits.body_bytes:
+            raise BadInputError(_TOO_LARGE, 'body over the limit')
+        parts.append(bytes(event.data))
+
+
+def _check_length(head: h11.Request, limit: int) -> None:
+    for name, text in head.headers:
+        if name == b'content-length' and int(text) > limit:
+            raise BadInputError(_TOO_LARGE, 'body over the limit')
+
+
+def _make_request(head: h11.Request, body: bytes) -> Request:
+    target = urlsplit(head.target.decode('latin-1'))
+    return Request(
+        method=head.method.decode('ascii'),
+        path=unquote(target.path),
+        query=dict(parse_qsl(target.query)),
+        headers=tuple(
+            (name.decode('ascii'), text.decode('latin-1'))
+            for name, text in head.headers
+        ),
+        body=body,
+    )
+
+
+async def _refuse(connection: _Connection, error: BadInputError) -> None:
+    telemetry.count('bad_input', status=str(error.status))
+    if connection.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        return
+    exchange = Exchange(
+        request=Request(method='', path=''),
+        connection=connection,
+    )
+    headers = (*_TEXT_HEADERS, ('connection', 'close'))
+    await exchange.respond(
+        Response(
+            status=error.status,
+            headers=headers,
+            body=str(error).encode(),
+        ),
+    )
