--- /dev/null
+++ b/tests/fake_network.py
@@ -0,0 +1,97 @@
+"""Joins peers without sockets: latency, cuts, lost and doubled messages.
+
+>>> network = FakeNetwork(seed=1)
+>>> call = network.join(address, peer_routes)
+>>> network.cut(address, other)  # nothing from address reaches other
+"""
+
+import random
+
+import trio
+from expression import Result
+
+from limpetdrift.protocol.codec import decode, encode
+from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
+
+LATENCY_SECONDS = 0.0015
+
+
+class FakeNetwork:
+    """Carries messages between the ``PeerRoutes`` of many addresses."""
+
+    def __init__(self, *, seed=0, latency_seconds=LATENCY_SECONDS):
+        self.random = random.Random(seed)
+        self.latency_seconds = latency_seconds
+        self.lost_share = 0.0
+        self.doubled_share = 0.0
+        self.messages = 0
+        self.bytes = 0
+        self._routes = {}
+        self._cuts = set()
+        self._frozen = {}
+
+    def join(self, address, peer_routes):
+        """Add a peer and return its ``PeerCall``."""
+        self._routes[address] = peer_routes
+
+        async def call(target, path, message, reply, *, timeout_seconds):
+            with trio.move_on_after(timeout_seconds):
+                return await self._carry(address, target, path, message, reply)
+            return Result.Error(may_have_run(Reason.TIMEOUT, str(target)))
+
+        return call
+
+    def kill(self, address):
+        """Remove a peer: connections to it are refused."""
+        self._routes.pop(address, None)
+
+    def cut(self, source, target):
+        """Lose all that goes from source to target, silently."""
+        self._cuts.add((source, target))
+
+    def isolate(self, address):
+        """Cut an address off from all others, both ways."""
+        for other in list(self._routes):
+            if other != address:
+                self.cut(address, other)
+                self.cut(other, address)
+
+    def heal(self):
+        """Undo every cut."""
+        self._cuts.clear()
+
+    def freeze(self, address):
+        """Let messages to and from the address wait until ``thaw``."""
+        self._frozen[address] = trio.Event()
+
+    def thaw(self, address):
+        """End a freeze."""
+        self._frozen.pop(address).set()
+
+    async def _carry(self, source, target, path, message, reply):
+        body = encode(message)
+        await self._travel(source, target, len(body))
+        routes = self._routes.get(target)
+        if routes is None:
+            return Result.Error(not_run(Reason.CONNECT_FAILED, str(target)))
+        outcome = await routes.dispatch(path, body)
+        if self.random.random() < self.doubled_share:
+            outcome = await routes.dispatch(path, body)
+        answer = encode(outcome.ok if outcome.is_ok() else outcome.error)
+        await self._travel(target, source, len(answer))
+        if outcome.is_error():
+            return outcome
+        return decode(answer, reply)
+
+    async def _travel(self, source, target, size):
+        self.messages += 1
+        self.bytes += size
+        for address in (source, target):
+            frozen = self._frozen.get(address)
+            if frozen is not None:
+                await frozen.wait()
+        jitter = self.random.uniform(0.5, 1.5)
+        await trio.sleep(self.latency_seconds * jitter)
+        lost = self.random.random() < self.lost_share
+        if lost or (source, target) in self._cuts:
+            await trio.sleep_forever()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,52 @@
+"""Peer calls over the fake network."""
+
+from dataclasses import dataclass
+
+from expression import Result
+
+from fake_network import FakeNetwork
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.protocol.verdict import Reason, Verdict
+from limpetdrift.transport.messages import Address
+from virtual import virtual
+
+
+@dataclass(frozen=True, kw_only=True)
+class Echo:
+    text: str
+
+
+HERE = Address(host='127.0.0.1', port=1)
+THERE = Address(host='127.0.0.1', port=2)
+
+
+def joined_network():
+    async def echo(message):
+        return Result.Ok(Echo(text=message.text.upper()))
+
+    network = FakeNetwork(seed=1)
+    routes = PeerRoutes()
+    routes.add('echo', Echo, echo)
+    network.join(THERE, routes)
+    return network, network.join(HERE, PeerRoutes())
+
+
+@virtual
+async def test_a_peer_answers():
+    _, call = joined_network()
+    answer = await call(
+        THERE, 'echo', Echo(text='a'), Echo, timeout_seconds=1.0
+    )
+    assert answer.ok == Echo(text='A')
+
+
+@virtual
+async def test_a_dead_peer_proves_not_run_and_a_cut_one_does_not():
+    network, call = joined_network()
+    network.cut(THERE, HERE)
+    cut = await call(THERE, 'echo', Echo(text='a'), Echo, timeout_seconds=1.0)
+    assert cut.error.verdict is Verdict.MAY_HAVE_RUN
+    network.kill(THERE)
+    dead = await call(THERE, 'echo', Echo(text='a'), Echo, timeout_seconds=1.0)
+    assert dead.error.reason is Reason.CONNECT_FAILED
+    assert dead.error.verdict is Verdict.NOT_RUN
--- /dev/null
+++ b/tests/virtual.py
@@ -0,0 +1,30 @@
+"""Runs an async test body in virtual time, with a fixed seed."""
+
+import functools
+import inspect
+import random
+
+import trio
+from trio.testing import MockClock
+
+SEED = 20261203
+
+
+def virtual(body):
+    """Run the async test function under an autojumping mock clock."""
+
+    @functools.wraps(body)
+    def run(*arguments, **keywords):
+        run_virtual(functools.partial(body, *arguments, **keywords))
+
+    run.__signature__ = inspect.signature(body)
+    return run
+
+
+def run_virtual(body, seed=SEED):
+    """Run an async function of no arguments in virtual time."""
+    # Trio shuffles each batch of runnable tasks with its own generator.
+    trio._core._run._r.seed(seed)
+    random.seed(seed)
+    clock = MockClock(autojump_threshold=0)
+    return trio.run(body, clock=clock)
