--- /dev/null
+++ b/src/limpetdrift/protocol/objects.py
@@ -0,0 +1,76 @@
+"""The platform's object store: whole bodies by name.
+
+The calls are gathered in ``ObjectCalls``, so that a test puts a dictionary
+in the place of the store.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from expression import Error, Ok, Result
+
+from limpetdrift.protocol.tableclient import read_refusal
+from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request
+
+CALL_TIMEOUT_SECONDS = 5.0
+_OK = 200
+_CREATED = 201
+_NO_CONTENT = 204
+_NOT_FOUND = 404
+
+
+@dataclass(frozen=True, kw_only=True)
+class ObjectCalls:
+    """The object store as three functions.
+
+    ``fetch`` of a name that is absent fails with ``Reason.NOT_FOUND``;
+    ``delete`` of one succeeds.
+    """
+
+    put: Callable[[str, bytes], Awaitable[Result[None, Failure]]]
+    fetch: Callable[[str], Awaitable[Result[bytes, Failure]]]
+    delete: Callable[[str], Awaitable[Result[None, Failure]]]
+
+
+def make_object_calls(client: HttpClient, address: Address) -> ObjectCalls:
+    """Return the calls to the object store at an address."""
+
+    async def call(
+        method: str,
+        name: str,
+        body: bytes,
+        accepted: tuple[int, ...],
+    ) -> Result[bytes, Failure]:
+        request = Request(method=method, path=f'/objects/{name}', body=body)
+        answer = await client.fetch(
+            address,
+            request,
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+        )
+        if answer.is_error():
+            return Error(answer.error)
+        if answer.ok.status in accepted:
+            return Ok(answer.ok.body)
+        if answer.ok.status == _NOT_FOUND:
+            return Error(not_run(Reason.NOT_FOUND, name))
+        return Error(read_refusal(answer.ok))
+
+    async def put(name: str, body: bytes) -> Result[None, Failure]:
+        stored = await call('PUT', name, body, (_OK, _CREATED))
+        return stored.map(_discard)
+
+    async def fetch(name: str) -> Result[bytes, Failure]:
+        return await call('GET', name, b'', (_OK,))
+
+    async def delete(name: str) -> Result[None, Failure]:
+        gone = (_OK, _NO_CONTENT, _NOT_FOUND)
+        deleted = await call('DELETE', name, b'', gone)
+        return deleted.map(_discard)
+
+    return ObjectCalls(put=put, fetch=fetch, delete=delete)
+
+
+def _discard(_: bytes) -> None:
+    """Drop a body that means nothing."""
