Claim non-idempotent requests in the table service

A request that is not repeatable has to run at most once, also when its caller resends it to other entries. coordination/claims.py inserts a row with a unique token before dispatch; a lost answer is settled by reading the token back, and where that fails the token is withdrawn for good and sealed in the background. A resend asks the claim's owner (claims/ask); an owner that says that a token was never dispatched has withdrawn it first. Only the holder dispatches, once, within the request's deadline.

An owner's ledger lists each token that may still be sent, so a token that it doesn't list needs no memory: its row is open for take-over, and the compare on the row's version settles the case where the row has changed since. Keeping every withdrawn token in memory was weighed and is not needed.

tests/test_claims.py plays scripts of resends, lost, late and dropped writes, outages, kills, freezes past the deadline and past the retention, cuts, and silent, refusing or forgetful endpoints.

--- /dev/null
+++ b/tests/claim_world.py
@@ -0,0 +1,341 @@
+"""Owners that serve non-idempotent requests, for tests in virtual time."""
+
+import random
+from dataclasses import dataclass
+
+import trio
+from expression import Result
+
+from fake_network import FakeNetwork
+from fake_table import FakeTable
+from limpetdrift.coordination.claimmessages import (
+    ClaimRequest,
+    Finished,
+    Foreign,
+    Granted,
+)
+from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.protocol.node import Endpoint, Node, Role
+from limpetdrift.protocol.objects import ObjectCalls
+from limpetdrift.protocol.verdict import Reason, Verdict, may_have_run, not_run
+from limpetdrift.state.claims import INLINE_RESULT_BYTES, ClaimStore, KeptResult
+from limpetdrift.state.claimsweep import ClaimSweep
+from limpetdrift.transport.messages import Address
+
+OWNERS = 3
+DEADLINE_SECONDS = 8.0
+EPOCH_SECONDS = 60.0
+RUN_SECONDS = 0.05
+SILENCE_SECONDS = 0.5
+ENDPOINT = Endpoint(
+    name='kiosk-desk-1',
+    role=Role.SERVICE,
+    address=Address(host='127.0.0.9', port=1),
+    failure_domain='thika-hall',
+)
+
+
+class LateTable(FakeTable):
+    """Also lets a write take effect long after its caller gave up."""
+
+    def __init__(self):
+        super().__init__()
+        self.late_requests = 0
+        self.nursery = None
+
+    async def _batch(self, transactions):
+        if not self.late_requests or self.down:
+            return await super()._batch(transactions)
+        self.late_requests -= 1
+        self.nursery.start_soon(self._commit_late, transactions)
+        await trio.sleep(self.delay_seconds)
+        return Result.Error(may_have_run(Reason.TIMEOUT, 'table'))
+
+    async def _commit_late(self, transactions):
+        await trio.sleep(1.5)
+        for each in transactions:
+            self._commit(each)
+
+
+class FakeObjects:
+    """An object store in a dictionary, down with the table."""
+
+    def __init__(self, table):
+        self.bodies = {}
+        self._table = table
+
+    def calls(self):
+        return ObjectCalls(put=self._put, fetch=self._fetch, delete=self._drop)
+
+    async def _put(self, name, body):
+        if self._table.down:
+            return Result.Error(not_run(Reason.CONNECT_FAILED))
+        self.bodies[name] = body
+        return Result.Ok(None)
+
+    async def _fetch(self, name):
+        if self._table.down or name not in self.bodies:
+            return Result.Error(not_run(Reason.NOT_FOUND))
+        return Result.Ok(self.bodies[name])
+
+    async def _drop(self, name):
+        self.bodies.pop(name, None)
+        return Result.Ok(None)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """A line of the endpoint's journal."""
+
+    key: str
+    stream_id: str
+    at: float
+    deadline: float
+
+
+class JournalEndpoint:
+    """Runs requests, each with an answer of its own, and lists the runs."""
+
+    def __init__(self):
+        self.journal = []
+        self.refuse = 0
+        self.silent = 0
+        self.forget = 0
+        self._bodies = {}
+
+    async def run(self, key, stream_id, deadline):
+        await trio.sleep(0.001)
+        if self.refuse:
+            self.refuse -= 1
+            return Result.Error(not_run(Reason.ENDPOINT_REFUSED))
+        self.journal.append(
+            Run(
+                key=key,
+                stream_id=stream_id,
+                at=trio.current_time(),
+                deadline=deadline,
+            ),
+        )
+        # Every other result is too large for its row.
+        size = INLINE_RESULT_BYTES * (len(self.journal) % 2) + 20
+        body = f'{key} ran as {len(self.journal)}'.ljust(size).encode()
+        if not self.forget:
+            self._bodies[stream_id] = body
+        self.forget = max(0, self.forget - 1)
+        await trio.sleep(RUN_SECONDS)
+        if self.silent:
+            self.silent -= 1
+            await trio.sleep(SILENCE_SECONDS)
+            return Result.Error(may_have_run(Reason.SILENT))
+        return Result.Ok(KeptResult(status=200, body=body))
+
+    def ran_at(self, body):
+        """Return when the run that gave this answer began."""
+        number = int(body.split()[-1])
+        return self.journal[number - 1].at
+
+    async def resume(self, stream_id):
+        await trio.sleep(0.001)
+        if stream_id not in self._bodies:
+            return Result.Error(may_have_run(Reason.STREAM_UNKNOWN))
+        return Result.Ok(KeptResult(status=200, body=self._bodies[stream_id]))
+
+
+class Owner:
+    """One entry: its claims, and the path of its requests."""
+
+    def __init__(self, *, name, incarnation, address, world):
+        self.world = world
+        self.address = address
+        self.pause = None
+        self._scopes = set()
+        self._dead = False
+        node = Node(
+            name=name,
+            incarnation=incarnation,
+            role=Role.ENTRY,
+            region='kiambu',
+            failure_domain='thika-hall',
+            caller_address=address,
+            peer_address=address,
+        )
+        routes = PeerRoutes()
+        self.claims = Claims(
+            node=node,
+            store=world.store,
+            peer_call=world.network.join(address, routes),
+            randomness=random.Random(f'{name}-{incarnation}'),
+        )
+        self.claims.mount(routes)
+
+    async def live(self, body, *arguments):
+        """Run a part of this process, until that ends or it is killed."""
+        scope = trio.CancelScope()
+        self._scopes.add(scope)
+        if self._dead:
+            scope.cancel()
+        with scope:
+            await body(*arguments)
+
+    def die(self):
+        self._dead = True
+        for scope in self._scopes:
+            scope.cancel()
+
+    async def serve(self, key, stream_id):
+        """Serve a request as an entry does; return its answer."""
+        deadline = trio.current_time() + DEADLINE_SECONDS
+        taken = await self.claims.take(
+            ClaimRequest(
+                account='simu-kona',
+                idempotency_key=key,
+                fingerprint=f'body of {key}',
+                endpoint=ENDPOINT,
+                stream_id=stream_id,
+                deadline=deadline,
+            ),
+        )
+        await self._wait_while_paused()
+        if taken.is_error():
+            return taken
+        if isinstance(taken.ok, Granted):
+            return await self._run(key, stream_id, taken.ok.token, deadline)
+        if isinstance(taken.ok, Finished):
+            return Result.Ok(taken.ok.kept)
+        return await self._follow(taken.ok)
+
+    async def _run(self, key, stream_id, token, deadline):
+        # The window between a grant and its dispatch.
+        await trio.sleep(0.002)
+        await self._wait_while_paused()
+        if not self.claims.may_dispatch(token, deadline):
+            self.claims.seal(token)
+            return Result.Error(not_run(Reason.DEADLINE))
+        endpoint = self.world.endpoint
+        ran = await endpoint.run(key, stream_id, deadline)
+        await self._wait_while_paused()
+        if ran.is_error() and ran.error.verdict is Verdict.NOT_RUN:
+            self.claims.seal(token)
+            return ran
+        if ran.is_error():
+            ran = await endpoint.resume(stream_id)
+        if ran.is_error():
+            self.claims.give_up(token)
+            return ran
+        return Result.Ok(await self.claims.finish(token, ran.ok))
+
+    async def _follow(self, other):
+        resumed = await self.world.endpoint.resume(other.seen.row.stream_id)
+        if resumed.is_error():
+            return resumed
+        if isinstance(other, Foreign) and other.running:
+            return Result.Error(may_have_run(Reason.CLAIMED_ELSEWHERE))
+        return Result.Ok(await self.claims.adopt(other.seen, resumed.ok))
+
+    async def _wait_while_paused(self):
+        while self.pause is not None:
+            await self.pause.wait()
+
+
+class ClaimWorld:
+    """Owners, the table, the endpoint, and what each send was told."""
+
+    def __init__(self):
+        self.table = LateTable()
+        self.network = FakeNetwork(seed=1)
+        self.endpoint = JournalEndpoint()
+        self.objects = FakeObjects(self.table)
+        self.store = ClaimStore(
+            table=self.table.calls(),
+            objects=self.objects.calls(),
+            epoch=current_epoch,
+        )
+        self.answers = []
+        self.kills = 0
+        self.owners = {}
+        self._incarnations = 0
+        self._streams = 0
+        self._nursery = None
+
+    async def play(self, script):
+        """Run the steps, heal everything, and ask for each key again."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self.table.nursery = nursery
+            for index in range(OWNERS):
+                self._start(index)
+            nursery.start_soon(self._sweep)
+            for step in script:
+                await step(self)
+            self.heal()
+            await trio.sleep(2 * DEADLINE_SECONDS)
+            for key in sorted({sent[0] for sent in self.answers}):
+                await self._serve(self.owners[0], key)
+            nursery.cancel_scope.cancel()
+
+    def send(self, index, key):
+        owner = self.owners[index]
+        self._nursery.start_soon(owner.live, self._serve, owner, key)
+
+    def kill(self, index):
+        self.kills += 1
+        old = self.owners[index]
+        old.die()
+        self.thaw(index)
+        self.network.kill(old.address)
+        self._start(index)
+
+    def freeze(self, index):
+        owner = self.owners[index]
+        if owner.pause is None:
+            owner.pause = trio.Event()
+            self.network.freeze(owner.address)
+
+    def thaw(self, index):
+        owner = self.owners[index]
+        if owner.pause is not None:
+            owner.pause.set()
+            owner.pause = None
+            self.network.thaw(owner.address)
+
+    def heal(self):
+        self.table.down = False
+        self.table.lose_answers = 0
+        self.table.lose_requests = 0
+        self.table.late_requests = 0
+        self.endpoint.refuse = 0
+        self.network.heal()
+        for index in range(OWNERS):
+            self.thaw(index)
+
+    def _start(self, index):
+        self._incarnations += 1
+        owner = Owner(
+            name=f'entry-{index}',
+            incarnation=self._incarnations,
+            address=Address(host='127.0.0.1', port=index + 1),
+            world=self,
+        )
+        self.owners[index] = owner
+        self._nursery.start_soon(owner.live, owner.claims.run)
+
+    async def _serve(self, owner, key):
+        self._streams += 1
+        stream_id = f'stream-{self._streams}'
+        answer = await owner.serve(key, stream_id)
+        self.answers.append((key, stream_id, answer, trio.current_time()))
+
+    async def _sweep(self):
+        sweep = ClaimSweep(
+            table=self.table.calls(),
+            objects=self.objects.calls(),
+            retention_epochs=1,
+        )
+        while True:
+            await trio.sleep(5)
+            await sweep.sweep_page(current_epoch())
+
+
+def current_epoch():
+    return int(trio.current_time() // EPOCH_SECONDS)
