--- /dev/null
+++ b/src/limpetdrift/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' API: chat completions, resumption, models and services."""
--- /dev/null
+++ b/src/limpetdrift/callers/answers.py
@@ -0,0 +1,121 @@
+"""Answers to callers: failures, chunks and whole completions."""
+
+import math
+import time
+
+from limpetdrift import telemetry
+from limpetdrift.protocol.codec import JSON_HEADERS, encode
+from limpetdrift.protocol.openai import (
+    VERDICT_HEADER,
+    ErrorAnswer,
+    Usage,
+    error_answer,
+    status_of,
+)
+from limpetdrift.protocol.verdict import Failure
+from limpetdrift.state.run import RunEnd
+from limpetdrift.transport.messages import Headers, Response
+from limpetdrift.transport.server import Exchange
+
+SSE_HEADERS: Headers = (
+    ('content-type', 'text/event-stream; charset=utf-8'),
+    ('cache-control', 'no-store'),
+)
+DONE_EVENT = b'data: [DONE]\n\n'
+
+
+def failure_response(failure: Failure) -> Response:
+    """Build the response that tells a caller of a failure."""
+    telemetry.count('refusals', reason=failure.reason)
+    headers: Headers = ((VERDICT_HEADER, failure.verdict.value),)
+    if failure.retry_after_seconds is not None:
+        seconds = max(1, math.ceil(failure.retry_after_seconds))
+        headers = (*headers, ('retry-after', str(seconds)))
+    return Response(
+        status=status_of(failure),
+        headers=(*JSON_HEADERS, *headers),
+        body=encode(error_answer(failure)),
+    )
+
+
+async def respond_failure(exchange: Exchange, failure: Failure) -> None:
+    """Answer an exchange with a failure."""
+    await exchange.respond(failure_response(failure))
+
+
+def failure_event(failure: Failure) -> bytes:
+    """Build the event that ends a stream with a failure."""
+    telemetry.count('refusals', reason=failure.reason)
+    answer: ErrorAnswer = error_answer(failure)
+    return _event(answer)
+
+
+def usage_of(end: RunEnd) -> Usage:
+    """Return the usage figures of a whole answer."""
+    return Usage(
+        prompt_tokens=end.prompt_tokens,
+        completion_tokens=end.completion_tokens,
+        total_tokens=end.prompt_tokens + end.completion_tokens,
+        prompt_tokens_details={'cached_tokens': end.cached_tokens},
+    )
+
+
+def completion(handle: str, model: str, text: str, end: RunEnd) -> dict:
+    """Build the whole answer of a request that is not streamed."""
+    return {
+        'id': handle,
+        'object': 'chat.completion',
+        'created': int(time.time()),
+        'model': model,
+        'choices': [
+            {
+                'index': 0,
+                'message': {'role': 'assistant', 'content': text},
+                'finish_reason': end.finish,
+            },
+        ],
+        'usage': usage_of(end),
+    }
+
+
+def text_event(handle: str, model: str, text: str, offset: int) -> bytes:
+    """Build the event of a piece of text; ``offset`` is the next token's."""
+    return _chunk(handle, model, {'content': text}, None, offset)
+
+
+def finish_event(handle: str, model: str, end: RunEnd) -> bytes:
+    """Build the event that tells why the answer ended."""
+    return _chunk(handle, model, {}, end.finish, end.completion_tokens)
+
+
+def usage_event(handle: str, model: str, end: RunEnd) -> bytes:
+    """Build the event that carries the usage figures."""
+    chunk = _chunk_body(handle, model)
+    return _event({**chunk, 'choices': [], 'usage': usage_of(end)})
+
+
+def _chunk(
+    handle: str,
+    model: str,
+    delta: dict[str, str],
+    finish: str | None,
+    offset: int,
+) -> bytes:
+    choice = {'index': 0, 'delta': delta, 'finish_reason': finish}
+    chunk = _chunk_body(handle, model)
+    return _event(
+        {**chunk, 'choices': [choice], 'limpet': {'offset': offset}},
+    )
+
+
+def _chunk_body(handle: str, model: str) -> dict[str, object]:
+    return {
+        'id': handle,
+        'object': 'chat.completion.chunk',
+        'created': int(time.time()),
+        'model': model,
+    }
+
+
+def _event(message: object) -> bytes:
+    return b''.join((b'data: ', encode(message), b'\n\n'))
--- /dev/null
+++ b/src/limpetdrift/callers/chat.py
@@ -0,0 +1,295 @@
+"""``POST /v1/chat/completions``: from a request to its streamed answer."""
+
+import hashlib
+from collections.abc import Callable
+from contextlib import aclosing
+from dataclasses import dataclass
+
+import trio
+from expression import Error, Ok, Result
+
+from limpetdrift import telemetry
+from limpetdrift.callers.access import authenticate
+from limpetdrift.callers.answers import (
+    DONE_EVENT,
+    SSE_HEADERS,
+    completion,
+    failure_event,
+    finish_event,
+    respond_failure,
+    text_event,
+    usage_event,
+)
+from limpetdrift.coordination.owner import Owner
+from limpetdrift.protocol.codec import decode, json_response
+from limpetdrift.protocol.openai import (
+    DEADLINE_HEADER,
+    DEFAULT_MAX_TOKENS,
+    KEY_HEADER,
+    REPEATABLE_HEADER,
+    STREAM_HEADER,
+    URGENCY_HEADER,
+    ChatRequest,
+    Resumption,
+    prompt_text,
+)
+from limpetdrift.protocol.prompts import count_tokens
+from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.state.run import Run, RunRequest
+from limpetdrift.state.site import SiteConfig, UrgencyConfig
+from limpetdrift.transport.messages import OK, Request
+from limpetdrift.transport.routing import Parameters, Routes
+from limpetdrift.transport.server import Exchange
+
+LONGEST_DEADLINE_SECONDS = 3600.0
+LONGEST_KEY = 200
+_WORDS = {'true': True, 'false': False, '': True}
+
+Admit = Callable[[RunRequest], Result[None, Failure]]
+ReadSite = Callable[[], SiteConfig]
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChatParts:
+    """What the chat API works with.
+
+    ``admit`` may refuse a well-formed request: limits, drain, quarantine.
+    """
+
+    site: ReadSite
+    owner: Owner
+    admit: Admit
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Options:
+    """The request's headers, read and checked."""
+
+    key: str
+    repeatable: bool
+    urgency: UrgencyConfig
+    deadline_seconds: float
+
+
+def add_chat_routes(routes: Routes, parts: ChatParts) -> None:
+    """Serve chat completions and the list of models."""
+
+    async def create(exchange: Exchange, parameters: Parameters) -> None:
+        await _create(exchange, parts)
+
+    async def list_models(exchange: Exchange, parameters: Parameters) -> None:
+        await _list_models(exchange, parts)
+
+    routes.add('POST', '/v1/chat/completions', create)
+    routes.add('GET', '/v1/models', list_models)
+
+
+async def send_stream(
+    exchange: Exchange,
+    run: Run,
+    offset: int,
+    *,
+    include_usage: bool,
+) -> None:
+    """Send a run's tokens from an offset on, as server-sent events."""
+    async with aclosing(run.read(offset)) as reader:
+        text = await anext(reader, '')
+        if not text and run.failure is not None:
+            await respond_failure(exchange, run.failure)
+            return
+        request = run.request
+        headers = (*SSE_HEADERS, (STREAM_HEADER, request.handle))
+        await exchange.start(OK, headers)
+        while text:
+            event = text_event(request.handle, request.model, text, run.offset)
+            await exchange.send(event)
+            text = await anext(reader, '')
+    await exchange.send(_ending(run, include_usage=include_usage))
+    await exchange.finish()
+
+
+def _ending(run: Run, *, include_usage: bool) -> bytes:
+    if run.end is None:
+        failure = run.failure or not_run(Reason.INTERNAL)
+        return failure_event(failure) + DONE_EVENT
+    handle, model = run.request.handle, run.request.model
+    events = [finish_event(handle, model, run.end)]
+    if include_usage:
+        events.append(usage_event(handle, model, run.end))
+    return b''.join((*events, DONE_EVENT))
+
+
+async def _create(exchange: Exchange, parts: ChatParts) -> None:
+    submitted = _submit(exchange.request, parts)
+    if submitted.is_error():
+        await respond_failure(exchange, submitted.error)
+        return
+    chat, run = submitted.ok
+    if chat.stream:
+        usage = chat.stream_options.include_usage
+        start = chat.limpet.start_offset
+        await send_stream(exchange, run, start, include_usage=usage)
+        return
+    await run.wait_ended()
+    await _respond_whole(exchange, run)
+
+
+async def _respond_whole(exchange: Exchange, run: Run) -> None:
+    if run.end is None:
+        failure = run.failure or not_run(Reason.INTERNAL)
+        await respond_failure(exchange, failure)
+        return
+    request = run.request
+    answer = completion(request.handle, request.model, run.text, run.end)
+    headers = ((STREAM_HEADER, request.handle),)
+    await exchange.respond(json_response(answer, headers=headers))
+
+
+def _submit(
+    request: Request,
+    parts: ChatParts,
+) -> Result[tuple[ChatRequest, Run], Failure]:
+    site = parts.site()
+    account = authenticate(site, request)
+    if account.is_error():
+        return Error(account.error)
+    chat = decode(request.body, ChatRequest)
+    if chat.is_error():
+        return Error(chat.error)
+    options = _read_options(site, request, parts.owner)
+    if options.is_error():
+        return Error(options.error)
+    checked = _check_chat(site, account.ok, chat.ok)
+    if checked.is_error():
+        return Error(checked.error)
+    run_request = _make_run_request(
+        chat.ok,
+        options.ok,
+        account.ok,
+        handle=parts.owner.make_handle(),
+        body=request.body,
+    )
+    telemetry.count('requests', account=account.ok)
+    admitted = parts.admit(run_request)
+    if admitted.is_error():
+        return Error(admitted.error)
+    run = parts.owner.submit(run_request)
+    return run.map(lambda submitted: (chat.ok, submitted))
+
+
+def _check_chat(
+    site: SiteConfig,
+    account: str,
+    chat: ChatRequest,
+) -> Result[None, Failure]:
+    model = site.models.get(chat.model)
+    allowed = site.accounts[account].models
+    if model is None or (allowed and chat.model not in allowed):
+        return Error(not_run(Reason.UNKNOWN_MODEL, chat.model))
+    if not chat.messages:
+        return Error(not_run(Reason.BAD_REQUEST, 'no messages'))
+    if _max_tokens(chat) < 1 or chat.limpet.start_offset < 0:
+        return Error(not_run(Reason.BAD_REQUEST, 'a number is out of range'))
+    if chat.limpet.start_offset > _max_tokens(chat):
+        return Error(not_run(Reason.BAD_REQUEST, 'offset past the end'))
+    tokens = count_tokens(prompt_text(chat.messages)) + _max_tokens(chat)
+    if tokens > model.context_tokens:
+        detail = f'{tokens} tokens; the model takes {model.context_tokens}'
+        return Error(not_run(Reason.BAD_REQUEST, detail))
+    return Ok(None)
+
+
+def _read_options(
+    site: SiteConfig,
+    request: Request,
+    owner: Owner,
+) -> Result[_Options, Failure]:
+    urgency_name = request.header(URGENCY_HEADER, site.default_urgency)
+    urgency = site.urgencies.get(urgency_name)
+    if urgency is None:
+        return Error(not_run(Reason.BAD_REQUEST, f'urgency {urgency_name!r}'))
+    repeatable = _WORDS.get(request.header(REPEATABLE_HEADER).lower())
+    if repeatable is None:
+        return Error(not_run(Reason.BAD_REQUEST, REPEATABLE_HEADER))
+    key = request.header(KEY_HEADER)
+    if len(key) > LONGEST_KEY or not (key or repeatable):
+        return Error(not_run(Reason.BAD_REQUEST, KEY_HEADER))
+    return _read_deadline(request, urgency).map(
+        lambda seconds: _Options(
+            key=key or owner.make_handle(),
+            repeatable=repeatable,
+            urgency=urgency,
+            deadline_seconds=seconds,
+        ),
+    )
+
+
+def _read_deadline(
+    request: Request,
+    urgency: UrgencyConfig,
+) -> Result[float, Failure]:
+    given = request.header(DEADLINE_HEADER)
+    if not given:
+        return Ok(urgency.deadline_seconds)
+    try:
+        seconds = float(given)
+    except ValueError:
+        return Error(not_run(Reason.BAD_REQUEST, DEADLINE_HEADER))
+    if 0 < seconds <= LONGEST_DEADLINE_SECONDS:
+        return Ok(seconds)
+    return Error(not_run(Reason.BAD_REQUEST, DEADLINE_HEADER))
+
+
+def _make_run_request(
+    chat: ChatRequest,
+    options: _Options,
+    account: str,
+    *,
+    handle: str,
+    body: bytes,
+) -> RunRequest:
+    prompt = prompt_text(chat.messages)
+    # What may run only once starts at its beginning, whoever asks again.
+    resumed = chat.limpet if options.repeatable else Resumption()
+    return RunRequest(
+        handle=handle,
+        key=options.key,
+        account=account,
+        model=chat.model,
+        prompt=prompt,
+        prompt_tokens=count_tokens(prompt),
+        max_tokens=_max_tokens(chat),
+        urgency=options.urgency.rank,
+        deadline=trio.current_time() + options.deadline_seconds,
+        fingerprint=_fingerprint(account, chat.model, prompt),
+        repeatable=options.repeatable,
+        start_offset=resumed.start_offset,
+        delivered=resumed.delivered,
+    )
+
+
+def _fingerprint(account: str, model: str, prompt: str) -> str:
+    whole = '\n'.join((account, model, prompt))
+    return hashlib.sha256(whole.encode()).hexdigest()
+
+
+def _max_tokens(chat: ChatRequest) -> int:
+    for given in (chat.max_completion_tokens, chat.max_tokens):
+        if given is not None:
+            return given
+    return DEFAULT_MAX_TOKENS
+
+
+async def _list_models(exchange: Exchange, parts: ChatParts) -> None:
+    site = parts.site()
+    account = authenticate(site, exchange.request)
+    if account.is_error():
+        await respond_failure(exchange, account.error)
+        return
+    allowed = site.accounts[account.ok].models or tuple(site.models)
+    models = [
+        {'id': name, 'object': 'model', 'created': 0, 'owned_by': site.brand}
+        for name in site.models
+        if name in allowed
+    ]
+    await exchange.respond(json_response({'object': 'list', 'data': models}))
--- a/src/limpetdrift/coordination/peers.py
+++ b/src/limpetdrift/coordination/peers.py
@@ -95,6 +95,12 @@
             )
 
 
+def is_peer(request: Request, secret: str) -> bool:
+    """Return whether the request bears the peers' secret."""
+    given = request.header(PEER_SECRET_HEADER)
+    return hmac.compare_digest(given.encode(), secret.encode())
+
+
 def make_peer_call(client: HttpClient, secret: str) -> PeerCall:
     """Return the ``PeerCall`` that goes over HTTP."""
 
@@ -144,8 +150,7 @@
 
 def _guarded(peer_routes: PeerRoutes, path: str, secret: str):
     async def handle(exchange: Exchange, parameters: Parameters) -> None:
-        given = exchange.request.header(PEER_SECRET_HEADER)
-        if not hmac.compare_digest(given.encode(), secret.encode()):
+        if not is_peer(exchange.request, secret):
             telemetry.count('refusals', reason=Reason.FORBIDDEN)
             await exchange.respond(Response(status=_FORBIDDEN))
             return
--- /dev/null
+++ b/src/limpetdrift/programs/serving.py
@@ -0,0 +1,72 @@
+"""What the programs share: start-up, health, metrics and signals."""
+
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+
+import trio
+from absl import logging
+
+from limpetdrift import telemetry
+from limpetdrift.protocol.codec import encode_line
+from limpetdrift.transport.messages import OK, UNAVAILABLE, Address, Response
+from limpetdrift.transport.routing import Parameters, Routes
+from limpetdrift.transport.server import Exchange
+
+_METRICS_HEADERS = (('content-type', 'text/plain; version=0.0.4'),)
+
+
+def add_health_routes(routes: Routes, is_ready: Callable[[], bool]) -> None:
+    """Serve ``/healthz``, ``/readyz`` and ``/metrics``."""
+
+    async def health(exchange: Exchange, parameters: Parameters) -> None:
+        await exchange.respond(Response(status=OK, body=b'ok\n'))
+
+    async def ready(exchange: Exchange, parameters: Parameters) -> None:
+        status = OK if is_ready() else UNAVAILABLE
+        await exchange.respond(Response(status=status))
+
+    async def metrics(exchange: Exchange, parameters: Parameters) -> None:
+        await exchange.respond(
+            Response(
+                status=OK,
+                headers=_METRICS_HEADERS,
+                body=telemetry.exposition(),
+            ),
+        )
+
+    routes.add('GET', '/healthz', health)
+    routes.add('GET', '/readyz', ready)
+    routes.add('GET', '/metrics', metrics)
+
+
+def announce(name: str, **addresses: Address) -> None:
+    """Print the one line that tells where the process listens."""
+    line = {'name': name}
+    for role, address in addresses.items():
+        line[role] = str(address)
+    sys.stdout.buffer.write(encode_line(line))
+    sys.stdout.flush()
+
+
+async def stop_on_signals(
+    drain: Callable[[], Awaitable[None]],
+    scope: trio.CancelScope,
+) -> None:
+    """Drain on the first SIGTERM or SIGINT, stop at once on a second."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async with trio.open_nursery() as nursery:
+            await anext(received)
+            logging.info('draining')
+            nursery.start_soon(_drain_and_stop, drain, scope)
+            await anext(received)
+            logging.info('stopping at once')
+            scope.cancel()
+
+
+async def _drain_and_stop(
+    drain: Callable[[], Awaitable[None]],
+    scope: trio.CancelScope,
+) -> None:
+    await drain()
+    scope.cancel()
--- a/src/limpetdrift/transport/messages.py
+++ b/src/limpetdrift/transport/messages.py
@@ -5,6 +5,11 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+OK = 200
+NO_CONTENT = 204
+NOT_FOUND = 404
+UNAVAILABLE = 503
+
 DEFAULT_BODY_LIMIT_BYTES = 16_777_216
 DEFAULT_HEADER_LIMIT_BYTES = 32_768
 
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -126,6 +126,10 @@
         self._finished = True
         await self._connection.send(h11.EndOfMessage())
 
+    async def abort(self) -> None:
+        """Close the connection in the middle of a body."""
+        await trio.aclose_forcefully(self._connection.stream)
+
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
