--- a/src/limpetdrift/coordination/attempt.py
+++ b/src/limpetdrift/coordination/attempt.py
@@ -110,7 +110,7 @@
 ) -> Result[RunEnd, Failure]:
     async for lines in batches:
         for line in lines:
-            if line.stream_id != stream_id:
+            if _is_another(line, stream_id):
                 telemetry.count('answers_dropped', reason='crossed')
                 return Error(may_have_run(Reason.BAD_ANSWER, 'crossed'))
             ending = _take_line(line, run)
@@ -120,6 +120,10 @@
     return Error(may_have_run(Reason.CONNECTION_BROKEN, 'stream cut short'))
 
 
+def _is_another(line: StreamLine, stream_id: str) -> bool:
+    return line.stream_id != stream_id
+
+
 def _take_line(line: StreamLine, run: Run) -> Result[RunEnd, Failure] | None:
     if line.error:
         return Error(may_have_run(Reason.ENDPOINT_FAILED, line.error))
--- a/src/limpetdrift/coordination/drive.py
+++ b/src/limpetdrift/coordination/drive.py
@@ -232,7 +232,7 @@
     told = replace(failure, verdict=run.verdict)
     if failure.reason in _FINAL_REASONS:
         return told
-    if not run.request.repeatable and run.verdict is not Verdict.NOT_RUN:
+    if _may_not_repeat(run):
         return told
     if run.attempts >= ATTEMPT_LIMIT:
         return _come_back(told)
@@ -241,6 +241,12 @@
     return None
 
 
+def _may_not_repeat(run: Run) -> bool:
+    if run.request.repeatable:
+        return False
+    return run.verdict is not Verdict.NOT_RUN
+
+
 def _never_ran(failure: Failure) -> bool:
     return failure.verdict is Verdict.NOT_RUN
 
