Add the stand-ins of the model engine and the table service

Cause: callers, placement and claims need engines and a table to run against, in real processes and under virtual time. Change: limpet_standins.engine and limpet_standins.table speak the formats of docs/PLATFORM.md. Handlers and tasks take time from trio only, so that limpet_standins.local joins several in one process. answers.expected_text defines every token. Weighed: a stream reserves its whole memory when it is accepted rather than as it grows, so that no accepted stream has to be thrown out later.

--- /dev/null
+++ b/src/limpet_standins/engine.py
@@ -0,0 +1,226 @@
+"""A model engine: batching, limited memory, holds, groups and orders.
+
+Run it with ``python -m limpet_standins.engine --listen 127.0.0.1:9001
+--name engine-1``. ``make_engine`` gives the same engine without sockets.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Annotated, Any
+
+import cappa
+import trio
+from expression import Result
+
+from limpet_standins.controls import Controls
+from limpet_standins.engine_core import EngineCore, Fetch
+from limpet_standins.engine_messages import EngineSettings
+from limpet_standins.exports import ExportCalls
+from limpet_standins.groups import Groups
+from limpet_standins.holds import HoldCalls
+from limpet_standins.orders import OrderCalls
+from limpet_standins.serving import (
+    StandIn,
+    make_stand_in,
+    refuse,
+    run_stand_in,
+)
+from limpet_standins.stream_calls import StreamCalls
+from limpetdrift.protocol.codec import json_response
+from limpetdrift.protocol.verdict import Failure
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request, Response
+from limpetdrift.transport.routing import Parameters, Routes
+from limpetdrift.transport.server import Exchange
+
+FETCH_SECONDS = 600.0
+MEMBER_SECONDS = 1.0
+SHORTEST_LAG_SECONDS = 0.01
+_BAD_INPUT = 400
+
+
+class Reports:
+    """The handlers that tell of load, allocations and cache events."""
+
+    def __init__(self, *, core: EngineCore) -> None:
+        self._core = core
+        self._taken: dict[str, Any] = {}
+        self._taken_at = 0.0
+
+    async def load(self, exchange: Exchange, _params: Parameters) -> None:
+        """Answer with the load as it was when last taken."""
+        if not self._taken:
+            self._take()
+        age = trio.current_time() - self._taken_at
+        answer = {**self._taken, 'taken_seconds_ago': age}
+        await exchange.respond(json_response(answer))
+
+    async def allocations(
+        self,
+        exchange: Exchange,
+        _params: Parameters,
+    ) -> None:
+        """Answer with what holds memory now."""
+        states = self._core.allocations.states()
+        await exchange.respond(json_response(states))
+
+    async def events(self, exchange: Exchange, _params: Parameters) -> None:
+        """Answer with a page of cache events."""
+        after = exchange.request.query.get('after', '0')
+        if not after.isdigit():
+            await refuse(exchange, _BAD_INPUT, 'bad-request')
+            return
+        page = self._core.events.page(int(after))
+        await exchange.respond(json_response(page))
+
+    async def take_load(self) -> None:
+        """Take the load at each lag, for ever."""
+        while True:
+            self._take()
+            await trio.sleep(
+                max(
+                    self._core.settings.load_lag_seconds,
+                    SHORTEST_LAG_SECONDS,
+                )
+            )
+
+    def _take(self) -> None:
+        self._taken = self._core.load()
+        self._taken_at = trio.current_time()
+
+
+def make_engine(
+    settings: EngineSettings,
+    *,
+    fetch: Fetch | None = None,
+    end: Callable[[], None] | None = None,
+) -> StandIn:
+    """Return an engine; its tasks have to run beside its handlers.
+
+    ``end`` takes the place of ending the process.
+    """
+    controls = Controls()
+    if end is not None:
+        controls.end = end
+    core = EngineCore(
+        settings=settings,
+        controls=controls,
+        fetch=fetch or _make_fetch(),
+    )
+    groups = Groups(core=core)
+    streams = StreamCalls(core=core, groups=groups)
+    holds = HoldCalls(core=core)
+    orders = OrderCalls(core=core)
+    reports = Reports(core=core)
+    tasks = (
+        core.scheduler.work,
+        groups.check_members,
+        streams.forget_old,
+        holds.expire,
+        orders.carry_out,
+        reports.take_load,
+    )
+    stand_in = make_stand_in(
+        name=settings.name,
+        controls=controls,
+        tasks=tasks,
+    )
+    _add_stream_routes(stand_in.routes, streams)
+    _add_memory_routes(stand_in.routes, holds, ExportCalls(core=core))
+    stand_in.routes.add('POST', '/v1/orders', orders.take)
+    stand_in.routes.add('GET', '/v1/state', orders.show)
+    stand_in.routes.add('GET', '/v1/load', reports.load)
+    stand_in.routes.add('GET', '/v1/allocations', reports.allocations)
+    stand_in.routes.add('GET', '/v1/cache-events', reports.events)
+    return stand_in
+
+
+def _add_stream_routes(routes: Routes, streams: StreamCalls) -> None:
+    routes.add('POST', '/v1/streams', streams.begin)
+    routes.add('GET', '/v1/streams/{stream}', streams.resume)
+    routes.add('DELETE', '/v1/streams/{stream}', streams.cancel)
+
+
+def _add_memory_routes(
+    routes: Routes,
+    holds: HoldCalls,
+    exports: ExportCalls,
+) -> None:
+    routes.add('POST', '/v1/holds', holds.begin)
+    routes.add('GET', '/v1/holds/{hold}', holds.show)
+    routes.add('POST', '/v1/holds/{hold}/renew', holds.renew)
+    routes.add('DELETE', '/v1/holds/{hold}', holds.free)
+    routes.add('POST', '/v1/exports', exports.begin)
+    routes.add('GET', '/v1/exports/{export}', exports.show)
+    routes.add('DELETE', '/v1/exports/{export}', exports.free)
+    routes.add('POST', '/v1/imports', exports.fetch)
+
+
+def _make_fetch() -> Fetch:
+    client = HttpClient()
+
+    async def fetch(
+        address: Address,
+        request: Request,
+    ) -> Result[Response, Failure]:
+        weights = request.path.startswith('/weights/')
+        return await client.fetch(
+            address,
+            request,
+            timeout_seconds=FETCH_SECONDS if weights else MEMBER_SECONDS,
+        )
+
+    return fetch
+
+
+@cappa.command(name='limpet-engine')
+@dataclass
+class EngineCommand:
+    """Run a stand-in of a model engine."""
+
+    listen: Annotated[str, cappa.Arg(long=True)] = '127.0.0.1:0'
+    name: Annotated[str, cappa.Arg(long=True)] = 'engine-1'
+    model: Annotated[str, cappa.Arg(long=True)] = 'drift-small'
+    model_version: Annotated[str, cappa.Arg(long=True)] = '1'
+    role: Annotated[str, cappa.Arg(long=True)] = 'mixed'
+    memory_tokens: Annotated[int, cappa.Arg(long=True)] = 131_072
+    prefill_rate: Annotated[float, cappa.Arg(long=True)] = 8000
+    chunk_tokens: Annotated[int, cappa.Arg(long=True)] = 2048
+    step_seconds: Annotated[float, cappa.Arg(long=True)] = 0.02
+    max_running: Annotated[int, cappa.Arg(long=True)] = 32
+    max_waiting: Annotated[int, cappa.Arg(long=True)] = 64
+    ignores_fencing: Annotated[bool, cappa.Arg(long=True)] = False
+    load_lag: Annotated[float, cappa.Arg(long=True)] = 0.5
+    events_lag: Annotated[float, cappa.Arg(long=True)] = 0.5
+    order_seconds: Annotated[float, cappa.Arg(long=True)] = 1.0
+    weight_store: Annotated[str, cappa.Arg(long=True)] = ''
+
+    def __call__(self) -> None:
+        """Run until stopped."""
+        settings = EngineSettings(
+            name=self.name,
+            model=self.model,
+            version=self.model_version,
+            role=self.role,
+            memory_tokens=self.memory_tokens,
+            prefill_tokens_per_second=self.prefill_rate,
+            chunk_tokens=self.chunk_tokens,
+            step_seconds=self.step_seconds,
+            max_running=self.max_running,
+            max_waiting=self.max_waiting,
+            checks_fencing=not self.ignores_fencing,
+            load_lag_seconds=self.load_lag,
+            events_lag_seconds=self.events_lag,
+            order_seconds=self.order_seconds,
+            weight_store=self.weight_store,
+            incarnation=time.time_ns(),
+        )
+        run_stand_in(
+            lambda address: make_engine(replace(settings, address=address)),
+            self.listen,
+        )
+
+
+if __name__ == '__main__':
+    cappa.invoke(EngineCommand)
--- /dev/null
+++ b/src/limpet_standins/holds.py
@@ -0,0 +1,98 @@
+"""Memory that is held for a while, as a part of a group."""
+
+import trio
+
+from limpet_standins.allocations import Allocation
+from limpet_standins.engine_core import EngineCore
+from limpet_standins.engine_messages import HoldStart, HoldState, Renewal
+from limpet_standins.kv_memory import Footprint
+from limpet_standins.serving import read_body, refuse
+from limpetdrift.protocol.codec import json_response
+from limpetdrift.transport.routing import Parameters
+from limpetdrift.transport.server import Exchange
+
+EXPIRY_CHECK_SECONDS = 0.1
+_HOLD = 'hold'
+_GONE = 410
+_TOO_MANY = 429
+
+
+class HoldCalls:
+    """The handlers below ``/v1/holds``."""
+
+    def __init__(self, *, core: EngineCore) -> None:
+        self._core = core
+
+    async def begin(self, exchange: Exchange, _params: Parameters) -> None:
+        """Hold memory; a hold that is there already is confirmed."""
+        start = await read_body(exchange, HoldStart)
+        if start is None:
+            return
+        if self._core.allocations.find(_HOLD, start.hold_id) is None:
+            footprint = self._core.memory.reserve(start.tokens)
+            if footprint is None:
+                free = self._core.memory.free_tokens
+                await refuse(
+                    exchange,
+                    _TOO_MANY,
+                    'no-memory',
+                    free_tokens=free,
+                )
+                return
+            self._allocate(start, footprint)
+        await exchange.respond(json_response({'hold_id': start.hold_id}))
+
+    async def show(self, exchange: Exchange, params: Parameters) -> None:
+        """Tell what a hold has."""
+        hold = self._core.allocations.find(_HOLD, params['hold'])
+        if hold is None:
+            await refuse(exchange, _GONE, 'hold-unknown')
+            return
+        state = HoldState(
+            hold_id=hold.id,
+            tokens=hold.footprint.tokens,
+            expires_in_seconds=hold.expires_at - trio.current_time(),
+        )
+        await exchange.respond(json_response(state))
+
+    async def renew(self, exchange: Exchange, params: Parameters) -> None:
+        """Set a new time to live."""
+        renewal = await read_body(exchange, Renewal)
+        if renewal is None:
+            return
+        hold = self._core.allocations.find(_HOLD, params['hold'])
+        if hold is None:
+            await refuse(exchange, _GONE, 'hold-unknown')
+            return
+        hold.expires_at = trio.current_time() + renewal.expires_in_seconds
+        await exchange.respond(json_response({'hold_id': hold.id}))
+
+    async def free(self, exchange: Exchange, params: Parameters) -> None:
+        """Free a hold, also one that is gone."""
+        freed = self._core.allocations.free(_HOLD, params['hold'])
+        await exchange.respond(json_response({'freed_tokens': freed}))
+
+    async def expire(self) -> None:
+        """Free holds when their time is over, for ever."""
+        while True:
+            await trio.sleep(EXPIRY_CHECK_SECONDS)
+            now = trio.current_time()
+            for hold in self._core.allocations.of_kind(_HOLD):
+                if hold.expires_at <= now:
+                    self._core.allocations.free(_HOLD, hold.id)
+
+    def _allocate(self, start: HoldStart, footprint: Footprint) -> None:
+        now = trio.current_time()
+        self._core.allocations.add(
+            Allocation(
+                id=start.hold_id,
+                kind=_HOLD,
+                footprint=footprint,
+                taken_at=now,
+                expires_at=now + start.expires_in_seconds,
+                request_key=start.request_key,
+                attempt=start.attempt,
+                holder=start.holder,
+                incarnation=start.incarnation,
+            ),
+        )
--- /dev/null
+++ b/src/limpet_standins/serving.py
@@ -0,0 +1,102 @@
+"""Serves a stand-in on a loopback address and says where, in one line."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+import trio
+
+from limpet_standins.controls import Controls
+from limpetdrift import logs
+from limpetdrift.protocol.codec import decode, encode_line, json_response
+from limpetdrift.transport.messages import parse_address
+from limpetdrift.transport.routing import Routes
+from limpetdrift.transport.server import (
+    Exchange,
+    Server,
+    ServerLimits,
+    bound_address,
+    listen,
+)
+
+Message = TypeVar('Message')
+BODY_LIMIT_BYTES = 67_108_864
+_BAD_INPUT = 400
+
+
+@dataclass(frozen=True, kw_only=True)
+class StandIn:
+    """A stand-in's routes, its controls and its background tasks."""
+
+    name: str
+    controls: Controls
+    routes: Routes
+    tasks: tuple[Callable[[], Awaitable[None]], ...] = ()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange, hindered by the faults that are set."""
+        await self.controls.guard(self.routes.handle)(exchange)
+
+
+def make_stand_in(
+    *,
+    name: str,
+    controls: Controls,
+    tasks: tuple[Callable[[], Awaitable[None]], ...] = (),
+) -> StandIn:
+    """Return a stand-in that has its control routes only."""
+    routes = Routes()
+    controls.add_routes(routes)
+    return StandIn(name=name, controls=controls, routes=routes, tasks=tasks)
+
+
+async def read_body(
+    exchange: Exchange,
+    kind: type[Message],
+) -> Message | None:
+    """Return the request's message; a bad one is answered with 400."""
+    message = decode(exchange.request.body, kind)
+    if message.is_ok():
+        return message.ok
+    await refuse(exchange, _BAD_INPUT, 'bad-request')
+    return None
+
+
+async def refuse(
+    exchange: Exchange,
+    status: int,
+    code: str,
+    **details: Any,
+) -> None:
+    """Answer with a refusal that carries a code."""
+    answer = {'code': code, **details}
+    await exchange.respond(json_response(answer, status=status))
+
+
+def run_stand_in(make: Callable[[str], StandIn], listen_at: str) -> None:
+    """Run what ``make`` returns for the bound address, until stopped."""
+    trio.run(_run, make, listen_at)
+
+
+async def _run(make: Callable[[str], StandIn], listen_at: str) -> None:
+    listeners = await listen(parse_address(listen_at))
+    address = str(bound_address(listeners))
+    stand_in = make(address)
+    logs.set_up(stand_in.name, 'warning')
+    server = Server(
+        handler=stand_in.handle,
+        limits=ServerLimits(body_bytes=BODY_LIMIT_BYTES),
+    )
+
+    async def serve(stream: trio.abc.Stream) -> None:
+        await stand_in.controls.serve_stream(stream, server.handle_stream)
+
+    async with trio.open_nursery() as nursery:
+        for task in stand_in.tasks:
+            nursery.start_soon(task)
+        await nursery.start(trio.serve_listeners, serve, listeners)
+        ready = {'name': stand_in.name, 'address': address}
+        line = encode_line(ready).decode()
+        sys.stdout.write(line)
+        sys.stdout.flush()
