--- a/src/limpet_standins/rates.py
+++ b/src/limpet_standins/rates.py
@@ -1,7 +1,14 @@
 """A limit on calls a second, as the platform's services have."""
 
+from http import HTTPStatus
+
 import trio
 
+from limpetdrift.protocol.codec import json_response
+from limpetdrift.transport.server import Exchange
+
+RETRY_AFTER_SECONDS = 1
+
 
 class RateLimit:
     """A token bucket that holds one second's worth of calls."""
@@ -26,3 +33,15 @@
         self._left -= 1
         self.allowed += 1
         return True
+
+
+async def refuse_over_rate(exchange: Exchange, limit: RateLimit) -> bool:
+    """Use up one call; answer with 429 and return True when over the rate."""
+    if limit.take():
+        return False
+    headers = (('retry-after', str(RETRY_AFTER_SECONDS)),)
+    status = HTTPStatus.TOO_MANY_REQUESTS
+    await exchange.respond(
+        json_response({'code': 'over-rate'}, status=status, headers=headers),
+    )
+    return True
--- /dev/null
+++ b/src/limpet_standins/service.py
@@ -0,0 +1,163 @@
+"""A plain service, whose answers are defined by the call alone.
+
+Run it with ``python -m limpet_standins.service --name kiosk-desk-1``.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from itertools import count
+from typing import Annotated
+
+import cappa
+import trio
+
+from limpet_standins.controls import Controls
+from limpet_standins.serving import (
+    StandIn,
+    make_stand_in,
+    refuse,
+    run_stand_in,
+)
+from limpetdrift.protocol.codec import JSON_HEADERS, encode, json_response
+from limpetdrift.transport.messages import Response
+from limpetdrift.transport.routing import Parameters
+from limpetdrift.transport.server import Exchange
+
+REQUEST_KEY_HEADER = 'x-request-key'
+ATTEMPT_HEADER = 'x-attempt'
+
+
+def expected_body(method: str, path: str, sent: bytes) -> bytes:
+    """Return the body of the answer to a call.
+
+    >>> expected_body('POST', '/vans', b'a')
+    b'{"method":"POST","path":"/vans","received":"a"}'
+    """
+    received = sent.decode('utf-8', 'replace')
+    return encode({'method': method, 'path': path, 'received': received})
+
+
+class PlainService:
+    """Runs calls side by side, up to its capacity."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        controls: Controls,
+        capacity: int,
+        work_seconds: float,
+    ) -> None:
+        self._name = name
+        self._controls = controls
+        self._capacity = capacity
+        self._work_seconds = work_seconds
+        self._in_flight = 0
+        self._runs = count(1)
+
+    async def load(self, exchange: Exchange, _params: Parameters) -> None:
+        """Answer with the load."""
+        answer = {
+            'in_flight': self._in_flight,
+            'capacity': self._capacity,
+            'leaving': self._controls.faults.leaving,
+        }
+        await exchange.respond(json_response(answer))
+
+    async def call(self, exchange: Exchange) -> None:
+        """Run one call, or refuse it."""
+        refusal = self._refusal()
+        if refusal:
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            await refuse(exchange, status, refusal)
+            return
+        self._in_flight += 1
+        try:
+            await self._run(exchange)
+        finally:
+            self._in_flight -= 1
+
+    def _refusal(self) -> str:
+        faults = self._controls.faults
+        if faults.leaving:
+            return 'leaving'
+        full = self._in_flight >= self._capacity
+        return 'overloaded' if full or faults.overloaded else ''
+
+    async def _run(self, exchange: Exchange) -> None:
+        request = exchange.request
+        number = next(self._runs)
+        faults = self._controls.faults
+        self._controls.record(
+            'ran',
+            request_key=request.header(REQUEST_KEY_HEADER),
+            attempt=request.header(ATTEMPT_HEADER),
+            method=request.method,
+            path=request.path,
+        )
+        text = faults.kill_on_text.encode()
+        if text and text in request.body:
+            self._controls.end()
+        await trio.sleep(self._work_seconds * faults.slow)
+        headers = (
+            *JSON_HEADERS,
+            ('x-instance', self._name),
+            ('x-run', str(number)),
+        )
+        body = expected_body(request.method, request.path, request.body)
+        await exchange.respond(
+            Response(status=HTTPStatus.OK, headers=headers, body=body),
+        )
+
+
+def make_service(
+    *,
+    name: str = 'service-1',
+    capacity: int = 64,
+    work_seconds: float = 0.01,
+    end: Callable[[], None] | None = None,
+) -> StandIn:
+    """Return a plain service."""
+    controls = Controls()
+    if end is not None:
+        controls.end = end
+    service = PlainService(
+        name=name,
+        controls=controls,
+        capacity=capacity,
+        work_seconds=work_seconds,
+    )
+    stand_in = make_stand_in(
+        name=name,
+        controls=controls,
+        fallback=service.call,
+    )
+    stand_in.routes.add('GET', '/load', service.load)
+    return stand_in
+
+
+@cappa.command(name='limpet-service')
+@dataclass
+class ServiceCommand:
+    """Run a stand-in of a plain service."""
+
+    listen: Annotated[str, cappa.Arg(long=True)] = '127.0.0.1:0'
+    name: Annotated[str, cappa.Arg(long=True)] = 'service-1'
+    capacity: Annotated[int, cappa.Arg(long=True)] = 64
+    work_seconds: Annotated[float, cappa.Arg(long=True)] = 0.01
+
+    def __call__(self) -> None:
+        """Run until stopped."""
+        run_stand_in(self._make, self.listen)
+
+    def _make(self, _address: str) -> StandIn:
+        return make_service(
+            name=self.name,
+            capacity=self.capacity,
+            work_seconds=self.work_seconds,
+        )
+
+
+if __name__ == '__main__':
+    cappa.invoke(ServiceCommand)
--- a/src/limpet_standins/serving.py
+++ b/src/limpet_standins/serving.py
@@ -14,6 +14,7 @@
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import (
     Exchange,
+    Handler,
     Server,
     ServerLimits,
     bound_address,
@@ -23,6 +24,8 @@
 Message = TypeVar('Message')
 BODY_LIMIT_BYTES = 67_108_864
 _BAD_INPUT = 400
+_CONTROL = '/control/'
+_COMMON_PATHS = frozenset(('/healthz', '/load'))
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -33,10 +36,18 @@
     controls: Controls
     routes: Routes
     tasks: tuple[Callable[[], Awaitable[None]], ...] = ()
+    fallback: Handler | None = None
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one exchange, hindered by the faults that are set."""
-        await self.controls.guard(self.routes.handle)(exchange)
+        handler = self._choose(exchange.request.path)
+        await self.controls.guard(handler)(exchange)
+
+    def _choose(self, path: str) -> Handler:
+        common = path in _COMMON_PATHS or path.startswith(_CONTROL)
+        if self.fallback is None or common:
+            return self.routes.handle
+        return self.fallback
 
 
 def make_stand_in(
@@ -44,11 +55,21 @@
     name: str,
     controls: Controls,
     tasks: tuple[Callable[[], Awaitable[None]], ...] = (),
+    fallback: Handler | None = None,
 ) -> StandIn:
-    """Return a stand-in that has its control routes only."""
+    """Return a stand-in with its control routes.
+
+    ``fallback`` answers every path that no stand-in has in common.
+    """
     routes = Routes()
     controls.add_routes(routes)
-    return StandIn(name=name, controls=controls, routes=routes, tasks=tasks)
+    return StandIn(
+        name=name,
+        controls=controls,
+        routes=routes,
+        tasks=tasks,
+        fallback=fallback,
+    )
 
 
 async def read_body(
--- a/src/limpet_standins/table.py
+++ b/src/limpet_standins/table.py
@@ -11,7 +11,7 @@
 import cappa
 
 from limpet_standins.controls import Controls
-from limpet_standins.rates import RateLimit
+from limpet_standins.rates import RateLimit, refuse_over_rate
 from limpet_standins.row_store import RowStore
 from limpet_standins.serving import (
     StandIn,
@@ -29,7 +29,6 @@
 ROW_LIMIT = 100
 _WRITE_PATHS = frozenset(('/v1/transactions', '/v1/batches'))
 _CONFLICT = 409
-_TOO_MANY = 429
 _BAD_INPUT = 400
 
 
@@ -66,7 +65,9 @@
     async def transact(self, exchange: Exchange, _params: Parameters) -> None:
         """Commit one transaction, or answer with its conflicts."""
         transaction = await read_body(exchange, Transaction)
-        if transaction is None or await self._over(exchange, self._writes):
+        if transaction is None or await refuse_over_rate(
+            exchange, self._writes
+        ):
             return
         if _rows_of(transaction) > ROW_LIMIT:
             await refuse(exchange, _BAD_INPUT, 'too-many-rows')
@@ -82,7 +83,7 @@
     async def batch(self, exchange: Exchange, _params: Parameters) -> None:
         """Commit transactions, each on its own."""
         batch = await read_body(exchange, Batch)
-        if batch is None or await self._over(exchange, self._writes):
+        if batch is None or await refuse_over_rate(exchange, self._writes):
             return
         largest = max(map(_rows_of, batch.items), default=0)
         if max(len(batch.items), largest) > ROW_LIMIT:
@@ -94,7 +95,7 @@
     async def read(self, exchange: Exchange, _params: Parameters) -> None:
         """Answer with rows."""
         reads = await read_body(exchange, Reads)
-        if reads is None or await self._over(exchange, self._reads):
+        if reads is None or await refuse_over_rate(exchange, self._reads):
             return
         if len(reads.keys) > ROW_LIMIT:
             await refuse(exchange, _BAD_INPUT, 'too-many-rows')
@@ -106,7 +107,7 @@
     async def scan(self, exchange: Exchange, _params: Parameters) -> None:
         """Answer with a page of a table."""
         scan = await read_body(exchange, Scan)
-        if scan is None or await self._over(exchange, self._reads):
+        if scan is None or await refuse_over_rate(exchange, self._reads):
             return
         view = self.store.view(self._controls.faults.stale_seconds)
         keys = [
@@ -129,16 +130,6 @@
         }
         await exchange.respond(json_response(answer))
 
-    async def _over(self, exchange: Exchange, limit: RateLimit) -> bool:
-        if limit.take():
-            return False
-        headers = (('retry-after', '1'),)
-        answer = {'code': 'over-rate'}
-        await exchange.respond(
-            json_response(answer, status=_TOO_MANY, headers=headers),
-        )
-        return True
-
 
 def _rows_of(transaction: Transaction) -> int:
     parts: tuple[tuple[Any, ...], ...] = (
--- /dev/null
+++ b/tests/test_standin_platform.py
@@ -0,0 +1,107 @@
+"""The stand-ins of services, objects, weights and the instance list."""
+
+import json
+
+import trio
+
+from limpet_standins.controls import Faults
+from limpet_standins.instances import make_instance_list
+from limpet_standins.local import call_local
+from limpet_standins.objects import make_object_store
+from limpet_standins.service import expected_body, make_service
+from limpet_standins.weights import make_weight_store
+from limpetdrift.protocol.codec import json_request
+from limpetdrift.transport.messages import Request
+from virtual import virtual
+
+
+async def ask(stand_in, method, path, body=b'', **headers):
+    named = tuple(
+        (f'x-{name}'.replace('_', '-'), text) for name, text in headers.items()
+    )
+    request = Request(method=method, path=path, body=body, headers=named)
+    return (await call_local(stand_in, request)).ok
+
+
+@virtual
+async def test_only_a_call_that_ran_is_in_the_journal_of_a_service():
+    service = make_service(capacity=1, work_seconds=1)
+    answers = {}
+
+    async def call(key):
+        answers[key] = await ask(
+            service, 'POST', '/vans', b'go', request_key=key
+        )
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(call, 'first')
+        await trio.sleep(0.5)
+        await call('over')
+    service.controls.apply_faults(Faults(leaving=True))
+    await call('late')
+    assert answers['first'].body == expected_body('POST', '/vans', b'go')
+    codes = [json.loads(answers[key].body)['code'] for key in ('over', 'late')]
+    assert codes == ['overloaded', 'leaving']
+    ran = [each['request_key'] for each in service.controls.journal]
+    assert ran == ['first']
+
+
+@virtual
+async def test_weights_share_one_rate_and_too_many_loads_are_refused():
+    store = make_weight_store(
+        model_bytes=100, bytes_per_second=50, max_in_flight=2
+    )
+    ends = []
+
+    async def load():
+        answer = await ask(store, 'GET', '/weights/drift-small/1')
+        ends.append((answer.status, trio.current_time() - began))
+
+    began = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for _ in range(3):
+            nursery.start_soon(load)
+    refused, first, second = ends
+    assert refused == (429, 0)
+    assert first[1] > 3.8
+    assert abs(second[1] - 4) < 0.01
+
+
+@virtual
+async def test_the_instance_list_lags_behind_a_change():
+    listing = make_instance_list(lag_seconds=30)
+
+    async def replace(state):
+        line = {
+            'name': 'e',
+            'role': 'engine',
+            'address': 'a:1',
+            'state': state,
+        }
+        message = json_request(
+            'POST', '/control/instances', {'instances': [line]}
+        )
+        await call_local(listing, message)
+
+    async def state():
+        answer = await ask(listing, 'GET', '/instances')
+        return json.loads(answer.body)['instances'][0]['state']
+
+    await replace('live')
+    await trio.sleep(60)
+    await replace('leaving')
+    await trio.sleep(29)
+    assert await state() == 'live'
+    await trio.sleep(2)
+    assert await state() == 'leaving'
+
+
+@virtual
+async def test_objects_are_kept_whole_until_deleted():
+    store = make_object_store()
+    body = bytes(range(256))
+    path = '/objects/base'
+    assert (await ask(store, 'PUT', path, body)).status == 201
+    assert (await ask(store, 'GET', path)).body == body
+    await ask(store, 'DELETE', path)
+    assert (await ask(store, 'GET', path)).status == 404
