--- a/src/limpetdrift/state/site.py
+++ b/src/limpetdrift/state/site.py
@@ -1,20 +1,61 @@
 """A site's configuration in force, as the data path reads it.
 
 It is the merge of the base document and the site's overlay. Durations are in
-seconds, rates a second.
+seconds, rates a second. Each field's ``option`` says how it is written in
+YAML; docs/CONFIGURATION.md is made from these declarations.
 """
 
-from dataclasses import dataclass, field
+import re
+from dataclasses import dataclass
+
+from limpetdrift.state.options import (
+    Unit,
+    above_zero,
+    at_least,
+    option,
+)
+
+DEFAULT_CONTEXT_TOKENS = 1_048_576
+DEFAULT_REQUESTS_PER_SECOND = 50.0
+DEFAULT_TOKENS_PER_SECOND = 1_000_000.0
+DEFAULT_CONCURRENT_REQUESTS = 64
+DEFAULT_DEADLINE_SECONDS = 60.0
+DEFAULT_SERVICE_TIMEOUT_SECONDS = 10.0
+_KEY_HASH = re.compile('[0-9a-f]{64}')
+_METHOD = re.compile('[A-Z]+')
+
+
+def _key_hash(text: str) -> str:
+    if _KEY_HASH.fullmatch(text):
+        return ''
+    return '64 hexadecimal digits, as limpetctl hash-key prints them'
+
+
+def _method(text: str) -> str:
+    return '' if _METHOD.fullmatch(text) else 'an HTTP method in capitals'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ModelConfig:
     """A model that the site offers."""
 
-    version: str
-    context_tokens: int = 1_048_576
-    copies: int = 1
-    adapters: tuple[str, ...] = ()
+    version: str = option(about='The version that engines shall serve.')
+    context_tokens: int = option(
+        DEFAULT_CONTEXT_TOKENS,
+        key='context',
+        unit=Unit.TOKENS,
+        check=above_zero,
+        about='The longest prompt and answer together.',
+    )
+    copies: int = option(
+        1,
+        check=at_least(0),
+        about='How many engines shall hold the model.',
+    )
+    adapters: tuple[str, ...] = option(
+        (),
+        about='Names of the adapters that engines load with it.',
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -25,37 +66,102 @@
     ``models`` allows all of the site's.
     """
 
-    key_hashes: tuple[str, ...] = ()
-    requests_per_second: float = 50.0
-    tokens_per_second: float = 1_000_000.0
-    concurrent_requests: int = 64
-    weight: float = 1.0
-    models: tuple[str, ...] = ()
+    key_hashes: tuple[str, ...] = option(
+        (),
+        check=_key_hash,
+        about='SHA-256 digests of the bearer keys (limpetctl hash-key).',
+    )
+    requests_per_second: float = option(
+        DEFAULT_REQUESTS_PER_SECOND,
+        key='requests',
+        unit=Unit.RATE,
+        check=above_zero,
+        about='Admitted requests a second, over all entries.',
+    )
+    tokens_per_second: float = option(
+        DEFAULT_TOKENS_PER_SECOND,
+        key='tokens',
+        unit=Unit.RATE,
+        check=above_zero,
+        about='Prompt and output tokens a second, over all entries.',
+    )
+    concurrent_requests: int = option(
+        DEFAULT_CONCURRENT_REQUESTS,
+        key='concurrency',
+        check=at_least(1),
+        about='Requests that may run at once, over all entries.',
+    )
+    weight: float = option(
+        1.0,
+        check=above_zero,
+        about='Share under overload, against that of other accounts.',
+    )
+    models: tuple[str, ...] = option(
+        (),
+        reference='models',
+        about='Models that it may use; none listed means all.',
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class UrgencyConfig:
     """How urgent a kind of request is; a lower ``rank`` runs first."""
 
-    rank: int
-    deadline_seconds: float = 60.0
+    rank: int = option(
+        check=at_least(0),
+        about='Order among the urgencies; lower runs first.',
+    )
+    deadline_seconds: float = option(
+        DEFAULT_DEADLINE_SECONDS,
+        key='deadline',
+        unit=Unit.DURATION,
+        check=above_zero,
+        about='Time for the whole answer, where the request names none.',
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceConfig:
     """A plain service that the site routes to by name."""
 
-    timeout_seconds: float = 10.0
-    repeatable_methods: tuple[str, ...] = ('GET', 'HEAD', 'OPTIONS')
+    timeout_seconds: float = option(
+        DEFAULT_SERVICE_TIMEOUT_SECONDS,
+        key='timeout',
+        unit=Unit.DURATION,
+        check=above_zero,
+        about='Time for one whole call.',
+    )
+    repeatable_methods: tuple[str, ...] = option(
+        ('GET', 'HEAD', 'OPTIONS'),
+        check=_method,
+        about='Methods whose calls may be sent again.',
+    )
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class SiteConfig:
     """All of a site's configuration."""
 
-    brand: str = ''
-    models: dict[str, ModelConfig] = field(default_factory=dict)
-    accounts: dict[str, AccountConfig] = field(default_factory=dict)
-    urgencies: dict[str, UrgencyConfig] = field(default_factory=dict)
-    services: dict[str, ServiceConfig] = field(default_factory=dict)
-    default_urgency: str = 'normal'
+    site: str = option('', about='The name of the site; in overlays only.')
+    brand: str = option('', about='The name that callers see.')
+    models: dict[str, ModelConfig] = option(
+        default_factory=dict,
+        about='The models on offer, by name.',
+    )
+    accounts: dict[str, AccountConfig] = option(
+        default_factory=dict,
+        about='The client accounts, by name.',
+    )
+    urgencies: dict[str, UrgencyConfig] = option(
+        default_factory=dict,
+        about='The kinds of urgency, by name.',
+    )
+    services: dict[str, ServiceConfig] = option(
+        default_factory=dict,
+        about='The plain services, by name.',
+    )
+    default_urgency: str = option(
+        'normal',
+        reference='urgencies',
+        about='The urgency of a request that names none.',
+    )
