Apply configuration changes by compare-and-set on each document

Cause: operators race, answers are lost, and a base change must not break a site that was added meanwhile. An unknown outcome is settled by sending the same change again, which its checks let in at most once. Ruled out: a stamp computed from all versions and checked, since it makes every pair of changes conflict; a seal row for each unsettled change, one more write. Conclusion: unlike sites change with one write each and no conflict.

--- a/src/limpetdrift/protocol/verdict.py
+++ b/src/limpetdrift/protocol/verdict.py
@@ -37,6 +37,7 @@
     DEADLINE = 'deadline'
     DRAINING = 'draining'
     CUT_OFF = 'cut-off'
+    UNCONFIRMED = 'configuration-unconfirmed'
     OVERLOADED = 'overloaded'
     RATE_LIMITED = 'rate-limited'
     CONCURRENCY_LIMITED = 'concurrency-limited'
--- a/src/limpetdrift/state/checkedyaml.py
+++ b/src/limpetdrift/state/checkedyaml.py
@@ -16,6 +16,7 @@
 
 from expression import Result
 
+from limpetdrift.protocol.configuration import Complaint, Complaints
 from limpetdrift.state.options import key_of, option_of
 from limpetdrift.state.yamlscalars import (
     Place,
@@ -25,8 +26,6 @@
 )
 from limpetdrift.state.yamltree import (
     Branch,
-    Complaint,
-    Complaints,
     Listing,
     Mark,
     Scalar,
--- a/src/limpetdrift/state/documents.py
+++ b/src/limpetdrift/state/documents.py
@@ -15,9 +15,13 @@
 
 from expression import Result
 
+from limpetdrift.protocol.configuration import (
+    Complaints,
+    Document,
+    SourcedValue,
+)
 from limpetdrift.state.checkedyaml import read_tree
 from limpetdrift.state.merging import (
-    SourcedValue,
     merge_trees,
     sourced_values,
 )
@@ -25,7 +29,6 @@
 from limpetdrift.state.site import SiteConfig
 from limpetdrift.state.yamltree import (
     Branch,
-    Complaints,
     Scalar,
     complain,
     parse_tree,
@@ -37,19 +40,6 @@
 _SITE_NAME = re.compile('[a-z0-9][a-z0-9-]{0,62}')
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Document:
-    """The text of one document; ``name`` is ``base`` or ``site/<site>``.
-
-    ``file`` is the operator's name for it, which complaints and provenance
-    show.
-    """
-
-    name: str
-    file: str
-    text: str
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MergedSite:
     """A checked site: its configuration, and where each value is from."""
--- a/src/limpetdrift/state/merging.py
+++ b/src/limpetdrift/state/merging.py
@@ -1,13 +1,12 @@
 """Merges an overlay's tree into the base's, and says what came from where."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from expression import Result
 
+from limpetdrift.protocol.configuration import Complaints, SourcedValue
 from limpetdrift.state.yamltree import (
     Branch,
-    Complaints,
     Listing,
     Scalar,
     Tree,
@@ -16,17 +15,6 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SourcedValue:
-    """One merged value, and the file and line that it comes from."""
-
-    key: str
-    value: str
-    file: str
-    line: int
-    layer: str
-
-
 def merge_trees(base: Branch, overlay: Branch) -> Result[Branch, Complaints]:
     """Return the base with the overlay's changes."""
     merger = _Merger()
--- a/src/limpetdrift/state/references.py
+++ b/src/limpetdrift/state/references.py
@@ -4,11 +4,11 @@
 from dataclasses import Field, fields, is_dataclass
 from typing import Any
 
+from limpetdrift.protocol.configuration import Complaint
 from limpetdrift.state.options import key_of, option_of
 from limpetdrift.state.site import SiteConfig
 from limpetdrift.state.yamltree import (
     Branch,
-    Complaint,
     Listing,
     Mark,
     Tree,
--- a/src/limpetdrift/state/yamltree.py
+++ b/src/limpetdrift/state/yamltree.py
@@ -12,6 +12,8 @@
 import yaml
 from expression import Result
 
+from limpetdrift.protocol.configuration import Complaint, Complaints
+
 MAX_TEXT_CHARACTERS = 4_194_304
 MAX_DEPTH = 16
 _NULLS = frozenset(('null', '~'))
@@ -28,26 +30,6 @@
         return f'{self.file}:{self.line}'
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Complaint:
-    """What is wrong at one place, and what was expected there."""
-
-    file: str
-    line: int
-    key: str
-    expected: str
-    found: str = ''
-
-    def __str__(self) -> str:
-        key = self.key or 'document'
-        found = f', found {self.found}' if self.found else ''
-        place = f'{self.file}:{self.line}'
-        return f'{place}: {key}: expected {self.expected}{found}'
-
-
-Complaints = tuple[Complaint, ...]
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Scalar:
     """A single value, as written; ``quoted`` text is always text."""
--- /dev/null
+++ b/tests/test_applying.py
@@ -0,0 +1,163 @@
+"""Changes of configuration in the table: races, lost answers, checks."""
+
+import trio
+
+from config_texts import base, change, overlay
+from fake_table import FakeTable
+from limpetdrift.protocol.configuration import Refusal
+from limpetdrift.state.applying import apply_change
+from limpetdrift.state.changes import HISTORY_LENGTH
+from limpetdrift.state.configuration import read_snapshot, read_stamp
+from virtual import virtual
+
+
+async def prepared(*sites):
+    table = FakeTable()
+    first = change('first', base(), *(overlay(site) for site in sites))
+    assert (await apply_change(table.calls(), first)).is_ok()
+    return table
+
+
+async def versions(table):
+    return (await read_snapshot(table.calls())).ok.versions
+
+
+async def race(table, *changes):
+    outcomes = {}
+
+    async def run(each):
+        calls = table.calls()
+        outcomes[each.change_id] = await apply_change(calls, each)
+
+    async with trio.open_nursery() as nursery:
+        for each in changes:
+            nursery.start_soon(run, each)
+    return outcomes
+
+
+@virtual
+async def test_one_of_two_changes_of_a_site_wins_and_the_other_is_told_why():
+    table = await prepared('a')
+    outcomes = await race(
+        table,
+        change('x', overlay('a', 1), a=1),
+        change('y', overlay('a', 2), a=1),
+    )
+    refused = [each.error for each in outcomes.values() if each.is_error()]
+    assert len(refused) == 1
+    assert refused[0].refusal is Refusal.CONFLICT
+    conflict = refused[0].conflicts[0]
+    assert (conflict.expected_version, conflict.current_version) == (1, 2)
+    winner = {'x', 'y'} - {refused[0].change_id}
+    assert {each.change_id for each in conflict.changes} == winner
+    assert '+brand: a' in conflict.difference
+    assert await versions(table) == {'base': 1, 'site/a': 2}
+
+
+@virtual
+async def test_changes_of_unlike_sites_do_not_disturb_each_other():
+    table = await prepared('a', 'b')
+    writes = table.writes
+    outcomes = await race(
+        table, change('x', overlay('a', 1)), change('y', overlay('b', 1))
+    )
+    assert all(each.is_ok() for each in outcomes.values())
+    assert table.writes == writes + 2
+    assert (await read_stamp(table.calls())).ok == 3
+
+
+@virtual
+async def test_a_new_site_cannot_slip_past_a_change_of_the_base():
+    for _ in range(2):
+        table = await prepared('a')
+        outcomes = await race(
+            table,
+            change('shrink', base(1, models=('small',))),
+            change('add', overlay('b', model='large')),
+        )
+        assert sum(each.is_ok() for each in outcomes.values()) == 1
+        refused = [each.error for each in outcomes.values() if each.is_error()]
+        assert refused[0].refusal is Refusal.INVALID
+
+
+@virtual
+async def test_an_invalid_change_of_the_base_names_the_overlay():
+    table = await prepared('a', 'b')
+    before = dict(table.rows)
+    refused = (
+        await apply_change(table.calls(), change('x', base(models=('large',))))
+    ).error
+    places = [(each.file, each.line) for each in refused.complaints]
+    assert places == [('a.yaml', 3), ('b.yaml', 3)]
+    assert table.rows == before
+
+
+@virtual
+async def test_a_lost_answer_is_settled_as_accepted():
+    table = await prepared('a')
+    table.lose_answers = 2
+    applied = await apply_change(table.calls(), change('x', overlay('a', 1)))
+    assert applied.ok.accepted.versions == {'site/a': 2}
+    assert await versions(table) == {'base': 1, 'site/a': 2}
+
+
+@virtual
+async def test_a_lost_answer_is_settled_after_others_came_later():
+    table = await prepared('a')
+    table.lose_answers = 1
+
+    async def change_later():
+        await trio.sleep(0.1)
+        later = change('y', overlay('a', 2))
+        assert (await apply_change(table.calls(), later)).is_ok()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(change_later)
+        outcome = await apply_change(
+            table.calls(), change('x', overlay('a', 1), a=1)
+        )
+    assert outcome.ok.accepted.versions == {'site/a': 2}
+    assert await versions(table) == {'base': 1, 'site/a': 3}
+
+
+@virtual
+async def test_an_outcome_that_cannot_be_settled_is_told_as_unknown():
+    table = await prepared('a')
+
+    async def go_down():
+        await trio.sleep(table.delay_seconds * 5)
+        table.down = True
+
+    table.lose_answers = 1
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(go_down)
+        outcome = await apply_change(
+            table.calls(), change('x', overlay('a', 1))
+        )
+    assert outcome.error.refusal is Refusal.UNKNOWN
+    table.down = False
+    again = await apply_change(table.calls(), change('z', overlay('a', 1)))
+    assert again.ok.accepted.changed is False
+
+
+@virtual
+async def test_without_the_store_nothing_is_accepted():
+    table = await prepared('a')
+    table.down = True
+    outcome = await apply_change(table.calls(), change('x', overlay('a', 1)))
+    assert outcome.error.refusal is Refusal.UNAVAILABLE
+
+
+@virtual
+async def test_history_stays_bounded():
+    table = await prepared('a')
+    for number in range(HISTORY_LENGTH + 5):
+        applied = await apply_change(
+            table.calls(), change(f'c{number}', overlay('a', number + 1))
+        )
+        assert applied.is_ok()
+    history = (
+        (await read_snapshot(table.calls())).ok.documents['site/a'].history
+    )
+    assert len(history) == HISTORY_LENGTH
+    assert history[-1].version == HISTORY_LENGTH + 6
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from limpetdrift.protocol.configuration import Document
 from limpetdrift.state.documents import (
-    Document,
     check_documents,
     identify,
     load_site,
