Place attempts through endpoint homes

Cause: each attempt needs an endpoint, chosen without any node holding the load of all of them.

Change: each endpoint has a home entry by rendezvous hashing, which keeps its queue, memory ledger and recent prefixes. A placer asks a few homes for bids, takes the least expected time to first token, and waits there by long poll. A home grants when the engine can start soon; unused grants, abandoned places and grants past their deadline come back by themselves. Where no home answers, the attempt goes to an endpoint directly.

Weighed: a load table gossiped to all entries (stale, and its cost grows with nodes times endpoints) against asking the exact queue on each placement.

Measured: nothing yet; tests only.

--- /dev/null
+++ b/src/limpetdrift/protocol/grants.py
@@ -0,0 +1,99 @@
+"""Messages between the entry that places an attempt and an endpoint's home."""
+
+from dataclasses import dataclass
+from enum import StrEnum, unique
+
+from limpetdrift.protocol.node import Endpoint
+from limpetdrift.protocol.placement import PlacementRequest, Release
+
+
+@unique
+class PlacementPath(StrEnum):
+    """The peer paths of the messages below."""
+
+    BID = 'placement/bid'
+    GRANT = 'placement/grant'
+    RELEASE = 'placement/release'
+    OWNS = 'placement/owns'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BidRequest:
+    """Asks a home how soon an endpoint could answer a request."""
+
+    endpoint: Endpoint
+    request: PlacementRequest
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Bid:
+    """A home's estimate for one endpoint.
+
+    ``first_token_seconds`` covers the wait at the home, the work ahead of
+    the request in the engine, and its own prefill. ``fits`` is false where
+    the request needs more memory than the whole engine has.
+    """
+
+    endpoint: Endpoint
+    first_token_seconds: float
+    outstanding_tokens: int
+    cached_tokens: int = 0
+    memory_tokens: int = 0
+    fits: bool = True
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantRequest:
+    """Takes or keeps a place in an endpoint's queue, for one long poll.
+
+    The same request key and attempt always name the same place, so a message
+    that arrives twice does no harm.
+    """
+
+    endpoint: Endpoint
+    request: PlacementRequest
+    owner: str
+    incarnation: int
+    poll_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """The answer to one long poll; not granted means still waiting."""
+
+    granted: bool
+    grant_id: str
+    priority: int = 0
+    cached_tokens: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantRelease:
+    """Gives a grant or a place in the queue back."""
+
+    endpoint: Endpoint
+    grant_id: str
+    outcome: Release
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Released:
+    """Whether the home still knew the grant."""
+
+    known: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnsRequest:
+    """Asks an owner whether it still wants one attempt's allocation."""
+
+    request_key: str
+    attempt: int
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnsReply:
+    """The owner's answer."""
+
+    owned: bool
--- /dev/null
+++ b/src/limpetdrift/state/queue.py
@@ -0,0 +1,139 @@
+"""The exact queue of one endpoint: what waits, what runs, what finished.
+
+The home estimates how far the engine has got with the prompts that it was
+given, from the time that passed and the engine's own speed, as if the engine
+took prompts in the order of their priority.
+"""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from limpetdrift.protocol.placement import PlacementRequest
+from limpetdrift.state.ledger import MemoryLedger
+from limpetdrift.state.prefixes import RecentPrefixes
+
+DEFAULT_PREFILL_TOKENS_PER_SECOND = 20_000.0
+DEFAULT_STEP_SECONDS = 0.02
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Ticket:
+    """One attempt at one endpoint, waiting or granted. Times are trio's."""
+
+    grant_id: str
+    request: PlacementRequest
+    owner: str
+    incarnation: int
+    arrived_at: float
+    deadline_at: float
+    polled_at: float
+    cached_tokens: int = 0
+    priority: int = 0
+    granted_at: float | None = None
+    uncached_left: float = 0
+    settled: trio.Event = field(default_factory=trio.Event)
+
+    @property
+    def memory_tokens(self) -> int:
+        """Memory that the whole attempt may need."""
+        return self.request.prompt_tokens + self.request.max_tokens
+
+    @property
+    def uncached_tokens(self) -> int:
+        """Prompt tokens that the engine has to work through."""
+        return max(1, self.request.prompt_tokens - self.cached_tokens)
+
+
+@dataclass(kw_only=True, slots=True)
+class EngineSpeed:
+    """How fast an engine works, by its last report."""
+
+    prefill_tokens_per_second: float = DEFAULT_PREFILL_TOKENS_PER_SECOND
+    step_seconds: float = DEFAULT_STEP_SECONDS
+
+
+class EndpointQueue:
+    """Tickets waiting for and granted at one endpoint."""
+
+    def __init__(self) -> None:
+        self.speed = EngineSpeed()
+        self.ledger = MemoryLedger()
+        self.prefixes = RecentPrefixes()
+        self.waiting: dict[str, Ticket] = {}
+        self.granted: dict[str, Ticket] = {}
+        self._drained_at = 0.0
+
+    @property
+    def outstanding_tokens(self) -> int:
+        """Prompt and output tokens of all tickets."""
+        return sum(
+            ticket.memory_tokens
+            for tickets in (self.waiting, self.granted)
+            for ticket in tickets.values()
+        )
+
+    @property
+    def empty(self) -> bool:
+        """Whether nothing waits or runs here."""
+        return not self.waiting and not self.granted
+
+    def find(self, grant_id: str) -> Ticket | None:
+        """Return the ticket of that name."""
+        return self.granted.get(grant_id) or self.waiting.get(grant_id)
+
+    def grant(self, ticket: Ticket) -> None:
+        """Move a ticket from waiting to granted and wake its owner's poll."""
+        self.waiting.pop(ticket.grant_id, None)
+        ticket.granted_at = trio.current_time()
+        ticket.cached_tokens = self.match(ticket.request)
+        ticket.uncached_left = ticket.uncached_tokens
+        self.granted[ticket.grant_id] = ticket
+        self.ledger.take(ticket.grant_id, ticket.memory_tokens)
+        self.prefixes.add(ticket.request.prefix_blocks)
+        ticket.settled.set()
+
+    def remove(self, grant_id: str) -> Ticket | None:
+        """Drop a ticket, waiting or granted."""
+        self.ledger.give_back(grant_id)
+        ticket = self.waiting.pop(grant_id, None)
+        ticket = self.granted.pop(grant_id, ticket)
+        if ticket is not None:
+            ticket.settled.set()
+        return ticket
+
+    def match(self, request: PlacementRequest) -> int:
+        """Return how many prompt tokens the engine probably has cached."""
+        matched = self.prefixes.matched_tokens(request.prefix_blocks)
+        return min(matched, request.prompt_tokens)
+
+    def drain(self) -> None:
+        """Advance the estimate of prefill work to the present."""
+        now = trio.current_time()
+        done = (now - self._drained_at) * self.speed.prefill_tokens_per_second
+        self._drained_at = now
+        for ticket in self._in_engine_order():
+            worked = min(done, ticket.uncached_left)
+            ticket.uncached_left -= worked
+            done -= worked
+            if done <= 0:
+                return
+
+    def backlog_tokens(self, priority: int) -> float:
+        """Return granted prefill work at that priority or before it."""
+        return sum(
+            ticket.uncached_left
+            for ticket in self.granted.values()
+            if ticket.priority <= priority
+        )
+
+    def _in_engine_order(self) -> list[Ticket]:
+        unfinished = [
+            ticket
+            for ticket in self.granted.values()
+            if ticket.uncached_left > 0
+        ]
+        return sorted(
+            unfinished,
+            key=lambda ticket: (ticket.priority, ticket.granted_at),
+        )
--- /dev/null
+++ b/tests/engine_model.py
@@ -0,0 +1,252 @@
+"""A small engine in memory, in virtual time, for placement tests.
+
+Prefill runs in chunks, least priority number first; decoding takes steps
+beside it. Memory is held from start until the end or until it is freed.
+"""
+
+import itertools
+from dataclasses import dataclass, field, fields
+
+import trio
+from expression import Error, Ok
+
+from limpetdrift.protocol.enginereports import (
+    Allocation,
+    CacheEvents,
+    Done,
+    EngineLoad,
+    EngineReports,
+)
+from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
+from limpetdrift.state.prefixes import BLOCK_TOKENS, RecentPrefixes
+
+CHUNK_TOKENS = 2048
+
+
+@dataclass(kw_only=True, eq=False)
+class Run:
+    """A stream, hold or export in the engine."""
+
+    id: str
+    kind: str
+    request_key: str
+    attempt: int
+    holder: str
+    incarnation: int
+    tokens: int
+    started_at: float
+    expires_at: float
+    priority: int = 0
+    left_tokens: float = 0
+    finished: bool = False
+    cached_tokens: int = 0
+    first_token: trio.Event = field(default_factory=trio.Event)
+    lost: bool = False
+
+
+def _turn(run):
+    return (run.priority, run.started_at)
+
+
+class EngineModel:
+    """An engine whose rate of prefill is shared by priority."""
+
+    def __init__(
+        self,
+        *,
+        memory_tokens=400_000,
+        prefill_tokens_per_second=20_000.0,
+        step_seconds=0.02,
+    ):
+        self.memory_tokens = memory_tokens
+        self.rate = prefill_tokens_per_second
+        self.step_seconds = step_seconds
+        self.runs = {}
+        self.cache = RecentPrefixes(limit_blocks=memory_tokens // BLOCK_TOKENS)
+        self.incarnation = 1
+        self.down = False
+        self.freed = []
+        self._order = itertools.count()
+        self._work = trio.Event()
+
+    @property
+    def held_tokens(self):
+        return sum(each.tokens for each in self.runs.values())
+
+    def crash(self):
+        self.incarnation += 1
+        for each in self.runs.values():
+            each.lost = True
+            each.first_token.set()
+        self.runs.clear()
+        self.cache.clear()
+
+    def expire(self):
+        now = trio.current_time()
+        gone = [
+            each
+            for each in self.runs.values()
+            if each.kind == 'hold' and each.expires_at <= now
+        ]
+        for each in gone:
+            self.remove(each.id)
+
+    def add(self, run):
+        self.expire()
+        if self.held_tokens + run.tokens > self.memory_tokens:
+            return False
+        self.runs[run.id] = run
+        self._work.set()
+        return True
+
+    def remove(self, run_id):
+        run = self.runs.pop(run_id, None)
+        if run is not None:
+            run.lost = True
+            run.first_token.set()
+
+    async def serve(self):
+        """Work through prefill until cancelled."""
+        while True:
+            ready = [each for each in self.runs.values() if each.left_tokens]
+            if not ready:
+                self._work = trio.Event()
+                await self._work.wait()
+                continue
+            run = min(ready, key=_turn)
+            chunk = min(CHUNK_TOKENS, run.left_tokens)
+            await trio.sleep(chunk / self.rate)
+            run.left_tokens -= chunk
+            if not run.left_tokens:
+                run.first_token.set()
+
+    async def start(self, request, placement, holder, incarnation=1):
+        """Start a stream; Error where memory is missing."""
+        if self.down:
+            return Error(not_run(Reason.CONNECT_FAILED))
+        cached = self.cache.matched_tokens(request.prefix_blocks)
+        run = Run(
+            id=f's-{request.request_key}-{request.attempt}',
+            kind='stream',
+            request_key=request.request_key,
+            attempt=request.attempt,
+            holder=holder,
+            incarnation=incarnation,
+            tokens=request.prompt_tokens + request.max_tokens,
+            started_at=trio.current_time(),
+            expires_at=trio.current_time() + 30,
+            priority=placement.priority,
+            left_tokens=max(1, request.prompt_tokens - cached),
+            cached_tokens=cached,
+        )
+        if not self.add(run):
+            return Error(not_run(Reason.NO_MEMORY))
+        self.cache.add(request.prefix_blocks)
+        return Ok(run)
+
+
+class _Calls:
+    """The calls of ``EngineReports`` over engine models by address."""
+
+    def __init__(self, engines):
+        self.engines = engines
+
+    def up(self, address):
+        engine = self.engines[address]
+        engine.expire()
+        if engine.down:
+            return Error(may_have_run(Reason.TIMEOUT))
+        return Ok(engine)
+
+    async def load(self, address):
+        return self.up(address).map(_load_of)
+
+    async def allocations(self, address):
+        return self.up(address).map(_allocations_of)
+
+    async def cache_events(self, address, after):
+        return Ok(CacheEvents(first=after, next=after))
+
+    async def free(self, address, allocation):
+        def take(engine):
+            engine.freed.append(allocation)
+            engine.remove(allocation.id)
+            return Done()
+
+        return self.up(address).map(take)
+
+    async def hold(self, address, request):
+        def take(engine):
+            added = request.hold_id in engine.runs or engine.add(
+                _hold_of(request)
+            )
+            return Ok(Done()) if added else Error(not_run(Reason.NO_MEMORY))
+
+        return self.up(address).bind(take)
+
+    async def renew(self, address, hold_id, seconds):
+        def take(engine):
+            if hold_id not in engine.runs:
+                return Error(not_run(Reason.STREAM_UNKNOWN))
+            engine.runs[hold_id].expires_at = trio.current_time() + seconds
+            return Ok(Done())
+
+        return self.up(address).bind(take)
+
+    async def drop(self, address, hold_id):
+        def take(engine):
+            engine.remove(hold_id)
+            return Done()
+
+        return self.up(address).map(take)
+
+
+def reports_of(engines):
+    """Return ``EngineReports`` over engine models by address."""
+    calls = _Calls(engines)
+    names = [each.name for each in fields(EngineReports)]
+    return EngineReports(**{name: getattr(calls, name) for name in names})
+
+
+def _load_of(engine):
+    return EngineLoad(
+        memory_tokens=engine.memory_tokens,
+        held_tokens=engine.held_tokens,
+        prefill_tokens_per_second=engine.rate,
+        step_seconds=engine.step_seconds,
+        incarnation=engine.incarnation,
+    )
+
+
+def _hold_of(request):
+    now = trio.current_time()
+    return Run(
+        id=request.hold_id,
+        kind='hold',
+        request_key=request.request_key,
+        attempt=request.attempt,
+        holder=request.holder,
+        incarnation=request.incarnation,
+        tokens=request.tokens,
+        started_at=now,
+        expires_at=now + request.expires_in_seconds,
+    )
+
+
+def _allocations_of(engine):
+    now = trio.current_time()
+    return tuple(
+        Allocation(
+            id=each.id,
+            kind=each.kind,
+            request_key=each.request_key,
+            attempt=each.attempt,
+            holder=each.holder,
+            incarnation=each.incarnation,
+            tokens=each.tokens,
+            age_seconds=now - each.started_at,
+            expires_in_seconds=each.expires_at - now,
+            finished=each.finished,
+        )
+        for each in engine.runs.values()
+    )
--- /dev/null
+++ b/tests/placement_site.py
@@ -0,0 +1,99 @@
+"""A site of entries and engine models joined in memory, for tests."""
+
+import random
+
+from engine_model import EngineModel, reports_of
+from fake_network import FakeNetwork
+from limpetdrift.coordination.home import Home
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.placer import Placer, PlacerInputs
+from limpetdrift.coordination.policies import POLICIES, ProbeState
+from limpetdrift.protocol.node import Endpoint, Node, Role
+from limpetdrift.protocol.placement import PlacementRequest
+from limpetdrift.state.prefixes import PrefixPlaces
+from limpetdrift.transport.messages import Address
+
+DOMAINS = ('north', 'south', 'west')
+
+
+class Site:
+    """Entries with their homes and placers, and engines behind them."""
+
+    def __init__(self, *, entries, engines, policy='slack', seed=1, **speed):
+        self.network = FakeNetwork(seed=seed)
+        self.nodes = [make_node(number) for number in range(entries)]
+        self.endpoints = [make_endpoint(number) for number in range(engines)]
+        self.engines = {
+            each.address: EngineModel(**speed) for each in self.endpoints
+        }
+        self.reports = reports_of(self.engines)
+        self.homes = []
+        self.placers = []
+        for number, node in enumerate(self.nodes):
+            home = Home(policy=POLICIES[policy], reports=self.reports)
+            routes = PeerRoutes()
+            home.mount(routes)
+            inputs = PlacerInputs(
+                node=node,
+                live_entries=self.live,
+                endpoints=self.listed,
+                call=self.network.join(node.peer_address, routes),
+            )
+            state = ProbeState(
+                random=random.Random(seed * 1000 + number),
+                places=PrefixPlaces(),
+            )
+            self.homes.append(home)
+            self.placers.append(Placer(inputs=inputs, home=home, state=state))
+
+    def live(self):
+        return tuple(self.nodes)
+
+    def listed(self):
+        return tuple(self.endpoints)
+
+    def start(self, nursery):
+        for engine in self.engines.values():
+            nursery.start_soon(engine.serve)
+        for home in self.homes:
+            nursery.start_soon(home.run)
+        for placer in self.placers:
+            nursery.start_soon(placer.run)
+
+
+def make_node(number):
+    return Node(
+        name=f'entry-{number}',
+        incarnation=1,
+        role=Role.ENTRY,
+        region='r',
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        caller_address=Address(host='127.0.0.1', port=2000 + number),
+        peer_address=Address(host='127.0.0.1', port=3000 + number),
+    )
+
+
+def make_endpoint(number):
+    return Endpoint(
+        name=f'engine-{number}',
+        role=Role.ENGINE,
+        address=Address(host='127.0.0.1', port=4000 + number),
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        model='m',
+    )
+
+
+def make_request(key, *, prompt_tokens=1000, **fields):
+    defaults = {
+        'attempt': 1,
+        'account': 'a',
+        'model': 'm',
+        'max_tokens': 100,
+        'urgency': 0,
+        'deadline_in_seconds': 60.0,
+    }
+    return PlacementRequest(
+        request_key=str(key),
+        prompt_tokens=prompt_tokens,
+        **{**defaults, **fields},
+    )
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,130 @@
+"""Placement end to end over the fake network and engine models."""
+
+import trio
+
+from limpetdrift.coordination.homes import home_of
+from limpetdrift.protocol.placement import Release
+from limpetdrift.protocol.verdict import Reason, Verdict
+from placement_site import Site, make_node, make_request
+from virtual import virtual
+
+
+def test_a_home_stays_unless_its_own_entry_goes():
+    site = Site(entries=9, engines=30)
+    before = {each.name: home_of(each, site.nodes) for each in site.endpoints}
+    gone = site.nodes[0]
+    after = {
+        each.name: home_of(each, site.nodes[1:]) for each in site.endpoints
+    }
+    moved = [name for name in before if before[name] != after[name]]
+    assert moved
+    assert all(before[name] == gone for name in moved)
+    domains = {each.name: each.failure_domain for each in site.endpoints}
+    assert all(
+        home.failure_domain == domains[name] for name, home in before.items()
+    )
+    assert home_of(site.endpoints[0], [make_node(1)]) == make_node(1)
+
+
+@virtual
+async def test_a_request_is_placed_and_its_grant_given_back():
+    site = Site(entries=3, engines=4)
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        placed = (await site.placers[0].place(make_request(1))).ok
+        home = home_of(placed.endpoint, site.nodes)
+        queue = site.homes[site.nodes.index(home)].queue_of(placed.endpoint)
+        assert list(queue.granted) == [placed.grant_id]
+        site.placers[0].release(placed, Release.FINISHED)
+        await trio.sleep(0.1)
+        assert queue.empty
+        assert not queue.ledger.granted_tokens
+        nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_a_grant_that_is_never_used_comes_back():
+    site = Site(entries=3, engines=1, memory_tokens=1500)
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(2)
+        assert (await site.placers[0].place(make_request(1))).is_ok()
+        started_at = trio.current_time()
+        assert (await site.placers[1].place(make_request(2))).is_ok()
+        waited = trio.current_time() - started_at
+        assert 1 < waited < 8
+        nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_short_waits_at_the_home_pass_long_ones():
+    site = Site(entries=2, engines=1)
+    order = []
+
+    async def place(key, tokens):
+        request = make_request(key, prompt_tokens=tokens)
+        placed = (await site.placers[0].place(request)).ok
+        engine = site.engines[placed.endpoint.address]
+        run = (await engine.start(request, placed, 'entry-0')).ok
+        await run.first_token.wait()
+        order.append(key)
+        engine.remove(run.id)
+        site.placers[0].release(placed, Release.FINISHED)
+
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(2)
+        async with trio.open_nursery() as placing:
+            placing.start_soon(place, 'long-1', 200_000)
+            await trio.sleep(0.1)
+            placing.start_soon(place, 'long-2', 200_000)
+            await trio.sleep(0.1)
+            placing.start_soon(place, 'short', 1000)
+        nursery.cancel_scope.cancel()
+    assert order == ['short', 'long-1', 'long-2']
+
+
+@virtual
+async def test_an_unreachable_home_does_not_stop_placement():
+    site = Site(entries=3, engines=3)
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        for node in site.nodes[1:]:
+            site.network.kill(node.peer_address)
+        for key in range(20):
+            placed = await site.placers[0].place(make_request(key))
+            assert placed.is_ok()
+        site.network.isolate(site.nodes[0].peer_address)
+        started_at = trio.current_time()
+        assert (await site.placers[0].place(make_request('cut'))).is_ok()
+        assert trio.current_time() - started_at < 2
+        nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_what_cannot_start_in_time_is_refused_at_once():
+    site = Site(entries=2, engines=1)
+    refused = []
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(2)
+
+        async def place(key):
+            request = make_request(
+                key, prompt_tokens=100_000, deadline_in_seconds=12.0
+            )
+            started_at = trio.current_time()
+            outcome = await site.placers[0].place(request)
+            if outcome.is_error():
+                refused.append((outcome.error, trio.current_time()))
+                assert trio.current_time() - started_at < 1
+
+        for key in range(5):
+            nursery.start_soon(place, key)
+        await trio.sleep(1)
+        nursery.cancel_scope.cancel()
+    assert refused
+    for failure, _ in refused:
+        assert failure.verdict is Verdict.NOT_RUN
+        assert failure.reason is Reason.OVERLOADED
+        assert failure.retry_after_seconds > 0
