Compare placement policies in virtual time

Cause: policies were picked by reasoning only.

Change: a benchmark that runs the real homes and placers against small engine models, Poisson arrivals, by turns over the same seeds. Load counts the prefill work left with ideal prefix hits. The home's pump sleeps while nothing waits.

The model serves prefill in chunks by strict priority and lets decoding cost nothing, which is kinder to priorities than an engine may be.

--- /dev/null
+++ b/benchmarks/placement_policies.py
@@ -0,0 +1,325 @@
+"""Compares placement policies in virtual time, on the product's own code.
+
+Entries with real homes and placers stand before small engine models; arrivals
+are Poisson, by turns over the same seeds for each policy.
+
+    PYTHONPATH=src:tests python benchmarks/placement_policies.py \\
+        --engines 20 --entries 6 --loads 80,95 --seeds 5 --out runs.jsonl
+"""
+
+import argparse
+import bisect
+import itertools
+import json
+import random
+import statistics
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass, replace
+
+import trio
+
+from limpetdrift.protocol.placement import Release
+from limpetdrift.state.prefixes import BLOCK_TOKENS, RecentPrefixes
+from placement_site import Site, make_request
+from virtual import run_virtual
+
+RATE_TOKENS_PER_SECOND = 20_000.0
+MEMORY_TOKENS = 400_000
+STEP_SECONDS = 0.02
+DURATION_SECONDS = 90.0
+WARM_UP_SECONDS = 15.0
+SHORT_TOKENS = 4096
+LONG_EVERY = 50
+DEADLINE_SECONDS = 60.0
+SHARED_GROUPS = 60
+LENGTHS = ((1000, 50), (4000, 28), (16_000, 15), (64_000, 5))
+LONG_LENGTHS = (120_000, 250_000)
+CLASSES = (1000, 4000, 16_000, 64_000, 250_000)
+POLICY_NAMES = ('round-robin', 'least-tokens', 'prefix-two-choices', 'slack')
+
+
+@dataclass(frozen=True, kw_only=True)
+class Case:
+    """One run."""
+
+    policy: str
+    load_percent: int
+    seed: int
+    with_long: bool
+    engines: int
+    entries: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """One request of the workload."""
+
+    at: float
+    tokens: int
+    blocks: tuple
+
+
+def mean_tokens():
+    """Return the mean prompt, all counted as uncached."""
+    short = sum(length * share for length, share in LENGTHS)
+    short /= sum(share for _, share in LENGTHS)
+    long = statistics.mean(LONG_LENGTHS)
+    return short + (long - short) / LONG_EVERY
+
+
+def make_blocks(rng, tokens):
+    """Share three quarters of most prompts with others of their group."""
+    count = tokens // BLOCK_TOKENS
+    group = min(int(rng.paretovariate(0.8)), SHARED_GROUPS)
+    shared = int(count * 0.75) if rng.random() < 0.5 else min(2, count)
+    own = rng.getrandbits(48)
+    return tuple(
+        hash((tokens, group, index)) if index < shared else hash((own, index))
+        for index in range(count)
+    )
+
+
+def arrivals_of(case):
+    """Return the workload: the same short prompts with and without long.
+
+    The load counts the prefill work that is left with ideal prefix hits.
+    """
+    per_second = case.load_percent / 100 * case.engines
+    per_second *= RATE_TOKENS_PER_SECOND / mean_tokens()
+    trial = draw_arrivals(replace(case, with_long=True), per_second)
+    uncached_share = 1 - ideal_hits(trial, case.engines)
+    return draw_arrivals(case, per_second / uncached_share)
+
+
+def draw_arrivals(case, per_second):
+    """Draw Poisson arrivals at a rate."""
+    rng = random.Random(case.seed)
+    at = 0.0
+    arrivals = []
+    for number in itertools.count():
+        at += rng.expovariate(per_second)
+        if at > DURATION_SECONDS:
+            return arrivals
+        is_long = number % LONG_EVERY == LONG_EVERY // 2
+        weights = [share for _, share in LENGTHS]
+        short = rng.choices([length for length, _ in LENGTHS], weights)[0]
+        tokens = rng.choice(LONG_LENGTHS) if is_long else short
+        blocks = make_blocks(rng, tokens)
+        if case.with_long or not is_long:
+            arrivals.append(Arrival(at=at, tokens=tokens, blocks=blocks))
+
+
+def ideal_hits(arrivals, engines):
+    """Return the share of tokens that one cache over all would hit."""
+    limit = engines * MEMORY_TOKENS // BLOCK_TOKENS
+    cache = RecentPrefixes(limit_blocks=limit)
+    hits = 0
+    for arrival in arrivals:
+        hits += cache.matched_tokens(arrival.blocks)
+        cache.add(arrival.blocks)
+    return hits / sum(each.tokens for each in arrivals)
+
+
+async def run_case(case, arrivals, records):
+    """Run one case and append a record for each request."""
+    site = Site(
+        entries=case.entries,
+        engines=case.engines,
+        policy=case.policy,
+        seed=case.seed,
+        memory_tokens=MEMORY_TOKENS,
+        prefill_tokens_per_second=RATE_TOKENS_PER_SECOND,
+        step_seconds=STEP_SECONDS,
+    )
+    rng = random.Random(case.seed + 1)
+
+    async def ask(number, arrival, entry, output):
+        arrived_at = trio.current_time()
+        request = make_request(
+            number,
+            prompt_tokens=arrival.tokens,
+            max_tokens=output,
+            prefix_blocks=arrival.blocks,
+            deadline_in_seconds=DEADLINE_SECONDS,
+        )
+        record = {
+            'at': arrival.at,
+            'tokens': arrival.tokens,
+            'first': None,
+            'cached': 0,
+        }
+        records.append(record)
+        outcome = await site.placers[entry].place(request)
+        if outcome.is_error():
+            record['refused_after'] = trio.current_time() - arrived_at
+            return
+        placed = outcome.ok
+        engine = site.engines[placed.endpoint.address]
+        left = DEADLINE_SECONDS - (trio.current_time() - arrived_at)
+        run = None
+        with trio.move_on_after(left):
+            run = (await engine.start_or_queue(request, placed, 'e')).ok
+            await run.first_token.wait()
+            record['first'] = trio.current_time() - arrived_at
+            record['cached'] = run.cached_tokens
+            await trio.sleep(output * STEP_SECONDS)
+        if run is not None:
+            engine.remove(run.id)
+        site.placers[entry].release(placed, Release.FINISHED)
+
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        async with trio.open_nursery() as asking:
+            for number, arrival in enumerate(arrivals):
+                await trio.sleep_until(arrival.at)
+                asking.start_soon(
+                    ask,
+                    number,
+                    arrival,
+                    rng.randrange(case.entries),
+                    rng.choice((64, 128, 256)),
+                )
+        nursery.cancel_scope.cancel()
+
+
+def percentile(values, share):
+    """Return the value at that share of the sorted values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def summarize(case, arrivals, records):
+    """Return one run's figures."""
+    kept = [each for each in records if each['at'] >= WARM_UP_SECONDS]
+    classes = {}
+    for each in kept:
+        length = CLASSES[bisect.bisect_left(CLASSES, each['tokens'])]
+        classes.setdefault(length, []).append(each['first'])
+    done = [each for each in kept if each['first'] is not None]
+    short = [each['first'] for each in done if each['tokens'] <= SHORT_TOKENS]
+    total = sum(each['tokens'] for each in done)
+    refused = [
+        each['refused_after'] for each in kept if 'refused_after' in each
+    ]
+    times = {}
+    for length, firsts in sorted(classes.items()):
+        seen = [first for first in firsts if first is not None]
+        times[length] = {
+            'count': len(firsts),
+            'failed': len(firsts) - len(seen),
+            **{f'p{p}': percentile(seen, p / 100) for p in (50, 95, 99)},
+        }
+    return {
+        **asdict(case),
+        'short_p95': percentile(short, 0.95),
+        'times': times,
+        'hit_share': sum(each['cached'] for each in done) / max(1, total),
+        'ideal_hit_share': ideal_hits(arrivals, case.engines),
+        'goodput_tokens_per_second': total
+        / (DURATION_SECONDS - WARM_UP_SECONDS),
+        'refused': len(refused),
+        'refused_after_p95': percentile(refused, 0.95),
+    }
+
+
+def run_one(case):
+    """Run a case in virtual time."""
+    arrivals = arrivals_of(case)
+    records = []
+
+    async def body():
+        await run_case(case, arrivals, records)
+
+    run_virtual(body, seed=case.seed)
+    return summarize(case, arrivals, records)
+
+
+def cases_of(options):
+    """Return all cases, policies by turns within each seed."""
+    return [
+        Case(
+            policy=policy,
+            load_percent=load,
+            seed=seed,
+            with_long=with_long,
+            engines=options.engines,
+            entries=options.entries,
+        )
+        for load in map(int, options.loads.split(','))
+        for seed in range(1, options.seeds + 1)
+        for with_long in (True, False)
+        for policy in options.policies.split(',')
+    ]
+
+
+def spread(values, digits=2):
+    """Return the median with the least and the greatest."""
+    present = [each for each in values if each is not None]
+    if not present:
+        return '-'
+    middle = statistics.median(present)
+    low, high = min(present), max(present)
+    return f'{middle:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})'
+
+
+def print_report(results):
+    """Print tables over seeds."""
+    keys = sorted({(each['load_percent'], each['policy']) for each in results})
+    print('| load | policy | slowdown | short p95 s | hits/ideal | goodput k/s')
+    for load, policy in keys:
+        mine = [
+            each
+            for each in results
+            if (each['load_percent'], each['policy']) == (load, policy)
+        ]
+        with_long = {each['seed']: each for each in mine if each['with_long']}
+        without = {each['seed']: each for each in mine if not each['with_long']}
+        rows = list(with_long.values())
+        slow = [
+            with_long[seed]['short_p95'] / without[seed]['short_p95']
+            for seed in with_long
+        ]
+        hits = [each['hit_share'] / each['ideal_hit_share'] for each in rows]
+        good = [each['goodput_tokens_per_second'] / 1000 for each in rows]
+        shorts = [each['short_p95'] for each in rows]
+        print(
+            f'| {load} | {policy} | {spread(slow)} | {spread(shorts, 3)}'
+            f' | {spread(hits)} | {spread(good, 0)} |',
+        )
+        for length in CLASSES:
+            cells = [each['times'].get(length) for each in rows]
+            cells = [each for each in cells if each]
+            figures = ' '.join(
+                f'{p} {spread([each[p] for each in cells])}'
+                for p in ('p50', 'p95', 'p99')
+            )
+            failed = sum(each['failed'] for each in cells)
+            count = sum(each['count'] for each in cells)
+            print(f'|   | {length} | {figures} | failed {failed}/{count}')
+    sys.stdout.flush()
+
+
+def main():
+    """Run the cases and print the tables."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--engines', type=int, default=20)
+    parser.add_argument('--entries', type=int, default=6)
+    parser.add_argument('--loads', default='80,95')
+    parser.add_argument('--seeds', type=int, default=5)
+    parser.add_argument('--policies', default=','.join(POLICY_NAMES))
+    parser.add_argument('--processes', type=int, default=4)
+    parser.add_argument('--out', default='')
+    options = parser.parse_args()
+    with ProcessPoolExecutor(options.processes) as pool:
+        results = list(pool.map(run_one, cases_of(options)))
+    if options.out:
+        with open(options.out, 'w', encoding='utf-8') as out:
+            out.writelines(json.dumps(each) + '\n' for each in results)
+    print_report(results)
+
+
+if __name__ == '__main__':
+    main()
--- a/src/limpetdrift/coordination/home.py
+++ b/src/limpetdrift/coordination/home.py
@@ -143,7 +143,7 @@
                 return Error(refusal)
             ticket.owner = message.owner
             ticket.incarnation = message.incarnation
-            queue.waiting[ticket.grant_id] = ticket
+            queue.wait(ticket)
             self._pump(queue)
         ticket.polled_at = trio.current_time()
         with trio.move_on_after(min(message.poll_seconds, _MAX_POLL_SECONDS)):
@@ -220,9 +220,11 @@
 
     async def _keep_pumping(self, homed: _Homed) -> None:
         while True:
-            await trio.sleep(PUMP_SECONDS)
-            if homed.queue.waiting:
+            await homed.queue.arrival.wait()
+            while homed.queue.waiting:
+                await trio.sleep(PUMP_SECONDS)
                 self._pump(homed.queue)
+            homed.queue.arrival = trio.Event()
 
     async def _read_reports(self, homed: _Homed) -> None:
         address = homed.endpoint.address
--- a/src/limpetdrift/state/queue.py
+++ b/src/limpetdrift/state/queue.py
@@ -62,6 +62,7 @@
         self.prefixes = RecentPrefixes()
         self.waiting: dict[str, Ticket] = {}
         self.granted: dict[str, Ticket] = {}
+        self.arrival = trio.Event()
         self._drained_at = 0.0
 
     @property
@@ -82,6 +83,11 @@
         """Return the ticket of that name."""
         return self.granted.get(grant_id) or self.waiting.get(grant_id)
 
+    def wait(self, ticket: Ticket) -> None:
+        """Add a waiting ticket; ``arrival`` tells who grants."""
+        self.waiting[ticket.grant_id] = ticket
+        self.arrival.set()
+
     def grant(self, ticket: Ticket) -> None:
         """Move a ticket from waiting to granted and wake its owner's poll."""
         self.waiting.pop(ticket.grant_id, None)
--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -20,7 +20,7 @@
 from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.state.prefixes import BLOCK_TOKENS, RecentPrefixes
 
-CHUNK_TOKENS = 2048
+CHUNK_TOKENS = 512
 
 
 @dataclass(kw_only=True, eq=False)
@@ -68,6 +68,8 @@
         self.freed = []
         self._order = itertools.count()
         self._work = trio.Event()
+        self._changed = trio.Event()
+        self._queue = []
 
     @property
     def held_tokens(self):
@@ -104,6 +106,7 @@
         if run is not None:
             run.lost = True
             run.first_token.set()
+            self._wake()
 
     async def serve(self):
         """Work through prefill until cancelled."""
@@ -144,6 +147,25 @@
         self.cache.add(request.prefix_blocks)
         return Ok(run)
 
+    async def start_or_queue(self, request, placement, holder):
+        """Start a stream; wait in the engine's own queue for memory."""
+        turn = (placement.priority, next(self._order))
+        self._queue.append(turn)
+        while turn != min(self._queue) or not self._fits(request):
+            await self._changed.wait()
+        self._queue.remove(turn)
+        run = await self.start(request, placement, holder)
+        self._wake()
+        return run
+
+    def _fits(self, request):
+        tokens = request.prompt_tokens + request.max_tokens
+        return self.held_tokens + tokens <= self.memory_tokens
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
 
 class _Calls:
     """The calls of ``EngineReports`` over engine models by address."""
