--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -1,4 +1,4 @@
-"""Compares placement policies in virtual time, on the product's own code.
+r"""Compares placement policies in virtual time, on the product's own code.
 
 Entries with real homes and placers stand before small engine models; arrivals
 are Poisson, by turns over the same seeds for each policy.
--- a/src/limpetdrift/protocol/grants.py
+++ b/src/limpetdrift/protocol/grants.py
@@ -84,16 +84,23 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class OwnsRequest:
-    """Asks an owner whether it still wants one attempt's allocation."""
+class AttemptName:
+    """One attempt, and the incarnation of the owner that started it."""
 
     request_key: str
     attempt: int
     incarnation: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnsRequest:
+    """Asks an owner which of these attempts it still wants."""
+
+    attempts: tuple[AttemptName, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class OwnsReply:
-    """The owner's answer."""
+    """One answer for each attempt asked about, in the same order."""
 
-    owned: bool
+    owned: tuple[bool, ...]
