--- a/src/limpet_standins/stream_run.py
+++ b/src/limpet_standins/stream_run.py
@@ -60,14 +60,19 @@
     def token_line(self, offset: int) -> bytes:
         """Return the line of one token."""
         text = self.answer.token(offset)
-        return encode_line({'offset': offset, 'text': text})
+        return encode_line(
+            {'stream_id': self.start.stream_id, 'offset': offset, 'text': text},
+        )
 
     def last_line(self) -> bytes:
         """Return the line that ends the stream."""
         if self.error:
-            return encode_line({'error': self.error})
+            return encode_line(
+                {'stream_id': self.start.stream_id, 'error': self.error},
+            )
         return encode_line(
             {
+                'stream_id': self.start.stream_id,
                 'finish': self.answer.finish,
                 'prompt_tokens': self.prompt_tokens,
                 'cached_tokens': self.cached_tokens,
--- a/src/limpetdrift/programs/entry.py
+++ b/src/limpetdrift/programs/entry.py
@@ -23,10 +23,11 @@
 from limpetdrift.programs.serving import (
     add_health_routes,
     announce,
+    read_settings,
     stop_on_signals,
 )
 from limpetdrift.protocol.engine import EngineCalls
-from limpetdrift.settings import EntrySettings, load_settings
+from limpetdrift.settings import EntrySettings
 from limpetdrift.state.retrybudget import RetryBudget
 from limpetdrift.state.site import SiteConfig
 from limpetdrift.transport.client import HttpClient
@@ -49,7 +50,7 @@
 def main() -> None:
     """Read the settings and serve until stopped."""
     arguments = cappa.parse(Arguments)
-    settings = load_settings(arguments.settings, EntrySettings)
+    settings = read_settings(arguments.settings, EntrySettings)
     logs.set_up('limpet-entry', settings.log_level)
     trio.run(serve, settings)
 
@@ -114,7 +115,7 @@
     owner: Owner,
 ) -> Routes:
     """Build the callers' API."""
-    site = load_settings(settings.site_file, SiteConfig)
+    site = read_settings(settings.site_file, SiteConfig)
     routes = Routes()
     add_health_routes(routes, lambda: True)
     add_chat_routes(
@@ -136,7 +137,7 @@
 ) -> Routes:
     """Build the peers' API."""
     routes = Routes()
-    site = load_settings(settings.site_file, SiteConfig)
+    site = read_settings(settings.site_file, SiteConfig)
     add_peer_stream_routes(
         routes,
         _stream_parts(settings, client, owner, site),
--- a/src/limpetdrift/settings.py
+++ b/src/limpetdrift/settings.py
@@ -6,25 +6,29 @@
 """
 
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import TypeVar
 
-import msgspec
-import yaml
+from expression import Result
 
+from limpetdrift.protocol.configuration import Complaint, Complaints
 from limpetdrift.protocol.node import Endpoint, Node
-from limpetdrift.transport.messages import Address, parse_address
+from limpetdrift.state.checkedyaml import load_document
+from limpetdrift.state.options import Unit, option
+from limpetdrift.transport.messages import Address
 
 Settings = TypeVar('Settings')
 
+DEFAULT_ENGINE_SILENCE_SECONDS = 2.0
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Secret:
     """A secret kept in a file or in an environment variable."""
 
-    file: str = ''
-    environment: str = ''
+    file: str = option('', about='The file that holds the secret.')
+    environment: str = option('', about='The variable that holds it.')
 
     def read(self) -> str:
         """Return the secret; raise ``ValueError`` where there is none."""
@@ -40,43 +44,55 @@
 class PlatformSettings:
     """Where the platform's services are."""
 
-    table: Address | None = None
-    objects: Address | None = None
-    instances: Address | None = None
-    weights: Address | None = None
+    table: Address | None = option(None, about='The table service.')
+    objects: Address | None = option(None, about='The object store.')
+    instances: Address | None = option(None, about='The instance list.')
+    weights: Address | None = option(None, about='The weight store.')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntrySettings:
     """Settings of ``limpet-entry``."""
 
-    name: str
-    region: str
-    failure_domain: str
-    site: str
-    caller_listen: Address
-    peer_listen: Address
-    peer_secret: Secret
-    operator_secret: Secret
-    platform: PlatformSettings = PlatformSettings()
-    seeds: tuple[Address, ...] = ()
-    log_level: str = 'info'
-    engine_silence_seconds: float = 2.0
-    site_file: str = ''
-    endpoints: tuple[Endpoint, ...] = ()
-    peers: tuple[Node, ...] = ()
-
-
-def load_settings(path: str, kind: type[Settings]) -> Settings:
-    """Read settings; raise ``ValueError`` that says what is wrong."""
-    document = yaml.safe_load(Path(path).read_text('utf-8'))
+    name: str = option(about='The name of this instance; unique.')
+    region: str = option(about='The region it is in.')
+    failure_domain: str = option(about='The failure domain it is in.')
+    site: str = option(about='The site whose configuration it serves.')
+    caller_listen: Address = option(about='Where callers connect.')
+    peer_listen: Address = option(about='Where other processes connect.')
+    peer_secret: Secret = option(about='Known to all processes of ours.')
+    operator_secret: Secret = option(about='Known to operators.')
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    seeds: tuple[Address, ...] = option((), about='Peers to meet first.')
+    log_level: str = option('info', about='debug, info, warning or error.')
+    engine_silence_seconds: float = option(
+        DEFAULT_ENGINE_SILENCE_SECONDS,
+        key='engine_silence',
+        unit=Unit.DURATION,
+        about='Without a byte for so long, a stream is taken up again.',
+    )
+    site_file: str = option('', about='Configuration until the store answers.')
+    endpoints: tuple[Endpoint, ...] = option((), about='Known endpoints.')
+    peers: tuple[Node, ...] = option((), about='Known entries.')
+
+
+def load_settings(
+    path: str,
+    kind: type[Settings],
+) -> Result[Settings, Complaints]:
+    """Read settings; each complaint names file, line and key."""
     try:
-        return msgspec.convert(document, type=kind, dec_hook=_convert)
-    except msgspec.ValidationError as error:
-        raise ValueError(f'{path}: {error}') from error
-
-
-def _convert(kind: type, value: object) -> object:
-    if kind is Address and isinstance(value, str):
-        return parse_address(value)
-    raise TypeError(f'no way to read {kind.__name__}')
+        text = Path(path).read_text('utf-8')
+    except OSError as error:
+        return Result.Error((_unreadable(path, error),))
+    return load_document(text, path, kind)
+
+
+def _unreadable(path: str, error: OSError) -> Complaint:
+    return Complaint(
+        file=path,
+        line=0,
+        key='',
+        expected='a readable file',
+        found=str(error.strerror),
+    )
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -28,7 +28,8 @@
 
 def token_text(prompt, index):
     """Return the token that any engine gives at that offset."""
-    return f'{prompt[-6:]}.{index} '
+    ending = prompt[-6:]
+    return f'{ending}.{index} '
 
 
 def whole_text(request):
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -89,7 +89,7 @@
     def restart(self, number):
         self.script.append(('alive', (number, True)))
 
-    @precondition(lambda self: self.script)
+    @precondition(lambda machine: machine.script)
     @rule(seconds=pauses)
     def wait(self, seconds):
         self.script.append(('wait', seconds))
