Hold the header limit also for a head that comes in one read

A head of 6 kB in one segment passed a limit of 2 kB, because the protocol library checks only what is still incomplete; the new test showed 200 in place of 431. The size is now checked after parsing. A whole response goes out in one write in place of three.

--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -79,9 +79,9 @@
                 received = await self.stream.receive_some(RECEIVE_BYTES)
             self.protocol.receive_data(received)
 
-    async def send(self, event: h11.Event) -> None:
-        """Write one event; raise when the reader takes too long."""
-        payload = self.protocol.send(event)
+    async def send(self, *events: h11.Event) -> None:
+        """Write events at once; raise when the reader takes too long."""
+        payload = b''.join(self.protocol.send(event) or b'' for event in events)
         if payload:
             with trio.fail_after(self.limits.write_seconds):
                 await self.stream.send_all(payload)
@@ -94,7 +94,6 @@
         self.request = request
         self._connection = connection
         self._started = False
-        self._finished = False
 
     @property
     def started(self) -> bool:
@@ -105,10 +104,12 @@
         """Send a whole response."""
         length = str(len(response.body))
         headers = (*response.headers, ('content-length', length))
-        await self.start(response.status, headers)
-        if response.body:
-            await self.send(response.body)
-        await self.finish()
+        self._started = True
+        await self._connection.send(
+            h11.Response(status_code=response.status, headers=list(headers)),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send the head of a response; without a length it is chunked."""
@@ -123,7 +124,6 @@
 
     async def finish(self) -> None:
         """End the body; the connection can then take the next request."""
-        self._finished = True
         await self._connection.send(h11.EndOfMessage())
 
     async def abort(self) -> None:
@@ -236,7 +236,13 @@
         connection.protocol.receive_data(received)
     with trio.fail_after(limits.head_seconds):
         event = await connection.next_event(limits.head_seconds)
-    return event if isinstance(event, h11.Request) else None
+    if not isinstance(event, h11.Request):
+        return None
+    # A head that arrives in one read passes the protocol's own limit.
+    size = sum(len(name) + len(text) for name, text in event.headers)
+    if size > limits.header_bytes:
+        raise BadInputError(_HEADERS_TOO_LARGE, 'headers over the limit')
+    return event
 
 
 async def _receive_body(connection: _Connection, head: h11.Request) -> Request:
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,140 @@
+"""Input that breaks a limit gets a 4xx at once and reaches no handler."""
+
+import pytest
+import trio
+from trio.testing import memory_stream_pair
+
+from limpetdrift.transport.messages import Response
+from limpetdrift.transport.server import Server, ServerLimits
+from virtual import virtual
+
+LIMITS = ServerLimits(
+    body_bytes=100,
+    header_bytes=2000,
+    head_seconds=5.0,
+    body_seconds=5.0,
+    write_seconds=5.0,
+    idle_seconds=30.0,
+)
+HOST = b'Host: a\r\n'
+
+
+class Site:
+    """A server whose connections are pairs of memory streams."""
+
+    def __init__(self, nursery):
+        self.handled = []
+        self.nursery = nursery
+        self.server = Server(handler=self.handle, limits=LIMITS)
+
+    async def handle(self, exchange):
+        self.handled.append(exchange.request)
+        body = b'x' * 200_000 if exchange.request.path == '/big' else b'ok'
+        await exchange.respond(Response(status=200, body=body))
+
+    def connect(self):
+        ours, theirs = memory_stream_pair()
+        self.nursery.start_soon(self.server.handle_stream, theirs)
+        return ours
+
+
+async def read_status(stream):
+    received = await stream.receive_some(4096)
+    return int(received.split()[1]) if received else None
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'nonsense\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\n\r\n', 400),
+        (b'GET / HTTP/1.1\r\n' + HOST + b'a: b\r\n' * 1000 + b'\r\n', 431),
+        (b'GET / HTTP/1.1\r\n' + HOST + b'a: ' + b'b' * 9000, 431),
+        (
+            b'POST / HTTP/1.1\r\n' + HOST + b'Content-Length: 101\r\n\r\n',
+            413,
+        ),
+        (
+            b'POST / HTTP/1.1\r\n'
+            + HOST
+            + b'Transfer-Encoding: chunked\r\n\r\n80\r\n'
+            + b'x' * 128
+            + b'\r\n',
+            413,
+        ),
+        (b'POST / HTTP/1.1\r\n' + HOST + b'Content-Length: -1\r\n\r\n', 400),
+        (b'POST / HTTP/1.1\r\n' + HOST + b'Content-Length: 9\r\n\r\nhal', 408),
+        (b'GET / HT', 408),
+    ],
+)
+def test_broken_input_is_refused(sent, status):
+    @virtual
+    async def body():
+        async with trio.open_nursery() as nursery:
+            site = Site(nursery)
+            stream = site.connect()
+            await stream.send_all(sent)
+            assert await read_status(stream) == status
+            assert not site.handled
+            nursery.cancel_scope.cancel()
+
+    body()
+
+
+@virtual
+async def test_one_slow_sender_does_not_delay_others():
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery)
+        slow = site.connect()
+        await slow.send_all(b'POST / HTTP/1.1\r\n')
+        started_at = trio.current_time()
+        quick = site.connect()
+        await quick.send_all(b'GET / HTTP/1.1\r\n' + HOST + b'\r\n')
+        assert await read_status(quick) == 200
+        assert trio.current_time() - started_at < 1.0
+        nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_a_sender_of_one_byte_a_second_is_refused_in_time():
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery)
+        stream = site.connect()
+
+        async def trickle():
+            for byte in b'GET / HTTP/1.1\r\n' + HOST:
+                await trio.sleep(1.0)
+                await stream.send_all(bytes([byte]))
+
+        nursery.start_soon(trickle)
+        with trio.fail_after(LIMITS.head_seconds + 2.0):
+            assert await read_status(stream) == 408
+        nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_a_half_closed_connection_still_gets_its_answer():
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery)
+        stream = site.connect()
+        await stream.send_all(b'GET / HTTP/1.1\r\n' + HOST + b'\r\n')
+        await stream.send_eof()
+        assert await read_status(stream) == 200
+        with trio.fail_after(1.0):
+            while await stream.receive_some(4096):
+                assert site.handled
+        nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_requests_on_one_connection_are_answered_in_order():
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery)
+        stream = site.connect()
+        for path in (b'/1', b'/2'):
+            await stream.send_all(
+                b'GET ' + path + b' HTTP/1.1\r\n' + HOST + b'\r\n'
+            )
+            assert await read_status(stream) == 200
+        assert [each.path for each in site.handled] == ['/1', '/2']
+        nursery.cancel_scope.cancel()
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -50,8 +50,9 @@
     def owner_of(self, run_id):
         for owner, claims in enumerate(self.claims):
             key = run_id.partition('-')[2]
-            if key in claims:
-                return owner, claims[key]
+            deadline_at = claims.get(key)
+            if deadline_at is not None:
+                return owner, deadline_at
         return None, 0
 
     def owns(self, owner, request_key, attempt, incarnation):
