--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -250,7 +250,7 @@
         slow = Faults(slow=10)
         one.controls.apply_faults(slow)
         _, last = texts(await run(one, 'again', prompt, group=group))
-        assert last == {'error': 'member-lost'}
+        assert last == {'stream_id': 'again', 'error': 'member-lost'}
         assert (await held(one), await held(two)) == (0, 0)
 
 
