--- /dev/null
+++ b/src/limpet_standins/small_site.py
@@ -0,0 +1,218 @@
+"""A small site of real processes: platform, engines, services, entries.
+
+A test or demo says how many of each; the processes end with the
+``Processes`` that they were started by.
+"""
+
+import secrets
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+import yaml
+
+from limpet_standins.processes import Processes, free_address
+from limpet_standins.remote import call
+from limpetdrift.callers.access import hash_key
+
+MODEL = 'drift-small'
+ACCOUNT = 'dispatch'
+SITE = 'small'
+REGION = 'kiambu'
+FAILURE_DOMAINS = ('thika-hall', 'ruiru-hall', 'limuru-hall')
+SERVICE = 'kiosk-desk'
+
+
+@dataclass(frozen=True, kw_only=True)
+class SiteSizes:
+    """How many processes of each kind, and options of the engines."""
+
+    entries: int = 3
+    engines: int = 4
+    services: int = 0
+    engine_options: tuple[str, ...] = ()
+    instance_lag_seconds: float = 0.5
+
+
+@dataclass(kw_only=True)
+class SmallSite:
+    """A started site: what its processes are called and where they are."""
+
+    processes: Processes
+    key: str
+    engines: list[str] = field(default_factory=list)
+    services: list[str] = field(default_factory=list)
+    entries: list[str] = field(default_factory=list)
+    relays: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def entry_addresses(self) -> tuple[str, ...]:
+        """Where callers reach the entries."""
+        return tuple(self.processes[name].address for name in self.entries)
+
+    @property
+    def engine_addresses(self) -> tuple[str, ...]:
+        """Where the engines that still run are."""
+        return tuple(
+            self.processes[name].address
+            for name in self.engines
+            if self.processes[name].alive
+        )
+
+    def address(self, name: str) -> str:
+        """Return where a process is called, by its relay if it has one."""
+        return self.relays.get(name) or self.processes[name].address
+
+
+def start_site(processes: Processes, sizes: SiteSizes) -> SmallSite:
+    """Start a whole site; entries come last."""
+    site = start_platform(processes, sizes.instance_lag_seconds)
+    start_engines(site, sizes)
+    start_services(site, sizes.services)
+    publish_instances(site)
+    start_entries(site, sizes.entries)
+    return site
+
+
+def start_platform(
+    processes: Processes,
+    instance_lag_seconds: float = 0.5,
+) -> SmallSite:
+    """Start the platform's services."""
+    for name in ('table', 'objects', 'weights'):
+        processes.start(name, f'limpet_standins.{name}')
+    processes.start(
+        'instances',
+        'limpet_standins.instances',
+        '--lag',
+        str(instance_lag_seconds),
+    )
+    return SmallSite(processes=processes, key=secrets.token_hex())
+
+
+def start_engines(site: SmallSite, sizes: SiteSizes) -> None:
+    """Start the engines, which load from the weight store."""
+    weights = site.processes['weights'].address
+    for number in range(1, sizes.engines + 1):
+        name = f'engine-{number}'
+        site.processes.start(
+            name,
+            'limpet_standins.engine',
+            '--name',
+            name,
+            '--weight-store',
+            weights,
+            *sizes.engine_options,
+        )
+        site.engines.append(name)
+
+
+def start_services(site: SmallSite, services: int) -> None:
+    """Start instances of the plain service."""
+    for number in range(1, services + 1):
+        name = f'{SERVICE}-{number}'
+        module = 'limpet_standins.service'
+        site.processes.start(name, module, '--name', name)
+        site.services.append(name)
+
+
+def put_relay(site: SmallSite, name: str) -> None:
+    """Put a relay before a process, for those that are started later."""
+    relay = site.processes.start(
+        f'relay-{name}',
+        'limpet_standins.relay',
+        '--target',
+        site.processes[name].address,
+    )
+    site.relays[name] = relay.address
+
+
+def publish_instances(site: SmallSite, leaving: Iterable[str] = ()) -> None:
+    """Set the instance list to the engines and services of the site."""
+    gone = frozenset(leaving)
+    lines = [
+        {
+            **_endpoint(site, name),
+            'state': 'leaving' if name in gone else 'live',
+        }
+        for name in (*site.engines, *site.services)
+    ]
+    address = site.processes['instances'].address
+    call(address, 'POST', '/control/instances', {'instances': lines})
+
+
+def start_entries(site: SmallSite, entries: int) -> None:
+    """Start the entries, each of which knows the others."""
+    nodes = [_node(number) for number in range(1, entries + 1)]
+    site_file = site.processes.write('site.yaml', yaml.safe_dump(_offer(site)))
+    secret = site.processes.write('secret', secrets.token_hex())
+    for node in nodes:
+        settings = {
+            **_common_settings(site),
+            'name': node['name'],
+            'failure_domain': node['failure_domain'],
+            'caller_listen': node['caller_address'],
+            'peer_listen': node['peer_address'],
+            'peer_secret': {'file': str(secret)},
+            'operator_secret': {'file': str(secret)},
+            'site_file': str(site_file),
+            'peers': [each for each in nodes if each is not node],
+            'seeds': [each['peer_address'] for each in nodes],
+        }
+        name = node['name']
+        path = site.processes.write(f'{name}.yaml', yaml.safe_dump(settings))
+        module = 'limpetdrift.programs.entry'
+        site.processes.start(name, module, '--settings', str(path))
+        site.entries.append(name)
+
+
+def _common_settings(site: SmallSite) -> dict[str, Any]:
+    platform = ('table', 'objects', 'instances', 'weights')
+    return {
+        'region': REGION,
+        'site': SITE,
+        'platform': {name: site.address(name) for name in platform},
+        'endpoints': [
+            _endpoint(site, name) for name in (*site.engines, *site.services)
+        ],
+    }
+
+
+def _endpoint(site: SmallSite, name: str) -> dict[str, Any]:
+    number = int(name.rpartition('-')[2])
+    is_engine = name in site.engines
+    return {
+        'name': name,
+        'role': 'engine' if is_engine else 'service',
+        'address': site.address(name),
+        'failure_domain': _domain(number),
+        'service': '' if is_engine else SERVICE,
+        'model': MODEL if is_engine else '',
+    }
+
+
+def _node(number: int) -> dict[str, Any]:
+    return {
+        'name': f'entry-{number}',
+        'incarnation': 0,
+        'role': 'entry',
+        'region': REGION,
+        'failure_domain': _domain(number),
+        'caller_address': free_address(),
+        'peer_address': free_address(),
+    }
+
+
+def _domain(number: int) -> str:
+    return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+
+
+def _offer(site: SmallSite) -> dict[str, Any]:
+    return {
+        'brand': SITE,
+        'models': {MODEL: {'version': '1'}},
+        'accounts': {ACCOUNT: {'key_hashes': [hash_key(site.key)]}},
+        'urgencies': {'normal': {'rank': 1}, 'urgent': {'rank': 0}},
+        'services': {SERVICE: {}},
+        'default_urgency': 'normal',
+    }
