--- /dev/null
+++ b/src/limpetdrift/protocol/orders.py
@@ -0,0 +1,115 @@
+"""Orders to engines and the state that they show, over HTTP.
+
+A fenced order fails with ``Reason.FENCED``; it had no effect.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from enum import StrEnum, unique
+
+from expression import Error, Ok, Result
+
+from limpetdrift.protocol.codec import decode, json_request
+from limpetdrift.protocol.verdict import (
+    Failure,
+    Reason,
+    may_have_run,
+    not_run,
+)
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Response
+
+ORDER_TIMEOUT_SECONDS = 5.0
+STATE_TIMEOUT_SECONDS = 2.0
+_OK = 200
+_ACCEPTED = 202
+_FENCED = 412
+
+
+@unique
+class Action(StrEnum):
+    """What an order asks of an engine."""
+
+    LOAD_MODEL = 'load-model'
+    LOAD_ADAPTER = 'load-adapter'
+    SET_VERSION = 'set-version'
+    SET_ROLE = 'set-role'
+    UNLOAD_MODEL = 'unload-model'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineOrder:
+    """An order with the fencing number of the lease that it is sent under."""
+
+    order_id: str
+    fencing: int
+    action: Action
+    model: str = ''
+    version: str = ''
+    adapter: str = ''
+    role: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineState:
+    """What an engine serves; ``loading`` is the order it is carrying out."""
+
+    model: str = ''
+    version: str = ''
+    role: str = ''
+    adapters: tuple[str, ...] = ()
+    loading: str = ''
+    highest_fencing: int = 0
+    checks_fencing: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrderCalls:
+    """Orders to engines as two functions."""
+
+    send: Callable[
+        [Address, EngineOrder],
+        Awaitable[Result[None, Failure]],
+    ]
+    state: Callable[[Address], Awaitable[Result[EngineState, Failure]]]
+
+
+def make_order_calls(client: HttpClient) -> OrderCalls:
+    """Return the calls that go over HTTP."""
+
+    async def send(
+        address: Address,
+        order: EngineOrder,
+    ) -> Result[None, Failure]:
+        answer = await client.fetch(
+            address,
+            json_request('POST', '/v1/orders', order),
+            timeout_seconds=ORDER_TIMEOUT_SECONDS,
+        )
+        return answer.bind(_read_sent)
+
+    async def state(address: Address) -> Result[EngineState, Failure]:
+        answer = await client.fetch(
+            address,
+            json_request('GET', '/v1/state'),
+            timeout_seconds=STATE_TIMEOUT_SECONDS,
+        )
+        return answer.bind(_read_state)
+
+    return OrderCalls(send=send, state=state)
+
+
+def _read_sent(response: Response) -> Result[None, Failure]:
+    if response.status == _ACCEPTED:
+        return Ok(None)
+    if response.status == _FENCED:
+        return Error(not_run(Reason.FENCED))
+    return Error(
+        may_have_run(Reason.BAD_ANSWER, f'status {response.status}'),
+    )
+
+
+def _read_state(response: Response) -> Result[EngineState, Failure]:
+    if response.status == _OK:
+        return decode(response.body, EngineState)
+    return Error(not_run(Reason.BAD_ANSWER, f'status {response.status}'))
--- a/src/limpetdrift/protocol/verdict.py
+++ b/src/limpetdrift/protocol/verdict.py
@@ -59,6 +59,7 @@
     OWNER_UNREACHABLE = 'owner-unreachable'
     STREAM_UNKNOWN = 'stream-unknown'
     CONFLICT = 'conflict'
+    FENCED = 'fenced'
     CANCELLED = 'cancelled'
     INTERNAL = 'internal'
 
--- /dev/null
+++ b/src/limpetdrift/protocol/weights.py
@@ -0,0 +1,49 @@
+"""The weight store: its rate, and how many loads share it now."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from expression import Error, Result
+
+from limpetdrift.protocol.codec import decode, json_request
+from limpetdrift.protocol.tableclient import read_refusal
+from limpetdrift.protocol.verdict import Failure
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Response
+
+CALL_TIMEOUT_SECONDS = 2.0
+_OK = 200
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WeightRate:
+    """The store's rate and the loads that share it."""
+
+    bytes_per_second: float
+    in_flight: int
+
+
+WeightRateCall = Callable[[], Awaitable[Result[WeightRate, Failure]]]
+
+
+def make_weight_rate_call(
+    client: HttpClient,
+    address: Address,
+) -> WeightRateCall:
+    """Return the call that reads the rate at an address."""
+
+    async def read_rate() -> Result[WeightRate, Failure]:
+        answer = await client.fetch(
+            address,
+            json_request('GET', '/rate'),
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+        )
+        return answer.bind(_read_rate)
+
+    return read_rate
+
+
+def _read_rate(response: Response) -> Result[WeightRate, Failure]:
+    if response.status == _OK:
+        return decode(response.body, WeightRate)
+    return Error(read_refusal(response))
