--- /dev/null
+++ b/src/limpetdrift/programs/steward.py
@@ -0,0 +1,188 @@
+"""``limpet-steward``: orders to engines, and care of the claims table."""
+
+import random
+import time
+from dataclasses import dataclass
+from functools import partial
+from typing import Annotated
+
+import cappa
+import trio
+
+from limpetdrift import logs
+from limpetdrift.coordination.groups import (
+    ORDERS_GROUP,
+    SWEEP_GROUP,
+    keep_leases,
+    release_leases,
+    sweep_under_lease,
+)
+from limpetdrift.coordination.orders import Reconciler, Wanted
+from limpetdrift.programs.serving import (
+    add_health_routes,
+    announce,
+    read_settings,
+    stop_on_signals,
+)
+from limpetdrift.protocol.node import Endpoint, Role
+from limpetdrift.protocol.objects import make_object_calls
+from limpetdrift.protocol.orders import make_order_calls
+from limpetdrift.protocol.tableclient import make_table_calls
+from limpetdrift.protocol.weights import make_weight_rate_call
+from limpetdrift.settings import StewardSettings
+from limpetdrift.state.budget import Budget, Priority, StoreRates
+from limpetdrift.state.claimsweep import ClaimSweep, EpochClock
+from limpetdrift.state.leases import Lease
+from limpetdrift.state.site import SiteConfig
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address
+from limpetdrift.transport.routing import Routes
+from limpetdrift.transport.server import Server, bound_address, listen
+
+RELEASE_SECONDS = 5.0
+
+
+@cappa.command(
+    name='limpet-steward',
+    help='Bring engines to what the configuration wants.',
+)
+@dataclass(frozen=True, kw_only=True)
+class Arguments:
+    """The command line."""
+
+    settings: Annotated[
+        str,
+        cappa.Arg(long='--settings', help='The YAML file of settings.'),
+    ]
+
+
+def main() -> None:
+    """Read the settings and work until stopped."""
+    arguments = cappa.parse(Arguments)
+    settings = read_settings(arguments.settings, StewardSettings)
+    logs.set_up('limpet-steward', settings.log_level)
+    site = read_settings(settings.site_file, SiteConfig)
+    trio.run(serve, settings, site)
+
+
+async def serve(settings: StewardSettings, site: SiteConfig) -> None:
+    """Run one steward until it is stopped."""
+    client = HttpClient()
+    randomness = random.Random()
+    budget = make_budget(settings, client, randomness)
+    leases = make_leases(settings, budget)
+    async with trio.open_nursery() as nursery:
+        drain = partial(_release, tuple(leases.values()))
+        nursery.start_soon(stop_on_signals, drain, nursery.cancel_scope)
+        nursery.start_soon(budget.run)
+        nursery.start_soon(keep_leases, tuple(leases.values()), randomness)
+        reconciler = make_reconciler(
+            settings,
+            site,
+            client,
+            leases[ORDERS_GROUP],
+        )
+        nursery.start_soon(reconciler.run)
+        _start_sweep(settings, client, budget, leases[SWEEP_GROUP], nursery)
+        address = await _serve_health(settings.listen, nursery)
+        announce(settings.name, address=address)
+
+
+def make_budget(
+    settings: StewardSettings,
+    client: HttpClient,
+    randomness: random.Random,
+) -> Budget:
+    """Build this process's share of the table service."""
+    return Budget(
+        calls=make_table_calls(client, _required(settings.platform.table)),
+        rates=StoreRates(
+            reads_per_second=settings.store_reads_per_second,
+            writes_per_second=settings.store_writes_per_second,
+        ),
+        live_nodes=lambda: settings.live_nodes,
+        randomness=randomness,
+    )
+
+
+def make_leases(
+    settings: StewardSettings,
+    budget: Budget,
+) -> dict[str, Lease]:
+    """Build a lease for each group of work."""
+    holder = f'{settings.name}-{time.time_ns()}'
+    table = budget.calls(Priority.CONTROL)
+    return {
+        group: Lease(group=group, holder=holder, table=table)
+        for group in (ORDERS_GROUP, SWEEP_GROUP)
+    }
+
+
+def make_reconciler(
+    settings: StewardSettings,
+    site: SiteConfig,
+    client: HttpClient,
+    lease: Lease,
+) -> Reconciler:
+    """Build what orders engines about."""
+    engines = _choose_engines(settings.endpoints)
+    return Reconciler(
+        lease=lease,
+        wanted=Wanted(models=lambda: site.models, engines=lambda: engines),
+        orders=make_order_calls(client),
+        weight_rate=make_weight_rate_call(
+            client,
+            _required(settings.platform.weights),
+        ),
+        loads_in_flight=settings.loads_in_flight,
+    )
+
+
+def _start_sweep(
+    settings: StewardSettings,
+    client: HttpClient,
+    budget: Budget,
+    lease: Lease,
+    nursery: trio.Nursery,
+) -> None:
+    table = budget.calls(Priority.CONTROL)
+    objects = make_object_calls(client, _required(settings.platform.objects))
+    clock = EpochClock(table=table, moves=True)
+    sweep = ClaimSweep(table=table, objects=objects)
+    nursery.start_soon(clock.run)
+    nursery.start_soon(
+        sweep_under_lease,
+        lease,
+        sweep,
+        lambda: clock.current,
+    )
+
+
+async def _serve_health(address: Address, nursery: trio.Nursery) -> Address:
+    routes = Routes()
+    add_health_routes(routes, lambda: True)
+    listeners = await listen(address)
+    server = Server(handler=routes.handle)
+    await nursery.start(server.serve, listeners)
+    return bound_address(listeners)
+
+
+async def _release(leases: tuple[Lease, ...]) -> None:
+    with trio.move_on_after(RELEASE_SECONDS):
+        await release_leases(leases)
+
+
+def _choose_engines(
+    endpoints: tuple[Endpoint, ...],
+) -> tuple[Endpoint, ...]:
+    return tuple(each for each in endpoints if each.role is Role.ENGINE)
+
+
+def _required(address: Address | None) -> Address:
+    if address is None:
+        raise ValueError('the platform settings lack an address')
+    return address
+
+
+if __name__ == '__main__':
+    main()
--- a/src/limpetdrift/settings.py
+++ b/src/limpetdrift/settings.py
@@ -21,6 +21,10 @@
 Settings = TypeVar('Settings')
 
 DEFAULT_ENGINE_SILENCE_SECONDS = 2.0
+DEFAULT_LIVE_NODES = 18
+DEFAULT_STORE_READS_PER_SECOND = 2_000.0
+DEFAULT_STORE_WRITES_PER_SECOND = 300.0
+DEFAULT_LOADS_IN_FLIGHT = 2
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,6 +80,38 @@
     peers: tuple[Node, ...] = option((), about='Known entries.')
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StewardSettings:
+    """Settings of ``limpet-steward``."""
+
+    name: str = option(about='The name of this process; unique.')
+    listen: Address = option(about='Where health and metrics are read.')
+    platform: PlatformSettings = field(default_factory=PlatformSettings)
+    site_file: str = option(about='The configuration to bring about.')
+    endpoints: tuple[Endpoint, ...] = option((), about='The engines.')
+    log_level: str = option('info', about='debug, info, warning or error.')
+    live_nodes: int = option(
+        DEFAULT_LIVE_NODES,
+        about='The processes that share the table service.',
+    )
+    store_reads_per_second: float = option(
+        DEFAULT_STORE_READS_PER_SECOND,
+        key='store_reads',
+        unit=Unit.RATE,
+        about='What the table service gives to all processes.',
+    )
+    store_writes_per_second: float = option(
+        DEFAULT_STORE_WRITES_PER_SECOND,
+        key='store_writes',
+        unit=Unit.RATE,
+        about='What the table service gives to all processes.',
+    )
+    loads_in_flight: int = option(
+        DEFAULT_LOADS_IN_FLIGHT,
+        about='How many engines load from the weight store at a time.',
+    )
+
+
 def load_settings(
     path: str,
     kind: type[Settings],
--- a/src/limpetdrift/state/claimsweep.py
+++ b/src/limpetdrift/state/claimsweep.py
@@ -110,6 +110,11 @@
         self._retention_epochs = retention_epochs
         self._after = ''
 
+    @property
+    def at_start(self) -> bool:
+        """Whether the next page is the table's first."""
+        return not self._after
+
     async def sweep_page(self, epoch: int) -> Result[int, Failure]:
         """Delete the next page's old rows and return their number."""
         page = await self._table.scan(
