--- a/src/limpetdrift/coordination/orderplan.py
+++ b/src/limpetdrift/coordination/orderplan.py
@@ -34,6 +34,13 @@
     version: str
     adapter: str = ''
 
+    def is_shown(self, state: EngineState) -> bool:
+        """Whether the engine shows what the order asked for."""
+        served = (state.model, state.version)
+        if served != (self.model, self.version):
+            return False
+        return not self.adapter or self.adapter in state.adapters
+
     def make_id(self, fencing: int) -> str:
         """Return an id that says, as ``loading``, what is under way."""
         return _SEPARATOR.join(
--- a/src/limpetdrift/coordination/orders.py
+++ b/src/limpetdrift/coordination/orders.py
@@ -107,7 +107,10 @@
             adapter=planned.adapter,
         )
         name = planned.endpoint.name
-        self._ordered[name] = _Ordered(at=trio.current_time())
+        self._ordered[name] = _Ordered(
+            at=trio.current_time(),
+            planned=planned,
+        )
         sent = await self._orders.send(planned.endpoint.address, order)
         if sent.is_ok():
             telemetry.count('orders', action=order.action)
@@ -160,6 +163,7 @@
     """An order that this process sent, until its effect was seen."""
 
     at: float
+    planned: PlannedOrder
     started: bool = False
 
     def has_ended(self, state: EngineState) -> bool:
@@ -167,4 +171,6 @@
         if state.loading:
             self.started = True
             return False
-        return self.started or trio.current_time() - self.at >= REPEAT_SECONDS
+        if self.started or self.planned.is_shown(state):
+            return True
+        return trio.current_time() - self.at >= REPEAT_SECONDS
