--- /dev/null
+++ b/src/limpet_standins/demo.py
@@ -0,0 +1,183 @@
+"""A small site on stand-ins, with an engine and an entry killed on the way.
+
+``make demo`` runs it. Prompts of unlike lengths are sent through the client
+library; every answer is compared with what the engines are defined to give.
+The exit code is 0 only if all of them were whole.
+"""
+
+import random
+import sys
+from dataclasses import dataclass
+
+import trio
+from rich.console import Console
+from rich.table import Table
+
+from limpet_standins.answers import expected_text
+from limpet_standins.processes import Processes
+from limpet_standins.small_site import (
+    MODEL,
+    SiteSizes,
+    SmallSite,
+    start_site,
+)
+from limpetdrift.client import Answer, Call, Client
+from limpetdrift.protocol.openai import ChatMessage, prompt_text
+from limpetdrift.protocol.prompts import TOKEN_BYTES
+from limpetdrift.transport.messages import parse_address
+
+SIZES = SiteSizes(
+    entries=6,
+    engines=8,
+    services=3,
+    engine_options=(
+        '--memory-tokens',
+        '131072',
+        '--prefill-rate',
+        '60000',
+        '--step-seconds',
+        '0.01',
+    ),
+)
+KILL_ENGINE_AT_SECONDS = 1.0
+KILL_ENTRY_AT_SECONDS = 2.5
+SEED = 7
+MAX_TOKENS = 120
+SEND_WITHIN_SECONDS = 4.0
+FAULT_NOTE_TOKENS = 1_000
+HISTORY_TOKENS = 16_000
+HALF_QUARTER_TOKENS = 100_000
+
+
+@dataclass(frozen=True, kw_only=True)
+class Kind:
+    """Prompts of one length, and how many are sent."""
+
+    name: str
+    prompt_tokens: int
+    count: int
+    deadline_seconds: float = 40.0
+
+
+KINDS = (
+    Kind(name='fault note', prompt_tokens=FAULT_NOTE_TOKENS, count=24),
+    Kind(name='kiosk history', prompt_tokens=HISTORY_TOKENS, count=8),
+    Kind(name='half a quarter', prompt_tokens=HALF_QUARTER_TOKENS, count=2),
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What one caller got."""
+
+    kind: Kind
+    answer: Answer | None
+    whole: bool
+    failure: str = ''
+
+
+def main() -> None:
+    """Run the demo and exit with 0 if every answer was whole."""
+    with Processes() as processes:
+        site = start_site(processes, SIZES)
+        outcomes = trio.run(send_all, site)
+    show(outcomes)
+    whole = sum(outcome.whole for outcome in outcomes)
+    sys.stdout.write(f'{whole} of {len(outcomes)} answers whole\n')
+    sys.exit(0 if whole == len(outcomes) else 1)
+
+
+async def send_all(site: SmallSite) -> list[Outcome]:
+    """Send every prompt, while an engine and an entry are killed."""
+    seeds = tuple(parse_address(each) for each in site.entry_addresses)
+    client = Client(
+        seeds=seeds,
+        key=site.key,
+        random_source=random.Random(SEED),
+    )
+    outcomes: list[Outcome] = []
+
+    async def send(kind: Kind, number: int) -> None:
+        await trio.sleep(number * SEND_WITHIN_SECONDS / kind.count)
+        outcomes.append(await send_one(client, kind, number))
+
+    async with trio.open_nursery() as nursery:
+        for kind in KINDS:
+            for number in range(kind.count):
+                nursery.start_soon(send, kind, number)
+        await trio.sleep(KILL_ENGINE_AT_SECONDS)
+        site.processes.kill(site.engines[0])
+        await trio.sleep(KILL_ENTRY_AT_SECONDS - KILL_ENGINE_AT_SECONDS)
+        site.processes.kill(site.entries[0])
+    return outcomes
+
+
+async def send_one(client: Client, kind: Kind, number: int) -> Outcome:
+    """Send one prompt and compare its answer."""
+    messages = (ChatMessage(role='user', content=_prompt(kind, number)),)
+    call = Call(
+        model=MODEL,
+        messages=messages,
+        max_tokens=MAX_TOKENS,
+        deadline_seconds=kind.deadline_seconds,
+    )
+    result = await client.complete(call)
+    if result.is_error():
+        return Outcome(
+            kind=kind,
+            answer=None,
+            whole=False,
+            failure=result.error.reason,
+        )
+    expected = expected_text(MODEL, prompt_text(messages), MAX_TOKENS)
+    whole = result.ok.text == ''.join(expected)
+    return Outcome(kind=kind, answer=result.ok, whole=whole)
+
+
+def show(outcomes: list[Outcome]) -> None:
+    """Print a line for each kind of prompt."""
+    table = Table(title='What each caller got')
+    for heading in (
+        'prompt',
+        'tokens',
+        'sent',
+        'whole',
+        'first token, median',
+        'first token, worst',
+        'sent again',
+        'resumed',
+        'failures',
+    ):
+        table.add_column(heading)
+    for kind in KINDS:
+        table.add_row(*_row(kind, outcomes))
+    Console().print(table)
+
+
+def _row(kind: Kind, outcomes: list[Outcome]) -> list[str]:
+    mine = [outcome for outcome in outcomes if outcome.kind is kind]
+    answers = [outcome.answer for outcome in mine if outcome.answer]
+    times = sorted(answer.first_token_seconds for answer in answers) or [0.0]
+    median, worst = times[len(times) // 2], times[-1]
+    failures = {outcome.failure for outcome in mine if outcome.failure}
+    return [
+        kind.name,
+        f'{kind.prompt_tokens:,}',
+        str(len(mine)),
+        str(sum(outcome.whole for outcome in mine)),
+        f'{median:.2f} s',
+        f'{worst:.2f} s',
+        str(sum(answer.sends - 1 for answer in answers)),
+        str(sum(answer.resumptions for answer in answers)),
+        '; '.join(sorted(failures)) or '-',
+    ]
+
+
+def _prompt(kind: Kind, number: int) -> str:
+    words = f'{kind.name} {number}: '
+    size = kind.prompt_tokens * TOKEN_BYTES
+    return (words * (size // len(words) + 1))[:size]
+
+
+if __name__ == '__main__':
+    main()
--- a/src/limpetdrift/coordination/owner.py
+++ b/src/limpetdrift/coordination/owner.py
@@ -34,6 +34,7 @@
         drive: Drive,
         nursery: trio.Nursery,
     ) -> None:
+        self._incarnation = incarnation
         self._prefix = f'{name}~{incarnation}'
         self._random = random_source
         self._start_run = drive
@@ -56,10 +57,17 @@
         """Return the run of that handle, if it is kept here."""
         return self._by_handle.get(handle)
 
-    def owns(self, handle: str) -> bool:
-        """Return whether the run of that handle is live here."""
-        run = self._by_handle.get(handle)
-        return run is not None and not run.ended
+    def owns_attempt(
+        self,
+        request_key: str,
+        attempt: int,
+        incarnation: int,
+    ) -> bool:
+        """Return whether that attempt is the live one of a run here."""
+        run = self._by_handle.get(request_key)
+        if run is None or run.ended or incarnation != self._incarnation:
+            return False
+        return run.attempts == attempt
 
     def submit(self, request: RunRequest) -> Result[Run, Failure]:
         """Start a run, or return the one that has the same key.
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -12,7 +12,12 @@
 from limpetdrift.settings import Settings, load_settings
 from limpetdrift.transport.messages import OK, UNAVAILABLE, Address, Response
 from limpetdrift.transport.routing import Parameters, Routes
-from limpetdrift.transport.server import Exchange
+from limpetdrift.transport.server import (
+    Exchange,
+    Server,
+    bound_address,
+    listen,
+)
 
 BAD_SETTINGS_EXIT = 2
 _METRICS_HEADERS = (('content-type', 'text/plain; version=0.0.4'),)
@@ -52,6 +57,18 @@
     sys.exit(BAD_SETTINGS_EXIT)
 
 
+async def serve_on(
+    address: Address,
+    routes: Routes,
+    nursery: trio.Nursery,
+) -> Address:
+    """Serve routes at an address; return the one that was bound."""
+    listeners = await listen(address)
+    server = Server(handler=routes.handle)
+    await nursery.start(server.serve, listeners)
+    return bound_address(listeners)
+
+
 def announce(name: str, **addresses: Address) -> None:
     """Print the one line that tells where the process listens."""
     line = {'name': name}
