Run requests that are not repeatable once, under claims

Drive hands such a run to SingleRuns, which claims it in the table after placement, dispatches only as holder, and otherwise follows the run at its owner or resumes the named stream at the endpoint.

--- a/src/limpetdrift/callers/chat.py
+++ b/src/limpetdrift/callers/chat.py
@@ -93,17 +93,22 @@
 ) -> None:
     """Send a run's tokens from an offset on, as server-sent events."""
     async with aclosing(run.read(offset)) as reader:
-        text = await anext(reader, '')
-        if not text and run.failure is not None:
+        texts = await anext(reader, None)
+        if not texts and run.failure is not None:
             await respond_failure(exchange, run.failure)
             return
         request = run.request
         headers = (*SSE_HEADERS, (STREAM_HEADER, request.handle))
         await exchange.start(OK, headers)
-        while text:
-            event = text_event(request.handle, request.model, text, run.offset)
+        while texts:
+            event = text_event(
+                request.handle,
+                request.model,
+                ''.join(texts),
+                run.offset,
+            )
             await exchange.send(event)
-            text = await anext(reader, '')
+            texts = await anext(reader, None)
     await exchange.send(_ending(run, include_usage=include_usage))
     await exchange.finish()
 
--- a/src/limpetdrift/coordination/attempt.py
+++ b/src/limpetdrift/coordination/attempt.py
@@ -56,12 +56,19 @@
     first = await _read_connection(opened, attempt.start.stream_id, run)
     if first.is_ok() or first.error.verdict is Verdict.NOT_RUN:
         return first
-    return await resume_attempt(calls, attempt, run, first.error)
+    return await resume_attempt(
+        calls,
+        attempt.address,
+        attempt.start.stream_id,
+        run,
+        first.error,
+    )
 
 
 async def resume_attempt(
     calls: EngineCalls,
-    attempt: Attempt,
+    address: Address,
+    stream_id: str,
     run: Run,
     cause: Failure,
 ) -> Result[RunEnd, Failure]:
@@ -71,12 +78,8 @@
         before = run.offset
         telemetry.count('retries', reason=f'resume-{cause.reason}')
         await trio.sleep(RECONNECT_PAUSE_SECONDS * progress.reconnects)
-        opened = calls.resume(
-            attempt.address,
-            attempt.start.stream_id,
-            run.offset,
-        )
-        outcome = await _read_connection(opened, attempt.start.stream_id, run)
+        opened = calls.resume(address, stream_id, run.offset)
+        outcome = await _read_connection(opened, stream_id, run)
         if outcome.is_ok():
             return outcome
         cause = outcome.error
--- a/src/limpetdrift/coordination/drive.py
+++ b/src/limpetdrift/coordination/drive.py
@@ -7,13 +7,15 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import trio
 from absl import logging
-from expression import Result
+from expression import Error, Result
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.attempt import Attempt, follow_attempt
+from limpetdrift.coordination.singlerun import Dispatch
 from limpetdrift.protocol.engine import EngineCalls, EngineHold, StreamStart
 from limpetdrift.protocol.placement import (
     Placement,
@@ -21,7 +23,7 @@
     Release,
 )
 from limpetdrift.protocol.prompts import prefix_blocks
-from limpetdrift.protocol.verdict import Failure, Reason, Verdict
+from limpetdrift.protocol.verdict import Failure, Reason, Verdict, not_run
 from limpetdrift.state.retrybudget import RetryBudget
 from limpetdrift.state.run import Run, RunEnd
 
@@ -32,6 +34,10 @@
 OVERLOAD_RETRY_AFTER_SECONDS = 2.0
 
 Place = Callable[[PlacementRequest], Awaitable[Result[Placement, Failure]]]
+RunOnce = Callable[
+    [Run, Placement, Attempt, Dispatch],
+    Awaitable[Result[RunEnd, Failure]],
+]
 ReleaseCall = Callable[[Placement, Release], None]
 
 _FINAL_REASONS = frozenset(
@@ -69,6 +75,7 @@
     engine: EngineCalls
     place: Place
     release: ReleaseCall
+    run_once: RunOnce
     budget: RetryBudget
     nursery: trio.Nursery
     random: random.Random
@@ -82,6 +89,18 @@
     pause_seconds: float = RETRY_PAUSE_SECONDS
 
 
+async def refuse_once(
+    run: Run,
+    placement: Placement,
+    attempt: Attempt,
+    dispatch: Dispatch,
+) -> Result[RunEnd, Failure]:
+    """Stand in for ``SingleRuns.run`` where there is no table service."""
+    return Error(
+        not_run(Reason.STORE_UNAVAILABLE, 'no table service in the settings'),
+    )
+
+
 async def drive_run(parts: DriveParts, run: Run) -> None:
     """Bring a run to its answer or failure by its deadline."""
     parts.budget.earn()
@@ -137,8 +156,12 @@
         return placed
     placement = placed.ok
     release = Release.CANCELLED
+    attempt = Attempt(
+        address=placement.endpoint.address,
+        start=_stream_start(parts, run, placement),
+    )
     try:
-        outcome = await _run_at(parts, run, placement)
+        outcome = await _run_placed(parts, run, placement, attempt)
         release = _release_kind(outcome)
     finally:
         parts.release(placement, release)
@@ -147,15 +170,23 @@
     return outcome
 
 
-async def _run_at(
+async def _run_placed(
     parts: DriveParts,
     run: Run,
     placement: Placement,
+    attempt: Attempt,
+) -> Result[RunEnd, Failure]:
+    dispatch = partial(_run_at, parts, run, attempt)
+    if run.request.repeatable:
+        return await dispatch()
+    return await parts.run_once(run, placement, attempt, dispatch)
+
+
+async def _run_at(
+    parts: DriveParts,
+    run: Run,
+    attempt: Attempt,
 ) -> Result[RunEnd, Failure]:
-    attempt = Attempt(
-        address=placement.endpoint.address,
-        start=_stream_start(parts, run, placement),
-    )
     settled = False
     earlier = run.verdict
     run.verdict = Verdict.MAY_HAVE_RUN
--- a/src/limpetdrift/programs/entryparts.py
+++ b/src/limpetdrift/programs/entryparts.py
@@ -15,10 +15,19 @@
     add_peer_stream_routes,
     add_stream_routes,
 )
-from limpetdrift.coordination.drive import DriveParts, drive_run
+from limpetdrift.coordination.drive import (
+    DriveParts,
+    drive_run,
+    refuse_once,
+)
 from limpetdrift.coordination.home import Home
 from limpetdrift.coordination.owner import Owner
-from limpetdrift.coordination.peers import PeerRoutes, make_peer_call
+from limpetdrift.coordination.ownerstreams import add_owner_stream_routes
+from limpetdrift.coordination.peers import (
+    PEER_SECRET_HEADER,
+    PeerRoutes,
+    make_peer_call,
+)
 from limpetdrift.coordination.placer import Placer, PlacerInputs
 from limpetdrift.coordination.policies import (
     DEFAULT_POLICY,
@@ -26,7 +35,9 @@
     ProbeState,
 )
 from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
+from limpetdrift.coordination.singlerun import SingleRuns
 from limpetdrift.programs.serving import add_health_routes, read_settings
+from limpetdrift.programs.storeparts import join_claims, join_store
 from limpetdrift.protocol.engine import EngineCalls
 from limpetdrift.protocol.enginereports import make_engine_reports
 from limpetdrift.protocol.node import Endpoint, Node, Role
@@ -110,7 +121,46 @@
         home=home,
         state=ProbeState(random=random.Random(), places=PrefixPlaces()),
     )
-    owner = _make_owner(settings, views, placer, client, nursery)
+    messages = PeerRoutes()
+    engine = EngineCalls(
+        client=client,
+        silence_seconds=settings.engine_silence_seconds,
+    )
+    store = join_store(
+        settings.platform,
+        client,
+        lambda: len(views.live_entries()),
+    )
+    run_once, store_tasks = refuse_once, ()
+    if store is not None:
+        claims = join_claims(store, views.node, call)
+        claims.mount(messages)
+        owners = EngineCalls(
+            client=client,
+            silence_seconds=settings.engine_silence_seconds,
+            headers=((PEER_SECRET_HEADER, secret),),
+        )
+        single = SingleRuns(claims=claims, engine=engine, owners=owners)
+        run_once = single.run
+        store_tasks = (*store.tasks, claims.run)
+    drive_parts = DriveParts(
+        name=settings.name,
+        incarnation=views.node.incarnation,
+        engine=engine,
+        place=placer.place,
+        release=placer.release,
+        run_once=run_once,
+        budget=RetryBudget(),
+        nursery=nursery,
+        random=random.Random(),
+    )
+    owner = Owner(
+        name=settings.name,
+        incarnation=views.node.incarnation,
+        random_source=random.Random(),
+        drive=partial(drive_run, drive_parts),
+        nursery=nursery,
+    )
     reclaimer = Reclaimer(
         inputs=ReclaimInputs(
             node=views.node,
@@ -121,7 +171,6 @@
             owns=owner.owns_attempt,
         ),
     )
-    messages = PeerRoutes()
     home.mount(messages)
     reclaimer.mount(messages)
     streams = StreamParts(
@@ -137,39 +186,13 @@
         owner=owner,
         caller_routes=_make_caller_routes(views, owner, streams),
         peer_routes=_make_peer_routes(messages, streams),
-        tasks=(home.run, placer.run, reclaimer.run, owner.sweep),
-    )
-
-
-def _make_owner(
-    settings: EntrySettings,
-    views: Views,
-    placer: Placer,
-    client: HttpClient,
-    nursery: trio.Nursery,
-) -> Owner:
-    node = views.node
-    random_source = random.Random()
-    engine = EngineCalls(
-        client=client,
-        silence_seconds=settings.engine_silence_seconds,
-    )
-    parts = DriveParts(
-        name=node.name,
-        incarnation=node.incarnation,
-        engine=engine,
-        place=placer.place,
-        release=placer.release,
-        budget=RetryBudget(),
-        nursery=nursery,
-        random=random_source,
-    )
-    return Owner(
-        name=node.name,
-        incarnation=node.incarnation,
-        random_source=random_source,
-        drive=partial(drive_run, parts),
-        nursery=nursery,
+        tasks=(
+            home.run,
+            placer.run,
+            reclaimer.run,
+            owner.sweep,
+            *store_tasks,
+        ),
     )
 
 
@@ -192,8 +215,12 @@
     return routes
 
 
-def _make_peer_routes(messages: PeerRoutes, streams: StreamParts) -> Routes:
+def _make_peer_routes(
+    messages: PeerRoutes,
+    streams: StreamParts,
+) -> Routes:
     routes = Routes()
     messages.mount(routes, streams.peer_secret)
     add_peer_stream_routes(routes, streams)
+    add_owner_stream_routes(routes, streams.owner, streams.peer_secret)
     return routes
--- a/src/limpetdrift/protocol/engine.py
+++ b/src/limpetdrift/protocol/engine.py
@@ -19,7 +19,7 @@
     not_run,
 )
 from limpetdrift.transport.client import HttpClient, ResponseStream
-from limpetdrift.transport.messages import Address, Request
+from limpetdrift.transport.messages import Address, Headers, Request
 
 CANCEL_TIMEOUT_SECONDS = 2.0
 _STREAMS = '/v1/streams'
@@ -83,7 +83,9 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Refusal:
+class EngineRefusal:
+    """Why an engine refused; the code is one that it documents."""
+
     code: str = ''
 
 
@@ -92,11 +94,21 @@
 
 
 class EngineCalls:
-    """Calls to any engine over one HTTP client."""
+    """Calls to any engine over one HTTP client.
+
+    ``headers`` go with each read of a stream.
+    """
 
-    def __init__(self, *, client: HttpClient, silence_seconds: float) -> None:
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        silence_seconds: float,
+        headers: Headers = (),
+    ) -> None:
         self._client = client
         self._silence_seconds = silence_seconds
+        self._headers = headers
 
     @asynccontextmanager
     async def start(
@@ -125,6 +137,7 @@
             method='GET',
             path=f'{_STREAMS}/{stream_id}',
             query={'offset': str(offset)},
+            headers=self._headers,
         )
         async with self._open(address, request) as lines:
             yield lines
@@ -157,7 +170,7 @@
 
 
 async def _read_refusal(response: ResponseStream) -> Failure:
-    refusal = decode(await response.read(), _Refusal)
+    refusal = decode(await response.read(), EngineRefusal)
     code = refusal.ok.code if refusal.is_ok() else ''
     if code == 'stream-unknown':
         return may_have_run(Reason.STREAM_UNKNOWN)
--- a/src/limpetdrift/state/run.py
+++ b/src/limpetdrift/state/run.py
@@ -84,6 +84,11 @@
         """The text of the tokens that were produced here."""
         return ''.join(self._texts)
 
+    @property
+    def texts(self) -> tuple[str, ...]:
+        """The tokens that were produced here, one by one."""
+        return tuple(self._texts)
+
     def append(self, offset: int, text: str) -> bool:
         """Take a token; return whether it fits without a gap."""
         if offset < self.offset:
@@ -111,15 +116,15 @@
         self.failure = failure
         self._conclude()
 
-    async def read(self, offset: int) -> AsyncIterator[str]:
-        """Yield the text from an offset on, until the run ends."""
+    async def read(self, offset: int) -> AsyncIterator[list[str]]:
+        """Yield the tokens from an offset on, until the run ends."""
         index = max(offset - self.request.start_offset, 0)
         self.readers += 1
         try:
             while True:
                 changed = self._changed
                 if index < len(self._texts):
-                    part = ''.join(self._texts[index:])
+                    part = self._texts[index:]
                     index = len(self._texts)
                     yield part
                 elif self.ended:
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -54,6 +54,7 @@
         self.incarnation = 0
         self.streams = {}
         self.journal = []
+        self.keys = []
         self.start_faults = deque()
         self.line_faults = deque()
 
@@ -110,6 +111,7 @@
             await trio.sleep(SILENCE_SECONDS)
             raise FailureError(may_have_run(Reason.SILENT))
         engine.journal.append(start.request_key)
+        engine.keys.append(start.journal_key)
         engine.streams[start.stream_id] = (start, trio.current_time())
         if fault == 'lose-answer':
             raise FailureError(may_have_run(Reason.CONNECTION_BROKEN))
@@ -128,6 +130,7 @@
 
     async def cancel(self, address, stream_id):
         """Free a stream."""
+        await trio.sleep(0.001)
         self.at(address).streams.pop(stream_id, None)
         return True
 
