Keep the engine's time model exact, and refuse misspelt faults

Change: steps are timed from the end of the one before, with at most 0.1 s to catch up. Fault documents with unknown names get 400. Processes can be spawned together and awaited after.

--- a/src/limpet_standins/controls.py
+++ b/src/limpet_standins/controls.py
@@ -7,16 +7,19 @@
 import os
 from collections.abc import Callable
 from contextvars import ContextVar
-from dataclasses import dataclass
-from typing import Any
+from dataclasses import dataclass, fields
+from typing import Any, TypeVar
 
 import trio
+from expression import Error, Result
 
 from limpetdrift.protocol.codec import decode, json_response
 from limpetdrift.transport.messages import Request, Response
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import Exchange, Handler
 
+Document = TypeVar('Document')
+
 _BAD_INPUT = 400
 _EXIT_STATUS = 70
 _FOREVER_SECONDS = 1e9
@@ -218,14 +221,24 @@
         exchange: Exchange,
         _parameters: Parameters,
     ) -> None:
-        faults = decode(exchange.request.body, Faults)
+        faults = read_faults(exchange.request.body, Faults)
         if faults.is_error():
-            detail = {'error': faults.error.detail}
+            detail = {'error': faults.error}
             await exchange.respond(json_response(detail, status=_BAD_INPUT))
             return
         self.apply_faults(faults.ok)
         await exchange.respond(json_response({}))
 
 
+def read_faults(body: bytes, kind: type[Document]) -> Result[Document, str]:
+    """Read a fault document; a misspelt fault is an error, not nothing."""
+    named = decode(body, dict[str, Any])
+    known = {each.name for each in fields(kind)}
+    unknown = set(named.default_value({})) - known
+    if unknown:
+        return Error(f'unknown faults: {sorted(unknown)}')
+    return decode(body, kind).map_error(lambda failure: failure.detail)
+
+
 async def _show_health(exchange: Exchange, _parameters: Parameters) -> None:
     await exchange.respond(json_response({'status': 'ok'}))
--- a/src/limpet_standins/processes.py
+++ b/src/limpet_standins/processes.py
@@ -78,25 +78,28 @@
         """Return the process last started under that name."""
         return self._running[name]
 
-    @property
-    def names(self) -> tuple[str, ...]:
-        """The names of all processes, in the order of their start."""
-        return tuple(self._running)
-
     def start(self, name: str, module: str, *arguments: str) -> RunningProcess:
         """Start a module as a program and wait until it is ready."""
+        self.spawn(name, module, *arguments)
+        return self.wait_ready(name)
+
+    def spawn(self, name: str, module: str, *arguments: str) -> None:
+        """Start a module as a program; ``wait_ready`` has to follow."""
         if len(self._running) >= MOST_PROCESSES:
             raise StartError('too many processes')
         command = (self._python, '-m', module, *arguments)
-        popen = _spawn(command, self._log_path(name))
-        started = RunningProcess(name=name, popen=popen)
-        self._running[name] = started
-        line = _read_line(popen.stdout, READY_SECONDS)
+        popen = _spawn(command, self.folder / _log_name(name))
+        self._running[name] = RunningProcess(name=name, popen=popen)
+
+    def wait_ready(self, name: str) -> RunningProcess:
+        """Wait until a spawned process has told its addresses."""
+        spawned = self._running[name]
+        line = _read_line(spawned.popen.stdout, READY_SECONDS)
         if not line:
             self.kill(name)
             raise StartError(f'{name} is not ready: {self.log(name)}')
-        started.addresses.update(msgspec.json.decode(line))
-        return started
+        spawned.addresses.update(msgspec.json.decode(line))
+        return spawned
 
     def stop(self, name: str) -> int:
         """End a process in order by SIGTERM; return its exit status."""
@@ -125,7 +128,7 @@
 
     def log(self, name: str) -> str:
         """Return what a process has logged."""
-        return self._log_path(name).read_text('utf-8', 'replace')
+        return (self.folder / _log_name(name)).read_text('utf-8', 'replace')
 
     def write(self, name: str, content: str) -> Path:
         """Write a file, such as settings, that lives as long as this."""
@@ -144,8 +147,9 @@
         self._running.clear()
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def _log_path(self, name: str) -> Path:
-        return self.folder / f'{name}.log'
+
+def _log_name(name: str) -> str:
+    return f'{name}.log'
 
 
 def _exit_in_order(_signal: int, _frame: object) -> None:
--- a/src/limpet_standins/relay.py
+++ b/src/limpet_standins/relay.py
@@ -12,7 +12,7 @@
 import cappa
 import trio
 
-from limpet_standins.serving import read_body
+from limpet_standins.controls import read_faults
 from limpetdrift.protocol.codec import encode_line, json_response
 from limpetdrift.transport.messages import Address, parse_address
 from limpetdrift.transport.routing import Parameters, Routes
@@ -24,6 +24,7 @@
 )
 
 RECEIVE_BYTES = 65_536
+_BAD_INPUT = 400
 _CLOSED = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 
@@ -78,10 +79,12 @@
         _params: Parameters,
     ) -> None:
         """Replace all faults."""
-        faults = await read_body(exchange, RelayFaults)
-        if faults is None:
+        faults = read_faults(exchange.request.body, RelayFaults)
+        if faults.is_error():
+            detail = {'error': faults.error}
+            await exchange.respond(json_response(detail, status=_BAD_INPUT))
             return
-        self._apply(faults)
+        self._apply(faults.ok)
         await exchange.respond(json_response({}))
 
     async def _join(self, pair: _Pair, caller: trio.abc.Stream) -> None:
--- a/src/limpet_standins/scheduler.py
+++ b/src/limpet_standins/scheduler.py
@@ -12,6 +12,8 @@
 from limpet_standins.kv_memory import KvMemory
 from limpet_standins.stream_run import StreamRun
 
+CATCH_UP_SECONDS = 0.1
+
 
 class Scheduler:
     """The running and waiting streams of an engine."""
@@ -29,6 +31,7 @@
         self._running: list[StreamRun] = []
         self._waiting: list[StreamRun] = []
         self._work = trio.Event()
+        self._step_ends_at = 0.0
 
     @property
     def running(self) -> int:
@@ -58,6 +61,7 @@
             if not self._running:
                 self._work = trio.Event()
                 await self._work.wait()
+                self._step_ends_at = trio.current_time()
                 continue
             await self._controls.wait_while_frozen()
             await self._step()
@@ -73,7 +77,12 @@
     async def _step(self) -> None:
         decoding = [run for run in self._running if not run.prefill_left]
         shares = self._share_budget()
-        await trio.sleep(self._duration(sum(shares.values())))
+        # A step is timed from the end of the one before, so that the work of
+        # this process doesn't slow the modelled engine down.
+        earliest = trio.current_time() - CATCH_UP_SECONDS
+        began = max(self._step_ends_at, earliest)
+        self._step_ends_at = began + self._duration(sum(shares.values()))
+        await trio.sleep_until(self._step_ends_at)
         for run in decoding:
             _decode(run)
         for order, tokens in shares.items():
--- a/src/limpet_standins/small_site.py
+++ b/src/limpet_standins/small_site.py
@@ -95,7 +95,7 @@
     weights = site.processes['weights'].address
     for number in range(1, sizes.engines + 1):
         name = f'engine-{number}'
-        site.processes.start(
+        site.processes.spawn(
             name,
             'limpet_standins.engine',
             '--name',
@@ -105,6 +105,7 @@
             *sizes.engine_options,
         )
         site.engines.append(name)
+    _wait_ready(site, site.engines)
 
 
 def start_services(site: SmallSite, services: int) -> None:
@@ -112,8 +113,9 @@
     for number in range(1, services + 1):
         name = f'{SERVICE}-{number}'
         module = 'limpet_standins.service'
-        site.processes.start(name, module, '--name', name)
+        site.processes.spawn(name, module, '--name', name)
         site.services.append(name)
+    _wait_ready(site, site.services)
 
 
 def put_relay(site: SmallSite, name: str) -> None:
@@ -162,8 +164,14 @@
         name = node['name']
         path = site.processes.write(f'{name}.yaml', yaml.safe_dump(settings))
         module = 'limpetdrift.programs.entry'
-        site.processes.start(name, module, '--settings', str(path))
+        site.processes.spawn(name, module, '--settings', str(path))
         site.entries.append(name)
+    _wait_ready(site, site.entries)
+
+
+def _wait_ready(site: SmallSite, names: Iterable[str]) -> None:
+    for name in names:
+        site.processes.wait_ready(name)
 
 
 def _common_settings(site: SmallSite) -> dict[str, Any]:
--- a/tests/scenarios/entries.feature
+++ b/tests/scenarios/entries.feature
@@ -30,3 +30,12 @@
     And connections to engine 1 go silent
     Then every answer is whole
     And within 10 seconds no engine holds memory
+
+  Scenario: An entry drains while it answers
+    Given a site with 3 entries and 3 engines
+    When 9 callers send prompts of 500 tokens
+    And 0.4 seconds pass
+    And entry 1 is told to stop
+    Then every answer is whole
+    And entry 1 ends in order within 20 seconds
+    And no stream was started more than 1 times
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -105,3 +105,14 @@
     assert (await ask(store, 'GET', path)).body == body
     await ask(store, 'DELETE', path)
     assert (await ask(store, 'GET', path)).status == 404
+
+
+@virtual
+async def test_a_misspelt_fault_is_refused():
+    store = make_object_store()
+    for message, status in (({'downn': True}, 400), ({'down': True}, 200)):
+        request = json_request('POST', '/control/faults', message)
+        assert (await call_local(store, request)).ok.status == status
+    assert (
+        await call_local(store, Request(method='GET', path='/objects/a'))
+    ).is_error()
