Add a scenario of prompts that must not run twice

Cause: at most once has to hold over lost store answers, a silent engine connection and a dead entry together, with real processes. Change: a step sends prompts that are not repeatable under their own keys; the check of starts counts by the caller's key, so that a second run under another entry shows. Conclusion: kept as a scenario; its proof is open.

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -87,6 +87,13 @@
         callers.ask(site, tokens)
 
 
+@when(parsers.parse('{count:d} callers send prompts not to be run twice'))
+def send_once(site, callers, count):
+    for number in range(count):
+        key = f'once-{number}'
+        callers.ask(site, 500, repeatable=False, idempotency_key=key)
+
+
 @when(parsers.parse('{count:d} callers read from engine {number:d} directly'))
 def read_directly(site, callers, count, number):
     for _ in range(count):
@@ -202,7 +209,7 @@
     for address in site.engine_addresses:
         for entry in journal(address):
             if entry['event'] == 'started':
-                key = entry['request_key']
+                key = entry['journal_key'] or entry['request_key']
                 started[key] = started.get(key, 0) + 1
     assert started
     assert max(started.values()) <= times
--- a/tests/scenarios/entries.feature
+++ b/tests/scenarios/entries.feature
@@ -39,3 +39,14 @@
     Then every answer is whole
     And entry 1 ends in order within 20 seconds
     And no stream was started more than 1 times
+
+  Scenario: What must not run twice runs once, over lost answers and silence
+    Given a site with 3 entries and 2 engines
+    And a relay before engine 1
+    When table has the faults {"lose_answers": 3}
+    And 6 callers send prompts not to be run twice
+    And 0.5 seconds pass
+    And connections to engine 1 go silent
+    And entry 2 is killed
+    Then every answer is whole or a clear failure
+    And no stream was started more than 1 times
