Weigh an endpoint's own work into the choice of a bid

Cause: prompts left the endpoint that had their prefix for one that was free a little sooner, and worked it off again there.

Change: the score of a bid is its time to first token plus the prefill work that the request adds there. New tests: a long prompt beside more short work than fits (with aging off it is never placed within 80 s), short prompts beside long ones that gather memory, and each policy's placing and giving back.

--- a/src/limpetdrift/coordination/home.py
+++ b/src/limpetdrift/coordination/home.py
@@ -123,20 +123,21 @@
         with trio.move_on_after(FIRST_REPORT_SECONDS):
             await self._homed[message.endpoint.name].reported.wait()
         queue.drain()
-        request = message.request
-        memory_tokens = request.prompt_tokens + request.max_tokens
+        ticket = self._ticket(queue, message.request)
+        speed = queue.speed.prefill_tokens_per_second
         return Ok(
             Bid(
                 endpoint=message.endpoint,
                 first_token_seconds=expected_seconds(
                     self.policy,
                     queue,
-                    self._ticket(queue, message.request),
+                    ticket,
                 ),
+                work_seconds=ticket.uncached_tokens / speed,
                 outstanding_tokens=queue.outstanding_tokens,
-                cached_tokens=queue.match(request),
+                cached_tokens=ticket.cached_tokens,
                 memory_tokens=queue.ledger.capacity_tokens,
-                fits=memory_tokens <= queue.ledger.capacity_tokens,
+                fits=ticket.memory_tokens <= queue.ledger.capacity_tokens,
             ),
         )
 
--- a/src/limpetdrift/coordination/policies.py
+++ b/src/limpetdrift/coordination/policies.py
@@ -25,6 +25,7 @@
 _START_SOON_SECONDS = 0.1
 _RANDOM_PROBES = 2
 _AFFINE_PROBES = 2
+_WORK_WEIGHT = 1.0
 _AGING_SECONDS_PER_RANK = 5.0
 _SHORT_PROMPT_TOKENS = 8192
 _RESERVED_SHARE = 0.15
@@ -123,7 +124,12 @@
     bids: list[Bid],
     state: ProbeState,
 ) -> Bid:
-    return min(bids, key=lambda bid: bid.first_token_seconds)
+    return min(
+        bids,
+        key=lambda bid: (
+            bid.first_token_seconds + _WORK_WEIGHT * bid.work_seconds
+        ),
+    )
 
 
 def _least_tokens(
--- a/src/limpetdrift/protocol/grants.py
+++ b/src/limpetdrift/protocol/grants.py
@@ -30,13 +30,15 @@
     """A home's estimate for one endpoint.
 
     ``first_token_seconds`` covers the wait at the home, the work ahead of
-    the request in the engine, and its own prefill. ``fits`` is false where
-    the request needs more memory than the whole engine has.
+    the request in the engine, and its own prefill; ``work_seconds`` is that
+    prefill alone. ``fits`` is false where the request needs more memory than
+    the whole engine has.
     """
 
     endpoint: Endpoint
     first_token_seconds: float
     outstanding_tokens: int
+    work_seconds: float = 0
     cached_tokens: int = 0
     memory_tokens: int = 0
     fits: bool = True
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,110 @@
+"""Ordering, aging and the short prompts' share of memory at one endpoint."""
+
+import dataclasses
+
+import pytest
+import trio
+
+from limpetdrift.coordination.policies import POLICIES
+from limpetdrift.protocol.placement import Release
+from placement_site import Site, make_request
+from virtual import virtual
+
+SHORT_TOKENS = 4000
+SHORT_EVERY_SECONDS = 0.18
+LONG_TOKENS = 60_000
+
+
+async def serve(site, request, timings):
+    asked_at = trio.current_time()
+    outcome = await site.placers[0].place(request)
+    if outcome.is_error():
+        return
+    engine = site.engines[outcome.ok.endpoint.address]
+    run = (await engine.start_or_queue(request, outcome.ok, 'entry-0')).ok
+    await run.first_token.wait()
+    timings[request.request_key] = trio.current_time() - asked_at
+    await run.ended.wait()
+    engine.remove(run.id)
+    site.placers[0].release(outcome.ok, Release.FINISHED)
+
+
+async def wait_of_long_prompt(site):
+    """Return the long prompt's time beside more short work than fits."""
+    timings = {}
+    with trio.move_on_after(90):
+        async with trio.open_nursery() as nursery:
+            site.start(nursery)
+            await trio.sleep(2)
+            long = make_request(
+                'long', prompt_tokens=LONG_TOKENS, deadline_in_seconds=80.0
+            )
+            for number in range(10**6):
+                short = make_request(
+                    number, prompt_tokens=SHORT_TOKENS, max_tokens=8
+                )
+                nursery.start_soon(serve, site, short, timings)
+                await trio.sleep(SHORT_EVERY_SECONDS)
+                if number == 50:
+                    nursery.start_soon(serve, site, long, timings)
+    return timings.get('long')
+
+
+@virtual
+async def test_a_long_prompt_does_not_starve_beside_short_ones():
+    waited = await wait_of_long_prompt(Site(entries=1, engines=1))
+    assert waited < 45
+
+
+@virtual
+async def test_without_aging_it_starves():
+    site = Site(entries=1, engines=1)
+    site.homes[0].policy = dataclasses.replace(
+        POLICIES['slack'],
+        age=lambda ticket: ticket.priority,
+        order=lambda ticket: (ticket.priority, ticket.arrived_at),
+    )
+    assert await wait_of_long_prompt(site) is None
+
+
+@virtual
+async def test_short_prompts_keep_memory_while_long_ones_gather():
+    site = Site(entries=1, engines=1, memory_tokens=100_000)
+    timings = {}
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(1)
+        for number in range(4):
+            long = make_request(
+                f'long-{number}', prompt_tokens=40_000, max_tokens=500
+            )
+            nursery.start_soon(serve, site, long, timings)
+        await trio.sleep(3)
+        for number in range(20):
+            short = make_request(number, prompt_tokens=1000)
+            nursery.start_soon(serve, site, short, timings)
+            await trio.sleep(0.3)
+        await trio.sleep(30)
+        nursery.cancel_scope.cancel()
+    assert len(timings) == 24
+    assert max(timings[str(number)] for number in range(20)) < 1
+
+
+@pytest.mark.parametrize('name', sorted(POLICIES))
+@virtual
+async def test_each_policy_places_and_gives_back(name):
+    site = Site(entries=2, engines=3, policy=name)
+    timings = {}
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        async with trio.open_nursery() as asking:
+            for number in range(12):
+                request = make_request(number, prefix_blocks=(1, number))
+                asking.start_soon(serve, site, request, timings)
+        await trio.sleep(1)
+        queues = [
+            queue for home in site.homes for queue in home.queues().values()
+        ]
+        assert all(queue.empty for queue in queues)
+        nursery.cancel_scope.cancel()
+    assert len(timings) == 12
