--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -28,7 +28,8 @@
 
 def token_text(prompt, index):
     """Return the token that any engine gives at that offset."""
-    return f'{prompt[-6:]}.{index} '
+    ending = prompt[-6:]
+    return f'{ending}.{index} '
 
 
 def whole_text(request):
@@ -53,6 +54,7 @@
         self.incarnation = 0
         self.streams = {}
         self.journal = []
+        self.keys = []
         self.start_faults = deque()
         self.line_faults = deque()
 
@@ -109,6 +111,7 @@
             await trio.sleep(SILENCE_SECONDS)
             raise FailureError(may_have_run(Reason.SILENT))
         engine.journal.append(start.request_key)
+        engine.keys.append(start.journal_key)
         engine.streams[start.stream_id] = (start, trio.current_time())
         if fault == 'lose-answer':
             raise FailureError(may_have_run(Reason.CONNECTION_BROKEN))
@@ -127,6 +130,7 @@
 
     async def cancel(self, address, stream_id):
         """Free a stream."""
+        await trio.sleep(0.001)
         self.at(address).streams.pop(stream_id, None)
         return True
 
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -48,11 +48,11 @@
         remove(run_id)
 
     def owner_of(self, run_id):
-        key = run_id.partition('-')[2]
         for owner, claims in enumerate(self.claims):
-            for claimed, deadline_at in claims.items():
-                if claimed == key:
-                    return owner, deadline_at
+            key = run_id.partition('-')[2]
+            deadline_at = claims.get(key)
+            if deadline_at is not None:
+                return owner, deadline_at
         return None, 0
 
     def owns(self, owner, request_key, attempt, incarnation):
