--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -209,10 +209,11 @@
 
 def test_without_reconciliation_memory_is_lost():
     script = [(0.1, ('allocate', 0, 0, 'export')), (0.1, ('forget', 0))]
-    with pytest.raises(ExceptionGroup):
+    with pytest.raises(ExceptionGroup) as raised:
         run_virtual(
             functools.partial(play, script, Owners(reconcile=False)),
         )
+    assert not raised.value.split(AssertionError)[1]
 
 
 @virtual
