Choose the entries' ports outside the ephemeral range

Cause: with three sites started at once, an entry found its port taken (address in use): ports found by binding port zero are given again to other listeners and outgoing connections. Change: ports come at random from 16000 to 32000, where nothing answers.

--- a/src/limpet_standins/processes.py
+++ b/src/limpet_standins/processes.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import random
 import selectors
 import shutil
 import signal
@@ -28,6 +29,9 @@
 READY_SECONDS = 20.0
 STOP_SECONDS = 20.0
 MOST_PROCESSES = 60
+LOWEST_PORT = 16_000
+PORT_LIMIT = 32_000
+_RANDOM = random.SystemRandom()
 _TERMINATED_STATUS = 143
 _SOURCE_FOLDER = Path(limpetdrift.__file__).parents[1]
 
@@ -157,11 +161,16 @@
 
 
 def free_address() -> str:
-    """Return a loopback address that nothing listens on at the moment."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port = probe.getsockname()[1]
-        return f'127.0.0.1:{port}'
+    """Return a loopback address that nothing listens on at the moment.
+
+    Its port is below those that the system gives to outgoing connections
+    and to listeners on port zero, so that none of them takes it meanwhile.
+    """
+    while True:
+        port = _RANDOM.randrange(LOWEST_PORT, PORT_LIMIT)
+        with socket.socket() as probe:
+            if probe.connect_ex(('127.0.0.1', port)):
+                return f'127.0.0.1:{port}'
 
 
 def _spawn(command: tuple[str, ...], log_path: Path) -> subprocess.Popen[bytes]:
