Keep the memory reserve from long prompts only

Cause: the share of memory for short prompts was also kept from prompts of 16k, which waited for it.

Change: only prompts over 32k and parts of groups leave the reserve.

--- a/src/limpetdrift/coordination/policies.py
+++ b/src/limpetdrift/coordination/policies.py
@@ -28,6 +28,7 @@
 _WORK_WEIGHT = 1.0
 _AGING_SECONDS_PER_RANK = 5.0
 _SHORT_PROMPT_TOKENS = 8192
+_LONG_PROMPT_TOKENS = 32_768
 _RESERVED_SHARE = 0.15
 _PRIORITY_RANKS = 10
 _ISOLATION_SECONDS = 5.0
@@ -199,11 +200,15 @@
             return ticket.memory_tokens <= free
         return ticket.memory_tokens <= free - queue.gathering_tokens
     free -= queue.gathering_tokens
-    if queue.granted:
+    if queue.granted and _leaves_reserve(ticket.request):
         free -= max(0, reserve - short_tokens)
     return ticket.memory_tokens <= free
 
 
+def _leaves_reserve(request: PlacementRequest) -> bool:
+    return request.memory_only or request.prompt_tokens > _LONG_PROMPT_TOKENS
+
+
 def _is_small(request: PlacementRequest) -> bool:
     if request.memory_only:
         return False
