--- a/tests/placement_site.py
+++ b/tests/placement_site.py
@@ -26,7 +26,7 @@
         self.engines = {
             each.address: EngineModel(**speed) for each in self.endpoints
         }
-        self.reports = reports_of(self.engines)
+        self.reports = self.reports_over(self.engines)
         self.homes = []
         self.placers = []
         for number, node in enumerate(self.nodes):
@@ -46,6 +46,9 @@
             self.homes.append(home)
             self.placers.append(Placer(inputs=inputs, home=home, state=state))
 
+    def reports_over(self, engines):
+        return reports_of(engines)
+
     def live(self):
         return tuple(self.nodes)
 
