Refuse when no endpoint is left to go to directly

Cause: with no home in reach and the endpoint list emptied meanwhile, placing raised IndexError instead of giving a failure. Later rounds also counted the whole deadline again.

Change: the direct way needs an endpoint; each round gets the time that is left. The new test fails without the change with that IndexError.

--- a/src/limpetdrift/coordination/placer.py
+++ b/src/limpetdrift/coordination/placer.py
@@ -129,6 +129,8 @@
             endpoints = self._eligible(request.model, tried)
             if not endpoints:
                 break
+            left = deadline_at - trio.current_time()
+            request = replace(request, deadline_in_seconds=left)
             outcome = await self._place_once(request, endpoints, deadline_at)
             if outcome.is_ok():
                 return Ok(outcome.ok)
@@ -137,8 +139,9 @@
                 break
             telemetry.count('retries', reason=refusal.reason)
             tried.update(outcome.error.tried)
-        if refusal.reason is Reason.OWNER_UNREACHABLE:
-            return Ok(self._place_directly(request))
+        endpoints = self._eligible(request.model, request.excluded)
+        if endpoints and refusal.reason is Reason.OWNER_UNREACHABLE:
+            return Ok(self._place_directly(request, endpoints))
         telemetry.count('refusals', reason=refusal.reason)
         return Error(refusal)
 
@@ -304,9 +307,12 @@
             return Error(_UNREACHABLE)
         return outcome
 
-    def _place_directly(self, request: PlacementRequest) -> Placement:
+    def _place_directly(
+        self,
+        request: PlacementRequest,
+        endpoints: list[Endpoint],
+    ) -> Placement:
         telemetry.count('placements_without_home')
-        endpoints = self._eligible(request.model, request.excluded)
         candidates = self._home.policy.candidates(
             request,
             endpoints,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -128,3 +128,21 @@
         assert failure.verdict is Verdict.NOT_RUN
         assert failure.reason is Reason.OVERLOADED
         assert failure.retry_after_seconds > 0
+
+
+@virtual
+async def test_no_home_and_then_no_endpoint_is_a_refusal():
+    site = Site(entries=3, engines=3)
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        site.nodes.pop(0)
+        site.network.isolate(site.placers[0]._inputs.node.peer_address)
+        nursery.start_soon(_empty_later, site.endpoints)
+        refused = await site.placers[0].place(make_request(1))
+        assert refused.error.verdict is Verdict.NOT_RUN
+        nursery.cancel_scope.cancel()
+
+
+async def _empty_later(endpoints):
+    await trio.sleep(0.1)
+    endpoints.clear()
