Keep a waiting stream alive, so that callers don't send again

Cause: the head of a stream went out with its first token only. A caller that waited longer than its silence limit of 5 s could not tell a long prefill from a dead connection, dropped the call and sent it again to the next entry, which started over: a prompt of 300,000 tokens was sent 7 times. Change: the head goes out after 1 s at the latest, with the handle, and a comment each second. A failure within the first second keeps its own status; a later one is told in the stream. Ruled out: a longer limit at the caller, which would only move the cliff.

--- a/src/limpet_standins/demo.py
+++ b/src/limpet_standins/demo.py
@@ -47,6 +47,7 @@
 FAULT_NOTE_TOKENS = 1_000
 HISTORY_TOKENS = 16_000
 HALF_QUARTER_TOKENS = 100_000
+QUARTER_TOKENS = 300_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -63,6 +64,7 @@
     Kind(name='fault note', prompt_tokens=FAULT_NOTE_TOKENS, count=24),
     Kind(name='kiosk history', prompt_tokens=HISTORY_TOKENS, count=8),
     Kind(name='half a quarter', prompt_tokens=HALF_QUARTER_TOKENS, count=2),
+    Kind(name='whole quarter', prompt_tokens=QUARTER_TOKENS, count=1),
 )
 
 
--- a/src/limpetdrift/callers/answers.py
+++ b/src/limpetdrift/callers/answers.py
@@ -21,6 +21,7 @@
     ('content-type', 'text/event-stream; charset=utf-8'),
     ('cache-control', 'no-store'),
 )
+KEEPALIVE_EVENT = b': waiting\n\n'
 DONE_EVENT = b'data: [DONE]\n\n'
 
 
--- a/src/limpetdrift/callers/chat.py
+++ b/src/limpetdrift/callers/chat.py
@@ -12,6 +12,7 @@
 from limpetdrift.callers.access import authenticate
 from limpetdrift.callers.answers import (
     DONE_EVENT,
+    KEEPALIVE_EVENT,
     SSE_HEADERS,
     completion,
     failure_event,
@@ -41,6 +42,7 @@
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import Exchange
 
+KEEPALIVE_SECONDS = 1.0
 LONGEST_DEADLINE_SECONDS = 3600.0
 LONGEST_KEY = 200
 _WORDS = {'true': True, 'false': False, '': True}
@@ -91,28 +93,36 @@
     *,
     include_usage: bool,
 ) -> None:
-    """Send a run's tokens from an offset on, as server-sent events."""
-    async with aclosing(run.read(offset)) as reader:
-        texts = await anext(reader, None)
-        if not texts and run.failure is not None:
+    """Send a run's tokens from an offset on, as server-sent events.
+
+    The head waits for the first token, so that a quick failure has its own
+    status, but no longer than a keep-alive: a caller then learns the handle,
+    and tells a long wait from a silent connection.
+    """
+    request = run.request
+    headers = (*SSE_HEADERS, (STREAM_HEADER, request.handle))
+    async with aclosing(run.read(offset, KEEPALIVE_SECONDS)) as reader:
+        async for texts in reader:
+            if not exchange.started:
+                await exchange.start(OK, headers)
+            await exchange.send(_piece(run, texts))
+    if not exchange.started:
+        if run.failure is not None:
             await respond_failure(exchange, run.failure)
             return
-        request = run.request
-        headers = (*SSE_HEADERS, (STREAM_HEADER, request.handle))
         await exchange.start(OK, headers)
-        while texts:
-            event = text_event(
-                request.handle,
-                request.model,
-                ''.join(texts),
-                run.offset,
-            )
-            await exchange.send(event)
-            texts = await anext(reader, None)
     await exchange.send(_ending(run, include_usage=include_usage))
     await exchange.finish()
 
 
+def _piece(run: Run, texts: list[str]) -> bytes:
+    if not texts:
+        return KEEPALIVE_EVENT
+    request = run.request
+    text = ''.join(texts)
+    return text_event(request.handle, request.model, text, run.offset)
+
+
 def _ending(run: Run, *, include_usage: bool) -> bytes:
     if run.end is None:
         failure = run.failure or not_run(Reason.INTERNAL)
--- a/src/limpetdrift/callers/streams.py
+++ b/src/limpetdrift/callers/streams.py
@@ -27,7 +27,7 @@
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import Exchange
 
-FORWARD_SILENCE_SECONDS = 30.0
+FORWARD_SILENCE_SECONDS = 5.0
 _ACCOUNT_HEADER = 'x-limpet-account'
 _LARGEST_OFFSET = 10_000_000
 
--- a/src/limpetdrift/state/run.py
+++ b/src/limpetdrift/state/run.py
@@ -5,6 +5,7 @@
 like.
 """
 
+import math
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
@@ -116,8 +117,15 @@
         self.failure = failure
         self._conclude()
 
-    async def read(self, offset: int) -> AsyncIterator[list[str]]:
-        """Yield the tokens from an offset on, until the run ends."""
+    async def read(
+        self,
+        offset: int,
+        idle_seconds: float = math.inf,
+    ) -> AsyncIterator[list[str]]:
+        """Yield the tokens from an offset on, until the run ends.
+
+        An empty list says that nothing came for ``idle_seconds``.
+        """
         index = max(offset - self.request.start_offset, 0)
         self.readers += 1
         try:
@@ -129,8 +137,8 @@
                     yield part
                 elif self.ended:
                     return
-                else:
-                    await changed.wait()
+                elif not await _came_within(changed, idle_seconds):
+                    yield []
         finally:
             self.readers -= 1
             self.last_read_at = trio.current_time()
@@ -147,3 +155,10 @@
     def _conclude(self) -> None:
         self.ended_at = trio.current_time()
         self.wake_readers()
+
+
+async def _came_within(event: trio.Event, seconds: float) -> bool:
+    with trio.move_on_after(seconds):
+        await event.wait()
+        return True
+    return False
--- /dev/null
+++ b/tests/test_chat_stream.py
@@ -0,0 +1,93 @@
+"""What a caller of a stream sees while it waits, and when it fails."""
+
+import msgspec
+import trio
+
+from limpet_standins.local import LocalExchange
+from limpetdrift.callers.chat import KEEPALIVE_SECONDS, send_stream
+from limpetdrift.protocol.verdict import Reason, not_run
+from limpetdrift.state.run import Run, RunEnd, RunRequest
+from limpetdrift.transport.messages import Request
+from virtual import virtual
+
+END = RunEnd(
+    finish='stop',
+    prompt_tokens=3,
+    cached_tokens=0,
+    completion_tokens=2,
+)
+
+
+def make_run():
+    return Run(
+        request=RunRequest(
+            handle='entry-1~1~a',
+            key='k',
+            account='kona',
+            model='m',
+            prompt='p',
+            prompt_tokens=1,
+            max_tokens=2,
+            urgency=0,
+            deadline=100.0,
+            fingerprint='f',
+        ),
+    )
+
+
+async def follow(run, act):
+    exchange = LocalExchange(request=Request(method='POST', path='/'))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(act)
+        await send_stream(exchange, run, 0, include_usage=False)
+    return exchange
+
+
+@virtual
+async def test_a_long_wait_sends_the_handle_and_keeps_the_line_alive():
+    run = make_run()
+
+    async def answer_late():
+        await trio.sleep(10.5 * KEEPALIVE_SECONDS)
+        run.append(0, 'a')
+        run.wake_readers()
+        run.finish(END)
+
+    exchange = await follow(run, answer_late)
+    assert dict(exchange.headers)['x-limpet-stream'] == 'entry-1~1~a'
+    times = [at for at, _ in exchange.parts]
+    gaps = [
+        after - before for before, after in zip(times, times[1:], strict=False)
+    ]
+    assert max(gaps) <= KEEPALIVE_SECONDS + 0.01
+    assert exchange.response.body.endswith(b'data: [DONE]\n\n')
+
+
+@virtual
+async def test_a_quick_failure_keeps_its_own_status():
+    run = make_run()
+
+    async def refuse():
+        await trio.sleep(0.5 * KEEPALIVE_SECONDS)
+        run.fail(not_run(Reason.OVERLOADED, retry_after_seconds=2.0))
+
+    exchange = await follow(run, refuse)
+    assert exchange.status == 429
+    assert dict(exchange.headers)['retry-after'] == '2'
+
+
+@virtual
+async def test_a_late_failure_is_told_in_the_stream():
+    run = make_run()
+
+    async def refuse():
+        await trio.sleep(3 * KEEPALIVE_SECONDS)
+        run.fail(not_run(Reason.OVERLOADED, retry_after_seconds=2.0))
+
+    exchange = await follow(run, refuse)
+    assert exchange.status == 200
+    events = exchange.response.body.split(b'\n\n')
+    told = next(each for each in events if b'error' in each)
+    error = msgspec.json.decode(told.removeprefix(b'data: '))['error']
+    assert error['verdict'] == 'not-run'
+    assert error['retry_after_seconds'] == 2.0
