Add membership by exchanges of versioned records

Cause: entries need a view of each other whose cost doesn't grow with their number, and which no false suspicion, old message or lost region can spoil. Change: each round a node exchanges news with two sampled peers; records are joined by incarnation, version and state; silence is probed through others, then suspected, then held dead; a connection refused twice proves a death. What the exchanges miss is found by hashes of buckets. Leaving and deaths are pushed at once. Other regions are met by two bridging nodes with contacts and attached digests only. Endpoint records join in the same way; nothing feeds them yet. Weighed: a heartbeat of each node spread to all costs bytes that grow with the number of nodes, so an exchange itself is the heartbeat. Without refutation the forgotten node never comes back, and without probes through others a one-way cut suspects: both stand as tests. Not done: the late-loop rule has no test.

--- /dev/null
+++ b/src/limpetdrift/coordination/evidence.py
@@ -0,0 +1,59 @@
+"""What this node itself saw of its peers lately."""
+
+from dataclasses import dataclass
+
+from limpetdrift.protocol.gossip import Contact
+
+EVIDENCE_SECONDS = 10.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvidenceCounts:
+    """How many peers were silent and how many answered at the last try."""
+
+    silent: int
+    answering: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Seen:
+    contact: Contact
+    at: float
+
+
+class Evidence:
+    """The last contact with each peer, and when each answered last."""
+
+    def __init__(self) -> None:
+        self._seen: dict[str, _Seen] = {}
+        self._answered_at: dict[str, float] = {}
+
+    def note(self, name: str, contact: Contact, now: float) -> None:
+        """Record how an attempt to reach the peer ended."""
+        self._seen[name] = _Seen(contact=contact, at=now)
+        if contact is Contact.ANSWERED:
+            self._answered_at[name] = now
+
+    def answered_after(self, name: str, moment: float) -> bool:
+        """Return whether the peer answered this node after the moment."""
+        return self._answered_at.get(name, moment) > moment
+
+    def counts(self, now: float) -> EvidenceCounts:
+        """Return the counts; a refused connection is in neither."""
+        self._drop_old(now)
+        contacts = [seen.contact for seen in self._seen.values()]
+        return EvidenceCounts(
+            silent=contacts.count(Contact.SILENT),
+            answering=contacts.count(Contact.ANSWERED),
+        )
+
+    def clear(self) -> None:
+        """Forget what was seen, such as after a pause of this process."""
+        self._seen.clear()
+
+    def _drop_old(self, now: float) -> None:
+        oldest = now - EVIDENCE_SECONDS
+        for name, seen in list(self._seen.items()):
+            if seen.at < oldest:
+                self._seen.pop(name)
+                self._answered_at.pop(name, None)
--- /dev/null
+++ b/src/limpetdrift/coordination/rendezvous.py
@@ -0,0 +1,20 @@
+"""Rendezvous hashing: every node picks the same few without a word."""
+
+from collections.abc import Iterable
+
+from xxhash import xxh64_intdigest
+
+
+def choose(key: str, names: Iterable[str], count: int) -> list[str]:
+    """Return the ``count`` names that weigh most for the key.
+
+    >>> choose('list', ['entry-1', 'entry-2'], 2) == choose(
+    ...     'list', ['entry-2', 'entry-1'], 2
+    ... )
+    True
+    """
+    return sorted(
+        names,
+        key=lambda name: xxh64_intdigest(f'{key}/{name}'.encode()),
+        reverse=True,
+    )[:count]
--- /dev/null
+++ b/tests/member_cluster.py
@@ -0,0 +1,112 @@
+"""Nodes with membership on a fake network, in virtual time."""
+
+import random
+
+import trio
+
+from fake_network import FakeNetwork
+from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.protocol.gossip import MemberState
+from limpetdrift.protocol.node import Node, Role
+from limpetdrift.transport.messages import Address
+
+
+def make_node(index, incarnation=1, region='kiambu'):
+    domain = index % 3
+    subnet = len(region)
+    host = f'10.{subnet}.0.{index}'
+    return Node(
+        name=f'{region}-{index}',
+        incarnation=incarnation,
+        role=Role.ENTRY,
+        region=region,
+        failure_domain=f'{region}-domain-{domain}',
+        caller_address=Address(host=host, port=8100),
+        peer_address=Address(host=host, port=8101),
+    )
+
+
+# The instance list names all, so a restarted node finds any that is left.
+SEEDS = 6
+
+
+class Cluster:
+    """Starts, kills and restarts nodes by index."""
+
+    def __init__(self, *, nursery, seed=1, regions=('kiambu',), extend=None):
+        self.network = FakeNetwork(seed=seed)
+        self.running = {}
+        self._nursery = nursery
+        self._random = random.Random(seed)
+        self._scopes = {}
+        self._incarnations = {}
+        self._extend = extend
+        self._seeds = tuple(
+            make_node(index, region=region).peer_address
+            for region in regions
+            for index in range(SEEDS)
+        )
+
+    def start(self, index, region='kiambu'):
+        key = (region, index)
+        incarnation = self._incarnations.get(key, 0) + 1
+        self._incarnations[key] = incarnation
+        node = make_node(index, incarnation, region)
+        routes = PeerRoutes()
+        membership = Membership(
+            node=node,
+            call=self.network.join(node.peer_address, routes),
+            seeds=lambda: self._seeds,
+            random=random.Random(self._random.random()),
+        )
+        membership.register(routes)
+        scope = trio.CancelScope()
+        self.running[key] = membership
+        self._scopes[key] = scope
+        self._nursery.start_soon(run_in, scope, membership.run)
+        if self._extend is not None:
+            loop = self._extend(membership)
+            self._nursery.start_soon(run_in, scope, loop)
+        return membership
+
+    def start_all(self, count, region='kiambu'):
+        return [self.start(index, region) for index in range(count)]
+
+    def kill(self, index, region='kiambu'):
+        membership = self.running.pop((region, index))
+        self._scopes.pop((region, index)).cancel()
+        self.network.kill(membership.node.peer_address)
+        return membership
+
+    def agreed(self, region='kiambu'):
+        """Whether all running nodes hold just the running ones as live."""
+        running = [
+            membership
+            for (where, _), membership in self.running.items()
+            if where == region
+        ]
+        wanted = {(each.node.name, each.node.incarnation) for each in running}
+        return all(held_live(each) == wanted for each in running)
+
+
+async def run_in(scope, loop):
+    with scope:
+        await loop()
+
+
+def held_live(membership):
+    return {
+        (member.node.name, member.node.incarnation)
+        for member in membership.members()
+        if member.state in {MemberState.LIVE, MemberState.LEAVING}
+    }
+
+
+async def until(condition, seconds):
+    """Wait until the condition holds; return how long that took."""
+    started = trio.current_time()
+    with trio.fail_after(seconds):
+        while not condition():  # noqa: ASYNC110
+            await trio.sleep(0.05)
+    return trio.current_time() - started
