Add limpetctl, the operator API for configuration, and a state machine

Cause: operators need to validate, compare, apply and look, with exit codes and JSON; the promise on configuration needs proof under any order of faults. Change: limpetctl with cappa over small operator modules; routes for documents, checks, changes, versions and merged sites behind the operators secret; a change sent again by its id is accepted once. Proof: a state machine over races, lost answers and requests, stale reads, outages, freezes, isolation and replacements, run in virtual time. Ruled out: checking for a pause inside confirm; with it off no test failed, since the next check already makes the generation grow, so it was removed.

--- a/src/limpetdrift/coordination/configspread.py
+++ b/src/limpetdrift/coordination/configspread.py
@@ -36,6 +36,10 @@
         """Let pushes run in this nursery."""
         self._nursery = nursery
 
+    def detach(self) -> None:
+        """Push no more; the nursery has ended."""
+        self._nursery = None
+
     async def spread(self, documents: Documents) -> None:
         """Push to all others; wait a while for them to have taken it."""
         if not documents or self._nursery is None:
--- a/src/limpetdrift/coordination/configupkeep.py
+++ b/src/limpetdrift/coordination/configupkeep.py
@@ -48,6 +48,12 @@
 
     async def run(self) -> None:
         """Keep up to date until cancelled."""
+        try:
+            await self._run_tasks()
+        finally:
+            self._spreader.detach()
+
+    async def _run_tasks(self) -> None:
         async with trio.open_nursery() as nursery:
             self._spreader.attach(nursery)
             nursery.start_soon(self._beat)
--- a/src/limpetdrift/coordination/configuration.py
+++ b/src/limpetdrift/coordination/configuration.py
@@ -37,9 +37,10 @@
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.table import TableCalls
 from limpetdrift.protocol.verdict import Failure, not_run
-from limpetdrift.state.applying import apply_change
+from limpetdrift.state.applying import apply_change, check_change
 from limpetdrift.state.holding import HeldConfiguration
 from limpetdrift.state.site import SiteConfig
+from limpetdrift.state.snapshot import Snapshot
 from limpetdrift.transport.messages import Address
 
 POLLERS = 2
@@ -111,6 +112,11 @@
         """What this entry holds and has in force."""
         return self._peers.own_versions
 
+    @property
+    def known(self) -> int:
+        """How many entries are known, with this one."""
+        return len(self._surroundings.others()) + 1
+
     def site(self, name: str) -> SiteConfig | None:
         """Return a site's configuration in force, from memory."""
         return self._held.site(name)
@@ -148,6 +154,10 @@
         await self._spreader.spread(applied.documents)
         return Result.Ok(applied.accepted)
 
+    async def check(self, change: Change) -> Result[Snapshot, Rejection]:
+        """Check a change against the store, and write nothing."""
+        return await check_change(self._calls, change)
+
     async def all_versions(self) -> tuple[EntryVersions, ...]:
         """Ask every known entry what it has in force."""
         found = [self.versions]
--- a/src/limpetdrift/coordination/confirmation.py
+++ b/src/limpetdrift/coordination/confirmation.py
@@ -102,9 +102,9 @@
     def confirm(self, generation: int) -> None:
         """Count versions as confirmed that were asked for at a generation.
 
-        A pause since then that nobody has noticed yet is noticed first.
+        After a pause the next check makes the generation grow, so that what
+        was asked for before it doesn't count.
         """
-        self.check()
         self._confirmed_generation = generation
 
     def heard(self, asked_at: float) -> None:
--- /dev/null
+++ b/src/limpetdrift/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What ``limpetctl`` does: one module for each group of commands."""
--- a/src/limpetdrift/state/applying.py
+++ b/src/limpetdrift/state/applying.py
@@ -83,6 +83,9 @@
     if read.is_error():
         return _reject(change, Refusal.UNAVAILABLE, failure=read.error)
     seen = read.ok
+    earlier = _find_accepted(change, seen)
+    if earlier is not None:
+        return Result.Ok(earlier)
     checked = _check(change, seen)
     if checked.is_error():
         return Result.Error(checked.error)
@@ -95,6 +98,22 @@
     return _conclude(needed, seen, settled.ok)
 
 
+def _find_accepted(change: Change, seen: Snapshot) -> Applied | None:
+    """Return what an earlier sending of the same change has done."""
+    versions = {
+        name: record.version
+        for name, standing in seen.documents.items()
+        for record in standing.history
+        if record.change_id == change.change_id
+    }
+    if not versions:
+        return None
+    return Applied(
+        accepted=Accepted(change_id=change.change_id, versions=versions),
+        documents=tuple(seen.documents.values()),
+    )
+
+
 def _check(change: Change, seen: Snapshot) -> Result[Change, Rejection]:
     """Return the part of the change that isn't in force yet."""
     moved = tuple(
@@ -140,10 +159,9 @@
 def _check_merged(change: Change, merged: dict[str, Document]) -> Complaints:
     base = merged.get(BASE_NAME)
     if base is None:
-        first = change.documents[0]
         return (
             Complaint(
-                file=first.file,
+                file=next((each.file for each in change.documents), ''),
                 line=1,
                 key='',
                 expected='a base document to be applied first or with it',
--- a/tests/config_cluster.py
+++ b/tests/config_cluster.py
@@ -46,6 +46,7 @@
         self.cluster = cluster
         self.node = make_node(number)
         self.scope = trio.CancelScope()
+        self.nursery = cluster.nursery
         self.frozen_at = None
         self.thawed = trio.Event()
         self.thawed.set()
@@ -72,7 +73,9 @@
 
     async def run(self):
         with self.scope:
-            await self.keeper.run()
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                await self.keeper.run()
 
     @property
     def admits(self):
@@ -241,6 +244,7 @@
     async with trio.open_nursery() as nursery:
         cluster = Cluster(nursery, size, seed)
         nursery.start_soon(cluster.watch)
+        await trio.sleep(SAMPLE_SECONDS)
         await scenario(cluster)
         cluster.check()
         nursery.cancel_scope.cancel()
--- a/tests/test_applying.py
+++ b/tests/test_applying.py
@@ -120,6 +120,18 @@
     assert await versions(table) == {'base': 1, 'site/a': 3}
 
 
+@virtual
+async def test_a_change_that_is_sent_again_is_accepted_once():
+    table = await prepared('a')
+    sent = change('x', overlay('a', 1), a=1)
+    first = await apply_change(table.calls(), sent)
+    later = change('y', overlay('a', 2), a=2)
+    assert (await apply_change(table.calls(), later)).is_ok()
+    again = await apply_change(table.calls(), sent)
+    assert again.ok.accepted == first.ok.accepted
+    assert await versions(table) == {'base': 1, 'site/a': 3}
+
+
 @virtual
 async def test_an_outcome_that_cannot_be_settled_is_told_as_unknown():
     table = await prepared('a')
--- /dev/null
+++ b/tests/test_configuration_machine.py
@@ -0,0 +1,233 @@
+"""Any order of faults: no version goes back, no refused change is seen.
+
+The machine's rules write a schedule; it is run in virtual time when the
+machine ends, while ``config_cluster`` checks what must hold.
+"""
+
+import functools
+
+import trio
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from config_cluster import run_cluster
+from config_texts import base, change, overlay
+from virtual import run_virtual
+
+SIZE = 5
+SETTLE_SECONDS = 12
+NUMBERS = st.integers(0, SIZE - 1)
+SECONDS = st.sampled_from((0.0, 0.003, 0.05, 1.0, 3.0, 7.0))
+
+
+def entry_of(cluster, number):
+    names = sorted(cluster.entries)
+    return cluster.entries[names[number % len(names)]]
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.steps = []
+        self.changes = 0
+        self.started = SIZE
+
+    @initialize()
+    def first_configuration(self):
+        self.add_change(0, base(), overlay('a'), overlay('b'))
+        self.sleep(1.0)
+
+    @rule(seconds=SECONDS)
+    def sleep(self, seconds):
+        async def step(cluster):
+            await trio.sleep(seconds)
+
+        self.steps.append(step)
+
+    @rule(number=NUMBERS, site=st.sampled_from('ab'), pinned=st.booleans())
+    def change_site(self, number, site, pinned):
+        self.add_change(number, overlay(site, self.changes + 1), pinned=pinned)
+
+    @rule(number=NUMBERS, valid=st.booleans())
+    def change_base(self, number, valid):
+        models = ('small',) if valid else ('large',)
+        self.add_change(number, base(self.changes + 1, models=models))
+
+    @rule(lost=st.integers(1, 3))
+    def lose_answers(self, lost):
+        self.add_step(lambda cluster: set_table(cluster, 'lose_answers', lost))
+
+    @rule(lost=st.integers(1, 3))
+    def lose_requests(self, lost):
+        self.add_step(lambda cluster: set_table(cluster, 'lose_requests', lost))
+
+    @rule(down=st.booleans())
+    def store_down_or_up(self, down):
+        self.add_step(lambda cluster: set_table(cluster, 'down', down))
+
+    @rule(stale=st.booleans())
+    def stale_reads(self, stale):
+        self.add_step(
+            lambda cluster: (
+                cluster.table.freeze_reads()
+                if stale
+                else cluster.table.thaw_reads()
+            )
+        )
+
+    @rule(down=st.booleans())
+    def list_down_or_up(self, down):
+        self.add_step(lambda cluster: setattr(cluster, 'list_down', down))
+
+    @rule(number=NUMBERS)
+    def freeze(self, number):
+        self.add_step(lambda cluster: cluster.freeze(entry_of(cluster, number)))
+
+    @rule(number=NUMBERS)
+    def thaw(self, number):
+        self.add_step(lambda cluster: cluster.thaw(entry_of(cluster, number)))
+
+    @rule(number=NUMBERS, store_down=st.booleans())
+    def wake_after_a_change(self, number, store_down):
+        """Freeze an entry over a change, and look at it as it wakes."""
+        frozen = []
+
+        def freeze(cluster):
+            frozen.append(entry_of(cluster, number))
+            cluster.freeze(frozen[0])
+
+        def thaw(cluster):
+            if store_down:
+                cluster.table.down = True
+            cluster.thaw(frozen[0])
+            cluster.check()
+
+        self.add_step(freeze)
+        self.add_change(number + 1, overlay('a', self.changes + 1))
+        self.sleep(7.0)
+        self.add_step(thaw)
+
+    @rule(number=NUMBERS)
+    def part_from_store(self, number):
+        self.add_step(
+            lambda cluster: setattr(
+                entry_of(cluster, number), 'store_cut', True
+            )
+        )
+
+    @rule(number=NUMBERS)
+    def isolate(self, number):
+        self.add_step(
+            lambda cluster: isolate_only(cluster, entry_of(cluster, number))
+        )
+
+    @rule()
+    def heal(self):
+        self.add_step(lambda cluster: cluster.heal())
+
+    @rule(number=NUMBERS)
+    def replace_entry(self, number):
+        self.started += 1
+        started = self.started
+        self.add_step(lambda cluster: replace(cluster, number, started))
+
+    def add_step(self, act):
+        async def step(cluster):
+            act(cluster)
+            await trio.lowlevel.checkpoint()
+
+        self.steps.append(step)
+
+    def add_change(self, number, *documents, pinned=False):
+        self.changes += 1
+        wanted = change(f'change-{self.changes}', *documents)
+
+        async def step(cluster):
+            entry = entry_of(cluster, number)
+            asked = pin(entry, wanted) if pinned else wanted
+            entry.nursery.start_soon(cluster.apply, entry, asked)
+
+        self.steps.append(step)
+
+    def teardown(self):
+        run_virtual(functools.partial(run_cluster, SIZE, self.scenario))
+
+    async def scenario(self, cluster):
+        for step in self.steps:
+            await step(cluster)
+        await trio.sleep(SETTLE_SECONDS)
+        for entry in list(cluster.entries.values()):
+            cluster.thaw(entry)
+        cluster.heal()
+        cluster.table.down = False
+        cluster.table.thaw_reads()
+        cluster.list_down = False
+        await trio.sleep(SETTLE_SECONDS)
+        check_ended_well(cluster)
+
+
+def set_table(cluster, fault, count):
+    setattr(cluster.table, fault, count)
+
+
+def pin(entry, wanted):
+    versions = entry.keeper.held.versions
+    expected = {
+        each.name: versions.get(each.name, 0) for each in wanted.documents
+    }
+    return change_with(wanted, expected)
+
+
+def change_with(wanted, expected):
+    return type(wanted)(
+        change_id=wanted.change_id,
+        documents=wanted.documents,
+        expected=expected,
+    )
+
+
+def isolate_only(cluster, entry):
+    """Isolate one entry at most, so that the others stay the greater part."""
+    if not any(each.isolated for each in cluster.entries.values()):
+        cluster.isolate(entry)
+
+
+def replace(cluster, number, started):
+    cluster.kill(entry_of(cluster, number))
+    cluster.start(started)
+
+
+def check_ended_well(cluster):
+    """Once faults have ended, all admit the newest and no other version."""
+    for entry in cluster.entries.values():
+        assert entry.admits, entry.node.name
+        assert entry.keeper.held.versions == stored_versions(cluster)
+    ids = {
+        record['change_id']
+        for (_, key), (_, row) in cluster.table.rows.items()
+        if key.startswith('document/')
+        for record in row['history']
+    }
+    assert not ids & cluster.rejected
+    accepted = {
+        change_id
+        for change_id, outcome in cluster.outcomes.items()
+        if outcome.is_ok() and outcome.ok.changed
+    }
+    assert accepted <= ids
+
+
+def stored_versions(cluster):
+    return {
+        key.removeprefix('document/'): version
+        for (_, key), (version, _) in cluster.table.rows.items()
+        if key.startswith('document/')
+    }
+
+
+TestConfiguration = ConfigurationMachine.TestCase
+TestConfiguration.settings = settings(
+    max_examples=30,
+    stateful_step_count=20,
+)
--- /dev/null
+++ b/tests/test_limpetctl.py
@@ -0,0 +1,174 @@
+"""limpetctl against the operator API of real entries on loopback."""
+
+import json
+import pathlib
+import random
+import threading
+
+import pytest
+import trio
+
+from config_cluster import make_node
+from fake_network import FakeNetwork
+from fake_table import FakeTable
+from limpetdrift.coordination.configroutes import add_configuration_routes
+from limpetdrift.coordination.configuration import ConfigurationKeeper
+from limpetdrift.coordination.confirmation import Contacts, Surroundings
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.operators.configuration import count_in_force
+from limpetdrift.operators.exits import ExitCode
+from limpetdrift.programs.limpetctl import main
+from limpetdrift.protocol.configuration import EntryVersions, SiteVersions
+from limpetdrift.transport.messages import Address
+from limpetdrift.transport.routing import Routes
+from limpetdrift.transport.server import Server, bound_address, listen
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+SECRET = 'operators-only'
+LOOPBACK = Address(host='127.0.0.1', port=0)
+
+
+def command(capsys, *arguments):
+    """Run limpetctl and return its exit code and output."""
+    ended = pytest.raises(SystemExit, main, list(arguments))
+    return ended.value.code, capsys.readouterr().out
+
+
+def make_keeper(network, table, number, others):
+    routes = PeerRoutes()
+    node = make_node(number)
+    keeper = ConfigurationKeeper(
+        node=node,
+        calls=table.calls(),
+        peer_call=network.join(node.peer_address, routes),
+        surroundings=Surroundings(
+            others=lambda: tuple(map(make_node, others)),
+            contacts=lambda: Contacts(answering=1, silent=0),
+            list_reachable=lambda: True,
+            polls=lambda: True,
+        ),
+        chance=random.Random(number),
+    )
+    keeper.register(routes)
+    return keeper
+
+
+@pytest.fixture
+def entries(monkeypatch):
+    """Two entries in a thread; the second one has the operator API."""
+    started = []
+    token = trio.lowlevel.current_trio_token
+    ready = threading.Event()
+
+    async def serve():
+        table, network = FakeTable(), FakeNetwork(seed=1)
+        keepers = [
+            make_keeper(network, table, number, {0, 1} - {number})
+            for number in range(2)
+        ]
+        routes = Routes()
+        add_configuration_routes(routes, keepers[1], SECRET)
+        listeners = await listen(LOOPBACK)
+        async with trio.open_nursery() as nursery:
+            for keeper in keepers:
+                nursery.start_soon(keeper.run)
+            nursery.start_soon(Server(handler=routes.handle).serve, listeners)
+            started.extend([token(), nursery, bound_address(listeners), table])
+            ready.set()
+
+    thread = threading.Thread(target=trio.run, args=(serve,))
+    thread.start()
+    assert ready.wait(10)
+    monkeypatch.setenv('LIMPET_ENTRIES', f'127.0.0.1:1,{started[2]}')
+    monkeypatch.setenv('LIMPET_OPERATOR_SECRET', SECRET)
+    yield started[3]
+    started[0].run_sync_soon(started[1].cancel_scope.cancel)
+    thread.join(10)
+
+
+def test_an_operator_applies_shows_and_meets_a_conflict(
+    entries, capsys, tmp_path
+):
+    base = str(EXAMPLES / 'base.yaml')
+    site = str(EXAMPLES / 'simu-kona.yaml')
+    code, text = command(capsys, 'apply', base, site)
+    assert (code, text.splitlines()) == (
+        ExitCode.DONE,
+        [
+            'accepted: base version 1',
+            'accepted: site/simu-kona version 1',
+            'in force on 2 of 2 entries',
+        ],
+    )
+    code, text = command(capsys, 'apply', site)
+    assert (code, text.splitlines()[0]) == (
+        ExitCode.DONE,
+        'unchanged: site/simu-kona version 1',
+    )
+    code, text = command(capsys, 'show', 'simu-kona', '--json')
+    values = {each['key']: each for each in json.loads(text)['values']}
+    assert values['models.drift-small.version']['layer'] == 'base'
+    assert values['models.drift-small.copies']['file'] == site
+    changed = tmp_path / 'kona.yaml'
+    changed.write_text(pathlib.Path(site).read_text() + 'brand: Kona\n')
+    code, text = command(capsys, 'validate', str(changed))
+    assert code == ExitCode.INVALID
+    assert 'brand: expected each key once' in text
+    changed.write_text('site: simu-kona\nbrand: Kona\n')
+    assert command(capsys, 'diff', str(changed))[0] == ExitCode.DIFFERENT
+    assert command(capsys, 'validate', str(changed))[0] == ExitCode.DONE
+    code, text = command(
+        capsys, 'apply', '--expect', 'site/simu-kona=3', str(changed)
+    )
+    assert code == ExitCode.CONFLICT
+    assert 'site/simu-kona: expected version 3, it is 1' in text
+    assert '+brand: Kona' in text
+    assert command(capsys, 'apply', str(changed))[0] == ExitCode.DONE
+    assert 'simu-kona  2' in command(capsys, 'show')[1]
+
+
+def test_without_the_secret_or_the_store_nothing_is_changed(
+    entries, capsys, monkeypatch
+):
+    files = [str(EXAMPLES / 'base.yaml'), str(EXAMPLES / 'instituto.yaml')]
+    entries.down = True
+    assert command(capsys, 'apply', *files)[0] == ExitCode.UNAVAILABLE
+    entries.down = False
+    monkeypatch.setenv('LIMPET_OPERATOR_SECRET', 'guess')
+    code, text = command(capsys, 'apply', *files)
+    assert (code, text.split(':')[0]) == (ExitCode.UNAVAILABLE, 'forbidden')
+    assert entries.rows == {}
+
+
+def test_wrong_arguments_are_usage_errors(capsys, monkeypatch):
+    monkeypatch.delenv('LIMPET_ENTRIES', raising=False)
+    assert command(capsys, 'show')[0] == ExitCode.USAGE
+    assert command(capsys, 'apply', '--entry', 'x', 'f')[0] == ExitCode.USAGE
+    assert command(capsys, 'quarantine', 'keep')[0] == ExitCode.USAGE
+
+
+def test_all_faults_of_all_files_are_told(capsys, tmp_path):
+    bad = tmp_path / 'bad.yaml'
+    bad.write_text('models:\n  m: {version: [1], copies: many}\nx: 1\n')
+    code, text = command(capsys, 'validate', str(bad), str(tmp_path / 'none'))
+    assert code == ExitCode.INVALID
+    code, text = command(capsys, 'validate', '--json', str(bad))
+    found = [
+        (each['line'], each['key']) for each in json.loads(text)['complaints']
+    ]
+    assert found == [
+        (3, 'x'),
+        (2, 'models.m.version'),
+        (2, 'models.m.copies'),
+    ]
+
+
+def test_in_force_counts_entries_that_hold_but_do_not_serve_yet():
+    entry = EntryVersions(
+        entry='e',
+        held={'base': 4, 'site/a': 7},
+        sites=(SiteVersions(site='a', base=3, overlay=7),),
+        admits=True,
+    )
+    assert count_in_force((entry,), {'site/a': 7}) == 1
+    assert count_in_force((entry,), {'base': 4}) == 0
