--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -6,6 +6,7 @@
 reaches a handler.
 """
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -64,6 +65,8 @@
     def __init__(self, *, stream: trio.abc.Stream, limits: ServerLimits):
         self.stream = stream
         self.limits = limits
+        # One scope bounds every write; one for each would cost more.
+        self.write_scope = trio.CancelScope()
         self.protocol = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=limits.header_bytes,
@@ -79,12 +82,14 @@
                 received = await self.stream.receive_some(RECEIVE_BYTES)
             self.protocol.receive_data(received)
 
-    async def send(self, event: h11.Event) -> None:
-        """Write one event; raise when the reader takes too long."""
-        payload = self.protocol.send(event)
+    async def send(self, *events: h11.Event) -> None:
+        """Write events at once; raise when the reader takes too long."""
+        payload = b''.join(self.protocol.send(event) or b'' for event in events)
         if payload:
-            with trio.fail_after(self.limits.write_seconds):
-                await self.stream.send_all(payload)
+            now = trio.current_time()
+            self.write_scope.deadline = now + self.limits.write_seconds
+            await self.stream.send_all(payload)
+            self.write_scope.deadline = math.inf
 
 
 class Exchange:
@@ -94,7 +99,6 @@
         self.request = request
         self._connection = connection
         self._started = False
-        self._finished = False
 
     @property
     def started(self) -> bool:
@@ -105,10 +109,12 @@
         """Send a whole response."""
         length = str(len(response.body))
         headers = (*response.headers, ('content-length', length))
-        await self.start(response.status, headers)
-        if response.body:
-            await self.send(response.body)
-        await self.finish()
+        self._started = True
+        await self._connection.send(
+            h11.Response(status_code=response.status, headers=list(headers)),
+            h11.Data(data=response.body),
+            h11.EndOfMessage(),
+        )
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send the head of a response; without a length it is chunked."""
@@ -123,7 +129,6 @@
 
     async def finish(self) -> None:
         """End the body; the connection can then take the next request."""
-        self._finished = True
         await self._connection.send(h11.EndOfMessage())
 
     async def abort(self) -> None:
@@ -158,11 +163,14 @@
         """Serve the requests of one connection, in order."""
         connection = _Connection(stream=stream, limits=self.limits)
         try:
-            await self._serve_requests(connection)
+            with connection.write_scope:
+                await self._serve_requests(connection)
         except _CLOSING_ERRORS as error:
             telemetry.count('transport_closed', reason=type(error).__name__)
         finally:
             await trio.aclose_forcefully(stream)
+        if connection.write_scope.cancelled_caught:
+            telemetry.count('transport_closed', reason='slow-reader')
 
     async def _serve_requests(self, connection: _Connection) -> None:
         while True:
@@ -236,7 +244,13 @@
         connection.protocol.receive_data(received)
     with trio.fail_after(limits.head_seconds):
         event = await connection.next_event(limits.head_seconds)
-    return event if isinstance(event, h11.Request) else None
+    if not isinstance(event, h11.Request):
+        return None
+    # A head that arrives in one read passes the protocol's own limit.
+    size = sum(len(name) + len(text) for name, text in event.headers)
+    if size > limits.header_bytes:
+        raise BadInputError(_HEADERS_TOO_LARGE, 'headers over the limit')
+    return event
 
 
 async def _receive_body(connection: _Connection, head: h11.Request) -> Request:
