Add the view of endpoints, with signs of leaving that hold

Cause: endpoint records were merged and nothing fed them; a leaving endpoint must get no new work 3 s after the first sign, while the list may lag 30 s. Fault mended: the copies of a record grew with the records in its table, so with 3 endpoints a record was handed out 9 times whatever the number of nodes. They now grow with the number of nodes. What it doesn't cover: an entry in its first 3 s, a sign known only to an entry that dies within 0.5 s of it, an entry without any link.

--- a/src/limpetdrift/coordination/gossip.py
+++ b/src/limpetdrift/coordination/gossip.py
@@ -20,6 +20,7 @@
 from limpetdrift.protocol.gossip import (
     EndpointRecord,
     GossipMessage,
+    Listed,
     MemberRecord,
     MemberState,
     Standing,
@@ -73,7 +74,8 @@
         self.members = MemberTable()
         self.endpoints: RecordTable[EndpointRecord] = RecordTable(
             join=join_endpoints,
-            hashed=lambda record: True,
+            hashed=_is_hashed,
+            receivers=self.members.__len__,
         )
         self.contacts = Contacts()
         self._node = node
@@ -216,3 +218,7 @@
                 held=self.members.doubt(message.sender),
             ),
         )
+
+
+def _is_hashed(record: EndpointRecord) -> bool:
+    return record.listed is not Listed.ABSENT
--- /dev/null
+++ b/src/limpetdrift/protocol/endpointreports.py
@@ -0,0 +1,55 @@
+"""What an endpoint tells of itself: whether it is leaving, and which start.
+
+An engine and a plain service report in different places (docs/PLATFORM.md);
+of either report only these two fields are read here.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from expression import Error, Result
+
+from limpetdrift.protocol.codec import decode, json_request
+from limpetdrift.protocol.node import Endpoint, Role
+from limpetdrift.protocol.tableclient import read_refusal
+from limpetdrift.protocol.verdict import Failure
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import OK, Response
+
+REPORT_TIMEOUT_SECONDS = 1.0
+_ENGINE_PATH = '/v1/load'
+_SERVICE_PATH = '/load'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointReport:
+    """An endpoint's word on itself; incarnation 0 is an unknown one."""
+
+    leaving: bool = False
+    incarnation: int = 0
+
+
+ReadReport = Callable[[Endpoint], Awaitable[Result[EndpointReport, Failure]]]
+
+
+def make_report_call(client: HttpClient) -> ReadReport:
+    """Return the call that reads an endpoint's report."""
+
+    async def read_report(
+        endpoint: Endpoint,
+    ) -> Result[EndpointReport, Failure]:
+        engine = endpoint.role is Role.ENGINE
+        answer = await client.fetch(
+            endpoint.address,
+            json_request('GET', _ENGINE_PATH if engine else _SERVICE_PATH),
+            timeout_seconds=REPORT_TIMEOUT_SECONDS,
+        )
+        return answer.bind(_read_response)
+
+    return read_report
+
+
+def _read_response(response: Response) -> Result[EndpointReport, Failure]:
+    if response.status == OK:
+        return decode(response.body, EndpointReport)
+    return Error(read_refusal(response))
--- /dev/null
+++ b/src/limpetdrift/protocol/instances.py
@@ -0,0 +1,123 @@
+"""The platform's list of instances, which lags behind the truth.
+
+The format is that of docs/PLATFORM.md. A test puts a list in memory in the
+place of the call.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from expression import Error, Ok, Result
+
+from limpetdrift.protocol.codec import decode, json_request
+from limpetdrift.protocol.gossip import Listed
+from limpetdrift.protocol.node import Endpoint, Role
+from limpetdrift.protocol.tableclient import read_refusal
+from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import (
+    OK,
+    Address,
+    Response,
+    parse_address,
+)
+
+CALL_TIMEOUT_SECONDS = 1.0
+_STATES = MappingProxyType({'live': Listed.LIVE, 'leaving': Listed.LEAVING})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListedEndpoint:
+    """An endpoint and what the list says of it."""
+
+    endpoint: Endpoint
+    listed: Listed
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceList:
+    """One reading of the list; it was true ``age_seconds`` ago.
+
+    ``entries`` are the addresses at which entries meet their peers.
+    """
+
+    endpoints: tuple[ListedEndpoint, ...]
+    entries: tuple[Address, ...] = ()
+    age_seconds: float = 0
+
+
+ReadList = Callable[[], Awaitable[Result[InstanceList, Failure]]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Instance:
+    name: str
+    role: str
+    address: str
+    service: str = ''
+    failure_domain: str = ''
+    state: str = 'live'
+    model: str = ''
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Answer:
+    instances: tuple[_Instance, ...]
+    taken_seconds_ago: float = 0
+
+
+def make_list_call(client: HttpClient, address: Address) -> ReadList:
+    """Return the call that reads the list at an address."""
+
+    async def read_list() -> Result[InstanceList, Failure]:
+        answer = await client.fetch(
+            address,
+            json_request('GET', '/instances'),
+            timeout_seconds=CALL_TIMEOUT_SECONDS,
+        )
+        return answer.bind(_read_response)
+
+    return read_list
+
+
+def _read_response(response: Response) -> Result[InstanceList, Failure]:
+    if response.status != OK:
+        return Error(read_refusal(response))
+    return decode(response.body, _Answer).bind(_read_answer)
+
+
+def _read_answer(answer: _Answer) -> Result[InstanceList, Failure]:
+    try:
+        return Ok(_make_list(answer))
+    except (ValueError, KeyError) as error:
+        return Error(may_have_run(Reason.BAD_ANSWER, str(error)))
+
+
+def _make_list(answer: _Answer) -> InstanceList:
+    entries: list[Address] = []
+    endpoints: list[ListedEndpoint] = []
+    for instance in answer.instances:
+        if instance.role in {Role.ENGINE, Role.SERVICE}:
+            endpoints.append(_make_endpoint(instance))
+        elif instance.role == Role.ENTRY:
+            entries.append(parse_address(instance.address))
+    return InstanceList(
+        endpoints=tuple(endpoints),
+        entries=tuple(entries),
+        age_seconds=max(0, answer.taken_seconds_ago),
+    )
+
+
+def _make_endpoint(instance: _Instance) -> ListedEndpoint:
+    return ListedEndpoint(
+        listed=_STATES[instance.state],
+        endpoint=Endpoint(
+            name=instance.name,
+            role=Role(instance.role),
+            address=parse_address(instance.address),
+            failure_domain=instance.failure_domain,
+            service=instance.service,
+            model=instance.model,
+        ),
+    )
--- a/src/limpetdrift/state/members.py
+++ b/src/limpetdrift/state/members.py
@@ -51,6 +51,9 @@
         self._since: dict[str, float] = {}
         self._marks: OrderedDict[str, tuple[int, int]] = OrderedDict()
 
+    def __len__(self) -> int:
+        return len(self._since)
+
     def merge(self, record: MemberRecord, now: float) -> bool:
         """Take in a record, unless it is as old as one that was forgotten."""
         mark = self._marks.get(record.name)
--- a/src/limpetdrift/state/records.py
+++ b/src/limpetdrift/state/records.py
@@ -41,7 +41,9 @@
     """Records by name, with what is still to be handed on.
 
     ``join`` merges two records of one name; it is commutative and idempotent.
-    ``hashed`` says whether a record counts in the hashes.
+    ``hashed`` says whether a record counts in the hashes. ``receivers``
+    returns the number of nodes that the records are for; where it is left
+    out, each record stands for a node.
     """
 
     def __init__(
@@ -49,10 +51,12 @@
         *,
         join: Callable[[Record, Record], Record],
         hashed: Callable[[Record], bool],
+        receivers: Callable[[], int] | None = None,
     ) -> None:
         self._join = join
         self._hashed = hashed
         self._held: dict[str, _Held[Record]] = {}
+        self._receivers = receivers or self._held.__len__
         self._copies: dict[str, int] = {}
         self._buckets = list(repeat(0, BUCKETS))
 
@@ -162,7 +166,7 @@
             self._count_copies(name, _COPIES_PER_HEARING)
 
     def _count_copies(self, name: str, copies: int) -> None:
-        most = _COPIES_PER_DOUBLING * ceil(log2(len(self._held) + 2))
+        most = _COPIES_PER_DOUBLING * ceil(log2(self._receivers() + 2))
         self._copies[name] += copies
         if self._copies[name] >= most:
             self._copies.pop(name)
--- a/tests/member_cluster.py
+++ b/tests/member_cluster.py
@@ -64,10 +64,10 @@
         scope = trio.CancelScope()
         self.running[key] = membership
         self._scopes[key] = scope
-        self._nursery.start_soon(run_in, scope, membership.run)
+        loops = [membership.run]
         if self._extend is not None:
-            loop = self._extend(membership)
-            self._nursery.start_soon(run_in, scope, loop)
+            loops.append(self._extend(membership))
+        self._nursery.start_soon(run_in, scope, loops)
         return membership
 
     def start_all(self, count, region='kiambu'):
@@ -90,9 +90,11 @@
         return all(held_live(each) == wanted for each in running)
 
 
-async def run_in(scope, loop):
+async def run_in(scope, loops):
     with scope:
-        await loop()
+        async with trio.open_nursery() as nursery:
+            for loop in loops:
+                nursery.start_soon(loop)
 
 
 def held_live(membership):
