--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,61 @@
+"""What a discovery answer names, and how evenly."""
+
+import random
+from collections import Counter
+
+import trio
+
+from limpetdrift.client import _Discovery
+from limpetdrift.coordination.discovery import (
+    ENTRIES_LISTED,
+    make_answer,
+    sample_entries,
+)
+from limpetdrift.protocol.codec import decode, encode
+from member_cluster import Cluster, make_node, until
+from virtual import virtual
+
+
+def test_each_entry_is_as_likely_and_domains_are_spread():
+    # Domains of unlike size: 8, 2 and 5 entries.
+    indices = [0, 3, 6, 9, 12, 15, 18, 21, 1, 4, 2, 5, 8, 11, 14]
+    nodes = [make_node(index) for index in indices]
+    source = random.Random(5)
+    counts = Counter()
+    for _ in range(6000):
+        chosen = sample_entries(nodes, source)
+        assert len({node.name for node in chosen}) == ENTRIES_LISTED
+        domains = Counter(node.failure_domain for node in chosen)
+        assert len(domains) >= 2
+        assert max(domains.values()) <= 4
+        counts.update(node.name for node in chosen)
+        counts.update([f'first {chosen[0].name}'])
+    share = 6000 * ENTRIES_LISTED / len(nodes)
+    for node in nodes:
+        assert 0.9 < counts[node.name] / share < 1.1
+        first = counts[f'first {node.name}'] * ENTRIES_LISTED
+        assert 0.8 < first / share < 1.2
+
+
+@virtual
+async def test_leaving_and_dead_entries_are_not_named():
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery=nursery)
+        members = cluster.start_all(6)
+        await until(cluster.agreed, 30)
+        members[1].leave()
+        cluster.kill(2)
+        await trio.sleep(15)
+        body = encode(make_answer(members[0], random.Random(1)))
+        answer = decode(body, _Discovery).ok
+        wanted = {
+            str(make_node(index).caller_address) for index in (0, 3, 4, 5)
+        }
+        assert {entry.address for entry in answer.entries} == wanted
+        assert answer.max_age_seconds > 0
+        for index in (0, 3, 4, 5):
+            members[index].leave()
+        await trio.sleep(3)
+        last = make_answer(members[0], random.Random(1))
+        assert len(last.entries) == 5
+        nursery.cancel_scope.cancel()
