Keep the view of endpoints within a node's bounds

Found: each second every node ranked all entries for every endpoint, to see of which it is the home. Records that each node has for itself, from its settings and its first reading of the list, and records that came by comparing hashes, except signs, are no longer handed out.

--- a/src/limpetdrift/coordination/endpoints.py
+++ b/src/limpetdrift/coordination/endpoints.py
@@ -82,7 +82,7 @@
         # Whether the list was read just now, by this node or one it heard.
         self.list_reachable = self._poller.is_reachable
         membership.on_endpoints.append(self._on_records)
-        self._state(start_records(inputs.static))
+        self._state(start_records(inputs.static), hand_out=False)
 
     def endpoints(self) -> tuple[Endpoint, ...]:
         """Return the endpoints that are not gone; each says if it leaves."""
@@ -94,6 +94,11 @@
             )
         return self._view
 
+    def is_leaving(self, name: str) -> bool:
+        """Return whether the endpoint gets no new work, or isn't known."""
+        record = self._table.find(name)
+        return record is None or _is_leaving(record)
+
     def seeds(self) -> tuple[Address, ...]:
         """Return the peer addresses of entries, as the list gave them."""
         return self._poller.seeds
@@ -147,13 +152,23 @@
                 await trio.sleep(FORGET_INTERVAL_SECONDS)
                 self._listings.forget_absent(trio.current_time())
 
-    def _use_reading(self, reading: InstanceList, taken_at: float) -> None:
+    def _use_reading(
+        self,
+        reading: InstanceList,
+        taken_at: float,
+        is_first: bool,
+    ) -> None:
         changes = self._listings.changes(reading, taken_at)
-        self._state(changes)
+        self._state(changes, hand_out=not is_first)
         self._listings.date_back(changes, taken_at)
 
-    def _state(self, records: Iterable[EndpointRecord]) -> None:
-        self._membership.gossip.take_in(endpoints=records)
+    def _state(
+        self,
+        records: Iterable[EndpointRecord],
+        *,
+        hand_out: bool = True,
+    ) -> None:
+        self._membership.gossip.take_in(endpoints=records, hand_out=hand_out)
 
     def _on_records(self, records: tuple[EndpointRecord, ...]) -> None:
         self._view = None
--- a/src/limpetdrift/coordination/gossip.py
+++ b/src/limpetdrift/coordination/gossip.py
@@ -141,8 +141,14 @@
         self,
         members: Iterable[MemberRecord] = (),
         endpoints: Iterable[EndpointRecord] = (),
+        *,
+        hand_out: bool = True,
     ) -> None:
-        """Merge records and tell the hooks what was new."""
+        """Merge records and tell the hooks what was new.
+
+        Endpoint records that all nodes come by themselves need no handing
+        out.
+        """
         now = trio.current_time()
         new_members = tuple(
             record
@@ -153,7 +159,9 @@
         if new_members:
             self._hooks.on_members(new_members)
         new_endpoints = tuple(
-            record for record in endpoints if self.endpoints.merge(record)
+            record
+            for record in endpoints
+            if self.endpoints.merge(record, hand_out=hand_out)
         )
         if new_endpoints:
             self._hooks.on_endpoints(new_endpoints)
--- a/src/limpetdrift/coordination/gossip_sync.py
+++ b/src/limpetdrift/coordination/gossip_sync.py
@@ -4,7 +4,7 @@
 the buckets that differ, as many as fit a message, until nothing new comes.
 """
 
-from collections.abc import Callable
+from typing import Protocol
 
 import trio
 from expression import Ok, Result
@@ -28,7 +28,18 @@
 SYNC_BYTES = 8192
 _SYNCS_IN_A_ROW = 32
 
-TakeIn = Callable[[tuple[MemberRecord, ...], tuple[EndpointRecord, ...]], None]
+
+class TakeIn(Protocol):
+    """Merges records, and hands them out to others unless told not to."""
+
+    def __call__(
+        self,
+        members: tuple[MemberRecord, ...],
+        endpoints: tuple[EndpointRecord, ...],
+        *,
+        hand_out: bool = True,
+    ) -> None:
+        """Take in records."""
 
 
 class GossipSync:
@@ -92,9 +103,11 @@
         )
 
     def _use(self, reply: SyncReply) -> None:
-        self._take_in(reply.members, reply.endpoints)
+        # Of endpoints only signs are urgent; each node finds the rest here.
+        signs = tuple(each for each in reply.endpoints if each.leaving)
+        self._take_in(reply.members, signs)
+        self._take_in((), reply.endpoints, hand_out=False)
         _refresh_newer(self._members, reply.member_buckets, reply.members)
-        _refresh_newer(self._endpoints, reply.endpoint_buckets, reply.endpoints)
 
     async def _on_sync(
         self,
--- a/src/limpetdrift/coordination/listpoller.py
+++ b/src/limpetdrift/coordination/listpoller.py
@@ -32,8 +32,8 @@
 class ListPoller:
     """When the list was read last, here or elsewhere, and whom it names.
 
-    ``use`` gets each reading that names any endpoint, and the time for which
-    it is true.
+    ``use`` gets each reading that names any endpoint, the time for which it is
+    true, and whether it is this node's first, which each node has for itself.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
         membership: Membership,
         random: Random,
         read_list: ReadList,
-        use: Callable[[InstanceList, float], None],
+        use: Callable[[InstanceList, float, bool], None],
     ) -> None:
         self.seeds: tuple[Address, ...] = ()
         self._membership = membership
@@ -78,13 +78,14 @@
             reason = answer.error.reason
             telemetry.count('instance_list_failures', reason=reason)
             return
+        is_first = not self._has_read
         self._has_read = True
         self._list_read_at = trio.current_time()
         # A list of nothing is the mark of a platform that lost it.
         if answer.ok.endpoints:
             self.seeds = answer.ok.entries
             taken_at = trio.current_time() - answer.ok.age_seconds
-            self._use(answer.ok, taken_at)
+            self._use(answer.ok, taken_at, is_first)
 
     def _is_doubtful(self) -> bool:
         contacts = self._membership.silent_and_answering()
--- a/src/limpetdrift/coordination/reportwatch.py
+++ b/src/limpetdrift/coordination/reportwatch.py
@@ -8,10 +8,10 @@
 
 import trio
 
-from limpetdrift.coordination.homes import home_of
+from limpetdrift.coordination.homes import homed_at
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.protocol.endpointreports import EndpointReport, ReadReport
-from limpetdrift.protocol.node import Endpoint
+from limpetdrift.protocol.node import Endpoint, Node
 
 REPORT_SECONDS = 1.0
 _JITTER_SHARE = 0.1
@@ -35,6 +35,11 @@
         self._read_report = read_report
         self._use = use
         self._heard_at: dict[str, float] = {}
+        self._homed: list[Endpoint] = []
+        self._homed_from: tuple[tuple[Endpoint, ...], tuple[Node, ...]] = (
+            (),
+            (),
+        )
 
     def note_heard(self, name: str) -> None:
         """Note that another part has read the endpoint's report."""
@@ -50,18 +55,24 @@
             await trio.sleep(REPORT_SECONDS * share)
 
     def _unheard(self) -> list[Endpoint]:
-        entries = self._membership.live_entries()
         heard_since = trio.current_time() - REPORT_SECONDS
         self._heard_at = {
             name: at for name, at in self._heard_at.items() if at > heard_since
         }
+        self._update_homed()
         return [
             endpoint
-            for endpoint in self._endpoints()
+            for endpoint in self._homed
             if endpoint.name not in self._heard_at
-            and home_of(endpoint, entries) == self._membership.node
         ]
 
+    def _update_homed(self) -> None:
+        """Weigh the homes anew, where entries or endpoints have changed."""
+        seen = (self._endpoints(), self._membership.live_entries())
+        if seen != self._homed_from:
+            self._homed_from = seen
+            self._homed = homed_at(self._membership.node, *seen)
+
     async def _read(self, endpoint: Endpoint) -> None:
         answer = await self._read_report(endpoint)
         if answer.is_ok():
--- a/src/limpetdrift/state/records.py
+++ b/src/limpetdrift/state/records.py
@@ -79,8 +79,11 @@
         held = self._held.get(name)
         return None if held is None else held.record
 
-    def merge(self, record: Record) -> bool:
-        """Take in a record; return whether it changed the table."""
+    def merge(self, record: Record, *, hand_out: bool = True) -> bool:
+        """Take in a record; return whether it changed the table.
+
+        What is not handed out is found by others through the hashes.
+        """
         held = self._held.get(record.name)
         merged = record
         if held is not None:
@@ -89,7 +92,8 @@
                 self._count_hearing(record)
                 return False
         self._store(merged)
-        self._copies[record.name] = 0
+        if hand_out:
+            self._copies[record.name] = 0
         return True
 
     def drop(self, name: str) -> None:
