--- a/src/limpetdrift/coordination/evidence.py
+++ b/src/limpetdrift/coordination/evidence.py
@@ -5,6 +5,7 @@
 from limpetdrift.protocol.gossip import Contact
 
 EVIDENCE_SECONDS = 10.0
+COUNTED_SECONDS = 2.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,9 +40,18 @@
         return self._answered_at.get(name, moment) > moment
 
     def counts(self, now: float) -> EvidenceCounts:
-        """Return the counts; a refused connection is in neither."""
+        """Return the counts of late; a refused connection is in neither.
+
+        They reach back two rounds, so that a node that is cut off notices
+        soon, however many peers have answered it before.
+        """
         self._drop_old(now)
-        contacts = [seen.contact for seen in self._seen.values()]
+        counted_from = now - COUNTED_SECONDS
+        contacts = [
+            seen.contact
+            for seen in self._seen.values()
+            if seen.at >= counted_from
+        ]
         return EvidenceCounts(
             silent=contacts.count(Contact.SILENT),
             answering=contacts.count(Contact.ANSWERED),
