Join membership and configuration into the entry

Live entries come from the membership in place of the settings; the site's configuration from the table and peers. A connect that times out is no longer taken for a refused one, which alone proves that a process is dead. The small site applies its documents as an operator would.

--- a/src/limpet_standins/small_site.py
+++ b/src/limpet_standins/small_site.py
@@ -9,16 +9,24 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import trio
 import yaml
 
-from limpet_standins.processes import Processes, free_address
+from limpet_standins.processes import Processes, StartError, free_address
 from limpet_standins.remote import call
 from limpetdrift.callers.access import hash_key
+from limpetdrift.operators.client import OperatorClient
+from limpetdrift.operators.configuration import apply_files
+from limpetdrift.operators.exits import ExitCode
+from limpetdrift.operators.output import Output
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import parse_address
 
 MODEL = 'drift-small'
 ACCOUNT = 'dispatch'
 SITE = 'small'
 REGION = 'kiambu'
+OPERATOR_SECRET_FILE = 'operator-secret'
 FAILURE_DOMAINS = ('thika-hall', 'ruiru-hall', 'limuru-hall')
 SERVICE = 'kiosk-desk'
 
@@ -146,8 +154,11 @@
 def start_entries(site: SmallSite, entries: int) -> None:
     """Start the entries, each of which knows the others."""
     nodes = [_node(number) for number in range(1, entries + 1)]
-    site_file = site.processes.write('site.yaml', yaml.safe_dump(_offer(site)))
-    secret = site.processes.write('secret', secrets.token_hex())
+    peer_secret = site.processes.write('peer-secret', secrets.token_hex())
+    operator_secret = site.processes.write(
+        OPERATOR_SECRET_FILE,
+        secrets.token_hex(),
+    )
     for node in nodes:
         settings = {
             **_common_settings(site),
@@ -155,10 +166,8 @@
             'failure_domain': node['failure_domain'],
             'caller_listen': node['caller_address'],
             'peer_listen': node['peer_address'],
-            'peer_secret': {'file': str(secret)},
-            'operator_secret': {'file': str(secret)},
-            'site_file': str(site_file),
-            'peers': [each for each in nodes if each is not node],
+            'peer_secret': {'file': str(peer_secret)},
+            'operator_secret': {'file': str(operator_secret)},
             'seeds': [each['peer_address'] for each in nodes],
         }
         name = node['name']
@@ -167,6 +176,8 @@
         site.processes.spawn(name, module, '--settings', str(path))
         site.entries.append(name)
     _wait_ready(site, site.entries)
+    if site.entries:
+        apply_configuration(site)
 
 
 def _wait_ready(site: SmallSite, names: Iterable[str]) -> None:
@@ -174,6 +185,23 @@
         site.processes.wait_ready(name)
 
 
+def apply_configuration(site: SmallSite) -> None:
+    """Apply the site's documents, as an operator would."""
+    paths = [
+        site.processes.write(f'{name}.yaml', yaml.safe_dump(document))
+        for name, document in _documents(site).items()
+    ]
+    secret_file = site.processes.folder / OPERATOR_SECRET_FILE
+    client = OperatorClient(
+        entries=tuple(map(parse_address, site.entry_addresses)),
+        secret=secret_file.read_text('utf-8'),
+        http=HttpClient(),
+    )
+    applied = trio.run(apply_files, client, Output(json=False), paths, {})
+    if applied is not ExitCode.DONE:
+        raise StartError(f'configuration not applied: {applied.name}')
+
+
 def _common_settings(site: SmallSite) -> dict[str, Any]:
     platform = ('table', 'objects', 'instances', 'weights')
     return {
@@ -215,12 +243,17 @@
     return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
 
 
-def _offer(site: SmallSite) -> dict[str, Any]:
+def _documents(site: SmallSite) -> dict[str, dict[str, Any]]:
     return {
-        'brand': SITE,
-        'models': {MODEL: {'version': '1'}},
-        'accounts': {ACCOUNT: {'key_hashes': [hash_key(site.key)]}},
-        'urgencies': {'normal': {'rank': 1}, 'urgent': {'rank': 0}},
-        'services': {SERVICE: {}},
-        'default_urgency': 'normal',
+        'base': {
+            'models': {MODEL: {'version': '1'}},
+            'urgencies': {'normal': {'rank': 1}, 'urgent': {'rank': 0}},
+            'default_urgency': 'normal',
+        },
+        SITE: {
+            'site': SITE,
+            'brand': SITE,
+            'accounts': {ACCOUNT: {'key_hashes': [hash_key(site.key)]}},
+            'services': {SERVICE: {}},
+        },
     }
--- a/src/limpetdrift/callers/chat.py
+++ b/src/limpetdrift/callers/chat.py
@@ -48,7 +48,7 @@
 _WORDS = {'true': True, 'false': False, '': True}
 
 Admit = Callable[[RunRequest], Result[None, Failure]]
-ReadSite = Callable[[], SiteConfig]
+ReadSite = Callable[[], Result[SiteConfig, Failure]]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -164,7 +164,10 @@
     request: Request,
     parts: ChatParts,
 ) -> Result[tuple[ChatRequest, Run], Failure]:
-    site = parts.site()
+    opened = parts.site()
+    if opened.is_error():
+        return Error(opened.error)
+    site = opened.ok
     account = authenticate(site, request)
     if account.is_error():
         return Error(account.error)
@@ -297,14 +300,18 @@
 
 async def _list_models(exchange: Exchange, parts: ChatParts) -> None:
     site = parts.site()
-    account = authenticate(site, exchange.request)
+    account = site.bind(lambda read: authenticate(read, exchange.request))
     if account.is_error():
         await respond_failure(exchange, account.error)
         return
-    allowed = site.accounts[account.ok].models or tuple(site.models)
+    await exchange.respond(json_response(_model_list(site.ok, account.ok)))
+
+
+def _model_list(site: SiteConfig, account: str) -> dict[str, object]:
+    allowed = site.accounts[account].models or tuple(site.models)
     models = [
         {'id': name, 'object': 'model', 'created': 0, 'owned_by': site.brand}
         for name in site.models
         if name in allowed
     ]
-    await exchange.respond(json_response({'object': 'list', 'data': models}))
+    return {'object': 'list', 'data': models}
--- a/src/limpetdrift/callers/streams.py
+++ b/src/limpetdrift/callers/streams.py
@@ -50,7 +50,9 @@
     """Serve resumption to callers."""
 
     async def resume(exchange: Exchange, parameters: Parameters) -> None:
-        account = authenticate(parts.site(), exchange.request)
+        account = parts.site().bind(
+            lambda site: authenticate(site, exchange.request),
+        )
         if account.is_error():
             await respond_failure(exchange, account.error)
             return
--- a/src/limpetdrift/coordination/drive.py
+++ b/src/limpetdrift/coordination/drive.py
@@ -51,6 +51,7 @@
 _EXCLUDING_REASONS = frozenset(
     (
         Reason.CONNECT_FAILED,
+        Reason.CONNECT_TIMEOUT,
         Reason.STREAM_UNKNOWN,
         Reason.ENDPOINT_LEAVING,
         Reason.ENDPOINT_FAILED,
--- a/src/limpetdrift/coordination/placer.py
+++ b/src/limpetdrift/coordination/placer.py
@@ -55,6 +55,7 @@
 _NO_ANSWER_REASONS = frozenset(
     (
         Reason.CONNECT_FAILED,
+        Reason.CONNECT_TIMEOUT,
         Reason.CONNECTION_BROKEN,
         Reason.SILENT,
         Reason.TIMEOUT,
--- /dev/null
+++ b/src/limpetdrift/programs/entryviews.py
@@ -0,0 +1,175 @@
+"""Joins what an entry believes of its site: members and configuration."""
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+
+from expression import Error, Ok, Result
+
+from limpetdrift.callers.chat import ReadSite
+from limpetdrift.coordination.configuration import (
+    POLLERS,
+    ConfigurationKeeper,
+)
+from limpetdrift.coordination.confirmation import Contacts, Surroundings
+from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.programs.serving import read_settings
+from limpetdrift.programs.storeparts import StoreParts
+from limpetdrift.protocol.gossip import MemberState
+from limpetdrift.protocol.node import Endpoint, Node, Role
+from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.settings import EntrySettings
+from limpetdrift.state.site import SiteConfig
+
+UNCONFIRMED_RETRY_AFTER_SECONDS = 1.0
+CONFIGURATION_DUTY = 'configuration-poll'
+
+Task = Callable[[], Awaitable[None]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Views:
+    """What this entry believes of the site around it.
+
+    Each is a function, since beliefs change while requests run.
+    ``may_admit`` refuses while the configuration here is in doubt.
+    """
+
+    node: Node
+    membership: Membership
+    endpoints: Callable[[], tuple[Endpoint, ...]]
+    site: ReadSite
+    may_admit: Callable[[], Result[None, Failure]]
+    keeper: ConfigurationKeeper | None = None
+    tasks: tuple[Task, ...] = ()
+
+    def live_entries(self) -> tuple[Node, ...]:
+        """Return the entries of this region that take new work."""
+        return self.membership.live_entries()
+
+    def find_entry(self, name: str) -> Node | None:
+        """Return the entry of that name unless it is held dead."""
+        for member in self.membership.members():
+            if member.node.name == name:
+                dead = member.state is MemberState.DEAD
+                return None if dead else member.node
+        return None
+
+
+def make_node(settings: EntrySettings) -> Node:
+    """Return this process as its peers know it."""
+    return Node(
+        name=settings.name,
+        incarnation=time.time_ns(),
+        role=Role.ENTRY,
+        region=settings.region,
+        failure_domain=settings.failure_domain,
+        caller_address=settings.caller_listen,
+        peer_address=settings.peer_listen,
+    )
+
+
+def join_membership(
+    settings: EntrySettings,
+    node: Node,
+    call: PeerCall,
+    messages: PeerRoutes,
+) -> Membership:
+    """Return the membership, which begins with the settings' seeds."""
+    seeds = tuple(
+        seed for seed in settings.seeds if seed != settings.peer_listen
+    )
+    membership = Membership(
+        node=node,
+        call=call,
+        seeds=lambda: seeds,
+        random=random.Random(),
+    )
+    membership.register(messages)
+    return membership
+
+
+def join_views(
+    settings: EntrySettings,
+    membership: Membership,
+    store: StoreParts | None,
+    call: PeerCall,
+    messages: PeerRoutes,
+) -> Views:
+    """Return the views; without stores the site's file alone decides."""
+    first_site = _read_first_site(settings)
+    if store is None:
+        return Views(
+            node=membership.node,
+            membership=membership,
+            endpoints=lambda: settings.endpoints,
+            site=lambda: Ok(first_site or SiteConfig()),
+            may_admit=lambda: Ok(None),
+            tasks=(membership.run,),
+        )
+    keeper = ConfigurationKeeper(
+        node=membership.node,
+        calls=store.control_calls,
+        peer_call=call,
+        surroundings=_make_surroundings(membership),
+        chance=random.Random(),
+    )
+    keeper.register(messages)
+    return Views(
+        node=membership.node,
+        membership=membership,
+        endpoints=lambda: settings.endpoints,
+        site=partial(_read_site, keeper, settings.site, first_site),
+        may_admit=keeper.may_admit,
+        keeper=keeper,
+        tasks=(membership.run, keeper.run),
+    )
+
+
+def _read_site(
+    keeper: ConfigurationKeeper,
+    name: str,
+    first_site: SiteConfig | None,
+) -> Result[SiteConfig, Failure]:
+    site = keeper.site(name) or first_site
+    if site is not None:
+        return Ok(site)
+    # Without the site's accounts nobody can be told apart from a stranger.
+    return Error(
+        not_run(
+            Reason.UNCONFIRMED,
+            'no configuration of the site is in force here yet',
+            retry_after_seconds=UNCONFIRMED_RETRY_AFTER_SECONDS,
+        ),
+    )
+
+
+def _read_first_site(settings: EntrySettings) -> SiteConfig | None:
+    if not settings.site_file:
+        return None
+    return read_settings(settings.site_file, SiteConfig)
+
+
+def _make_surroundings(membership: Membership) -> Surroundings:
+    def others() -> tuple[Node, ...]:
+        return tuple(
+            member.node
+            for member in membership.members()
+            if member.state is not MemberState.DEAD
+            and member.node.role is Role.ENTRY
+            and member.node.name != membership.node.name
+        )
+
+    def contacts() -> Contacts:
+        counts = membership.silent_and_answering()
+        return Contacts(answering=counts.answering, silent=counts.silent)
+
+    return Surroundings(
+        others=others,
+        contacts=contacts,
+        list_reachable=bool,
+        polls=lambda: membership.is_chosen(CONFIGURATION_DUTY, POLLERS),
+    )
--- /dev/null
+++ b/src/limpetdrift/programs/runparts.py
@@ -0,0 +1,181 @@
+"""Joins what brings requests to their ends: placement, reclaim and owner."""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from functools import partial
+
+import trio
+
+from limpetdrift.coordination.drive import (
+    DriveParts,
+    RunOnce,
+    drive_run,
+    refuse_once,
+)
+from limpetdrift.coordination.home import Home
+from limpetdrift.coordination.owner import Owner
+from limpetdrift.coordination.peers import (
+    PEER_SECRET_HEADER,
+    PeerCall,
+    PeerRoutes,
+)
+from limpetdrift.coordination.placer import Placer, PlacerInputs
+from limpetdrift.coordination.policies import (
+    DEFAULT_POLICY,
+    POLICIES,
+    ProbeState,
+)
+from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
+from limpetdrift.coordination.singlerun import SingleRuns
+from limpetdrift.programs.entryviews import Views
+from limpetdrift.programs.storeparts import StoreParts, join_claims
+from limpetdrift.protocol.engine import EngineCalls
+from limpetdrift.protocol.enginereports import (
+    EngineReports,
+    make_engine_reports,
+)
+from limpetdrift.settings import EntrySettings
+from limpetdrift.state.prefixes import PrefixPlaces
+from limpetdrift.state.retrybudget import RetryBudget
+from limpetdrift.transport.client import HttpClient
+
+Task = Callable[[], Awaitable[None]]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Wiring:
+    """What the joining functions share."""
+
+    settings: EntrySettings
+    client: HttpClient
+    call: PeerCall
+    messages: PeerRoutes
+    secret: str
+    nursery: trio.Nursery
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunParts:
+    """The owner of requests, the homes of endpoints, and their tasks."""
+
+    owner: Owner
+    home: Home
+    tasks: tuple[Task, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Single:
+    run_once: RunOnce
+    tasks: tuple[Task, ...] = ()
+
+
+def join_runs(
+    wiring: Wiring,
+    views: Views,
+    store: StoreParts | None,
+) -> RunParts:
+    """Return the parts; their messages are offered to peers."""
+    reports = make_engine_reports(wiring.client)
+    home = Home(policy=POLICIES[DEFAULT_POLICY], reports=reports)
+    home.mount(wiring.messages)
+    placer = Placer(
+        inputs=PlacerInputs(
+            node=views.node,
+            live_entries=views.live_entries,
+            endpoints=views.endpoints,
+            call=wiring.call,
+        ),
+        home=home,
+        state=ProbeState(random=random.Random(), places=PrefixPlaces()),
+    )
+    single = _join_single(wiring, views, store)
+    owner = _join_owner(wiring, views, placer, single.run_once)
+    reclaimer = _join_reclaimer(wiring, views, reports, owner)
+    return RunParts(
+        owner=owner,
+        home=home,
+        tasks=(
+            home.run,
+            placer.run,
+            reclaimer.run,
+            owner.sweep,
+            *single.tasks,
+        ),
+    )
+
+
+def _join_single(
+    wiring: Wiring,
+    views: Views,
+    store: StoreParts | None,
+) -> _Single:
+    if store is None:
+        return _Single(run_once=refuse_once)
+    claims = join_claims(store, views.node, wiring.call)
+    claims.mount(wiring.messages)
+    owners = EngineCalls(
+        client=wiring.client,
+        silence_seconds=wiring.settings.engine_silence_seconds,
+        headers=((PEER_SECRET_HEADER, wiring.secret),),
+    )
+    single = SingleRuns(
+        claims=claims,
+        engine=_join_engine(wiring),
+        owners=owners,
+    )
+    return _Single(run_once=single.run, tasks=(claims.run,))
+
+
+def _join_engine(wiring: Wiring) -> EngineCalls:
+    return EngineCalls(
+        client=wiring.client,
+        silence_seconds=wiring.settings.engine_silence_seconds,
+    )
+
+
+def _join_owner(
+    wiring: Wiring,
+    views: Views,
+    placer: Placer,
+    run_once: RunOnce,
+) -> Owner:
+    node = views.node
+    parts = DriveParts(
+        name=node.name,
+        incarnation=node.incarnation,
+        engine=_join_engine(wiring),
+        place=placer.place,
+        release=placer.release,
+        run_once=run_once,
+        budget=RetryBudget(),
+        nursery=wiring.nursery,
+        random=random.Random(),
+    )
+    return Owner(
+        name=node.name,
+        incarnation=node.incarnation,
+        random_source=random.Random(),
+        drive=partial(drive_run, parts),
+        nursery=wiring.nursery,
+    )
+
+
+def _join_reclaimer(
+    wiring: Wiring,
+    views: Views,
+    reports: EngineReports,
+    owner: Owner,
+) -> Reclaimer:
+    reclaimer = Reclaimer(
+        inputs=ReclaimInputs(
+            node=views.node,
+            live_entries=views.live_entries,
+            endpoints=views.endpoints,
+            call=wiring.call,
+            reports=reports,
+            owns=owner.owns_attempt,
+        ),
+    )
+    reclaimer.mount(wiring.messages)
+    return reclaimer
--- a/src/limpetdrift/protocol/verdict.py
+++ b/src/limpetdrift/protocol/verdict.py
@@ -48,6 +48,7 @@
     ENDPOINT_REFUSED = 'endpoint-refused'
     ENDPOINT_FAILED = 'endpoint-failed'
     CONNECT_FAILED = 'connect-failed'
+    CONNECT_TIMEOUT = 'connect-timeout'
     CONNECTION_BROKEN = 'connection-broken'
     SILENT = 'silent'
     TIMEOUT = 'timeout'
--- a/src/limpetdrift/settings.py
+++ b/src/limpetdrift/settings.py
@@ -13,7 +13,7 @@
 from expression import Result
 
 from limpetdrift.protocol.configuration import Complaint, Complaints
-from limpetdrift.protocol.node import Endpoint, Node
+from limpetdrift.protocol.node import Endpoint
 from limpetdrift.state.checkedyaml import load_document
 from limpetdrift.state.options import Unit, option
 from limpetdrift.transport.messages import Address
@@ -77,7 +77,6 @@
     )
     site_file: str = option('', about='Configuration until the store answers.')
     endpoints: tuple[Endpoint, ...] = option((), about='Known endpoints.')
-    peers: tuple[Node, ...] = option((), about='Known entries.')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import socket
 from collections import defaultdict
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -215,15 +216,16 @@
                 return pooled
         try:
             with trio.fail_after(self._limits.connect_seconds):
-                stream = await trio.open_tcp_stream(
-                    address.host,
-                    address.port,
-                    happy_eyeballs_delay=None,
-                )
+                stream = await _connect(address)
         except (OSError, trio.TooSlowError) as error:
-            telemetry.count('connect_failures')
+            # Only a refusal proves that no process listens there.
+            refused = isinstance(error, ConnectionRefusedError)
+            reason = Reason.CONNECT_TIMEOUT
+            if refused:
+                reason = Reason.CONNECT_FAILED
+            telemetry.count('connect_failures', reason=reason)
             raise FailureError(
-                not_run(Reason.CONNECT_FAILED, f'{address}: {error!r}'),
+                not_run(reason, f'{address}: {error!r}'),
             ) from error
         return _Pooled(stream=stream, protocol=h11.Connection(h11.CLIENT))
 
@@ -251,6 +253,17 @@
         idle.append(connection)
 
 
+async def _connect(address: Address) -> trio.SocketStream:
+    family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
+    connecting = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await connecting.connect((address.host, address.port))
+    except BaseException:
+        connecting.close()
+        raise
+    return trio.SocketStream(connecting)
+
+
 def _close(connection: _Pooled) -> None:
     raw = connection.stream
     if isinstance(raw, trio.SSLStream):
