Wait for the last byte in a drain, and keep seeds beside alternatives

Cause of 'one request started twice' and of callers that ended at their deadline in the drain scenario: (1) a drain ended the process once its runs had ended, though answers were still on their way, so that a caller sent its request again; (2) a client without a discovery answer replaced its seeds by the one alternative that a refusal named, and when that entry left it had nowhere to go. A server now tells when every request has its whole answer; the client keeps its seeds. Ruled out: a draining entry that refuses; it admitted to its end.

--- a/src/limpet_standins/remote.py
+++ b/src/limpet_standins/remote.py
@@ -65,3 +65,20 @@
     """Return the memory that an engine's allocations hold now."""
     listed = call(address, 'GET', '/v1/allocations')
     return sum(each['tokens'] for each in listed)
+
+
+def is_ready(address: str) -> bool:
+    """Return whether a program of ours says that it takes requests."""
+    return trio.run(_is_ready, address)
+
+
+async def _is_ready(address: str) -> bool:
+    client = HttpClient()
+    answer = await client.fetch(
+        parse_address(address),
+        json_request('GET', '/readyz'),
+        timeout_seconds=CALL_SECONDS,
+        fresh=True,
+    )
+    client.close()
+    return answer.is_ok() and answer.ok.status == _OK
--- a/src/limpet_standins/small_site.py
+++ b/src/limpet_standins/small_site.py
@@ -5,6 +5,7 @@
 """
 
 import secrets
+import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -13,7 +14,7 @@
 import yaml
 
 from limpet_standins.processes import Processes, StartError, free_address
-from limpet_standins.remote import call
+from limpet_standins.remote import call, is_ready
 from limpetdrift.callers.access import hash_key
 from limpetdrift.operators.client import OperatorClient
 from limpetdrift.operators.configuration import apply_files
@@ -26,6 +27,8 @@
 ACCOUNT = 'dispatch'
 SITE = 'small'
 REGION = 'kiambu'
+ADMITTING_SECONDS = 15.0
+READY_POLL_SECONDS = 0.1
 OPERATOR_SECRET_FILE = 'operator-secret'
 FAILURE_DOMAINS = ('thika-hall', 'ruiru-hall', 'limuru-hall')
 SERVICE = 'kiosk-desk'
@@ -178,6 +181,7 @@
     _wait_ready(site, site.entries)
     if site.entries:
         apply_configuration(site)
+        wait_admitting(site)
 
 
 def _wait_ready(site: SmallSite, names: Iterable[str]) -> None:
@@ -185,6 +189,18 @@
         site.processes.wait_ready(name)
 
 
+def wait_admitting(site: SmallSite) -> None:
+    """Wait until every entry says that it admits requests."""
+    deadline = time.monotonic() + ADMITTING_SECONDS
+    waiting = list(site.entry_addresses)
+    while waiting:
+        if time.monotonic() > deadline:
+            names = ', '.join(waiting)
+            raise StartError(f'not admitting in time: {names}')
+        waiting = [each for each in waiting if not is_ready(each)]
+        time.sleep(READY_POLL_SECONDS)
+
+
 def apply_configuration(site: SmallSite) -> None:
     """Apply the site's documents, as an operator would."""
     paths = [
--- a/src/limpetdrift/client.py
+++ b/src/limpetdrift/client.py
@@ -184,10 +184,11 @@
         """Return the entries to use, asking again when the answer is old."""
         if trio.current_time() < self._fresh_until:
             return self._entries
-        for seed in self._shuffled((*self._entries, *self._seeds)):
-            if await self._discover(seed):
+        known = tuple(dict.fromkeys((*self._entries, *self._seeds)))
+        for address in self._shuffled(known):
+            if await self._discover(address):
                 return self._entries
-        return self._entries or self._seeds
+        return known
 
     async def _discover(self, seed: Address) -> bool:
         answer = await self._http.fetch(
--- a/src/limpetdrift/logs.py
+++ b/src/limpetdrift/logs.py
@@ -8,7 +8,7 @@
 from contextvars import ContextVar
 
 import msgspec
-from absl import logging
+from absl import flags, logging
 
 request_id: ContextVar[str] = ContextVar('request_id', default='')
 
@@ -36,6 +36,8 @@
 
 def set_up(program: str, level: str = 'info') -> None:
     """Send the process's logs to standard error as JSON lines."""
+    # The logger asks for parsed flags, which our programs do not use.
+    flags.FLAGS([program])
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(program=program))
     logging.use_absl_handler()
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -8,7 +8,7 @@
 
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
@@ -139,12 +139,24 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
-@dataclass(frozen=True, kw_only=True)
 class Server:
     """A handler with its limits, bound to listeners by ``serve``."""
 
-    handler: Handler
-    limits: ServerLimits = field(default_factory=ServerLimits)
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._open_exchanges = 0
+        self._answered = trio.Event()
+
+    async def idle(self) -> None:
+        """Wait until every request that came has its whole answer."""
+        while self._open_exchanges:
+            await self._answered.wait()
 
     async def serve(
         self,
@@ -161,7 +173,7 @@
 
     async def handle_stream(self, stream: trio.abc.Stream) -> None:
         """Serve the requests of one connection, in order."""
-        connection = _Connection(stream=stream, limits=self.limits)
+        connection = _Connection(stream=stream, limits=self._limits)
         try:
             with connection.write_scope:
                 await self._serve_requests(connection)
@@ -190,8 +202,9 @@
 
     async def _answer(self, connection: _Connection, request: Request) -> None:
         exchange = Exchange(request=request, connection=connection)
+        self._open_exchanges += 1
         try:
-            await self.handler(exchange)
+            await self._handler(exchange)
         except _STREAM_ERRORS:
             raise
         except Exception:
@@ -199,6 +212,13 @@
             telemetry.count('handler_errors')
             if not exchange.started:
                 await exchange.respond(Response(status=_FAILED))
+        finally:
+            self._close_exchange()
+
+    def _close_exchange(self) -> None:
+        self._open_exchanges -= 1
+        self._answered.set()
+        self._answered = trio.Event()
 
 
 _STREAM_ERRORS = (
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from trio.testing import memory_stream_pair
+from trio.testing import lockstep_stream_pair, memory_stream_pair
 
 from limpetdrift.transport.messages import Response
 from limpetdrift.transport.server import Server, ServerLimits
@@ -29,11 +29,15 @@
 
     async def handle(self, exchange):
         self.handled.append(exchange.request)
-        body = b'x' * 200_000 if exchange.request.path == '/big' else b'ok'
+        body = (
+            b'x' * 200_000 + b'end'
+            if exchange.request.path == '/big'
+            else b'ok'
+        )
         await exchange.respond(Response(status=200, body=body))
 
-    def connect(self):
-        ours, theirs = memory_stream_pair()
+    def connect(self, pair=memory_stream_pair):
+        ours, theirs = pair()
         self.nursery.start_soon(self.server.handle_stream, theirs)
         return ours
 
@@ -138,3 +142,20 @@
             assert await read_status(stream) == 200
         assert [each.path for each in site.handled] == ['/1', '/2']
         nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_a_server_is_idle_only_when_the_last_byte_is_taken():
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery)
+        stream = site.connect(lockstep_stream_pair)
+        await stream.send_all(b'GET /big HTTP/1.1\r\n' + HOST + b'\r\n')
+        with trio.move_on_after(1.0) as waited:
+            await site.server.idle()
+        assert waited.cancelled_caught
+        received = b''
+        while not received.endswith(b'x' * 1000 + b'end'):
+            received += await stream.receive_some(65_536)
+        with trio.fail_after(1.0):
+            await site.server.idle()
+        nursery.cancel_scope.cancel()
