Run several stand-in engines in one process

Cause: 20 engines and 6 to 9 entries are more processes than a shared machine should carry. The exit fault of one of them closes its listener and connections and leaves the others. Ruled out: one port for all; callers tell engines apart by address.

--- a/src/limpet_standins/engine.py
+++ b/src/limpet_standins/engine.py
@@ -21,9 +21,11 @@
 from limpet_standins.holds import HoldCalls
 from limpet_standins.orders import OrderCalls
 from limpet_standins.serving import (
+    MakeEnded,
     StandIn,
     make_stand_in,
     refuse,
+    run_several,
     run_stand_in,
 )
 from limpet_standins.stream_calls import StreamCalls
@@ -195,6 +197,7 @@
     events_lag: Annotated[float, cappa.Arg(long=True)] = 0.5
     order_seconds: Annotated[float, cappa.Arg(long=True)] = 1.0
     weight_store: Annotated[str, cappa.Arg(long=True)] = ''
+    engines: Annotated[int, cappa.Arg(long=True)] = 0
 
     def __call__(self) -> None:
         """Run until stopped."""
@@ -216,11 +219,30 @@
             weight_store=self.weight_store,
             incarnation=time.time_ns(),
         )
+        if self.engines:
+            run_several(_make_several(settings, self.engines))
+            return
         run_stand_in(
             lambda address: make_engine(replace(settings, address=address)),
             self.listen,
         )
 
 
+def _make_several(
+    settings: EngineSettings,
+    engines: int,
+) -> dict[str, MakeEnded]:
+    numbers = range(1, engines + 1)
+    names = (f'{settings.name}-{number}' for number in numbers)
+    return {name: _make_named(replace(settings, name=name)) for name in names}
+
+
+def _make_named(settings: EngineSettings) -> MakeEnded:
+    def make(address: str, end: Callable[[], None]) -> StandIn:
+        return make_engine(replace(settings, address=address), end=end)
+
+    return make
+
+
 if __name__ == '__main__':
     cappa.invoke(EngineCommand)
--- a/src/limpet_standins/serving.py
+++ b/src/limpet_standins/serving.py
@@ -50,6 +50,10 @@
         return self.fallback
 
 
+# Makes a stand-in for its address; the call that it gets ends it.
+MakeEnded = Callable[[str, Callable[[], None]], StandIn]
+
+
 def make_stand_in(
     *,
     name: str,
@@ -100,11 +104,51 @@
     trio.run(_run, make, listen_at)
 
 
+def run_several(makes: dict[str, MakeEnded]) -> None:
+    """Run stand-ins by name in one process, each on a port of its own."""
+    trio.run(_run_several, makes)
+
+
 async def _run(make: Callable[[str], StandIn], listen_at: str) -> None:
-    listeners = await listen(parse_address(listen_at))
+    async with trio.open_nursery() as nursery:
+        listeners = await listen(parse_address(listen_at))
+        address = str(bound_address(listeners))
+        stand_in = make(address)
+        logs.set_up(stand_in.name, 'warning')
+        await nursery.start(_serve, stand_in, listeners)
+        _announce({'name': stand_in.name, 'address': address})
+
+
+async def _run_several(makes: dict[str, MakeEnded]) -> None:
+    ready = {}
+    async with trio.open_nursery() as nursery:
+        for name, make in makes.items():
+            ready[name] = await nursery.start(_run_ended, make)
+        logs.set_up(next(iter(makes)), 'warning')
+        _announce(ready)
+
+
+async def _run_ended(
+    make: MakeEnded,
+    *,
+    task_status: trio.TaskStatus,
+) -> None:
+    """Run one stand-in until its fault ends it; connections close then."""
+    listeners = await listen(parse_address('127.0.0.1:0'))
     address = str(bound_address(listeners))
-    stand_in = make(address)
-    logs.set_up(stand_in.name, 'warning')
+    with trio.CancelScope() as scope:
+        stand_in = make(address, scope.cancel)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(_serve, stand_in, listeners)
+            task_status.started(address)
+
+
+async def _serve(
+    stand_in: StandIn,
+    listeners: list[trio.SocketListener],
+    *,
+    task_status: trio.TaskStatus,
+) -> None:
     server = Server(
         handler=stand_in.handle,
         limits=ServerLimits(body_bytes=BODY_LIMIT_BYTES),
@@ -117,7 +161,10 @@
         for task in stand_in.tasks:
             nursery.start_soon(task)
         await nursery.start(trio.serve_listeners, serve, listeners)
-        ready = {'name': stand_in.name, 'address': address}
-        line = encode_line(ready).decode()
-        sys.stdout.write(line)
-        sys.stdout.flush()
+        task_status.started()
+
+
+def _announce(ready: dict[str, str]) -> None:
+    line = encode_line(ready).decode()
+    sys.stdout.write(line)
+    sys.stdout.flush()
