Add limpet-load: experiments, records, figures, report and plots

Cause: policies and faults could not be measured against real entries. Change: limpetdrift.loads reads an experiment by the checked loader, draws seeded Poisson arrivals, sends them with the client library, checks each answer by an injected checker and writes JSON lines, a Markdown report and plots. limpet-load works on a running site and starts no process; limpet_standins.experiment starts a site for each case. A call may bound its sends, so that a refusal is seen as it came. Weighed: percentiles over all records against HdrHistogram; the latter, since figures of several runs stay small. The rate counts only prefill work that one cache over all engines would not save, as the in-process benchmark does. Tests: tests/test_load.py, 19 passed. Conclusion: the first experiments can be run.

--- /dev/null
+++ b/src/limpet_standins/experiment.py
@@ -0,0 +1,242 @@
+"""Starts a stand-in site for each case of an experiment and loads it.
+
+    python -m limpet_standins.experiment experiments/simu-kona-80.yaml \
+        --out load-run
+
+Engines of one failure domain share processes; the platform's services are
+left out, since nothing in these loads asks for them.
+"""
+
+import secrets
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated, Any
+
+import cappa
+import yaml
+
+from limpet_standins.answers import expected_text
+from limpet_standins.processes import Processes, free_address
+from limpet_standins.remote import RemoteError, fetch_json
+from limpet_standins.small_site import FAILURE_DOMAINS, REGION
+from limpetdrift.callers.access import hash_key
+from limpetdrift.loads.experiment import Experiment, Fault, FaultKind
+from limpetdrift.loads.output import keep_runs
+from limpetdrift.loads.running import run_experiment
+from limpetdrift.loads.site import Site
+from limpetdrift.programs.load import read_experiment
+from limpetdrift.transport.messages import parse_address
+
+_MANY = 1_000_000
+
+
+@dataclass(kw_only=True)
+class StartedSite:
+    """The processes of a site, with each engine's address by name."""
+
+    processes: Processes
+    experiment: Experiment
+    keys: dict[str, str]
+    engines: dict[str, str] = field(default_factory=dict)
+    hosts: list[str] = field(default_factory=list)
+    nodes: list[dict[str, Any]] = field(default_factory=list)
+
+    async def cause(self, fault: Fault) -> None:
+        """Make a fault happen."""
+        if fault.kind is FaultKind.KILL_ENTRY:
+            self.processes.kill(self.nodes[fault.number - 1]['name'])
+        elif fault.kind is FaultKind.KILL_ENGINE:
+            await self._end_engine(fault.number - 1)
+        else:
+            self._cut_domain(fault.number - 1)
+
+    async def _end_engine(self, index: int) -> None:
+        address = list(self.engines.values())[index]
+        try:
+            await fetch_json(
+                address,
+                'POST',
+                '/control/faults',
+                {'exit': True},
+            )
+        except RemoteError:
+            return
+
+    def _cut_domain(self, index: int) -> None:
+        for number, host in enumerate(self.hosts):
+            if _domain(number) == FAILURE_DOMAINS[index]:
+                self.processes.kill(host)
+        for node in self.nodes:
+            if node['failure_domain'] == FAILURE_DOMAINS[index]:
+                self.processes.kill(node['name'])
+
+
+def is_whole(model: str, prompt: str, max_tokens: int, text: str) -> bool:
+    """Tell whether the text is what the engines answer."""
+    return text == ''.join(expected_text(model, prompt, max_tokens))
+
+
+@contextmanager
+def open_site(experiment: Experiment, policy: str) -> Iterator[Site]:
+    """Start a site whose entries use the policy; stop it at the end."""
+    keys = {name: secrets.token_hex() for name in experiment.accounts}
+    with Processes() as processes:
+        started = StartedSite(
+            processes=processes,
+            experiment=experiment,
+            keys=keys,
+        )
+        _start_engines(started)
+        _start_entries(started, policy)
+        yield Site(
+            entries=tuple(
+                parse_address(node['caller_address']) for node in started.nodes
+            ),
+            engines=tuple(map(parse_address, started.engines.values())),
+            keys=keys,
+            check=is_whole,
+            cause=started.cause,
+        )
+
+
+def _start_engines(started: StartedSite) -> None:
+    sizes = started.experiment.sizes
+    hosts = min(sizes.engine_processes, sizes.engines)
+    for number in range(hosts):
+        count = len(range(number, sizes.engines, hosts))
+        name = _name('engines', number)
+        started.processes.spawn(
+            name,
+            'limpet_standins.engine',
+            '--name',
+            name,
+            '--engines',
+            str(count),
+            '--model',
+            started.experiment.model,
+            '--memory-tokens',
+            str(sizes.memory_tokens),
+            '--prefill-rate',
+            str(sizes.prefill_tokens_per_second),
+            '--chunk-tokens',
+            str(sizes.chunk_tokens),
+            '--step-seconds',
+            str(sizes.step_seconds),
+        )
+        started.hosts.append(name)
+    for host in started.hosts:
+        ready = started.processes.wait_ready(host)
+        started.engines.update(ready.addresses)
+
+
+def _start_entries(started: StartedSite, policy: str) -> None:
+    started.nodes += [
+        _node(number) for number in range(started.experiment.sizes.entries)
+    ]
+    processes = started.processes
+    site_file = processes.write('site.yaml', yaml.safe_dump(_offer(started)))
+    secret = processes.write('secret', secrets.token_hex())
+    for node in started.nodes:
+        settings = {
+            'name': node['name'],
+            'region': REGION,
+            'site': started.experiment.name,
+            'failure_domain': node['failure_domain'],
+            'caller_listen': node['caller_address'],
+            'peer_listen': node['peer_address'],
+            'peer_secret': {'file': str(secret)},
+            'operator_secret': {'file': str(secret)},
+            'site_file': str(site_file),
+            'placement_policy': policy,
+            'endpoints': _endpoints(started),
+            'peers': [each for each in started.nodes if each is not node],
+        }
+        name = node['name']
+        path = processes.write(f'{name}.yaml', yaml.safe_dump(settings))
+        module = 'limpetdrift.programs.entry'
+        processes.spawn(name, module, '--settings', str(path))
+    for node in started.nodes:
+        processes.wait_ready(node['name'])
+
+
+def _endpoints(started: StartedSite) -> list[dict[str, Any]]:
+    return [
+        {
+            'name': name,
+            'role': 'engine',
+            'address': address,
+            'failure_domain': _domain(_host_number(name)),
+            'service': '',
+            'model': started.experiment.model,
+        }
+        for name, address in started.engines.items()
+    ]
+
+
+def _host_number(engine: str) -> int:
+    return int(engine.split('-')[1]) - 1
+
+
+def _node(number: int) -> dict[str, Any]:
+    return {
+        'name': _name('entry', number),
+        'incarnation': 0,
+        'role': 'entry',
+        'region': REGION,
+        'failure_domain': _domain(number),
+        'caller_address': free_address(),
+        'peer_address': free_address(),
+    }
+
+
+def _name(kind: str, index: int) -> str:
+    number = index + 1
+    return f'{kind}-{number}'
+
+
+def _domain(number: int) -> str:
+    return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+
+
+def _offer(started: StartedSite) -> dict[str, Any]:
+    experiment = started.experiment
+    urgencies = {each.urgency for each in experiment.mix.lengths} - {''}
+    return {
+        'brand': experiment.name,
+        'models': {experiment.model: {'version': '1'}},
+        'accounts': {
+            name: {
+                'key_hashes': [hash_key(key)],
+                'requests': f'{_MANY}/s',
+                'tokens': f'{_MANY}k/s',
+                'concurrency': _MANY,
+            }
+            for name, key in started.keys.items()
+        },
+        'urgencies': {
+            name: {'rank': rank}
+            for rank, name in enumerate(('normal', *sorted(urgencies)))
+        },
+        'default_urgency': 'normal',
+    }
+
+
+@cappa.command(name='limpet-experiment')
+@dataclass
+class ExperimentCommand:
+    """Run an experiment on a site of stand-ins."""
+
+    experiment: Annotated[str, cappa.Arg(help='The YAML file.')]
+    out: Annotated[str, cappa.Arg(long=True)] = 'load-run'
+
+    def __call__(self) -> None:
+        """Run all cases and write records, report and plots."""
+        experiment = read_experiment(self.experiment)
+        runs = run_experiment(experiment, open_site)
+        keep_runs(Path(self.out), experiment, runs)
+
+
+if __name__ == '__main__':
+    cappa.invoke(ExperimentCommand)
--- a/src/limpetdrift/client.py
+++ b/src/limpetdrift/client.py
@@ -70,7 +70,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Call:
-    """One chat completion to ask for."""
+    """One chat completion to ask for.
+
+    ``most_sends`` bounds how often it is sent, resumptions aside; without it
+    the call is sent again until its deadline.
+    """
 
     model: str
     messages: tuple[ChatMessage, ...]
@@ -79,6 +83,7 @@
     urgency: str = ''
     idempotency_key: str = ''
     repeatable: bool = True
+    most_sends: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -215,7 +220,7 @@
             failure = await self._send(address, progress)
             if failure is None:
                 return Ok(_make_answer(progress))
-            if failure.reason in _FINAL_REASONS:
+            if _is_final(failure, progress):
                 return Error(failure)
             self._avoided[address] = trio.current_time()
             self._add_alternatives(failure)
@@ -326,6 +331,12 @@
     return headers
 
 
+def _is_final(failure: Failure, progress: _Progress) -> bool:
+    if failure.reason in _FINAL_REASONS:
+        return True
+    return progress.sends == progress.call.most_sends
+
+
 def _may_resume(failure: Failure, progress: _Progress) -> bool:
     if not progress.handle:
         return False
--- /dev/null
+++ b/src/limpetdrift/loads/sampling.py
@@ -0,0 +1,82 @@
+"""Samples the engines' load and the processors while a case runs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from limpetdrift.loads.experiment import Case
+from limpetdrift.loads.records import Sample
+from limpetdrift.protocol.enginereports import EngineLoad, make_engine_reports
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address
+
+SAMPLE_SECONDS = 1.0
+_PROCESSOR_TIMES = Path('/proc/stat')
+_IDLE_FIELDS = slice(3, 5)
+
+
+@dataclass(kw_only=True, slots=True)
+class ProcessorClock:
+    """The share of time that this machine's processors were idle."""
+
+    _idle: int = 0
+    _total: int = 0
+
+    def read_idle_share(self) -> float:
+        """Return the share since the call before; 0 where not known."""
+        if not _PROCESSOR_TIMES.exists():
+            return 0
+        line = _PROCESSOR_TIMES.read_text('ascii').partition('\n')[0]
+        times = [int(each) for each in line.split()[1:]]
+        idle, total = sum(times[_IDLE_FIELDS]), sum(times)
+        share = (idle - self._idle) / max(1, total - self._total)
+        self._idle = idle
+        self._total = total
+        return share
+
+
+@dataclass(kw_only=True)
+class Sampler:
+    """Takes a sample each second until cancelled."""
+
+    case: Case
+    engines: tuple[Address, ...]
+    in_flight: Callable[[], int]
+    samples: list[Sample] = field(default_factory=list)
+
+    async def run(self, started_at: float) -> None:
+        """Sample for ever."""
+        reports = make_engine_reports(HttpClient())
+        clock = ProcessorClock()
+        clock.read_idle_share()
+        while True:
+            await trio.sleep(SAMPLE_SECONDS)
+            loads: list[EngineLoad] = []
+            async with trio.open_nursery() as nursery:
+                for address in self.engines:
+                    nursery.start_soon(_ask, reports.load, address, loads)
+            at = trio.current_time() - started_at
+            self._add(at, clock.read_idle_share(), loads)
+
+    def _add(self, at: float, idle: float, loads: list[EngineLoad]) -> None:
+        self.samples.append(
+            Sample(
+                case=self.case,
+                at=at,
+                in_flight=self.in_flight(),
+                running=sum(each.running for each in loads),
+                waiting=sum(each.waiting for each in loads),
+                queued_tokens=sum(each.queued_prefill_tokens for each in loads),
+                held_tokens=sum(each.held_tokens for each in loads),
+                memory_tokens=sum(each.memory_tokens for each in loads),
+                idle_share=idle,
+            ),
+        )
+
+
+async def _ask(ask, address: Address, loads: list[EngineLoad]) -> None:
+    answer = await ask(address)
+    if answer.is_ok():
+        loads.append(answer.ok)
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,242 @@
+"""The load tool: arrivals, figures and report from records, complaints."""
+
+from dataclasses import replace
+
+import pytest
+
+from limpet_standins.experiment import open_site
+from limpetdrift.loads.arrivals import (
+    arrival_rate,
+    draw_arrivals,
+    draw_case,
+    ideal_hit_share,
+    messages_of,
+)
+from limpetdrift.loads.experiment import Case, load_experiment
+from limpetdrift.loads.figures import compute_figures, jain_index, measure
+from limpetdrift.loads.output import keep_runs, records_path
+from limpetdrift.loads.records import (
+    Record,
+    RunRecord,
+    append_run,
+    read_runs,
+)
+from limpetdrift.loads.report import write_report
+from limpetdrift.loads.running import run_experiment
+from limpetdrift.protocol.openai import prompt_text
+from limpetdrift.protocol.prompts import count_tokens, prefix_blocks
+
+TEXT = """
+name: tiny
+model: drift-small
+sizes:
+  {entries: 2, engines: 3, engine_processes: 2, prefill: 40k/s, step: 10ms,
+   memory: 64k}
+mix:
+  duration: 1500ms
+  lengths:
+    - {tokens: 1k, weight: 3, shared: 0.75}
+    - {tokens: 4k, weight: 1, shared: 0.75, urgency: urgent}
+    - {tokens: 16k, weight: 1, long: true}
+  long_every: 20
+  max_tokens: [4, 8]
+accounts: {desk: {weight: 3}, owners: {}}
+loads: [0.2]
+seeds: [1]
+without_long: false
+"""
+CASE = Case(policy='slack', load=0.5, seed=3)
+
+
+@pytest.fixture
+def experiment(tmp_path):
+    path = tmp_path / 'tiny.yaml'
+    path.write_text(TEXT, 'utf-8')
+    return load_experiment(str(path)).ok
+
+
+def complaints_of(tmp_path, old, new):
+    path = tmp_path / 'bad.yaml'
+    path.write_text(TEXT.replace(old, new), 'utf-8')
+    loaded = load_experiment(str(path))
+    assert loaded.is_error()
+    return {(each.key, each.line) for each in loaded.error}
+
+
+def record(number, **changes):
+    plain = Record(
+        case=CASE,
+        number=number,
+        account='desk',
+        tokens=1024,
+        long=False,
+        at=0.1,
+        ended=0.5,
+        first_token=0.1 * number,
+        whole=True,
+        sends=1,
+    )
+    return replace(plain, **changes)
+
+
+def test_arrivals_are_poisson_and_fixed_by_their_seed(experiment):
+    long_run = replace(
+        experiment,
+        mix=replace(experiment.mix, duration_seconds=500.0),
+    )
+    drawn = draw_arrivals(long_run, 7, 20.0)
+    assert drawn == draw_arrivals(long_run, 7, 20.0)
+    assert drawn != draw_arrivals(long_run, 8, 20.0)
+    times = [each.at for each in drawn]
+    gaps = [late - early for early, late in zip(times, times[1:], strict=False)]
+    mean = sum(gaps) / len(gaps)
+    squares = sum((gap - mean) ** 2 for gap in gaps) / len(gaps)
+    assert 0.045 < mean < 0.055
+    assert 0.9 < squares**0.5 / mean < 1.1
+    assert (
+        0.7 < sum(each.account == 'desk' for each in drawn) / len(drawn) < 0.8
+    )
+    assert sum(each.length.long for each in drawn) == (len(drawn) + 9) // 20
+
+
+def test_short_requests_are_the_same_without_long_ones(experiment):
+    with_long = draw_case(experiment, CASE)
+    without = draw_case(experiment, replace(CASE, with_long=False))
+    assert without == tuple(each for each in with_long if not each.length.long)
+    assert len(without) < len(with_long)
+
+
+def test_the_rate_makes_up_the_load_without_what_a_cache_gives(experiment):
+    long_run = replace(
+        experiment,
+        mix=replace(experiment.mix, duration_seconds=400.0),
+    )
+    drawn = draw_case(long_run, CASE)
+    work = sum(each.length.tokens for each in drawn)
+    work *= 1 - ideal_hit_share(long_run, drawn)
+    assert 0.45 < work / 400.0 / (3 * 40_000) < 0.55
+    twice = arrival_rate(long_run, replace(CASE, load=1.0))
+    assert 1.8 < twice / arrival_rate(long_run, CASE) < 2.2
+
+
+def test_prompts_have_their_length_and_share_their_group_s_prefix(experiment):
+    drawn = [
+        each
+        for each in draw_arrivals(experiment, 1, 200.0)
+        if each.group == 1 and each.length.tokens == 4096
+    ]
+    texts = [prompt_text(messages_of(each)) for each in drawn[:2]]
+    assert [count_tokens(text) for text in texts] == [4096, 4096]
+    first, second = map(prefix_blocks, texts)
+    shared = sum(one == other for one, other in zip(first, second, strict=True))
+    assert 11 <= shared <= 12
+
+
+def test_figures_of_fixed_records(experiment):
+    records = (
+        *(record(number) for number in range(1, 5)),
+        record(5, first_token=4.0, tokens=16_384, long=True, ended=1.8),
+        record(6, account='owners', whole=False),
+        record(
+            7,
+            account='owners',
+            whole=False,
+            first_token=None,
+            verdict='not-run',
+            reason='overloaded',
+            ended=0.25,
+        ),
+    )
+    run = RunRecord(case=CASE, requests=records, samples=())
+    figures = compute_figures(experiment, run)
+    assert figures.short.count == 4
+    assert figures.short.at[95] == pytest.approx(0.4, rel=0.01)
+    assert figures.short.at[50] == pytest.approx(0.2, rel=0.01)
+    assert figures.long.at[95] == pytest.approx(4.0, rel=0.01)
+    assert figures.idle_short == pytest.approx(1024 / 40_000, rel=0.01)
+    assert figures.goodput == pytest.approx(4 * 1024 / 1.5)
+    assert figures.account_shares == {'desk': 1.0, 'owners': 0.0}
+    assert figures.fairness == pytest.approx(0.5)
+    assert figures.wrong == 1
+    assert figures.reasons == {'overloaded (not-run)': 1}
+    assert figures.refusals.at[95] == pytest.approx(0.25, rel=0.01)
+
+
+def test_the_report_sets_short_p95_against_that_without_long(experiment):
+    without = replace(CASE, with_long=False)
+    pairs = ((CASE, 2.0), (without, 1.0))
+    runs = [
+        compute_figures(
+            experiment,
+            RunRecord(
+                case=case,
+                requests=(record(1, case=case, first_token=seconds),),
+                samples=(),
+            ),
+        )
+        for case, seconds in pairs
+    ]
+    report = write_report(experiment, runs)
+    assert '| 0.50 | slack | 2 | 2.00 | 2.0' in report
+
+
+def test_records_read_back_as_written(tmp_path):
+    run = RunRecord(case=CASE, requests=(record(1), record(2)), samples=())
+    path = tmp_path / 'runs.jsonl'
+    append_run(path, run)
+    assert read_runs(path) == (run,)
+
+
+def test_measures_of_nothing_and_of_equals():
+    assert measure(()).count == 0
+    assert jain_index([]) == 1.0
+    assert jain_index([1.0, 0.0, 0.0, 0.0]) == pytest.approx(0.25)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new', 'key', 'line'),
+    [
+        ('step: 10ms', 'step: 10', 'sizes.step', 5),
+        ('step: 10ms,', 'step: 10ms, stride: 1,', 'sizes.stride', 5),
+        ('loads: [0.2]', 'loads: [-1]', 'loads[0]', 16),
+        ('loads: [0.2]', 'loads: []', 'loads', 1),
+        ('seeds: [1]', 'policies: [fastest]\nseeds: [1]', 'policies[0]', 17),
+        (
+            'seeds: [1]',
+            'seeds: [1]\ntarget: {entries: [10.0.0.1:80]}',
+            'target.entries[0]',
+            18,
+        ),
+        (
+            'seeds: [1]',
+            'seeds: [1]\nfaults: [{at: 1s, kind: flood}]',
+            'faults[0].kind',
+            18,
+        ),
+        ('3, shared: 0.75', '3, shared: 1.5', 'mix.lengths[0].shared', 10),
+        ('without_long: false', 'without_long: no', 'without_long', 18),
+    ],
+)
+def test_a_bad_file_is_refused_with_key_and_line(tmp_path, old, new, key, line):
+    assert complaints_of(tmp_path, old, new) == {(key, line)}
+
+
+def test_a_comparison_without_long_needs_long_prompts(tmp_path):
+    text = TEXT.replace('long: true', 'long: false')
+    path = tmp_path / 'bad.yaml'
+    path.write_text(text.replace('without_long: false', ''), 'utf-8')
+    complaints = load_experiment(str(path)).error
+    assert [each.key for each in complaints] == ['without_long']
+
+
+def test_a_tiny_experiment_end_to_end(experiment, tmp_path):
+    keep_runs(tmp_path, experiment, run_experiment(experiment, open_site))
+    runs = read_runs(records_path(tmp_path, experiment))
+    assert len(runs) == 1
+    run = runs[0]
+    assert len(run.requests) == len(draw_case(experiment, run.case))
+    assert all(each.whole for each in run.requests)
+    assert {each.account for each in run.requests} == {'desk', 'owners'}
+    assert run.samples
+    assert 'slack' in (tmp_path / 'tiny.md').read_text('utf-8')
+    assert len(list(tmp_path.glob('*.png'))) == 3
