Count cached prompt tokens of each answer under load

Cause: how many prefix hits a policy got was not recorded. Change: the client asks for usage, reads on past the finish, and tells the cached tokens; a stream that breaks after its finish is whole all the same. The report sets the hits against those of one cache over all engines. Ruled out: counting at the engines, which do not know whose prompt it was.

--- a/src/limpetdrift/client.py
+++ b/src/limpetdrift/client.py
@@ -28,6 +28,7 @@
     ChatRequest,
     ErrorAnswer,
     Resumption,
+    StreamOptions,
 )
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -93,6 +94,7 @@
     text: str
     finish: str
     completion_tokens: int
+    cached_tokens: int
     first_token_seconds: float
     seconds: float
     sends: int
@@ -115,10 +117,16 @@
     offset: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Usage:
+    prompt_tokens_details: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Chunk:
     choices: tuple[_Choice, ...] = ()
     limpet: _Position = field(default_factory=_Position)
+    usage: _Usage | None = None
     error: msgspec.Raw | None = None
 
 
@@ -145,6 +153,7 @@
     texts: list[str] = field(default_factory=list)
     offset: int = 0
     finish: str = ''
+    cached_tokens: int = 0
     first_token_at: float | None = None
     sends: int = 0
     resumptions: int = 0
@@ -262,6 +271,8 @@
             async with opened as response:
                 return await _follow(response, progress)
         except FailureError as error:
+            if progress.finish:
+                return None
             if error.failure.verdict is not Verdict.NOT_RUN:
                 progress.verdict = Verdict.MAY_HAVE_RUN
             return error.failure
@@ -293,6 +304,7 @@
             messages=call.messages,
             max_tokens=call.max_tokens,
             stream=True,
+            stream_options=StreamOptions(include_usage=True),
             limpet=resumption,
         )
         return Request(
@@ -355,8 +367,8 @@
         if chunk.error is not None:
             return _read_error(chunk.error)
         _take_chunk(chunk, progress)
-        if progress.finish:
-            return None
+    if progress.finish:
+        return None
     return may_have_run(Reason.CONNECTION_BROKEN, 'no end of the stream')
 
 
@@ -371,6 +383,9 @@
 
 
 def _take_chunk(chunk: _Chunk, progress: _Progress) -> None:
+    if chunk.usage is not None:
+        details = chunk.usage.prompt_tokens_details
+        progress.cached_tokens = details.get('cached_tokens', 0)
     for choice in chunk.choices:
         if choice.delta.content:
             if progress.first_token_at is None:
@@ -413,6 +428,7 @@
         text=''.join(progress.texts),
         finish=progress.finish,
         completion_tokens=progress.offset,
+        cached_tokens=progress.cached_tokens,
         first_token_seconds=first - progress.started_at,
         seconds=now - progress.started_at,
         sends=progress.sends,
--- a/src/limpetdrift/loads/figures.py
+++ b/src/limpetdrift/loads/figures.py
@@ -9,6 +9,7 @@
 
 from hdrh.histogram import HdrHistogram
 
+from limpetdrift.loads.arrivals import draw_case, ideal_hit_share
 from limpetdrift.loads.experiment import (
     SHORT_PROMPT_TOKENS,
     Case,
@@ -50,6 +51,8 @@
     prompt tokens a second of answers that ended, whole, while requests still
     arrived and after the warm-up.
     ``fairness`` is Jain's index over the accounts' shares of whole answers.
+    ``hits`` is the share of prompt tokens found cached, by that of one cache
+    over all engines.
     """
 
     case: Case
@@ -59,6 +62,7 @@
     idle_short: float
     goodput: float
     fairness: float
+    hits: float
     account_shares: dict[str, float]
     refusals: Times
     reasons: dict[str, int]
@@ -86,6 +90,7 @@
         idle_short=_idle_short(experiment, short),
         goodput=_goodput(experiment, run.requests),
         fairness=jain_index(list(shares.values())),
+        hits=_hits(experiment, run),
         account_shares=shares,
         refusals=measure(
             each.ended for each in kept if each.verdict == _NOT_RUN
@@ -178,6 +183,14 @@
     return done / (mix.duration_seconds - mix.warm_up_seconds)
 
 
+def _hits(experiment: Experiment, run: RunRecord) -> float:
+    ideal = ideal_hit_share(experiment, draw_case(experiment, run.case))
+    whole = [each for each in run.requests if each.whole]
+    cached = sum(each.cached_tokens for each in whole)
+    total = sum(each.tokens for each in whole)
+    return cached / max(1, total) / ideal if ideal else 0
+
+
 def _count_reasons(records: list[Record]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for record in records:
--- a/src/limpetdrift/loads/records.py
+++ b/src/limpetdrift/loads/records.py
@@ -30,6 +30,7 @@
     verdict: str = ''
     reason: str = ''
     whole: bool = False
+    cached_tokens: int = 0
     sends: int = 0
     resumptions: int = 0
 
--- a/src/limpetdrift/loads/report.py
+++ b/src/limpetdrift/loads/report.py
@@ -121,6 +121,7 @@
         'long p95 s',
         'goodput k tokens/s',
         'fairness',
+        'hits by one cache',
     )
     return _table(headings, [_policy_row(each) for each in groups])
 
@@ -136,6 +137,7 @@
         spread(_slow(run.long) for run in runs),
         spread((run.goodput / _KILO for run in runs), 1),
         spread((run.fairness for run in runs), 3),
+        spread(run.hits for run in runs),
     ]
 
 
--- a/src/limpetdrift/loads/running.py
+++ b/src/limpetdrift/loads/running.py
@@ -128,6 +128,7 @@
             verdict=failure.verdict if failure else '',
             reason=failure.reason if failure else '',
             whole=whole,
+            cached_tokens=answer.cached_tokens if answer else 0,
             sends=answer.sends if answer else 0,
             resumptions=answer.resumptions if answer else 0,
         )
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -236,6 +236,7 @@
     run = runs[0]
     assert len(run.requests) == len(draw_case(experiment, run.case))
     assert all(each.whole for each in run.requests)
+    assert any(each.cached_tokens for each in run.requests)
     assert {each.account for each in run.requests} == {'desk', 'owners'}
     assert run.samples
     assert 'slack' in (tmp_path / 'tiny.md').read_text('utf-8')
