--- a/src/limpet_standins/experiment.py
+++ b/src/limpet_standins/experiment.py
@@ -10,7 +10,7 @@
 import secrets
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -230,10 +230,23 @@
 
     experiment: Annotated[str, cappa.Arg(help='The YAML file.')]
     out: Annotated[str, cappa.Arg(long=True)] = 'load-run'
+    seed: Annotated[
+        list[int],
+        cappa.Arg(long=True, help='Only this seed; may be repeated.'),
+    ] = field(default_factory=list)
+    policy: Annotated[
+        list[str],
+        cappa.Arg(long=True, help='Only this policy; may be repeated.'),
+    ] = field(default_factory=list)
 
     def __call__(self) -> None:
-        """Run all cases and write records, report and plots."""
-        experiment = read_experiment(self.experiment)
+        """Run the cases and write records, report and plots."""
+        whole = read_experiment(self.experiment)
+        experiment = replace(
+            whole,
+            seeds=tuple(self.seed) or whole.seeds,
+            policies=tuple(self.policy) or whole.policies,
+        )
         runs = run_experiment(experiment, open_site)
         keep_runs(Path(self.out), experiment, runs)
 
