Test a load with an engine and an entry killed

Cause: faults in an experiment were not covered by a test. Change: a tiny experiment, with one of two engines of a process ended and an entry killed; every answer is whole and the other engines go on. Proof: with the engine's exit fault ending the whole process, the test fails.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -12,7 +12,12 @@
     ideal_hit_share,
     messages_of,
 )
-from limpetdrift.loads.experiment import Case, load_experiment
+from limpetdrift.loads.experiment import (
+    Case,
+    Fault,
+    FaultKind,
+    load_experiment,
+)
 from limpetdrift.loads.figures import compute_figures, jain_index, measure
 from limpetdrift.loads.output import keep_runs, records_path
 from limpetdrift.loads.records import (
@@ -241,3 +246,16 @@
     assert run.samples
     assert 'slack' in (tmp_path / 'tiny.md').read_text('utf-8')
     assert len(list(tmp_path.glob('*.png'))) == 3
+
+
+def test_an_engine_and_an_entry_killed_on_the_way(experiment, tmp_path):
+    faults = (
+        Fault(kind=FaultKind.KILL_ENGINE, at_seconds=0.5),
+        Fault(kind=FaultKind.KILL_ENTRY, at_seconds=0.7, number=2),
+    )
+    hurt = replace(experiment, faults=faults)
+    runs = tuple(run_experiment(hurt, open_site))
+    assert len(runs) == 1
+    assert all(each.whole for each in runs[0].requests)
+    memory = {each.memory_tokens for each in runs[0].samples}
+    assert min(memory) == 2 * experiment.sizes.memory_tokens
