Test limpet-load against a running site

Cause: the program's own path, a target in the file, had no test. Change: load a small site by its addresses, write the report anew, and refuse a file without a target. Tests: the two, 2 passed.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -28,6 +28,7 @@
 )
 from limpetdrift.loads.report import write_report
 from limpetdrift.loads.running import run_experiment
+from limpetdrift.programs import load as load_program
 from limpetdrift.protocol.openai import prompt_text
 from limpetdrift.protocol.prompts import count_tokens, prefix_blocks
 
@@ -259,3 +260,48 @@
     assert all(each.whole for each in runs[0].requests)
     memory = {each.memory_tokens for each in runs[0].samples}
     assert min(memory) == 2 * experiment.sizes.memory_tokens
+
+
+def run_program(monkeypatch, *arguments):
+    monkeypatch.setattr('sys.argv', ['limpet-load', *arguments])
+    load_program.main()
+
+
+def test_the_program_loads_a_running_site(experiment, tmp_path, monkeypatch):
+    path = tmp_path / 'run.yaml'
+    with open_site(experiment, 'slack') as site:
+        for name, key in site.keys.items():
+            monkeypatch.setenv(f'KEY_{name}', key)
+        keys = [
+            f'{each}: {{key: {{environment: KEY_{each}}}}}'
+            for each in site.keys
+        ]
+        accounts = ', '.join(keys)
+        entries = ', '.join(map(str, site.entries))
+        engines = ', '.join(map(str, site.engines))
+        lines = TEXT.replace(
+            'accounts: {desk: {weight: 3}, owners: {}}',
+            f'accounts: {{{accounts}}}',
+        )
+        target = (
+            f'target: {{entries: [{entries}], engines: [{engines}], '
+            'checker: "limpet_standins.experiment:is_whole"}\n'
+        )
+        path.write_text(lines + target, 'utf-8')
+        out = tmp_path / 'out'
+        run_program(monkeypatch, str(path), '--out', str(out))
+    report = out / 'tiny.md'
+    first = report.read_text('utf-8')
+    run_program(monkeypatch, str(path), '--out', str(out), '--report')
+    assert report.read_text('utf-8') == first
+    runs = read_runs(out / 'tiny.jsonl')
+    assert all(each.whole for each in runs[0].requests)
+
+
+def test_the_program_refuses_what_it_cannot_load(tmp_path, monkeypatch, capsys):
+    path = tmp_path / 'run.yaml'
+    path.write_text(TEXT, 'utf-8')
+    with pytest.raises(SystemExit) as stopped:
+        run_program(monkeypatch, str(path))
+    assert stopped.value.code == 2
+    assert 'target' in capsys.readouterr().err
