--- a/src/limpetdrift/client.py
+++ b/src/limpetdrift/client.py
@@ -28,6 +28,7 @@
     ChatRequest,
     ErrorAnswer,
     Resumption,
+    StreamOptions,
 )
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -70,7 +71,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Call:
-    """One chat completion to ask for."""
+    """One chat completion to ask for.
+
+    ``most_sends`` bounds how often it is sent, resumptions aside; without it
+    the call is sent again until its deadline.
+    """
 
     model: str
     messages: tuple[ChatMessage, ...]
@@ -79,6 +84,7 @@
     urgency: str = ''
     idempotency_key: str = ''
     repeatable: bool = True
+    most_sends: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,6 +94,7 @@
     text: str
     finish: str
     completion_tokens: int
+    cached_tokens: int
     first_token_seconds: float
     seconds: float
     sends: int
@@ -110,10 +117,16 @@
     offset: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Usage:
+    prompt_tokens_details: dict[str, int] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Chunk:
     choices: tuple[_Choice, ...] = ()
     limpet: _Position = field(default_factory=_Position)
+    usage: _Usage | None = None
     error: msgspec.Raw | None = None
 
 
@@ -140,6 +153,7 @@
     texts: list[str] = field(default_factory=list)
     offset: int = 0
     finish: str = ''
+    cached_tokens: int = 0
     first_token_at: float | None = None
     sends: int = 0
     resumptions: int = 0
@@ -216,7 +230,7 @@
             failure = await self._send(address, progress)
             if failure is None:
                 return Ok(_make_answer(progress))
-            if failure.reason in _FINAL_REASONS:
+            if _is_final(failure, progress):
                 return Error(failure)
             self._avoided[address] = trio.current_time()
             self._add_alternatives(failure)
@@ -258,6 +272,8 @@
             async with opened as response:
                 return await _follow(response, progress)
         except FailureError as error:
+            if progress.finish:
+                return None
             if error.failure.verdict is not Verdict.NOT_RUN:
                 progress.verdict = Verdict.MAY_HAVE_RUN
             return error.failure
@@ -289,6 +305,7 @@
             messages=call.messages,
             max_tokens=call.max_tokens,
             stream=True,
+            stream_options=StreamOptions(include_usage=True),
             limpet=resumption,
         )
         return Request(
@@ -327,6 +344,12 @@
     return headers
 
 
+def _is_final(failure: Failure, progress: _Progress) -> bool:
+    if failure.reason in _FINAL_REASONS:
+        return True
+    return progress.sends == progress.call.most_sends
+
+
 def _may_resume(failure: Failure, progress: _Progress) -> bool:
     if not progress.handle:
         return False
@@ -345,8 +368,8 @@
         if chunk.error is not None:
             return _read_error(chunk.error)
         _take_chunk(chunk, progress)
-        if progress.finish:
-            return None
+    if progress.finish:
+        return None
     return may_have_run(Reason.CONNECTION_BROKEN, 'no end of the stream')
 
 
@@ -361,6 +384,9 @@
 
 
 def _take_chunk(chunk: _Chunk, progress: _Progress) -> None:
+    if chunk.usage is not None:
+        details = chunk.usage.prompt_tokens_details
+        progress.cached_tokens = details.get('cached_tokens', 0)
     for choice in chunk.choices:
         if choice.delta.content:
             if progress.first_token_at is None:
@@ -403,6 +429,7 @@
         text=''.join(progress.texts),
         finish=progress.finish,
         completion_tokens=progress.offset,
+        cached_tokens=progress.cached_tokens,
         first_token_seconds=first - progress.started_at,
         seconds=now - progress.started_at,
         sends=progress.sends,
--- a/src/limpetdrift/programs/runparts.py
+++ b/src/limpetdrift/programs/runparts.py
@@ -22,7 +22,6 @@
 )
 from limpetdrift.coordination.placer import Placer, PlacerInputs
 from limpetdrift.coordination.policies import (
-    DEFAULT_POLICY,
     POLICIES,
     ProbeState,
 )
@@ -77,7 +76,8 @@
 ) -> RunParts:
     """Return the parts; their messages are offered to peers."""
     reports = make_engine_reports(wiring.client)
-    home = Home(policy=POLICIES[DEFAULT_POLICY], reports=reports)
+    policy = POLICIES[wiring.settings.placement_policy]
+    home = Home(policy=policy, reports=reports)
     home.mount(wiring.messages)
     placer = Placer(
         inputs=PlacerInputs(
