--- a/src/limpetdrift/coordination/gossip.py
+++ b/src/limpetdrift/coordination/gossip.py
@@ -20,6 +20,7 @@
 from limpetdrift.protocol.gossip import (
     EndpointRecord,
     GossipMessage,
+    Listed,
     MemberRecord,
     MemberState,
     Standing,
@@ -73,7 +74,8 @@
         self.members = MemberTable()
         self.endpoints: RecordTable[EndpointRecord] = RecordTable(
             join=join_endpoints,
-            hashed=lambda record: True,
+            hashed=_is_hashed,
+            receivers=self.members.__len__,
         )
         self.contacts = Contacts()
         self._node = node
@@ -139,8 +141,14 @@
         self,
         members: Iterable[MemberRecord] = (),
         endpoints: Iterable[EndpointRecord] = (),
+        *,
+        hand_out: bool = True,
     ) -> None:
-        """Merge records and tell the hooks what was new."""
+        """Merge records and tell the hooks what was new.
+
+        Endpoint records that all nodes come by themselves need no handing
+        out.
+        """
         now = trio.current_time()
         new_members = tuple(
             record
@@ -151,7 +159,9 @@
         if new_members:
             self._hooks.on_members(new_members)
         new_endpoints = tuple(
-            record for record in endpoints if self.endpoints.merge(record)
+            record
+            for record in endpoints
+            if self.endpoints.merge(record, hand_out=hand_out)
         )
         if new_endpoints:
             self._hooks.on_endpoints(new_endpoints)
@@ -216,3 +226,7 @@
                 held=self.members.doubt(message.sender),
             ),
         )
+
+
+def _is_hashed(record: EndpointRecord) -> bool:
+    return record.listed is not Listed.ABSENT
