Serve plain services by name, with verdicts, retries and claims

Callers reach a plain service below /services/{name}/; the routing table gets a pattern for the rest of a path. An instance is the better of two drawn, by its reported load and the calls started there since. Load is read when an instance is used, at most every 0.5 s for each instance, so an idle service costs nothing. Calls that may be repeated are retried under the retry budget; others only while proved not to have run. With an idempotency key they run under a claim, and a resend waits for the owner's end and then reads the claim again, so one place tells what became of it.

A time limit of half the deadline for each attempt was weighed and left out: a service that always needs more than half would never answer; a repeatable call has twice the service's timeout in place of it.

Reading deadline, key and mark moved from the chat API to callers/headers.

The state machine fails with each mechanism switched off: without claims and with retries of anything a call runs twice, without the check of whose answer it is a foreign body comes back, and with unproved verdicts not-run is untrue. A resend's wait switched off leaves resends without the first answer.

--- a/src/limpet_standins/service.py
+++ b/src/limpet_standins/service.py
@@ -16,11 +16,10 @@
 from limpet_standins.serving import (
     StandIn,
     make_stand_in,
-    refuse,
     run_stand_in,
 )
 from limpetdrift.protocol.codec import JSON_HEADERS, encode, json_response
-from limpetdrift.transport.messages import Response
+from limpetdrift.transport.messages import Headers, Request, Response
 from limpetdrift.transport.routing import Parameters
 from limpetdrift.transport.server import Exchange
 
@@ -38,6 +37,13 @@
     return encode({'method': method, 'path': path, 'received': received})
 
 
+def _identity(request: Request) -> Headers:
+    return tuple(
+        (name, request.header(name))
+        for name in (REQUEST_KEY_HEADER, ATTEMPT_HEADER)
+    )
+
+
 class PlainService:
     """Runs calls side by side, up to its capacity."""
 
@@ -69,8 +75,13 @@
         """Run one call, or refuse it."""
         refusal = self._refusal()
         if refusal:
-            status = HTTPStatus.SERVICE_UNAVAILABLE
-            await refuse(exchange, status, refusal)
+            await exchange.respond(
+                json_response(
+                    {'code': refusal},
+                    status=HTTPStatus.SERVICE_UNAVAILABLE,
+                    headers=_identity(exchange.request),
+                ),
+            )
             return
         self._in_flight += 1
         try:
@@ -102,6 +113,7 @@
         await trio.sleep(self._work_seconds * faults.slow)
         headers = (
             *JSON_HEADERS,
+            *_identity(request),
             ('x-instance', self._name),
             ('x-run', str(number)),
         )
--- a/src/limpetdrift/callers/chat.py
+++ b/src/limpetdrift/callers/chat.py
@@ -21,13 +21,16 @@
     text_event,
     usage_event,
 )
+from limpetdrift.callers.headers import (
+    read_deadline,
+    read_key,
+    read_repeatable,
+)
 from limpetdrift.coordination.owner import Owner
 from limpetdrift.protocol.codec import decode, json_response
 from limpetdrift.protocol.openai import (
-    DEADLINE_HEADER,
     DEFAULT_MAX_TOKENS,
     KEY_HEADER,
-    REPEATABLE_HEADER,
     STREAM_HEADER,
     URGENCY_HEADER,
     ChatRequest,
@@ -43,9 +46,6 @@
 from limpetdrift.transport.server import Exchange
 
 KEEPALIVE_SECONDS = 1.0
-LONGEST_DEADLINE_SECONDS = 3600.0
-LONGEST_KEY = 200
-_WORDS = {'true': True, 'false': False, '': True}
 
 Admit = Callable[[RunRequest], Result[None, Failure]]
 ReadSite = Callable[[], SiteConfig]
@@ -223,38 +223,24 @@
     urgency = site.urgencies.get(urgency_name)
     if urgency is None:
         return Error(not_run(Reason.BAD_REQUEST, f'urgency {urgency_name!r}'))
-    repeatable = _WORDS.get(request.header(REPEATABLE_HEADER).lower())
-    if repeatable is None:
-        return Error(not_run(Reason.BAD_REQUEST, REPEATABLE_HEADER))
-    key = request.header(KEY_HEADER)
-    if len(key) > LONGEST_KEY or not (key or repeatable):
+    repeatable = read_repeatable(request, default=True)
+    if repeatable.is_error():
+        return Error(repeatable.error)
+    key = read_key(request)
+    if key.is_error():
+        return Error(key.error)
+    if not (key.ok or repeatable.ok):
         return Error(not_run(Reason.BAD_REQUEST, KEY_HEADER))
-    return _read_deadline(request, urgency).map(
+    return read_deadline(request, urgency.deadline_seconds).map(
         lambda seconds: _Options(
-            key=key or owner.make_handle(),
-            repeatable=repeatable,
+            key=key.ok or owner.make_handle(),
+            repeatable=repeatable.ok,
             urgency=urgency,
             deadline_seconds=seconds,
         ),
     )
 
 
-def _read_deadline(
-    request: Request,
-    urgency: UrgencyConfig,
-) -> Result[float, Failure]:
-    given = request.header(DEADLINE_HEADER)
-    if not given:
-        return Ok(urgency.deadline_seconds)
-    try:
-        seconds = float(given)
-    except ValueError:
-        return Error(not_run(Reason.BAD_REQUEST, DEADLINE_HEADER))
-    if 0 < seconds <= LONGEST_DEADLINE_SECONDS:
-        return Ok(seconds)
-    return Error(not_run(Reason.BAD_REQUEST, DEADLINE_HEADER))
-
-
 def _make_run_request(
     chat: ChatRequest,
     options: _Options,
--- /dev/null
+++ b/src/limpetdrift/callers/headers.py
@@ -0,0 +1,52 @@
+"""What callers say of a request in its headers, read and checked."""
+
+from expression import Error, Ok, Result
+
+from limpetdrift.protocol.openai import (
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    REPEATABLE_HEADER,
+)
+from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.transport.messages import Request
+
+LONGEST_DEADLINE_SECONDS = 3600.0
+LONGEST_KEY = 200
+_WORDS = {'true': True, 'false': False}
+
+
+def read_repeatable(
+    request: Request,
+    default: bool,
+) -> Result[bool, Failure]:
+    """Return whether the request is marked repeatable."""
+    given = request.header(REPEATABLE_HEADER).lower()
+    repeatable = _WORDS.get(given, None if given else default)
+    if repeatable is None:
+        return Error(not_run(Reason.BAD_REQUEST, REPEATABLE_HEADER))
+    return Ok(repeatable)
+
+
+def read_key(request: Request) -> Result[str, Failure]:
+    """Return the idempotency key, empty where there is none."""
+    key = request.header(KEY_HEADER)
+    if len(key) > LONGEST_KEY:
+        return Error(not_run(Reason.BAD_REQUEST, KEY_HEADER))
+    return Ok(key)
+
+
+def read_deadline(
+    request: Request,
+    default_seconds: float,
+) -> Result[float, Failure]:
+    """Return the seconds that the request may take."""
+    given = request.header(DEADLINE_HEADER)
+    if not given:
+        return Ok(default_seconds)
+    try:
+        seconds = float(given)
+    except ValueError:
+        return Error(not_run(Reason.BAD_REQUEST, DEADLINE_HEADER))
+    if 0 < seconds <= LONGEST_DEADLINE_SECONDS:
+        return Ok(seconds)
+    return Error(not_run(Reason.BAD_REQUEST, DEADLINE_HEADER))
--- /dev/null
+++ b/src/limpetdrift/coordination/services.py
@@ -0,0 +1,247 @@
+"""Serves calls to plain services: choice of an instance, retries, verdicts.
+
+A call that may be repeated is sent again elsewhere, within its deadline and
+the retry budget. Any other is sent again only while it is proved not to have
+run; with an idempotency key it runs under a claim, and a resend of it gets
+the first answer.
+"""
+
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+import trio
+from expression import Error, Result
+
+from limpetdrift import telemetry
+from limpetdrift.coordination.servicemessages import ServiceRequest
+from limpetdrift.protocol.node import Endpoint, Role
+from limpetdrift.protocol.service import ServiceCall, ServiceCalls
+from limpetdrift.protocol.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    not_run,
+)
+from limpetdrift.state.retrybudget import RetryBudget
+from limpetdrift.state.serviceuse import ServiceUse
+from limpetdrift.transport.messages import Response
+
+ATTEMPT_LIMIT = 4
+RETRY_PAUSE_SECONDS = 0.02
+RETRY_AFTER_SECONDS = 1.0
+_JITTER = (0.5, 1.5)
+
+_FINAL_REASONS = frozenset(
+    (
+        Reason.CONFLICT,
+        Reason.STORE_UNAVAILABLE,
+        Reason.STORE_RATE,
+        Reason.CLAIMED_ELSEWHERE,
+        Reason.OWNER_UNREACHABLE,
+        Reason.DEADLINE,
+        Reason.NO_ENDPOINT,
+    ),
+)
+
+Answered = Result[Response, Failure]
+Dispatch = Callable[[], Awaitable[Answered]]
+
+
+@dataclass(kw_only=True, slots=True)
+class Course:
+    """How far one request has come: its attempts, and what is known."""
+
+    request: ServiceRequest
+    attempts: int = 0
+    verdict: Verdict = Verdict.NOT_RUN
+    excluded: set[str] = field(default_factory=set)
+
+    @property
+    def stream_id(self) -> str:
+        """The name of the current attempt."""
+        handle = self.request.handle
+        return f'{handle}.{self.attempts}'
+
+
+RunOnce = Callable[[Course, Endpoint, Dispatch], Awaitable[Answered]]
+
+
+async def refuse_once(
+    course: Course,
+    endpoint: Endpoint,
+    dispatch: Dispatch,
+) -> Answered:
+    """Stand in for ``SingleServiceCalls.run`` without a table service."""
+    return Error(
+        not_run(Reason.STORE_UNAVAILABLE, 'no table service in the settings'),
+    )
+
+
+class ServiceCaller:
+    """Brings calls to their answer or failure by their deadline."""
+
+    def __init__(
+        self,
+        *,
+        calls: ServiceCalls,
+        endpoints: Callable[[], tuple[Endpoint, ...]],
+        run_once: RunOnce,
+        budget: RetryBudget,
+        nursery: trio.Nursery,
+        randomness: random.Random,
+    ) -> None:
+        self._calls = calls
+        self._endpoints = endpoints
+        self._run_once = run_once
+        self._budget = budget
+        self._nursery = nursery
+        self._random = randomness
+        self._use = ServiceUse(randomness=randomness)
+        self._active = 0
+
+    @property
+    def active(self) -> int:
+        """The number of calls that have not ended."""
+        return self._active
+
+    async def serve(self, request: ServiceRequest) -> Answered:
+        """Serve one call; the failure says whether it may have run."""
+        self._budget.earn()
+        course = Course(request=request)
+        self._active += 1
+        outcome: Answered = Error(not_run(Reason.INTERNAL))
+        try:
+            outcome = await self._serve_in_time(course)
+        finally:
+            self._active -= 1
+        reason = 'finished' if outcome.is_ok() else outcome.error.reason
+        telemetry.count('service_calls', reason=reason)
+        return outcome
+
+    async def _serve_in_time(self, course: Course) -> Answered:
+        with trio.move_on_at(course.request.deadline):
+            return await self._attempt_until_ended(course)
+        return Error(
+            Failure(
+                verdict=course.verdict,
+                reason=Reason.DEADLINE,
+                detail='the deadline passed',
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            ),
+        )
+
+    async def _attempt_until_ended(self, course: Course) -> Answered:
+        while True:
+            course.attempts += 1
+            outcome = await self._attempt(course)
+            if outcome.is_ok():
+                return outcome
+            final = self._final_failure(course, outcome.error)
+            if final is not None:
+                return Error(final)
+            telemetry.count('retries', reason=outcome.error.reason)
+            jitter = self._random.uniform(*_JITTER)
+            await trio.sleep(RETRY_PAUSE_SECONDS * jitter * course.attempts)
+
+    async def _attempt(self, course: Course) -> Answered:
+        request = course.request
+        endpoint = self._choose(course)
+        if endpoint is None:
+            return Error(not_run(Reason.NO_ENDPOINT, request.service))
+
+        async def dispatch() -> Answered:
+            return await self._dispatch(course, endpoint)
+
+        if request.repeatable or not request.key:
+            return await dispatch()
+        return await self._run_once(course, endpoint, dispatch)
+
+    def _choose(self, course: Course) -> Endpoint | None:
+        service = course.request.service
+        instances = tuple(
+            endpoint
+            for endpoint in self._endpoints()
+            if endpoint.role is Role.SERVICE and endpoint.service == service
+        )
+        chosen = self._use.choose(instances, frozenset(course.excluded))
+        for endpoint in instances if chosen is None else (chosen,):
+            self._read_load_later(endpoint)
+        return chosen
+
+    async def _dispatch(self, course: Course, endpoint: Endpoint) -> Answered:
+        earlier = course.verdict
+        course.verdict = Verdict.MAY_HAVE_RUN
+        use = self._use.of(endpoint)
+        use.in_flight += 1
+        try:
+            outcome = await self._calls.call(
+                endpoint.address,
+                _make_call(course),
+                timeout_seconds=course.request.attempt_seconds,
+            )
+        finally:
+            use.in_flight -= 1
+        if outcome.is_error():
+            if outcome.error.verdict is Verdict.NOT_RUN:
+                course.verdict = earlier
+            self._note_failure(course, endpoint, outcome.error)
+        return outcome
+
+    def _note_failure(
+        self,
+        course: Course,
+        endpoint: Endpoint,
+        failure: Failure,
+    ) -> None:
+        course.excluded.add(endpoint.name)
+        use = self._use.of(endpoint)
+        if failure.reason is Reason.ENDPOINT_LEAVING:
+            use.note_leaving()
+        else:
+            use.note_failing()
+
+    def _final_failure(
+        self,
+        course: Course,
+        failure: Failure,
+    ) -> Failure | None:
+        told = _come_back(replace(failure, verdict=course.verdict))
+        if failure.reason in _FINAL_REASONS:
+            return told
+        may_have_run = course.verdict is not Verdict.NOT_RUN
+        if may_have_run and not course.request.repeatable:
+            return told
+        if course.attempts >= ATTEMPT_LIMIT:
+            return told
+        if not self._budget.spend():
+            return replace(told, reason=Reason.RETRY_BUDGET)
+        return None
+
+    def _read_load_later(self, endpoint: Endpoint) -> None:
+        use = self._use.of(endpoint)
+        if use.report_is_due:
+            use.reading_at = trio.current_time()
+            self._use.forget_others(self._endpoints())
+            self._nursery.start_soon(self._read_load, endpoint)
+
+    async def _read_load(self, endpoint: Endpoint) -> None:
+        load = await self._calls.load(endpoint.address)
+        if load.is_ok():
+            self._use.of(endpoint).take_report(load.ok)
+
+
+def _make_call(course: Course) -> ServiceCall:
+    return ServiceCall(
+        request_key=course.request.handle,
+        attempt=course.attempts,
+        request=course.request.request,
+    )
+
+
+def _come_back(failure: Failure) -> Failure:
+    if failure.retry_after_seconds is not None:
+        return failure
+    if failure.reason is Reason.CONFLICT:
+        return failure
+    return replace(failure, retry_after_seconds=RETRY_AFTER_SECONDS)
--- a/src/limpetdrift/transport/routing.py
+++ b/src/limpetdrift/transport/routing.py
@@ -4,6 +4,11 @@
 
 >>> routes = Routes()
 >>> routes.add('GET', '/v1/streams/{stream}', show_stream)  # doctest: +SKIP
+
+A last segment such as ``{path...}`` matches the rest of the path, none of it
+included, and ``ANY_METHOD`` matches every method:
+
+>>> routes.add(ANY_METHOD, '/files/{path...}', serve_file)  # doctest: +SKIP
 """
 
 from collections.abc import Awaitable, Callable
@@ -15,6 +20,8 @@
 Parameters = dict[str, str]
 RouteHandler = Callable[[Exchange, Parameters], Awaitable[None]]
 
+ANY_METHOD = '*'
+_REST = '...}'
 _NOT_FOUND = 404
 _NOT_ALLOWED = 405
 
@@ -51,7 +58,7 @@
             parameters = _match(route.segments, segments)
             if parameters is None:
                 continue
-            if route.method == request.method:
+            if route.method in {request.method, ANY_METHOD}:
                 await route.handler(exchange, parameters)
                 return
             status = _NOT_ALLOWED
@@ -66,6 +73,8 @@
     pattern: tuple[str, ...],
     segments: tuple[str, ...],
 ) -> Parameters | None:
+    if pattern[-1].endswith(_REST):
+        return _match_rest(pattern, segments)
     if len(pattern) != len(segments):
         return None
     parameters: Parameters = {}
@@ -75,3 +84,15 @@
         elif expected != actual:
             return None
     return parameters
+
+
+def _match_rest(
+    pattern: tuple[str, ...],
+    segments: tuple[str, ...],
+) -> Parameters | None:
+    *fixed, last = pattern
+    parameters = _match(tuple(fixed), segments[: len(fixed)])
+    if parameters is not None:
+        rest = '/'.join(segments[len(fixed) :])
+        parameters[last.removeprefix('{').removesuffix(_REST)] = rest
+    return parameters
