Keep an isolated ticket apart for good, and empty its endpoint

An isolated request ran beside others after 5 s of waiting, so that a crash while it ran did not prove that it was the cause. It now never runs beside others; after 1 s the endpoint takes nothing new until it had its turn, since a busy endpoint is never empty by itself. One ticket at a time has that. The test shows both with the mechanism off: the isolated one runs beside others, and under steady arrivals it starts only after they end.

--- a/src/limpetdrift/coordination/policies.py
+++ b/src/limpetdrift/coordination/policies.py
@@ -31,7 +31,7 @@
 _LONG_PROMPT_TOKENS = 32_768
 _RESERVED_SHARE = 0.15
 _PRIORITY_RANKS = 10
-_ISOLATION_SECONDS = 5.0
+_EMPTY_AFTER_SECONDS = 1.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -216,13 +216,25 @@
 
 
 def may_run_beside(ticket: Ticket, queue: EndpointQueue) -> bool:
-    """Keep an isolated request apart, for a while, where that can be had."""
-    if not queue.granted:
-        return True
-    if any(each.request.isolated for each in queue.granted.values()):
+    """Keep an isolated request apart from all others.
+
+    One that has waited for a while gets the endpoint emptied for it.
+    """
+    if ticket.request.isolated:
+        waited = trio.current_time() - ticket.arrived_at
+        if queue.granted and waited > _EMPTY_AFTER_SECONDS:
+            queue.emptied_for = ticket
+        return not queue.granted
+    if _is_emptied(queue):
         return False
-    waited = trio.current_time() - ticket.arrived_at
-    return not ticket.request.isolated or waited > _ISOLATION_SECONDS
+    return not any(each.request.isolated for each in queue.granted.values())
+
+
+def _is_emptied(queue: EndpointQueue) -> bool:
+    ticket = queue.emptied_for
+    if ticket is None or queue.find(ticket.grant_id) is not ticket:
+        return False
+    return ticket.granted_at is None
 
 
 def _when_it_starts_soon(ticket: Ticket, queue: EndpointQueue) -> bool:
--- a/src/limpetdrift/state/queue.py
+++ b/src/limpetdrift/state/queue.py
@@ -67,6 +67,7 @@
         self.granted: dict[str, Ticket] = {}
         self.arrival = trio.Event()
         self.gathering_tokens = 0.0
+        self.emptied_for: Ticket | None = None
         self._drained_at = 0.0
 
     @property
--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,86 @@
+"""An isolated ticket has its endpoint to itself."""
+
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limpetdrift.coordination import policies
+from limpetdrift.protocol.grants import GrantRelease, GrantRequest
+from limpetdrift.protocol.placement import Release
+from placement_site import Site, make_endpoint, make_request
+from virtual import run_virtual
+
+steps = st.lists(
+    st.tuples(st.booleans(), st.sampled_from([0.0, 0.05, 0.7, 2.5])),
+    min_size=1,
+    max_size=14,
+)
+
+
+async def play(script, want='overlaps'):
+    """Let each ticket run for half a second; return who ran with whom."""
+    site = Site(entries=1, engines=1)
+    home, endpoint = site.homes[0], make_endpoint(0)
+    running, overlaps, finished = {}, [], []
+
+    async def run(number, isolated):
+        request = make_request(number, isolated=isolated)
+        granted = False
+        while not granted:
+            polled = await home.grant(
+                GrantRequest(
+                    endpoint=endpoint,
+                    request=request,
+                    owner='entry-0',
+                    incarnation=1,
+                    poll_seconds=2.0,
+                ),
+            )
+            granted = polled.ok.granted
+        overlaps.extend((isolated, other) for other in running.values())
+        running[number] = isolated
+        await trio.sleep(0.5)
+        running.pop(number)
+        finished.append(number)
+        await home.release(
+            GrantRelease(
+                endpoint=endpoint,
+                grant_id=polled.ok.grant_id,
+                outcome=Release.FINISHED,
+            )
+        )
+
+    with trio.fail_after(60):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(home.run)
+            async with trio.open_nursery() as runs:
+                for number, (isolated, pause) in enumerate(script):
+                    runs.start_soon(run, number, isolated)
+                    await trio.sleep(pause)
+            nursery.cancel_scope.cancel()
+    assert len(finished) == len(script)
+    return overlaps if want == 'overlaps' else finished
+
+
+@given(steps)
+def test_nothing_runs_beside_an_isolated_ticket(script):
+    overlaps = run_virtual(lambda: play(script))
+    assert not any(first or second for first, second in overlaps)
+
+
+def test_an_isolated_ticket_gets_its_turn(monkeypatch):
+    """Others keep coming, so that the endpoint is never empty by itself."""
+    crowd = [(False, 0.1) for _ in range(40)]
+    crowd[5] = (True, 0.1)
+    order = run_virtual(lambda: play(crowd, want='order'))
+    assert order.index(5) < 25
+    monkeypatch.setattr(policies, '_is_emptied', lambda queue: False)
+    order = run_virtual(lambda: play(crowd, want='order'))
+    assert order.index(5) > 30
+
+
+def test_the_proof_fails_without_isolation(monkeypatch):
+    monkeypatch.setattr(policies, 'may_run_beside', lambda *_: True)
+    script = [(False, 0.0), (True, 0.0)]
+    overlaps = run_virtual(lambda: play(script))
+    assert any(first or second for first, second in overlaps)
