Check the adapters of list, reports and discovery on stand-ins

The list's lag, an engine's and a service's own leaving sign and the route without a key, through the formats of docs/PLATFORM.md and the client's own type.

--- /dev/null
+++ b/tests/test_endpoint_sources.py
@@ -0,0 +1,96 @@
+"""The adapters of the list, of reports and of discovery, on stand-ins."""
+
+import random
+
+import trio
+
+from limpet_standins.controls import Faults
+from limpet_standins.engine import EngineSettings, make_engine
+from limpet_standins.instances import make_instance_list
+from limpet_standins.local import LocalExchange, call_local
+from limpet_standins.service import make_service
+from limpetdrift.client import _Discovery
+from limpetdrift.coordination.discovery import add_discovery_routes
+from limpetdrift.protocol.codec import decode, json_request
+from limpetdrift.protocol.endpointreports import make_report_call
+from limpetdrift.protocol.gossip import Listed
+from limpetdrift.protocol.instances import make_list_call
+from limpetdrift.protocol.node import Endpoint, Role
+from limpetdrift.transport.messages import Address, Request
+from limpetdrift.transport.routing import Routes
+from member_cluster import Cluster, until
+from virtual import virtual
+
+ADDRESS = Address(host='127.0.0.1', port=9000)
+
+
+class OneStandIn:
+    """Stands for a client whose every call goes to one stand-in."""
+
+    def __init__(self, *, stand_in):
+        self._stand_in = stand_in
+
+    async def fetch(self, address, request, *, timeout_seconds):
+        return await call_local(self._stand_in, request)
+
+
+def endpoint_of(role):
+    return Endpoint(name='one', role=role, address=ADDRESS, failure_domain='a')
+
+
+@virtual
+async def test_the_list_is_read_with_its_lag():
+    stand_in = make_instance_list(lag_seconds=4)
+    line = {'name': 'engine-1', 'role': 'engine', 'address': str(ADDRESS)}
+    read_list = make_list_call(OneStandIn(stand_in=stand_in), ADDRESS)
+    seen = []
+    for state in ('live', 'leaving'):
+        body = {'instances': [{**line, 'state': state}]}
+        request = json_request('POST', '/control/instances', body)
+        await call_local(stand_in, request)
+        seen.append((await read_list()).ok)
+        await trio.sleep(5)
+    seen.append((await read_list()).ok)
+    listed = [each.endpoints[0].listed for each in seen]
+    assert listed == [Listed.LIVE, Listed.LIVE, Listed.LEAVING]
+    assert {each.age_seconds for each in seen} == {4}
+
+
+async def reports_around_leaving(stand_in, role):
+    read_report = make_report_call(OneStandIn(stand_in=stand_in))
+    async with trio.open_nursery() as nursery:
+        for task in stand_in.tasks:
+            nursery.start_soon(task)
+        await trio.sleep(2)
+        before = (await read_report(endpoint_of(role))).ok
+        stand_in.controls.apply_faults(Faults(leaving=True))
+        await trio.sleep(2)
+        after = (await read_report(endpoint_of(role))).ok
+        nursery.cancel_scope.cancel()
+    assert (before.leaving, after.leaving) == (False, True)
+    return after.incarnation
+
+
+@virtual
+async def test_reports_of_engines_and_services_tell_that_they_leave():
+    engine = make_engine(EngineSettings(incarnation=5))
+    assert await reports_around_leaving(engine, Role.ENGINE) == 5
+    assert await reports_around_leaving(make_service(), Role.SERVICE) == 0
+
+
+@virtual
+async def test_discovery_answers_without_a_key():
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery=nursery)
+        members = cluster.start_all(3)
+        await until(cluster.agreed, 30)
+        routes = Routes()
+        add_discovery_routes(routes, members[0], random.Random(1))
+        exchange = LocalExchange(
+            request=Request(method='GET', path='/v1/entries'),
+        )
+        await routes.handle(exchange)
+        answer = decode(exchange.response.body, _Discovery).ok
+        assert exchange.status == 200
+        assert len(answer.entries) == 3
+        nursery.cancel_scope.cancel()
