Keep the queue of an endpoint in order and its sums up to date

Cause: profiled at 150% (80 s of profile, 45 s of arrivals), a third of the time went into the home: every 20 ms it sorted all that waits by a key that asks the clock, and asked for each ticket the sum over all granted ones (6.1 million terms); a bid went over all that waits once more.

Change: waiting tickets stay sorted and are put in order anew every 0.5 s; work that waits is summed by rank, granted memory of short prompts and the unfinished prefill are kept as they change. A pump asks once whether the engine has enough work, and then only looks at what gathers memory.

Ruled out: one sum for all ranks (a bid for a short prompt would count long ones). The benchmark now tells where time and hits go, and counts as goodput only answers that ended while load ran, since a late end at 150% counted too.

--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -117,8 +117,7 @@
 
 def ideal_hits(arrivals, engines):
     """Return the share of tokens that one cache over all would hit."""
-    limit = engines * MEMORY_TOKENS // BLOCK_TOKENS
-    cache = RecentPrefixes(limit_blocks=limit)
+    cache = one_cache_of(engines)
     hits = 0
     for arrival in arrivals:
         hits += cache.matched_tokens(arrival.blocks)
@@ -126,6 +125,57 @@
     return hits / sum(each.tokens for each in arrivals)
 
 
+def one_cache_of(engines):
+    """Return a cache with the memory of all engines."""
+    limit = engines * MEMORY_TOKENS // BLOCK_TOKENS
+    return RecentPrefixes(limit_blocks=limit)
+
+
+def goodput(records):
+    """Return prompt tokens a second of answers that ended while load ran."""
+    tokens = sum(
+        each['tokens']
+        for each in records
+        if each['ended_at'] is not None
+        and WARM_UP_SECONDS <= each['ended_at'] < DURATION_SECONDS
+    )
+    return tokens / (DURATION_SECONDS - WARM_UP_SECONDS)
+
+
+def break_down(records):
+    """Return means: where the time to first token and the hits go.
+
+    Seconds are of short prompts, those that took longest apart. Hits are
+    shares of all prompt tokens: those of one cache, what any engine had when
+    the prompt was placed, and what its own engine had.
+    """
+    done = [each for each in records if each['first'] is not None]
+    short = sorted(
+        (each for each in done if each['tokens'] <= SHORT_TOKENS),
+        key=lambda each: each['first'],
+    )
+    parts = {}
+    for name, chosen in (
+        ('all', short),
+        ('slowest tenth', short[-len(short) // 10 :]),
+    ):
+        count = max(1, len(chosen))
+        parts[name] = {
+            key: sum(each[key] for each in chosen) / count
+            for key in ('wait_home', 'wait_engine', 'prefill', 'first')
+        }
+        known = sum(
+            parts[name][key] for key in ('wait_home', 'wait_engine', 'prefill')
+        )
+        parts[name]['others_steps'] = parts[name]['first'] - known
+    total = max(1, sum(each['tokens'] for each in done))
+    hits = {
+        key: sum(each[key] for each in done) / total
+        for key in ('ideal', 'nearest', 'cached')
+    }
+    return {'short_seconds': parts, 'hit_tokens': hits}
+
+
 async def run_case(case, arrivals, records):
     """Run one case and append a record for each request."""
     site = Site(
@@ -138,6 +188,8 @@
         step_seconds=STEP_SECONDS,
     )
     rng = random.Random(case.seed + 1)
+    one_cache = one_cache_of(case.engines)
+    began_at = trio.current_time()
 
     async def ask(number, arrival, entry, output):
         arrived_at = trio.current_time()
@@ -153,6 +205,12 @@
             'tokens': arrival.tokens,
             'first': None,
             'cached': 0,
+            'ideal': 0,
+            'nearest': 0,
+            'ended_at': None,
+            'wait_home': 0.0,
+            'wait_engine': 0.0,
+            'prefill': 0.0,
         }
         records.append(record)
         outcome = await site.placers[entry].place(request)
@@ -160,15 +218,27 @@
             record['refused_after'] = trio.current_time() - arrived_at
             return
         placed = outcome.ok
+        placed_at = trio.current_time()
         engine = site.engines[placed.endpoint.address]
+        record['ideal'] = one_cache.matched_tokens(arrival.blocks)
+        one_cache.add(arrival.blocks)
+        record['nearest'] = max(
+            each.cache.matched_tokens(arrival.blocks)
+            for each in site.engines.values()
+        )
         left = DEADLINE_SECONDS - (trio.current_time() - arrived_at)
         run = None
         with trio.move_on_after(left):
             run = (await engine.start_or_queue(request, placed, 'e')).ok
+            started_at = trio.current_time()
+            record['cached'] = run.cached_tokens
+            record['wait_home'] = placed_at - arrived_at
+            record['wait_engine'] = started_at - placed_at
+            record['prefill'] = run.left_tokens / engine.rate
             await run.first_token.wait()
             record['first'] = trio.current_time() - arrived_at
-            record['cached'] = run.cached_tokens
             await run.ended.wait()
+            record['ended_at'] = trio.current_time() - began_at
         if run is not None:
             engine.remove(run.id)
         site.placers[entry].release(placed, Release.FINISHED)
@@ -223,8 +293,8 @@
         'times': times,
         'hit_share': sum(each['cached'] for each in done) / max(1, total),
         'ideal_hit_share': ideal_hits(arrivals, case.engines),
-        'goodput_tokens_per_second': total
-        / (DURATION_SECONDS - WARM_UP_SECONDS),
+        'goodput_tokens_per_second': goodput(records),
+        'breakdown': break_down(kept),
         'refused': len(refused),
         'refused_after_p95': percentile(refused, 0.95),
     }
@@ -256,6 +326,7 @@
         for load in map(int, options.loads.split(','))
         for seed in range(1, options.seeds + 1)
         for with_long in (True, False)
+        if with_long or not options.only_with_long
         for policy in options.policies.split(',')
     ]
 
@@ -270,6 +341,16 @@
     return f'{middle:.{digits}f} ({low:.{digits}f}-{high:.{digits}f})'
 
 
+def print_breakdown(breakdown):
+    """Print where time and hits went in one run."""
+    for name, parts in breakdown['short_seconds'].items():
+        cells = ' '.join(f'{key} {parts[key]:.3f}' for key in parts)
+        print(f'|   | short, {name}: {cells}')
+    hits = breakdown['hit_tokens']
+    cells = ' '.join(f'{key} {share:.3f}' for key, share in hits.items())
+    print(f'|   | hits: {cells}')
+
+
 def print_report(results):
     """Print tables over seeds."""
     keys = sorted({(each['load_percent'], each['policy']) for each in results})
@@ -282,6 +363,7 @@
         ]
         with_long = {each['seed']: each for each in mine if each['with_long']}
         without = {each['seed']: each for each in mine if not each['with_long']}
+        without = without or with_long
         rows = list(with_long.values())
         slow = [
             with_long[seed]['short_p95'] / without[seed]['short_p95']
@@ -294,6 +376,14 @@
             f'| {load} | {policy} | {spread(slow)} | {spread(shorts, 3)}'
             f' | {spread(hits)} | {spread(good, 0)} |',
         )
+        refusals = [each['refused'] for each in rows]
+        soon = [each['refused_after_p95'] for each in rows]
+        print(
+            f'|   | refused {spread(refusals, 0)}'
+            f' after p95 {spread(soon, 3)}',
+        )
+        for each in rows[:1]:
+            print_breakdown(each['breakdown'])
         for length in CLASSES:
             cells = [each['times'].get(length) for each in rows]
             cells = [each for each in cells if each]
@@ -316,6 +406,7 @@
     parser.add_argument('--seeds', type=int, default=5)
     parser.add_argument('--policies', default=','.join(POLICY_NAMES))
     parser.add_argument('--processes', type=int, default=4)
+    parser.add_argument('--only-with-long', action='store_true')
     parser.add_argument('--out', default='')
     options = parser.parse_args()
     with ProcessPoolExecutor(options.processes) as pool:
--- a/src/limpetdrift/coordination/policies.py
+++ b/src/limpetdrift/coordination/policies.py
@@ -20,14 +20,14 @@
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.protocol.placement import PlacementRequest
 from limpetdrift.state.prefixes import PrefixPlaces
-from limpetdrift.state.queue import EndpointQueue, Ticket
+from limpetdrift.state.queue import EndpointQueue
+from limpetdrift.state.waiting import Ticket
 
 _START_SOON_SECONDS = 0.1
 _RANDOM_PROBES = 2
 _AFFINE_PROBES = 2
 _WORK_WEIGHT = 1.0
 _AGING_SECONDS_PER_RANK = 10.0
-_SHORT_PROMPT_TOKENS = 8192
 _LONG_PROMPT_TOKENS = 32_768
 _RESERVED_SHARE = 0.15
 _PRIORITY_RANKS = 10
@@ -55,8 +55,9 @@
 
     ``order`` gives a ticket's sort key at its home, least first; ``priority``
     is what the engine is told, lower first, and ``age`` what it has become
-    after the ticket's wait; ``admits`` says whether the endpoint may get the
-    ticket now.
+    after the ticket's wait. ``is_full`` says that the engine has as much work
+    as it may get at the ticket's priority, so that no later ticket starts
+    either; ``admits`` says whether there is room for the ticket itself.
     """
 
     name: str
@@ -65,6 +66,7 @@
     age: Callable[[Ticket], int]
     order: Callable[[Ticket], tuple[float, ...]]
     priority: Callable[[PlacementRequest], int]
+    is_full: Callable[[Ticket, EndpointQueue], bool]
     admits: Callable[[Ticket, EndpointQueue], bool]
 
 
@@ -194,8 +196,8 @@
     """
     free = queue.ledger.free_tokens
     reserve = queue.ledger.capacity_tokens * _RESERVED_SHARE
-    short_tokens = queue.short_tokens(_SHORT_PROMPT_TOKENS)
-    if _is_small(ticket.request):
+    short_tokens = queue.short_tokens
+    if ticket.is_short:
         if short_tokens + ticket.memory_tokens <= reserve:
             return ticket.memory_tokens <= free
         return ticket.memory_tokens <= free - queue.gathering_tokens
@@ -209,12 +211,6 @@
     return request.memory_only or request.prompt_tokens > _LONG_PROMPT_TOKENS
 
 
-def _is_small(request: PlacementRequest) -> bool:
-    if request.memory_only:
-        return False
-    return request.prompt_tokens <= _SHORT_PROMPT_TOKENS
-
-
 def may_run_beside(ticket: Ticket, queue: EndpointQueue) -> bool:
     """Keep an isolated request apart, for a while, where that can be had."""
     if not queue.granted:
@@ -225,14 +221,18 @@
     return not ticket.request.isolated or waited > _ISOLATION_SECONDS
 
 
-def _when_it_starts_soon(ticket: Ticket, queue: EndpointQueue) -> bool:
-    if not fits_memory(ticket, queue) or not may_run_beside(ticket, queue):
-        return False
-    if ticket.request.memory_only:
-        return True
+def _has_room(ticket: Ticket, queue: EndpointQueue) -> bool:
+    return fits_memory(ticket, queue) and may_run_beside(ticket, queue)
+
+
+def _never_full(ticket: Ticket, queue: EndpointQueue) -> bool:
+    return False
+
+
+def _starts_too_late(ticket: Ticket, queue: EndpointQueue) -> bool:
     backlog = queue.backlog_tokens(ticket.priority)
     speed = queue.speed.prefill_tokens_per_second
-    return backlog <= speed * _START_SOON_SECONDS
+    return backlog > speed * _START_SOON_SECONDS
 
 
 _ALL = (
@@ -243,6 +243,7 @@
         order=_by_arrival,
         priority=_same_priority,
         age=_keep_priority,
+        is_full=_never_full,
         admits=_at_once,
     ),
     Policy(
@@ -252,6 +253,7 @@
         order=_by_arrival,
         priority=_same_priority,
         age=_keep_priority,
+        is_full=_never_full,
         admits=_at_once,
     ),
     Policy(
@@ -261,6 +263,7 @@
         order=_by_arrival,
         priority=_same_priority,
         age=_keep_priority,
+        is_full=_never_full,
         admits=_at_once,
     ),
     Policy(
@@ -270,7 +273,8 @@
         order=_by_slack,
         priority=priority_by_size,
         age=aged_priority,
-        admits=_when_it_starts_soon,
+        is_full=_starts_too_late,
+        admits=_has_room,
     ),
 )
 
--- a/src/limpetdrift/state/queue.py
+++ b/src/limpetdrift/state/queue.py
@@ -5,49 +5,20 @@
 took prompts in the order of their priority.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
 from limpetdrift.protocol.placement import PlacementRequest
 from limpetdrift.state.ledger import MemoryLedger
 from limpetdrift.state.prefixes import RecentPrefixes
+from limpetdrift.state.waiting import Ticket, WaitingTickets
 
 DEFAULT_PREFILL_TOKENS_PER_SECOND = 20_000.0
 DEFAULT_STEP_SECONDS = 0.02
 PREFILL_CHUNK_TOKENS = 2048
 
 
-@dataclass(kw_only=True, slots=True, eq=False)
-class Ticket:
-    """One attempt at one endpoint, waiting or granted. Times are trio's."""
-
-    grant_id: str
-    request: PlacementRequest
-    owner: str
-    incarnation: int
-    arrived_at: float
-    deadline_at: float
-    polled_at: float
-    cached_tokens: int = 0
-    priority: int = 0
-    granted_at: float | None = None
-    uncached_left: float = 0
-    settled: trio.Event = field(default_factory=trio.Event)
-
-    @property
-    def memory_tokens(self) -> int:
-        """Memory that the whole attempt may need."""
-        return self.request.prompt_tokens + self.request.max_tokens
-
-    @property
-    def uncached_tokens(self) -> int:
-        """Prompt tokens that the engine has to work through."""
-        if self.request.memory_only:
-            return 0
-        return max(1, self.request.prompt_tokens - self.cached_tokens)
-
-
 @dataclass(kw_only=True, slots=True)
 class EngineSpeed:
     """How fast an engine works, by its last report."""
@@ -57,59 +28,69 @@
 
 
 class EndpointQueue:
-    """Tickets waiting for and granted at one endpoint."""
+    """Tickets waiting for and granted at one endpoint.
+
+    Sums are kept as tickets come and go, so that an estimate costs the same
+    with one granted ticket and with hundreds.
+    """
 
     def __init__(self) -> None:
         self.speed = EngineSpeed()
         self.ledger = MemoryLedger()
         self.prefixes = RecentPrefixes()
-        self.waiting: dict[str, Ticket] = {}
+        self.waiting = WaitingTickets()
         self.granted: dict[str, Ticket] = {}
         self.arrival = trio.Event()
         self.gathering_tokens = 0.0
+        self.short_tokens = 0
+        self._unfinished: dict[str, Ticket] = {}
         self._drained_at = 0.0
 
     @property
     def outstanding_tokens(self) -> int:
         """Prompt and output tokens of all tickets."""
-        return sum(
-            ticket.memory_tokens
-            for tickets in (self.waiting, self.granted)
-            for ticket in tickets.values()
-        )
+        return self.waiting.memory_tokens + self.ledger.granted_tokens
 
     @property
     def empty(self) -> bool:
         """Whether nothing waits or runs here."""
-        return not self.waiting and not self.granted
+        return not self.waiting.count and not self.granted
 
     def find(self, grant_id: str) -> Ticket | None:
         """Return the ticket of that name."""
-        return self.granted.get(grant_id) or self.waiting.get(grant_id)
+        return self.granted.get(grant_id) or self.waiting.find(grant_id)
 
     def wait(self, ticket: Ticket) -> None:
         """Add a waiting ticket; ``arrival`` tells who grants."""
-        self.waiting[ticket.grant_id] = ticket
+        self.waiting.add(ticket)
         self.arrival.set()
 
     def grant(self, ticket: Ticket) -> None:
         """Move a ticket from waiting to granted and wake its owner's poll."""
-        self.waiting.pop(ticket.grant_id, None)
+        self.waiting.remove(ticket)
         ticket.granted_at = trio.current_time()
         ticket.cached_tokens = self.match(ticket.request)
         ticket.uncached_left = ticket.uncached_tokens
         self.granted[ticket.grant_id] = ticket
+        self.short_tokens += ticket.memory_tokens * ticket.is_short
+        if ticket.uncached_left:
+            self._unfinished[ticket.grant_id] = ticket
         self.ledger.take(ticket.grant_id, ticket.memory_tokens)
         self.prefixes.add(ticket.request.prefix_blocks)
         ticket.settled.set()
 
     def remove(self, grant_id: str) -> Ticket | None:
         """Drop a ticket, waiting or granted."""
-        self.ledger.give_back(grant_id)
-        ticket = self.waiting.pop(grant_id, None)
-        ticket = self.granted.pop(grant_id, ticket)
-        if ticket is not None:
-            ticket.settled.set()
+        ticket = self.find(grant_id)
+        if ticket is None:
+            return None
+        if self.granted.pop(grant_id, None) is None:
+            self.waiting.remove(ticket)
+        else:
+            self.short_tokens -= ticket.memory_tokens * ticket.is_short
+            self._unfinished.pop(grant_id, None)
+            self.ledger.give_back(grant_id)
+        ticket.settled.set()
         return ticket
 
     def match(self, request: PlacementRequest) -> int:
@@ -126,6 +107,8 @@
             worked = min(done, ticket.uncached_left)
             ticket.uncached_left -= worked
             done -= worked
+            if ticket.uncached_left <= 0:
+                self._unfinished.pop(ticket.grant_id)
             if done <= 0:
                 return
 
@@ -133,37 +116,23 @@
         """Return granted prefill work at that priority or before it."""
         return sum(
             ticket.uncached_left
-            for ticket in self.granted.values()
+            for ticket in self._unfinished.values()
             if ticket.priority <= priority
         )
 
-    def short_tokens(self, prompt_limit_tokens: int) -> int:
-        """Return the memory granted to prompts up to that length."""
-        return sum(
-            ticket.memory_tokens
-            for ticket in self.granted.values()
-            if ticket.request.prompt_tokens <= prompt_limit_tokens
-            and not ticket.request.memory_only
-        )
-
     def step_wait_tokens(self, own_tokens: float) -> float:
         """Return the work of others that shares the ticket's own steps.
 
         An engine works off prompts in whole chunks, so a prompt that arrives
         beside others waits for half a step and then for a full one.
         """
-        if not any(each.uncached_left for each in self.granted.values()):
+        if not self._unfinished:
             return 0
         filled = -own_tokens % PREFILL_CHUNK_TOKENS
         return PREFILL_CHUNK_TOKENS / 2 + filled
 
     def _in_engine_order(self) -> list[Ticket]:
-        unfinished = [
-            ticket
-            for ticket in self.granted.values()
-            if ticket.uncached_left > 0
-        ]
         return sorted(
-            unfinished,
+            self._unfinished.values(),
             key=lambda ticket: (ticket.priority, ticket.granted_at),
         )
