Count the streams that an engine runs beside each other

A trace of those prompts showed up to 56 streams on an engine that runs 32: prompts of a well-used prefix went where it was cached, since a bid did not count streams.

Change: the home learns the limit from the engine's reports (running, and whether any wait), keeps what is over it at home, by priority, and counts the wait for a place in the bid. What is overdue is taken to stay for a fifth of its stay so far.

--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -379,8 +379,7 @@
         refusals = [each['refused'] for each in rows]
         soon = [each['refused_after_p95'] for each in rows]
         print(
-            f'|   | refused {spread(refusals, 0)}'
-            f' after p95 {spread(soon, 3)}',
+            f'|   | refused {spread(refusals, 0)} after p95 {spread(soon, 3)}',
         )
         for each in rows[:1]:
             print_breakdown(each['breakdown'])
--- a/src/limpetdrift/coordination/estimates.py
+++ b/src/limpetdrift/coordination/estimates.py
@@ -1,5 +1,7 @@
 """How long a ticket would wait at an endpoint, and what it may gather."""
 
+from heapq import nsmallest
+
 import trio
 
 from limpetdrift.state.queue import EndpointQueue
@@ -8,6 +10,7 @@
 GATHER_AFTER_SECONDS = 1.0
 GATHER_ALL_AFTER_SECONDS = 8.0
 _GATHERED_SHARE = 0.6
+_OVERDUE_SHARE = 0.2
 
 
 def expected_seconds(
@@ -18,9 +21,10 @@
     ahead = queue.waiting.work_tokens(ticket.priority) + ticket.uncached_tokens
     ahead += queue.backlog_tokens(ticket.priority)
     ahead += queue.step_wait_tokens(ticket.uncached_tokens)
-    return ahead / queue.speed.prefill_tokens_per_second + _memory_seconds(
-        queue,
-        ticket,
+    work_seconds = ahead / queue.speed.prefill_tokens_per_second
+    return work_seconds + max(
+        _memory_seconds(queue, ticket),
+        _slot_seconds(queue, ticket),
     )
 
 
@@ -48,7 +52,7 @@
     if missing <= 0:
         return 0
     endings = sorted(
-        (_ends_at(queue, each), each.memory_tokens)
+        (queue.ends_at(each), each.memory_tokens)
         for each in queue.granted.values()
     )
     last = trio.current_time()
@@ -60,8 +64,22 @@
     return last - trio.current_time()
 
 
-def _ends_at(queue: EndpointQueue, ticket: Ticket) -> float:
-    speed = queue.speed
-    prefill = ticket.uncached_tokens / speed.prefill_tokens_per_second
-    decode = ticket.request.max_tokens * speed.step_seconds
-    return (ticket.granted_at or trio.current_time()) + prefill + decode
+def _slot_seconds(queue: EndpointQueue, ticket: Ticket) -> float:
+    """Estimate when the engine has room for one more stream."""
+    over = queue.running(ticket.priority) - queue.running_limit.streams
+    if over < 0:
+        return 0
+    stays = [
+        _stay_seconds(queue, each)
+        for each in queue.granted.values()
+        if each.priority <= ticket.priority
+    ]
+    rounds, rest = divmod(over, len(stays))
+    return nsmallest(rest + 1, stays)[-1] + rounds * max(stays)
+
+
+def _stay_seconds(queue: EndpointQueue, ticket: Ticket) -> float:
+    # What is overdue decodes slowly and may stay for some time more.
+    now = trio.current_time()
+    stayed = now - (ticket.granted_at or now)
+    return max(queue.ends_at(ticket) - now, stayed * _OVERDUE_SHARE)
--- a/src/limpetdrift/coordination/homereports.py
+++ b/src/limpetdrift/coordination/homereports.py
@@ -9,6 +9,7 @@
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.state.prefixes import BLOCK_TOKENS
 from limpetdrift.state.queue import EndpointQueue
+from limpetdrift.state.runninglimit import RunningLimit
 
 UNUSED_GRANT_SECONDS = 5.0
 _HOLD = 'hold'
@@ -33,8 +34,10 @@
     queue.ledger.capacity_tokens = load.memory_tokens
     queue.prefixes.resize(max(1, load.memory_tokens // BLOCK_TOKENS))
     if load.incarnation != homed.incarnation:
+        queue.running_limit = RunningLimit()
         homed.incarnation = load.incarnation
         queue.prefixes.clear()
+    queue.running_limit.take(running=load.running, waiting=load.waiting)
 
 
 def take_allocations(
--- a/src/limpetdrift/coordination/policies.py
+++ b/src/limpetdrift/coordination/policies.py
@@ -230,6 +230,8 @@
 
 
 def _starts_too_late(ticket: Ticket, queue: EndpointQueue) -> bool:
+    if queue.running(ticket.priority) >= queue.running_limit.streams:
+        return True
     backlog = queue.backlog_tokens(ticket.priority)
     speed = queue.speed.prefill_tokens_per_second
     return backlog > speed * _START_SOON_SECONDS
--- a/src/limpetdrift/state/queue.py
+++ b/src/limpetdrift/state/queue.py
@@ -5,6 +5,7 @@
 took prompts in the order of their priority.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
 import trio
@@ -12,6 +13,7 @@
 from limpetdrift.protocol.placement import PlacementRequest
 from limpetdrift.state.ledger import MemoryLedger
 from limpetdrift.state.prefixes import RecentPrefixes
+from limpetdrift.state.runninglimit import RunningLimit
 from limpetdrift.state.waiting import Ticket, WaitingTickets
 
 DEFAULT_PREFILL_TOKENS_PER_SECOND = 20_000.0
@@ -43,6 +45,8 @@
         self.arrival = trio.Event()
         self.gathering_tokens = 0.0
         self.short_tokens = 0
+        self.running_limit = RunningLimit()
+        self._running: Counter[int] = Counter()
         self._unfinished: dict[str, Ticket] = {}
         self._drained_at = 0.0
 
@@ -73,6 +77,7 @@
         ticket.uncached_left = ticket.uncached_tokens
         self.granted[ticket.grant_id] = ticket
         self.short_tokens += ticket.memory_tokens * ticket.is_short
+        self._running[ticket.priority] += not ticket.request.memory_only
         if ticket.uncached_left:
             self._unfinished[ticket.grant_id] = ticket
         self.ledger.take(ticket.grant_id, ticket.memory_tokens)
@@ -88,6 +93,7 @@
             self.waiting.remove(ticket)
         else:
             self.short_tokens -= ticket.memory_tokens * ticket.is_short
+            self._running[ticket.priority] -= not ticket.request.memory_only
             self._unfinished.pop(grant_id, None)
             self.ledger.give_back(grant_id)
         ticket.settled.set()
@@ -120,6 +126,19 @@
             if ticket.priority <= priority
         )
 
+    def running(self, priority: int) -> int:
+        """Return how many streams run at that priority or before it."""
+        return sum(
+            count for rank, count in self._running.items() if rank <= priority
+        )
+
+    def ends_at(self, ticket: Ticket) -> float:
+        """Return when a granted ticket ends at the earliest."""
+        since = ticket.granted_at or trio.current_time()
+        prefill = ticket.uncached_tokens / self.speed.prefill_tokens_per_second
+        decode = ticket.request.max_tokens * self.speed.step_seconds
+        return since + prefill + decode
+
     def step_wait_tokens(self, own_tokens: float) -> float:
         """Return the work of others that shares the ticket's own steps.
 
--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -288,7 +288,15 @@
 
 
 def _load_of(engine):
+    streams = [
+        each
+        for each in engine.runs.values()
+        if each.kind == 'stream' and not each.finished
+    ]
+    running = min(MAX_RUNNING, len(streams))
     return EngineLoad(
+        running=running,
+        waiting=len(streams) - running,
         memory_tokens=engine.memory_tokens,
         held_tokens=engine.held_tokens,
         prefill_tokens_per_second=engine.rate,
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -90,6 +90,29 @@
     assert max(timings[str(number)] for number in range(20)) < 1
 
 
+@virtual
+async def test_prompts_of_one_prefix_do_not_crowd_one_engine():
+    site = Site(entries=2, engines=3)
+    timings = {}
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(1)
+        async with trio.open_nursery() as asking:
+            for number in range(75):
+                request = make_request(
+                    number,
+                    prompt_tokens=SHORT_TOKENS,
+                    max_tokens=256,
+                    prefix_blocks=(*range(12), number),
+                )
+                asking.start_soon(serve, site, request, timings)
+                await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    assert len(timings) == 75
+    # Sent beyond its limit, a stream waits for the end of another: 5.6 s.
+    assert max(timings.values()) < 3
+
+
 @pytest.mark.parametrize('name', sorted(POLICIES))
 @virtual
 async def test_each_policy_places_and_gives_back(name):
