Join endpoints, discovery, drain and plain services into the entry

Endpoints come from the instance list and gossip; a refusal that says leaving is a sign for all entries. Discovery answers callers, a SIGTERM drains by the drain's steps, and plain services are served by name.

--- a/src/limpetdrift/callers/services.py
+++ b/src/limpetdrift/callers/services.py
@@ -79,7 +79,10 @@
     request: Request,
     parameters: Parameters,
 ) -> Result[ServiceRequest, Failure]:
-    site = parts.site()
+    opened = parts.site()
+    if opened.is_error():
+        return Error(opened.error)
+    site = opened.ok
     account = authenticate(site, request)
     if account.is_error():
         return Error(account.error)
--- a/src/limpetdrift/coordination/drive.py
+++ b/src/limpetdrift/coordination/drive.py
@@ -17,6 +17,7 @@
 from limpetdrift.coordination.attempt import Attempt, follow_attempt
 from limpetdrift.coordination.singlerun import Dispatch
 from limpetdrift.protocol.engine import EngineCalls, EngineHold, StreamStart
+from limpetdrift.protocol.node import Endpoint
 from limpetdrift.protocol.placement import (
     Placement,
     PlacementRequest,
@@ -38,6 +39,7 @@
     [Run, Placement, Attempt, Dispatch],
     Awaitable[Result[RunEnd, Failure]],
 ]
+NoteFailure = Callable[[Endpoint, Failure], None]
 ReleaseCall = Callable[[Placement, Release], None]
 
 _FINAL_REASONS = frozenset(
@@ -77,6 +79,7 @@
     place: Place
     release: ReleaseCall
     run_once: RunOnce
+    note_failure: NoteFailure
     budget: RetryBudget
     nursery: trio.Nursery
     random: random.Random
@@ -167,6 +170,7 @@
     finally:
         parts.release(placement, release)
     if outcome.is_error():
+        parts.note_failure(placement.endpoint, outcome.error)
         _exclude(course, placement, outcome.error)
     return outcome
 
--- a/src/limpetdrift/programs/entry.py
+++ b/src/limpetdrift/programs/entry.py
@@ -16,8 +16,6 @@
 )
 from limpetdrift.settings import EntrySettings
 
-PEERS_IDLE_SECONDS = 5.0
-
 
 @cappa.command(name='limpet-entry', help='Serve callers at one instance.')
 @dataclass(frozen=True, kw_only=True)
@@ -46,28 +44,12 @@
             nursery.start_soon(task)
         callers = await serve_on(
             settings.caller_listen,
-            parts.caller_routes,
-            nursery,
-        )
-        peers = await serve_on(
-            settings.peer_listen,
-            parts.peer_routes,
+            parts.callers,
             nursery,
         )
-        announce(
-            settings.name,
-            callers=callers.address,
-            peers=peers.address,
-        )
-
-        async def drain() -> None:
-            await parts.owner.drained()
-            # A run that has ended may still be on its way to its reader.
-            await callers.server.idle()
-            with trio.move_on_after(PEERS_IDLE_SECONDS):
-                await peers.server.idle()
-
-        await stop_on_signals(drain, nursery.cancel_scope)
+        peers = await serve_on(settings.peer_listen, parts.peers, nursery)
+        announce(settings.name, callers=callers, peers=peers)
+        await stop_on_signals(parts.drain.run, nursery.cancel_scope)
 
 
 if __name__ == '__main__':
--- a/src/limpetdrift/programs/entryparts.py
+++ b/src/limpetdrift/programs/entryparts.py
@@ -1,44 +1,55 @@
 """Joins the parts of one entry and the routes on its two listeners."""
 
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
+from expression import Result
 
-from limpetdrift.callers.chat import ChatParts, add_chat_routes
+from limpetdrift.callers.chat import (
+    ChatParts,
+    add_chat_routes,
+)
+from limpetdrift.callers.headers import LONGEST_DEADLINE_SECONDS
+from limpetdrift.callers.services import ServiceParts, add_service_routes
 from limpetdrift.callers.streams import (
     StreamParts,
     add_peer_stream_routes,
     add_stream_routes,
 )
 from limpetdrift.coordination.configroutes import add_configuration_routes
-from limpetdrift.coordination.owner import Owner
+from limpetdrift.coordination.discovery import add_discovery_routes
+from limpetdrift.coordination.drain import Drain, DrainTiming
 from limpetdrift.coordination.ownerstreams import add_owner_stream_routes
 from limpetdrift.coordination.peers import PeerRoutes, make_peer_call
 from limpetdrift.programs.entryviews import (
     Views,
-    join_membership,
+    join_surrounding,
     join_views,
-    make_node,
 )
 from limpetdrift.programs.runparts import RunParts, Wiring, join_runs
 from limpetdrift.programs.serving import add_health_routes
 from limpetdrift.programs.storeparts import StoreParts, join_store
+from limpetdrift.protocol.verdict import Failure
 from limpetdrift.settings import EntrySettings
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.routing import Routes
+from limpetdrift.transport.server import Server
+
+PEERS_IDLE_SECONDS = 5.0
 
 Task = Callable[[], Awaitable[None]]
+Admit = Callable[[], Result[None, Failure]]
 
 
 @dataclass(frozen=True, kw_only=True)
 class EntryParts:
     """The joined parts, ready to serve."""
 
-    views: Views
-    owner: Owner
-    caller_routes: Routes
-    peer_routes: Routes
+    callers: Server
+    peers: Server
+    drain: Drain
     tasks: tuple[Task, ...]
 
 
@@ -54,29 +65,29 @@
         secret=secret,
         nursery=nursery,
     )
-    membership = join_membership(
+    surrounding = join_surrounding(
         settings,
-        make_node(settings),
+        client,
         wiring.call,
         wiring.messages,
     )
     store = join_store(
         settings.platform,
         client,
-        lambda: len(membership.members()),
+        lambda: len(surrounding.membership.members()),
     )
     views = join_views(
         settings,
-        membership,
+        surrounding,
         store,
         wiring.call,
         wiring.messages,
     )
     runs = join_runs(wiring, views, store)
-    return _join_routes(wiring, views, runs, store)
+    return _join_servers(wiring, views, runs, store)
 
 
-def _join_routes(
+def _join_servers(
     wiring: Wiring,
     views: Views,
     runs: RunParts,
@@ -90,36 +101,71 @@
         client=wiring.client,
         peer_secret=wiring.secret,
     )
+    peers = Server(handler=_make_peer_routes(wiring, streams).handle)
+    caller_routes = Routes()
+    callers = Server(handler=caller_routes.handle)
+
+    async def drained() -> None:
+        await runs.owner.drained()
+        # A run that has ended may still be on its way to its reader.
+        await callers.idle()
+        with trio.move_on_after(PEERS_IDLE_SECONDS):
+            await peers.idle()
+
+    drain = Drain(
+        membership=views.membership,
+        drained=drained,
+        timing=DrainTiming(longest_seconds=LONGEST_DEADLINE_SECONDS),
+        random=random.Random(),
+    )
+
+    def admit() -> Result[None, Failure]:
+        return drain.admit().bind(lambda _: views.may_admit())
+
+    add_health_routes(caller_routes, lambda: admit().is_ok())
+    _add_caller_routes(caller_routes, views, runs, streams, admit)
+    _add_operator_routes(caller_routes, wiring, views)
     store_tasks = store.tasks if store else ()
     return EntryParts(
-        views=views,
-        owner=runs.owner,
-        caller_routes=_make_caller_routes(wiring, views, streams),
-        peer_routes=_make_peer_routes(wiring, streams),
+        callers=callers,
+        peers=peers,
+        drain=drain,
         tasks=(*store_tasks, *views.tasks, *runs.tasks),
     )
 
 
-def _make_caller_routes(
-    wiring: Wiring,
+def _add_caller_routes(
+    routes: Routes,
     views: Views,
+    runs: RunParts,
     streams: StreamParts,
-) -> Routes:
-    routes = Routes()
-    add_health_routes(routes, lambda: views.may_admit().is_ok())
+    admit: Admit,
+) -> None:
+    add_discovery_routes(routes, views.membership, random.Random())
     add_chat_routes(
         routes,
         ChatParts(
             site=views.site,
-            owner=streams.owner,
-            admit=lambda request: views.may_admit(),
+            owner=runs.owner,
+            admit=lambda request: admit(),
         ),
     )
     add_stream_routes(routes, streams)
+    add_service_routes(
+        routes,
+        ServiceParts(
+            site=views.site,
+            caller=runs.services,
+            make_handle=runs.owner.make_handle,
+            admit=lambda request: admit(),
+        ),
+    )
+
+
+def _add_operator_routes(routes: Routes, wiring: Wiring, views: Views) -> None:
+    secret = wiring.settings.operator_secret.read()
     if views.keeper is not None:
-        secret = wiring.settings.operator_secret.read()
         add_configuration_routes(routes, views.keeper, secret)
-    return routes
 
 
 def _make_peer_routes(wiring: Wiring, streams: StreamParts) -> Routes:
--- a/src/limpetdrift/programs/entryviews.py
+++ b/src/limpetdrift/programs/entryviews.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from functools import partial
 
+import trio
 from expression import Error, Ok, Result
 
 from limpetdrift.callers.chat import ReadSite
@@ -14,15 +15,24 @@
     ConfigurationKeeper,
 )
 from limpetdrift.coordination.confirmation import Contacts, Surroundings
+from limpetdrift.coordination.endpoints import EndpointInputs, Endpoints
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.programs.serving import read_settings
 from limpetdrift.programs.storeparts import StoreParts
+from limpetdrift.protocol.endpointreports import make_report_call
 from limpetdrift.protocol.gossip import MemberState
-from limpetdrift.protocol.node import Endpoint, Node, Role
+from limpetdrift.protocol.instances import (
+    InstanceList,
+    ReadList,
+    make_list_call,
+)
+from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.settings import EntrySettings
 from limpetdrift.state.site import SiteConfig
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address
 
 UNCONFIRMED_RETRY_AFTER_SECONDS = 1.0
 CONFIGURATION_DUTY = 'configuration-poll'
@@ -40,7 +50,7 @@
 
     node: Node
     membership: Membership
-    endpoints: Callable[[], tuple[Endpoint, ...]]
+    endpoints: Endpoints
     site: ReadSite
     may_admit: Callable[[], Result[None, Failure]]
     keeper: ConfigurationKeeper | None = None
@@ -72,60 +82,95 @@
     )
 
 
-def join_membership(
+@dataclass(frozen=True, kw_only=True)
+class Surrounding:
+    """The members of the site and the endpoints behind them."""
+
+    membership: Membership
+    endpoints: Endpoints
+
+
+def join_surrounding(
     settings: EntrySettings,
-    node: Node,
+    client: HttpClient,
     call: PeerCall,
     messages: PeerRoutes,
-) -> Membership:
-    """Return the membership, which begins with the settings' seeds."""
-    seeds = tuple(
-        seed for seed in settings.seeds if seed != settings.peer_listen
-    )
+) -> Surrounding:
+    """Return members and endpoints; seeds come from settings and list."""
+    listed_seeds: list[Callable[[], tuple[Address, ...]]] = []
+
+    def seeds() -> tuple[Address, ...]:
+        listed = [seed for read in listed_seeds for seed in read()]
+        known = dict.fromkeys((*settings.seeds, *listed))
+        return tuple(seed for seed in known if seed != settings.peer_listen)
+
     membership = Membership(
-        node=node,
+        node=make_node(settings),
         call=call,
-        seeds=lambda: seeds,
+        seeds=seeds,
         random=random.Random(),
     )
     membership.register(messages)
-    return membership
+    endpoints = Endpoints(
+        membership=membership,
+        inputs=EndpointInputs(
+            read_list=_make_list_call(settings, client),
+            read_report=make_report_call(client),
+            static=settings.endpoints,
+        ),
+        random=random.Random(),
+    )
+    listed_seeds.append(endpoints.seeds)
+    return Surrounding(membership=membership, endpoints=endpoints)
+
+
+def _make_list_call(settings: EntrySettings, client: HttpClient) -> ReadList:
+    if settings.platform.instances is not None:
+        return make_list_call(client, settings.platform.instances)
+    return _read_no_list
+
+
+async def _read_no_list() -> Result[InstanceList, Failure]:
+    await trio.lowlevel.checkpoint()
+    return Error(not_run(Reason.NO_ENDPOINT, 'no instance list in settings'))
 
 
 def join_views(
     settings: EntrySettings,
-    membership: Membership,
+    surrounding: Surrounding,
     store: StoreParts | None,
     call: PeerCall,
     messages: PeerRoutes,
 ) -> Views:
     """Return the views; without stores the site's file alone decides."""
     first_site = _read_first_site(settings)
+    membership = surrounding.membership
+    tasks = (membership.run, surrounding.endpoints.run)
     if store is None:
         return Views(
             node=membership.node,
             membership=membership,
-            endpoints=lambda: settings.endpoints,
+            endpoints=surrounding.endpoints,
             site=lambda: Ok(first_site or SiteConfig()),
             may_admit=lambda: Ok(None),
-            tasks=(membership.run,),
+            tasks=tasks,
         )
     keeper = ConfigurationKeeper(
         node=membership.node,
         calls=store.control_calls,
         peer_call=call,
-        surroundings=_make_surroundings(membership),
+        surroundings=_make_surroundings(surrounding),
         chance=random.Random(),
     )
     keeper.register(messages)
     return Views(
         node=membership.node,
         membership=membership,
-        endpoints=lambda: settings.endpoints,
+        endpoints=surrounding.endpoints,
         site=partial(_read_site, keeper, settings.site, first_site),
         may_admit=keeper.may_admit,
         keeper=keeper,
-        tasks=(membership.run, keeper.run),
+        tasks=(*tasks, keeper.run),
     )
 
 
@@ -153,7 +198,9 @@
     return read_settings(settings.site_file, SiteConfig)
 
 
-def _make_surroundings(membership: Membership) -> Surroundings:
+def _make_surroundings(surrounding: Surrounding) -> Surroundings:
+    membership = surrounding.membership
+
     def others() -> tuple[Node, ...]:
         return tuple(
             member.node
@@ -170,6 +217,6 @@
     return Surroundings(
         others=others,
         contacts=contacts,
-        list_reachable=bool,
+        list_reachable=surrounding.endpoints.list_reachable,
         polls=lambda: membership.is_chosen(CONFIGURATION_DUTY, POLLERS),
     )
--- a/src/limpetdrift/programs/runparts.py
+++ b/src/limpetdrift/programs/runparts.py
@@ -13,6 +13,7 @@
     drive_run,
     refuse_once,
 )
+from limpetdrift.coordination.endpoints import Endpoints, LeavingSource
 from limpetdrift.coordination.home import Home
 from limpetdrift.coordination.owner import Owner
 from limpetdrift.coordination.peers import (
@@ -26,6 +27,10 @@
     ProbeState,
 )
 from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
+from limpetdrift.coordination.services import RunOnce as CallOnce
+from limpetdrift.coordination.services import ServiceCaller
+from limpetdrift.coordination.services import refuse_once as refuse_call
+from limpetdrift.coordination.servicesingle import SingleServiceCalls
 from limpetdrift.coordination.singlerun import SingleRuns
 from limpetdrift.programs.entryviews import Views
 from limpetdrift.programs.storeparts import StoreParts, join_claims
@@ -34,6 +39,9 @@
     EngineReports,
     make_engine_reports,
 )
+from limpetdrift.protocol.node import Endpoint
+from limpetdrift.protocol.service import ServiceCalls
+from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.settings import EntrySettings
 from limpetdrift.state.prefixes import PrefixPlaces
 from limpetdrift.state.retrybudget import RetryBudget
@@ -59,6 +67,7 @@
     """The owner of requests, the homes of endpoints, and their tasks."""
 
     owner: Owner
+    services: ServiceCaller
     home: Home
     tasks: tuple[Task, ...]
 
@@ -66,6 +75,7 @@
 @dataclass(frozen=True, kw_only=True)
 class _Single:
     run_once: RunOnce
+    call_once: CallOnce
     tasks: tuple[Task, ...] = ()
 
 
@@ -83,7 +93,7 @@
         inputs=PlacerInputs(
             node=views.node,
             live_entries=views.live_entries,
-            endpoints=views.endpoints,
+            endpoints=views.endpoints.endpoints,
             call=wiring.call,
         ),
         home=home,
@@ -92,8 +102,17 @@
     single = _join_single(wiring, views, store)
     owner = _join_owner(wiring, views, placer, single.run_once)
     reclaimer = _join_reclaimer(wiring, views, reports, owner)
+    services = ServiceCaller(
+        calls=ServiceCalls(client=wiring.client),
+        endpoints=views.endpoints.endpoints,
+        run_once=single.call_once,
+        budget=RetryBudget(),
+        nursery=wiring.nursery,
+        randomness=random.Random(),
+    )
     return RunParts(
         owner=owner,
+        services=services,
         home=home,
         tasks=(
             home.run,
@@ -111,7 +130,7 @@
     store: StoreParts | None,
 ) -> _Single:
     if store is None:
-        return _Single(run_once=refuse_once)
+        return _Single(run_once=refuse_once, call_once=refuse_call)
     claims = join_claims(store, views.node, wiring.call)
     claims.mount(wiring.messages)
     owners = EngineCalls(
@@ -124,7 +143,17 @@
         engine=_join_engine(wiring),
         owners=owners,
     )
-    return _Single(run_once=single.run, tasks=(claims.run,))
+    calls = SingleServiceCalls(
+        node=views.node,
+        claims=claims,
+        peer_call=wiring.call,
+    )
+    calls.mount(wiring.messages)
+    return _Single(
+        run_once=single.run,
+        call_once=calls.run,
+        tasks=(claims.run,),
+    )
 
 
 def _join_engine(wiring: Wiring) -> EngineCalls:
@@ -148,6 +177,7 @@
         place=placer.place,
         release=placer.release,
         run_once=run_once,
+        note_failure=partial(_note_failure, views.endpoints),
         budget=RetryBudget(),
         nursery=wiring.nursery,
         random=random.Random(),
@@ -161,6 +191,15 @@
     )
 
 
+def _note_failure(
+    endpoints: Endpoints,
+    endpoint: Endpoint,
+    failure: Failure,
+) -> None:
+    if failure.reason is Reason.ENDPOINT_LEAVING:
+        endpoints.note_leaving(endpoint.name, LeavingSource.REFUSAL)
+
+
 def _join_reclaimer(
     wiring: Wiring,
     views: Views,
@@ -171,7 +210,7 @@
         inputs=ReclaimInputs(
             node=views.node,
             live_entries=views.live_entries,
-            endpoints=views.endpoints,
+            endpoints=views.endpoints.endpoints,
             call=wiring.call,
             reports=reports,
             owns=owner.owns_attempt,
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -3,7 +3,6 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import trio
 from absl import logging
@@ -58,24 +57,15 @@
     sys.exit(BAD_SETTINGS_EXIT)
 
 
-@dataclass(frozen=True, kw_only=True)
-class Serving:
-    """A server that accepts connections, and the address it was bound to."""
-
-    server: Server
-    address: Address
-
-
 async def serve_on(
     address: Address,
-    routes: Routes,
+    server: Server,
     nursery: trio.Nursery,
-) -> Serving:
-    """Serve routes at an address."""
+) -> Address:
+    """Accept connections at an address; return the one that was bound."""
     listeners = await listen(address)
-    server = Server(handler=routes.handle)
     await nursery.start(server.serve, listeners)
-    return Serving(server=server, address=bound_address(listeners))
+    return bound_address(listeners)
 
 
 def announce(name: str, **addresses: Address) -> None:
