Quarantine requests that crash endpoints

What ran on an endpoint that died is suspect on every entry, by account and body, and runs alone, one copy at a time by turns from the fingerprint's home. If it finishes it is cleared at once; if its endpoint dies again, by the endpoint's own word with nothing else on it, it is refused for ten minutes on all entries. News are pushed; a hash in the membership's exchanges finds what a push missed. Operators list, add and remove refusals.

Isolation costs capacity when an endpoint dies with many requests through nobody's fault, so suspicion lasts 30 s, suspects empty a quarter of a model's endpoints at most, and who finishes is cleared. Copies that were still waiting for a place when suspicion came crashed further endpoints at first; they now look again just before they are sent.

The cost is one more endpoint after the first crash is known, and one for each entry that dies in the middle of an isolated run. An unrelated crash under a suspect that runs alone convicts it wrongly; that isn't covered. Prompts in groups of endpoints, and placement without a home, don't isolate.

The state machine fails with suspicion, the note of a crash, the spread, the turns or the refusal switched off.

--- a/src/limpetdrift/coordination/drive.py
+++ b/src/limpetdrift/coordination/drive.py
@@ -16,6 +16,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.attempt import Attempt, follow_attempt
 from limpetdrift.coordination.singlerun import Dispatch
+from limpetdrift.coordination.trials import Guard, Trial, run_unguarded
 from limpetdrift.protocol.engine import EngineCalls, EngineHold, StreamStart
 from limpetdrift.protocol.placement import (
     Placement,
@@ -79,6 +80,7 @@
     budget: RetryBudget
     nursery: trio.Nursery
     random: random.Random
+    guard: Guard = run_unguarded
 
 
 @dataclass(kw_only=True, slots=True)
@@ -126,7 +128,8 @@
 async def _attempt_until_ended(parts: DriveParts, run: Run) -> None:
     course = _Course()
     while not run.ended:
-        outcome = await _attempt(parts, run, course)
+        run_trial = partial(_attempt, parts, run, course)
+        outcome = await parts.guard(run.request, run_trial)
         if outcome.is_ok():
             run.finish(outcome.ok)
             return
@@ -149,9 +152,10 @@
     parts: DriveParts,
     run: Run,
     course: _Course,
+    trial: Trial,
 ) -> Result[RunEnd, Failure]:
     run.attempts += 1
-    placed = await parts.place(_placement_request(run, course))
+    placed = await _place(parts, _placement_request(run, course, trial), trial)
     if placed.is_error():
         return placed
     placement = placed.ok
@@ -161,6 +165,8 @@
         start=_stream_start(parts, run, placement),
     )
     try:
+        if not await trial.begin(placement.endpoint):
+            return Error(not_run(Reason.CANCELLED, 'placed too late'))
         outcome = await _run_placed(parts, run, placement, attempt)
         release = _release_kind(outcome)
     finally:
@@ -170,6 +176,16 @@
     return outcome
 
 
+async def _place(
+    parts: DriveParts,
+    request: PlacementRequest,
+    trial: Trial,
+) -> Result[Placement, Failure]:
+    with trio.move_on_at(trial.place_by):
+        return await parts.place(request)
+    return Error(not_run(Reason.NO_ENDPOINT, 'none to have alone'))
+
+
 async def _run_placed(
     parts: DriveParts,
     run: Run,
@@ -239,7 +255,11 @@
     )
 
 
-def _placement_request(run: Run, course: _Course) -> PlacementRequest:
+def _placement_request(
+    run: Run,
+    course: _Course,
+    trial: Trial,
+) -> PlacementRequest:
     request = run.request
     return PlacementRequest(
         request_key=request.handle,
@@ -251,7 +271,8 @@
         urgency=request.urgency,
         deadline_in_seconds=request.deadline - trio.current_time(),
         prefix_blocks=prefix_blocks(request.prompt),
-        excluded=course.excluded,
+        excluded=trial.narrow(course.excluded),
+        isolated=trial.isolated,
     )
 
 
--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,447 @@
+"""A request that crashes endpoints costs at most two of them.
+
+The state machine's rules write a script of innocent and poisoned requests,
+resends of the poisoned under other keys and at other entries, and faults. It
+is played in virtual time over real owners and quarantines; the engines are
+fakes that die of a poisoned prompt.
+"""
+
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from expression import Result
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    rule,
+    run_state_machine_as_test,
+)
+
+from fake_engine import (
+    PREFILL_SECONDS,
+    TOKEN_SECONDS,
+    FakeEngineCalls,
+    whole_text,
+)
+from fake_network import FakeNetwork
+from limpetdrift.coordination.drive import DriveParts, drive_run, refuse_once
+from limpetdrift.coordination.owner import Owner
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.quarantine import Quarantine, QuarantineInputs
+from limpetdrift.coordination.quarantineroutes import add_quarantine_routes
+from limpetdrift.coordination.quarantinespread import QuarantineSpread
+from limpetdrift.coordination.trials import EndpointLook
+from limpetdrift.coordination.turns import Turns
+from limpetdrift.protocol.codec import encode
+from limpetdrift.protocol.operator import (
+    OPERATOR_SECRET_HEADER,
+    QUARANTINE_PATH,
+    QuarantineRequest,
+)
+from limpetdrift.protocol.placement import Placement
+from limpetdrift.protocol.quarantine import Standing
+from limpetdrift.protocol.verdict import Reason, Verdict, not_run
+from limpetdrift.state.retrybudget import RetryBudget
+from limpetdrift.state.run import RunRequest
+from limpetdrift.state.suspects import Suspects
+from limpetdrift.transport.messages import Request
+from limpetdrift.transport.routing import Routes
+from placement_site import make_node
+from virtual import run_virtual
+
+ENGINES = 4
+ENTRIES = 3
+DEADLINE_SECONDS = 60.0
+POISON_SECONDS = 0.06
+RESTART_SECONDS = 1.0
+SPREAD_SECONDS = 0.05
+POISONS = ('poison A', 'poison B')
+
+entry_numbers = st.integers(0, ENTRIES - 1)
+poisons = st.sampled_from(POISONS)
+
+
+class PoisonEngines(FakeEngineCalls):
+    """Engines that die of some prompts, placed with isolation honoured."""
+
+    def __init__(self, nursery):
+        super().__init__(count=ENGINES)
+        self.nursery = nursery
+        self.granted = {engine.endpoint.name: {} for engine in self.engines}
+        self.deaths = []
+
+    def endpoints(self):
+        return tuple(engine.endpoint for engine in self.engines)
+
+    async def look_at(self, endpoint):
+        await trio.sleep(0.001)
+        engine = self.at(endpoint.address)
+        if not engine.alive:
+            return Result.Error(not_run(Reason.CONNECT_FAILED))
+        now = trio.current_time()
+        running = sum(
+            ends_at(start, started_at) > now
+            for start, started_at in engine.streams.values()
+        )
+        return Result.Ok(
+            EndpointLook(incarnation=engine.incarnation, streams=running)
+        )
+
+    async def place(self, request):
+        while True:
+            await trio.sleep(0.001)
+            for engine in sorted(self.engines, key=self.crowd):
+                name = engine.endpoint.name
+                if name in request.excluded or not engine.alive:
+                    continue
+                if self.may_share(name, request):
+                    self.placements += 1
+                    grant = str(self.placements)
+                    self.granted[name][grant] = request.isolated
+                    return Result.Ok(
+                        Placement(endpoint=engine.endpoint, grant_id=grant)
+                    )
+            await trio.sleep(0.01)
+
+    def crowd(self, engine):
+        # Packed together, so that innocent requests run beside poison.
+        return -len(self.granted[engine.endpoint.name])
+
+    def may_share(self, name, request):
+        granted = self.granted[name]
+        if request.isolated:
+            return not granted
+        return not any(granted.values()) and len(granted) < 8
+
+    def release(self, placement, ending):
+        self.granted[placement.endpoint.name].pop(placement.grant_id, None)
+
+    @asynccontextmanager
+    async def start(self, address, start):
+        engine = self.at(address)
+        async with super().start(address, start) as lines:
+            if 'poison' in start.prompt:
+                self.nursery.start_soon(
+                    self.die, engine, start.prompt, engine.incarnation
+                )
+            yield lines
+
+    def crash(self, number):
+        """Crash an engine for no request's fault.
+
+        One on which a suspect runs alone is spared: nobody could tell whose
+        fault that was.
+        """
+        engine = self.engines[number]
+        if not any(self.granted[engine.endpoint.name].values()):
+            self.nursery.start_soon(self.go_down, engine)
+
+    async def go_down(self, engine):
+        engine.kill()
+        await trio.sleep(RESTART_SECONDS)
+        engine.restart()
+
+    async def die(self, engine, prompt, incarnation):
+        started_at = trio.current_time()
+        await trio.sleep(POISON_SECONDS)
+        if engine.incarnation != incarnation:
+            return
+        self.deaths.append((prompt, started_at, trio.current_time()))
+        await self.go_down(engine)
+
+
+def ends_at(start, started_at):
+    left = start.max_tokens - start.start_offset + 1
+    return started_at + PREFILL_SECONDS + left * TOKEN_SECONDS
+
+
+class Entry:
+    def __init__(self, number, world):
+        self.alive = True
+        self.scope = trio.CancelScope()
+        self.node = make_node(number)
+        routes = PeerRoutes()
+        self.quarantine = Quarantine(
+            inputs=QuarantineInputs(
+                node=self.node,
+                live_entries=world.live_nodes,
+                endpoints=world.engines.endpoints,
+                call=world.network.join(self.node.peer_address, routes),
+                look_at=world.engines.look_at,
+            )
+        )
+        self.quarantine.mount(routes)
+
+    async def run(self, world, *, task_status):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                parts = DriveParts(
+                    name=self.node.name,
+                    incarnation=1,
+                    engine=world.engines,
+                    place=world.engines.place,
+                    release=world.engines.release,
+                    run_once=refuse_once,
+                    budget=RetryBudget(reserve=1000.0),
+                    nursery=nursery,
+                    random=random.Random(1),
+                    guard=self.quarantine.guard,
+                )
+                self.owner = Owner(
+                    name=self.node.name,
+                    incarnation=1,
+                    random_source=random.Random(2),
+                    drive=lambda run: drive_run(parts, run),
+                    nursery=nursery,
+                )
+                nursery.start_soon(self.quarantine.run)
+                task_status.started()
+                await trio.sleep_forever()
+
+
+class World:
+    def __init__(self, nursery):
+        self.network = FakeNetwork(seed=1)
+        self.engines = PoisonEngines(nursery)
+        self.entries = []
+        self.runs = []
+
+    def live_nodes(self):
+        return tuple(entry.node for entry in self.entries if entry.alive)
+
+    async def start(self, nursery):
+        for number in range(ENTRIES):
+            entry = Entry(number, self)
+            self.entries.append(entry)
+            await nursery.start(entry.run, self)
+
+    def send(self, number, prompt, tokens=10):
+        entry = self.entries[number]
+        if not entry.alive:
+            return None
+        handle = entry.owner.make_handle()
+        request = RunRequest(
+            handle=handle,
+            key=handle,
+            account='kona',
+            model='m',
+            prompt=prompt,
+            prompt_tokens=8,
+            max_tokens=tokens,
+            urgency=0,
+            deadline=trio.current_time() + DEADLINE_SECONDS,
+            fingerprint=prompt,
+        )
+        run = entry.owner.submit(request).ok
+        self.runs.append((entry, run))
+        return run
+
+    def kill_entry(self, number):
+        entry = self.entries[number]
+        entry.alive = False
+        self.network.kill(entry.node.peer_address)
+        entry.scope.cancel()
+
+
+class QuarantineMachine(RuleBasedStateMachine):
+    """Writes a script, and plays it when it is whole."""
+
+    def __init__(self):
+        super().__init__()
+        self.script = []
+
+    @rule(number=entry_numbers, tokens=st.integers(1, 100))
+    def innocent(self, number, tokens):
+        self.script.append(('send', number, f'note {len(self.script)}', tokens))
+
+    @rule(number=entry_numbers, prompt=poisons)
+    def poison(self, number, prompt):
+        self.script.append(('send', number, prompt, 10))
+
+    @rule(number=st.integers(1, ENTRIES - 1))
+    def kill_entry(self, number):
+        self.script.append(('kill', number))
+
+    @rule(number=st.integers(0, ENGINES - 1))
+    def crash_engine(self, number):
+        self.script.append(('crash', number))
+
+    @rule(seconds=st.sampled_from([0.01, 0.05, 0.3, 2.0]))
+    def wait(self, seconds):
+        self.script.append(('wait', seconds))
+
+    def teardown(self):
+        run_virtual(self.play)
+
+    async def play(self):
+        with trio.fail_after(600):
+            async with trio.open_nursery() as nursery:
+                world = World(nursery)
+                await world.start(nursery)
+                for verb, *subject in self.script:
+                    await play_step(world, verb, *subject)
+                await wait_all(world)
+                await trio.sleep(SPREAD_SECONDS)
+                check_deaths(world)
+                await check_refused(world)
+                nursery.cancel_scope.cancel()
+        for entry, run in world.runs:
+            if entry.alive:
+                check_run(run)
+
+
+async def play_step(world, verb, *subject):
+    if verb == 'send':
+        world.send(*subject)
+    elif verb == 'wait':
+        await trio.sleep(*subject)
+    elif verb == 'kill':
+        world.kill_entry(*subject)
+    else:
+        world.engines.crash(*subject)
+
+
+async def wait_all(world):
+    for entry, run in world.runs:
+        if entry.alive:
+            await run.wait_ended()
+
+
+def check_deaths(world):
+    """After its first crash is known, a request costs one more endpoint."""
+    lost_entries = ENTRIES - len(world.live_nodes())
+    for prompt in POISONS:
+        deaths = [each for each in world.engines.deaths if each[0] == prompt]
+        known_at = deaths[0][2] + SPREAD_SECONDS if deaths else 0
+        later = [each for each in deaths if each[1] > known_at]
+        assert len(later) <= 1 + lost_entries
+
+
+async def check_refused(world):
+    """Every entry refuses what has crashed two endpoints."""
+    before = len(world.engines.deaths)
+    for number, entry in enumerate(world.entries):
+        for prompt in POISONS:
+            found = entry.quarantine.suspects.find(prompt)
+            refused = found and found.standing is Standing.REFUSED
+            if entry.alive and refused:
+                run = world.send(number, prompt)
+                await run.wait_ended()
+                assert run.failure.reason is Reason.QUARANTINED
+                assert run.failure.verdict is Verdict.NOT_RUN
+                assert run.failure.retry_after_seconds > 0
+    assert len(world.engines.deaths) == before
+    alive = [each for each in world.entries if each.alive]
+    refused = [refused_at(each) for each in alive]
+    assert all(each == refused[0] for each in refused)
+
+
+def refused_at(entry):
+    refusal = entry.quarantine.refusal
+    return [prompt for prompt in POISONS if refusal(prompt)]
+
+
+def check_run(run):
+    request = run.request
+    if 'poison' in request.prompt:
+        assert run.failure is not None
+        return
+    assert run.failure is None, run.failure
+    assert run.text == whole_text(request)
+
+
+def test_a_crashing_request_costs_two_endpoints():
+    thorough = settings(max_examples=100)
+    run_state_machine_as_test(QuarantineMachine, settings=thorough)
+
+
+async def take_any_turn(turns, fingerprint, seconds):
+    await trio.sleep(0.001)
+    return True
+
+
+@pytest.mark.parametrize(
+    ('target', 'name', 'without'),
+    [
+        (Suspects, 'is_suspect', lambda suspects, fingerprint: False),
+        (Suspects, 'note_crash', lambda suspects, *_: None),
+        (QuarantineSpread, 'add', lambda spread, news: None),
+        (Turns, 'take', take_any_turn),
+        (Quarantine, 'refusal', lambda quarantine, fingerprint: None),
+    ],
+)
+def test_the_proof_fails_without_its_mechanism(
+    monkeypatch, target, name, without
+):
+    monkeypatch.setattr(target, name, without)
+    quick = settings(max_examples=200, phases=[Phase.generate])
+    with pytest.raises((AssertionError, BaseExceptionGroup)):
+        run_state_machine_as_test(QuarantineMachine, settings=quick)
+
+
+def test_operators_refuse_and_release_on_every_entry():
+    run_virtual(play_orders)
+
+
+async def play_orders():
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        await world.start(nursery)
+        first, _, last = world.entries
+        routes = Routes()
+        add_quarantine_routes(routes, first.quarantine, 'secret')
+        assert (await order(routes, 'wrong', 60.0)).status == 403
+        listed = await order(routes, 'secret', 60.0)
+        assert b'"fingerprint":"note"' in listed.body
+        await trio.sleep(SPREAD_SECONDS)
+        assert last.quarantine.refusal('note').retry_after_seconds > 50
+        assert (await order(routes, 'secret', 0)).body == b'{"fingerprints":[]}'
+        await trio.sleep(SPREAD_SECONDS)
+        assert last.quarantine.refusal('note') is None
+        nursery.cancel_scope.cancel()
+
+
+async def order(routes, secret, seconds):
+    body = encode(QuarantineRequest(fingerprint='note', seconds=seconds))
+    exchange = RecordedExchange(
+        Request(
+            method='POST',
+            path=QUARANTINE_PATH,
+            headers=((OPERATOR_SECRET_HEADER, secret),),
+            body=body,
+        )
+    )
+    await routes.handle(exchange)
+    return exchange.response
+
+
+class RecordedExchange:
+    def __init__(self, request):
+        self.request = request
+
+    async def respond(self, response):
+        self.response = response
+
+
+def test_a_missed_push_is_made_up_by_the_digest():
+    run_virtual(play_digest)
+
+
+async def play_digest():
+    async with trio.open_nursery() as nursery:
+        world = World(nursery)
+        await world.start(nursery)
+        first, _, last = world.entries
+        world.network.isolate(last.node.peer_address)
+        first.quarantine.order('note', 'kona', 60.0)
+        await trio.sleep(5)
+        assert last.quarantine.refusal('note') is None
+        world.network.heal()
+        digest = first.quarantine.spread.make_digest()
+        last.quarantine.spread.on_digest(first.node.name, digest)
+        await trio.sleep(SPREAD_SECONDS)
+        assert last.quarantine.refusal('note') is not None
+        nursery.cancel_scope.cancel()
