Let a home bid with the best of its endpoints

Two random and two or three affine probes see a fifth of the engines.

Change: a probe goes to a home and names all of its endpoints that are eligible; the home answers with its best bid. Probes to the same home become one message. Homes have a few endpoints each at any size (two at 330 entries and 700 engines), so the cost stays the same. Which entry is whose home is kept in a table until a list changes; it was ranked for each message before. Calls to homes, probes, reports and expiry stand in modules of their own.

The test does both: with one of eight engines idle, not all of five short prompts reach it where only the probed endpoints bid.

--- a/src/limpetdrift/coordination/home.py
+++ b/src/limpetdrift/coordination/home.py
@@ -18,11 +18,14 @@
     gathered,
     may_gather,
 )
+from limpetdrift.coordination.expiry import (
+    MAX_POLL_SECONDS,
+    drop_abandoned,
+    drop_overdue,
+)
 from limpetdrift.coordination.homereports import (
-    UNUSED_GRANT_SECONDS,
     Homed,
-    take_allocations,
-    take_load,
+    read_reports,
 )
 from limpetdrift.coordination.peers import PeerHandler, PeerRoutes
 from limpetdrift.coordination.policies import Policy
@@ -46,8 +49,6 @@
 REORDER_SECONDS = 0.5
 REPORT_SECONDS = 1.0
 FIRST_REPORT_SECONDS = 0.1
-ABANDONED_POLL_SECONDS = 3.0
-_MAX_POLL_SECONDS = 5.0
 _IDLE_ROUNDS = 30
 _MIN_RETRY_AFTER_SECONDS = 0.5
 
@@ -110,31 +111,22 @@
         return {name: homed.queue for name, homed in self._homed.items()}
 
     async def bid(self, message: BidRequest) -> Result[Bid, Failure]:
-        """Estimate when the endpoint could give the first token."""
-        queue = self.queue_of(message.endpoint)
+        """Return the best estimate of when one could give the first token."""
+        request = message.request
         with trio.move_on_after(FIRST_REPORT_SECONDS):
-            await self._homed[message.endpoint.name].reported.wait()
-        queue.drain()
-        ticket = self._ticket(queue, message.request)
-        speed = queue.speed.prefill_tokens_per_second
-        return Ok(
-            Bid(
-                endpoint=message.endpoint,
-                first_token_seconds=expected_seconds(queue, ticket),
-                work_seconds=ticket.uncached_tokens / speed,
-                outstanding_tokens=queue.outstanding_tokens,
-                cached_tokens=ticket.cached_tokens,
-                memory_tokens=queue.ledger.capacity_tokens,
-                fits=ticket.memory_tokens <= queue.ledger.capacity_tokens,
-            ),
-        )
+            await self._first_reports(message.endpoints)
+        bids = [self._bid_for(each, request) for each in message.endpoints]
+        fitting = [bid for bid in bids if bid.fits] or bids
+        if not fitting:
+            return Error(not_run(Reason.NO_ENDPOINT, 'no endpoint was named'))
+        return Ok(self.policy.choose(request, fitting))
 
     async def grant(self, message: GrantRequest) -> Result[Grant, Failure]:
         """Take or keep a place in the queue; wait for the grant."""
         queue = self.queue_of(message.endpoint)
         ticket = queue.find(grant_id_of(message.request))
         if ticket is None:
-            ticket = self._ticket(queue, message.request)
+            ticket = _make_ticket(self.policy, queue, message.request)
             refusal = self._refusal(queue, ticket)
             if refusal is not None:
                 return Error(refusal)
@@ -143,7 +135,7 @@
             queue.wait(ticket)
             self._pump(queue)
         ticket.polled_at = trio.current_time()
-        with trio.move_on_after(min(message.poll_seconds, _MAX_POLL_SECONDS)):
+        with trio.move_on_after(min(message.poll_seconds, MAX_POLL_SECONDS)):
             await ticket.settled.wait()
         ticket.polled_at = trio.current_time()
         if queue.find(ticket.grant_id) is not ticket:
@@ -168,21 +160,25 @@
         self._pump(queue)
         return Ok(Released(known=known))
 
-    def _ticket(self, queue: EndpointQueue, request: PlacementRequest):
-        now = trio.current_time()
-        ticket = Ticket(
-            grant_id=grant_id_of(request),
-            request=request,
-            owner='',
-            incarnation=0,
-            arrived_at=now,
-            deadline_at=now + request.deadline_in_seconds,
-            polled_at=now,
-            cached_tokens=queue.match(request),
-            priority=self.policy.priority(request),
+    async def _first_reports(self, endpoints: tuple[Endpoint, ...]) -> None:
+        for endpoint in endpoints:
+            self.queue_of(endpoint)
+            await self._homed[endpoint.name].reported.wait()
+
+    def _bid_for(self, endpoint: Endpoint, request: PlacementRequest) -> Bid:
+        queue = self.queue_of(endpoint)
+        queue.drain()
+        ticket = _make_ticket(self.policy, queue, request)
+        speed = queue.speed.prefill_tokens_per_second
+        return Bid(
+            endpoint=endpoint,
+            first_token_seconds=expected_seconds(queue, ticket),
+            work_seconds=ticket.uncached_tokens / speed,
+            outstanding_tokens=queue.outstanding_tokens,
+            cached_tokens=ticket.cached_tokens,
+            memory_tokens=queue.ledger.capacity_tokens,
+            fits=ticket.memory_tokens <= queue.ledger.capacity_tokens,
         )
-        ticket.place = self.policy.order(ticket)
-        return ticket
 
     def _refusal(self, queue: EndpointQueue, ticket: Ticket) -> Failure | None:
         if ticket.memory_tokens > queue.ledger.capacity_tokens:
@@ -202,7 +198,7 @@
     def _pump(self, queue: EndpointQueue) -> None:
         queue.drain()
         if trio.current_time() - queue.waiting.reordered_at >= REORDER_SECONDS:
-            _drop_abandoned(queue)
+            drop_abandoned(queue)
             queue.waiting.reorder(_renewer(self.policy))
         queue.gathering_tokens = 0
         is_full = False
@@ -218,7 +214,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._keep_pumping, homed)
             while homed.idle_rounds < _IDLE_ROUNDS:
-                await self._read_reports(homed)
+                await read_reports(homed, self.reports)
+                drop_overdue(homed.queue)
+                self._pump(homed.queue)
                 homed.idle_rounds += homed.queue.empty
                 await trio.sleep(REPORT_SECONDS)
             self._homed.pop(homed.endpoint.name, None)
@@ -232,17 +230,26 @@
                 self._pump(homed.queue)
             homed.queue.arrival = trio.Event()
 
-    async def _read_reports(self, homed: Homed) -> None:
-        address = homed.endpoint.address
-        load = await self.reports.load(address)
-        if load.is_ok():
-            take_load(homed, load.ok)
-            homed.reported.set()
-        allocations = await self.reports.allocations(address)
-        if allocations.is_ok():
-            take_allocations(homed.queue, allocations.ok)
-        _drop_overdue(homed.queue)
-        self._pump(homed.queue)
+
+def _make_ticket(
+    policy: Policy,
+    queue: EndpointQueue,
+    request: PlacementRequest,
+) -> Ticket:
+    now = trio.current_time()
+    ticket = Ticket(
+        grant_id=grant_id_of(request),
+        request=request,
+        owner='',
+        incarnation=0,
+        arrived_at=now,
+        deadline_at=now + request.deadline_in_seconds,
+        polled_at=now,
+        cached_tokens=queue.match(request),
+        priority=policy.priority(request),
+    )
+    ticket.place = policy.order(ticket)
+    return ticket
 
 
 def _renewer(policy: Policy) -> Callable[[Ticket], None]:
@@ -251,29 +258,3 @@
         ticket.place = policy.order(ticket)
 
     return renew
-
-
-def _drop_overdue(queue: EndpointQueue) -> None:
-    # Covers an engine that never answers: nothing outlives its deadline.
-    now = trio.current_time()
-    overdue = [
-        ticket.grant_id
-        for ticket in queue.granted.values()
-        if ticket.deadline_at + UNUSED_GRANT_SECONDS < now
-    ]
-    for grant_id in overdue:
-        telemetry.count('grants_expired', cause='deadline')
-        queue.remove(grant_id)
-
-
-def _drop_abandoned(queue: EndpointQueue) -> None:
-    now = trio.current_time()
-    oldest = now - _MAX_POLL_SECONDS - ABANDONED_POLL_SECONDS
-    gone = [
-        ticket.grant_id
-        for ticket in queue.waiting
-        if ticket.polled_at < oldest or ticket.deadline_at < now
-    ]
-    for grant_id in gone:
-        telemetry.count('grants_expired', cause='abandoned')
-        queue.remove(grant_id)
--- a/src/limpetdrift/coordination/homereports.py
+++ b/src/limpetdrift/coordination/homereports.py
@@ -5,7 +5,11 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.enginereports import Allocation, EngineLoad
+from limpetdrift.protocol.enginereports import (
+    Allocation,
+    EngineLoad,
+    EngineReports,
+)
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.state.prefixes import BLOCK_TOKENS
 from limpetdrift.state.queue import EndpointQueue
@@ -26,6 +30,18 @@
     reported: trio.Event = field(default_factory=trio.Event)
 
 
+async def read_reports(homed: Homed, reports: EngineReports) -> None:
+    """Read the engine's load and allocations once."""
+    address = homed.endpoint.address
+    load = await reports.load(address)
+    if load.is_ok():
+        take_load(homed, load.ok)
+        homed.reported.set()
+    allocations = await reports.allocations(address)
+    if allocations.is_ok():
+        take_allocations(homed.queue, allocations.ok)
+
+
 def take_load(homed: Homed, load: EngineLoad) -> None:
     """Follow the engine's speed and memory; a new incarnation is empty."""
     queue = homed.queue
--- a/src/limpetdrift/coordination/homes.py
+++ b/src/limpetdrift/coordination/homes.py
@@ -34,3 +34,44 @@
 def home_of(endpoint: Endpoint, entries: Iterable[Node]) -> Node | None:
     """Return the endpoint's home, or ``None`` where no entry is live."""
     return next(iter(rank_homes(endpoint, entries)), None)
+
+
+class HomeTable:
+    """The homes of all endpoints, worked out again only when a list changes.
+
+    Ranking costs a hash for each entry, so that doing it for each message
+    would make the cost of a placement grow with the deployment.
+    """
+
+    def __init__(self) -> None:
+        self._entries: tuple[Node, ...] = ()
+        self._endpoints: tuple[Endpoint, ...] = ()
+        self._homes: dict[str, Node | None] = {}
+        self._homed: dict[str, list[Endpoint]] = {}
+
+    def refresh(
+        self,
+        entries: tuple[Node, ...],
+        endpoints: tuple[Endpoint, ...],
+    ) -> None:
+        """Follow the lists of live entries and of endpoints."""
+        if entries == self._entries and endpoints == self._endpoints:
+            return
+        self._entries = entries
+        self._endpoints = endpoints
+        self._homes.clear()
+        self._homed.clear()
+        for endpoint in endpoints:
+            home = self.find(endpoint)
+            if home is not None:
+                self._homed.setdefault(home.name, []).append(endpoint)
+
+    def find(self, endpoint: Endpoint) -> Node | None:
+        """Return an endpoint's home, also for one that left the list."""
+        if endpoint.name not in self._homes:
+            self._homes[endpoint.name] = home_of(endpoint, self._entries)
+        return self._homes[endpoint.name]
+
+    def endpoints_of(self, home: Node | None) -> list[Endpoint]:
+        """Return the endpoints whose home that entry is."""
+        return [] if home is None else self._homed.get(home.name, [])
--- a/src/limpetdrift/coordination/placer.py
+++ b/src/limpetdrift/coordination/placer.py
@@ -6,29 +6,26 @@
 decide.
 """
 
-from collections.abc import Callable, Container
+from collections.abc import Container
 from dataclasses import dataclass, replace
-from typing import TypeVar
 
 import trio
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.home import Home, grant_id_of
-from limpetdrift.coordination.homes import home_of
-from limpetdrift.coordination.peers import PeerCall
-from limpetdrift.coordination.policies import ProbeState
+from limpetdrift.coordination.home import Home
+from limpetdrift.coordination.homecalls import (
+    UNREACHABLE,
+    HomeCalls,
+    PlacerInputs,
+)
+from limpetdrift.coordination.probing import ProbeState
 from limpetdrift.coordination.promptgroups import GroupInputs, PromptGroups
 from limpetdrift.protocol.grants import (
     Bid,
-    BidRequest,
     Grant,
-    GrantRelease,
-    GrantRequest,
-    PlacementPath,
-    Released,
 )
-from limpetdrift.protocol.node import Endpoint, Node, Role
+from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.placement import (
     Placement,
     PlacementRequest,
@@ -40,37 +37,8 @@
     not_run,
 )
 
-Reply = TypeVar('Reply')
-
-PROBE_SECONDS = 0.25
-POLL_SECONDS = 2.0
-_POLL_GRACE_SECONDS = 0.5
-_RELEASE_SECONDS = 1.0
-_RELEASES_QUEUED = 10_000
-_RELEASE_TASKS = 8
 _MAX_ROUNDS = 3
 _RETRY_AFTER_SECONDS = 1.0
-_DEADLINE = not_run(Reason.DEADLINE, 'no endpoint was free in time')
-_UNREACHABLE = not_run(Reason.OWNER_UNREACHABLE, 'no home answered')
-_NO_ANSWER_REASONS = frozenset(
-    (
-        Reason.CONNECT_FAILED,
-        Reason.CONNECTION_BROKEN,
-        Reason.SILENT,
-        Reason.TIMEOUT,
-        Reason.BAD_ANSWER,
-    ),
-)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlacerInputs:
-    """What the placer is given by the rest of the entry."""
-
-    node: Node
-    live_entries: Callable[[], tuple[Node, ...]]
-    endpoints: Callable[[], tuple[Endpoint, ...]]
-    call: PeerCall
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -97,18 +65,16 @@
         self._inputs = inputs
         self._home = home
         self._state = state
+        self._calls = HomeCalls(inputs=inputs, home=home)
         self._groups = PromptGroups(
             inputs=GroupInputs(
                 node=inputs.node,
                 reports=home.reports,
-                take=self._await_grant,
-                give=self._release_later,
+                take=self._calls.await_grant,
+                give=self._calls.release_later,
                 random=state.random,
             ),
         )
-        channel = trio.open_memory_channel[GrantRelease](_RELEASES_QUEUED)
-        self._releases = channel[0]
-        self._pending = channel[1]
 
     async def place(
         self,
@@ -149,7 +115,7 @@
         """Give a grant back; the home is told in the background."""
         self._groups.release(placement)
         if placement.grant_id:
-            self._release_later(
+            self._calls.release_later(
                 placement.endpoint,
                 placement.grant_id,
                 outcome,
@@ -162,8 +128,7 @@
     ) -> None:
         """Tell homes of releases until cancelled."""
         async with trio.open_nursery() as nursery:
-            for _ in range(_RELEASE_TASKS):
-                nursery.start_soon(self._send_releases)
+            nursery.start_soon(self._calls.run)
             await nursery.start(self._groups.run)
             task_status.started()
 
@@ -185,15 +150,19 @@
     ) -> Result[Placement, _Miss]:
         policy = self._home.policy
         candidates = policy.candidates(request, endpoints, self._state)
-        bids = await self._collect_bids(request, candidates)
+        bids = await self._calls.collect_bids(
+            request,
+            candidates,
+            endpoints,
+        )
         if not bids:
             names = tuple(each.name for each in candidates)
-            return Error(_Miss(failure=_UNREACHABLE, tried=names))
+            return Error(_Miss(failure=UNREACHABLE, tried=names))
         fitting = [bid for bid in bids if bid.fits]
         if not fitting:
             return await self._place_group(request, endpoints, bids)
-        endpoint = policy.choose(request, fitting, self._state).endpoint
-        outcome = await self._await_grant(request, endpoint, deadline_at)
+        endpoint = policy.choose(request, fitting).endpoint
+        outcome = await self._calls.await_grant(request, endpoint, deadline_at)
         if outcome.is_error():
             return Error(_Miss(failure=outcome.error, tried=(endpoint.name,)))
         self._state.places.note(request.prefix_blocks, endpoint.name)
@@ -215,98 +184,6 @@
             lambda failure: _Miss(failure=failure, tried=names),
         )
 
-    async def _collect_bids(
-        self,
-        request: PlacementRequest,
-        candidates: list[Endpoint],
-    ) -> list[Bid]:
-        bids: list[Bid] = []
-
-        async def collect(endpoint: Endpoint) -> None:
-            message = BidRequest(endpoint=endpoint, request=request)
-            bid = await self._ask(
-                endpoint,
-                PlacementPath.BID,
-                message,
-                Bid,
-                PROBE_SECONDS,
-            )
-            if bid.is_ok():
-                bids.append(bid.ok)
-
-        async with trio.open_nursery() as nursery:
-            for candidate in candidates:
-                nursery.start_soon(collect, candidate)
-        return bids
-
-    async def _await_grant(
-        self,
-        request: PlacementRequest,
-        endpoint: Endpoint,
-        deadline_at: float,
-    ) -> Result[Grant, Failure]:
-        outcome: Result[Grant, Failure] = Error(_DEADLINE)
-        try:
-            outcome = await self._poll(request, endpoint, deadline_at)
-        finally:
-            if outcome.is_error():
-                self._release_later(
-                    endpoint,
-                    grant_id_of(request),
-                    Release.CANCELLED,
-                )
-        return outcome
-
-    async def _poll(
-        self,
-        request: PlacementRequest,
-        endpoint: Endpoint,
-        deadline_at: float,
-    ) -> Result[Grant, Failure]:
-        while True:
-            left = deadline_at - trio.current_time()
-            if left <= 0:
-                return Error(_DEADLINE)
-            seconds = min(POLL_SECONDS, left)
-            message = GrantRequest(
-                endpoint=endpoint,
-                request=replace(request, deadline_in_seconds=left),
-                owner=self._inputs.node.name,
-                incarnation=self._inputs.node.incarnation,
-                poll_seconds=seconds,
-            )
-            outcome = await self._ask(
-                endpoint,
-                PlacementPath.GRANT,
-                message,
-                Grant,
-                seconds + _POLL_GRACE_SECONDS,
-            )
-            if outcome.is_error() or outcome.ok.granted:
-                return outcome
-
-    async def _ask(
-        self,
-        endpoint: Endpoint,
-        path: str,
-        message: object,
-        reply: type[Reply],
-        timeout_seconds: float,
-    ) -> Result[Reply, Failure]:
-        home = home_of(endpoint, self._inputs.live_entries())
-        if home is None or home.name == self._inputs.node.name:
-            return await self._home.handlers[path](message)
-        outcome = await self._inputs.call(
-            home.peer_address,
-            path,
-            message,
-            reply,
-            timeout_seconds=timeout_seconds,
-        )
-        if outcome.is_error() and outcome.error.reason in _NO_ANSWER_REASONS:
-            return Error(_UNREACHABLE)
-        return outcome
-
     def _place_directly(
         self,
         request: PlacementRequest,
@@ -324,34 +201,6 @@
             priority=self._home.policy.priority(request),
         )
 
-    def _release_later(
-        self,
-        endpoint: Endpoint,
-        grant_id: str,
-        outcome: Release,
-    ) -> None:
-        message = GrantRelease(
-            endpoint=endpoint,
-            grant_id=grant_id,
-            outcome=outcome,
-        )
-        try:
-            self._releases.send_nowait(message)
-        except trio.WouldBlock:
-            telemetry.count('releases_dropped')
-
-    async def _send_releases(self) -> None:
-        async for message in self._pending:
-            outcome = await self._ask(
-                message.endpoint,
-                PlacementPath.RELEASE,
-                message,
-                Released,
-                _RELEASE_SECONDS,
-            )
-            if outcome.is_error():
-                telemetry.count('releases_lost')
-
 
 def _placement(endpoint: Endpoint, grant: Grant) -> Placement:
     return Placement(
--- a/src/limpetdrift/coordination/policies.py
+++ b/src/limpetdrift/coordination/policies.py
@@ -9,23 +9,22 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from heapq import nlargest
-from random import Random
 from types import MappingProxyType
 
 import trio
 
-from limpetdrift.coordination.homes import weight
+from limpetdrift.coordination.probing import (
+    Candidates,
+    affinity_and_random,
+    next_in_turn,
+    random_two,
+)
 from limpetdrift.protocol.grants import Bid
-from limpetdrift.protocol.node import Endpoint
 from limpetdrift.protocol.placement import PlacementRequest
-from limpetdrift.state.prefixes import PrefixPlaces
 from limpetdrift.state.queue import EndpointQueue
 from limpetdrift.state.waiting import Ticket
 
 _START_SOON_SECONDS = 0.1
-_RANDOM_PROBES = 2
-_AFFINE_PROBES = 2
 _WORK_WEIGHT = 1.0
 _AGING_SECONDS_PER_RANK = 10.0
 _LONG_PROMPT_TOKENS = 32_768
@@ -34,21 +33,6 @@
 _ISOLATION_SECONDS = 5.0
 
 
-@dataclass(kw_only=True, slots=True)
-class ProbeState:
-    """What one entry remembers between placements."""
-
-    random: Random
-    places: PrefixPlaces
-    turn: int = 0
-
-
-Candidates = Callable[
-    [PlacementRequest, list[Endpoint], ProbeState],
-    list[Endpoint],
-]
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Policy:
     """The decisions of one way to place requests.
@@ -57,76 +41,22 @@
     is what the engine is told, lower first, and ``age`` what it has become
     after the ticket's wait. ``is_full`` says that the engine has as much work
     as it may get at the ticket's priority, so that no later ticket starts
-    either; ``admits`` says whether there is room for the ticket itself.
+    either; ``admits`` says whether there is room for the ticket itself. With
+    ``asks_for_all`` a home that is asked bids with the best of its endpoints.
     """
 
     name: str
     candidates: Candidates
-    choose: Callable[[PlacementRequest, list[Bid], ProbeState], Bid]
+    choose: Callable[[PlacementRequest, list[Bid]], Bid]
     age: Callable[[Ticket], int]
     order: Callable[[Ticket], tuple[float, ...]]
     priority: Callable[[PlacementRequest], int]
     is_full: Callable[[Ticket, EndpointQueue], bool]
     admits: Callable[[Ticket, EndpointQueue], bool]
+    asks_for_all: bool = False
 
 
-def _next_in_turn(
-    request: PlacementRequest,
-    endpoints: list[Endpoint],
-    state: ProbeState,
-) -> list[Endpoint]:
-    state.turn += 1
-    return [endpoints[state.turn % len(endpoints)]]
-
-
-def _random_two(
-    request: PlacementRequest,
-    endpoints: list[Endpoint],
-    state: ProbeState,
-) -> list[Endpoint]:
-    count = min(_RANDOM_PROBES, len(endpoints))
-    return state.random.sample(endpoints, count)
-
-
-def _affinity_and_random(
-    request: PlacementRequest,
-    endpoints: list[Endpoint],
-    state: ProbeState,
-) -> list[Endpoint]:
-    chosen = _affine(request, endpoints, state)
-    for endpoint in _random_two(request, endpoints, state):
-        if endpoint not in chosen:
-            chosen.append(endpoint)
-    return chosen
-
-
-def _affine(
-    request: PlacementRequest,
-    endpoints: list[Endpoint],
-    state: ProbeState,
-) -> list[Endpoint]:
-    blocks = request.prefix_blocks
-    if not blocks:
-        return []
-    # The deepest power of two tells prompts that share much from those that
-    # share only a beginning, and is the same for prompts of like lengths.
-    depth = 1 << (len(blocks).bit_length() - 1)
-    key = str(blocks[depth - 1])
-    chosen = nlargest(
-        _AFFINE_PROBES,
-        endpoints,
-        key=lambda endpoint: weight(endpoint.name, key),
-    )
-    place = state.places.find(blocks)
-    seen = [each for each in endpoints if each.name == place]
-    return chosen + [each for each in seen if each not in chosen]
-
-
-def _least_seconds(
-    request: PlacementRequest,
-    bids: list[Bid],
-    state: ProbeState,
-) -> Bid:
+def _least_seconds(request: PlacementRequest, bids: list[Bid]) -> Bid:
     return min(
         bids,
         key=lambda bid: (
@@ -135,18 +65,12 @@
     )
 
 
-def _least_tokens(
-    request: PlacementRequest,
-    bids: list[Bid],
-    state: ProbeState,
-) -> Bid:
+def _least_tokens(request: PlacementRequest, bids: list[Bid]) -> Bid:
     return min(bids, key=lambda bid: bid.outstanding_tokens)
 
 
 def _most_cached_unless_loaded(
-    request: PlacementRequest,
-    bids: list[Bid],
-    state: ProbeState,
+    request: PlacementRequest, bids: list[Bid]
 ) -> Bid:
     return min(
         bids,
@@ -240,7 +164,7 @@
 _ALL = (
     Policy(
         name='round-robin',
-        candidates=_next_in_turn,
+        candidates=next_in_turn,
         choose=_least_tokens,
         order=_by_arrival,
         priority=_same_priority,
@@ -250,7 +174,7 @@
     ),
     Policy(
         name='least-tokens',
-        candidates=_random_two,
+        candidates=random_two,
         choose=_least_tokens,
         order=_by_arrival,
         priority=_same_priority,
@@ -260,7 +184,7 @@
     ),
     Policy(
         name='prefix-two-choices',
-        candidates=_affinity_and_random,
+        candidates=affinity_and_random,
         choose=_most_cached_unless_loaded,
         order=_by_arrival,
         priority=_same_priority,
@@ -270,13 +194,14 @@
     ),
     Policy(
         name='slack',
-        candidates=_affinity_and_random,
+        candidates=affinity_and_random,
         choose=_least_seconds,
         order=_by_slack,
         priority=priority_by_size,
         age=aged_priority,
         is_full=_starts_too_late,
         admits=_has_room,
+        asks_for_all=True,
     ),
 )
 
--- a/src/limpetdrift/programs/entryparts.py
+++ b/src/limpetdrift/programs/entryparts.py
@@ -29,11 +29,8 @@
     make_peer_call,
 )
 from limpetdrift.coordination.placer import Placer, PlacerInputs
-from limpetdrift.coordination.policies import (
-    DEFAULT_POLICY,
-    POLICIES,
-    ProbeState,
-)
+from limpetdrift.coordination.policies import DEFAULT_POLICY, POLICIES
+from limpetdrift.coordination.probing import ProbeState
 from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
 from limpetdrift.coordination.singlerun import SingleRuns
 from limpetdrift.programs.serving import add_health_routes, read_settings
--- a/src/limpetdrift/protocol/grants.py
+++ b/src/limpetdrift/protocol/grants.py
@@ -19,9 +19,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BidRequest:
-    """Asks a home how soon an endpoint could answer a request."""
+    """Asks a home which of these endpoints could answer a request soonest."""
 
-    endpoint: Endpoint
+    endpoints: tuple[Endpoint, ...]
     request: PlacementRequest
 
 
--- a/tests/placement_site.py
+++ b/tests/placement_site.py
@@ -7,7 +7,8 @@
 from limpetdrift.coordination.home import Home
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.placer import Placer, PlacerInputs
-from limpetdrift.coordination.policies import POLICIES, ProbeState
+from limpetdrift.coordination.policies import POLICIES
+from limpetdrift.coordination.probing import ProbeState
 from limpetdrift.protocol.node import Endpoint, Node, Role
 from limpetdrift.protocol.placement import PlacementRequest
 from limpetdrift.state.prefixes import PrefixPlaces
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,8 +1,12 @@
 """Placement end to end over the fake network and engine models."""
 
+import dataclasses
+
 import trio
 
-from limpetdrift.coordination.homes import home_of
+from limpetdrift.coordination.homes import HomeTable, home_of
+from limpetdrift.coordination.policies import POLICIES
+from limpetdrift.protocol.grants import GrantRequest
 from limpetdrift.protocol.placement import Release
 from limpetdrift.protocol.verdict import Reason, Verdict
 from placement_site import Site, make_node, make_request
@@ -146,3 +150,50 @@
 async def _empty_later(endpoints):
     await trio.sleep(0.1)
     endpoints.clear()
+
+
+async def placed_beside_busy_engines(policy):
+    """Return where five short prompts go with one idle engine of eight."""
+    site = Site(entries=1, engines=8)
+    site.homes[0].policy = policy
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(2)
+        home = site.homes[0]
+        for endpoint in site.endpoints[1:]:
+            request = make_request(endpoint.name, prompt_tokens=200_000)
+            message = GrantRequest(
+                endpoint=endpoint,
+                request=request,
+                owner='entry-0',
+                incarnation=1,
+                poll_seconds=1.0,
+            )
+            assert (await home.grant(message)).ok.granted
+        places = []
+        for key in range(5):
+            placed = (await site.placers[0].place(make_request(key))).ok
+            places.append(placed.endpoint)
+            site.placers[0].release(placed, Release.FINISHED)
+            await trio.sleep(0.5)
+        nursery.cancel_scope.cancel()
+    return [place == site.endpoints[0] for place in places]
+
+
+@virtual
+async def test_a_home_bids_with_its_idle_engine_also_when_not_named():
+    policy = POLICIES['slack']
+    assert all(await placed_beside_busy_engines(policy))
+    narrow = dataclasses.replace(policy, asks_for_all=False)
+    assert not all(await placed_beside_busy_engines(narrow))
+
+
+def test_the_table_of_homes_follows_the_lists():
+    site = Site(entries=9, engines=30)
+    table = HomeTable()
+    for entries in (site.live(), site.live()[3:], site.live()):
+        table.refresh(entries, site.listed())
+        for each in site.endpoints:
+            home = home_of(each, entries)
+            assert table.find(each) == home
+            assert each in table.endpoints_of(home)
