Send a prompt's blocks once, and few of them in probes

Cause: the blocks of a prompt went whole in each probe and in each long poll of a grant.

Change: a probe carries the hashes at depths a quarter apart; as hashes are chained, a known one tells of all before it. A place is taken with the whole request and kept by its name alone; a home that does not know the name says so and gets the whole request again. The table of homes looks only at entries of the endpoint's own domain.

Ruled out: a Bloom filter of the blocks (more bytes than 24 samples, and wrong hits); dropping blocks of the grant too (the home could not learn).

The new test fails where polls go whole (bytes while it waits) and where an unknown place is not taken anew.

--- a/src/limpetdrift/coordination/home.py
+++ b/src/limpetdrift/coordination/home.py
@@ -34,6 +34,7 @@
     Bid,
     BidRequest,
     Grant,
+    GrantPoll,
     GrantRelease,
     GrantRequest,
     PlacementPath,
@@ -73,6 +74,7 @@
         self.handlers: dict[str, PeerHandler] = {
             PlacementPath.BID: self.bid,
             PlacementPath.GRANT: self.grant,
+            PlacementPath.POLL: self.poll,
             PlacementPath.RELEASE: self.release,
         }
 
@@ -80,6 +82,7 @@
         """Offer the handlers to peers."""
         routes.add(PlacementPath.BID, BidRequest, self.bid)
         routes.add(PlacementPath.GRANT, GrantRequest, self.grant)
+        routes.add(PlacementPath.POLL, GrantPoll, self.poll)
         routes.add(PlacementPath.RELEASE, GrantRelease, self.release)
 
     async def run(
@@ -112,42 +115,42 @@
 
     async def bid(self, message: BidRequest) -> Result[Bid, Failure]:
         """Return the best estimate of when one could give the first token."""
-        request = message.request
         with trio.move_on_after(FIRST_REPORT_SECONDS):
             await self._first_reports(message.endpoints)
-        bids = [self._bid_for(each, request) for each in message.endpoints]
+        bids = [self._bid_for(each, message) for each in message.endpoints]
         fitting = [bid for bid in bids if bid.fits] or bids
         if not fitting:
             return Error(not_run(Reason.NO_ENDPOINT, 'no endpoint was named'))
-        return Ok(self.policy.choose(request, fitting))
+        return Ok(self.policy.choose(message.request, fitting))
 
     async def grant(self, message: GrantRequest) -> Result[Grant, Failure]:
-        """Take or keep a place in the queue; wait for the grant."""
+        """Take a place in the queue, once; wait for the grant."""
         queue = self.queue_of(message.endpoint)
         ticket = queue.find(grant_id_of(message.request))
         if ticket is None:
-            ticket = _make_ticket(self.policy, queue, message.request)
-            refusal = self._refusal(queue, ticket)
+            cached = queue.match(message.request)
+            ticket = _make_ticket(self.policy, message.request, cached)
+            refusal = _refusal(queue, ticket)
             if refusal is not None:
                 return Error(refusal)
             ticket.owner = message.owner
             ticket.incarnation = message.incarnation
             queue.wait(ticket)
             self._pump(queue)
-        ticket.polled_at = trio.current_time()
-        with trio.move_on_after(min(message.poll_seconds, MAX_POLL_SECONDS)):
-            await ticket.settled.wait()
-        ticket.polled_at = trio.current_time()
-        if queue.find(ticket.grant_id) is not ticket:
-            return Error(not_run(Reason.CANCELLED, 'the place was given up'))
-        return Ok(
-            Grant(
-                granted=ticket.granted_at is not None,
-                grant_id=ticket.grant_id,
-                priority=ticket.priority,
-                cached_tokens=ticket.cached_tokens,
-            ),
-        )
+        return await _wait(queue, ticket, message.poll_seconds)
+
+    async def poll(self, message: GrantPoll) -> Result[Grant, Failure]:
+        """Keep a place in the queue; wait for the grant."""
+        queue = self.queue_of(message.endpoint)
+        ticket = queue.find(message.grant_id)
+        if ticket is None:
+            unknown = Grant(
+                granted=False,
+                grant_id=message.grant_id,
+                known=False,
+            )
+            return Ok(unknown)
+        return await _wait(queue, ticket, message.poll_seconds)
 
     async def release(
         self,
@@ -165,10 +168,12 @@
             self.queue_of(endpoint)
             await self._homed[endpoint.name].reported.wait()
 
-    def _bid_for(self, endpoint: Endpoint, request: PlacementRequest) -> Bid:
+    def _bid_for(self, endpoint: Endpoint, message: BidRequest) -> Bid:
         queue = self.queue_of(endpoint)
         queue.drain()
-        ticket = _make_ticket(self.policy, queue, request)
+        samples = message.samples
+        cached = queue.prefixes.matched_samples(samples.depths, samples.blocks)
+        ticket = _make_ticket(self.policy, message.request, cached)
         speed = queue.speed.prefill_tokens_per_second
         return Bid(
             endpoint=endpoint,
@@ -180,21 +185,6 @@
             fits=ticket.memory_tokens <= queue.ledger.capacity_tokens,
         )
 
-    def _refusal(self, queue: EndpointQueue, ticket: Ticket) -> Failure | None:
-        if ticket.memory_tokens > queue.ledger.capacity_tokens:
-            return not_run(Reason.NO_MEMORY, 'larger than the endpoint')
-        queue.drain()
-        wait = expected_seconds(queue, ticket)
-        allowed = ticket.request.deadline_in_seconds
-        if wait <= allowed:
-            return None
-        telemetry.count('refusals', reason=Reason.OVERLOADED)
-        return not_run(
-            Reason.OVERLOADED,
-            f'expected wait of {wait:.1f} s is over the deadline',
-            retry_after_seconds=max(_MIN_RETRY_AFTER_SECONDS, wait - allowed),
-        )
-
     def _pump(self, queue: EndpointQueue) -> None:
         queue.drain()
         if trio.current_time() - queue.waiting.reordered_at >= REORDER_SECONDS:
@@ -231,10 +221,47 @@
             homed.queue.arrival = trio.Event()
 
 
+def _refusal(queue: EndpointQueue, ticket: Ticket) -> Failure | None:
+    if ticket.memory_tokens > queue.ledger.capacity_tokens:
+        return not_run(Reason.NO_MEMORY, 'larger than the endpoint')
+    queue.drain()
+    wait = expected_seconds(queue, ticket)
+    allowed = ticket.request.deadline_in_seconds
+    if wait <= allowed:
+        return None
+    telemetry.count('refusals', reason=Reason.OVERLOADED)
+    return not_run(
+        Reason.OVERLOADED,
+        f'expected wait of {wait:.1f} s is over the deadline',
+        retry_after_seconds=max(_MIN_RETRY_AFTER_SECONDS, wait - allowed),
+    )
+
+
+async def _wait(
+    queue: EndpointQueue,
+    ticket: Ticket,
+    seconds: float,
+) -> Result[Grant, Failure]:
+    ticket.polled_at = trio.current_time()
+    with trio.move_on_after(min(seconds, MAX_POLL_SECONDS)):
+        await ticket.settled.wait()
+    ticket.polled_at = trio.current_time()
+    if queue.find(ticket.grant_id) is not ticket:
+        return Error(not_run(Reason.CANCELLED, 'the place was given up'))
+    return Ok(
+        Grant(
+            granted=ticket.granted_at is not None,
+            grant_id=ticket.grant_id,
+            priority=ticket.priority,
+            cached_tokens=ticket.cached_tokens,
+        ),
+    )
+
+
 def _make_ticket(
     policy: Policy,
-    queue: EndpointQueue,
     request: PlacementRequest,
+    cached_tokens: int,
 ) -> Ticket:
     now = trio.current_time()
     ticket = Ticket(
@@ -245,7 +272,7 @@
         arrived_at=now,
         deadline_at=now + request.deadline_in_seconds,
         polled_at=now,
-        cached_tokens=queue.match(request),
+        cached_tokens=min(cached_tokens, request.prompt_tokens),
         priority=policy.priority(request),
     )
     ticket.place = policy.order(ticket)
--- a/src/limpetdrift/coordination/homecalls.py
+++ b/src/limpetdrift/coordination/homecalls.py
@@ -15,14 +15,17 @@
     Bid,
     BidRequest,
     Grant,
+    GrantPoll,
     GrantRelease,
     GrantRequest,
     PlacementPath,
+    PrefixSamples,
     Released,
 )
 from limpetdrift.protocol.node import Endpoint, Node
 from limpetdrift.protocol.placement import PlacementRequest, Release
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.state.prefixes import sample_depths
 
 Reply = TypeVar('Reply')
 
@@ -80,10 +83,16 @@
     ) -> list[Bid]:
         """Ask the homes of the candidates for bids; those that answered."""
         self._refresh_homes()
+        samples = _samples_of(request.prefix_blocks)
+        request = replace(request, prefix_blocks=())
         bids: list[Bid] = []
 
         async def collect(asked: list[Endpoint]) -> None:
-            message = BidRequest(endpoints=tuple(asked), request=request)
+            message = BidRequest(
+                endpoints=tuple(asked),
+                request=request,
+                samples=samples,
+            )
             bid = await self._ask(
                 asked[0],
                 PlacementPath.BID,
@@ -165,27 +174,63 @@
         endpoint: Endpoint,
         deadline_at: float,
     ) -> Result[Grant, Failure]:
+        known = False
         while True:
             left = deadline_at - trio.current_time()
             if left <= 0:
                 return Error(_DEADLINE)
             seconds = min(POLL_SECONDS, left)
-            message = GrantRequest(
-                endpoint=endpoint,
-                request=replace(request, deadline_in_seconds=left),
-                owner=self._inputs.node.name,
-                incarnation=self._inputs.node.incarnation,
-                poll_seconds=seconds,
-            )
-            outcome = await self._ask(
-                endpoint,
-                PlacementPath.GRANT,
-                message,
-                Grant,
-                seconds + _POLL_GRACE_SECONDS,
-            )
+            if known:
+                outcome = await self._poll_again(request, endpoint, seconds)
+            else:
+                outcome = await self._poll_first(
+                    replace(request, deadline_in_seconds=left),
+                    endpoint,
+                    seconds,
+                )
             if outcome.is_error() or outcome.ok.granted:
                 return outcome
+            known = outcome.ok.known
+
+    async def _poll_first(
+        self,
+        request: PlacementRequest,
+        endpoint: Endpoint,
+        seconds: float,
+    ) -> Result[Grant, Failure]:
+        message = GrantRequest(
+            endpoint=endpoint,
+            request=request,
+            owner=self._inputs.node.name,
+            incarnation=self._inputs.node.incarnation,
+            poll_seconds=seconds,
+        )
+        return await self._ask(
+            endpoint,
+            PlacementPath.GRANT,
+            message,
+            Grant,
+            seconds + _POLL_GRACE_SECONDS,
+        )
+
+    async def _poll_again(
+        self,
+        request: PlacementRequest,
+        endpoint: Endpoint,
+        seconds: float,
+    ) -> Result[Grant, Failure]:
+        message = GrantPoll(
+            endpoint=endpoint,
+            grant_id=grant_id_of(request),
+            poll_seconds=seconds,
+        )
+        return await self._ask(
+            endpoint,
+            PlacementPath.POLL,
+            message,
+            Grant,
+            seconds + _POLL_GRACE_SECONDS,
+        )
 
     async def _ask(
         self,
@@ -227,3 +272,11 @@
             self._inputs.live_entries(),
             self._inputs.endpoints(),
         )
+
+
+def _samples_of(blocks: tuple[int, ...]) -> PrefixSamples:
+    depths = sample_depths(len(blocks))
+    return PrefixSamples(
+        depths=depths,
+        blocks=tuple(blocks[depth - 1] for depth in depths),
+    )
--- a/src/limpetdrift/coordination/homes.py
+++ b/src/limpetdrift/coordination/homes.py
@@ -48,6 +48,7 @@
         self._endpoints: tuple[Endpoint, ...] = ()
         self._homes: dict[str, Node | None] = {}
         self._homed: dict[str, list[Endpoint]] = {}
+        self._domains: dict[str, list[Node]] = {}
 
     def refresh(
         self,
@@ -61,6 +62,9 @@
         self._endpoints = endpoints
         self._homes.clear()
         self._homed.clear()
+        self._domains.clear()
+        for entry in entries:
+            self._domains.setdefault(entry.failure_domain, []).append(entry)
         for endpoint in endpoints:
             home = self.find(endpoint)
             if home is not None:
@@ -69,7 +73,9 @@
     def find(self, endpoint: Endpoint) -> Node | None:
         """Return an endpoint's home, also for one that left the list."""
         if endpoint.name not in self._homes:
-            self._homes[endpoint.name] = home_of(endpoint, self._entries)
+            # Entries of other domains matter only where its own has none.
+            own = self._domains.get(endpoint.failure_domain, self._entries)
+            self._homes[endpoint.name] = home_of(endpoint, own)
         return self._homes[endpoint.name]
 
     def endpoints_of(self, home: Node | None) -> list[Endpoint]:
--- a/src/limpetdrift/protocol/grants.py
+++ b/src/limpetdrift/protocol/grants.py
@@ -13,16 +13,32 @@
 
     BID = 'placement/bid'
     GRANT = 'placement/grant'
+    POLL = 'placement/poll'
     RELEASE = 'placement/release'
     OWNS = 'placement/owns'
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PrefixSamples:
+    """Some blocks of a prompt: how many blocks deep, and the chained hashes.
+
+    Since hashes are chained, one that is known tells that all before it are.
+    """
+
+    depths: tuple[int, ...] = ()
+    blocks: tuple[int, ...] = ()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class BidRequest:
-    """Asks a home which of these endpoints could answer a request soonest."""
+    """Asks a home which of these endpoints could answer a request soonest.
+
+    The request comes without its blocks; ``samples`` stands for them.
+    """
 
     endpoints: tuple[Endpoint, ...]
     request: PlacementRequest
+    samples: PrefixSamples
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -59,14 +75,28 @@
     poll_seconds: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantPoll:
+    """Keeps a place that a ``GrantRequest`` took, for one more long poll."""
+
+    endpoint: Endpoint
+    grant_id: str
+    poll_seconds: float
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
-    """The answer to one long poll; not granted means still waiting."""
+    """The answer to one long poll; not granted means still waiting.
+
+    Where ``known`` is false the home has no such place, as after a restart,
+    and the asker takes a new one.
+    """
 
     granted: bool
     grant_id: str
     priority: int = 0
     cached_tokens: int = 0
+    known: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/state/prefixes.py
+++ b/src/limpetdrift/state/prefixes.py
@@ -5,6 +5,7 @@
 
 BLOCK_TOKENS = 256
 _DEFAULT_BLOCKS = 65_536
+_DEPTH_RATIO = 1.25
 
 
 class RecentPrefixes:
@@ -41,6 +42,21 @@
         """Follow the size of the engine's memory."""
         self._limit_blocks = limit_blocks
 
+    def matched_samples(
+        self,
+        depths: tuple[int, ...],
+        blocks: tuple[int, ...],
+    ) -> int:
+        """Return the tokens down to the deepest sample that is known."""
+        for depth, block in zip(
+            reversed(depths),
+            reversed(blocks),
+            strict=False,
+        ):
+            if block in self._blocks:
+                return depth * BLOCK_TOKENS
+        return 0
+
     def matched_tokens(self, blocks: Iterable[int]) -> int:
         """Return how many tokens of the prompt's beginning are known."""
         matched = 0
@@ -51,6 +67,20 @@
         return matched
 
 
+def sample_depths(count: int) -> tuple[int, ...]:
+    """Return depths from one block to all, each about a quarter on.
+
+    >>> sample_depths(12)
+    (1, 2, 3, 4, 5, 6, 7, 8, 10, 12)
+    """
+    depths = []
+    depth = 1
+    while depth < count:
+        depths.append(depth)
+        depth = max(depth + 1, int(depth * _DEPTH_RATIO))
+    return (*depths, count) if count else ()
+
+
 class PrefixPlaces:
     """Where prompts with a block went last, as one entry remembers it."""
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -197,3 +197,38 @@
             home = home_of(each, entries)
             assert table.find(each) == home
             assert each in table.endpoints_of(home)
+
+
+@virtual
+async def test_a_place_is_taken_anew_when_its_home_forgot_it():
+    site = Site(entries=2, engines=1, memory_tokens=100_000)
+    home_node = home_of(site.endpoints[0], site.nodes)
+    home = site.homes[site.nodes.index(home_node)]
+    asker = site.placers[1 - site.nodes.index(home_node)]
+    blocks = tuple(range(10**18, 10**18 + 250))
+    outcomes = []
+
+    async def place_waiting():
+        request = make_request(
+            'waiting', prompt_tokens=64_000, prefix_blocks=blocks
+        )
+        outcomes.append(await asker.place(request))
+
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(2)
+        first = make_request('first', prompt_tokens=90_000)
+        placed = (await asker.place(first)).ok
+        engine = site.engines[site.endpoints[0].address]
+        run = (await engine.start(first, placed, 'entry-0')).ok
+        nursery.start_soon(place_waiting)
+        await trio.sleep(1)
+        sent = site.network.bytes
+        await trio.sleep(8)
+        assert site.network.bytes - sent < 5000
+        assert not outcomes
+        home._homed.clear()
+        engine.remove(run.id)
+        await trio.sleep(3)
+        assert [each.is_ok() for each in outcomes] == [True]
+        nursery.cancel_scope.cancel()
