--- a/benchmarks/placement_policies.py
+++ b/benchmarks/placement_policies.py
@@ -226,7 +226,7 @@
             each.cache.matched_tokens(arrival.blocks)
             for each in site.engines.values()
         )
-        left = DEADLINE_SECONDS - (trio.current_time() - arrived_at)
+        left = max(0, DEADLINE_SECONDS - (trio.current_time() - arrived_at))
         run = None
         with trio.move_on_after(left):
             run = (await engine.start_or_queue(request, placed, 'e')).ok
