--- a/src/limpetdrift/coordination/homes.py
+++ b/src/limpetdrift/coordination/homes.py
@@ -68,3 +68,50 @@
         return False
     own = weight(name, endpoint.name)
     return all(weight(other, endpoint.name) <= own for other in near)
+
+
+class HomeTable:
+    """The homes of all endpoints, worked out again only when a list changes.
+
+    Ranking costs a hash for each entry, so that doing it for each message
+    would make the cost of a placement grow with the deployment.
+    """
+
+    def __init__(self) -> None:
+        self._entries: tuple[Node, ...] = ()
+        self._endpoints: tuple[Endpoint, ...] = ()
+        self._homes: dict[str, Node | None] = {}
+        self._homed: dict[str, list[Endpoint]] = {}
+        self._domains: dict[str, list[Node]] = {}
+
+    def refresh(
+        self,
+        entries: tuple[Node, ...],
+        endpoints: tuple[Endpoint, ...],
+    ) -> None:
+        """Follow the lists of live entries and of endpoints."""
+        if entries == self._entries and endpoints == self._endpoints:
+            return
+        self._entries = entries
+        self._endpoints = endpoints
+        self._homes.clear()
+        self._homed.clear()
+        self._domains.clear()
+        for entry in entries:
+            self._domains.setdefault(entry.failure_domain, []).append(entry)
+        for endpoint in endpoints:
+            home = self.find(endpoint)
+            if home is not None:
+                self._homed.setdefault(home.name, []).append(endpoint)
+
+    def find(self, endpoint: Endpoint) -> Node | None:
+        """Return an endpoint's home, also for one that left the list."""
+        if endpoint.name not in self._homes:
+            # Entries of other domains matter only where its own has none.
+            own = self._domains.get(endpoint.failure_domain, self._entries)
+            self._homes[endpoint.name] = home_of(endpoint, own)
+        return self._homes[endpoint.name]
+
+    def endpoints_of(self, home: Node | None) -> list[Endpoint]:
+        """Return the endpoints whose home that entry is."""
+        return [] if home is None else self._homed.get(home.name, [])
--- a/src/limpetdrift/programs/runparts.py
+++ b/src/limpetdrift/programs/runparts.py
@@ -22,10 +22,8 @@
     PeerRoutes,
 )
 from limpetdrift.coordination.placer import Placer, PlacerInputs
-from limpetdrift.coordination.policies import (
-    POLICIES,
-    ProbeState,
-)
+from limpetdrift.coordination.policies import POLICIES
+from limpetdrift.coordination.probing import ProbeState
 from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
 from limpetdrift.coordination.services import RunOnce as CallOnce
 from limpetdrift.coordination.services import ServiceCaller
