--- a/src/limpet_standins/experiment.py
+++ b/src/limpet_standins/experiment.py
@@ -8,6 +8,7 @@
 """
 
 import secrets
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
@@ -29,6 +30,7 @@
 from limpetdrift.programs.load import read_experiment
 from limpetdrift.transport.messages import parse_address
 
+MEETING_SECONDS = 3.0
 _MANY = 1_000_000
 
 
@@ -151,7 +153,7 @@
             'site_file': str(site_file),
             'placement_policy': policy,
             'endpoints': _endpoints(started),
-            'peers': [each for each in started.nodes if each is not node],
+            'seeds': [each['peer_address'] for each in started.nodes],
         }
         name = node['name']
         path = processes.write(f'{name}.yaml', yaml.safe_dump(settings))
@@ -159,6 +161,8 @@
         processes.spawn(name, module, '--settings', str(path))
     for node in started.nodes:
         processes.wait_ready(node['name'])
+    # Homes move until every entry knows all others.
+    time.sleep(MEETING_SECONDS)
 
 
 def _endpoints(started: StartedSite) -> list[dict[str, Any]]:
--- a/src/limpetdrift/settings.py
+++ b/src/limpetdrift/settings.py
@@ -14,7 +14,7 @@
 
 from limpetdrift.coordination.policies import DEFAULT_POLICY, POLICIES
 from limpetdrift.protocol.configuration import Complaint, Complaints
-from limpetdrift.protocol.node import Endpoint, Node
+from limpetdrift.protocol.node import Endpoint
 from limpetdrift.state.checkedyaml import load_document
 from limpetdrift.state.options import Unit, option
 from limpetdrift.transport.messages import Address
@@ -88,7 +88,6 @@
     )
     site_file: str = option('', about='Configuration until the store answers.')
     endpoints: tuple[Endpoint, ...] = option((), about='Known endpoints.')
-    peers: tuple[Node, ...] = option((), about='Known entries.')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
