Read a failure event in the client library

Cause: an event with an error ended the client with a decoding error, since msgspec takes Raw in a union for null alone. Change: the event's error is typed as the error body of the API. Test: test_a_failure_event_carries_its_reason_and_verdict, which failed before with 'Expected null, got object'. Conclusion: a refusal after a keep-alive reaches the caller with its verdict.

--- a/src/limpetdrift/client.py
+++ b/src/limpetdrift/client.py
@@ -27,6 +27,7 @@
     ChatMessage,
     ChatRequest,
     ErrorAnswer,
+    ErrorBody,
     Resumption,
     StreamOptions,
 )
@@ -127,7 +128,7 @@
     choices: tuple[_Choice, ...] = ()
     limpet: _Position = field(default_factory=_Position)
     usage: _Usage | None = None
-    error: msgspec.Raw | None = None
+    error: ErrorBody | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -365,7 +366,7 @@
     progress.handle = dict(response.headers).get(STREAM_HEADER, '')
     async for chunk in _read_chunks(response):
         if chunk.error is not None:
-            return _read_error(chunk.error)
+            return _failure_of(chunk.error)
         _take_chunk(chunk, progress)
     if progress.finish:
         return None
@@ -400,15 +401,10 @@
     answer = decode(body, ErrorAnswer)
     if answer.is_error():
         return may_have_run(Reason.BAD_ANSWER, f'status {status}')
-    return _failure_of(answer.ok)
+    return _failure_of(answer.ok.error)
 
 
-def _read_error(raw: msgspec.Raw) -> Failure:
-    return _read_failure(b''.join((b'{"error":', raw, b'}')), OK)
-
-
-def _failure_of(answer: ErrorAnswer) -> Failure:
-    error = answer.error
+def _failure_of(error: ErrorBody) -> Failure:
     try:
         reason, verdict = Reason(error.code), Verdict(error.verdict)
     except ValueError:
