--- a/src/limpetdrift/programs/entry.py
+++ b/src/limpetdrift/programs/entry.py
@@ -44,16 +44,12 @@
             nursery.start_soon(task)
         callers = await serve_on(
             settings.caller_listen,
-            parts.caller_routes,
-            nursery,
-        )
-        peers = await serve_on(
-            settings.peer_listen,
-            parts.peer_routes,
+            parts.callers,
             nursery,
         )
+        peers = await serve_on(settings.peer_listen, parts.peers, nursery)
         announce(settings.name, callers=callers, peers=peers)
-        await stop_on_signals(parts.owner.drained, nursery.cancel_scope)
+        await stop_on_signals(parts.drain.run, nursery.cancel_scope)
 
 
 if __name__ == '__main__':
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -59,12 +59,11 @@
 
 async def serve_on(
     address: Address,
-    routes: Routes,
+    server: Server,
     nursery: trio.Nursery,
 ) -> Address:
-    """Serve routes at an address; return the one that was bound."""
+    """Accept connections at an address; return the one that was bound."""
     listeners = await listen(address)
-    server = Server(handler=routes.handle)
     await nursery.start(server.serve, listeners)
     return bound_address(listeners)
 
