Hold a sign of leaving for a start of the endpoint that nobody has seen

Cause: a refusal or an operator's sign names no incarnation and was held for the newest one known here. An endpoint that had just started anew was known by its earlier one; the news of its start then lifted the sign on every entry, so that a leaving endpoint got new work for good. The state machine found it (restart, then a refusal at once; seed 0). The endpoint is now asked which start of it runs, and the sign is held for that one too. The script stands as a test, and fails without the question.

--- a/src/limpetdrift/coordination/endpoints.py
+++ b/src/limpetdrift/coordination/endpoints.py
@@ -29,6 +29,7 @@
 from limpetdrift.transport.messages import Address
 
 FORGET_INTERVAL_SECONDS = 60.0
+SIGNS_QUEUED = 100
 
 
 @unique
@@ -40,6 +41,9 @@
     OPERATOR = 'operator'
 
 
+_BareSign = tuple[Endpoint, LeavingSource]
+
+
 @dataclass(frozen=True, kw_only=True)
 class EndpointInputs:
     """Where news of endpoints comes from.
@@ -66,6 +70,10 @@
         self._table = membership.gossip.endpoints
         self._listings = Listings(table=self._table)
         self._view: tuple[Endpoint, ...] | None = None
+        self._read_report = inputs.read_report
+        self._bare_signs = trio.open_memory_channel[_BareSign](
+            SIGNS_QUEUED,
+        )
         self._poller = ListPoller(
             membership=membership,
             random=random,
@@ -117,6 +125,8 @@
         held = self._table.find(name)
         if held is None:
             return False
+        if incarnation == UNKNOWN_INCARNATION:
+            self._ask_who_left(held, source)
         meant = incarnation or held.incarnation
         is_new = (meant, True) > (held.incarnation, held.leaving)
         if is_new:
@@ -148,10 +158,39 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poller.run)
             nursery.start_soon(self._watch.run)
+            nursery.start_soon(self._settle_signs)
             while True:
                 await trio.sleep(FORGET_INTERVAL_SECONDS)
                 self._listings.forget_absent(trio.current_time())
 
+    def _ask_who_left(
+        self,
+        held: EndpointRecord,
+        source: LeavingSource,
+    ) -> None:
+        """Find out which start of an endpoint a bare sign is about.
+
+        The endpoint may have started anew without anybody here knowing yet,
+        and the news of that start would lift a sign that is held for an
+        earlier one.
+        """
+        if held.endpoint is None:
+            return
+        try:
+            self._bare_signs[0].send_nowait((held.endpoint, source))
+        except trio.WouldBlock:
+            telemetry.count('endpoint_signs_not_settled')
+
+    async def _settle_signs(self) -> None:
+        async for endpoint, source in self._bare_signs[1]:
+            report = await self._read_report(endpoint)
+            if report.is_ok() and report.ok.incarnation:
+                self.note_leaving(
+                    endpoint.name,
+                    source,
+                    report.ok.incarnation,
+                )
+
     def _use_reading(
         self,
         reading: InstanceList,
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -1,5 +1,6 @@
 """A leaving endpoint gets no new work 3 s after the first sign."""
 
+import pytest
 import trio
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -345,3 +346,29 @@
     assert homed == {
         (home_of(each, entries).name, each.name) for each in HOMELESS
     }
+
+
+def play_unseen_restart():
+    machine = LeavingEndpoints()
+    machine.seed = 0
+    machine.steps = [
+        ('leave', 'engine-0', 'list', 0),
+        ('restart', 'engine-2', True),
+        ('leave', 'engine-2', 'refusal', 4),
+    ]
+    machine.teardown()
+
+
+def test_a_bare_sign_holds_for_a_start_that_nobody_has_seen():
+    play_unseen_restart()
+
+
+def test_without_asking_the_endpoint_the_new_start_lifts_it(monkeypatch):
+    monkeypatch.setattr(
+        coordination_endpoints.Endpoints,
+        '_ask_who_left',
+        lambda endpoints, held, source: None,
+    )
+    with pytest.raises(ExceptionGroup) as raised:
+        play_unseen_restart()
+    assert raised.value.subgroup(AssertionError)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -185,6 +185,7 @@
                     place=world.engines.place,
                     release=world.engines.release,
                     run_once=refuse_once,
+                    note_failure=lambda endpoint, failure: None,
                     budget=RetryBudget(reserve=1000.0),
                     nursery=nursery,
                     random=random.Random(1),
