Let go of places at a dead engine; add operators' status and drain

Cause: a home kept the grants of an engine that refused connections until their deadlines when their owner had died too, and whoever waited behind them waited as long. The home now lets go at the first refused report; two tests show it with and without. Tried and left out: the quarantine's guard on every attempt.

--- a/src/limpetdrift/coordination/homereports.py
+++ b/src/limpetdrift/coordination/homereports.py
@@ -11,6 +11,7 @@
     EngineReports,
 )
 from limpetdrift.protocol.node import Endpoint
+from limpetdrift.protocol.verdict import Reason
 from limpetdrift.state.prefixes import BLOCK_TOKENS
 from limpetdrift.state.queue import EndpointQueue
 from limpetdrift.state.runninglimit import RunningLimit
@@ -37,11 +38,27 @@
     if load.is_ok():
         take_load(homed, load.ok)
         homed.reported.set()
+    elif load.error.reason is Reason.CONNECT_FAILED:
+        take_death(homed.queue)
+        return
     allocations = await reports.allocations(address)
     if allocations.is_ok():
         take_allocations(homed.queue, allocations.ok)
 
 
+def take_death(queue: EndpointQueue) -> None:
+    """Let go of all places at an engine that refuses connections.
+
+    The owners of its grants may be dead too, so that nobody would give the
+    grants back, and who waits behind them would wait to the deadline.
+    """
+    queue.ledger.capacity_tokens = 0
+    waiting = [ticket.grant_id for ticket in queue.waiting]
+    for grant_id in (*queue.granted, *waiting):
+        telemetry.count('grants_expired', cause='endpoint-dead')
+        queue.remove(grant_id)
+
+
 def take_load(homed: Homed, load: EngineLoad) -> None:
     """Follow the engine's speed and memory; a new incarnation is empty."""
     queue = homed.queue
--- a/src/limpetdrift/coordination/placer.py
+++ b/src/limpetdrift/coordination/placer.py
@@ -39,6 +39,7 @@
 
 _MAX_ROUNDS = 3
 _RETRY_AFTER_SECONDS = 1.0
+_LEAVING = not_run(Reason.ENDPOINT_LEAVING, 'it began to leave meanwhile')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -98,8 +99,10 @@
             left = deadline_at - trio.current_time()
             request = replace(request, deadline_in_seconds=left)
             outcome = await self._place_once(request, endpoints, deadline_at)
-            if outcome.is_ok():
+            if outcome.is_ok() and self._takes_work(outcome.ok):
                 return Ok(outcome.ok)
+            if outcome.is_ok():
+                outcome = self._give_back(outcome.ok)
             refusal = outcome.error.failure
             if refusal.reason is Reason.DEADLINE:
                 break
@@ -132,6 +135,20 @@
             await nursery.start(self._groups.run)
             task_status.started()
 
+    def _takes_work(self, placement: Placement) -> bool:
+        """Whether no endpoint began to leave while the grant was awaited."""
+        names = {member.endpoint.name for member in placement.group}
+        names.add(placement.endpoint.name)
+        return not any(
+            endpoint.leaving and endpoint.name in names
+            for endpoint in self._inputs.endpoints()
+        )
+
+    def _give_back(self, placement: Placement) -> Result[Placement, _Miss]:
+        self.release(placement, Release.CANCELLED)
+        name = placement.endpoint.name
+        return Error(_Miss(failure=_LEAVING, tried=(name,)))
+
     def _eligible(self, model: str, tried: Container[str]) -> list[Endpoint]:
         return [
             endpoint
--- /dev/null
+++ b/src/limpetdrift/coordination/runningroutes.py
@@ -0,0 +1,151 @@
+"""The operator API about what runs: status and drain, on every entry."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from limpetdrift import telemetry
+from limpetdrift.coordination.configroutes import operator_only
+from limpetdrift.coordination.configuration import ConfigurationKeeper
+from limpetdrift.coordination.endpoints import Endpoints, LeavingSource
+from limpetdrift.coordination.home import Home
+from limpetdrift.coordination.homes import home_of
+from limpetdrift.coordination.membership import Member, Membership
+from limpetdrift.coordination.quarantine import Quarantine
+from limpetdrift.coordination.quarantineroutes import make_report
+from limpetdrift.protocol.codec import decode, json_response
+from limpetdrift.protocol.gossip import MemberState
+from limpetdrift.protocol.node import Endpoint, Node, Role
+from limpetdrift.protocol.operator import (
+    DRAIN_PATH,
+    STATUS_PATH,
+    DrainReport,
+    DrainRequest,
+    EndpointStatus,
+    EntryStatus,
+    StatusReport,
+)
+from limpetdrift.protocol.verdict import Reason, not_run
+from limpetdrift.transport.messages import NOT_FOUND, Request, Response
+from limpetdrift.transport.routing import Parameters, Routes
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunningParts:
+    """What status and drain are read from.
+
+    ``admits`` and ``running`` tell of this entry alone.
+    """
+
+    node: Node
+    membership: Membership
+    endpoints: Endpoints
+    home: Home
+    quarantine: Quarantine
+    keeper: ConfigurationKeeper | None
+    begin_drain: Callable[[], None]
+    admits: Callable[[], bool]
+    running: Callable[[], int]
+
+
+def add_running_routes(
+    routes: Routes,
+    parts: RunningParts,
+    secret: str,
+) -> None:
+    """Serve status and drain to operators."""
+
+    async def status(request: Request, parameters: Parameters) -> Response:
+        return json_response(await make_status(parts))
+
+    async def drain(request: Request, parameters: Parameters) -> Response:
+        asked = decode(request.body, DrainRequest)
+        name = asked.ok.name if asked.is_ok() else ''
+        return _drain(parts, name)
+
+    routes.add('GET', STATUS_PATH, operator_only(status, secret))
+    routes.add('POST', DRAIN_PATH, operator_only(drain, secret))
+
+
+async def make_status(parts: RunningParts) -> StatusReport:
+    """Return what this entry knows of the whole deployment."""
+    entries = parts.membership.live_entries()
+    homes = {
+        endpoint.name: home_of(endpoint, entries)
+        for endpoint in parts.endpoints.endpoints()
+    }
+    names = [home.name for home in homes.values() if home]
+    versions = await parts.keeper.all_versions() if parts.keeper else ()
+    return StatusReport(
+        entry=parts.node.name,
+        entries=tuple(
+            _entry_status(parts, member, names.count(member.node.name))
+            for member in parts.membership.members()
+            if member.node.role is Role.ENTRY
+        ),
+        endpoints=tuple(
+            _endpoint_status(parts, endpoint, homes[endpoint.name])
+            for endpoint in parts.endpoints.endpoints()
+        ),
+        versions=versions,
+        quarantine=make_report(parts.quarantine).fingerprints,
+    )
+
+
+def _entry_status(
+    parts: RunningParts,
+    member: Member,
+    homes: int,
+) -> EntryStatus:
+    node = member.node
+    is_own = node.name == parts.node.name
+    admits = parts.admits() if is_own else member.state is MemberState.LIVE
+    return EntryStatus(
+        name=node.name,
+        address=str(node.caller_address),
+        failure_domain=node.failure_domain,
+        state=member.state,
+        admits=admits,
+        homes=homes,
+    )
+
+
+def _endpoint_status(
+    parts: RunningParts,
+    endpoint: Endpoint,
+    home: Node | None,
+) -> EndpointStatus:
+    status = EndpointStatus(
+        name=endpoint.name,
+        address=str(endpoint.address),
+        failure_domain=endpoint.failure_domain,
+        state='leaving' if endpoint.leaving else 'live',
+        home=home.name if home else '',
+        model=endpoint.model,
+        service=endpoint.service,
+    )
+    queue = parts.home.queues().get(endpoint.name)
+    if queue is None:
+        return status
+    return replace(
+        status,
+        queued=len(queue.waiting),
+        running=len(queue.granted),
+        held_tokens=queue.ledger.granted_tokens,
+        memory_tokens=queue.ledger.capacity_tokens,
+    )
+
+
+def _drain(parts: RunningParts, name: str) -> Response:
+    if name == parts.node.name:
+        parts.begin_drain()
+        report = DrainReport(
+            name=name,
+            draining=True,
+            running=parts.running(),
+        )
+        return json_response(report)
+    if parts.endpoints.note_leaving(name, LeavingSource.OPERATOR):
+        return json_response(DrainReport(name=name, draining=True))
+    telemetry.count('refusals', reason=Reason.NOT_FOUND)
+    detail = f'{name!r} is neither this entry nor a known endpoint'
+    return json_response(not_run(Reason.NOT_FOUND, detail), status=NOT_FOUND)
--- a/src/limpetdrift/coordination/services.py
+++ b/src/limpetdrift/coordination/services.py
@@ -99,12 +99,18 @@
         self._random = randomness
         self._use = ServiceUse(randomness=randomness)
         self._active = 0
+        self._call_ended = trio.Event()
 
     @property
     def active(self) -> int:
         """The number of calls that have not ended."""
         return self._active
 
+    async def drained(self) -> None:
+        """Wait until no call is left."""
+        while self._active:
+            await self._call_ended.wait()
+
     async def serve(self, request: ServiceRequest) -> Answered:
         """Serve one call; the failure says whether it may have run."""
         self._budget.earn()
@@ -114,11 +120,16 @@
         try:
             outcome = await self._serve_in_time(course)
         finally:
-            self._active -= 1
+            self._end_call()
         reason = 'finished' if outcome.is_ok() else outcome.error.reason
         telemetry.count('service_calls', reason=reason)
         return outcome
 
+    def _end_call(self) -> None:
+        self._active -= 1
+        self._call_ended.set()
+        self._call_ended = trio.Event()
+
     async def _serve_in_time(self, course: Course) -> Answered:
         with trio.move_on_at(course.request.deadline):
             return await self._attempt_until_ended(course)
--- a/src/limpetdrift/programs/entryparts.py
+++ b/src/limpetdrift/programs/entryparts.py
@@ -3,9 +3,10 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
-from expression import Result
+from expression import Error, Result
 
 from limpetdrift.callers.chat import (
     ChatParts,
@@ -23,6 +24,12 @@
 from limpetdrift.coordination.drain import Drain, DrainTiming
 from limpetdrift.coordination.ownerstreams import add_owner_stream_routes
 from limpetdrift.coordination.peers import PeerRoutes, make_peer_call
+from limpetdrift.coordination.quarantine import Quarantine
+from limpetdrift.coordination.quarantineroutes import add_quarantine_routes
+from limpetdrift.coordination.runningroutes import (
+    RunningParts,
+    add_running_routes,
+)
 from limpetdrift.programs.entryviews import (
     Views,
     join_surrounding,
@@ -33,6 +40,7 @@
 from limpetdrift.programs.storeparts import StoreParts, join_store
 from limpetdrift.protocol.verdict import Failure
 from limpetdrift.settings import EntrySettings
+from limpetdrift.state.run import RunRequest
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server
@@ -107,6 +115,7 @@
 
     async def drained() -> None:
         await runs.owner.drained()
+        await runs.services.drained()
         # A run that has ended may still be on its way to its reader.
         await callers.idle()
         with trio.move_on_after(PEERS_IDLE_SECONDS):
@@ -124,7 +133,7 @@
 
     add_health_routes(caller_routes, lambda: admit().is_ok())
     _add_caller_routes(caller_routes, views, runs, streams, admit)
-    _add_operator_routes(caller_routes, wiring, views)
+    _add_operator_routes(caller_routes, wiring, views, runs, drain)
     store_tasks = store.tasks if store else ()
     return EntryParts(
         callers=callers,
@@ -147,7 +156,7 @@
         ChatParts(
             site=views.site,
             owner=runs.owner,
-            admit=lambda request: admit(),
+            admit=partial(_admit_run, admit, runs.quarantine),
         ),
     )
     add_stream_routes(routes, streams)
@@ -162,8 +171,41 @@
     )
 
 
-def _add_operator_routes(routes: Routes, wiring: Wiring, views: Views) -> None:
+def _admit_run(
+    admit: Admit,
+    quarantine: Quarantine,
+    request: RunRequest,
+) -> Result[None, Failure]:
+    refusal = quarantine.refusal(request.fingerprint)
+    if refusal is not None:
+        return Error(refusal)
+    return admit()
+
+
+def _add_operator_routes(
+    routes: Routes,
+    wiring: Wiring,
+    views: Views,
+    runs: RunParts,
+    drain: Drain,
+) -> None:
     secret = wiring.settings.operator_secret.read()
+    add_quarantine_routes(routes, runs.quarantine, secret)
+    add_running_routes(
+        routes,
+        RunningParts(
+            node=views.node,
+            membership=views.membership,
+            endpoints=views.endpoints,
+            home=runs.home,
+            quarantine=runs.quarantine,
+            keeper=views.keeper,
+            begin_drain=partial(wiring.nursery.start_soon, drain.run),
+            admits=lambda: drain.admit().is_ok() and views.may_admit().is_ok(),
+            running=lambda: runs.owner.active,
+        ),
+        secret,
+    )
     if views.keeper is not None:
         add_configuration_routes(routes, views.keeper, secret)
 
--- a/src/limpetdrift/programs/runparts.py
+++ b/src/limpetdrift/programs/runparts.py
@@ -14,6 +14,7 @@
     refuse_once,
 )
 from limpetdrift.coordination.endpoints import Endpoints, LeavingSource
+from limpetdrift.coordination.enginelook import make_look_at
 from limpetdrift.coordination.home import Home
 from limpetdrift.coordination.owner import Owner
 from limpetdrift.coordination.peers import (
@@ -24,6 +25,8 @@
 from limpetdrift.coordination.placer import Placer, PlacerInputs
 from limpetdrift.coordination.policies import POLICIES
 from limpetdrift.coordination.probing import ProbeState
+from limpetdrift.coordination.quarantine import Quarantine, QuarantineInputs
+from limpetdrift.coordination.quarantinespread import DIGEST_NAME
 from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
 from limpetdrift.coordination.services import RunOnce as CallOnce
 from limpetdrift.coordination.services import ServiceCaller
@@ -67,6 +70,7 @@
     owner: Owner
     services: ServiceCaller
     home: Home
+    quarantine: Quarantine
     tasks: tuple[Task, ...]
 
 
@@ -98,7 +102,13 @@
         state=ProbeState(random=random.Random(), places=PrefixPlaces()),
     )
     single = _join_single(wiring, views, store)
-    owner = _join_owner(wiring, views, placer, single.run_once)
+    quarantine = _join_quarantine(wiring, views, reports)
+    owner = _join_owner(
+        wiring,
+        views,
+        placer,
+        single.run_once,
+    )
     reclaimer = _join_reclaimer(wiring, views, reports, owner)
     services = ServiceCaller(
         calls=ServiceCalls(client=wiring.client),
@@ -112,7 +122,9 @@
         owner=owner,
         services=services,
         home=home,
+        quarantine=quarantine,
         tasks=(
+            quarantine.run,
             home.run,
             placer.run,
             reclaimer.run,
@@ -189,6 +201,29 @@
     )
 
 
+def _join_quarantine(
+    wiring: Wiring,
+    views: Views,
+    reports: EngineReports,
+) -> Quarantine:
+    quarantine = Quarantine(
+        inputs=QuarantineInputs(
+            node=views.node,
+            live_entries=views.live_entries,
+            endpoints=views.endpoints.endpoints,
+            call=wiring.call,
+            look_at=make_look_at(reports),
+        ),
+    )
+    quarantine.mount(wiring.messages)
+    views.membership.attach(
+        DIGEST_NAME,
+        quarantine.spread.make_digest,
+        quarantine.spread.on_digest,
+    )
+    return quarantine
+
+
 def _note_failure(
     endpoints: Endpoints,
     endpoint: Endpoint,
--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -101,6 +101,7 @@
         self.cache = RecentPrefixes(limit_blocks=memory_tokens // BLOCK_TOKENS)
         self.incarnation = 1
         self.down = False
+        self.refuses = False
         self.freed = []
         self._order = itertools.count()
         self._work = trio.Event()
@@ -233,6 +234,8 @@
     def up(self, address):
         engine = self.engines[address]
         engine.expire()
+        if engine.refuses:
+            return Error(not_run(Reason.CONNECT_FAILED))
         if engine.down:
             return Error(may_have_run(Reason.TIMEOUT))
         return Ok(engine)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from limpetdrift.coordination import homereports
 from limpetdrift.coordination.homes import HomeTable, home_of
 from limpetdrift.coordination.policies import POLICIES
 from limpetdrift.protocol.grants import GrantRequest
@@ -234,3 +235,66 @@
         await trio.sleep(3)
         assert [each.is_ok() for each in outcomes] == [True]
         nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_a_grant_at_an_endpoint_that_began_to_leave_is_given_back():
+    site = Site(entries=2, engines=2)
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(2)
+        placer = site.placers[0]
+        first = (await placer.place(make_request('first'))).ok.endpoint
+        place_once = placer._place_once
+
+        async def leave_meanwhile(*arguments):
+            outcome = await place_once(*arguments)
+            if outcome.is_ok() and outcome.ok.endpoint.name == first.name:
+                site.endpoints = [
+                    dataclasses.replace(each, leaving=each.name == first.name)
+                    for each in site.endpoints
+                ]
+            return outcome
+
+        placer._place_once = leave_meanwhile
+        for number in range(6):
+            placed = (await placer.place(make_request(number))).ok
+            assert placed.endpoint.name != first.name or not any(
+                each.leaving for each in site.endpoints
+            )
+        assert any(each.leaving for each in site.endpoints)
+        nursery.cancel_scope.cancel()
+
+
+async def wait_behind_a_dead_engine():
+    """Return how long a request waits behind grants of a dead engine."""
+    site = Site(entries=1, engines=1, memory_tokens=10_000)
+    async with trio.open_nursery() as nursery:
+        site.start(nursery)
+        await trio.sleep(2)
+        placer = site.placers[0]
+        assert (await placer.place(make_request(1, prompt_tokens=9000))).is_ok()
+        nursery.start_soon(kill_soon, site)
+        asked_at = trio.current_time()
+        behind = await placer.place(make_request(2, prompt_tokens=9000))
+        assert behind.is_error()
+        waited = trio.current_time() - asked_at
+        nursery.cancel_scope.cancel()
+    return waited
+
+
+async def kill_soon(site):
+    await trio.sleep(1)
+    for engine in site.engines.values():
+        engine.refuses = True
+
+
+@virtual
+async def test_nobody_waits_behind_the_grants_of_a_dead_engine():
+    assert await wait_behind_a_dead_engine() < 10
+
+
+@virtual
+async def test_without_letting_go_it_waits_to_the_deadline(monkeypatch):
+    monkeypatch.setattr(homereports, 'take_death', lambda queue: None)
+    assert await wait_behind_a_dead_engine() > 30
