--- a/src/limpetdrift/coordination/runningroutes.py
+++ b/src/limpetdrift/coordination/runningroutes.py
@@ -128,7 +128,7 @@
         return status
     return replace(
         status,
-        queued=len(queue.waiting),
+        queued=queue.waiting.count,
         running=len(queue.granted),
         held_tokens=queue.ledger.granted_tokens,
         memory_tokens=queue.ledger.capacity_tokens,
