Call the one key hash, and name the task type once

limpetctl hash-key worked the digest out again beside callers.access.hash_key, which entries compare with; and four modules of the programs declared the same type of a background task. Behaviour stays as it is.

--- a/src/limpetdrift/programs/entryparts.py
+++ b/src/limpetdrift/programs/entryparts.py
@@ -1,7 +1,7 @@
 """Joins the parts of one entry and the routes on its two listeners."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -36,7 +36,7 @@
     join_views,
 )
 from limpetdrift.programs.runparts import RunParts, Wiring, join_runs
-from limpetdrift.programs.serving import add_health_routes
+from limpetdrift.programs.serving import Task, add_health_routes
 from limpetdrift.programs.storeparts import StoreParts, join_store
 from limpetdrift.protocol.verdict import Failure
 from limpetdrift.settings import EntrySettings
@@ -47,7 +47,6 @@
 
 PEERS_IDLE_SECONDS = 5.0
 
-Task = Callable[[], Awaitable[None]]
 Admit = Callable[[], Result[None, Failure]]
 
 
--- a/src/limpetdrift/programs/entryviews.py
+++ b/src/limpetdrift/programs/entryviews.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -18,7 +18,7 @@
 from limpetdrift.coordination.endpoints import EndpointInputs, Endpoints
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.programs.serving import read_settings
+from limpetdrift.programs.serving import Task, read_settings
 from limpetdrift.programs.storeparts import StoreParts
 from limpetdrift.protocol.endpointreports import make_report_call
 from limpetdrift.protocol.gossip import MemberState
@@ -37,8 +37,6 @@
 UNCONFIRMED_RETRY_AFTER_SECONDS = 1.0
 CONFIGURATION_DUTY = 'configuration-poll'
 
-Task = Callable[[], Awaitable[None]]
-
 
 @dataclass(frozen=True, kw_only=True)
 class Views:
--- a/src/limpetdrift/programs/limpetctl.py
+++ b/src/limpetdrift/programs/limpetctl.py
@@ -7,7 +7,6 @@
     limpetctl apply base.yaml simu-kona.yaml
 """
 
-import hashlib
 import os
 import sys
 from collections.abc import Awaitable, Callable
@@ -18,6 +17,7 @@
 import cappa
 import trio
 
+from limpetdrift.callers.access import hash_key
 from limpetdrift.operators import configuration, running
 from limpetdrift.operators.client import OperatorClient
 from limpetdrift.operators.exits import EXIT_MEANINGS, ExitCode
@@ -161,8 +161,7 @@
     key = sys.stdin.read().strip()
     if not key:
         raise cappa.Exit('no key on standard input', code=ExitCode.USAGE)
-    digest = hashlib.sha256(key.encode()).hexdigest()
-    sys.stdout.write(f'{digest}\n')
+    sys.stdout.write(f'{hash_key(key)}\n')
     return ExitCode.DONE
 
 
--- a/src/limpetdrift/programs/runparts.py
+++ b/src/limpetdrift/programs/runparts.py
@@ -1,7 +1,6 @@
 """Joins what brings requests to their ends: placement, reclaim and owner."""
 
 import random
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -34,6 +33,7 @@
 from limpetdrift.coordination.servicesingle import SingleServiceCalls
 from limpetdrift.coordination.singlerun import SingleRuns
 from limpetdrift.programs.entryviews import Views
+from limpetdrift.programs.serving import Task
 from limpetdrift.programs.storeparts import StoreParts, join_claims
 from limpetdrift.protocol.engine import EngineCalls
 from limpetdrift.protocol.enginereports import (
@@ -48,8 +48,6 @@
 from limpetdrift.state.retrybudget import RetryBudget
 from limpetdrift.transport.client import HttpClient
 
-Task = Callable[[], Awaitable[None]]
-
 
 @dataclass(frozen=True, kw_only=True)
 class Wiring:
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -20,6 +20,7 @@
 )
 
 BAD_SETTINGS_EXIT = 2
+Task = Callable[[], Awaitable[None]]
 _METRICS_HEADERS = (('content-type', 'text/plain; version=0.0.4'),)
 
 
--- a/src/limpetdrift/programs/storeparts.py
+++ b/src/limpetdrift/programs/storeparts.py
@@ -1,11 +1,12 @@
 """Joins what a process needs to use the platform's stores."""
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from limpetdrift.coordination.claims import Claims
 from limpetdrift.coordination.peers import PeerCall
+from limpetdrift.programs.serving import Task
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.objects import ObjectCalls, make_object_calls
 from limpetdrift.protocol.table import TableCalls
@@ -16,8 +17,6 @@
 from limpetdrift.state.claimsweep import EpochClock
 from limpetdrift.transport.client import HttpClient
 
-Task = Callable[[], Awaitable[None]]
-
 
 @dataclass(frozen=True, kw_only=True)
 class StoreParts:
