Run on the users' platform: the whole path, one entry a machine

The platform gives a metadata store, a list of endpoints and engines with a published law. Membership, drain, retry budget and service use are the existing parts.

--- /dev/null
+++ b/src/limpetdrift/coordination/enginelaw.py
@@ -0,0 +1,26 @@
+"""How long model engines take, worked out from their published rates."""
+
+from limpetdrift.protocol.routetable import EngineLaw
+
+_HALF = 0.5
+
+
+def read_seconds(law: EngineLaw, tokens: int, parts: int = 1) -> float:
+    """Return how long one of so many even parts of a prompt is read.
+
+    Each part has its share of the pairs of the whole prompt.
+    """
+    pairs = _HALF * tokens * tokens * law.pair_seconds
+    return (tokens / law.read_tokens_per_second + pairs) / parts
+
+
+def pass_seconds(law: EngineLaw, streams: int, context_tokens: int) -> float:
+    """Return how long a pass takes that reads nothing."""
+    step = law.step_seconds + streams * law.stream_seconds
+    return law.stride * (step + context_tokens * law.context_seconds)
+
+
+def write_seconds(law: EngineLaw, answer_tokens: int, streams: int) -> float:
+    """Return how long an answer is written beside so many other streams."""
+    step = law.step_seconds + streams * law.stream_seconds
+    return answer_tokens * step
--- /dev/null
+++ b/src/limpetdrift/coordination/planner.py
@@ -0,0 +1,228 @@
+"""Plans for the engines of a service: who writes, who helps to read.
+
+One entry plans for all; which one follows from rendezvous hashing over the
+live entries, so nobody elects it. Two that plan at once cost efficiency
+only. Every entry keeps a ledger, with all plans where it is the planner and
+its own elsewhere, so that it can plan alone when the planner is out of reach.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from itertools import count
+
+from expression import Error, Ok, Result
+
+from limpetdrift import telemetry
+from limpetdrift.coordination.enginelaw import read_seconds
+from limpetdrift.coordination.splitting import (
+    Split,
+    SplitRequest,
+    choose_split,
+)
+from limpetdrift.protocol.plans import (
+    ActivePlans,
+    EndedPlans,
+    EndpointName,
+    GrantEnd,
+    Noted,
+    Plan,
+    PlanRequest,
+    ReservedTokens,
+)
+from limpetdrift.protocol.routetable import EngineLaw
+from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpointview import EndpointView
+from limpetdrift.state.engineledger import Booking, EngineLedger, EngineUse
+
+# A plan whose first token is expected so late, as a share of the time left,
+# is refused instead.
+_LAST_START_SHARE = 0.9
+# Callers that were refused come back when this share of a backlog is read.
+_BACKLOG_SHARE = 0.5
+_LEAST_RETRY_SECONDS = 0.3
+
+FindLaw = Callable[[str], EngineLaw | None]
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlannerInputs:
+    """What plans are made from; ``name`` begins the grants' names."""
+
+    name: str
+    view: EndpointView
+    find_law: FindLaw
+    clock: Callable[[], float]
+
+
+class Planner:
+    """The ledgers of this entry, one for each service."""
+
+    def __init__(self, *, inputs: PlannerInputs) -> None:
+        self._inputs = inputs
+        self._ledgers: dict[str, EngineLedger] = {}
+        self._numbers = count()
+
+    def ledger(self, service: str) -> EngineLedger:
+        """Return the ledger of a service."""
+        found = self._ledgers.get(service)
+        if found is None:
+            found = EngineLedger(clock=self._inputs.clock)
+            self._ledgers[service] = found
+        return found
+
+    def plan(self, request: PlanRequest) -> Result[Plan, Failure]:
+        """Choose engines for a prompt and book them."""
+        self.end(request.service, request.ended)
+        law = self._inputs.find_law(request.service)
+        endpoints = self._candidates(request)
+        if law is None or not endpoints:
+            return Error(
+                not_run(
+                    Reason.NO_ENDPOINT,
+                    request.service,
+                    retry_after_seconds=_LEAST_RETRY_SECONDS,
+                ),
+            )
+        uses = self.ledger(request.service).uses(endpoints)
+        split = choose_split(_split_request(request), uses, law)
+        refusal = _refuse(split, uses, request)
+        if refusal is not None:
+            return Error(refusal)
+        grant = f'{self._inputs.name}.{next(self._numbers)}'
+        plan = _make_plan(grant, split, request)
+        self.enter(plan, request)
+        return Ok(plan)
+
+    def enter(
+        self,
+        plan: Plan,
+        request: PlanRequest,
+        age_seconds: float = 0.0,
+    ) -> None:
+        """Book a plan; reading that must be over by now is left out."""
+        held = plan.hold_seconds - age_seconds
+        bookings = self._bookings(plan, request, age_seconds)
+        if held > 0:
+            self.ledger(request.service).book(plan.grant, bookings, held)
+
+    def end(self, service: str, ended: tuple[GrantEnd, ...]) -> None:
+        """Drop plans, and note which engines failed them."""
+        ledger = self.ledger(service)
+        for each in ended:
+            ledger.end(each.grant)
+            for failed in each.failed:
+                ledger.note_failing((failed.name, failed.lifetime))
+
+    async def answer_plan(self, message: PlanRequest) -> Result[Plan, Failure]:
+        """Plan for a peer."""
+        telemetry.count('plans', asked_by='peer')
+        return self.plan(message)
+
+    async def answer_ended(self, message: EndedPlans) -> Result[Noted, Failure]:
+        """Take in a peer's ended plans."""
+        self.end(message.service, message.ended)
+        return Ok(Noted())
+
+    async def answer_active(
+        self,
+        message: ActivePlans,
+    ) -> Result[Noted, Failure]:
+        """Take in the plans that a peer had from an earlier planner."""
+        for each in message.active:
+            self.enter(each.plan, each.request, each.age_seconds)
+        return Ok(Noted())
+
+    def _candidates(self, request: PlanRequest) -> tuple[ListedEndpoint, ...]:
+        excluded = {(each.name, each.lifetime) for each in request.excluded}
+        usable = self._inputs.view.usable(request.service)
+        fresh = [each for each in usable if each.identity not in excluded]
+        return tuple(fresh)
+
+    def _bookings(
+        self,
+        plan: Plan,
+        request: PlanRequest,
+        age_seconds: float,
+    ) -> list[Booking]:
+        part = 0.0
+        law = self._inputs.find_law(request.service)
+        if law is not None and age_seconds <= 0:
+            parts = 1 + len(plan.helpers)
+            part = read_seconds(law, request.prompt_tokens, parts)
+        reserved = {each.endpoint: each.tokens for each in plan.reserved}
+        memory = request.prompt_tokens + request.answer_tokens
+        memory -= sum(reserved.values())
+        bookings = []
+        for name in (plan.writer, *plan.helpers):
+            endpoint = self._inputs.view.find(name.name, name.lifetime)
+            if endpoint is None:
+                continue
+            writes = name == plan.writer
+            bookings.append(
+                Booking(
+                    endpoint=endpoint,
+                    read_seconds=part,
+                    memory_tokens=memory if writes else reserved.get(name, 0),
+                    pause_seconds=request.pause_seconds if writes else None,
+                ),
+            )
+        return bookings
+
+
+def name_of(endpoint: ListedEndpoint) -> EndpointName:
+    """Return the name by which messages tell of an endpoint."""
+    return EndpointName(name=endpoint.name, lifetime=endpoint.lifetime)
+
+
+def _split_request(request: PlanRequest) -> SplitRequest:
+    return SplitRequest(
+        prompt_tokens=request.prompt_tokens,
+        answer_tokens=request.answer_tokens,
+        pause_seconds=request.pause_seconds,
+        target_seconds=request.target_seconds,
+        failure_domain=request.failure_domain,
+    )
+
+
+def _refuse(
+    split: Split | None,
+    uses: tuple[EngineUse, ...],
+    request: PlanRequest,
+) -> Failure | None:
+    """Refuse what no engine can begin in its time.
+
+    Answers more long prompts than can be read: those that would run out of
+    time while they wait are told at once when places should be free.
+    """
+    if split is None:
+        reason, detail = Reason.NO_MEMORY, 'memory of the engines is taken'
+    elif (
+        split.first_token_seconds > request.seconds_left * _LAST_START_SHARE
+    ):
+        reason, detail = Reason.OVERLOADED, 'would begin too late'
+    else:
+        return None
+    backlog = sum(use.backlog_seconds for use in uses) / len(uses)
+    return not_run(
+        reason,
+        detail,
+        retry_after_seconds=max(
+            _LEAST_RETRY_SECONDS,
+            backlog * _BACKLOG_SHARE,
+        ),
+    )
+
+
+def _make_plan(grant: str, split: Split, request: PlanRequest) -> Plan:
+    return Plan(
+        grant=grant,
+        writer=name_of(split.writer.endpoint),
+        helpers=tuple(name_of(each.endpoint) for each in split.helpers),
+        reserved=tuple(
+            ReservedTokens(endpoint=name_of(use.endpoint), tokens=tokens)
+            for use, tokens in split.reserved
+        ),
+        read_seconds=split.first_token_seconds,
+        hold_seconds=request.seconds_left,
+    )
--- /dev/null
+++ b/src/limpetdrift/coordination/splitting.py
@@ -0,0 +1,220 @@
+"""Decides which engine writes an answer, and over how many a prompt is read.
+
+Answers a load of short prompts beside long ones. An engine that reads a long
+prompt holds up all streams that it writes, so a long prompt is read in parts
+short enough for the streams beside it, or by engines that write nothing.
+Short prompts share few engines, which leaves others free of streams. Plain
+functions of the request, the uses of the engines and their law.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from limpetdrift.coordination.enginelaw import pass_seconds, read_seconds
+from limpetdrift.protocol.routetable import EngineLaw
+from limpetdrift.state.engineledger import EngineUse
+
+# Numbers of parts that are weighed; the platform takes 16 helpers.
+PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+# Streams of a typical pass, for what it takes without reading.
+_TYPICAL_STREAMS = 5
+_TYPICAL_CONTEXT_TOKENS = 30_000
+# Share of a pause bound that planned reading may fill; the rest is for
+# passes that don't end as planned.
+_PAUSE_SHARE = 0.8
+# A prompt waits for half a pass on average, and for the one that reads it.
+_PASSES_BEFORE_READING = 1.5
+# Share of the target time that is planned for.
+_TARGET_SHARE = 0.75
+# An answer that begins so much after that, as a share of the target, is late
+# for sure.
+_LATE_SHARE = 0.35
+# Tokens that are worth as much as keeping one short stream on time.
+_TOKENS_OF_ONE_STREAM = 7500.0
+# Weighs time to the first token where nothing else decides.
+_HASTE = 0.3
+# What each part costs besides, in the same measure.
+_PART_COST = 0.01
+# Share of the slots that are filled before another engine is opened.
+_PACKED_SHARE = 0.6
+_OPENING_COST = 0.15
+_CROWDING_COST = 0.5
+_QUEUED_COST = 2.0
+_FAILING_COST = 5.0
+_OTHER_DOMAIN_COST = 0.02
+# Share of an engine's memory that plans may fill; estimates err.
+_MEMORY_SHARE = 0.92
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SplitRequest:
+    """A prompt, and what its caller bears, in tokens and seconds."""
+
+    prompt_tokens: int
+    answer_tokens: int
+    pause_seconds: float
+    target_seconds: float
+    failure_domain: str = ''
+
+    @property
+    def memory_tokens(self) -> int:
+        """The memory that prompt and answer need."""
+        return self.prompt_tokens + self.answer_tokens
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Split:
+    """One way to read a prompt; ``reserved`` holds engines and tokens."""
+
+    writer: EngineUse
+    helpers: tuple[EngineUse, ...]
+    reserved: tuple[tuple[EngineUse, int], ...]
+    part_seconds: float
+    first_token_seconds: float
+    cost: float
+
+
+def choose_split(
+    request: SplitRequest,
+    uses: tuple[EngineUse, ...],
+    law: EngineLaw,
+) -> Split | None:
+    """Return the split that costs least, or ``None`` if memory is short."""
+    # Failing engines help nobody while others are left.
+    sound = tuple(use for use in uses if not use.failing)
+    helpers = sound or uses
+    splits = [
+        split
+        for parts in PART_COUNTS
+        if parts <= max(1, len(helpers))
+        for split in (_split_into(parts, request, helpers, law),)
+        if split is not None
+    ]
+    return min(splits, key=lambda split: split.cost, default=None)
+
+
+def room_seconds(use: EngineUse, law: EngineLaw) -> float:
+    """Return how much reading an engine takes without late streams."""
+    bound = use.pause_seconds * _PAUSE_SHARE
+    return bound - _idle_pass_seconds(law) - use.backlog_seconds
+
+
+def free_tokens(use: EngineUse, law: EngineLaw) -> int:
+    """Return the memory of an engine that no plan has taken."""
+    return int(law.memory_tokens * _MEMORY_SHARE) - use.memory_tokens
+
+
+def _split_into(
+    parts: int,
+    request: SplitRequest,
+    uses: tuple[EngineUse, ...],
+    law: EngineLaw,
+) -> Split | None:
+    part = read_seconds(law, request.prompt_tokens, parts)
+    writer = min(
+        uses,
+        key=lambda use: _writer_cost(use, part, request, law),
+    )
+    helpers = sorted(
+        (use for use in uses if use is not writer),
+        key=lambda use: _helper_cost(use, part, law),
+    )[: parts - 1]
+    reserved = _reserve(request, writer, helpers, law)
+    if reserved is None:
+        return None
+    first = part + _PASSES_BEFORE_READING * _idle_pass_seconds(law)
+    first += max(use.backlog_seconds for use in (writer, *helpers))
+    return Split(
+        writer=writer,
+        helpers=tuple(helpers),
+        reserved=reserved,
+        part_seconds=part,
+        first_token_seconds=first,
+        cost=sum(
+            (
+                _writer_cost(writer, part, request, law),
+                *(_helper_cost(use, part, law) for use in helpers),
+                _lateness_cost(first, request),
+                _PART_COST * parts,
+            ),
+        ),
+    )
+
+
+def _writer_cost(
+    use: EngineUse,
+    part: float,
+    request: SplitRequest,
+    law: EngineLaw,
+) -> float:
+    cost = _harm(use, part, law) + use.backlog_seconds
+    if use.failing:
+        cost += _FAILING_COST
+    if use.streams >= law.slots:
+        cost += _QUEUED_COST * (1 + use.streams - law.slots)
+    elif use.streams >= law.slots * _PACKED_SHARE:
+        cost += _CROWDING_COST * use.streams / law.slots
+    elif use.pause_seconds > request.pause_seconds:
+        cost += _OPENING_COST
+    if use.endpoint.failure_domain != request.failure_domain:
+        cost += _OTHER_DOMAIN_COST
+    return cost + _memory_cost(use, request, law)
+
+
+def _memory_cost(
+    use: EngineUse,
+    request: SplitRequest,
+    law: EngineLaw,
+) -> float:
+    """Avoid engines that would have to gather memory elsewhere."""
+    free = free_tokens(use, law)
+    if request.memory_tokens <= free:
+        return 0
+    return _QUEUED_COST
+
+
+def _helper_cost(use: EngineUse, part: float, law: EngineLaw) -> float:
+    cost = _harm(use, part, law) + use.backlog_seconds * _HASTE
+    if use.failing:
+        cost += _FAILING_COST
+    return cost
+
+
+def _harm(use: EngineUse, part: float, law: EngineLaw) -> float:
+    """Return how many streams would pause for too long."""
+    return use.streams if part > room_seconds(use, law) else 0
+
+
+def _lateness_cost(first: float, request: SplitRequest) -> float:
+    target = request.target_seconds
+    over = (first - _TARGET_SHARE * target) / (_LATE_SHARE * target)
+    value = 1 + request.prompt_tokens / _TOKENS_OF_ONE_STREAM
+    lateness = min(1.0, max(0, over))
+    # A very late answer still should come as early as it can.
+    return value * (lateness + _HASTE * first / target * lateness) + (
+        _HASTE * first / target
+    )
+
+
+def _reserve(
+    request: SplitRequest,
+    writer: EngineUse,
+    helpers: Iterable[EngineUse],
+    law: EngineLaw,
+) -> tuple[tuple[EngineUse, int], ...] | None:
+    """Return what to set aside at helpers, or ``None`` if it isn't enough."""
+    missing = request.memory_tokens - free_tokens(writer, law)
+    reserved: list[tuple[EngineUse, int]] = []
+    by_room = sorted(helpers, key=lambda use: use.memory_tokens)
+    for use in by_room:
+        if missing <= 0:
+            break
+        taken = min(missing, free_tokens(use, law))
+        if taken > 0:
+            reserved.append((use, taken))
+            missing -= taken
+    return None if missing > 0 else tuple(reserved)
+
+
+def _idle_pass_seconds(law: EngineLaw) -> float:
+    return pass_seconds(law, _TYPICAL_STREAMS, _TYPICAL_CONTEXT_TOKENS)
--- /dev/null
+++ b/src/limpetdrift/platform/__main__.py
@@ -0,0 +1,127 @@
+"""``python3 -m limpetdrift.platform``: the entry on the platform."""
+
+import signal
+import sys
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+import trio
+
+from limpetdrift import logs
+from limpetdrift.platform.directory import (
+    add_directory_routes,
+    add_readiness_routes,
+)
+from limpetdrift.platform.joining import Entry, join_entry, serve_routes
+from limpetdrift.platform.settings import PlatformSettings, read_settings
+from limpetdrift.programs.serving import (
+    BAD_SETTINGS_EXIT,
+    serve_on,
+    stop_on_signals,
+)
+from limpetdrift.protocol.codec import encode
+
+READY_POLL_SECONDS = 0.02
+
+
+@cappa.command(
+    name='limpet-platform-entry',
+    help='Serve callers and their directory on the users\' platform.',
+)
+@dataclass(frozen=True, kw_only=True)
+class Arguments:
+    """The command line."""
+
+    check: Annotated[
+        bool,
+        cappa.Arg(
+            long='--check',
+            help='Check the settings file, print what it says, and exit.',
+        ),
+    ] = False
+    settings: Annotated[
+        str,
+        cappa.Arg(
+            long='--settings',
+            help='The settings file; the environment names it otherwise.',
+        ),
+    ] = ''
+
+
+def main() -> None:
+    """Read the settings and serve until stopped."""
+    arguments = cappa.parse(Arguments)
+    settings = read_settings(arguments.settings or None)
+    if settings.is_error():
+        sys.stderr.write(f'{settings.error}\n')
+        sys.exit(BAD_SETTINGS_EXIT)
+    if arguments.check:
+        sys.stdout.buffer.write(encode(settings.ok) + b'\n')
+        return
+    lines = logs.set_up_queue('limpet-platform-entry')
+    trio.run(serve, settings.ok)
+    lines.flush()
+
+
+async def serve(settings: PlatformSettings) -> None:
+    """Run one entry until it has drained or is stopped at once."""
+    entry = join_entry(settings)
+    listeners = settings.listeners
+    served = (
+        (listeners.callers, entry.callers),
+        (listeners.peers, entry.peers),
+        (
+            listeners.directory,
+            serve_routes(add_directory_routes, entry.answers),
+        ),
+        (
+            listeners.readiness,
+            serve_routes(add_readiness_routes, entry.answers),
+        ),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(entry.knowledge.run)
+        nursery.start_soon(entry.registration.run)
+        nursery.start_soon(entry.planning.run)
+        nursery.start_soon(_take_part_when_ready, entry)
+        nursery.start_soon(_reload_on_signal)
+        for address, server in served:
+            if address is not None:
+                await serve_on(address, server, nursery)
+        logs.note('started', instance=settings.instance, node=entry.node.name)
+        await stop_on_signals(_make_stop(entry), nursery.cancel_scope)
+    logs.note('stopped', node=entry.node.name)
+
+
+def _make_stop(entry: Entry):
+    async def stop() -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(entry.registration.leave)
+            await entry.drain.run()
+            nursery.cancel_scope.cancel()
+
+    return stop
+
+
+async def _take_part_when_ready(entry: Entry) -> None:
+    """Join the peers once callers can be served; they list this entry then."""
+    while not entry.knowledge.is_complete:
+        await trio.sleep(READY_POLL_SECONDS)
+    logs.note('ready', node=entry.node.name)
+    await entry.membership.run()
+
+
+async def _reload_on_signal() -> None:
+    """Read the settings again; what they name can't change while it runs."""
+    with trio.open_signal_receiver(signal.SIGHUP) as received:
+        async for _ in received:
+            settings = read_settings()
+            if settings.is_error():
+                logs.warn('settings can not be read', detail=settings.error)
+            else:
+                logs.note('settings read', instance=settings.ok.instance)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/limpetdrift/platform/answers.py
@@ -0,0 +1,54 @@
+"""Turns failures into the answers that the platform's callers get.
+
+Some statuses promise that the request has not run and never will; only a
+failure with that proof gets one of them.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from limpetdrift.protocol.verdict import Failure, Reason, Verdict
+from limpetdrift.transport.messages import Response
+
+# Callers that are turned away without a better estimate come back after so
+# long; the spread keeps them from coming back together.
+RETRY_AFTER_SECONDS = 0.4
+_SPREAD = (0.6, 1.4)
+_NOT_RUN = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHORIZED: 401,
+    Reason.NOT_FOUND: 404,
+}
+_COME_BACK = 503
+_BROKEN = 502
+_TOO_LATE = 504
+_TIMEOUTS = frozenset((Reason.DEADLINE, Reason.TIMEOUT, Reason.SILENT))
+
+
+def make_render(randomness: Random) -> Callable[[Failure], Response]:
+    """Return the function that renders failures."""
+
+    def render(failure: Failure) -> Response:
+        if failure.verdict is not Verdict.NOT_RUN:
+            late = failure.reason in _TIMEOUTS
+            return _response(_TOO_LATE if late else _BROKEN, failure)
+        status = _NOT_RUN.get(failure.reason, _COME_BACK)
+        if status != _COME_BACK:
+            return _response(status, failure)
+        pause = failure.retry_after_seconds or RETRY_AFTER_SECONDS
+        spread = pause * randomness.uniform(*_SPREAD)
+        return _response(status, failure, ('retry-after', f'{spread:.3f}'))
+
+    return render
+
+
+def _response(
+    status: int,
+    failure: Failure,
+    *headers: tuple[str, str],
+) -> Response:
+    return Response(
+        status=status,
+        headers=(('content-type', 'text/plain'), *headers),
+        body=f'{failure.reason}\n'.encode(),
+    )
--- /dev/null
+++ b/src/limpetdrift/platform/configuration.py
@@ -0,0 +1,172 @@
+"""Reads the operators' configuration document into a route table."""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from limpetdrift.protocol.routetable import (
+    Account,
+    CallerLimits,
+    EngineLaw,
+    Route,
+    RouteTable,
+    Service,
+    ServiceShare,
+    WorkKind,
+)
+
+_MILLISECONDS = 1000.0
+_PAIRS_PER_MILLION = 1_000_000.0
+_THOUSAND_TOKENS = 1000.0
+_KINDS = {
+    'idempotent': WorkKind.IDEMPOTENT,
+    'non_idempotent': WorkKind.NON_IDEMPOTENT,
+    'streaming': WorkKind.STREAMING,
+}
+
+
+class _Share(msgspec.Struct, kw_only=True):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, kw_only=True, rename='camel'):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 10000
+    target_latency_ms: float = 1000
+    priority: int = 0
+    # A route names one service, or several with weights.
+    service: str = ''
+    traffic_split: list[_Share] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float = 1000
+
+
+class _Usual(msgspec.Struct, kw_only=True):
+    answer: float = 0
+
+
+class _Engine(msgspec.Struct, kw_only=True):
+    # Some of these are in snake case and some in camel case on the wire.
+    slots: int = 8
+    kv_capacity: int = msgspec.field(default=0, name='kvCapacity')
+    stride: int = 1
+    step_ms: float = 1
+    per_seq_ms: float = 0
+    context_per_k: float = 0
+    read_per_s: float = 100000
+    pairs_per_m: float = 0
+    chunk: int = 2048
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+
+
+class _Service(msgspec.Struct, kw_only=True):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, kw_only=True, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, kw_only=True, rename='camel'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Document(msgspec.Struct, kw_only=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+def decode_route_table(payload: bytes) -> Result[RouteTable, str]:
+    """Decode a whole document; the error side says what is wrong with it.
+
+    >>> decode_route_table(b'{"version": 3}').ok.version
+    3
+    """
+    try:
+        return Ok(_convert(msgspec.json.decode(payload, type=_Document)))
+    except (msgspec.DecodeError, KeyError) as error:
+        return Error(f'configuration: {error}')
+
+
+def _convert(document: _Document) -> RouteTable:
+    return RouteTable(
+        version=document.version,
+        routes=tuple(_convert_route(route) for route in document.routes),
+        services=tuple(
+            Service(name=each.name, engine=_convert_engine(each.engine))
+            for each in document.services
+        ),
+        accounts=tuple(
+            Account(
+                name=each.name,
+                keys=tuple(each.api_keys),
+                priority=each.priority,
+            )
+            for each in document.tenants or ()
+        ),
+        limits=_convert_limits(document.limits),
+        requires_keys=document.tenants is not None,
+    )
+
+
+def _convert_route(route: _Route) -> Route:
+    shares = tuple(
+        ServiceShare(service=each.service, weight=each.weight)
+        for each in route.traffic_split
+    )
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        kind=_KINDS[route.kind],
+        timeout_seconds=route.timeout_ms / _MILLISECONDS,
+        target_seconds=route.target_latency_ms / _MILLISECONDS,
+        shares=shares or (ServiceShare(service=route.service),),
+        priority=route.priority,
+        attempt_limit=route.max_attempts,
+        public=route.public,
+        resumable=route.resumable,
+        pause_seconds=route.gap_target_ms / _MILLISECONDS,
+    )
+
+
+def _convert_engine(engine: _Engine | None) -> EngineLaw | None:
+    if engine is None:
+        return None
+    return EngineLaw(
+        slots=engine.slots,
+        memory_tokens=engine.kv_capacity,
+        step_seconds=engine.step_ms / _MILLISECONDS,
+        stream_seconds=engine.per_seq_ms / _MILLISECONDS,
+        # Milliseconds for each thousand tokens of context.
+        context_seconds=engine.context_per_k / _MILLISECONDS / _THOUSAND_TOKENS,
+        read_tokens_per_second=engine.read_per_s,
+        # Milliseconds for each million pairs of tokens.
+        pair_seconds=engine.pairs_per_m / _MILLISECONDS / _PAIRS_PER_MILLION,
+        chunk_tokens=engine.chunk,
+        stride=engine.stride,
+        usual_answer_tokens=int(engine.usual.answer),
+    )
+
+
+def _convert_limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        head_seconds=limits.header_timeout_ms / _MILLISECONDS,
+        idle_seconds=limits.idle_timeout_ms / _MILLISECONDS,
+    )
--- /dev/null
+++ b/src/limpetdrift/platform/following.py
@@ -0,0 +1,144 @@
+"""Keeps a table of the store in mind: one read, then what changes."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from absl import logging
+
+from limpetdrift import telemetry
+from limpetdrift.logs import note
+from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
+from limpetdrift.protocol.verdict import Failure, Reason
+
+# Pauses between calls that fail; the first is short since most failures
+# are of one connection only.
+RETRY_SECONDS = 0.1
+RETRY_SECONDS_LIMIT = 0.6
+_JITTER = (0.5, 1.0)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Followed:
+    """What to do with a table's rows.
+
+    ``replace`` gets all rows, ``apply`` the changed ones; both get the time
+    at which the call began. ``confirm`` gets that of a call that found no
+    change.
+    """
+
+    table: str
+    replace: Callable[[tuple[StoredRow, ...], float], None]
+    apply: Callable[[tuple[StoredRow, ...], float], None]
+    confirm: Callable[[float], None]
+    wait_seconds: float
+
+
+class Follower:
+    """How far one table was followed; ``run`` follows it until cancelled."""
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        followed: Followed,
+        clock: Callable[[], float],
+        randomness: random.Random,
+    ) -> None:
+        self._store = store
+        self._followed = followed
+        self._clock = clock
+        self._random = randomness
+        self._version: int | None = None
+        self._failures = 0
+        self._lost_at: float | None = None
+        self._regained_at = float('-inf')
+
+    def outage_ended_within(self, seconds: float) -> bool:
+        """Return whether the store was out of reach so lately, or is now."""
+        if self._lost_at is not None:
+            return True
+        return self._clock() - self._regained_at < seconds
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Make one call, and pause if it failed."""
+        read_at = self._clock()
+        if self._version is None:
+            failure = await self._read_all(read_at)
+        else:
+            failure = await self._read_changes(read_at)
+        if failure is None:
+            self._note_regained()
+            return
+        if failure.reason is Reason.CONFLICT:
+            logging.info('%s: history is gone', self._followed.table)
+            telemetry.count('store_rereads', table=self._followed.table)
+            self._version = None
+            return
+        await self._pause(failure)
+
+    async def _read_all(self, read_at: float) -> Failure | None:
+        rows: list[StoredRow] = []
+        version: int | None = None
+        start = ''
+        while True:
+            answer = await self._store.read(self._followed.table, start=start)
+            if answer.is_error():
+                return answer.error
+            page: RowPage = answer.ok
+            rows.extend(page.rows)
+            version = page.version if version is None else version
+            if not page.truncated or not page.rows:
+                break
+            start = f'{page.rows[-1].key}\0'
+        self._version = version
+        self._followed.replace(tuple(rows), read_at)
+        return None
+
+    async def _read_changes(self, read_at: float) -> Failure | None:
+        answer = await self._store.follow(
+            self._followed.table,
+            self._version,
+            self._followed.wait_seconds,
+        )
+        if answer.is_error():
+            return answer.error
+        page = answer.ok
+        self._version = max(self._version, page.version)
+        if page.rows:
+            self._followed.apply(page.rows, read_at)
+        self._followed.confirm(read_at)
+        return None
+
+    async def _pause(self, failure: Failure) -> None:
+        self._failures += 1
+        if self._lost_at is None:
+            self._lost_at = self._clock()
+            note(
+                'store lost',
+                table=self._followed.table,
+                reason=failure.reason,
+                detail=failure.detail,
+            )
+        longest = min(
+            RETRY_SECONDS * 2 ** min(self._failures - 1, 4),
+            RETRY_SECONDS_LIMIT,
+        )
+        await trio.sleep(longest * self._random.uniform(*_JITTER))
+
+    def _note_regained(self) -> None:
+        self._failures = 0
+        if self._lost_at is not None:
+            note(
+                'store regained',
+                table=self._followed.table,
+                lost_seconds=round(self._clock() - self._lost_at, 3),
+            )
+            self._lost_at = None
+            self._regained_at = self._clock()
--- /dev/null
+++ b/src/limpetdrift/protocol/plans.py
@@ -0,0 +1,94 @@
+"""Messages between an entry and the one that plans for its engines."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointName:
+    """An endpoint's name and lifetime."""
+
+    name: str
+    lifetime: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GrantEnd:
+    """A plan that has ended; ``failed`` names engines that failed it."""
+
+    grant: str
+    failed: tuple[EndpointName, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlanRequest:
+    """Asks where a prompt is read and its answer written.
+
+    ``pause_seconds`` is the longest pause that the answer bears,
+    ``target_seconds`` when it should begin, ``seconds_left`` when it is no
+    use any more. ``ended`` lists plans of the same entry that have ended.
+    """
+
+    service: str
+    prompt_tokens: int
+    answer_tokens: int
+    pause_seconds: float
+    target_seconds: float
+    seconds_left: float
+    failure_domain: str
+    excluded: tuple[EndpointName, ...] = ()
+    ended: tuple[GrantEnd, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReservedTokens:
+    """Memory to set aside at an engine before the request is sent."""
+
+    endpoint: EndpointName
+    tokens: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Plan:
+    """Who writes the answer, who helps to read, and what is set aside.
+
+    The writer reads one part and each helper another. ``read_seconds`` is
+    the expected time to the first token; the plan counts as ended after
+    ``hold_seconds`` in any case.
+    """
+
+    grant: str
+    writer: EndpointName
+    helpers: tuple[EndpointName, ...] = ()
+    reserved: tuple[ReservedTokens, ...] = ()
+    read_seconds: float = 0.0
+    hold_seconds: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndedPlans:
+    """Tells the planner of plans that have ended."""
+
+    service: str
+    ended: tuple[GrantEnd, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ActivePlan:
+    """A plan in force, told to a new planner with the seconds it is old."""
+
+    plan: Plan
+    request: PlanRequest
+    age_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ActivePlans:
+    """All plans of one entry at one service."""
+
+    service: str
+    active: tuple[ActivePlan, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Noted:
+    """Says that news was taken in."""
--- /dev/null
+++ b/src/limpetdrift/state/engineledger.py
@@ -0,0 +1,168 @@
+"""What the engines of a service are busy with, by the plans made for them.
+
+Each plan books reading time and memory at its engines and a stream at the
+writer. Bookings end with the plan, or by themselves when it is overdue.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from limpetdrift.protocol.work import ListedEndpoint
+
+# An engine that failed is used again after this many seconds, twice as long
+# after each failure in turn.
+FAILING_SECONDS = 1.5
+FAILING_SECONDS_LIMIT = 6.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Booking:
+    """What one plan takes at one engine.
+
+    ``pause_seconds`` is set at the writer: the longest pause that its stream
+    bears.
+    """
+
+    endpoint: ListedEndpoint
+    read_seconds: float
+    memory_tokens: int = 0
+    pause_seconds: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineUse:
+    """One engine as a decision sees it.
+
+    ``backlog_seconds`` is reading that was planned and isn't done;
+    ``pause_seconds`` the shortest pause bound of its streams, infinite where
+    there are none.
+    """
+
+    endpoint: ListedEndpoint
+    backlog_seconds: float = 0.0
+    streams: int = 0
+    memory_tokens: int = 0
+    pause_seconds: float = float('inf')
+    failing: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class _Engine:
+    free_at: float = float('-inf')
+    failures: int = 0
+    failing_until: float = float('-inf')
+    bookings: dict[str, Booking] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Grant:
+    ends_at: float
+    bookings: tuple[Booking, ...]
+
+
+class EngineLedger:
+    """Bookings by grant and by engine."""
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._engines: dict[tuple[str, int], _Engine] = {}
+        self._grants: dict[str, _Grant] = {}
+
+    @property
+    def grants(self) -> int:
+        """The number of plans in force."""
+        return len(self._grants)
+
+    def book(
+        self,
+        grant: str,
+        bookings: Iterable[Booking],
+        hold_seconds: float,
+    ) -> None:
+        """Enter a plan."""
+        now = self._clock()
+        entered = tuple(bookings)
+        self._grants[grant] = _Grant(
+            ends_at=now + hold_seconds,
+            bookings=entered,
+        )
+        for booking in entered:
+            engine = self._engine(booking.endpoint)
+            engine.bookings[grant] = booking
+            engine.free_at = max(now, engine.free_at) + booking.read_seconds
+
+    def end(self, grant: str) -> None:
+        """Drop a plan; one that isn't known is passed over."""
+        ended = self._grants.pop(grant, None)
+        if ended is None:
+            return
+        for booking in ended.bookings:
+            engine = self._engine(booking.endpoint)
+            engine.bookings.pop(grant, None)
+            if not engine.bookings:
+                engine.free_at = float('-inf')
+
+    def note_failing(self, identity: tuple[str, int]) -> None:
+        """Prefer other engines for a while."""
+        engine = self._engines.setdefault(identity, _Engine())
+        pause = min(
+            FAILING_SECONDS * 2**engine.failures,
+            FAILING_SECONDS_LIMIT,
+        )
+        engine.failures = min(engine.failures + 1, 4)
+        engine.failing_until = self._clock() + pause
+
+    def note_sound(self, identity: tuple[str, int]) -> None:
+        """Forget failures before a good answer."""
+        engine = self._engines.get(identity)
+        if engine is not None and engine.failures:
+            engine.failures = 0
+            engine.failing_until = float('-inf')
+
+    def uses(
+        self,
+        endpoints: Iterable[ListedEndpoint],
+    ) -> tuple[EngineUse, ...]:
+        """Return the use of each of the endpoints, in their order."""
+        now = self._clock()
+        self._end_overdue(now)
+        return tuple(self._use(endpoint, now) for endpoint in endpoints)
+
+    def forget_others(self, endpoints: Iterable[ListedEndpoint]) -> None:
+        """Drop engines that are neither listed nor booked."""
+        listed = {endpoint.identity for endpoint in endpoints}
+        for identity, engine in list(self._engines.items()):
+            if identity not in listed and not engine.bookings:
+                self._engines.pop(identity)
+
+    def _use(self, endpoint: ListedEndpoint, now: float) -> EngineUse:
+        engine = self._engines.get(endpoint.identity)
+        if engine is None:
+            return EngineUse(endpoint=endpoint)
+        pauses = [
+            booking.pause_seconds
+            for booking in engine.bookings.values()
+            if booking.pause_seconds is not None
+        ]
+        return EngineUse(
+            endpoint=endpoint,
+            backlog_seconds=max(0, engine.free_at - now),
+            streams=len(pauses),
+            memory_tokens=sum(
+                booking.memory_tokens for booking in engine.bookings.values()
+            ),
+            pause_seconds=min(pauses, default=float('inf')),
+            failing=engine.failing_until > now,
+        )
+
+    def _engine(self, endpoint: ListedEndpoint) -> _Engine:
+        return self._engines.setdefault(endpoint.identity, _Engine())
+
+    def _end_overdue(self, now: float) -> None:
+        overdue = [
+            grant
+            for grant, entered in self._grants.items()
+            if entered.ends_at <= now
+        ]
+        for grant in overdue:
+            self.end(grant)
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -315,14 +315,13 @@
     address: Address,
     request: Request,
 ) -> bytes:
+    added = [('content-length', str(len(request.body)))]
+    if not request.header('host'):
+        added.append(('host', str(address)))
     head = h11.Request(
         method=request.method,
         target=_target(request),
-        headers=[
-            ('host', str(address)),
-            ('content-length', str(len(request.body))),
-            *request.headers,
-        ],
+        headers=[*added, *request.headers],
     )
     payload = protocol.send(head) or b''
     if request.body:
@@ -331,6 +330,8 @@
 
 
 def _target(request: Request) -> str:
+    if request.target:
+        return request.target
     if not request.query:
         return request.path
     return f'{request.path}?{urlencode(request.query)}'
--- a/src/limpetdrift/transport/messages.py
+++ b/src/limpetdrift/transport/messages.py
@@ -42,11 +42,13 @@
     """One HTTP request with its whole body.
 
     ``path`` carries no query; ``query`` holds its decoded pairs. Header
-    names are lower case.
+    names are lower case. ``target`` holds the undecoded path and query where
+    they are to be passed on byte for byte; a client prefers it to the others.
     """
 
     method: str
     path: str
+    target: str = ''
     query: dict[str, str] = field(default_factory=dict)
     headers: Headers = ()
     body: bytes = b''
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -99,16 +99,25 @@
         self.request = request
         self._connection = connection
         self._started = False
+        self._last_headers: Headers = ()
 
     @property
     def started(self) -> bool:
         """Whether a response head was sent."""
         return self._started
 
+    def close_afterwards(self) -> None:
+        """Tell the peer with the response that the connection ends."""
+        self._last_headers = (('connection', 'close'),)
+
     async def respond(self, response: Response) -> None:
         """Send a whole response."""
         length = str(len(response.body))
-        headers = (*response.headers, ('content-length', length))
+        headers = (
+            *response.headers,
+            *self._last_headers,
+            ('content-length', length),
+        )
         self._started = True
         await self._connection.send(
             h11.Response(status_code=response.status, headers=list(headers)),
@@ -120,7 +129,10 @@
         """Send the head of a response; without a length it is chunked."""
         self._started = True
         await self._connection.send(
-            h11.Response(status_code=status, headers=list(headers)),
+            h11.Response(
+                status_code=status,
+                headers=[*headers, *self._last_headers],
+            ),
         )
 
     async def send(self, payload: bytes) -> None:
@@ -135,6 +147,25 @@
         """Close the connection in the middle of a body."""
         await trio.aclose_forcefully(self._connection.stream)
 
+    async def wait_closed(self) -> None:
+        """Return once the peer has closed or reset the connection.
+
+        What it sends meanwhile is kept for the next request. A peer that
+        sends more than a whole head ahead is no longer watched.
+        """
+        protocol = self._connection.protocol
+        while len(protocol.trailing_data[0]) <= RECEIVE_BYTES:
+            try:
+                received = await self._connection.stream.receive_some(
+                    RECEIVE_BYTES,
+                )
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not received:
+                return
+            protocol.receive_data(received)
+        await trio.sleep_forever()
+
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -153,6 +184,15 @@
         self._open_exchanges = 0
         self._answered = trio.Event()
 
+    @property
+    def open_exchanges(self) -> int:
+        """The number of requests that have not got their whole answer."""
+        return self._open_exchanges
+
+    def use_limits(self, limits: ServerLimits) -> None:
+        """Apply other limits to the connections that come from now on."""
+        self._limits = limits
+
     async def idle(self) -> None:
         """Wait until every request that came has its whole answer."""
         while self._open_exchanges:
@@ -305,6 +345,7 @@
     return Request(
         method=head.method.decode('ascii'),
         path=unquote(target.path),
+        target=head.target.decode('latin-1'),
         query=dict(parse_qsl(target.query)),
         headers=tuple(
             (name.decode('ascii'), text.decode('latin-1'))
