--- /dev/null
+++ b/src/limpetdrift/coordination/delivery.py
@@ -0,0 +1,142 @@
+"""Passes an endpoint's answer on to the caller of a request."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from expression import Error, Ok, Result
+
+from limpetdrift.coordination.attempts import Answer
+from limpetdrift.coordination.eventrelay import StreamEvent, whole_events
+from limpetdrift.coordination.retrying import (
+    is_failure_of_endpoint,
+    pause_seconds,
+)
+from limpetdrift.protocol.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
+from limpetdrift.protocol.work import ListedEndpoint, Work
+from limpetdrift.transport.messages import Response
+from limpetdrift.transport.server import Exchange
+
+Identity = tuple[str, int]
+Outcome = Result[None, Failure]
+
+
+@dataclass(kw_only=True, slots=True)
+class Course:
+    """How far one request has come, and what is known of it.
+
+    ``tries`` counts placements, ``attempts`` those that reached an endpoint.
+    ``last_event`` is the last one that the caller has of a stream, and
+    ``endpoint_answer`` a failure that an endpoint gave.
+    """
+
+    work: Work
+    exchange: Exchange
+    clock: Callable[[], float]
+    tries: int = 0
+    attempts: int = 0
+    verdict: Verdict = Verdict.NOT_RUN
+    excluded: set[Identity] = field(default_factory=set)
+    failed: list[ListedEndpoint] = field(default_factory=list)
+    last_event: int | None = None
+    first_event_at: float | None = None
+    has_head: bool = False
+    is_gone: bool = False
+    endpoint_answer: Response | None = None
+
+    def seconds_left(self) -> float:
+        """Return the time to the deadline."""
+        return self.work.deadline - self.clock()
+
+    def seconds_taken(self) -> float:
+        """Return the time since the request came."""
+        return self.clock() - self.work.arrived_at
+
+
+async def pass_whole(course: Course, answer: Answer) -> Outcome:
+    """Deliver an answer once it is here as a whole."""
+    if answer.refused:
+        return Error(_refusal(answer))
+    body = b''.join([chunk async for chunk in answer.chunks()])
+    if answer.foreign or course.has_head:
+        return Error(may_have_run(Reason.BAD_ANSWER, 'not what was asked'))
+    response = Response(
+        status=answer.status,
+        headers=answer.headers,
+        body=body,
+    )
+    if is_failure_of_endpoint(course.work.route, answer.status):
+        course.endpoint_answer = response
+        return Error(
+            Failure(
+                verdict=Verdict.RAN,
+                reason=Reason.ENDPOINT_FAILED,
+                detail=f'status {answer.status}',
+            ),
+        )
+    await course.exchange.respond(response)
+    return Ok(None)
+
+
+async def pass_events(
+    course: Course,
+    answer: Answer,
+    watch: trio.CancelScope,
+) -> None:
+    """Deliver events as they come, those that the caller has left out.
+
+    ``watch`` is cancelled when the stream pauses for too long.
+    """
+    if answer.foreign:
+        raise FailureError(may_have_run(Reason.BAD_ANSWER, 'foreign answer'))
+    events = whole_events(answer.chunks(), framed=answer.framed)
+    async for event in events:
+        watch.deadline = float('inf')
+        await _deliver(course, answer, event)
+        watch.deadline = trio.current_time() + pause_seconds(
+            course.work.route,
+            attempts=course.attempts,
+            seconds_left=course.seconds_left(),
+        )
+    watch.deadline = float('inf')
+    await _send_head(course, answer)
+    await course.exchange.finish()
+
+
+async def _deliver(
+    course: Course,
+    answer: Answer,
+    event: StreamEvent,
+) -> None:
+    seen = course.last_event
+    if event.number is not None:
+        if seen is not None and event.number <= seen:
+            return
+        course.last_event = event.number
+    await _send_head(course, answer)
+    await course.exchange.send(event.payload)
+
+
+async def _send_head(course: Course, answer: Answer) -> None:
+    """Send the head once; a resumed stream keeps that of its first run."""
+    if course.has_head:
+        return
+    course.has_head = True
+    course.first_event_at = course.clock()
+    await course.exchange.start(answer.status, answer.headers)
+
+
+def _refusal(answer: Answer) -> Failure:
+    if answer.misdirected:
+        return not_run(Reason.ENDPOINT_LEAVING, 'another process is there')
+    return not_run(
+        Reason.ENDPOINT_REFUSED,
+        f'status {answer.status} {answer.at_fault}',
+    )
--- a/src/limpetdrift/coordination/eventrelay.py
+++ b/src/limpetdrift/coordination/eventrelay.py
@@ -1,8 +1,7 @@
 """Cuts the body of an event stream into whole events.
 
->>> events, rest = split_events(b'id: 1\\ndata: a\\n\\nid: 2\\nda')
->>> events[0].number, rest
-(1, b'id: 2\\nda')
+An event ends with an empty line. What is left of a body after its last whole
+event was cut off on the way.
 """
 
 from collections.abc import AsyncIterator
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -8,22 +8,26 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 import trio
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.attempts import Answer, Sending
-from limpetdrift.coordination.eventrelay import StreamEvent, whole_events
+from limpetdrift.coordination.delivery import (
+    Course,
+    Identity,
+    Outcome,
+    pass_events,
+    pass_whole,
+)
 from limpetdrift.coordination.retrying import (
     attempt_seconds,
-    is_failure_of_endpoint,
     may_repeat,
-    pause_seconds,
     start_seconds,
 )
-from limpetdrift.logs import note
+from limpetdrift.logs import is_sampled, note
 from limpetdrift.protocol.routetable import WorkKind
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -41,14 +45,27 @@
 
 # Bounds the search where nobody listens; such tries reach no endpoint.
 TRY_LIMIT = 6
+# Prompts under 2^12 tokens are one class in measurements.
+_LEAST_POWER = 12
 RETRY_PAUSE_SECONDS = 0.01
 _JITTER = (0.5, 1.5)
 _GONE_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
 )
+_ENDPOINT_FAILURES = frozenset(
+    (
+        Reason.CONNECT_FAILED,
+        Reason.CONNECT_TIMEOUT,
+        Reason.CONNECTION_BROKEN,
+        Reason.SILENT,
+        Reason.BAD_ANSWER,
+        Reason.ENDPOINT_FAILED,
+    ),
+)
+# Failures after which no endpoint can have got the request.
+_UNREACHED = frozenset((Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT))
 
-Identity = tuple[str, int]
 Place = Callable[
     [Work, frozenset[Identity]],
     Awaitable[Result[Placement, Failure]],
@@ -58,7 +75,6 @@
 # Sets the memory of a placement aside while it is entered; raises
 # ``FailureError`` where it is taken.
 Holding = Callable[[Placement], AbstractAsyncContextManager[Placement]]
-Outcome = Result[None, Failure]
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -81,23 +97,6 @@
     randomness: random.Random
 
 
-@dataclass(kw_only=True, slots=True)
-class _Course:
-    """How far one request has come, and what is known of it."""
-
-    work: Work
-    exchange: Exchange
-    tries: int = 0
-    attempts: int = 0
-    verdict: Verdict = Verdict.NOT_RUN
-    excluded: set[Identity] = field(default_factory=set)
-    failed: list[ListedEndpoint] = field(default_factory=list)
-    last_event: int | None = None
-    has_head: bool = False
-    is_gone: bool = False
-    endpoint_answer: Response | None = None
-
-
 class Forwarder:
     """Serves requests, each in the task of its connection."""
 
@@ -107,39 +106,45 @@
     async def serve(self, work: Work, exchange: Exchange) -> None:
         """Answer one request."""
         self._parts.budget.earn()
-        course = _Course(
+        course = Course(
             work=work,
             exchange=exchange,
+            clock=self._parts.clock,
             last_event=work.last_event_id,
         )
         failure = await self._run(course)
-        took = self._parts.clock() - work.arrived_at
-        telemetry.observe('request_seconds', took, kind=work.route.kind)
+        telemetry.observe(
+            'request_seconds',
+            course.seconds_taken(),
+            kind=work.route.kind,
+        )
         if course.is_gone:
-            telemetry.count('requests', outcome='caller-left')
-            return
-        if failure is None:
-            telemetry.count('requests', outcome='served')
-            return
-        await self._finish(course, failure)
-
-    async def _run(self, course: _Course) -> Failure | None:
+            _note_end(course, 'caller left', None)
+        elif failure is None:
+            _note_end(course, 'served', None)
+        else:
+            _note_end(course, 'request failed', failure)
+            await self._answer_failure(course, failure)
+
+    async def _run(self, course: Course) -> Failure | None:
         failure: Failure | None = None
-        left = self._left(course)
+        limit = trio.CancelScope(
+            deadline=trio.current_time() + max(0, course.seconds_left()),
+        )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_watch_caller, course, nursery.cancel_scope)
-            with trio.move_on_after(max(0, left)) as limit:
+            with limit:
                 failure = await self._drive(course)
-            if limit.cancelled_caught:
-                failure = Failure(
-                    verdict=course.verdict,
-                    reason=Reason.DEADLINE,
-                    detail='the deadline passed',
-                )
             nursery.cancel_scope.cancel()
+        if limit.cancelled_caught:
+            return Failure(
+                verdict=course.verdict,
+                reason=Reason.DEADLINE,
+                detail='the deadline passed',
+            )
         return failure
 
-    async def _drive(self, course: _Course) -> Failure | None:
+    async def _drive(self, course: Course) -> Failure | None:
         """Attempt until an answer is delivered or a failure is final."""
         try:
             while True:
@@ -155,7 +160,7 @@
             course.is_gone = True
         return None
 
-    def _goes_on(self, course: _Course, failure: Failure) -> bool:
+    def _goes_on(self, course: Course, failure: Failure) -> bool:
         work = course.work
         if course.tries >= TRY_LIMIT:
             return False
@@ -163,7 +168,7 @@
             work.route,
             failure,
             attempts=course.attempts,
-            seconds_left=self._left(course),
+            seconds_left=course.seconds_left(),
         )
         if not again:
             return False
@@ -178,10 +183,12 @@
             verdict=failure.verdict,
             detail=failure.detail,
             attempts=course.attempts,
+            endpoints=[each.name for each in course.failed],
+            seconds=round(course.seconds_taken(), 3),
         )
         return True
 
-    async def _attempt(self, course: _Course) -> Outcome:
+    async def _attempt(self, course: Course) -> Outcome:
         course.tries += 1
         blocked = self._parts.check(course.work)
         if blocked is not None:
@@ -194,6 +201,7 @@
             return placed.map(lambda placement: None)
         placement = placed.ok
         course.failed = []
+        _note_placement(course, placement)
         try:
             return await self._hold_and_send(course, placement)
         finally:
@@ -201,7 +209,7 @@
 
     async def _hold_and_send(
         self,
-        course: _Course,
+        course: Course,
         placement: Placement,
     ) -> Outcome:
         earlier = course.verdict
@@ -212,12 +220,12 @@
         except FailureError as error:
             outcome = Error(error.failure)
         if outcome.is_error():
-            self._note_failure(course, placement, outcome.error)
+            _note_failure(course, placement, outcome.error)
             if outcome.error.verdict is Verdict.NOT_RUN:
                 course.verdict = earlier
         return outcome
 
-    async def _send(self, course: _Course, placement: Placement) -> Outcome:
+    async def _send(self, course: Course, placement: Placement) -> Outcome:
         # Setting memory aside took time, in which keys may have gone.
         blocked = self._parts.check(course.work)
         if blocked is not None:
@@ -231,127 +239,46 @@
         limit = attempt_seconds(
             course.work.route,
             attempts=course.attempts - 1,
-            seconds_left=self._left(course),
+            seconds_left=course.seconds_left(),
         )
         with trio.move_on_after(limit):
             async with self._open(course, placement) as answer:
-                return await self._pass_whole(course, answer)
+                return await pass_whole(course, answer)
         return Error(may_have_run(Reason.SILENT, 'no answer in time'))
 
-    def _open(
-        self,
-        course: _Course,
-        placement: Placement,
-    ) -> AbstractAsyncContextManager[Answer]:
-        return self._parts.send(
-            course.work,
-            placement,
-            self._left(course),
-            course.last_event,
-        )
-
     async def _send_stream(
         self,
-        course: _Course,
+        course: Course,
         placement: Placement,
     ) -> Outcome:
-        work = course.work
         limit = start_seconds(
-            work.route,
+            course.work.route,
             attempts=course.attempts - 1,
             read_seconds=placement.read_seconds,
-            seconds_left=self._left(course),
+            seconds_left=course.seconds_left(),
         )
         with trio.move_on_after(limit) as watch:
             async with self._open(course, placement) as answer:
                 if answer.refused or answer.status != OK:
-                    return await self._pass_whole(course, answer)
-                await self._pass_events(course, answer, watch)
+                    return await pass_whole(course, answer)
+                await pass_events(course, answer, watch)
                 return Ok(None)
         return Error(may_have_run(Reason.SILENT, 'no event in time'))
 
-    async def _pass_events(
-        self,
-        course: _Course,
-        answer: Answer,
-        watch: trio.CancelScope,
-    ) -> None:
-        if answer.foreign:
-            raise FailureError(may_have_run(Reason.BAD_ANSWER, 'foreign'))
-        async for event in whole_events(
-            answer.chunks(),
-            framed=answer.framed,
-        ):
-            watch.deadline = float('inf')
-            await _deliver(course, answer, event)
-            watch.deadline = trio.current_time() + pause_seconds(
-                course.work.route,
-                attempts=course.attempts,
-                seconds_left=self._left(course),
-            )
-        watch.deadline = float('inf')
-        if not course.has_head:
-            await _send_head(course, answer)
-        await course.exchange.finish()
-
-    async def _pass_whole(self, course: _Course, answer: Answer) -> Outcome:
-        """Deliver an answer once it is here as a whole."""
-        if answer.refused:
-            return Error(_refusal(answer))
-        body = b''.join([chunk async for chunk in answer.chunks()])
-        if answer.foreign:
-            return Error(may_have_run(Reason.BAD_ANSWER, 'foreign answer'))
-        response = Response(
-            status=answer.status,
-            headers=answer.headers,
-            body=body,
-        )
-        if course.has_head:
-            return Error(may_have_run(Reason.ENDPOINT_FAILED, 'no stream'))
-        if is_failure_of_endpoint(course.work.route, answer.status):
-            course.endpoint_answer = response
-            return Error(
-                Failure(
-                    verdict=Verdict.RAN,
-                    reason=Reason.ENDPOINT_FAILED,
-                    detail=f'status {answer.status}',
-                ),
-            )
-        await course.exchange.respond(response)
-        return Ok(None)
-
-    def _note_failure(
+    def _open(
         self,
-        course: _Course,
+        course: Course,
         placement: Placement,
-        failure: Failure,
-    ) -> None:
-        if failure.reason is Reason.CONNECT_FAILED and course.attempts:
-            # Nobody listened, so no endpoint got the request.
-            course.attempts -= 1
-        if failure.reason in _ENDPOINT_FAILURES:
-            course.failed.append(placement.endpoint)
-        if failure.reason is Reason.ENDPOINT_LEAVING:
-            return
-        telemetry.count('attempt_failures', reason=failure.reason)
+    ) -> AbstractAsyncContextManager[Answer]:
+        return self._parts.send(
+            course.work,
+            placement,
+            course.seconds_left(),
+            course.last_event,
+        )
 
-    async def _finish(self, course: _Course, failure: Failure) -> None:
+    async def _answer_failure(self, course: Course, failure: Failure) -> None:
         """Tell the caller how its request failed."""
-        work = course.work
-        telemetry.count('requests', outcome=failure.reason)
-        note(
-            'request failed',
-            id=work.request_id,
-            route=work.route.name,
-            account=work.account,
-            reason=failure.reason,
-            verdict=failure.verdict,
-            detail=failure.detail,
-            attempts=course.attempts,
-            version=work.version,
-            seconds=round(self._parts.clock() - work.arrived_at, 3),
-            begun=course.has_head,
-        )
         if course.has_head:
             await course.exchange.abort()
             return
@@ -360,52 +287,80 @@
             response = self._parts.render(failure)
         await course.exchange.respond(response)
 
-    def _left(self, course: _Course) -> float:
-        return course.work.deadline - self._parts.clock()
 
+def size_label(work: Work) -> str:
+    """Return the class of prompt lengths, which labels measurements.
 
-_ENDPOINT_FAILURES = frozenset(
-    (
-        Reason.CONNECT_FAILED,
-        Reason.CONNECT_TIMEOUT,
-        Reason.CONNECTION_BROKEN,
-        Reason.SILENT,
-        Reason.BAD_ANSWER,
-        Reason.ENDPOINT_FAILED,
-    ),
-)
+    Classes double twice from one to the next, so they are few.
+    """
+    if work.size is None:
+        return 'unknown'
+    power = max(_LEAST_POWER, work.size.prompt_tokens.bit_length())
+    power += power % 2
+    return f'under-2^{power}'
 
 
-async def _watch_caller(course: _Course, scope: trio.CancelScope) -> None:
+async def _watch_caller(course: Course, scope: trio.CancelScope) -> None:
     await course.exchange.wait_closed()
     course.is_gone = True
     scope.cancel()
 
 
-async def _deliver(
-    course: _Course,
-    answer: Answer,
-    event: StreamEvent,
+def _note_failure(
+    course: Course,
+    placement: Placement,
+    failure: Failure,
 ) -> None:
-    seen = course.last_event
-    if event.number is not None:
-        if seen is not None and event.number <= seen:
-            return
-        course.last_event = event.number
-    if not course.has_head:
-        await _send_head(course, answer)
-    await course.exchange.send(event.payload)
-
-
-async def _send_head(course: _Course, answer: Answer) -> None:
-    course.has_head = True
-    await course.exchange.start(answer.status, answer.headers)
+    telemetry.count('attempt_failures', reason=failure.reason)
+    if failure.reason in _UNREACHED and course.attempts:
+        course.attempts -= 1
+    if failure.reason in _ENDPOINT_FAILURES:
+        course.failed.append(placement.endpoint)
+
+
+def _note_placement(course: Course, placement: Placement) -> None:
+    if not (placement.helpers or is_sampled(course.work.request_id)):
+        return
+    note(
+        'placed',
+        id=course.work.request_id,
+        endpoint=placement.endpoint.name,
+        helpers=[each.endpoint.name for each in placement.helpers],
+        reserved=[tokens for _, tokens in placement.reserved],
+        prompt_tokens=course.work.size and course.work.size.prompt_tokens,
+        read_seconds=round(placement.read_seconds, 3),
+        grant=placement.grant,
+        version=course.work.version,
+        seconds=round(course.seconds_taken(), 3),
+    )
 
 
-def _refusal(answer: Answer) -> Failure:
-    if answer.misdirected:
-        return not_run(Reason.ENDPOINT_LEAVING, 'another process is there')
-    return not_run(
-        Reason.ENDPOINT_REFUSED,
-        f'status {answer.status} {answer.at_fault}',
+def _note_end(
+    course: Course,
+    message: str,
+    failure: Failure | None,
+) -> None:
+    """Log how a request ended: each failure, and a sample of the rest."""
+    work = course.work
+    outcome = failure.reason if failure else message.replace(' ', '-')
+    telemetry.count('requests', outcome=outcome)
+    first = None
+    if course.first_event_at is not None:
+        first = round(course.first_event_at - work.arrived_at, 3)
+        telemetry.observe('first_event_seconds', first, size=size_label(work))
+    if failure is None and not is_sampled(work.request_id):
+        return
+    note(
+        message,
+        id=work.request_id,
+        route=work.route.name,
+        account=work.account,
+        reason=failure and failure.reason,
+        verdict=failure and failure.verdict,
+        detail=failure and failure.detail,
+        attempts=course.attempts,
+        version=work.version,
+        first_event_seconds=first,
+        seconds=round(course.seconds_taken(), 3),
+        begun=course.has_head,
     )
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -89,7 +89,7 @@
         refusal = _refuse(split, uses, request)
         if refusal is not None:
             return Error(refusal)
-        grant = f'{self._inputs.name}.{next(self._numbers)}'
+        grant = '.'.join((self._inputs.name, str(next(self._numbers))))
         plan = _make_plan(grant, split, request)
         self.enter(plan, request)
         return Ok(plan)
@@ -197,9 +197,7 @@
     """
     if split is None:
         reason, detail = Reason.NO_MEMORY, 'memory of the engines is taken'
-    elif (
-        split.first_token_seconds > request.seconds_left * _LAST_START_SHARE
-    ):
+    elif split.first_token_seconds > request.seconds_left * _LAST_START_SHARE:
         reason, detail = Reason.OVERLOADED, 'would begin too late'
     else:
         return None
--- a/src/limpetdrift/coordination/retrying.py
+++ b/src/limpetdrift/coordination/retrying.py
@@ -18,6 +18,7 @@
 _PAUSE_SHARE = 3.0
 _PAUSE_SECONDS_LIMIT = 1.2
 
+_SERVER_ERROR = 500
 _FINAL = frozenset(
     (
         Reason.DEADLINE,
@@ -101,4 +102,4 @@
     next one may do better, if the request may run twice.
     """
     plain = route.kind is WorkKind.IDEMPOTENT
-    return status >= 500 and (plain or route.repeatable)
+    return status >= _SERVER_ERROR and (plain or route.repeatable)
--- a/src/limpetdrift/logs.py
+++ b/src/limpetdrift/logs.py
@@ -17,6 +17,7 @@
 from collections import deque
 from contextvars import ContextVar
 from typing import TextIO
+from zlib import crc32
 
 import msgspec
 from absl import flags, logging
@@ -27,6 +28,9 @@
 QUEUED_LINES = 3000
 # Written in one call at most, under the size of a pipe.
 _BATCH_LINES = 100
+_FLUSH_STEP_SECONDS = 0.01
+# One request in so many is logged though it went well.
+SAMPLED_EVERY = 8
 _FIELDS = 'limpet_fields'
 
 
@@ -40,6 +44,14 @@
     logging.get_absl_logger().warning(message, extra={_FIELDS: fields})
 
 
+def is_sampled(request: str) -> bool:
+    """Return whether a request that goes well is logged too.
+
+    All processes choose the same requests, so that their lines fit together.
+    """
+    return crc32(request.encode()) % SAMPLED_EVERY == 0
+
+
 class JsonFormatter(standard_logging.Formatter):
     """Formats each record as one line of JSON."""
 
@@ -86,8 +98,9 @@
             self._dropped += 1
             return
         if self._dropped:
-            told, self._dropped = self._dropped, 0
-            self._lines.append(f'{{"message":"lines dropped","count":{told}}}')
+            told = {'message': 'lines dropped', 'count': self._dropped}
+            self._dropped = 0
+            self._lines.append(msgspec.json.encode(told).decode())
         self._lines.append(line)
         self._ready.set()
 
@@ -101,8 +114,8 @@
         """Give the thread so long to write what is queued."""
         done = threading.Event()
         while self._lines and seconds > 0:
-            done.wait(0.01)
-            seconds -= 0.01
+            done.wait(_FLUSH_STEP_SECONDS)
+            seconds -= _FLUSH_STEP_SECONDS
 
     def _write_some(self) -> bool:
         while self._lines:
--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 from dataclasses import dataclass
+from functools import partial
 from typing import Annotated
 
 import cappa
@@ -22,12 +23,10 @@
 )
 from limpetdrift.protocol.codec import encode
 
-READY_POLL_SECONDS = 0.02
-
 
 @cappa.command(
     name='limpet-platform-entry',
-    help='Serve callers and their directory on the users\' platform.',
+    help="Serve callers and their directory on the users' platform.",
 )
 @dataclass(frozen=True, kw_only=True)
 class Arguments:
@@ -80,12 +79,16 @@
             serve_routes(add_readiness_routes, entry.answers),
         ),
     )
+    tasks = (
+        entry.knowledge.run,
+        entry.registration.run,
+        entry.planning.run,
+        partial(_take_part_when_ready, entry),
+        _reload_on_signal,
+    )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(entry.knowledge.run)
-        nursery.start_soon(entry.registration.run)
-        nursery.start_soon(entry.planning.run)
-        nursery.start_soon(_take_part_when_ready, entry)
-        nursery.start_soon(_reload_on_signal)
+        for task in tasks:
+            nursery.start_soon(task)
         for address, server in served:
             if address is not None:
                 await serve_on(address, server, nursery)
@@ -106,8 +109,7 @@
 
 async def _take_part_when_ready(entry: Entry) -> None:
     """Join the peers once callers can be served; they list this entry then."""
-    while not entry.knowledge.is_complete:
-        await trio.sleep(READY_POLL_SECONDS)
+    await entry.knowledge.wait_complete()
     logs.note('ready', node=entry.node.name)
     await entry.membership.run()
 
--- a/src/limpetdrift/platform/calls.py
+++ b/src/limpetdrift/platform/calls.py
@@ -111,18 +111,14 @@
         added.append((names.HELPERS, _helpers(placement)))
     passed = work.headers
     if last_event_id is not None and last_event_id != work.last_event_id:
-        passed = tuple(
-            pair for pair in passed if pair[0] != names.LAST_EVENT
-        )
+        passed = tuple(pair for pair in passed if pair[0] != names.LAST_EVENT)
         added.append((names.LAST_EVENT, str(last_event_id)))
     return (*passed, *added)
 
 
 def _helpers(placement: Placement) -> str:
     return ','.join(
-        f'{helper.endpoint.address}/{helper.reservation}'
-        if helper.reservation
-        else helper.endpoint.address
+        '/'.join(filter(None, (helper.endpoint.address, helper.reservation)))
         for helper in placement.helpers
     )
 
--- a/src/limpetdrift/platform/following.py
+++ b/src/limpetdrift/platform/following.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 import trio
-from absl import logging
 
 from limpetdrift import telemetry
 from limpetdrift.logs import note
@@ -55,7 +54,7 @@
         self._lost_at: float | None = None
         self._regained_at = float('-inf')
 
-    def outage_ended_within(self, seconds: float) -> bool:
+    def outage_within(self, seconds: float) -> bool:
         """Return whether the store was out of reach so lately, or is now."""
         if self._lost_at is not None:
             return True
@@ -77,7 +76,7 @@
             self._note_regained()
             return
         if failure.reason is Reason.CONFLICT:
-            logging.info('%s: history is gone', self._followed.table)
+            note('history of the store is gone', table=self._followed.table)
             telemetry.count('store_rereads', table=self._followed.table)
             self._version = None
             return
@@ -126,10 +125,7 @@
                 reason=failure.reason,
                 detail=failure.detail,
             )
-        longest = min(
-            RETRY_SECONDS * 2 ** min(self._failures - 1, 4),
-            RETRY_SECONDS_LIMIT,
-        )
+        longest = min(RETRY_SECONDS * self._failures, RETRY_SECONDS_LIMIT)
         await trio.sleep(longest * self._random.uniform(*_JITTER))
 
     def _note_regained(self) -> None:
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -20,8 +20,8 @@
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planning import Planning, PlanningInputs
 from limpetdrift.platform.answers import make_render
-from limpetdrift.platform.calls import make_sending
 from limpetdrift.platform.callers import CallerFront, make_caller_handler
+from limpetdrift.platform.calls import make_sending
 from limpetdrift.platform.directory import DirectoryAnswers
 from limpetdrift.platform.knowledge import Knowledge, KnowledgeInputs
 from limpetdrift.platform.registration import (
--- a/src/limpetdrift/platform/knowledge.py
+++ b/src/limpetdrift/platform/knowledge.py
@@ -9,10 +9,9 @@
 from limpetdrift import telemetry
 from limpetdrift.logs import note, warn
 from limpetdrift.platform.configuration import decode_route_table
-from limpetdrift.platform.endpointlist import decode_endpoint
 from limpetdrift.platform.following import Followed, Follower
+from limpetdrift.platform.listkeeping import ListKeeper
 from limpetdrift.platform.store import StoreClient, StoredRow
-from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpointview import EndpointView
 from limpetdrift.state.heldroutes import HeldRoutes
 
@@ -24,9 +23,6 @@
 CONFIRM_SHARE = 0.25
 # The list needs no confirmation; this bounds how long a silent feed is kept.
 LIST_WAIT_SECONDS = 3.0
-# Entries that lapsed while the store was away come back within two seconds
-# of its return; those that don't are gone.
-LAPSE_SECONDS = 2.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -46,9 +42,16 @@
 
     def __init__(self, *, inputs: KnowledgeInputs) -> None:
         self._inputs = inputs
+        self._routes = inputs.routes
         self._has_list = False
-        self._lapsed: dict[str, float] = {}
-        self._complaints: dict[str, str] = {}
+        self._complete = trio.Event()
+        self._list = ListKeeper(
+            view=inputs.view,
+            clock=inputs.clock,
+            outage_within=lambda seconds: self._endpoints.outage_within(
+                seconds,
+            ),
+        )
         self._configuration = self._follow(
             Followed(
                 table=CONFIGURATION_TABLE,
@@ -61,8 +64,8 @@
         self._endpoints = self._follow(
             Followed(
                 table=ENDPOINTS_TABLE,
-                replace=self._replace_endpoints,
-                apply=self._apply_endpoints,
+                replace=self._replace_list,
+                apply=lambda rows, read_at: self._list.apply(rows),
                 confirm=lambda read_at: None,
                 wait_seconds=LIST_WAIT_SECONDS,
             ),
@@ -71,14 +74,18 @@
     @property
     def is_complete(self) -> bool:
         """Whether there are both routes and a list."""
-        return self._has_list and self._inputs.routes.table is not None
+        return self._complete.is_set()
+
+    async def wait_complete(self) -> None:
+        """Wait for the first routes and the first list."""
+        await self._complete.wait()
 
     async def run(self) -> None:
         """Follow both tables until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._endpoints.run)
-            nursery.start_soon(self._drop_lapsed)
+            nursery.start_soon(self._list.run)
 
     def _follow(self, followed: Followed) -> Follower:
         return Follower(
@@ -88,6 +95,15 @@
             randomness=self._inputs.randomness,
         )
 
+    def _replace_list(
+        self,
+        rows: tuple[StoredRow, ...],
+        read_at: float,
+    ) -> None:
+        self._list.replace(rows)
+        self._has_list = True
+        self._check_complete()
+
     def _take_configuration(
         self,
         rows: tuple[StoredRow, ...],
@@ -95,101 +111,25 @@
     ) -> None:
         for row in rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                self._use_configuration(row, read_at)
+                self._use_configuration(row.value, read_at)
+        self._check_complete()
 
-    def _use_configuration(self, row: StoredRow, read_at: float) -> None:
-        decoded = decode_route_table(row.value)
+    def _use_configuration(self, payload: bytes, read_at: float) -> None:
+        decoded = decode_route_table(payload)
         if decoded.is_error():
-            warn('configuration can not be read', detail=decoded.error)
             telemetry.count('configurations_unread')
-            return
-        routes = self._inputs.routes
-        if routes.take(decoded.ok, read_at):
+            warn('configuration can not be read', detail=decoded.error)
+        elif self._routes.take(decoded.ok, read_at):
             note(
                 'configuration in force',
-                version=routes.version,
+                version=self._routes.version,
                 routes=len(decoded.ok.routes),
                 accounts=len(decoded.ok.accounts),
             )
 
     def _confirm(self, read_at: float) -> None:
-        routes = self._inputs.routes
-        routes.confirm(routes.version, read_at)
+        self._routes.confirm(self._routes.version, read_at)
 
-    def _replace_endpoints(
-        self,
-        rows: tuple[StoredRow, ...],
-        read_at: float,
-    ) -> None:
-        endpoints = [self._decode(row) for row in rows]
-        listed = [each for each in endpoints if each is not None]
-        names = {each.name for each in listed}
-        for known in self._inputs.view.listed:
-            if known.name not in names:
-                self._drop(known.name)
-        for endpoint in listed:
-            self._put(endpoint)
-        self._has_list = True
-        note('endpoint list read', endpoints=len(listed), rows=len(rows))
-
-    def _apply_endpoints(
-        self,
-        rows: tuple[StoredRow, ...],
-        read_at: float,
-    ) -> None:
-        for row in rows:
-            endpoint = self._decode(row)
-            if endpoint is None:
-                self._drop(row.key)
-            else:
-                self._put(endpoint)
-
-    def _put(self, endpoint: ListedEndpoint) -> None:
-        self._lapsed.pop(endpoint.name, None)
-        view = self._inputs.view
-        if view.find(endpoint.name, endpoint.lifetime) != endpoint:
-            note(
-                'endpoint listed',
-                endpoint=endpoint.name,
-                lifetime=endpoint.lifetime,
-                service=endpoint.service,
-                address=endpoint.address,
-                leaving=endpoint.leaving,
-            )
-            view.put(endpoint)
-
-    def _drop(self, name: str) -> None:
-        """Drop an endpoint, later where its entry may only have lapsed."""
-        if self._endpoints.outage_ended_within(2 * LAPSE_SECONDS):
-            self._lapsed.setdefault(name, self._inputs.clock())
-            return
-        note('endpoint gone from the list', endpoint=name)
-        self._inputs.view.drop(name)
-
-    async def _drop_lapsed(self) -> None:
-        while True:
-            await trio.sleep(LAPSE_SECONDS / 10)
-            if self._endpoints.outage_ended_within(LAPSE_SECONDS):
-                continue
-            oldest = self._inputs.clock() - LAPSE_SECONDS
-            for name, since in tuple(self._lapsed.items()):
-                if since <= oldest:
-                    self._lapsed.pop(name)
-                    note('endpoint did not come back', endpoint=name)
-                    self._inputs.view.drop(name)
-
-    def _decode(self, row: StoredRow) -> ListedEndpoint | None:
-        if row.value is None:
-            return None
-        decoded = decode_endpoint(row.key, row.value)
-        if decoded.is_ok():
-            return decoded.ok
-        if self._complaints.get(row.key) != decoded.error:
-            self._complaints[row.key] = decoded.error
-            warn(
-                'entry of the list names no endpoint',
-                entry=row.key,
-                detail=decoded.error,
-            )
-            telemetry.count('endpoint_entries_unread')
-        return None
+    def _check_complete(self) -> None:
+        if self._has_list and self._routes.table is not None:
+            self._complete.set()
--- a/src/limpetdrift/platform/registration.py
+++ b/src/limpetdrift/platform/registration.py
@@ -36,7 +36,7 @@
 
 
 class Registration:
-    """This process's row, and the addresses that the others' rows name."""
+    """The row of this process, and the addresses that the others' rows name."""
 
     def __init__(
         self,
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -58,24 +58,34 @@
             for endpoint, tokens in placement.reserved
         )
         try:
-            await _take_all(client, reservations)
-            raised: Exception | None = None
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(_renew, client, reservations)
-                try:
-                    yield _with_reservations(placement, reservations)
-                except Exception as error:
-                    # Raised below, since a nursery would wrap it in a group.
-                    raised = error
-                nursery.cancel_scope.cancel()
-            if raised is not None:
-                raise raised
+            async with _kept(client, reservations):
+                yield _with_reservations(placement, reservations)
         finally:
             await _free_all(client, reservations)
 
     return hold
 
 
+@asynccontextmanager
+async def _kept(
+    client: HttpClient,
+    reservations: tuple[Reservation, ...],
+) -> AsyncIterator[None]:
+    """Take all memory, and renew it while the body runs."""
+    await _take_all(client, reservations)
+    raised: Exception | None = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_renew, client, reservations)
+        try:
+            yield
+        except Exception as error:
+            # Raised below, since a nursery would wrap it in a group.
+            raised = error
+        nursery.cancel_scope.cancel()
+    if raised is not None:
+        raise raised
+
+
 async def _take_all(
     client: HttpClient,
     reservations: tuple[Reservation, ...],
@@ -150,9 +160,11 @@
     )
     telemetry.count('orders', operation=str(body['operation']))
     return answer.bind(
-        lambda response: Ok(None)
-        if response.status == OK
-        else Error(not_run(Reason.NO_MEMORY, f'status {response.status}')),
+        lambda response: (
+            Ok(None)
+            if response.status == OK
+            else Error(not_run(Reason.NO_MEMORY, f'status {response.status}'))
+        ),
     )
 
 
@@ -189,5 +201,3 @@
     ]
     helpers.sort(key=lambda helper: not helper.reservation)
     return replace(placement, helpers=tuple(helpers))
-
-
--- a/src/limpetdrift/state/heldroutes.py
+++ b/src/limpetdrift/state/heldroutes.py
@@ -89,10 +89,10 @@
     def _use(self, table: RouteTable) -> None:
         self._table = table
         by_host: dict[str, list[Route]] = {}
-        for route in table.routes:
-            by_host.setdefault(route.host.lower(), []).append(route)
+        for each in table.routes:
+            by_host.setdefault(each.host.lower(), []).append(each)
         for routes in by_host.values():
-            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+            routes.sort(key=_prefix_length, reverse=True)
         self._by_host = by_host
         self._by_key = {
             key: account for account in table.accounts for key in account.keys
@@ -100,3 +100,7 @@
         self._services = {service.name: service for service in table.services}
         for hook in self.on_change:
             hook(table)
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
