--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -34,7 +34,8 @@
 
     ``tries`` counts placements, ``attempts`` those that reached an endpoint.
     ``last_event`` is the last one that the caller has of a stream, and
-    ``endpoint_answer`` a failure that an endpoint gave.
+    ``endpoint_answer`` a failure that an endpoint gave. ``is_told`` says
+    that the log tells of the request though it goes well.
     """
 
     work: Work
@@ -49,6 +50,7 @@
     first_event_at: float | None = None
     has_head: bool = False
     is_gone: bool = False
+    is_told: bool = False
     endpoint_answer: Response | None = None
 
     def seconds_left(self) -> float:
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -111,6 +111,7 @@
             exchange=exchange,
             clock=self._parts.clock,
             last_event=work.last_event_id,
+            is_told=is_sampled(work.request_id),
         )
         failure = await self._run(course)
         telemetry.observe(
@@ -319,7 +320,9 @@
 
 
 def _note_placement(course: Course, placement: Placement) -> None:
-    if not (placement.helpers or is_sampled(course.work.request_id)):
+    if placement.helpers:
+        course.is_told = True
+    if not course.is_told:
         return
     note(
         'placed',
@@ -348,7 +351,7 @@
     if course.first_event_at is not None:
         first = round(course.first_event_at - work.arrived_at, 3)
         telemetry.observe('first_event_seconds', first, size=size_label(work))
-    if failure is None and not is_sampled(work.request_id):
+    if failure is None and not course.is_told:
         return
     note(
         message,
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -34,7 +34,9 @@
 # Weighs time to the first token where nothing else decides.
 _HASTE = 0.3
 # What each part costs besides, in the same measure.
-_PART_COST = 0.01
+_PART_COST = 0.02
+# Parts under this are not worth a helper.
+_LEAST_PART_SECONDS = 0.06
 # Share of the slots that are filled before another engine is opened.
 _PACKED_SHARE = 0.6
 _OPENING_COST = 0.15
@@ -86,13 +88,22 @@
     splits = [
         split
         for parts in PART_COUNTS
-        if parts <= max(1, len(helpers))
+        if parts <= _most_parts(request, helpers, law)
         for split in (_split_into(parts, request, helpers, law),)
         if split is not None
     ]
     return min(splits, key=lambda split: split.cost, default=None)
 
 
+def _most_parts(
+    request: SplitRequest,
+    uses: tuple[EngineUse, ...],
+    law: EngineLaw,
+) -> int:
+    whole = read_seconds(law, request.prompt_tokens)
+    return max(1, min(len(uses), int(whole / _LEAST_PART_SECONDS)))
+
+
 def room_seconds(use: EngineUse, law: EngineLaw) -> float:
     """Return how much reading an engine takes without late streams."""
     bound = use.pause_seconds * _PAUSE_SHARE
