Send split prompts when their engines are free, and keep calm engines

Cause: engines read the part of a split prompt that came last first, ahead of parts under way, so a second split prompt on one of its engines held up the whole of the first one until it was given up as silent and read again. The law itself was ruled out: long prompts alone begin within 0.05 s of the plan. Change: a plan tells when its engines have read what was planned before, and the entry waits so long.

--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -216,6 +216,9 @@
         earlier = course.verdict
         course.excluded.add(placement.endpoint.identity)
         try:
+            # Engines read what comes last first, so it comes when they are
+            # free.
+            await trio.sleep(placement.delay_seconds)
             async with self._parts.hold(placement) as held:
                 outcome = await self._send(course, held)
         except FailureError as error:
@@ -255,7 +258,7 @@
         limit = start_seconds(
             course.work.route,
             attempts=course.attempts - 1,
-            read_seconds=placement.read_seconds,
+            read_seconds=placement.read_seconds - placement.delay_seconds,
             seconds_left=course.seconds_left(),
         )
         with trio.move_on_after(limit) as watch:
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -18,6 +18,7 @@
     Split,
     SplitRequest,
     choose_split,
+    start_slack,
 )
 from limpetdrift.protocol.plans import (
     ActivePlans,
@@ -150,6 +151,7 @@
         if law is not None and age_seconds <= 0:
             parts = 1 + len(plan.helpers)
             part = read_seconds(law, request.prompt_tokens, parts)
+            part += start_slack(law, parts)
         reserved = {each.endpoint: each.tokens for each in plan.reserved}
         memory = request.prompt_tokens + request.answer_tokens
         memory -= sum(reserved.values())
@@ -163,6 +165,7 @@
                 Booking(
                     endpoint=endpoint,
                     read_seconds=part,
+                    delay_seconds=plan.delay_seconds,
                     memory_tokens=memory if writes else reserved.get(name, 0),
                     pause_seconds=request.pause_seconds if writes else None,
                 ),
@@ -181,6 +184,7 @@
         answer_tokens=request.answer_tokens,
         pause_seconds=request.pause_seconds,
         target_seconds=request.target_seconds,
+        seconds_left=request.seconds_left,
         failure_domain=request.failure_domain,
     )
 
@@ -221,6 +225,7 @@
             ReservedTokens(endpoint=name_of(use.endpoint), tokens=tokens)
             for use, tokens in split.reserved
         ),
+        delay_seconds=split.delay_seconds,
         read_seconds=split.first_token_seconds,
-        hold_seconds=request.seconds_left,
+        hold_seconds=request.hold_seconds,
     )
--- a/src/limpetdrift/coordination/planning.py
+++ b/src/limpetdrift/coordination/planning.py
@@ -146,7 +146,11 @@
             answer_tokens=answer,
             pause_seconds=work.route.pause_seconds,
             target_seconds=max(0.1, work.route.target_seconds - passed),
-            seconds_left=work.deadline - now,
+            seconds_left=min(
+                work.deadline - now,
+                work.route.patience_seconds - passed,
+            ),
+            hold_seconds=work.deadline - now,
             failure_domain=self._inputs.node.failure_domain,
             excluded=tuple(
                 EndpointName(name=name, lifetime=lifetime)
@@ -301,5 +305,6 @@
         reserved=reserved,
         urgency=min(_PRIORITIES, work.priority),
         grant=plan.grant,
+        delay_seconds=plan.delay_seconds,
         read_seconds=plan.read_seconds,
     )
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -7,6 +7,7 @@
 functions of the request, the uses of the engines and their law.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -15,7 +16,7 @@
 from limpetdrift.state.engineledger import EngineUse
 
 # Numbers of parts that are weighed; the platform takes 16 helpers.
-PART_COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+PART_COUNTS = (1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 14, 17)
 # Streams of a typical pass, for what it takes without reading.
 _TYPICAL_STREAMS = 5
 _TYPICAL_CONTEXT_TOKENS = 30_000
@@ -31,8 +32,10 @@
 _LATE_SHARE = 0.35
 # Tokens that are worth as much as keeping one short stream on time.
 _TOKENS_OF_ONE_STREAM = 7500.0
+# The part of its worth that a late answer loses.
+_LATE_LOSS = 0.75
 # Weighs time to the first token where nothing else decides.
-_HASTE = 0.3
+_HASTE = 0.2
 # What each part costs besides, in the same measure.
 _PART_COST = 0.02
 # Parts under this are not worth a helper.
@@ -46,6 +49,11 @@
 _OTHER_DOMAIN_COST = 0.02
 # Share of an engine's memory that plans may fill; estimates err.
 _MEMORY_SHARE = 0.92
+# An engine with more reading than this before it makes short prompts late.
+_CALM_SECONDS = 0.1
+# Seconds that a short stream takes, to tell from the streams that are there
+# how many come in a second.
+_STREAM_SECONDS = 1.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -56,6 +64,7 @@
     answer_tokens: int
     pause_seconds: float
     target_seconds: float
+    seconds_left: float
     failure_domain: str = ''
 
     @property
@@ -66,12 +75,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Split:
-    """One way to read a prompt; ``reserved`` holds engines and tokens."""
+    """One way to read a prompt; ``reserved`` holds engines and tokens.
+
+    The request is sent after ``delay_seconds``, and its first token comes
+    after ``first_token_seconds`` from now.
+    """
 
     writer: EngineUse
     helpers: tuple[EngineUse, ...]
     reserved: tuple[tuple[EngineUse, int], ...]
     part_seconds: float
+    delay_seconds: float
     first_token_seconds: float
     cost: float
 
@@ -106,8 +120,17 @@
 
 def room_seconds(use: EngineUse, law: EngineLaw) -> float:
     """Return how much reading an engine takes without late streams."""
-    bound = use.pause_seconds * _PAUSE_SHARE
-    return bound - _idle_pass_seconds(law) - use.backlog_seconds
+    return use.pause_seconds * _PAUSE_SHARE - _idle_pass_seconds(law)
+
+
+def start_slack(law: EngineLaw, parts: int) -> float:
+    """Return how much later the parts of a split prompt may be read.
+
+    They begin with a pass of the writer, which may be busy with another.
+    """
+    if parts == 1:
+        return 0
+    return _PASSES_BEFORE_READING * _idle_pass_seconds(law)
 
 
 def free_tokens(use: EngineUse, law: EngineLaw) -> int:
@@ -133,25 +156,53 @@
     reserved = _reserve(request, writer, helpers, law)
     if reserved is None:
         return None
-    first = part + _PASSES_BEFORE_READING * _idle_pass_seconds(law)
-    first += max(use.backlog_seconds for use in (writer, *helpers))
+    engines = (writer, *helpers)
+    delay = max(use.backlog_seconds for use in engines)
+    first = delay + part + _PASSES_BEFORE_READING * _idle_pass_seconds(law)
     return Split(
         writer=writer,
         helpers=tuple(helpers),
         reserved=reserved,
         part_seconds=part,
+        delay_seconds=delay if helpers else 0,
         first_token_seconds=first,
         cost=sum(
             (
                 _writer_cost(writer, part, request, law),
                 *(_helper_cost(use, part, law) for use in helpers),
                 _lateness_cost(first, request),
+                _blocking_cost(engines, uses, part, law),
                 _PART_COST * parts,
             ),
         ),
     )
 
 
+def _blocking_cost(
+    engines: tuple[EngineUse, ...],
+    uses: tuple[EngineUse, ...],
+    part: float,
+    law: EngineLaw,
+) -> float:
+    """Return how many short prompts would find no calm engine.
+
+    Answers a long prompt that would be read by all engines at once while
+    short ones keep coming.
+    """
+    if part <= _CALM_SECONDS:
+        return 0
+    streams = sum(use.streams for use in uses)
+    needed = 1 + math.ceil(streams / (law.slots * _PACKED_SHARE))
+    taken = {use.endpoint.identity for use in engines}
+    calm = sum(
+        use.backlog_seconds <= _CALM_SECONDS
+        for use in uses
+        if use.endpoint.identity not in taken
+    )
+    missing = max(0, needed - calm) / needed
+    return missing * part * max(1, streams) / _STREAM_SECONDS
+
+
 def _writer_cost(
     use: EngineUse,
     part: float,
@@ -199,12 +250,11 @@
 def _lateness_cost(first: float, request: SplitRequest) -> float:
     target = request.target_seconds
     over = (first - _TARGET_SHARE * target) / (_LATE_SHARE * target)
+    lost = _LATE_LOSS * min(1.0, max(0, over))
+    if first > request.seconds_left:
+        lost = 1
     value = 1 + request.prompt_tokens / _TOKENS_OF_ONE_STREAM
-    lateness = min(1.0, max(0, over))
-    # A very late answer still should come as early as it can.
-    return value * (lateness + _HASTE * first / target * lateness) + (
-        _HASTE * first / target
-    )
+    return value * lost + _HASTE * first / target
 
 
 def _reserve(
--- a/src/limpetdrift/platform/configuration.py
+++ b/src/limpetdrift/platform/configuration.py
@@ -17,6 +17,10 @@
 _MILLISECONDS = 1000.0
 _PAIRS_PER_MILLION = 1_000_000.0
 _THOUSAND_TOKENS = 1000.0
+# Callers leave a stream after the longest of these times without an event.
+_PATIENCE_SECONDS = 2.0
+_PATIENCE_TARGETS = 4
+_PATIENCE_PAUSES = 8
 _KINDS = {
     'idempotent': WorkKind.IDEMPOTENT,
     'non_idempotent': WorkKind.NON_IDEMPOTENT,
@@ -141,6 +145,11 @@
         public=route.public,
         resumable=route.resumable,
         pause_seconds=route.gap_target_ms / _MILLISECONDS,
+        patience_seconds=max(
+            _PATIENCE_SECONDS,
+            _PATIENCE_TARGETS * route.target_latency_ms / _MILLISECONDS,
+            _PATIENCE_PAUSES * route.gap_target_ms / _MILLISECONDS,
+        ),
     )
 
 
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -24,8 +24,9 @@
     """Asks where a prompt is read and its answer written.
 
     ``pause_seconds`` is the longest pause that the answer bears,
-    ``target_seconds`` when it should begin, ``seconds_left`` when it is no
-    use any more. ``ended`` lists plans of the same entry that have ended.
+    ``target_seconds`` when it should begin, ``seconds_left`` when that is no
+    use any more, and ``hold_seconds`` when it has ended in any case.
+    ``ended`` lists plans of the same entry that have ended.
     """
 
     service: str
@@ -34,6 +35,7 @@
     pause_seconds: float
     target_seconds: float
     seconds_left: float
+    hold_seconds: float
     failure_domain: str
     excluded: tuple[EndpointName, ...] = ()
     ended: tuple[GrantEnd, ...] = ()
@@ -51,15 +53,18 @@
 class Plan:
     """Who writes the answer, who helps to read, and what is set aside.
 
-    The writer reads one part and each helper another. ``read_seconds`` is
-    the expected time to the first token; the plan counts as ended after
-    ``hold_seconds`` in any case.
+    The writer reads one part and each helper another. The request is sent
+    after ``delay_seconds``, when its engines have read what was planned for
+    them before. ``read_seconds`` is the expected time to the first token,
+    delay included; the plan counts as ended after ``hold_seconds`` in any
+    case.
     """
 
     grant: str
     writer: EndpointName
     helpers: tuple[EndpointName, ...] = ()
     reserved: tuple[ReservedTokens, ...] = ()
+    delay_seconds: float = 0.0
     read_seconds: float = 0.0
     hold_seconds: float = 0.0
 
--- a/src/limpetdrift/protocol/routetable.py
+++ b/src/limpetdrift/protocol/routetable.py
@@ -32,7 +32,8 @@
     ``attempt_limit`` is the number of endpoints that one request may be sent
     to, ``timeout_seconds`` how long a caller is kept waiting at most,
     ``target_seconds`` when an answer is still on time, ``pause_seconds`` the
-    longest pause in a stream that is on time. Priority 0 is the highest.
+    longest pause in a stream that is on time. Callers leave a stream that
+    has not begun after ``patience_seconds``. Priority 0 is the highest.
     """
 
     name: str
@@ -47,6 +48,7 @@
     public: bool = False
     resumable: bool = False
     pause_seconds: float = 1.0
+    patience_seconds: float = float('inf')
 
     @property
     def repeatable(self) -> bool:
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -4,7 +4,7 @@
 target, headers and body on unchanged and decides by the rest.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from limpetdrift.protocol.routetable import Route
 from limpetdrift.transport.messages import Headers
@@ -108,7 +108,9 @@
     """Where a request is sent, and who reads its prompt beside.
 
     ``reserved`` lists the memory to set aside first, in the order of all
-    endpoints' names, so that two gatherings can't wait for each other.
+    endpoints' names, so that two gatherings can't wait for each other. The
+    request is sent after ``delay_seconds``; its first event is expected
+    after ``read_seconds``, delay included.
     """
 
     endpoint: ListedEndpoint
@@ -116,5 +118,5 @@
     reserved: tuple[tuple[ListedEndpoint, int], ...] = ()
     urgency: int = 5
     grant: str = ''
+    delay_seconds: float = 0.0
     read_seconds: float = 0.0
-    labels: dict[str, str] = field(default_factory=dict)
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -19,12 +19,14 @@
 class Booking:
     """What one plan takes at one engine.
 
+    Reading begins after ``delay_seconds`` at the earliest.
     ``pause_seconds`` is set at the writer: the longest pause that its stream
     bears.
     """
 
     endpoint: ListedEndpoint
     read_seconds: float
+    delay_seconds: float = 0.0
     memory_tokens: int = 0
     pause_seconds: float | None = None
 
@@ -89,7 +91,8 @@
         for booking in entered:
             engine = self._engine(booking.endpoint)
             engine.bookings[grant] = booking
-            engine.free_at = max(now, engine.free_at) + booking.read_seconds
+            starts_at = max(now + booking.delay_seconds, engine.free_at)
+            engine.free_at = starts_at + booking.read_seconds
 
     def end(self, grant: str) -> None:
         """Drop a plan; one that isn't known is passed over."""
