--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -300,8 +300,7 @@
     if work.size is None:
         return 'unknown'
     power = max(_LEAST_POWER, work.size.prompt_tokens.bit_length())
-    power += power % 2
-    return f'under-2^{power}'
+    return f'under-2^{power + power % 2}'
 
 
 async def _watch_caller(course: Course, scope: trio.CancelScope) -> None:
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -41,7 +41,7 @@
 # Parts under this are not worth a helper.
 _LEAST_PART_SECONDS = 0.06
 # Share of the slots that are filled before another engine is opened.
-_PACKED_SHARE = 0.6
+_PACKED_SHARE = 0.8
 _OPENING_COST = 0.15
 _CROWDING_COST = 0.5
 _QUEUED_COST = 2.0
@@ -51,6 +51,8 @@
 _MEMORY_SHARE = 0.92
 # An engine with more reading than this before it makes short prompts late.
 _CALM_SECONDS = 0.1
+# What a short prompt takes to read.
+_SHORT_READ_SECONDS = 0.05
 # Seconds that a short stream takes, to tell from the streams that are there
 # how many come in a second.
 _STREAM_SECONDS = 1.5
@@ -157,7 +159,7 @@
     if reserved is None:
         return None
     engines = (writer, *helpers)
-    delay = max(use.backlog_seconds for use in engines)
+    delay = max(use.wait_seconds(part) for use in engines)
     first = delay + part + _PASSES_BEFORE_READING * _idle_pass_seconds(law)
     return Split(
         writer=writer,
@@ -195,7 +197,7 @@
     needed = 1 + math.ceil(streams / (law.slots * _PACKED_SHARE))
     taken = {use.endpoint.identity for use in engines}
     calm = sum(
-        use.backlog_seconds <= _CALM_SECONDS
+        use.wait_seconds(_SHORT_READ_SECONDS) <= _CALM_SECONDS
         for use in uses
         if use.endpoint.identity not in taken
     )
@@ -209,7 +211,7 @@
     request: SplitRequest,
     law: EngineLaw,
 ) -> float:
-    cost = _harm(use, part, law) + use.backlog_seconds
+    cost = _harm(use, part, law) + use.wait_seconds(part)
     if use.failing:
         cost += _FAILING_COST
     if use.streams >= law.slots:
@@ -236,7 +238,7 @@
 
 
 def _helper_cost(use: EngineUse, part: float, law: EngineLaw) -> float:
-    cost = _harm(use, part, law) + use.backlog_seconds * _HASTE
+    cost = _harm(use, part, law) + use.wait_seconds(part) * _HASTE
     if use.failing:
         cost += _FAILING_COST
     return cost
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -35,22 +35,29 @@
 class EngineUse:
     """One engine as a decision sees it.
 
-    ``backlog_seconds`` is reading that was planned and isn't done;
-    ``pause_seconds`` the shortest pause bound of its streams, infinite where
-    there are none.
+    ``backlog_seconds`` is how long it takes to the end of all reading that
+    was planned, ``gap_seconds`` how long it has nothing to read from now on.
+    ``pause_seconds`` is the shortest pause bound of its streams, infinite
+    where there are none.
     """
 
     endpoint: ListedEndpoint
     backlog_seconds: float = 0.0
+    gap_seconds: float = float('inf')
     streams: int = 0
     memory_tokens: int = 0
     pause_seconds: float = float('inf')
     failing: bool = False
 
+    def wait_seconds(self, read_seconds: float) -> float:
+        """Return how long such a reading waits for others before it."""
+        return 0 if read_seconds < self.gap_seconds else self.backlog_seconds
+
 
 @dataclass(kw_only=True, slots=True)
 class _Engine:
-    free_at: float = float('-inf')
+    # Times at which planned reading begins and ends, in order.
+    readings: list[tuple[float, float]] = field(default_factory=list)
     failures: int = 0
     failing_until: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
@@ -91,8 +98,7 @@
         for booking in entered:
             engine = self._engine(booking.endpoint)
             engine.bookings[grant] = booking
-            starts_at = max(now + booking.delay_seconds, engine.free_at)
-            engine.free_at = starts_at + booking.read_seconds
+            _enter_reading(engine, booking, now)
 
     def end(self, grant: str) -> None:
         """Drop a plan; one that isn't known is passed over."""
@@ -103,7 +109,7 @@
             engine = self._engine(booking.endpoint)
             engine.bookings.pop(grant, None)
             if not engine.bookings:
-                engine.free_at = float('-inf')
+                engine.readings.clear()
 
     def note_failing(self, identity: tuple[str, int]) -> None:
         """Prefer other engines for a while."""
@@ -142,6 +148,8 @@
         engine = self._engines.get(endpoint.identity)
         if engine is None:
             return EngineUse(endpoint=endpoint)
+        while engine.readings and engine.readings[0][1] <= now:
+            engine.readings.pop(0)
         pauses = [
             booking.pause_seconds
             for booking in engine.bookings.values()
@@ -149,7 +157,8 @@
         ]
         return EngineUse(
             endpoint=endpoint,
-            backlog_seconds=max(0, engine.free_at - now),
+            backlog_seconds=_free_at(engine, now) - now,
+            gap_seconds=_gap_seconds(engine, now),
             streams=len(pauses),
             memory_tokens=sum(
                 booking.memory_tokens for booking in engine.bookings.values()
@@ -169,3 +178,25 @@
         ]
         for grant in overdue:
             self.end(grant)
+
+
+def _enter_reading(engine: _Engine, booking: Booking, now: float) -> None:
+    """Enter a reading where it fits, else after all others."""
+    if booking.read_seconds <= 0:
+        return
+    starts_at = now + booking.delay_seconds
+    before_next = booking.delay_seconds + booking.read_seconds
+    if before_next > _gap_seconds(engine, now):
+        starts_at = max(starts_at, _free_at(engine, now))
+    engine.readings.append((starts_at, starts_at + booking.read_seconds))
+    engine.readings.sort()
+
+
+def _free_at(engine: _Engine, now: float) -> float:
+    return max((now, *(ends_at for _, ends_at in engine.readings)))
+
+
+def _gap_seconds(engine: _Engine, now: float) -> float:
+    """Return how long the engine has nothing to read; none if it reads."""
+    ahead = [start for start, ends_at in engine.readings if ends_at > now]
+    return max(0, min(ahead) - now) if ahead else float('inf')
