--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -295,12 +295,13 @@
 def size_label(work: Work) -> str:
     """Return the class of prompt lengths, which labels measurements.
 
-    Classes double twice from one to the next, so they are few.
+    Classes grow fourfold from one to the next, so they are few.
     """
     if work.size is None:
         return 'unknown'
     power = max(_LEAST_POWER, work.size.prompt_tokens.bit_length())
-    return f'under-2^{power + power % 2}'
+    limit = 1 << (power + power % 2)
+    return f'under-{limit}'
 
 
 async def _watch_caller(course: Course, scope: trio.CancelScope) -> None:
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -19,6 +19,7 @@
     SplitRequest,
     choose_split,
     start_slack,
+    stream_worth,
 )
 from limpetdrift.protocol.plans import (
     ActivePlans,
@@ -168,6 +169,7 @@
                     delay_seconds=plan.delay_seconds,
                     memory_tokens=memory if writes else reserved.get(name, 0),
                     pause_seconds=request.pause_seconds if writes else None,
+                    worth=stream_worth(request.prompt_tokens),
                 ),
             )
         return bookings
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -120,9 +120,9 @@
     return max(1, min(len(uses), int(whole / _LEAST_PART_SECONDS)))
 
 
-def room_seconds(use: EngineUse, law: EngineLaw) -> float:
-    """Return how much reading an engine takes without late streams."""
-    return use.pause_seconds * _PAUSE_SHARE - _idle_pass_seconds(law)
+def stream_worth(prompt_tokens: int) -> float:
+    """Return the worth of an answer on time, in those of short prompts."""
+    return 1 + prompt_tokens / _TOKENS_OF_ONE_STREAM
 
 
 def start_slack(law: EngineLaw, parts: int) -> float:
@@ -159,7 +159,8 @@
     if reserved is None:
         return None
     engines = (writer, *helpers)
-    delay = max(use.wait_seconds(part) for use in engines)
+    taken = part + start_slack(law, parts)
+    delay = max(use.wait_seconds(taken) for use in engines)
     first = delay + part + _PASSES_BEFORE_READING * _idle_pass_seconds(law)
     return Split(
         writer=writer,
@@ -245,8 +246,9 @@
 
 
 def _harm(use: EngineUse, part: float, law: EngineLaw) -> float:
-    """Return how many streams would pause for too long."""
-    return use.streams if part > room_seconds(use, law) else 0
+    """Return what is lost of the streams that would pause for too long."""
+    pause = (part + _idle_pass_seconds(law)) / _PAUSE_SHARE
+    return _LATE_LOSS * use.worth_paused(pause)
 
 
 def _lateness_cost(first: float, request: SplitRequest) -> float:
@@ -255,8 +257,7 @@
     lost = _LATE_LOSS * min(1.0, max(0, over))
     if first > request.seconds_left:
         lost = 1
-    value = 1 + request.prompt_tokens / _TOKENS_OF_ONE_STREAM
-    return value * lost + _HASTE * first / target
+    return stream_worth(request.prompt_tokens) * lost + _HASTE * first / target
 
 
 def _reserve(
--- a/src/limpetdrift/platform/following.py
+++ b/src/limpetdrift/platform/following.py
@@ -95,7 +95,8 @@
             version = page.version if version is None else version
             if not page.truncated or not page.rows:
                 break
-            start = f'{page.rows[-1].key}\0'
+            last = page.rows[-1].key
+            start = f'{last}\0'
         self._version = version
         self._followed.replace(tuple(rows), read_at)
         return None
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -21,7 +21,7 @@
 
     Reading begins after ``delay_seconds`` at the earliest.
     ``pause_seconds`` is set at the writer: the longest pause that its stream
-    bears.
+    bears. ``worth`` weighs that stream against others.
     """
 
     endpoint: ListedEndpoint
@@ -29,6 +29,7 @@
     delay_seconds: float = 0.0
     memory_tokens: int = 0
     pause_seconds: float | None = None
+    worth: float = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,18 +38,30 @@
 
     ``backlog_seconds`` is how long it takes to the end of all reading that
     was planned, ``gap_seconds`` how long it has nothing to read from now on.
-    ``pause_seconds`` is the shortest pause bound of its streams, infinite
-    where there are none.
+    ``pauses`` holds the pause bound and the worth of each of its streams.
     """
 
     endpoint: ListedEndpoint
     backlog_seconds: float = 0.0
     gap_seconds: float = float('inf')
-    streams: int = 0
     memory_tokens: int = 0
-    pause_seconds: float = float('inf')
+    pauses: tuple[tuple[float, float], ...] = ()
     failing: bool = False
 
+    @property
+    def streams(self) -> int:
+        """The number of streams that the engine writes."""
+        return len(self.pauses)
+
+    @property
+    def pause_seconds(self) -> float:
+        """The shortest pause bound, infinite where nothing is written."""
+        return min((pause for pause, _ in self.pauses), default=float('inf'))
+
+    def worth_paused(self, seconds: float) -> float:
+        """Return the worth of the streams that bear no such pause."""
+        return sum(worth for pause, worth in self.pauses if pause < seconds)
+
     def wait_seconds(self, read_seconds: float) -> float:
         """Return how long such a reading waits for others before it."""
         return 0 if read_seconds < self.gap_seconds else self.backlog_seconds
@@ -150,20 +163,19 @@
             return EngineUse(endpoint=endpoint)
         while engine.readings and engine.readings[0][1] <= now:
             engine.readings.pop(0)
-        pauses = [
-            booking.pause_seconds
+        pauses = tuple(
+            (booking.pause_seconds, booking.worth)
             for booking in engine.bookings.values()
             if booking.pause_seconds is not None
-        ]
+        )
         return EngineUse(
             endpoint=endpoint,
             backlog_seconds=_free_at(engine, now) - now,
             gap_seconds=_gap_seconds(engine, now),
-            streams=len(pauses),
             memory_tokens=sum(
                 booking.memory_tokens for booking in engine.bookings.values()
             ),
-            pause_seconds=min(pauses, default=float('inf')),
+            pauses=pauses,
             failing=engine.failing_until > now,
         )
 
