List only ready and live entries to callers; start without the command line's library

A process that restarted listed itself before it could serve, and entries that were silent stayed listed for seconds.

--- a/src/limpetdrift/coordination/planning.py
+++ b/src/limpetdrift/coordination/planning.py
@@ -54,13 +54,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PlanningInputs:
-    """What the asking side is given by the rest of the entry."""
+    """What the asking side is given by the rest of the entry.
+
+    ``note_refused`` is told of an entry that refused a connection.
+    """
 
     node: Node
     planner: Planner
     view: EndpointView
     call: PeerCall
     live_entries: Callable[[], tuple[Node, ...]]
+    note_refused: Callable[[str], None]
     clock: Callable[[], float]
 
 
@@ -198,6 +202,8 @@
             planner=planner.name,
             reason=failure.reason,
         )
+        if failure.reason is Reason.CONNECT_FAILED:
+            self._inputs.note_refused(planner.name)
         until = self._inputs.clock() + SILENT_SECONDS
         self._silent_until[planner.name] = until
 
--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -2,11 +2,8 @@
 
 import signal
 import sys
-from dataclasses import dataclass
 from functools import partial
-from typing import Annotated
 
-import cappa
 import trio
 
 from limpetdrift import logs
@@ -24,38 +21,14 @@
 from limpetdrift.protocol.codec import encode
 
 
-@cappa.command(
-    name='limpet-platform-entry',
-    help="Serve callers and their directory on the users' platform.",
-)
-@dataclass(frozen=True, kw_only=True)
-class Arguments:
-    """The command line."""
-
-    check: Annotated[
-        bool,
-        cappa.Arg(
-            long='--check',
-            help='Check the settings file, print what it says, and exit.',
-        ),
-    ] = False
-    settings: Annotated[
-        str,
-        cappa.Arg(
-            long='--settings',
-            help='The settings file; the environment names it otherwise.',
-        ),
-    ] = ''
-
-
 def main() -> None:
     """Read the settings and serve until stopped."""
-    arguments = cappa.parse(Arguments)
-    settings = read_settings(arguments.settings or None)
+    path, only_check = _read_command_line()
+    settings = read_settings(path or None)
     if settings.is_error():
         sys.stderr.write(f'{settings.error}\n')
         sys.exit(BAD_SETTINGS_EXIT)
-    if arguments.check:
+    if only_check:
         sys.stdout.buffer.write(encode(settings.ok) + b'\n')
         return
     lines = logs.set_up_queue('limpet-platform-entry')
@@ -63,6 +36,18 @@
     lines.flush()
 
 
+def _read_command_line() -> tuple[str, bool]:
+    """Return the settings file, and whether it is only to be checked."""
+    if len(sys.argv) == 1:
+        return '', False
+    # Its library takes a quarter of the start, and the platform's own command
+    # has no arguments.
+    from limpetdrift.platform.cmdline import parse_arguments
+
+    arguments = parse_arguments()
+    return arguments.settings, arguments.check
+
+
 async def serve(settings: PlatformSettings) -> None:
     """Run one entry until it has drained or is stopped at once."""
     entry = join_entry(settings)
--- /dev/null
+++ b/src/limpetdrift/platform/cmdline.py
@@ -0,0 +1,35 @@
+"""The command line of the entry on the platform."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+import cappa
+
+
+@cappa.command(
+    name='limpet-platform-entry',
+    help="Serve callers and their directory on the users' platform.",
+)
+@dataclass(frozen=True, kw_only=True)
+class Arguments:
+    """What the command line says."""
+
+    check: Annotated[
+        bool,
+        cappa.Arg(
+            long='--check',
+            help='Check the settings file, print what it says, and exit.',
+        ),
+    ] = False
+    settings: Annotated[
+        str,
+        cappa.Arg(
+            long='--settings',
+            help='The settings file; the environment names it otherwise.',
+        ),
+    ] = ''
+
+
+def parse_arguments() -> Arguments:
+    """Parse the command line of this process."""
+    return cappa.parse(Arguments)
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -8,6 +8,7 @@
 from expression import Result
 
 from limpetdrift.clocks import boot_time
+from limpetdrift.coordination.discovery import usable_entries
 from limpetdrift.coordination.drain import Drain, DrainTiming
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingParts
 from limpetdrift.coordination.membership import Membership
@@ -170,6 +171,13 @@
     def is_ready() -> bool:
         return knowledge.is_complete and not drain.is_leaving
 
+    def entries() -> tuple[Node, ...]:
+        # A process lists itself only when it can serve.
+        listed = usable_entries(base.membership)
+        if is_ready():
+            return tuple(listed)
+        return tuple(each for each in listed if each != base.node)
+
     return Entry(
         settings=base.settings,
         node=base.node,
@@ -179,7 +187,7 @@
         planning=planning,
         drain=drain,
         answers=DirectoryAnswers(
-            entries=base.membership.live_entries,
+            entries=entries,
             is_ready=is_ready,
             max_age_seconds=min(
                 ANSWER_AGE_SECONDS,
@@ -211,6 +219,7 @@
             view=base.view,
             call=call,
             live_entries=base.membership.live_entries,
+            note_refused=base.membership.note_refused,
             clock=boot_time,
         ),
     )
