Let the entry that started first plan, and leave silent planners alone

Cause: the planner followed from hashing the live entries, so each entry that joined moved it to one that knew no plans, and a dead one was asked again each second until it was held dead; plans of a dead entry stayed booked up to ten seconds.

--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -1,7 +1,7 @@
 """Plans for the engines of a service: who writes, who helps to read.
 
-One entry plans for all; which one follows from rendezvous hashing over the
-live entries, so nobody elects it. Two that plan at once cost efficiency
+One entry plans for all: the live one that started first, so nobody elects
+it and those that join don't move it. Two that plan at once cost efficiency
 only. Every entry keeps a ledger, with all plans where it is the planner and
 its own elsewhere, so that it can plan alone when the planner is out of reach.
 """
@@ -35,7 +35,12 @@
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpointview import EndpointView
-from limpetdrift.state.engineledger import Booking, EngineLedger, EngineUse
+from limpetdrift.state.engineledger import (
+    Booking,
+    EngineLedger,
+    EngineUse,
+    Grant,
+)
 
 # A plan whose first token is expected so late, as a share of the time left,
 # is refused instead.
@@ -104,9 +109,17 @@
     ) -> None:
         """Book a plan; reading that must be over by now is left out."""
         held = plan.hold_seconds - age_seconds
-        bookings = self._bookings(plan, request, age_seconds)
-        if held > 0:
-            self.ledger(request.service).book(plan.grant, bookings, held)
+        if held <= 0:
+            return
+        self.ledger(request.service).book(
+            Grant(name=plan.grant, holder=request.entry, seconds=held),
+            self._bookings(plan, request, age_seconds),
+        )
+
+    def forget_entry(self, name: str) -> None:
+        """Drop the plans of an entry that died."""
+        for ledger in self._ledgers.values():
+            ledger.end_of(name)
 
     def end(self, service: str, ended: tuple[GrantEnd, ...]) -> None:
         """Drop plans, and note which engines failed them."""
@@ -147,31 +160,28 @@
         request: PlanRequest,
         age_seconds: float,
     ) -> list[Booking]:
-        part = 0.0
+        """Return what is left of a plan at each engine known here."""
         law = self._inputs.find_law(request.service)
-        if law is not None and age_seconds <= 0:
-            parts = 1 + len(plan.helpers)
-            part = read_seconds(law, request.prompt_tokens, parts)
-            part += start_slack(law, parts)
-        reserved = {each.endpoint: each.tokens for each in plan.reserved}
-        memory = request.prompt_tokens + request.answer_tokens
-        memory -= sum(reserved.values())
+        part = _part_seconds(plan, request, law) if law else 0
+        part -= max(0, age_seconds - plan.delay_seconds)
         bookings = []
         for name in (plan.writer, *plan.helpers):
             endpoint = self._inputs.view.find(name.name, name.lifetime)
-            if endpoint is None:
-                continue
-            writes = name == plan.writer
-            bookings.append(
-                Booking(
-                    endpoint=endpoint,
-                    read_seconds=part,
-                    delay_seconds=plan.delay_seconds,
-                    memory_tokens=memory if writes else reserved.get(name, 0),
-                    pause_seconds=request.pause_seconds if writes else None,
-                    worth=stream_worth(request.prompt_tokens),
-                ),
-            )
+            if endpoint is not None:
+                bookings.append(
+                    Booking(
+                        endpoint=endpoint,
+                        read_seconds=max(0, part),
+                        delay_seconds=max(0, plan.delay_seconds - age_seconds),
+                        memory_tokens=_memory_tokens(plan, request, name),
+                        pause_seconds=(
+                            request.pause_seconds
+                            if name == plan.writer
+                            else None
+                        ),
+                        worth=stream_worth(request.prompt_tokens),
+                    ),
+                )
         return bookings
 
 
@@ -180,6 +190,25 @@
     return EndpointName(name=endpoint.name, lifetime=endpoint.lifetime)
 
 
+def _part_seconds(plan: Plan, request: PlanRequest, law: EngineLaw) -> float:
+    parts = 1 + len(plan.helpers)
+    part = read_seconds(law, request.prompt_tokens, parts)
+    return part + start_slack(law, parts)
+
+
+def _memory_tokens(
+    plan: Plan,
+    request: PlanRequest,
+    name: EndpointName,
+) -> int:
+    """Return what the plan takes at one engine; the writer has the rest."""
+    reserved = {each.endpoint: each.tokens for each in plan.reserved}
+    if name != plan.writer:
+        return reserved.get(name, 0)
+    whole = request.prompt_tokens + request.answer_tokens
+    return whole - sum(reserved.values())
+
+
 def _split_request(request: PlanRequest) -> SplitRequest:
     return SplitRequest(
         prompt_tokens=request.prompt_tokens,
--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -67,7 +67,7 @@
     tasks = (
         entry.knowledge.run,
         entry.registration.run,
-        entry.planning.run,
+        entry.planning.links.run,
         partial(_take_part_when_ready, entry),
         _reload_on_signal,
     )
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -11,15 +11,17 @@
 from limpetdrift.coordination.discovery import usable_entries
 from limpetdrift.coordination.drain import Drain, DrainTiming
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingParts
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.membership import Member, Membership
 from limpetdrift.coordination.peers import (
     PeerCall,
     PeerRoutes,
     make_peer_call,
 )
 from limpetdrift.coordination.plainplacing import PlainPlacing
+from limpetdrift.coordination.planlinks import PlanningInputs
 from limpetdrift.coordination.planner import Planner, PlannerInputs
-from limpetdrift.coordination.planning import Planning, PlanningInputs
+from limpetdrift.coordination.planning import Planning
+from limpetdrift.logs import note
 from limpetdrift.platform.answers import make_render
 from limpetdrift.platform.callers import CallerFront, make_caller_handler
 from limpetdrift.platform.calls import make_sending
@@ -212,17 +214,25 @@
             clock=boot_time,
         ),
     )
-    return Planning(
+    planning = Planning(
         inputs=PlanningInputs(
             node=base.node,
             planner=planner,
-            view=base.view,
             call=call,
-            live_entries=base.membership.live_entries,
+            live_entries=lambda: tuple(usable_entries(base.membership)),
             note_refused=base.membership.note_refused,
             clock=boot_time,
         ),
+        view=base.view,
     )
+    base.membership.on_change.append(planning.links.note_members)
+    base.membership.on_change.append(_note_members)
+    return planning
+
+
+def _note_members(changed: tuple[Member, ...]) -> None:
+    for member in changed:
+        note('peer changed', peer=member.node.name, state=member.state)
 
 
 def _join_callers(base: _Base, planning: Planning) -> tuple[Server, Drain]:
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -26,10 +26,12 @@
     ``pause_seconds`` is the longest pause that the answer bears,
     ``target_seconds`` when it should begin, ``seconds_left`` when that is no
     use any more, and ``hold_seconds`` when it has ended in any case.
-    ``ended`` lists plans of the same entry that have ended.
+    ``ended`` lists plans of the same entry that have ended; ``entry`` names
+    it.
     """
 
     service: str
+    entry: str
     prompt_tokens: int
     answer_tokens: int
     pause_seconds: float
@@ -88,9 +90,8 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ActivePlans:
-    """All plans of one entry at one service."""
+    """All plans of one entry."""
 
-    service: str
     active: tuple[ActivePlan, ...]
 
 
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -77,7 +77,17 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Grant:
+class Grant:
+    """A plan's name, the entry that holds it, and for how long at most."""
+
+    name: str
+    holder: str
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Held:
+    holder: str
     ends_at: float
     bookings: tuple[Booking, ...]
 
@@ -88,29 +98,27 @@
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._engines: dict[tuple[str, int], _Engine] = {}
-        self._grants: dict[str, _Grant] = {}
+        self._grants: dict[str, _Held] = {}
 
     @property
     def grants(self) -> int:
         """The number of plans in force."""
         return len(self._grants)
 
-    def book(
-        self,
-        grant: str,
-        bookings: Iterable[Booking],
-        hold_seconds: float,
-    ) -> None:
-        """Enter a plan."""
+    def book(self, grant: Grant, bookings: Iterable[Booking]) -> None:
+        """Enter a plan; one that is known already stays as it is."""
+        if grant.name in self._grants:
+            return
         now = self._clock()
         entered = tuple(bookings)
-        self._grants[grant] = _Grant(
-            ends_at=now + hold_seconds,
+        self._grants[grant.name] = _Held(
+            holder=grant.holder,
+            ends_at=now + grant.seconds,
             bookings=entered,
         )
         for booking in entered:
             engine = self._engine(booking.endpoint)
-            engine.bookings[grant] = booking
+            engine.bookings[grant.name] = booking
             _enter_reading(engine, booking, now)
 
     def end(self, grant: str) -> None:
@@ -124,6 +132,16 @@
             if not engine.bookings:
                 engine.readings.clear()
 
+    def end_of(self, holder: str) -> None:
+        """Drop all plans of one holder."""
+        held = [
+            name
+            for name, grant in self._grants.items()
+            if grant.holder == holder
+        ]
+        for name in held:
+            self.end(name)
+
     def note_failing(self, identity: tuple[str, int]) -> None:
         """Prefer other engines for a while."""
         engine = self._engines.setdefault(identity, _Engine())
