Read engines' reports while unsure; join peers at once at a start

Cause: after a loss of power of all entries the engines go on with requests whose callers are gone, which no plan knows; and for a second each entry planned alone, all of them filling the same engines first.

--- a/src/limpetdrift/coordination/membership.py
+++ b/src/limpetdrift/coordination/membership.py
@@ -9,7 +9,7 @@
 >>> nursery.start_soon(members.run)  # doctest: +SKIP
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -137,6 +137,17 @@
         """Return whether this node is among the few that have a duty."""
         return self.node.name in choose(duty, self._live_names(), count)
 
+    async def join(self, addresses: Iterable[Address]) -> None:
+        """Exchange news with all nodes at these addresses at once.
+
+        Answers a start of many nodes together, which would find each other
+        only round by round.
+        """
+        async with trio.open_nursery() as nursery:
+            for address in addresses:
+                if address != self.node.peer_address:
+                    nursery.start_soon(self._detector.call_stranger, address)
+
     def silent_and_answering(self) -> EvidenceCounts:
         """Return how many peers were silent and how many answered lately."""
         return self._detector.evidence.counts(trio.current_time())
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -14,6 +14,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.enginelaw import read_seconds
+from limpetdrift.coordination.rendezvous import choose
 from limpetdrift.coordination.splitting import (
     Split,
     SplitRequest,
@@ -149,10 +150,17 @@
         return Ok(Noted())
 
     def _candidates(self, request: PlanRequest) -> tuple[ListedEndpoint, ...]:
+        """Return the engines in an order of this planner's own.
+
+        Entries that plan alone would fill the same engines otherwise.
+        """
         excluded = {(each.name, each.lifetime) for each in request.excluded}
         usable = self._inputs.view.usable(request.service)
-        fresh = [each for each in usable if each.identity not in excluded]
-        return tuple(fresh)
+        fresh = {
+            each.name: each for each in usable if each.identity not in excluded
+        }
+        ordered = choose(self._inputs.name, fresh, len(fresh))
+        return tuple(fresh[name] for name in ordered)
 
     def _bookings(
         self,
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -47,6 +47,7 @@
 _QUEUED_COST = 2.0
 _FAILING_COST = 5.0
 _OTHER_DOMAIN_COST = 0.02
+_SLOW_COST = 1.0
 # Share of an engine's memory that plans may fill; estimates err.
 _MEMORY_SHARE = 0.92
 # An engine with more reading than this before it makes short prompts late.
@@ -213,6 +214,7 @@
     law: EngineLaw,
 ) -> float:
     cost = _harm(use, part, law) + use.wait_seconds(part)
+    cost += _QUEUED_COST * min(1, use.queued) + _slowness_cost(use)
     if use.failing:
         cost += _FAILING_COST
     if use.streams >= law.slots:
@@ -240,11 +242,17 @@
 
 def _helper_cost(use: EngineUse, part: float, law: EngineLaw) -> float:
     cost = _harm(use, part, law) + use.wait_seconds(part) * _HASTE
+    cost += _QUEUED_COST * min(1, use.queued) + _slowness_cost(use)
     if use.failing:
         cost += _FAILING_COST
     return cost
 
 
+def _slowness_cost(use: EngineUse) -> float:
+    """Leave slow engines to last; a little slowness costs little."""
+    return _SLOW_COST * max(0, use.pace - 1)
+
+
 def _harm(use: EngineUse, part: float, law: EngineLaw) -> float:
     """Return what is lost of the streams that would pause for too long."""
     pause = (part + _idle_pass_seconds(law)) / _PAUSE_SHARE
--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -66,8 +66,8 @@
     )
     tasks = (
         entry.knowledge.run,
-        entry.registration.run,
         entry.planning.links.run,
+        entry.watch.run,
         partial(_take_part_when_ready, entry),
         _reload_on_signal,
     )
@@ -96,7 +96,9 @@
     """Join the peers once callers can be served; they list this entry then."""
     await entry.knowledge.wait_complete()
     logs.note('ready', node=entry.node.name)
-    await entry.membership.run()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(entry.membership.run)
+        nursery.start_soon(entry.registration.run)
 
 
 async def _reload_on_signal() -> None:
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -10,22 +10,21 @@
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.discovery import usable_entries
 from limpetdrift.coordination.drain import Drain, DrainTiming
+from limpetdrift.coordination.enginewatch import EngineWatch
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingParts
-from limpetdrift.coordination.membership import Member, Membership
+from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import (
     PeerCall,
     PeerRoutes,
     make_peer_call,
 )
 from limpetdrift.coordination.plainplacing import PlainPlacing
-from limpetdrift.coordination.planlinks import PlanningInputs
-from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planning import Planning
-from limpetdrift.logs import note
 from limpetdrift.platform.answers import make_render
 from limpetdrift.platform.callers import CallerFront, make_caller_handler
 from limpetdrift.platform.calls import make_sending
 from limpetdrift.platform.directory import DirectoryAnswers
+from limpetdrift.platform.joinplanning import Base, join_planning
 from limpetdrift.platform.knowledge import Knowledge, KnowledgeInputs
 from limpetdrift.platform.registration import (
     Registration,
@@ -36,7 +35,7 @@
 from limpetdrift.platform.settings import PlatformSettings
 from limpetdrift.platform.store import StoreClient
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.routetable import EngineLaw, RouteTable
+from limpetdrift.protocol.routetable import RouteTable
 from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import ListedEndpoint, Placement, Work
 from limpetdrift.state.endpointview import EndpointView
@@ -78,24 +77,13 @@
     membership: Membership
     registration: Registration
     planning: Planning
+    watch: EngineWatch
     drain: Drain
     answers: DirectoryAnswers
     callers: Server
     peers: Server
 
 
-@dataclass(frozen=True, kw_only=True)
-class _Base:
-    """What most parts are made from."""
-
-    settings: PlatformSettings
-    node: Node
-    routes: HeldRoutes
-    view: EndpointView
-    membership: Membership
-    randomness: random.Random
-
-
 def join_entry(settings: PlatformSettings) -> Entry:
     """Make all parts of one process."""
     randomness = random.Random()
@@ -111,6 +99,7 @@
             store=store,
             node=node,
             peers=lambda: len(membership.live_entries()) - 1,
+            join=lambda addresses: membership.join(addresses),
             randomness=randomness,
         ),
         seeds=settings.seeds,
@@ -125,7 +114,7 @@
         seeds=registration.seeds,
         random=randomness,
     )
-    base = _Base(
+    base = Base(
         settings=settings,
         node=node,
         routes=HeldRoutes(clock=boot_time),
@@ -152,7 +141,7 @@
 
 
 def _join(
-    base: _Base,
+    base: Base,
     store: StoreClient,
     registration: Registration,
     call: PeerCall,
@@ -167,7 +156,7 @@
             revoke_seconds=base.settings.bounds.revoke_seconds,
         ),
     )
-    planning = _join_planning(base, call)
+    planning, watch = join_planning(base, call)
     callers, drain = _join_callers(base, planning)
 
     def is_ready() -> bool:
@@ -187,6 +176,7 @@
         membership=base.membership,
         registration=registration,
         planning=planning,
+        watch=watch,
         drain=drain,
         answers=DirectoryAnswers(
             entries=entries,
@@ -201,41 +191,7 @@
     )
 
 
-def _join_planning(base: _Base, call: PeerCall) -> Planning:
-    def find_law(service: str) -> EngineLaw | None:
-        found = base.routes.find_service(service)
-        return found.engine if found else None
-
-    planner = Planner(
-        inputs=PlannerInputs(
-            name=base.node.name,
-            view=base.view,
-            find_law=find_law,
-            clock=boot_time,
-        ),
-    )
-    planning = Planning(
-        inputs=PlanningInputs(
-            node=base.node,
-            planner=planner,
-            call=call,
-            live_entries=lambda: tuple(usable_entries(base.membership)),
-            note_refused=base.membership.note_refused,
-            clock=boot_time,
-        ),
-        view=base.view,
-    )
-    base.membership.on_change.append(planning.links.note_members)
-    base.membership.on_change.append(_note_members)
-    return planning
-
-
-def _note_members(changed: tuple[Member, ...]) -> None:
-    for member in changed:
-        note('peer changed', peer=member.node.name, state=member.state)
-
-
-def _join_callers(base: _Base, planning: Planning) -> tuple[Server, Drain]:
+def _join_callers(base: Base, planning: Planning) -> tuple[Server, Drain]:
     bounds = base.settings.bounds
     intake = Intake(
         routes=base.routes,
@@ -267,7 +223,7 @@
 
 
 def _join_forwarder(
-    base: _Base,
+    base: Base,
     planning: Planning,
     intake: Intake,
 ) -> Forwarder:
--- a/src/limpetdrift/platform/registration.py
+++ b/src/limpetdrift/platform/registration.py
@@ -5,7 +5,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
@@ -20,6 +20,8 @@
 # Rows are read again so often while no peer is known, and so seldom else.
 LONELY_SECONDS = 1.0
 COMPANY_SECONDS = 60.0
+# Each of these tells of all that it knows; a few are enough at any size.
+JOINED_PEERS = 10
 # Rows of processes that ended without dropping theirs go after this long.
 _STALE_MILLISECONDS = 600_000
 _RETRY_SECONDS = (0.3, 0.8)
@@ -27,11 +29,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RegistrationInputs:
-    """What is registered where; ``peers`` counts the known live peers."""
+    """What is registered where.
+
+    ``peers`` counts the known live peers, ``join`` calls those at addresses.
+    """
 
     store: StoreClient
     node: Node
     peers: Callable[[], int]
+    join: Callable[[tuple[Address, ...]], Awaitable[None]]
     randomness: random.Random
 
 
@@ -60,6 +66,7 @@
             lonely = self._inputs.peers() == 0
             if lonely:
                 await self._read()
+                await self._join()
             pause = LONELY_SECONDS if lonely else COMPANY_SECONDS
             if not self._has_row:
                 pause = self._inputs.randomness.uniform(*_RETRY_SECONDS)
@@ -78,6 +85,12 @@
         if written.is_error():
             warn('registration failed', reason=written.error.reason)
 
+    async def _join(self) -> None:
+        seeds = self.seeds()
+        count = min(JOINED_PEERS, len(seeds))
+        chosen = self._inputs.randomness.sample(seeds, count)
+        await self._inputs.join(tuple(chosen))
+
     async def _read(self) -> None:
         answer = await self._inputs.store.read(TABLE)
         if answer.is_error():
--- /dev/null
+++ b/src/limpetdrift/platform/reports.py
@@ -0,0 +1,76 @@
+"""Reads engines' reports of themselves."""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from limpetdrift.coordination.enginewatch import ReadReport
+from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
+from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import OK, Request, parse_address
+
+REPORT_SECONDS = 0.5
+_PATH = '/-/report'
+
+
+class _Report(msgspec.Struct, kw_only=True):
+    active: int = 0
+    queued: int = 0
+    # Memory that can't be given up, in tokens.
+    used: int = msgspec.field(default=0, name='kvUsed')
+    # How many times as long as usual the engine takes.
+    pace: float = 1.0
+    born: int | None = None
+
+
+def make_report_reader(client: HttpClient) -> ReadReport:
+    """Return the function that reads an engine's report."""
+
+    async def read(engine: ListedEndpoint) -> Result[EngineReport, Failure]:
+        answer = await client.fetch(
+            parse_address(engine.address),
+            Request(method='GET', path=_PATH),
+            timeout_seconds=REPORT_SECONDS,
+        )
+        return answer.bind(
+            lambda response: (
+                decode_report(response.body, engine)
+                if response.status == OK
+                else Error(_bad(f'status {response.status}'))
+            ),
+        )
+
+    return read
+
+
+def decode_report(
+    payload: bytes,
+    engine: ListedEndpoint,
+) -> Result[EngineReport, Failure]:
+    """Decode a report; one of another lifetime tells nothing.
+
+    >>> engine = ListedEndpoint(
+    ...     name='i-1', lifetime=0, service='s', address='127.0.0.1:1',
+    ...     failure_domain='d', slots=8,
+    ... )
+    >>> decode_report(b'{"active": 2}', engine).ok.active
+    2
+    """
+    try:
+        report = msgspec.json.decode(payload, type=_Report)
+    except msgspec.DecodeError as error:
+        return Error(_bad(str(error)))
+    if report.born is not None and report.born != engine.lifetime:
+        return Error(_bad('report of another lifetime'))
+    return Ok(
+        EngineReport(
+            active=report.active,
+            queued=report.queued,
+            memory_tokens=report.used,
+            pace=report.pace,
+        ),
+    )
+
+
+def _bad(detail: str) -> Failure:
+    return may_have_run(Reason.BAD_ANSWER, detail)
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -86,6 +86,20 @@
         return (self.running + self.waiting) / max(1, self.slots)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineReport:
+    """What an engine says of itself, some hundred milliseconds late.
+
+    ``active`` requests run and ``queued`` ones wait; ``pace`` is how many
+    times as long as usual it takes.
+    """
+
+    active: int
+    queued: int
+    memory_tokens: int
+    pace: float = 1.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Reservation:
     """Memory set aside at an endpoint under an identifier of ours."""
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -7,12 +7,14 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 
 # An engine that failed is used again after this many seconds, twice as long
 # after each failure in turn.
 FAILING_SECONDS = 1.5
 FAILING_SECONDS_LIMIT = 6.0
+# Requests of no plan are forgotten so long after they were reported.
+REPORT_AGE_SECONDS = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,6 +41,9 @@
     ``backlog_seconds`` is how long it takes to the end of all reading that
     was planned, ``gap_seconds`` how long it has nothing to read from now on.
     ``pauses`` holds the pause bound and the worth of each of its streams.
+    ``ghosts`` are requests that it runs though no plan knows them, and
+    ``queued`` those of them that wait; ``pace`` is how many times as long as
+    usual it takes.
     """
 
     endpoint: ListedEndpoint
@@ -46,12 +51,15 @@
     gap_seconds: float = float('inf')
     memory_tokens: int = 0
     pauses: tuple[tuple[float, float], ...] = ()
+    ghosts: int = 0
+    queued: int = 0
+    pace: float = 1.0
     failing: bool = False
 
     @property
     def streams(self) -> int:
-        """The number of streams that the engine writes."""
-        return len(self.pauses)
+        """The number of streams that the engine writes, ghosts included."""
+        return len(self.pauses) + self.ghosts
 
     @property
     def pause_seconds(self) -> float:
@@ -73,6 +81,10 @@
     readings: list[tuple[float, float]] = field(default_factory=list)
     failures: int = 0
     failing_until: float = float('-inf')
+    report: EngineReport | None = None
+    ghosts: int = 0
+    ghost_tokens: int = 0
+    reported_at: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
 
 
@@ -159,6 +171,29 @@
             engine.failures = 0
             engine.failing_until = float('-inf')
 
+    def note_report(
+        self,
+        endpoint: ListedEndpoint,
+        report: EngineReport,
+    ) -> int:
+        """Take in what an engine says; return the requests of no plan."""
+        now = self._clock()
+        engine = self._engine(endpoint)
+        streams = sum(
+            booking.pause_seconds is not None
+            for booking in engine.bookings.values()
+        )
+        planned = sum(
+            booking.memory_tokens for booking in engine.bookings.values()
+        )
+        engine.report = report
+        engine.reported_at = now
+        engine.ghosts = max(0, report.active + report.queued - streams)
+        engine.ghost_tokens = max(0, report.memory_tokens - planned)
+        if not engine.ghosts:
+            engine.ghost_tokens = 0
+        return engine.ghosts
+
     def uses(
         self,
         endpoints: Iterable[ListedEndpoint],
@@ -186,11 +221,19 @@
             for booking in engine.bookings.values()
             if booking.pause_seconds is not None
         )
+        if now - engine.reported_at > REPORT_AGE_SECONDS:
+            engine.ghosts = 0
+            engine.ghost_tokens = 0
+        report = engine.report
         return EngineUse(
             endpoint=endpoint,
+            ghosts=engine.ghosts,
+            queued=report.queued if report and engine.ghosts else 0,
+            pace=report.pace if report else 1.0,
             backlog_seconds=_free_at(engine, now) - now,
             gap_seconds=_gap_seconds(engine, now),
-            memory_tokens=sum(
+            memory_tokens=engine.ghost_tokens
+            + sum(
                 booking.memory_tokens for booking in engine.bookings.values()
             ),
             pauses=pauses,
--- a/src/limpetdrift/state/heldroutes.py
+++ b/src/limpetdrift/state/heldroutes.py
@@ -34,6 +34,11 @@
         """The table in force, once there is one."""
         return self._table
 
+    @property
+    def services(self) -> tuple[Service, ...]:
+        """The services of the table in force."""
+        return tuple(self._services.values())
+
     @property
     def version(self) -> int:
         """The version in force; 0 before the first."""
