--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -35,12 +35,14 @@
     ``tries`` counts placements, ``attempts`` those that reached an endpoint.
     ``last_event`` is the last one that the caller has of a stream, and
     ``endpoint_answer`` a failure that an endpoint gave. ``is_told`` says
-    that the log tells of the request though it goes well.
+    that the log tells of the request though it goes well. ``may_retry``
+    returns whether the budget has a retry left.
     """
 
     work: Work
     exchange: Exchange
     clock: Callable[[], float]
+    may_retry: Callable[[], bool]
     tries: int = 0
     attempts: int = 0
     verdict: Verdict = Verdict.NOT_RUN
@@ -106,6 +108,7 @@
             course.work.route,
             attempts=course.attempts,
             seconds_left=course.seconds_left(),
+            may_retry=course.may_retry(),
         )
     watch.deadline = float('inf')
     await _send_head(course, answer)
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -110,6 +110,7 @@
             work=work,
             exchange=exchange,
             clock=self._parts.clock,
+            may_retry=lambda: self._parts.budget.has_retry,
             last_event=work.last_event_id,
             is_told=is_sampled(work.request_id),
         )
@@ -191,7 +192,7 @@
 
     async def _attempt(self, course: Course) -> Outcome:
         course.tries += 1
-        blocked = self._parts.check(course.work)
+        blocked = self._check(course)
         if blocked is not None:
             return Error(blocked)
         placed = await self._parts.place(
@@ -231,7 +232,7 @@
 
     async def _send(self, course: Course, placement: Placement) -> Outcome:
         # Setting memory aside took time, in which keys may have gone.
-        blocked = self._parts.check(course.work)
+        blocked = self._check(course)
         if blocked is not None:
             return Error(blocked)
         if not self._parts.view.is_usable(placement.endpoint):
@@ -269,6 +270,10 @@
                 return Ok(None)
         return Error(may_have_run(Reason.SILENT, 'no event in time'))
 
+    def _check(self, course: Course) -> Failure | None:
+        """Return why the request may not be sent; a begun stream goes on."""
+        return None if course.has_head else self._parts.check(course.work)
+
     def _open(
         self,
         course: Course,
--- a/src/limpetdrift/coordination/retrying.py
+++ b/src/limpetdrift/coordination/retrying.py
@@ -87,9 +87,20 @@
     return min(seconds_left, wanted)
 
 
-def pause_seconds(route: Route, *, attempts: int, seconds_left: float) -> float:
-    """Return how long a stream that has begun may pause."""
-    if not route.repeatable or attempts >= route.attempt_limit:
+def pause_seconds(
+    route: Route,
+    *,
+    attempts: int,
+    seconds_left: float,
+    may_retry: bool,
+) -> float:
+    """Return how long a stream that has begun may pause.
+
+    One that can't go on elsewhere is never given up before its deadline.
+    """
+    if not (may_retry and route.repeatable):
+        return seconds_left
+    if attempts >= route.attempt_limit:
         return seconds_left
     wanted = max(_PAUSE_SHARE * route.pause_seconds, _PAUSE_SECONDS_LIMIT)
     return min(seconds_left, wanted)
--- a/src/limpetdrift/state/retrybudget.py
+++ b/src/limpetdrift/state/retrybudget.py
@@ -14,6 +14,11 @@
         self._reserve = reserve
         self._balance = reserve
 
+    @property
+    def has_retry(self) -> bool:
+        """Whether a retry could be spent now."""
+        return self._balance >= 1
+
     def earn(self) -> None:
         """Count a new request."""
         self._balance = min(self._balance + self._share, self._reserve)
--- /dev/null
+++ b/tests/forward_world.py
@@ -0,0 +1,248 @@
+"""A forwarder with scripted endpoints and callers, in virtual time."""
+
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import trio
+from expression import Error, Ok, Result
+
+from limpetdrift.coordination.attempts import Answer
+from limpetdrift.coordination.forwarding import Forwarder, ForwardingParts
+from limpetdrift.protocol.routetable import Route, ServiceShare, WorkKind
+from limpetdrift.protocol.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    may_have_run,
+    not_run,
+)
+from limpetdrift.protocol.work import ListedEndpoint, Placement, Work
+from limpetdrift.state.endpointview import EndpointView
+from limpetdrift.state.retrybudget import RetryBudget
+from limpetdrift.transport.messages import Response
+
+
+def make_route(**changes: object) -> Route:
+    """Return a streaming route that may be resumed."""
+    values: dict[str, object] = {
+        'name': 'r',
+        'host': 'h',
+        'prefix': '/',
+        'kind': WorkKind.STREAMING,
+        'timeout_seconds': 10.0,
+        'target_seconds': 0.3,
+        'shares': (ServiceShare(service='s'),),
+        'attempt_limit': 2,
+        'resumable': True,
+        'pause_seconds': 0.25,
+    }
+    return Route(**(values | changes))
+
+
+def make_endpoints(count: int) -> tuple[ListedEndpoint, ...]:
+    """Return endpoints of the service ``s``."""
+    return tuple(
+        ListedEndpoint(
+            name=f'i-{number:02}',
+            lifetime=1,
+            service='s',
+            address=f'10.0.0.{number + 1}:80',
+            failure_domain='d',
+            slots=8,
+        )
+        for number in range(count)
+    )
+
+
+@dataclass
+class FakeExchange:
+    """What a caller got, and whether it has left."""
+
+    response: Response | None = None
+    status: int | None = None
+    payload: bytes = b''
+    finished: bool = False
+    aborted: bool = False
+    left: trio.Event = field(default_factory=trio.Event)
+
+    async def respond(self, response: Response) -> None:
+        self.response = response
+
+    async def start(self, status: int, headers: object = ()) -> None:
+        self.status = status
+
+    async def send(self, payload: bytes) -> None:
+        self.payload += payload
+
+    async def finish(self) -> None:
+        self.finished = True
+
+    async def abort(self) -> None:
+        self.aborted = True
+
+    async def wait_closed(self) -> None:
+        await self.left.wait()
+
+
+@dataclass
+class Sent:
+    """One call to an endpoint, as it was made."""
+
+    endpoint: str
+    at: float
+    left_seconds: float
+    last_event: int | None
+
+
+Script = Callable[[int], AsyncIterator[bytes]]
+
+
+class ForwardWorld:
+    """Endpoints that answer by scripts, one for each call in turn.
+
+    A script is an async generator function of the last event that the caller
+    has; or a failure; or a whole ``Answer``.
+    """
+
+    def __init__(self, *scripts: object, reserve: float = 20.0) -> None:
+        self.scripts = list(scripts)
+        self.sent: list[Sent] = []
+        self.ended: list[float] = []
+        self.released: list[tuple[str, tuple[str, ...]]] = []
+        self.refusal: Failure | None = None
+        self.delay_seconds = 0.0
+        self.endpoints = make_endpoints(3)
+        self.view = EndpointView(clock=trio.current_time)
+        self.view.replace(self.endpoints)
+        self.forwarder = Forwarder(
+            parts=ForwardingParts(
+                place=self._place,
+                release=self._release,
+                hold=_hold,
+                send=self._send,
+                check=lambda work: self.refusal,
+                render=_render,
+                view=self.view,
+                budget=RetryBudget(share=0.0, reserve=reserve),
+                clock=trio.current_time,
+                randomness=random.Random(1),
+            ),
+        )
+
+    async def serve(
+        self,
+        route: Route,
+        exchange: FakeExchange,
+        **changes: object,
+    ) -> None:
+        """Serve one request of a route."""
+        now = trio.current_time()
+        values: dict[str, object] = {
+            'request_id': 'a1',
+            'method': 'POST',
+            'target': '/x',
+            'headers': (),
+            'body': b'',
+            'route': route,
+            'service': 's',
+            'version': 1,
+            'arrived_at': now,
+            'deadline': now + route.timeout_seconds,
+            'account': 'acme',
+        }
+        await self.forwarder.serve(Work(**(values | changes)), exchange)
+
+    async def _place(
+        self,
+        work: Work,
+        excluded: frozenset[tuple[str, int]],
+    ) -> Result[Placement, Failure]:
+        for endpoint in self.view.usable(work.service):
+            if endpoint.identity not in excluded:
+                return Ok(
+                    Placement(
+                        endpoint=endpoint,
+                        delay_seconds=self.delay_seconds,
+                        read_seconds=self.delay_seconds + 0.1,
+                        grant='g',
+                    ),
+                )
+        return Error(not_run(Reason.NO_ENDPOINT))
+
+    def _release(self, work: Work, placement: Placement, failed) -> None:
+        names = tuple(each.name for each in failed)
+        self.released.append((placement.endpoint.name, names))
+
+    @asynccontextmanager
+    async def _send(self, work, placement, left_seconds, last_event):
+        self.sent.append(
+            Sent(
+                endpoint=placement.endpoint.name,
+                at=trio.current_time(),
+                left_seconds=left_seconds,
+                last_event=last_event,
+            ),
+        )
+        script = self.scripts.pop(0)
+        try:
+            if isinstance(script, Failure):
+                raise FailureError(script)
+            if isinstance(script, Answer):
+                yield script
+            else:
+                yield Answer(
+                    status=200,
+                    headers=(),
+                    chunks=lambda: script(last_event or 0),
+                )
+        finally:
+            self.ended.append(trio.current_time())
+
+
+def events(first: int, last: int, *, pause: float = 0.05) -> Script:
+    """Return a script that sends events with these numbers and ends."""
+
+    async def script(seen: int) -> AsyncIterator[bytes]:
+        for number in range(max(first, seen + 1), last + 1):
+            await trio.sleep(pause)
+            yield f'id: {number}\ndata: x\n\n'.encode()
+
+    return script
+
+
+def events_then(script: Script, then: Failure | float) -> Script:
+    """Return a script that breaks, or falls silent, after another."""
+
+    async def broken(seen: int) -> AsyncIterator[bytes]:
+        async for chunk in script(seen):
+            yield chunk
+        if isinstance(then, Failure):
+            raise FailureError(then)
+        await trio.sleep(then)
+
+    return broken
+
+
+def whole(status: int, *, refused: bool = False, body: bytes = b'ok'):
+    """Return an answer with its whole body."""
+
+    async def chunks() -> AsyncIterator[bytes]:
+        yield body
+
+    return Answer(status=status, headers=(), chunks=chunks, refused=refused)
+
+
+BROKEN = may_have_run(Reason.CONNECTION_BROKEN, 'reset')
+REFUSED = not_run(Reason.CONNECT_FAILED, 'nobody listens')
+
+
+@asynccontextmanager
+async def _hold(placement: Placement) -> AsyncIterator[Placement]:
+    yield placement
+
+
+def _render(failure: Failure) -> Response:
+    status = 503 if failure.verdict == 'not-run' else 502
+    return Response(status=status, body=str(failure.reason).encode())
