--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -45,10 +45,10 @@
     """Return endpoints of the service ``s``."""
     return tuple(
         ListedEndpoint(
-            name=f'i-{number:02}',
+            name=f'i-{number}',
             lifetime=1,
             service='s',
-            address=f'10.0.0.{number + 1}:80',
+            address=f'10.0.0.{number}:80',
             failure_domain='d',
             slots=8,
         )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -187,7 +187,7 @@
 def test_endpoint_that_failed_is_named_at_the_release():
     world = make(BROKEN, events(1, 2))
     serve(world, make_route())
-    assert world.released == [('i-00', ('i-00',)), ('i-01', ())]
+    assert world.released == [('i-0', ('i-0',)), ('i-1', ())]
 
 
 @given(
@@ -196,7 +196,7 @@
 )
 def test_events_are_whole_however_they_are_cut(lengths, cuts):
     payload = b''.join(
-        f'id: {number}\ndata: {"x" * size}\n\n'.encode()
+        b'id: %d\ndata: %s\n\n' % (number, b'x' * size)
         for number, size in enumerate(lengths)
     )
     rest, found, start = b'', [], 0
--- /dev/null
+++ b/tests/test_platform_decoders.py
@@ -0,0 +1,248 @@
+"""Whatever stands in settings, store, reports and requests is read safely."""
+
+import json
+from random import Random
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from limpetdrift.platform.answers import make_render
+from limpetdrift.platform.calls import read_load
+from limpetdrift.platform.configuration import decode_route_table
+from limpetdrift.platform.endpointlist import decode_endpoint
+from limpetdrift.platform.reports import decode_report
+from limpetdrift.platform.requests import Intake, admit
+from limpetdrift.platform.settings import decode_settings
+from limpetdrift.protocol.routetable import RouteTable, WorkKind
+from limpetdrift.protocol.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.heldroutes import HeldRoutes
+from limpetdrift.transport.messages import Request
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'd',
+    'slots': 8,
+    'state': 'ready',
+    'born': 1700000000000,
+}
+ROUTE = {
+    'name': 'r',
+    'host': 'Shop.Example',
+    'pathPrefix': '/a/',
+    'kind': 'streaming',
+    'timeoutMs': 10000,
+    'targetLatencyMs': 300,
+    'priority': 1,
+    'service': 's',
+    'maxAttempts': 2,
+    'resumable': True,
+    'gapTargetMs': 250,
+}
+DOCUMENT = {
+    'version': 7,
+    'routes': [
+        ROUTE,
+        ROUTE | {'name': 'deep', 'pathPrefix': '/a/b/', 'kind': 'idempotent'},
+        ROUTE | {'name': 'open', 'pathPrefix': '/open/', 'public': True},
+    ],
+    'services': [{'name': 's'}],
+    'tenants': [{'name': 'acme', 'apiKeys': ['k1'], 'priority': 3}],
+}
+ENGINE = ListedEndpoint(
+    name='i-1',
+    lifetime=1700000000000,
+    service='s',
+    address='10.0.0.1:80',
+    failure_domain='d',
+    slots=8,
+)
+
+
+def table(**changes: object) -> RouteTable:
+    return decode_route_table(json.dumps(DOCUMENT | changes).encode()).ok
+
+
+def make_intake(age: float = 0.0, **changes: object) -> Intake:
+    now = 100.0
+    routes = HeldRoutes(clock=lambda: now)
+    routes.take(table(**changes), now - age)
+    return Intake(
+        routes=routes,
+        clock=lambda: now,
+        randomness=Random(1),
+        confirmed_within_seconds=4.0,
+        sure_within_seconds=2.0,
+    )
+
+
+def make_request(target: str = '/a/x', **headers: str) -> Request:
+    pairs = {
+        'host': 'shop.example:80',
+        'attempt_id': 'a1',
+        'deadline_ms': '5000',
+        'authorization': 'Bearer k1',
+    } | headers
+    return Request(
+        method='POST',
+        path=target,
+        target=target,
+        headers=tuple(
+            (name.replace('_', '-'), text) for name, text in pairs.items()
+        ),
+    )
+
+
+@given(
+    st.binary(max_size=60) | JSON_VALUES.map(lambda v: json.dumps(v).encode())
+)
+@example(b'')
+@example(b'[]')
+def test_no_input_breaks_a_decoder(payload):
+    assert decode_settings(payload).is_error()
+    assert decode_endpoint('i-1', payload).is_error()
+    decode_route_table(payload)
+    decode_report(payload, ENGINE)
+
+
+@given(st.sampled_from(sorted(ENTRY)), JSON_VALUES)
+def test_entry_with_a_strange_field_names_no_wrong_endpoint(field, value):
+    payload = json.dumps(ENTRY | {field: value}).encode()
+    decoded = decode_endpoint('i-1', payload)
+    if decoded.is_ok():
+        assert isinstance(value, type(ENTRY[field]))
+
+
+def test_entry_is_read():
+    endpoint = decode_endpoint('i-1', json.dumps(ENTRY).encode()).ok
+    assert endpoint == ENGINE
+    leaving = json.dumps(ENTRY | {'state': 'draining'}).encode()
+    assert decode_endpoint('i-1', leaving).ok.leaving
+
+
+@pytest.mark.parametrize('state', ['gone', '', 'READY'])
+def test_entry_of_unknown_state_names_no_endpoint(state):
+    payload = json.dumps(ENTRY | {'state': state}).encode()
+    assert decode_endpoint('i-1', payload).is_error()
+
+
+@pytest.mark.parametrize('field', ['service', 'address', 'zone', 'state'])
+def test_entry_without_a_field_names_no_endpoint(field):
+    entry = {name: value for name, value in ENTRY.items() if name != field}
+    assert decode_endpoint('i-1', json.dumps(entry).encode()).is_error()
+
+
+def test_report_of_another_lifetime_tells_nothing():
+    payload = json.dumps({'active': 3, 'born': 5}).encode()
+    assert decode_report(payload, ENGINE).is_error()
+
+
+@pytest.mark.parametrize('text', ['', '1,2', 'a,b,c', '1,2,3,4', '-1,0,8'])
+def test_load_that_can_not_be_read_tells_nothing(text):
+    assert read_load(text) is None
+
+
+def test_longest_prefix_decides():
+    route = make_intake().routes.find_route('shop.example', '/a/b/c')
+    assert route.name == 'deep'
+    assert route.kind is WorkKind.IDEMPOTENT
+
+
+def test_headers_of_the_connection_and_of_the_system_are_not_passed_on():
+    request = make_request(
+        tenant='mallory',
+        helpers='10.0.0.9:80',
+        request_urgency='0',
+        expect_instance='i-9',
+        connection='close, x-hop',
+        x_hop='1',
+        transfer_encoding='chunked',
+        x_kept='yes',
+    )
+    work = admit(request, make_intake()).ok
+    assert {name for name, _ in work.headers} == {
+        'host',
+        'attempt-id',
+        'x-kept',
+    }
+    assert work.account == 'acme'
+    assert work.priority == 3
+
+
+def test_target_is_passed_on_as_it_came():
+    work = admit(make_request('/a/%7Ex?q=a%20b'), make_intake()).ok
+    assert work.target == '/a/%7Ex?q=a%20b'
+
+
+@pytest.mark.parametrize(
+    ('key', 'age', 'reason'),
+    [
+        ('Bearer k1', 3.9, None),
+        ('Bearer k1', 4.1, Reason.UNCONFIRMED),
+        ('Bearer k2', 0.1, Reason.UNAUTHORIZED),
+        ('Bearer k2', 2.5, Reason.UNCONFIRMED),
+        ('', 0.1, Reason.UNAUTHORIZED),
+        ('Basic k1', 0.1, Reason.UNAUTHORIZED),
+    ],
+)
+def test_keys_are_trusted_while_confirmed(key, age, reason):
+    admitted = admit(make_request(authorization=key), make_intake(age))
+    if reason is None:
+        assert admitted.is_ok()
+    else:
+        assert admitted.error.reason is reason
+        assert admitted.error.verdict is Verdict.NOT_RUN
+
+
+def test_public_route_needs_no_key_and_no_confirmation():
+    request = make_request('/open/x', authorization='')
+    work = admit(request, make_intake(60.0)).ok
+    assert work.account == ''
+
+
+def test_unknown_route_is_refused_only_while_the_table_is_fresh():
+    request = make_request('/nowhere')
+    assert admit(request, make_intake(0.1)).error.reason is Reason.NOT_FOUND
+    late = admit(request, make_intake(2.5))
+    assert late.error.reason is Reason.UNCONFIRMED
+
+
+def test_deadline_is_the_earlier_of_caller_and_route():
+    assert admit(make_request(), make_intake()).ok.deadline == 105.0
+    patient = make_request(deadline_ms='60000')
+    assert admit(patient, make_intake()).ok.deadline == 110.0
+
+
+@given(st.sampled_from(list(Reason)), st.sampled_from(list(Verdict)))
+def test_statuses_that_promise_are_given_only_with_proof(reason, verdict):
+    render = make_render(Random(1))
+    response = render(Failure(verdict=verdict, reason=reason))
+    promises = response.status in {408, 421, 429, 503}
+    if verdict is not Verdict.NOT_RUN:
+        assert not promises
+    if promises:
+        assert float(response.header('retry-after')) > 0
+
+
+def test_failures_are_told_apart():
+    render = make_render(Random(1))
+    assert render(may_have_run(Reason.DEADLINE)).status == 504
+    assert render(may_have_run(Reason.CONNECTION_BROKEN)).status == 502
+    assert render(not_run(Reason.UNAUTHORIZED)).status == 401
+    assert render(not_run(Reason.NOT_FOUND)).status == 404
