Pass routes and endpoints between entries

Up to twelve entries read the store themselves; beyond, one in sixteen does and the rest ask these, with ages that count from the read in the store.

--- /dev/null
+++ b/src/limpetdrift/coordination/knowledgerelay.py
@@ -0,0 +1,249 @@
+"""Passes routes and endpoints from a few entries that read them to the rest.
+
+Answers deployments of many entries, whose reads of the store would grow with
+their number, and stores that turn some entries away and serve the others.
+All ages count from the start of the read in the store, so a chain of entries
+never makes knowledge look fresher than it is.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import trio
+from expression import Ok, Result
+
+from limpetdrift import telemetry
+from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.coordination.rendezvous import choose
+from limpetdrift.logs import note
+from limpetdrift.protocol.knowledge import (
+    KnowledgeReply,
+    KnowledgeRequest,
+    pack,
+    unpack,
+)
+from limpetdrift.protocol.node import Node
+from limpetdrift.protocol.routetable import RouteTable
+from limpetdrift.protocol.verdict import Failure
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.heldroutes import HeldRoutes
+from limpetdrift.transport.messages import Address
+
+KNOWLEDGE_PATH = 'knowledge'
+# Up to so many entries all read the store; beyond, one in so many does.
+DIRECT_ENTRIES = 12
+ENTRIES_OF_A_READER = 16
+LEAST_READERS = 3
+# How long a reader keeps a question when nothing changes, and how much later
+# its answer may come.
+WAIT_SECONDS = 1.0
+LATE_SECONDS = 0.4
+# Knowledge older than this is asked elsewhere.
+FRESH_SECONDS = 1.2
+# An entry whose reader fell behind reads for itself this long.
+ALONE_SECONDS = 4.0
+# Stands for the age of what was never read.
+NEVER_SECONDS = 1_000_000.0
+_PAUSE_SECONDS = (0.05, 0.15)
+
+
+@dataclass(kw_only=True, slots=True)
+class HeldList:
+    """The endpoint list's version and when it was confirmed."""
+
+    version: int = 0
+    confirmed_at: float = float('-inf')
+
+
+@dataclass(frozen=True, kw_only=True)
+class RelayInputs:
+    """What is passed on, and among whom.
+
+    ``is_cut`` tells whether this entry can't reach the store. ``endpoints``
+    returns the list, and ``take_endpoints`` replaces it. ``seeds`` are
+    peers' addresses to ask before any peer is known.
+    """
+
+    node: Node
+    call: PeerCall
+    routes: HeldRoutes
+    held_list: HeldList
+    endpoints: Callable[[], tuple[ListedEndpoint, ...]]
+    take_endpoints: Callable[[tuple[ListedEndpoint, ...]], None]
+    entries: Callable[[], tuple[Node, ...]]
+    seeds: Callable[[], tuple[Address, ...]]
+    is_cut: Callable[[], bool]
+    clock: Callable[[], float]
+    randomness: Random
+
+
+class KnowledgeRelay:
+    """Whether this entry reads the store, and whom it asks otherwise."""
+
+    def __init__(self, *, inputs: RelayInputs) -> None:
+        self._inputs = inputs
+        self._alone_until = float('-inf')
+        self._failed: set[str] = set()
+        self._news = trio.Event()
+
+    @property
+    def reads_store(self) -> bool:
+        """Whether this entry is to read the store itself."""
+        names = [entry.name for entry in self._inputs.entries()]
+        if len(names) <= DIRECT_ENTRIES:
+            return True
+        if self._inputs.clock() < self._alone_until:
+            return True
+        return self._inputs.node.name in _readers(names)
+
+    def register(self, peer_routes: PeerRoutes) -> None:
+        """Offer the handler to peers."""
+        peer_routes.add(KNOWLEDGE_PATH, KnowledgeRequest, self.answer)
+
+    def wake(self) -> None:
+        """Answer those who wait: something changed, or the store is lost."""
+        self._news.set()
+        self._news = trio.Event()
+
+    async def answer(
+        self,
+        request: KnowledgeRequest,
+    ) -> Result[KnowledgeReply, Failure]:
+        """Answer a peer, at once if there is news and later if not."""
+        with trio.move_on_after(min(request.wait_seconds, WAIT_SECONDS)):
+            while not self._has_news(request):
+                await self._news.wait()
+        return Ok(self._reply(request))
+
+    async def run(self) -> None:
+        """Ask peers while this entry doesn't or can't read the store."""
+        while True:
+            if not self.reads_store or self._inputs.is_cut():
+                await self.step()
+            # A short pause also where nobody answers.
+            await trio.sleep(self._inputs.randomness.uniform(*_PAUSE_SECONDS))
+
+    async def step(self) -> None:
+        """Ask one peer."""
+        name, address = self._choose()
+        if address is None:
+            return
+        sent_at = self._inputs.clock()
+        reply = await self._inputs.call(
+            address,
+            KNOWLEDGE_PATH,
+            KnowledgeRequest(
+                routes_version=self._inputs.routes.version,
+                list_version=self._inputs.held_list.version,
+                wait_seconds=WAIT_SECONDS,
+            ),
+            KnowledgeReply,
+            timeout_seconds=WAIT_SECONDS + LATE_SECONDS,
+        )
+        telemetry.count('knowledge_asked', outcome=_outcome(reply))
+        if reply.is_error() or reply.ok.is_cut or not _is_fresh(reply.ok):
+            self._note_behind(name)
+        else:
+            self._failed.clear()
+        if reply.is_ok():
+            self._take(reply.ok, sent_at)
+
+    def _has_news(self, request: KnowledgeRequest) -> bool:
+        return (
+            self._inputs.is_cut()
+            or self._inputs.routes.version > request.routes_version
+            or self._inputs.held_list.version > request.list_version
+        )
+
+    def _reply(self, request: KnowledgeRequest) -> KnowledgeReply:
+        routes = self._inputs.routes
+        held = self._inputs.held_list
+        newer = routes.version > request.routes_version
+        listed = held.version > request.list_version
+        return KnowledgeReply(
+            routes_version=routes.version,
+            routes_age_seconds=min(routes.age_seconds(), NEVER_SECONDS),
+            list_version=held.version,
+            list_age_seconds=min(
+                self._inputs.clock() - held.confirmed_at,
+                NEVER_SECONDS,
+            ),
+            is_cut=self._inputs.is_cut(),
+            routes=pack(routes.table) if newer else None,
+            endpoints=pack(self._inputs.endpoints()) if listed else None,
+        )
+
+    def _choose(self) -> tuple[str, Address | None]:
+        """Return whom to ask: a reader, or any peer while cut off."""
+        own = self._inputs.node.name
+        entries = {
+            entry.name: entry.peer_address
+            for entry in self._inputs.entries()
+            if entry.name != own
+        }
+        if not entries:
+            seeds = [
+                seed
+                for seed in self._inputs.seeds()
+                if seed != self._inputs.node.peer_address
+            ]
+            if not seeds:
+                return '', None
+            return '', self._inputs.randomness.choice(seeds)
+        asked = _readers([*entries, own]) if len(entries) > 1 else entries
+        heard = [
+            name
+            for name in asked
+            if name in entries and name not in self._failed
+        ]
+        if not heard:
+            self._failed.clear()
+            heard = list(entries)
+        chosen = choose(f'reader-of/{own}', heard, 1)[0]
+        return chosen, entries[chosen]
+
+    def _note_behind(self, name: str) -> None:
+        """Read for oneself for a while, and ask another one then."""
+        self._failed.add(name)
+        now = self._inputs.clock()
+        if now >= self._alone_until and not self._inputs.is_cut():
+            note('reader of the store fell behind', reader=name)
+            self._alone_until = now + ALONE_SECONDS
+
+    def _take(self, reply: KnowledgeReply, sent_at: float) -> None:
+        # The reply was made after the question was sent, so this is early.
+        routes_at = sent_at - reply.routes_age_seconds
+        if reply.routes is not None:
+            table = unpack(reply.routes, RouteTable)
+            if table.is_ok() and self._inputs.routes.take(table.ok, routes_at):
+                note(
+                    'configuration in force',
+                    version=table.ok.version,
+                    source='peer',
+                    age_seconds=round(reply.routes_age_seconds, 3),
+                )
+        self._inputs.routes.confirm(reply.routes_version, routes_at)
+        held = self._inputs.held_list
+        if reply.endpoints is None or reply.list_version <= held.version:
+            return
+        endpoints = unpack(reply.endpoints, tuple[ListedEndpoint, ...])
+        if endpoints.is_ok():
+            held.version = reply.list_version
+            held.confirmed_at = sent_at - reply.list_age_seconds
+            self._inputs.take_endpoints(endpoints.ok)
+        self.wake()
+
+
+def _readers(names: list[str]) -> list[str]:
+    count = max(LEAST_READERS, math.ceil(len(names) / ENTRIES_OF_A_READER))
+    return choose('readers', names, count)
+
+
+def _is_fresh(reply: KnowledgeReply) -> bool:
+    return reply.routes_age_seconds <= FRESH_SECONDS
+
+
+def _outcome(reply: Result[KnowledgeReply, Failure]) -> str:
+    return 'answered' if reply.is_ok() else str(reply.error.reason)
--- a/src/limpetdrift/platform/following.py
+++ b/src/limpetdrift/platform/following.py
@@ -16,6 +16,8 @@
 RETRY_SECONDS = 0.1
 RETRY_SECONDS_LIMIT = 0.6
 _JITTER = (0.5, 1.0)
+# How often a table that others follow is looked at.
+UNWANTED_SECONDS = 0.1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -23,14 +25,17 @@
     """What to do with a table's rows.
 
     ``replace`` gets all rows, ``apply`` the changed ones; both get the time
-    at which the call began. ``confirm`` gets that of a call that found no
-    change.
+    at which the call began, on the follower's clock. ``confirm`` gets that
+    of a call that showed all changes so far. ``lost`` is told when the store
+    goes out of reach. The table is followed while ``is_wanted``.
     """
 
     table: str
-    replace: Callable[[tuple[StoredRow, ...], float], None]
-    apply: Callable[[tuple[StoredRow, ...], float], None]
+    replace: Callable[[RowPage, float], None]
+    apply: Callable[[RowPage, float], None]
     confirm: Callable[[float], None]
+    lost: Callable[[], None]
+    is_wanted: Callable[[], bool]
     wait_seconds: float
 
 
@@ -60,10 +65,21 @@
             return True
         return self._clock() - self._regained_at < seconds
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether the last calls found the store out of reach."""
+        return self._lost_at is not None
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            await self.step()
+            if self._followed.is_wanted():
+                await self.step()
+            else:
+                # What others tell meanwhile is newer than this version.
+                self._version = None
+                self._lost_at = None
+                await trio.sleep(UNWANTED_SECONDS)
 
     async def step(self) -> None:
         """Make one call, and pause if it failed."""
@@ -90,7 +106,7 @@
             answer = await self._store.read(self._followed.table, start=start)
             if answer.is_error():
                 return answer.error
-            page: RowPage = answer.ok
+            page = answer.ok
             rows.extend(page.rows)
             version = page.version if version is None else version
             if not page.truncated or not page.rows:
@@ -98,7 +114,11 @@
             last = page.rows[-1].key
             start = f'{last}\0'
         self._version = version
-        self._followed.replace(tuple(rows), read_at)
+        self._followed.replace(
+            RowPage(rows=tuple(rows), version=version),
+            read_at,
+        )
+        self._followed.confirm(read_at)
         return None
 
     async def _read_changes(self, read_at: float) -> Failure | None:
@@ -112,7 +132,7 @@
         page = answer.ok
         self._version = max(self._version, page.version)
         if page.rows:
-            self._followed.apply(page.rows, read_at)
+            self._followed.apply(page, read_at)
         self._followed.confirm(read_at)
         return None
 
@@ -120,6 +140,7 @@
         self._failures += 1
         if self._lost_at is None:
             self._lost_at = self._clock()
+            self._followed.lost()
             note(
                 'store lost',
                 table=self._followed.table,
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -151,6 +151,9 @@
             store=store,
             routes=base.routes,
             view=base.view,
+            membership=base.membership,
+            call=call,
+            seeds=registration.seeds,
             clock=boot_time,
             randomness=base.randomness,
             revoke_seconds=base.settings.bounds.revoke_seconds,
@@ -187,7 +190,7 @@
             ),
         ),
         callers=callers,
-        peers=_join_peers(base.membership, planning),
+        peers=_join_peers(base.membership, planning, knowledge),
     )
 
 
@@ -290,8 +293,13 @@
     )
 
 
-def _join_peers(membership: Membership, planning: Planning) -> Server:
+def _join_peers(
+    membership: Membership,
+    planning: Planning,
+    knowledge: Knowledge,
+) -> Server:
     peer_routes = PeerRoutes()
+    knowledge.relay.register(peer_routes)
     membership.register(peer_routes)
     planning.register(peer_routes)
     routes = Routes()
--- a/src/limpetdrift/platform/knowledge.py
+++ b/src/limpetdrift/platform/knowledge.py
@@ -7,13 +7,23 @@
 import trio
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.discovery import usable_entries
+from limpetdrift.coordination.knowledgerelay import (
+    HeldList,
+    KnowledgeRelay,
+    RelayInputs,
+)
+from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.logs import note, warn
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.following import Followed, Follower
 from limpetdrift.platform.listkeeping import ListKeeper
-from limpetdrift.platform.store import StoreClient, StoredRow
+from limpetdrift.platform.store import RowPage, StoreClient
+from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpointview import EndpointView
 from limpetdrift.state.heldroutes import HeldRoutes
+from limpetdrift.transport.messages import Address
 
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
@@ -27,23 +37,26 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KnowledgeInputs:
-    """What is kept up to date, from where."""
+    """What is kept up to date, from where and with whom."""
 
     store: StoreClient
     routes: HeldRoutes
     view: EndpointView
+    membership: Membership
+    call: PeerCall
+    seeds: Callable[[], tuple[Address, ...]]
     clock: Callable[[], float]
     randomness: random.Random
     revoke_seconds: float
 
 
 class Knowledge:
-    """The followers of both tables; ``run`` keeps them going."""
+    """Routes and endpoints, from the store or from peers that read it."""
 
     def __init__(self, *, inputs: KnowledgeInputs) -> None:
         self._inputs = inputs
         self._routes = inputs.routes
-        self._has_list = False
+        self._held = HeldList()
         self._complete = trio.Event()
         self._list = ListKeeper(
             view=inputs.view,
@@ -52,12 +65,15 @@
                 seconds,
             ),
         )
+        self.relay = KnowledgeRelay(inputs=self._relay_inputs())
         self._configuration = self._follow(
             Followed(
                 table=CONFIGURATION_TABLE,
                 replace=self._take_configuration,
                 apply=self._take_configuration,
                 confirm=self._confirm,
+                lost=self.relay.wake,
+                is_wanted=lambda: self.relay.reads_store,
                 wait_seconds=inputs.revoke_seconds * CONFIRM_SHARE,
             ),
         )
@@ -65,11 +81,14 @@
             Followed(
                 table=ENDPOINTS_TABLE,
                 replace=self._replace_list,
-                apply=lambda rows, read_at: self._list.apply(rows),
-                confirm=lambda read_at: None,
+                apply=self._apply_list,
+                confirm=self._confirm_list,
+                lost=self.relay.wake,
+                is_wanted=lambda: self.relay.reads_store,
                 wait_seconds=LIST_WAIT_SECONDS,
             ),
         )
+        inputs.routes.on_change.append(lambda table: self._note_change())
 
     @property
     def is_complete(self) -> bool:
@@ -81,11 +100,28 @@
         await self._complete.wait()
 
     async def run(self) -> None:
-        """Follow both tables until cancelled."""
+        """Keep all up to date until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._configuration.run)
             nursery.start_soon(self._endpoints.run)
             nursery.start_soon(self._list.run)
+            nursery.start_soon(self.relay.run)
+
+    def _relay_inputs(self) -> RelayInputs:
+        inputs = self._inputs
+        return RelayInputs(
+            node=inputs.membership.node,
+            call=inputs.call,
+            routes=inputs.routes,
+            held_list=self._held,
+            endpoints=lambda: inputs.view.listed,
+            take_endpoints=self._take_endpoints,
+            entries=lambda: tuple(usable_entries(inputs.membership)),
+            seeds=inputs.seeds,
+            is_cut=lambda: self._configuration.is_cut,
+            clock=inputs.clock,
+            randomness=inputs.randomness,
+        )
 
     def _follow(self, followed: Followed) -> Follower:
         return Follower(
@@ -95,24 +131,27 @@
             randomness=self._inputs.randomness,
         )
 
-    def _replace_list(
-        self,
-        rows: tuple[StoredRow, ...],
-        read_at: float,
-    ) -> None:
-        self._list.replace(rows)
-        self._has_list = True
-        self._check_complete()
-
-    def _take_configuration(
-        self,
-        rows: tuple[StoredRow, ...],
-        read_at: float,
-    ) -> None:
-        for row in rows:
+    def _replace_list(self, page: RowPage, read_at: float) -> None:
+        self._list.replace(page.rows)
+        self._held.version = page.version
+        self._note_change()
+
+    def _apply_list(self, page: RowPage, read_at: float) -> None:
+        self._list.apply(page.rows)
+        self._held.version = page.version
+        self._note_change()
+
+    def _take_endpoints(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
+        self._list.take(endpoints)
+        self._note_change()
+
+    def _confirm_list(self, read_at: float) -> None:
+        self._held.confirmed_at = max(self._held.confirmed_at, read_at)
+
+    def _take_configuration(self, page: RowPage, read_at: float) -> None:
+        for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 self._use_configuration(row.value, read_at)
-        self._check_complete()
 
     def _use_configuration(self, payload: bytes, read_at: float) -> None:
         decoded = decode_route_table(payload)
@@ -123,6 +162,7 @@
             note(
                 'configuration in force',
                 version=self._routes.version,
+                source='store',
                 routes=len(decoded.ok.routes),
                 accounts=len(decoded.ok.accounts),
             )
@@ -130,6 +170,7 @@
     def _confirm(self, read_at: float) -> None:
         self._routes.confirm(self._routes.version, read_at)
 
-    def _check_complete(self) -> None:
-        if self._has_list and self._routes.table is not None:
+    def _note_change(self) -> None:
+        if self._held.version and self._routes.table is not None:
             self._complete.set()
+        self.relay.wake()
--- a/src/limpetdrift/platform/listkeeping.py
+++ b/src/limpetdrift/platform/listkeeping.py
@@ -48,6 +48,17 @@
             self._put(endpoint)
         note('endpoint list read', endpoints=len(listed), rows=len(rows))
 
+    def take(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
+        """Take the whole list from a peer, which waits for lapsed entries."""
+        names = {each.name for each in endpoints}
+        for known in self._view.listed:
+            if known.name not in names:
+                self._lapsed.pop(known.name, None)
+                note('endpoint gone from a peer', endpoint=known.name)
+                self._view.drop(known.name)
+        for endpoint in endpoints:
+            self._put(endpoint)
+
     def apply(self, rows: tuple[StoredRow, ...]) -> None:
         """Take the rows that have changed."""
         for row in rows:
