--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -12,6 +12,11 @@
     add_readiness_routes,
 )
 from limpetdrift.platform.joining import Entry, join_entry, serve_routes
+from limpetdrift.platform.metrics import (
+    make_metrics_server,
+    metrics_address,
+    watch_ages,
+)
 from limpetdrift.platform.settings import PlatformSettings, read_settings
 from limpetdrift.programs.serving import (
     BAD_SETTINGS_EXIT,
@@ -63,6 +68,7 @@
             listeners.readiness,
             serve_routes(add_readiness_routes, entry.answers),
         ),
+        (metrics_address(settings), make_metrics_server(entry.answers)),
     )
     tasks = (
         entry.knowledge.run,
@@ -71,6 +77,7 @@
         partial(_take_part_when_ready, entry),
         _reload_on_signal,
     )
+    watch_ages(entry)
     async with trio.open_nursery() as nursery:
         for task in tasks:
             nursery.start_soon(task)
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -73,6 +73,7 @@
 
     settings: PlatformSettings
     node: Node
+    routes: HeldRoutes
     knowledge: Knowledge
     membership: Membership
     registration: Registration
@@ -175,6 +176,7 @@
     return Entry(
         settings=base.settings,
         node=base.node,
+        routes=base.routes,
         knowledge=knowledge,
         membership=base.membership,
         registration=registration,
--- /dev/null
+++ b/src/limpetdrift/platform/metrics.py
@@ -0,0 +1,43 @@
+"""Serves counters and histograms where the deploy file says."""
+
+import os
+
+from limpetdrift import telemetry
+from limpetdrift.coordination.knowledgerelay import NEVER_SECONDS
+from limpetdrift.platform.directory import DirectoryAnswers
+from limpetdrift.platform.joining import Entry
+from limpetdrift.platform.settings import PlatformSettings
+from limpetdrift.programs.serving import add_health_routes
+from limpetdrift.transport.messages import Address
+from limpetdrift.transport.routing import Routes
+from limpetdrift.transport.server import Server
+
+# The deploy file sets it to the port that it names under ``metrics``.
+PORT_VARIABLE = 'LIMPET_METRICS_PORT'
+
+
+def metrics_address(settings: PlatformSettings) -> Address | None:
+    """Return where metrics are served, if the environment names a port."""
+    port = os.environ.get(PORT_VARIABLE, '')
+    callers = settings.listeners.callers
+    if callers is None or not port.isdigit():
+        return None
+    return Address(host=callers.host, port=int(port))
+
+
+def make_metrics_server(answers: DirectoryAnswers) -> Server:
+    """Return the server of ``/metrics``, ``/readyz`` and ``/healthz``."""
+    routes = Routes()
+    add_health_routes(routes, answers.is_ready)
+    return Server(handler=routes.handle)
+
+
+def watch_ages(entry: Entry) -> None:
+    """Show how old the configuration is, and how many peers are known."""
+    telemetry.watch(
+        'configuration_age_seconds',
+        lambda: min(entry.routes.age_seconds(), NEVER_SECONDS),
+    )
+    telemetry.watch('configuration_version', lambda: entry.routes.version)
+    telemetry.watch('entries_listed', lambda: len(entry.answers.entries()))
+    telemetry.watch('requests_open', lambda: entry.callers.open_exchanges)
--- a/src/limpetdrift/telemetry.py
+++ b/src/limpetdrift/telemetry.py
@@ -8,10 +8,17 @@
 Durations are in seconds.
 """
 
+from collections.abc import Callable, Iterable
 from functools import cache
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import Counter, Histogram, Meter
+from opentelemetry.metrics import (
+    CallbackOptions,
+    Counter,
+    Histogram,
+    Meter,
+    Observation,
+)
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.view import (
     ExplicitBucketHistogramAggregation,
@@ -74,6 +81,21 @@
     _histogram(name).record(seconds, labels)
 
 
+def watch(name: str, read: Callable[[], float]) -> None:
+    """Show what a function returns as the gauge ``limpet_<name>``.
+
+    It is called whenever the metrics are read.
+    """
+
+    def observe_now(options: CallbackOptions) -> Iterable[Observation]:
+        return (Observation(read()),)
+
+    _meter().create_observable_gauge(
+        f'limpet_{name}',
+        callbacks=[observe_now],
+    )
+
+
 def exposition() -> bytes:
     """Return all metrics in the Prometheus text format."""
     _meter()
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -272,7 +272,8 @@
     if split is None:
         return
     chosen = [split.writer, *split.helpers]
-    assert len({use.endpoint.name for use in chosen}) == len(chosen) <= 17
+    assert len(chosen) <= 17
+    assert len({use.endpoint.name for use in chosen}) == len(chosen)
     reserved = dict(
         (use.endpoint.name, amount) for use, amount in split.reserved
     )
