Hold lapsed entries only until two seconds after the store's return

Change: what goes until two seconds after the return is held until then, what goes later goes at once.

--- a/src/limpetdrift/platform/knowledge.py
+++ b/src/limpetdrift/platform/knowledge.py
@@ -60,7 +60,6 @@
         self._complete = trio.Event()
         self._list = ListKeeper(
             view=inputs.view,
-            clock=inputs.clock,
             outage_within=lambda seconds: self._endpoints.outage_within(
                 seconds,
             ),
--- a/src/limpetdrift/platform/listkeeping.py
+++ b/src/limpetdrift/platform/listkeeping.py
@@ -27,13 +27,11 @@
         self,
         *,
         view: EndpointView,
-        clock: Callable[[], float],
         outage_within: OutageWithin,
     ) -> None:
         self._view = view
-        self._clock = clock
         self._outage_within = outage_within
-        self._lapsed: dict[str, float] = {}
+        self._lapsed: set[str] = set()
         self._complaints: dict[str, str] = {}
 
     def replace(self, rows: tuple[StoredRow, ...]) -> None:
@@ -53,7 +51,7 @@
         names = {each.name for each in endpoints}
         for known in self._view.listed:
             if known.name not in names:
-                self._lapsed.pop(known.name, None)
+                self._lapsed.discard(known.name)
                 note('endpoint gone from a peer', endpoint=known.name)
                 self._view.drop(known.name)
         for endpoint in endpoints:
@@ -75,18 +73,16 @@
             self.drop_lapsed()
 
     def drop_lapsed(self) -> None:
-        """Drop what has been missing for long enough with the store there."""
+        """Drop what is still missing so long after the store's return."""
         if self._outage_within(LAPSE_SECONDS):
             return
-        oldest = self._clock() - LAPSE_SECONDS
-        for name, since in tuple(self._lapsed.items()):
-            if since <= oldest:
-                self._lapsed.pop(name)
-                note('endpoint did not come back', endpoint=name)
-                self._view.drop(name)
+        for name in self._lapsed:
+            note('endpoint did not come back', endpoint=name)
+            self._view.drop(name)
+        self._lapsed.clear()
 
     def _put(self, endpoint: ListedEndpoint) -> None:
-        self._lapsed.pop(endpoint.name, None)
+        self._lapsed.discard(endpoint.name)
         if self._view.find(endpoint.name, endpoint.lifetime) == endpoint:
             return
         note(
@@ -101,8 +97,8 @@
 
     def _drop(self, name: str) -> None:
         """Drop an endpoint, later where its entry may only have lapsed."""
-        if self._outage_within(2 * LAPSE_SECONDS):
-            self._lapsed.setdefault(name, self._clock())
+        if self._outage_within(LAPSE_SECONDS):
+            self._lapsed.add(name)
             return
         note('endpoint gone from the list', endpoint=name)
         self._view.drop(name)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -165,7 +165,6 @@
         self.lost = 0
         self.keeper = ListKeeper(
             view=self.view,
-            clock=trio.current_time,
             outage_within=lambda seconds: self.follower.outage_within(seconds),
         )
         self.follower = Follower(
@@ -281,6 +280,26 @@
         nursery.cancel_scope.cancel()
 
 
+@virtual
+async def test_entry_that_goes_well_after_an_outage_goes_at_once():
+    """Seen on a hunted day: it was kept for two more seconds as lapsed."""
+    store = FakeStore()
+    store.put('a', entry_row())
+    world = ListWorld(store)
+    async with trio.open_nursery() as nursery:
+        world.start(nursery)
+        await trio.sleep(0.1)
+        store.failure = not_run(Reason.STORE_UNAVAILABLE)
+        store.put('b', entry_row())
+        await trio.sleep(4)
+        store.failure = None
+        await trio.sleep(LAPSE_SECONDS + 1.5)
+        store.put('a', None)
+        await trio.sleep(0.3)
+        assert world.names() == ['b']
+        nursery.cancel_scope.cancel()
+
+
 @virtual
 async def test_store_that_fails_is_asked_with_pauses():
     store = FakeStore()
