Confirm often at readers, and ask a second one before reading alone

Readers confirmed every 1.25 s, so one answer in ten looked older than 1.2 s, after which its asker read for itself for 4 s. Change: readers confirm every 0.5 s, a second reader is asked first, and failing reads pause longer the more entries there are.

--- a/src/limpetdrift/coordination/knowledgerelay.py
+++ b/src/limpetdrift/coordination/knowledgerelay.py
@@ -34,14 +34,22 @@
 KNOWLEDGE_PATH = 'knowledge'
 # Up to so many entries all read the store; beyond, one in so many does.
 DIRECT_ENTRIES = 12
-ENTRIES_OF_A_READER = 16
+ENTRIES_OF_A_READER = 24
 LEAST_READERS = 3
 # How long a reader keeps a question when nothing changes, and how much later
 # its answer may come.
 WAIT_SECONDS = 1.0
 LATE_SECONDS = 0.4
+# A reader that others ask confirms what it holds so often.
+READER_WAIT_SECONDS = 0.5
 # Knowledge older than this is asked elsewhere.
 FRESH_SECONDS = 1.2
+# So many readers are asked before an entry reads for itself.
+READERS_ASKED = 2
+# Pauses between failing reads grow to this, for each entry beyond those that
+# always read.
+_RETRY_SECONDS_OF_AN_ENTRY = 0.03
+_RETRY_SECONDS = 0.6
 # An entry whose reader fell behind reads for itself this long.
 ALONE_SECONDS = 4.0
 # Stands for the age of what was never read.
@@ -98,6 +106,19 @@
             return True
         return self._inputs.node.name in _readers(names)
 
+    @property
+    def wait_seconds(self) -> float | None:
+        """How soon a read is to end without news, if others wait for it."""
+        if len(self._inputs.entries()) <= DIRECT_ENTRIES:
+            return None
+        return READER_WAIT_SECONDS
+
+    @property
+    def retry_seconds(self) -> float:
+        """The longest pause between reads that fail."""
+        beyond = max(0, len(self._inputs.entries()) - DIRECT_ENTRIES)
+        return _RETRY_SECONDS + beyond * _RETRY_SECONDS_OF_AN_ENTRY
+
     def register(self, peer_routes: PeerRoutes) -> None:
         """Offer the handler to peers."""
         peer_routes.add(KNOWLEDGE_PATH, KnowledgeRequest, self.answer)
@@ -143,10 +164,10 @@
             timeout_seconds=WAIT_SECONDS + LATE_SECONDS,
         )
         telemetry.count('knowledge_asked', outcome=_outcome(reply))
-        if reply.is_error() or reply.ok.is_cut or not _is_fresh(reply.ok):
-            self._note_behind(name)
-        else:
+        if reply.is_ok() and _is_fresh(reply.ok):
             self._failed.clear()
+        else:
+            self._note_behind(name, is_silent=reply.is_error())
         if reply.is_ok():
             self._take(reply.ok, sent_at)
 
@@ -204,9 +225,14 @@
         chosen = choose(f'reader-of/{own}', heard, 1)[0]
         return chosen, entries[chosen]
 
-    def _note_behind(self, name: str) -> None:
-        """Read for oneself for a while, and ask another one then."""
+    def _note_behind(self, name: str, *, is_silent: bool) -> None:
+        """Ask another reader, and read for oneself if none is better.
+
+        A silent one has cost too much time to try another.
+        """
         self._failed.add(name)
+        if not is_silent and len(self._failed) < READERS_ASKED:
+            return
         now = self._inputs.clock()
         if now >= self._alone_until and not self._inputs.is_cut():
             note('reader of the store fell behind', reader=name)
@@ -242,7 +268,7 @@
 
 
 def _is_fresh(reply: KnowledgeReply) -> bool:
-    return reply.routes_age_seconds <= FRESH_SECONDS
+    return not reply.is_cut and reply.routes_age_seconds <= FRESH_SECONDS
 
 
 def _outcome(reply: Result[KnowledgeReply, Failure]) -> str:
--- a/src/limpetdrift/platform/following.py
+++ b/src/limpetdrift/platform/following.py
@@ -11,10 +11,9 @@
 from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
 from limpetdrift.protocol.verdict import Failure, Reason
 
-# Pauses between calls that fail; the first is short since most failures
-# are of one connection only.
+# The pause after a call that failed grows by this with each one in turn; the
+# first is short since most failures are of one connection only.
 RETRY_SECONDS = 0.1
-RETRY_SECONDS_LIMIT = 0.6
 _JITTER = (0.5, 1.0)
 # How often a table that others follow is looked at.
 UNWANTED_SECONDS = 0.1
@@ -27,7 +26,9 @@
     ``replace`` gets all rows, ``apply`` the changed ones; both get the time
     at which the call began, on the follower's clock. ``confirm`` gets that
     of a call that showed all changes so far. ``lost`` is told when the store
-    goes out of reach. The table is followed while ``is_wanted``.
+    goes out of reach. The table is followed while ``is_wanted``; without a
+    change a call ends after ``wait_seconds``, and calls that fail are made
+    again after ``retry_seconds`` at most.
     """
 
     table: str
@@ -36,7 +37,8 @@
     confirm: Callable[[float], None]
     lost: Callable[[], None]
     is_wanted: Callable[[], bool]
-    wait_seconds: float
+    wait_seconds: Callable[[], float]
+    retry_seconds: Callable[[], float]
 
 
 class Follower:
@@ -125,7 +127,7 @@
         answer = await self._store.follow(
             self._followed.table,
             self._version,
-            self._followed.wait_seconds,
+            self._followed.wait_seconds(),
         )
         if answer.is_error():
             return answer.error
@@ -147,7 +149,10 @@
                 reason=failure.reason,
                 detail=failure.detail,
             )
-        longest = min(RETRY_SECONDS * self._failures, RETRY_SECONDS_LIMIT)
+        longest = min(
+            RETRY_SECONDS * self._failures,
+            self._followed.retry_seconds(),
+        )
         await trio.sleep(longest * self._random.uniform(*_JITTER))
 
     def _note_regained(self) -> None:
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -59,8 +59,8 @@
 STORE_CONNECT_SECONDS = 0.5
 # While it stops a process takes requests for this part of the time it has,
 # and ends so long before it would be killed.
-SERVE_ON_SHARE = 0.4
-END_EARLY_SECONDS = 0.5
+SERVE_ON_SHARE = 0.35
+END_EARLY_SECONDS = 0.8
 # The smallest number of entries that a site is thought to have when the
 # budget of retries is divided.
 _LEAST_ENTRIES = 2
--- a/src/limpetdrift/platform/knowledge.py
+++ b/src/limpetdrift/platform/knowledge.py
@@ -73,7 +73,8 @@
                 confirm=self._confirm,
                 lost=self.relay.wake,
                 is_wanted=lambda: self.relay.reads_store,
-                wait_seconds=inputs.revoke_seconds * CONFIRM_SHARE,
+                wait_seconds=self._confirm_seconds,
+                retry_seconds=lambda: self.relay.retry_seconds,
             ),
         )
         self._endpoints = self._follow(
@@ -84,7 +85,8 @@
                 confirm=self._confirm_list,
                 lost=self.relay.wake,
                 is_wanted=lambda: self.relay.reads_store,
-                wait_seconds=LIST_WAIT_SECONDS,
+                wait_seconds=lambda: LIST_WAIT_SECONDS,
+                retry_seconds=lambda: self.relay.retry_seconds,
             ),
         )
         inputs.routes.on_change.append(lambda table: self._note_change())
@@ -130,6 +132,10 @@
             randomness=self._inputs.randomness,
         )
 
+    def _confirm_seconds(self) -> float:
+        own = self._inputs.revoke_seconds * CONFIRM_SHARE
+        return self.relay.wait_seconds or own
+
     def _replace_list(self, page: RowPage, read_at: float) -> None:
         self._list.replace(page.rows)
         self._held.version = page.version
