--- a/src/limpet_standins/relay.py
+++ b/src/limpet_standins/relay.py
@@ -84,9 +84,19 @@
             detail = {'error': faults.error}
             await exchange.respond(json_response(detail, status=_BAD_INPUT))
             return
-        self._apply(faults.ok)
+        self.apply(faults.ok)
         await exchange.respond(json_response({}))
 
+    def apply(self, faults: RelayFaults) -> None:
+        """Replace all faults; what is open feels them too."""
+        self._faults = faults
+        for pair in self._pairs:
+            pair.silent = pair.silent or faults.silent_connections
+            if faults.down:
+                pair.scope.cancel()
+        self._changed.set()
+        self._changed = trio.Event()
+
     async def _join(self, pair: _Pair, caller: trio.abc.Stream) -> None:
         try:
             target = await trio.open_tcp_stream(
@@ -147,15 +157,6 @@
             return self._faults.cut_to_target
         return self._faults.cut_to_caller
 
-    def _apply(self, faults: RelayFaults) -> None:
-        self._faults = faults
-        for pair in self._pairs:
-            pair.silent = pair.silent or faults.silent_connections
-            if faults.down:
-                pair.scope.cancel()
-        self._changed.set()
-        self._changed = trio.Event()
-
 
 async def _deliver(sink: trio.abc.Stream, chunk: bytes) -> bool:
     """Pass bytes on; False when the connection is over."""
--- a/src/limpetdrift/platform/knowledge.py
+++ b/src/limpetdrift/platform/knowledge.py
@@ -65,7 +65,8 @@
             ),
         )
         self.relay = KnowledgeRelay(inputs=self._relay_inputs())
-        self._configuration = self._follow(
+        self._configuration = _make_follower(
+            inputs,
             Followed(
                 table=CONFIGURATION_TABLE,
                 replace=self._take_configuration,
@@ -77,7 +78,8 @@
                 retry_seconds=lambda: self.relay.retry_seconds,
             ),
         )
-        self._endpoints = self._follow(
+        self._endpoints = _make_follower(
+            inputs,
             Followed(
                 table=ENDPOINTS_TABLE,
                 replace=self._replace_list,
@@ -124,14 +126,6 @@
             randomness=inputs.randomness,
         )
 
-    def _follow(self, followed: Followed) -> Follower:
-        return Follower(
-            store=self._inputs.store,
-            followed=followed,
-            clock=self._inputs.clock,
-            randomness=self._inputs.randomness,
-        )
-
     def _confirm_seconds(self) -> float:
         own = self._inputs.revoke_seconds * CONFIRM_SHARE
         return self.relay.wait_seconds or own
@@ -179,3 +173,12 @@
         if self._held.version and self._routes.table is not None:
             self._complete.set()
         self.relay.wake()
+
+
+def _make_follower(inputs: KnowledgeInputs, followed: Followed) -> Follower:
+    return Follower(
+        store=inputs.store,
+        followed=followed,
+        clock=inputs.clock,
+        randomness=inputs.randomness,
+    )
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real entries, with faults from outside."""
