--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -109,18 +109,24 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         request = exchange.request
-        if request.path == '/-/report':
-            await exchange.respond(json_response(self._report()))
-        elif request.path == '/-/order':
-            await exchange.respond(self._order(request))
-        elif request.header('expect-instance', self.name) != self.name:
-            await exchange.respond(Response(status=_MISDIRECTED))
-        elif self._active >= self._slots:
-            await exchange.respond(
-                Response(status=_UNAVAILABLE, headers=(('not-executed', '1'),)),
-            )
-        else:
+        at_once = self._answer_at_once(request)
+        if at_once is None:
             await self._run_until_gone(exchange)
+        else:
+            await exchange.respond(at_once)
+
+    def _answer_at_once(self, request: Request) -> Response | None:
+        """Return the answer to what is not run."""
+        if request.path == '/-/report':
+            return json_response(self._report())
+        if request.path == '/-/order':
+            return self._order(request)
+        if request.header('expect-instance', self.name) != self.name:
+            return Response(status=_MISDIRECTED)
+        if self._active >= self._slots:
+            not_run = (('not-executed', '1'),)
+            return Response(status=_UNAVAILABLE, headers=not_run)
+        return None
 
     async def _run_until_gone(self, exchange: Exchange) -> None:
         self._active += 1
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -90,7 +90,8 @@
     async def _call(self, address: Address) -> None:
         route = self._random.choice(('text', 'text', 'once', 'twice'))
         key = self._random.choice(sorted(self._site.keys) or ['none'])
-        request_id = f'{self._number}-{len(self.calls)}-{route}'
+        number = len(self.calls)
+        request_id = f'{self._number}-{number}-{route}'
         seconds = ROUTES[route][2] / 1000
         prompt, count = (
             self._random.choices(
@@ -103,7 +104,7 @@
             ('host', HOST),
             ('attempt-id', request_id),
             ('deadline-ms', str(int(seconds * 1000))),
-            ('authorization', f'Bearer {key}'),
+            ('authorization', ' '.join(('Bearer', key))),
             ('tenant', 'mallory'),
         ]
         if route == 'text':
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,6 +6,7 @@
 import tempfile
 import time
 from dataclasses import dataclass
+from itertools import chain
 from pathlib import Path
 
 import trio
@@ -80,7 +81,7 @@
             nursery.start_soon(caller.run, end)
     # Reservations end with their requests, or expire a little later.
     await trio.sleep(4)
-    calls = [call for caller in callers for call in caller.calls]
+    calls = list(chain.from_iterable(each.calls for each in callers))
     return _judge(plan, site, calls, calm_at, faults)
 
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -33,6 +33,7 @@
     'twice': ('idempotent', 'desk', 1500, 2),
     'text': ('streaming', 'engines', 8000, 2),
 }
+_ENTRIES_OF_A_NET = 200
 _SOURCE = str(Path(limpetdrift.__file__).parents[1])
 
 
@@ -201,7 +202,8 @@
         store: Address,
     ) -> EntryProcess:
         name = f'entry-{number}'
-        host = f'127.0.{1 + number // 200}.{1 + number % 200}'
+        net, last = divmod(number, _ENTRIES_OF_A_NET)
+        host = '.'.join(('127.0', str(1 + net), str(1 + last)))
         settings = self.folder / f'{name}.json'
         settings.write_text(
             json.dumps(_settings(name, host, self.port, store)),
@@ -217,18 +219,25 @@
 
 
 def _settings(name: str, host: str, port: int, store: Address) -> dict:
+    def listen_on(offset: int) -> str:
+        return str(Address(host=host, port=port + offset))
+
+    seeds = [
+        Address(host=f'127.0.1.{number}', port=port + 2)
+        for number in range(1, 4)
+    ]
     return {
         'nodeName': name,
         'zone': 'zone-1',
         'region': 'region-1',
         'zones': {'zone-1': 'region-1'},
         'listen': {
-            'front': f'{host}:{port}',
-            'ready': f'{host}:{port + 1}',
-            'control': f'{host}:{port + 2}',
-            'directory': f'{host}:{port + 3}',
+            'front': listen_on(0),
+            'ready': listen_on(1),
+            'control': listen_on(2),
+            'directory': listen_on(3),
         },
-        'seeds': [f'127.0.1.{number + 1}:{port + 2}' for number in range(3)],
+        'seeds': [str(seed) for seed in seeds],
         'bounds': {
             'drainMs': LEAVING_SECONDS * 1000,
             'graceS': STOP_SECONDS,
