Plan no pause over a caller's patience, resume begun streams whatever is left, and refuse requests that crash endpoints

Change: a part never keeps a stream waiting for near half of its caller's patience; a begun stream may go on until its deadline.

--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -82,7 +82,8 @@
     """What the forwarder is given by the rest of the entry.
 
     ``check`` returns why a request may not be sent now, if it may not;
-    ``render`` turns a failure into the answer that a caller gets.
+    ``render`` turns a failure into the answer that a caller gets;
+    ``note_broken`` is told of connections that broke while a request ran.
     """
 
     place: Place
@@ -91,6 +92,7 @@
     send: Sending
     check: Callable[[Work], Failure | None]
     render: Callable[[Failure], Response]
+    note_broken: Callable[[Work, ListedEndpoint], None]
     view: EndpointView
     budget: RetryBudget
     clock: Callable[[], float]
@@ -196,7 +198,7 @@
         if blocked is not None:
             return Error(blocked)
         placed = await self._parts.place(
-            course.work,
+            replace(course.work, is_begun=course.has_head),
             frozenset(course.excluded),
         )
         if placed.is_error():
@@ -226,6 +228,8 @@
             outcome = Error(error.failure)
         if outcome.is_error():
             _note_failure(course, placement, outcome.error)
+            if outcome.error.reason is Reason.CONNECTION_BROKEN:
+                self._parts.note_broken(course.work, placement.endpoint)
             if outcome.error.verdict is Verdict.NOT_RUN:
                 course.verdict = earlier
         return outcome
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -41,6 +41,7 @@
     EngineLedger,
     EngineUse,
     Grant,
+    StreamUse,
 )
 
 # A plan whose first token is expected so late, as a share of the time left,
@@ -172,6 +173,11 @@
         law = self._inputs.find_law(request.service)
         part = _part_seconds(plan, request, law) if law else 0
         part -= max(0, age_seconds - plan.delay_seconds)
+        stream = StreamUse(
+            pause_seconds=request.pause_seconds,
+            patience_seconds=request.patience_seconds,
+            worth=stream_worth(request.prompt_tokens),
+        )
         bookings = []
         for name in (plan.writer, *plan.helpers):
             endpoint = self._inputs.view.find(name.name, name.lifetime)
@@ -182,12 +188,7 @@
                         read_seconds=max(0, part),
                         delay_seconds=max(0, plan.delay_seconds - age_seconds),
                         memory_tokens=_memory_tokens(plan, request, name),
-                        pause_seconds=(
-                            request.pause_seconds
-                            if name == plan.writer
-                            else None
-                        ),
-                        worth=stream_worth(request.prompt_tokens),
+                        stream=stream if name == plan.writer else None,
                     ),
                 )
         return bookings
--- a/src/limpetdrift/coordination/planning.py
+++ b/src/limpetdrift/coordination/planning.py
@@ -102,22 +102,24 @@
         if work.size is not None:
             prompt, answer = work.size.prompt_tokens, work.size.answer_tokens
         now = self._inputs.clock()
-        passed = now - work.arrived_at
         route = work.route
+        passed = now - work.arrived_at
+        left = min(work.deadline - now, route.patience_seconds - passed)
+        if work.is_begun:
+            # The caller has events; late is better than an end midway.
+            passed, left = 0, work.deadline - now
         return PlanRequest(
             service=work.service,
             entry=self._inputs.node.name,
             prompt_tokens=prompt,
             answer_tokens=answer,
             pause_seconds=route.pause_seconds,
+            patience_seconds=route.patience_seconds,
             target_seconds=max(
                 _LEAST_TARGET_SECONDS,
                 route.target_seconds - passed,
             ),
-            seconds_left=min(
-                work.deadline - now,
-                route.patience_seconds - passed,
-            ),
+            seconds_left=left,
             hold_seconds=work.deadline - now,
             failure_domain=self._inputs.node.failure_domain,
             excluded=tuple(
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -13,7 +13,7 @@
 
 from limpetdrift.coordination.enginelaw import pass_seconds, read_seconds
 from limpetdrift.protocol.routetable import EngineLaw
-from limpetdrift.state.engineledger import EngineUse
+from limpetdrift.state.engineledger import EngineUse, StreamUse
 
 # Numbers of parts that are weighed; the platform takes 16 helpers.
 PART_COUNTS = (1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 14, 17)
@@ -34,6 +34,11 @@
 _TOKENS_OF_ONE_STREAM = 7500.0
 # The part of its worth that a late answer loses.
 _LATE_LOSS = 0.75
+# No prompt is worth ending an answer that was admitted and has begun.
+_LEFT_LOSS = 50.0
+# Share of a caller's patience that a planned pause may take. After more an
+# engine is held to be silent.
+_PATIENCE_SHARE = 0.45
 # Weighs time to the first token where nothing else decides.
 _HASTE = 0.2
 # What each part costs besides, in the same measure.
@@ -255,8 +260,20 @@
 
 def _harm(use: EngineUse, part: float, law: EngineLaw) -> float:
     """Return what is lost of the streams that would pause for too long."""
-    pause = (part + _idle_pass_seconds(law)) / _PAUSE_SHARE
-    return _LATE_LOSS * use.worth_paused(pause)
+    pause = part + _idle_pass_seconds(law)
+    return sum(_pause_cost(stream, pause) for stream in use.written)
+
+
+def _pause_cost(stream: StreamUse, pause: float) -> float:
+    """Return what a stream loses by a pause; callers leave after a long one.
+
+    One that is left was written in vain, and may be asked for again.
+    """
+    if pause > stream.patience_seconds * _PATIENCE_SHARE:
+        return _LEFT_LOSS * stream.worth
+    if pause > stream.pause_seconds * _PAUSE_SHARE:
+        return _LATE_LOSS * stream.worth
+    return 0
 
 
 def _lateness_cost(first: float, request: SplitRequest) -> float:
--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -74,6 +74,7 @@
         entry.knowledge.run,
         entry.planning.links.run,
         entry.watch.run,
+        entry.guard.run,
         partial(_take_part_when_ready, entry),
         _reload_on_signal,
     )
--- a/src/limpetdrift/platform/calls.py
+++ b/src/limpetdrift/platform/calls.py
@@ -11,7 +11,7 @@
     Placement,
     Work,
 )
-from limpetdrift.transport.client import HttpClient, ResponseStream
+from limpetdrift.transport.client import HttpClient, ResponseStream, refuses
 from limpetdrift.transport.messages import (
     Headers,
     Request,
@@ -27,6 +27,8 @@
 _AT_FAULT = 'at-server'
 _INTERNAL_HEADERS = frozenset((_NOT_RUN, _LOAD, _IDENTITY, _AT_FAULT))
 _LOAD_FIELDS = 3
+# An endpoint that died refuses at once; a silent one proves nothing.
+_LOOK_SECONDS = 0.3
 
 
 NoteLoad = Callable[[ListedEndpoint, EndpointLoad], None]
@@ -67,6 +69,11 @@
     return send
 
 
+async def is_dead(endpoint: ListedEndpoint) -> bool:
+    """Return whether nobody listens at an endpoint's address."""
+    return await refuses(parse_address(endpoint.address), _LOOK_SECONDS)
+
+
 def read_answer(stream: ResponseStream, request_id: str) -> Answer:
     """Read the head of an endpoint's answer."""
     said = dict(stream.headers)
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -8,6 +8,7 @@
 from expression import Result
 
 from limpetdrift.clocks import boot_time
+from limpetdrift.coordination.crashguard import CrashGuard
 from limpetdrift.coordination.discovery import usable_entries
 from limpetdrift.coordination.drain import Drain, DrainTiming
 from limpetdrift.coordination.enginewatch import EngineWatch
@@ -24,7 +25,11 @@
 from limpetdrift.platform.callers import CallerFront, make_caller_handler
 from limpetdrift.platform.calls import make_sending
 from limpetdrift.platform.directory import DirectoryAnswers
-from limpetdrift.platform.joinplanning import Base, join_planning
+from limpetdrift.platform.joinplanning import (
+    Base,
+    join_guard,
+    join_planning,
+)
 from limpetdrift.platform.knowledge import Knowledge, KnowledgeInputs
 from limpetdrift.platform.registration import (
     Registration,
@@ -79,6 +84,7 @@
     registration: Registration
     planning: Planning
     watch: EngineWatch
+    guard: CrashGuard
     drain: Drain
     answers: DirectoryAnswers
     callers: Server
@@ -161,7 +167,8 @@
         ),
     )
     planning, watch = join_planning(base, call)
-    callers, drain = _join_callers(base, planning)
+    guard = join_guard(base, call)
+    callers, drain = _join_callers(base, planning, guard)
 
     def is_ready() -> bool:
         return knowledge.is_complete and not drain.is_leaving
@@ -182,6 +189,7 @@
         registration=registration,
         planning=planning,
         watch=watch,
+        guard=guard,
         drain=drain,
         answers=DirectoryAnswers(
             entries=entries,
@@ -192,11 +200,15 @@
             ),
         ),
         callers=callers,
-        peers=_join_peers(base.membership, planning, knowledge),
+        peers=_join_peers(base.membership, planning, knowledge, guard),
     )
 
 
-def _join_callers(base: Base, planning: Planning) -> tuple[Server, Drain]:
+def _join_callers(
+    base: Base,
+    planning: Planning,
+    guard: CrashGuard,
+) -> tuple[Server, Drain]:
     bounds = base.settings.bounds
     intake = Intake(
         routes=base.routes,
@@ -207,7 +219,7 @@
     )
     front = CallerFront(
         intake=intake,
-        forwarder=_join_forwarder(base, planning, intake),
+        forwarder=_join_forwarder(base, planning, intake, guard),
         render=make_render(base.randomness),
         drain=lambda: drain,
     )
@@ -231,6 +243,7 @@
     base: Base,
     planning: Planning,
     intake: Intake,
+    guard: CrashGuard,
 ) -> Forwarder:
     plain = PlainPlacing(view=base.view, randomness=base.randomness)
     endpoints = HttpClient(
@@ -264,7 +277,8 @@
             release=release,
             hold=make_holding(endpoints, base.node.name),
             send=make_sending(endpoints, plain.note_load),
-            check=lambda work: check_key(work, intake),
+            check=lambda work: guard.refusal(work) or check_key(work, intake),
+            note_broken=guard.note_broken,
             render=make_render(base.randomness),
             view=base.view,
             budget=_make_budget(base.settings),
@@ -299,8 +313,10 @@
     membership: Membership,
     planning: Planning,
     knowledge: Knowledge,
+    guard: CrashGuard,
 ) -> Server:
     peer_routes = PeerRoutes()
+    guard.spread.mount(peer_routes)
     knowledge.relay.register(peer_routes)
     membership.register(peer_routes)
     planning.register(peer_routes)
--- a/src/limpetdrift/platform/joinplanning.py
+++ b/src/limpetdrift/platform/joinplanning.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from limpetdrift.clocks import boot_time
+from limpetdrift.coordination.crashguard import CrashGuard
 from limpetdrift.coordination.discovery import usable_entries
 from limpetdrift.coordination.enginewatch import EngineWatch, WatchInputs
 from limpetdrift.coordination.membership import Member, Membership
@@ -11,7 +12,12 @@
 from limpetdrift.coordination.planlinks import PlanningInputs
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planning import Planning
+from limpetdrift.coordination.quarantinespread import (
+    DIGEST_NAME,
+    QuarantineSpread,
+)
 from limpetdrift.logs import note
+from limpetdrift.platform.calls import is_dead
 from limpetdrift.platform.reports import make_report_reader
 from limpetdrift.platform.settings import PlatformSettings
 from limpetdrift.protocol.node import Node
@@ -19,6 +25,7 @@
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpointview import EndpointView
 from limpetdrift.state.heldroutes import HeldRoutes
+from limpetdrift.state.suspects import Suspects
 from limpetdrift.transport.client import HttpClient
 
 
@@ -89,3 +96,16 @@
 def _note_members(changed: tuple[Member, ...]) -> None:
     for member in changed:
         note('peer changed', peer=member.node.name, state=member.state)
+
+
+def join_guard(base: Base, call: PeerCall) -> CrashGuard:
+    """Return what refuses requests that crash endpoints."""
+    suspects = Suspects()
+    spread = QuarantineSpread(
+        node=base.node,
+        suspects=suspects,
+        live_entries=base.membership.live_entries,
+        call=call,
+    )
+    base.membership.attach(DIGEST_NAME, spread.make_digest, spread.on_digest)
+    return CrashGuard(suspects=suspects, spread=spread, is_dead=is_dead)
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -23,7 +23,8 @@
 class PlanRequest:
     """Asks where a prompt is read and its answer written.
 
-    ``pause_seconds`` is the longest pause that the answer bears,
+    ``pause_seconds`` is the longest pause that the answer bears, after
+    ``patience_seconds`` without an event its caller leaves,
     ``target_seconds`` when it should begin, ``seconds_left`` when that is no
     use any more, and ``hold_seconds`` when it has ended in any case.
     ``ended`` lists plans of the same entry that have ended; ``entry`` names
@@ -35,6 +36,7 @@
     prompt_tokens: int
     answer_tokens: int
     pause_seconds: float
+    patience_seconds: float
     target_seconds: float
     seconds_left: float
     hold_seconds: float
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -30,7 +30,8 @@
     ``deadline`` is on the entry's ``clocks.boot_time``; ``account`` is empty
     where the route needs no key. ``version`` is that of the route table by
     which the request was admitted. ``last_event_id`` is what the caller has
-    seen of a stream that it resumes.
+    seen of a stream that it resumes, and ``is_begun`` tells that it has
+    events of this very answer.
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     priority: int = 0
     size: PromptSize | None = None
     last_event_id: int | None = None
+    is_begun: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -17,21 +17,32 @@
 REPORT_AGE_SECONDS = 2.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StreamUse:
+    """A stream that an engine writes, and what it bears.
+
+    It is late after a pause of ``pause_seconds``, and its caller leaves after
+    one of ``patience_seconds``. ``worth`` weighs it against others.
+    """
+
+    pause_seconds: float
+    patience_seconds: float = float('inf')
+    worth: float = 1.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Booking:
     """What one plan takes at one engine.
 
     Reading begins after ``delay_seconds`` at the earliest.
-    ``pause_seconds`` is set at the writer: the longest pause that its stream
-    bears. ``worth`` weighs that stream against others.
+    ``stream`` is set at the writer.
     """
 
     endpoint: ListedEndpoint
     read_seconds: float
     delay_seconds: float = 0.0
     memory_tokens: int = 0
-    pause_seconds: float | None = None
-    worth: float = 1.0
+    stream: StreamUse | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,17 +51,16 @@
 
     ``backlog_seconds`` is how long it takes to the end of all reading that
     was planned, ``gap_seconds`` how long it has nothing to read from now on.
-    ``pauses`` holds the pause bound and the worth of each of its streams.
-    ``ghosts`` are requests that it runs though no plan knows them, and
-    ``queued`` those of them that wait; ``pace`` is how many times as long as
-    usual it takes.
+    ``written`` holds the streams that it writes by plan. ``ghosts`` are
+    requests that it runs though no plan knows them, and ``queued`` those of
+    them that wait; ``pace`` is how many times as long as usual it takes.
     """
 
     endpoint: ListedEndpoint
     backlog_seconds: float = 0.0
     gap_seconds: float = float('inf')
     memory_tokens: int = 0
-    pauses: tuple[tuple[float, float], ...] = ()
+    written: tuple[StreamUse, ...] = ()
     ghosts: int = 0
     queued: int = 0
     pace: float = 1.0
@@ -59,16 +69,13 @@
     @property
     def streams(self) -> int:
         """The number of streams that the engine writes, ghosts included."""
-        return len(self.pauses) + self.ghosts
+        return len(self.written) + self.ghosts
 
     @property
     def pause_seconds(self) -> float:
         """The shortest pause bound, infinite where nothing is written."""
-        return min((pause for pause, _ in self.pauses), default=float('inf'))
-
-    def worth_paused(self, seconds: float) -> float:
-        """Return the worth of the streams that bear no such pause."""
-        return sum(worth for pause, worth in self.pauses if pause < seconds)
+        bounds = [stream.pause_seconds for stream in self.written]
+        return min(bounds, default=float('inf'))
 
     def wait_seconds(self, read_seconds: float) -> float:
         """Return how long such a reading waits for others before it."""
@@ -180,8 +187,7 @@
         now = self._clock()
         engine = self._engine(endpoint)
         streams = sum(
-            booking.pause_seconds is not None
-            for booking in engine.bookings.values()
+            booking.stream is not None for booking in engine.bookings.values()
         )
         planned = sum(
             booking.memory_tokens for booking in engine.bookings.values()
@@ -216,10 +222,10 @@
             return EngineUse(endpoint=endpoint)
         while engine.readings and engine.readings[0][1] <= now:
             engine.readings.pop(0)
-        pauses = tuple(
-            (booking.pause_seconds, booking.worth)
+        written = tuple(
+            booking.stream
             for booking in engine.bookings.values()
-            if booking.pause_seconds is not None
+            if booking.stream is not None
         )
         if now - engine.reported_at > REPORT_AGE_SECONDS:
             engine.ghosts = 0
@@ -236,7 +242,7 @@
             + sum(
                 booking.memory_tokens for booking in engine.bookings.values()
             ),
-            pauses=pauses,
+            written=written,
             failing=engine.failing_until > now,
         )
 
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -264,6 +264,22 @@
     return trio.SocketStream(connecting)
 
 
+async def refuses(address: Address, seconds: float) -> bool:
+    """Return whether connections to an address are refused.
+
+    Only that proves that no process listens there; silence does not.
+    """
+    with trio.move_on_after(seconds):
+        try:
+            stream = await _connect(address)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        await trio.aclose_forcefully(stream)
+    return False
+
+
 def _close(connection: _Pooled) -> None:
     raw = connection.stream
     if isinstance(raw, trio.SSLStream):
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -112,6 +112,7 @@
         self.ended: list[float] = []
         self.released: list[tuple[str, tuple[str, ...]]] = []
         self.refusal: Failure | None = None
+        self.broken: list[tuple[Work, ListedEndpoint]] = []
         self.delay_seconds = 0.0
         self.endpoints = make_endpoints(3)
         self.view = EndpointView(clock=trio.current_time)
@@ -124,6 +125,9 @@
                 send=self._send,
                 check=lambda work: self.refusal,
                 render=_render,
+                note_broken=lambda work, endpoint: self.broken.append(
+                    (work, endpoint),
+                ),
                 view=self.view,
                 budget=RetryBudget(share=0.0, reserve=reserve),
                 clock=trio.current_time,
