--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,105 @@
+"""Logs never hold a process up, and tell the story of a request."""
+
+import json
+import os
+import subprocess
+import sys
+import time
+
+from limpetdrift.logs import SAMPLED_EVERY, LineQueue, is_sampled
+from limpetdrift.programs.story import Arguments, tell
+
+
+def test_reader_that_stops_reading_stops_nothing():
+    """Many more lines than a pipe and the queue hold; nobody reads."""
+    code = (
+        'from limpetdrift import logs\n'
+        'import sys\n'
+        'logs.set_up_queue("test")\n'
+        'for number in range(20000):\n'
+        '    logs.note("x" * 100, number=number)\n'
+        'sys.stderr.write("done")\n'
+        'import os\n'
+        'os._exit(0)\n'
+    )
+    process = subprocess.Popen(
+        [sys.executable, '-c', code],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env=os.environ | {'PYTHONPATH': os.pathsep.join(sys.path)},
+    )
+    try:
+        assert process.wait(timeout=60) == 0
+        assert process.stderr.read() == b'done'
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_dropped_lines_are_told():
+    reader, writer = os.pipe()
+    queue = LineQueue(descriptor=writer, size=2)
+    for number in range(5):
+        queue.put(f'{{"number": {number}}}')
+    assert queue.dropped == 3
+    queue._write_some()
+    queue.put('{"number": 9}')
+    queue._write_some()
+    os.close(writer)
+    with os.fdopen(reader) as read:
+        lines = [json.loads(line) for line in read]
+    assert [line.get('number') for line in lines] == [0, 1, None, 9]
+    assert lines[2]['count'] == 3
+
+
+def test_sample_is_the_same_everywhere_and_small():
+    sampled = [is_sampled(f'r{number}') for number in range(4000)]
+    assert sampled == [is_sampled(f'r{number}') for number in range(4000)]
+    assert 0.5 < sum(sampled) * SAMPLED_EVERY / len(sampled) < 1.5
+
+
+def test_story_of_a_request_over_several_processes(tmp_path, capsys):
+    first = tmp_path / 'entry-1.log'
+    second = tmp_path / 'entry-2.log'
+    first.write_text(
+        'not json\n'
+        '{"time": 3.0, "message": "served", "id": "r1", "seconds": 1}\n'
+        '{"time": 1.0, "message": "placed", "id": "r1", "helpers": []}\n',
+    )
+    second.write_text(
+        '{"time": 2.0, "message": "attempt failed", "id": "r1"}\n'
+        '{"time": 2.5, "message": "served", "id": "r2"}\n',
+    )
+    files = [str(first), str(second), str(tmp_path / 'missing.log')]
+    assert tell(Arguments(files=files, request='r1')) == 0
+    captured = capsys.readouterr()
+    told = [line.split(':')[1].strip() for line in captured.out.splitlines()]
+    assert [each.split(' id')[0] for each in told] == [
+        'placed',
+        'attempt failed',
+        'served',
+    ]
+    assert 'missing.log' in captured.err
+    assert tell(Arguments(files=files, request='r9')) == 1
+
+
+def test_story_of_a_belief_as_json(tmp_path, capsys):
+    log = tmp_path / 'entry-1.log'
+    log.write_text(
+        '{"time": 1.0, "message": "endpoint listed", "endpoint": "i-7"}\n'
+        '{"time": 2.0, "message": "endpoint listed", "endpoint": "i-8"}\n',
+    )
+    assert tell(Arguments(files=[str(log)], match='i-7', json=True)) == 0
+    line = json.loads(capsys.readouterr().out)
+    assert (line['endpoint'], line['source']) == ('i-7', 'entry-1')
+
+
+def test_queue_flushes_what_it_can():
+    reader, writer = os.pipe()
+    queue = LineQueue(descriptor=writer)
+    queue.put('{}')
+    begun = time.monotonic()
+    queue.flush(0.05)
+    assert time.monotonic() - begun >= 0.04
+    os.close(reader)
+    os.close(writer)
