--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -228,6 +228,8 @@
             outcome = Error(error.failure)
         if outcome.is_error():
             _note_failure(course, placement, outcome.error)
+            if outcome.error.reason is Reason.ENDPOINT_LEAVING:
+                self._parts.view.note_leaving(placement.endpoint, 'answer')
             if outcome.error.reason is Reason.CONNECTION_BROKEN:
                 self._parts.note_broken(course.work, placement.endpoint)
             if outcome.error.verdict is Verdict.NOT_RUN:
@@ -240,7 +242,7 @@
         if blocked is not None:
             return Error(blocked)
         if not self._parts.view.is_usable(placement.endpoint):
-            return Error(not_run(Reason.ENDPOINT_LEAVING))
+            return Error(not_run(Reason.ENDPOINT_REFUSED, 'not listed now'))
         course.verdict = Verdict.MAY_HAVE_RUN
         course.attempts += 1
         if course.work.route.kind is WorkKind.STREAMING:
--- a/src/limpetdrift/coordination/knowledgerelay.py
+++ b/src/limpetdrift/coordination/knowledgerelay.py
@@ -42,8 +42,9 @@
 LATE_SECONDS = 0.4
 # A reader that others ask confirms what it holds so often.
 READER_WAIT_SECONDS = 0.5
-# Knowledge older than this is asked elsewhere.
-FRESH_SECONDS = 1.2
+# Knowledge older than this is asked elsewhere. With the wait it stays under
+# the three seconds that a deployment of many entries has to follow a change.
+FRESH_SECONDS = 1.5
 # So many readers are asked before an entry reads for itself.
 READERS_ASKED = 2
 # Pauses between failing reads grow to this, for each entry beyond those that
--- a/src/limpetdrift/platform/following.py
+++ b/src/limpetdrift/platform/following.py
@@ -11,9 +11,10 @@
 from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
 from limpetdrift.protocol.verdict import Failure, Reason
 
-# The pause after a call that failed grows by this with each one in turn; the
-# first is short since most failures are of one connection only.
+# The pause after a call that failed doubles with each one in turn; the first
+# is short since most failures are of one connection only.
 RETRY_SECONDS = 0.1
+_DOUBLINGS = 6
 _JITTER = (0.5, 1.0)
 # How often a table that others follow is looked at.
 UNWANTED_SECONDS = 0.1
@@ -150,7 +151,7 @@
                 detail=failure.detail,
             )
         longest = min(
-            RETRY_SECONDS * self._failures,
+            RETRY_SECONDS * 2 ** min(self._failures - 1, _DOUBLINGS),
             self._followed.retry_seconds(),
         )
         await trio.sleep(longest * self._random.uniform(*_JITTER))
--- a/src/limpetdrift/platform/registration.py
+++ b/src/limpetdrift/platform/registration.py
@@ -60,11 +60,13 @@
 
     async def run(self) -> None:
         """Register, and look for peers until cancelled."""
+        await self._join()
         while True:
             if not self._has_row:
                 await self._write()
             lonely = self._inputs.peers() == 0
             if lonely:
+                # The seeds of the settings may all be stale or down.
                 await self._read()
                 await self._join()
             pause = LONELY_SECONDS if lonely else COMPANY_SECONDS
--- a/src/limpetdrift/platform/requests.py
+++ b/src/limpetdrift/platform/requests.py
@@ -32,7 +32,6 @@
 EXPECTED_VERSION = 'expect-version'
 TOKENS = 'token-usage'
 LAST_EVENT = 'last-event-id'
-PREFIX = 'prompt-prefix'
 
 CONNECTION_HEADERS = frozenset(
     (
--- a/src/limpetdrift/state/endpointview.py
+++ b/src/limpetdrift/state/endpointview.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterable
 
+from limpetdrift.logs import note
 from limpetdrift.protocol.work import ListedEndpoint
 
 # Signs of endpoints that the list no longer shows are kept this long; an
@@ -14,13 +15,9 @@
 
 
 class EndpointView:
-    """The listed endpoints with the signs seen of them.
-
-    ``on_leaving`` hooks get an identity when it is first known to leave.
-    """
+    """The listed endpoints with the signs seen of them."""
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
-        self.on_leaving: list[Callable[[ListedEndpoint, str], None]] = []
         self._clock = clock
         self._listed: dict[str, ListedEndpoint] = {}
         self._by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
@@ -72,15 +69,10 @@
         if endpoint.identity in self._leaving:
             return False
         self._leaving[endpoint.identity] = self._clock()
+        note('endpoint leaves', endpoint=endpoint.name, source=source)
         self._rebuild()
-        for hook in self.on_leaving:
-            hook(endpoint, source)
         return True
 
-    def leaving(self) -> tuple[tuple[str, int], ...]:
-        """Return the lifetimes that are known to leave."""
-        return tuple(self._leaving)
-
     def _note_listed(self, endpoint: ListedEndpoint) -> None:
         if endpoint.leaving:
             self.note_leaving(endpoint, 'list')
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -13,6 +13,8 @@
 # after each failure in turn.
 FAILING_SECONDS = 1.5
 FAILING_SECONDS_LIMIT = 6.0
+# An engine that was used so long without a failure is sound again.
+SOUND_SECONDS = 10.0
 # Requests of no plan are forgotten so long after they were reported.
 REPORT_AGE_SECONDS = 2.0
 
@@ -164,19 +166,15 @@
     def note_failing(self, identity: tuple[str, int]) -> None:
         """Prefer other engines for a while."""
         engine = self._engines.setdefault(identity, _Engine())
+        now = self._clock()
+        if now - engine.failing_until > SOUND_SECONDS:
+            engine.failures = 0
         pause = min(
             FAILING_SECONDS * 2**engine.failures,
             FAILING_SECONDS_LIMIT,
         )
         engine.failures = min(engine.failures + 1, 4)
-        engine.failing_until = self._clock() + pause
-
-    def note_sound(self, identity: tuple[str, int]) -> None:
-        """Forget failures before a good answer."""
-        engine = self._engines.get(identity)
-        if engine is not None and engine.failures:
-            engine.failures = 0
-            engine.failing_until = float('-inf')
+        engine.failing_until = now + pause
 
     def note_report(
         self,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -1,5 +1,7 @@
 """Opaque requests end in an answer or a true failure, whatever endpoints do."""
 
+from dataclasses import replace
+
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
@@ -209,3 +211,12 @@
     assert rest == b''
     assert b''.join(event.payload for event in found) == payload
     assert [event.number for event in found] == list(range(len(lengths)))
+
+
+def test_address_that_another_process_has_gets_nothing_more():
+    moved = replace(whole(421, refused=True), misdirected=True)
+    world = make(moved, whole(200))
+    exchange, _ = serve(world, PLAIN)
+    assert exchange.response.status == 200
+    assert world.endpoints[0] not in world.view.usable('s')
+    assert world.endpoints[1] in world.view.usable('s')
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -330,3 +330,24 @@
     assert split.writer.endpoint == ENGINES[1]
     clock.now = 3.0
     assert ledger.uses(ENGINES[:1])[0].streams == 0
+
+
+def test_engine_that_fails_in_turn_is_left_alone_for_longer():
+    clock = Clock()
+    ledger = EngineLedger(clock=clock)
+    identity = ENGINES[0].identity
+
+    def fails() -> bool:
+        return ledger.uses(ENGINES[:1])[0].failing
+
+    ledger.note_failing(identity)
+    assert fails()
+    clock.now = 1.6
+    assert not fails()
+    ledger.note_failing(identity)
+    clock.now = 4.0
+    assert fails()
+    clock.now = 20.0
+    ledger.note_failing(identity)
+    clock.now = 21.6
+    assert not fails()
