--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from contextlib import asynccontextmanager
 
 import trio
 
@@ -28,6 +29,15 @@
     return RouteTable(version=version, routes=())
 
 
+@asynccontextmanager
+async def playing(world):
+    """Run a world's tasks while the body runs."""
+    async with trio.open_nursery() as nursery:
+        world.start(nursery)
+        yield
+        nursery.cancel_scope.cancel()
+
+
 class Cluster:
     """Entries before one store that holds a route table."""
 
@@ -60,8 +70,7 @@
 @virtual
 async def test_few_of_many_entries_read_the_store_and_all_follow():
     cluster = Cluster(40)
-    async with trio.open_nursery() as nursery:
-        cluster.start(nursery)
+    async with playing(cluster):
         await trio.sleep(5)
         cluster.reads = 0
         cluster.version = 2
@@ -69,7 +78,6 @@
         assert {entry.routes.version for entry in cluster.entries} == {2}
         # Three readers, four reads each in two seconds, and one for a start.
         assert cluster.reads <= 3 * (APPLY_SECONDS / READ_SECONDS + 1)
-        nursery.cancel_scope.cancel()
 
 
 @virtual
@@ -81,8 +89,7 @@
 @virtual
 async def test_entry_whose_reader_stands_still_reads_for_itself():
     cluster = Cluster(40)
-    async with trio.open_nursery() as nursery:
-        cluster.start(nursery)
+    async with playing(cluster):
         await trio.sleep(5)
         reader = next(
             each for each in cluster.entries if each.relay.reads_store
@@ -97,14 +104,12 @@
             if entry is not reader and entry.routes.version != 2
         ]
         assert not late
-        nursery.cancel_scope.cancel()
 
 
 @virtual
 async def test_entry_that_the_store_turns_away_asks_peers():
     cluster = Cluster(6)
-    async with trio.open_nursery() as nursery:
-        cluster.start(nursery)
+    async with playing(cluster):
         cut = cluster.entries[0]
         cut.is_cut = True
         await trio.sleep(3)
@@ -112,15 +117,13 @@
         await trio.sleep(APPLY_SECONDS)
         assert cut.routes.version == 2
         assert cut.routes.age_seconds() < 3
-        nursery.cancel_scope.cancel()
 
 
 @virtual
 async def test_knowledge_never_looks_fresher_than_it_is():
     """The last read of any entry bounds the age that all others show."""
     cluster = Cluster(30)
-    async with trio.open_nursery() as nursery:
-        cluster.start(nursery)
+    async with playing(cluster):
         await trio.sleep(5)
         for entry in cluster.entries:
             entry.is_cut = True
@@ -130,18 +133,15 @@
             true_age = trio.current_time() - stopped_at
             shown = min(each.routes.age_seconds() for each in cluster.entries)
             assert shown >= true_age - 0.001
-        nursery.cancel_scope.cancel()
 
 
 @virtual
 async def test_reading_alone_ends_after_a_while():
     cluster = Cluster(40)
-    async with trio.open_nursery() as nursery:
-        cluster.start(nursery)
+    async with playing(cluster):
         await trio.sleep(5 + ALONE_SECONDS)
         reading = [each for each in cluster.entries if each.relay.reads_store]
         assert len(reading) <= 3
-        nursery.cancel_scope.cancel()
 
 
 def entry_row(state: str = 'ready') -> bytes:
@@ -199,8 +199,7 @@
     store = FakeStore()
     store.put('a', entry_row())
     world = ListWorld(store)
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         await trio.sleep(0.1)
         assert world.names() == ['a']
         store.put('b', entry_row())
@@ -211,7 +210,6 @@
         store.put('b', None)
         await trio.sleep(0.1)
         assert not world.names()
-        nursery.cancel_scope.cancel()
 
 
 @virtual
@@ -219,13 +217,11 @@
     store = FakeStore()
     store.put('a', entry_row('draining'))
     world = ListWorld(store)
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         await trio.sleep(0.1)
         store.put('a', entry_row())
         await trio.sleep(0.1)
         assert not world.names()
-        nursery.cancel_scope.cancel()
 
 
 @virtual
@@ -233,15 +229,13 @@
     store = FakeStore()
     store.put('a', entry_row())
     world = ListWorld(store)
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         await trio.sleep(0.1)
         store.version += 5
         store.put('b', entry_row())
         store.forget_history()
         await trio.sleep(1.5)
         assert world.names() == ['a', 'b']
-        nursery.cancel_scope.cancel()
 
 
 @virtual
@@ -250,8 +244,7 @@
     store.put('a', entry_row())
     store.put('b', entry_row())
     world = ListWorld(store)
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         await trio.sleep(0.1)
         store.failure = not_run(Reason.STORE_UNAVAILABLE)
         store.put('a', None)
@@ -264,7 +257,6 @@
         store.put('a', entry_row())
         await trio.sleep(LAPSE_SECONDS + 0.5)
         assert world.names() == ['a']
-        nursery.cancel_scope.cancel()
 
 
 @virtual
@@ -272,13 +264,11 @@
     store = FakeStore()
     store.put('a', entry_row())
     world = ListWorld(store)
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         await trio.sleep(5)
         store.put('a', None)
         await trio.sleep(0.1)
         assert not world.names()
-        nursery.cancel_scope.cancel()
 
 
 @virtual
@@ -287,8 +277,7 @@
     store = FakeStore()
     store.put('a', entry_row())
     world = ListWorld(store)
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         await trio.sleep(0.1)
         store.failure = not_run(Reason.STORE_UNAVAILABLE)
         store.put('b', entry_row())
@@ -298,7 +287,6 @@
         store.put('a', None)
         await trio.sleep(0.3)
         assert world.names() == ['b']
-        nursery.cancel_scope.cancel()
 
 
 @virtual
@@ -306,11 +294,9 @@
     store = FakeStore()
     store.failure = not_run(Reason.STORE_RATE)
     world = ListWorld(store)
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         await trio.sleep(10)
         assert 10 < store.calls < 50
-        nursery.cancel_scope.cancel()
 
 
 def test_restart_under_the_same_name_is_another_lifetime():
--- /dev/null
+++ b/tests/test_platform_entry.py
@@ -0,0 +1,152 @@
+"""A real entry before the platform's stand-ins, as its own process."""
+
+import functools
+import json
+import subprocess
+import sys
+
+import trio
+
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request
+from soak.site import HOST, EntryProcess, Site
+
+PORT = 20_900
+READY_SECONDS = 30.0
+
+
+class UnreadEntry:
+    """An entry whose standard output is a pipe that nobody reads."""
+
+    def __init__(self, site: Site) -> None:
+        self.site = site
+        self.entry = site.entries[0]
+
+    def restart(self) -> None:
+        """Start it again as the soak does, but with a pipe for its log."""
+        self.entry.end()
+        opened = subprocess.Popen
+        subprocess.Popen = functools.partial(_open_with_pipe, opened)
+        try:
+            self.entry.start()
+        finally:
+            subprocess.Popen = opened
+
+
+def _open_with_pipe(opened, command, **options):
+    options['stdout'] = subprocess.PIPE
+    return opened(command, **options)
+
+
+async def wait_ready(client: HttpClient, address: Address) -> None:
+    with trio.fail_after(READY_SECONDS):
+        while True:
+            answer = await client.fetch(
+                address,
+                Request(method='GET', path='/-/readiness'),
+                timeout_seconds=1,
+            )
+            if answer.is_ok() and answer.ok.status == 200:
+                return
+            await trio.sleep(0.1)
+
+
+def test_entry_serves_on_though_nobody_reads_its_log(tmp_path):
+    """The pipe holds some 250 lines; each unknown route logs one."""
+    statuses: list[int] = []
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=tmp_path, port=PORT, nursery=nursery)
+            try:
+                await site.open(1, engines=1, desks=1)
+                UnreadEntry(site).restart()
+                await ask(site)
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+    async def ask(site: Site) -> None:
+        host = site.entries[0].host
+        client = HttpClient()
+        await wait_ready(client, Address(host=host, port=PORT + 1))
+        for number in range(1200):
+            answer = await client.fetch(
+                Address(host=host, port=PORT),
+                Request(
+                    method='GET',
+                    path='/nowhere',
+                    headers=(('host', HOST), ('attempt-id', f'a{number}')),
+                ),
+                timeout_seconds=10,
+            )
+            statuses.append(answer.ok.status if answer.is_ok() else 0)
+
+    trio.run(play)
+    assert len(statuses) == 1200
+    assert set(statuses) <= {404, 503}
+
+
+def test_check_prints_what_a_settings_file_says(tmp_path):
+    path = tmp_path / 'node.json'
+    path.write_text(
+        json.dumps(
+            {
+                'nodeName': 'entry-1',
+                'zone': 'd-1',
+                'region': 'r',
+                'listen': {'front': '127.0.0.1:1'},
+                'platform': {'address': '127.0.0.1:2'},
+                'unknown': {'field': 1},
+            },
+        ),
+    )
+
+    def check(name: str) -> subprocess.CompletedProcess:
+        return subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'limpetdrift.platform',
+                '--check',
+                '--settings',
+                name,
+            ],
+            capture_output=True,
+            timeout=60,
+            check=False,
+        )
+
+    good = check(str(path))
+    assert good.returncode == 0
+    understood = json.loads(good.stdout)
+    assert understood['instance'] == 'entry-1'
+    assert understood['failure_domain'] == 'd-1'
+    path.write_text('{"nodeName": 7}')
+    bad = check(str(path))
+    assert bad.returncode == 2
+    assert b'node.json' in bad.stderr
+    assert check(str(tmp_path / 'missing.json')).returncode == 2
+
+
+def test_stop_in_order_ends_within_its_time(tmp_path):
+    ended: list[int] = []
+
+    async def stop(entry: EntryProcess) -> int:
+        address = Address(host=entry.host, port=PORT + 21)
+        await wait_ready(HttpClient(), address)
+        entry.popen.terminate()
+        return await trio.to_thread.run_sync(entry.popen.wait)
+
+    async def play() -> None:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=tmp_path, port=PORT + 20, nursery=nursery)
+            try:
+                await site.open(1, engines=1, desks=1)
+                ended.append(await stop(site.entries[0]))
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(play)
+    assert ended == [0]
