Tear no answer when the time of an attempt ends with its answer

The write of the head was cancelled after the connection's state had moved on, and the next attempt wrote events where the head was due. Ruled out: the endpoint's answer, which was whole. Change: a watch that has run out ends the attempt before anything is written, and none ends it while the caller is written to; after a write that the deadline cut off the connection is closed. Besides, a process whose confirmation is overdue makes up for it at once: it had refused keys for 1.3 s after it woke. tests/test_forwarding.py: three tests that fail on the code before.

--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -64,8 +64,15 @@
         return self.clock() - self.work.arrived_at
 
 
-async def pass_whole(course: Course, answer: Answer) -> Outcome:
-    """Deliver an answer once it is here as a whole."""
+async def pass_whole(
+    course: Course,
+    answer: Answer,
+    watch: trio.CancelScope,
+) -> Outcome:
+    """Deliver an answer once it is here as a whole.
+
+    ``watch`` is the scope that ends the attempt when it takes too long.
+    """
     if answer.refused:
         return Error(_refusal(answer))
     body = b''.join([chunk async for chunk in answer.chunks()])
@@ -85,6 +92,7 @@
                 detail=f'status {answer.status}',
             ),
         )
+    await _stop_watch(watch)
     await course.exchange.respond(response)
     return Ok(None)
 
@@ -102,7 +110,7 @@
         raise FailureError(may_have_run(Reason.BAD_ANSWER, 'foreign answer'))
     events = whole_events(answer.chunks(), framed=answer.framed)
     async for event in events:
-        watch.deadline = float('inf')
+        await _stop_watch(watch)
         await _deliver(course, answer, event)
         watch.deadline = trio.current_time() + pause_seconds(
             course.work.route,
@@ -110,11 +118,23 @@
             seconds_left=course.seconds_left(),
             may_retry=course.may_retry(),
         )
-    watch.deadline = float('inf')
+    await _stop_watch(watch)
     await _send_head(course, answer)
     await course.exchange.finish()
 
 
+async def _stop_watch(watch: trio.CancelScope) -> None:
+    """Let nothing end the attempt while the caller is written to.
+
+    A process that stood still finds an answer and the end of its time at
+    once. A write that is cancelled then would leave the caller's connection
+    with a part of an answer, onto which the next attempt would write.
+    """
+    watch.deadline = float('inf')
+    if watch.cancel_called:
+        await trio.lowlevel.checkpoint()
+
+
 async def _deliver(
     course: Course,
     answer: Answer,
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -252,9 +252,9 @@
             attempts=course.attempts - 1,
             seconds_left=course.seconds_left(),
         )
-        with trio.move_on_after(limit):
+        with trio.move_on_after(limit) as watch:
             async with self._open(course, placement) as answer:
-                return await pass_whole(course, answer)
+                return await pass_whole(course, answer, watch)
         return Error(may_have_run(Reason.SILENT, 'no answer in time'))
 
     async def _send_stream(
@@ -271,7 +271,7 @@
         with trio.move_on_after(limit) as watch:
             async with self._open(course, placement) as answer:
                 if answer.refused or answer.status != OK:
-                    return await pass_whole(course, answer)
+                    return await pass_whole(course, answer, watch)
                 await pass_events(course, answer, watch)
                 return Ok(None)
         return Error(may_have_run(Reason.SILENT, 'no event in time'))
@@ -294,7 +294,8 @@
 
     async def _answer_failure(self, course: Course, failure: Failure) -> None:
         """Tell the caller how its request failed."""
-        if course.has_head:
+        if course.exchange.started:
+            # What was written last may have been cut off by the deadline.
             await course.exchange.abort()
             return
         response = course.endpoint_answer
--- a/src/limpetdrift/platform/knowledge.py
+++ b/src/limpetdrift/platform/knowledge.py
@@ -31,6 +31,10 @@
 # How often the configuration is confirmed, as a share of the time in which a
 # key that was taken away must be refused.
 CONFIRM_SHARE = 0.25
+# A confirmation that is so many waits old is made up for at once, by a call
+# that ends after the shorter time.
+_OVERDUE_WAITS = 2.2
+_HURRY_SECONDS = 0.02
 # The list needs no confirmation; this bounds how long a silent feed is kept.
 LIST_WAIT_SECONDS = 3.0
 
@@ -127,7 +131,14 @@
         )
 
     def _confirm_seconds(self) -> float:
+        """Return how long a read may wait for news.
+
+        Answers a process that stood still or was cut off: it confirms at
+        once what it holds, since it refuses keys until then.
+        """
         own = self._inputs.revoke_seconds * CONFIRM_SHARE
+        if self._routes.age_seconds() > own * _OVERDUE_WAITS:
+            return _HURRY_SECONDS
         return self.relay.wait_seconds or own
 
     def _replace_list(self, page: RowPage, read_at: float) -> None:
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -64,19 +64,25 @@
     status: int | None = None
     payload: bytes = b''
     finished: bool = False
+    started: bool = False
+    torn: bool = False
     aborted: bool = False
     left: trio.Event = field(default_factory=trio.Event)
 
     async def respond(self, response: Response) -> None:
+        await self._write()
         self.response = response
 
     async def start(self, status: int, headers: object = ()) -> None:
+        await self._write()
         self.status = status
 
     async def send(self, payload: bytes) -> None:
+        await self._write()
         self.payload += payload
 
     async def finish(self) -> None:
+        await self._write()
         self.finished = True
 
     async def abort(self) -> None:
@@ -85,6 +91,14 @@
     async def wait_closed(self) -> None:
         await self.left.wait()
 
+    async def _write(self) -> None:
+        """Write as a connection does: state first, then the bytes."""
+        assert not self.torn, 'written after a write that was cut off'
+        self.started = True
+        self.torn = True
+        await trio.lowlevel.checkpoint()
+        self.torn = False
+
 
 @dataclass
 class Sent:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 
+import pytest
 import trio
 from hypothesis import given
 from hypothesis import strategies as st
@@ -220,3 +221,53 @@
     assert exchange.response.status == 200
     assert world.endpoints[0] not in world.view.usable('s')
     assert world.endpoints[1] in world.view.usable('s')
+
+
+def stand_still(seconds: float, script):
+    """Return a script whose process stands still before each event.
+
+    Its clock runs on, so that the end of the time and the event come at once.
+    """
+
+    async def late(seen: int):
+        async for chunk in script(seen):
+            trio.lowlevel.current_clock().jump(seconds)
+            await trio.lowlevel.cancel_shielded_checkpoint()
+            yield chunk
+
+    return late
+
+
+@pytest.mark.parametrize('seconds', [0.5, 3.0])
+def test_process_that_stood_still_tears_no_answer(seconds):
+    """Seen on a hunted day: the client could not read the answer."""
+    world = make(stand_still(seconds, events(1, 3)), events(1, 5))
+    exchange, _ = serve(world, make_route())
+    assert not exchange.torn
+    assert numbers(exchange.payload)[:3] == [1, 2, 3]
+    assert exchange.finished
+
+
+def test_process_that_stood_still_answers_a_call_once():
+    async def chunks():
+        trio.lowlevel.current_clock().jump(0.8)
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        yield b'late'
+
+    late = replace(whole(200), chunks=chunks)
+    world = make(late, whole(200, body=b'second'))
+    exchange, _ = serve(world, PLAIN)
+    assert not exchange.torn
+    assert exchange.response.body == b'second'
+
+
+def test_answer_cut_off_by_the_deadline_is_not_written_again():
+    async def chunks():
+        yield b'x'
+        trio.lowlevel.current_clock().jump(30)
+        await trio.lowlevel.cancel_shielded_checkpoint()
+
+    world = make(replace(whole(200), chunks=chunks))
+    exchange, _ = serve(world, ONCE)
+    assert exchange.response is None or not exchange.torn
+    assert exchange.aborted or exchange.response.status == 502
