Count one crash of an endpoint once, and clear what ends well

Callers of one account asked the same; the death of one endpoint counted as a crash for each request that was there, and the fingerprint was refused. Change: a crash counts once for a fingerprint, only crashes in turn count, and a request that ends well clears it.

--- a/src/limpetdrift/coordination/crashguard.py
+++ b/src/limpetdrift/coordination/crashguard.py
@@ -1,9 +1,11 @@
 """Refuses requests on which one endpoint after another has crashed.
 
-Answers callers that send such a request again and again. A request is held
+Answers callers that send such a request again and again, beside callers who
+all ask the same at an endpoint that dies. A request is held
 to have crashed an endpoint if its connection broke while it ran and nobody
 listens there right after. Others that ran beside it are suspects too, but
-only one that meets a crash several times is refused, on all entries.
+only one that meets several crashes in turn is refused, on all entries. One
+that ends well in between is cleared, as a bad one never does.
 """
 
 from collections.abc import Awaitable, Callable
@@ -77,6 +79,15 @@
         except trio.WouldBlock:
             telemetry.count('crashes_not_looked_into')
 
+    def note_served(self, work: Work) -> None:
+        """Clear a request that ended well."""
+        if self._suspects.is_empty:
+            return
+        fingerprint = fingerprint_of(work)
+        if self._suspects.is_suspect(fingerprint):
+            cleared = self._suspects.conclude(fingerprint, Standing.CLEARED)
+            self.spread.add(cleared)
+
     async def run(self) -> None:
         """Look into broken connections until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -87,10 +98,15 @@
     async def _look_into(self, broken: _Broken) -> None:
         if not await self._is_dead(broken.endpoint):
             return
+        # One crash counts once, however many requests were there.
+        name = '@'.join(map(str, broken.endpoint.identity))
+        found = self._suspects.find(broken.fingerprint)
+        if found is not None and found.endpoint == name:
+            return
         news = self._suspects.note_crash(
             broken.fingerprint,
             broken.account,
-            broken.endpoint.name,
+            name,
         )
         self.spread.add(news)
         if news is None or news.crashes < CRASH_LIMIT:
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -83,7 +83,8 @@
 
     ``check`` returns why a request may not be sent now, if it may not;
     ``render`` turns a failure into the answer that a caller gets;
-    ``note_broken`` is told of connections that broke while a request ran.
+    ``note_broken`` is told of connections that broke while a request ran,
+    and ``note_served`` of requests that ended well.
     """
 
     place: Place
@@ -93,6 +94,7 @@
     check: Callable[[Work], Failure | None]
     render: Callable[[Failure], Response]
     note_broken: Callable[[Work, ListedEndpoint], None]
+    note_served: Callable[[Work], None]
     view: EndpointView
     budget: RetryBudget
     clock: Callable[[], float]
@@ -126,6 +128,7 @@
             _note_end(course, 'caller left', None)
         elif failure is None:
             _note_end(course, 'served', None)
+            self._parts.note_served(work)
         else:
             _note_end(course, 'request failed', failure)
             await self._answer_failure(course, failure)
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -279,6 +279,7 @@
             send=make_sending(endpoints, plain.note_load),
             check=lambda work: guard.refusal(work) or check_key(work, intake),
             note_broken=guard.note_broken,
+            note_served=guard.note_served,
             render=make_render(base.randomness),
             view=base.view,
             budget=_make_budget(base.settings),
--- a/src/limpetdrift/state/suspects.py
+++ b/src/limpetdrift/state/suspects.py
@@ -32,6 +32,11 @@
     def __init__(self) -> None:
         self._held: dict[str, _Held] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was ever suspected here."""
+        return not self._held
+
     @property
     def digest(self) -> int:
         """A hash over the refusals and releases, whatever their order."""
@@ -88,7 +93,7 @@
             version=found.version + 1 if found else 1,
             seconds=SUSPECT_SECONDS,
             endpoint=endpoint,
-            crashes=found.crashes + 1 if found else 1,
+            crashes=_crashes_in_turn(found) + 1,
         )
         self.merge(news)
         return news
@@ -139,5 +144,12 @@
             self._held.pop(fingerprint)
 
 
+def _crashes_in_turn(found: FingerprintNews | None) -> int:
+    """Return the crashes since the request last ended well."""
+    if found is None or found.standing is Standing.CLEARED:
+        return 0
+    return found.crashes
+
+
 def _rank(news: FingerprintNews) -> tuple[int, int]:
     return news.version, news.standing
--- a/tests/forward_world.py
+++ b/tests/forward_world.py
@@ -142,6 +142,7 @@
                 note_broken=lambda work, endpoint: self.broken.append(
                     (work, endpoint),
                 ),
+                note_served=lambda work: None,
                 view=self.view,
                 budget=RetryBudget(share=0.0, reserve=reserve),
                 clock=trio.current_time,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from soak.callers import Call, Caller
 from soak.checks import ALWAYS, TIMED
 from soak.faults import inject
+from soak.seeds import FAILED
 from soak.site import Site
 
 READY_SECONDS = 20.0
@@ -144,9 +145,11 @@
     parser.add_argument('--entries', type=int, default=5)
     parser.add_argument('--callers', type=int, default=8)
     parser.add_argument('--seconds', type=float, default=15.0)
+    parser.add_argument('--failed', action='store_true')
     arguments = parser.parse_args()
     failed = 0
-    for seed in range(arguments.first, arguments.first + arguments.seeds):
+    seeds = range(arguments.first, arguments.first + arguments.seeds)
+    for seed in FAILED if arguments.failed else seeds:
         outcome = play_seed(
             Plan(
                 seed=seed,
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -133,3 +133,30 @@
             work = make_work(b'beside-%d' % number)
             assert all(guard.refusal(work) is None for guard in world.guards)
         nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_one_crash_counts_once_for_all_who_asked_the_same():
+    """Seen in the soak, seed 10: many equal requests at one endpoint."""
+    world = GuardWorld()
+    async with trio.open_nursery() as nursery:
+        world.start(nursery)
+        for _ in range(2 * CRASH_LIMIT):
+            await world.crash(0, b'same', 0)
+            await world.crash(1, b'same', 0)
+        assert world.guards[0].refusal(make_work(b'same')) is None
+        nursery.cancel_scope.cancel()
+
+
+@virtual
+async def test_request_that_ends_well_in_between_is_no_suspect():
+    world = GuardWorld()
+    async with trio.open_nursery() as nursery:
+        world.start(nursery)
+        for number in range(2 * CRASH_LIMIT):
+            await world.crash(0, b'same', number % 6)
+            world.guards[0].note_served(make_work(b'same'))
+            await trio.sleep(0.1)
+        for guard in world.guards:
+            assert guard.refusal(make_work(b'same')) is None
+        nursery.cancel_scope.cancel()
