Weigh each engine once for each number of parts, and drop what was done twice

Besides: a plan made here was booked twice, the second time in vain; the metrics server repeated serve_routes; a header's name stood twice in the adapter; EngineLedger.forget_others had no caller.

--- a/src/limpetdrift/coordination/planning.py
+++ b/src/limpetdrift/coordination/planning.py
@@ -141,6 +141,9 @@
             Plan,
             timeout_seconds=PLAN_SECONDS,
         )
+        if answer.is_ok():
+            # Plans made here are booked when they are made.
+            self._inputs.planner.enter(answer.ok, request)
         if answer.is_ok() or answer.error.reason in _DECISIONS:
             self.links.note_answer(planner)
             return answer
@@ -164,7 +167,6 @@
                 ),
             )
         self.links.begin(plan, request)
-        self._inputs.planner.enter(plan, request)
         telemetry.count('placements', parts=str(1 + len(helpers)))
         return Ok(_make_placement(plan, writer, helpers, work))
 
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -153,21 +153,16 @@
     law: EngineLaw,
 ) -> Split | None:
     part = read_seconds(law, request.prompt_tokens, parts)
-    writer = min(
-        uses,
-        key=lambda use: _writer_cost(use, part, request, law),
-    )
-    helpers = sorted(
-        (use for use in uses if use is not writer),
-        key=lambda use: _helper_cost(use, part, law),
-    )[: parts - 1]
+    engines, cost = _choose_engines(parts, request, uses, law)
+    writer, *helpers = engines
     reserved = _reserve(request, writer, helpers, law)
     if reserved is None:
         return None
-    engines = (writer, *helpers)
     taken = part + start_slack(law, parts)
     delay = max(use.wait_seconds(taken) for use in engines)
     first = delay + part + _PASSES_BEFORE_READING * _idle_pass_seconds(law)
+    cost += _lateness_cost(first, request)
+    cost += _blocking_cost(engines, uses, part, law)
     return Split(
         writer=writer,
         helpers=tuple(helpers),
@@ -175,16 +170,31 @@
         part_seconds=part,
         delay_seconds=delay if helpers else 0,
         first_token_seconds=first,
-        cost=sum(
-            (
-                _writer_cost(writer, part, request, law),
-                *(_helper_cost(use, part, law) for use in helpers),
-                _lateness_cost(first, request),
-                _blocking_cost(engines, uses, part, law),
-                _PART_COST * parts,
-            ),
-        ),
+        cost=cost + _PART_COST * parts,
+    )
+
+
+def _choose_engines(
+    parts: int,
+    request: SplitRequest,
+    uses: tuple[EngineUse, ...],
+    law: EngineLaw,
+) -> tuple[tuple[EngineUse, ...], float]:
+    """Return the engines that cost least, the writer first, and their cost."""
+    part = read_seconds(law, request.prompt_tokens, parts)
+    shared = [(use, _shared_cost(use, part, law)) for use in uses]
+    cost, place = min(
+        (cost + _writer_cost(use, part, request, law), place)
+        for place, (use, cost) in enumerate(shared)
     )
+    helpers = sorted(
+        (cost + use.wait_seconds(part) * _HASTE, order)
+        for order, (use, cost) in enumerate(shared)
+        if order != place
+    )[: parts - 1]
+    chosen = (place, *(order for _, order in helpers))
+    cost += sum(helper_cost for helper_cost, _ in helpers)
+    return tuple(uses[order] for order in chosen), cost
 
 
 def _blocking_cost(
@@ -218,10 +228,8 @@
     request: SplitRequest,
     law: EngineLaw,
 ) -> float:
-    cost = _harm(use, part, law) + use.wait_seconds(part)
-    cost += _QUEUED_COST * min(1, use.queued) + _slowness_cost(use)
-    if use.failing:
-        cost += _FAILING_COST
+    """Return what it costs besides to have an engine write the answer."""
+    cost = use.wait_seconds(part)
     if use.streams >= law.slots:
         cost += _QUEUED_COST * (1 + use.streams - law.slots)
     elif use.streams >= law.slots * _PACKED_SHARE:
@@ -245,8 +253,9 @@
     return _QUEUED_COST
 
 
-def _helper_cost(use: EngineUse, part: float, law: EngineLaw) -> float:
-    cost = _harm(use, part, law) + use.wait_seconds(part) * _HASTE
+def _shared_cost(use: EngineUse, part: float, law: EngineLaw) -> float:
+    """Return what it costs to have an engine read a part, writer or not."""
+    cost = _harm(use, part, law)
     cost += _QUEUED_COST * min(1, use.queued) + _slowness_cost(use)
     if use.failing:
         cost += _FAILING_COST
--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -13,7 +13,7 @@
 )
 from limpetdrift.platform.joining import Entry, join_entry, serve_routes
 from limpetdrift.platform.metrics import (
-    make_metrics_server,
+    add_metrics_routes,
     metrics_address,
     watch_ages,
 )
@@ -68,7 +68,10 @@
             listeners.readiness,
             serve_routes(add_readiness_routes, entry.answers),
         ),
-        (metrics_address(settings), make_metrics_server(entry.answers)),
+        (
+            metrics_address(settings),
+            serve_routes(add_metrics_routes, entry.answers),
+        ),
     )
     tasks = (
         entry.knowledge.run,
--- a/src/limpetdrift/platform/metrics.py
+++ b/src/limpetdrift/platform/metrics.py
@@ -10,7 +10,6 @@
 from limpetdrift.programs.serving import add_health_routes
 from limpetdrift.transport.messages import Address
 from limpetdrift.transport.routing import Routes
-from limpetdrift.transport.server import Server
 
 # The deploy file sets it to the port that it names under ``metrics``.
 PORT_VARIABLE = 'LIMPET_METRICS_PORT'
@@ -25,11 +24,9 @@
     return Address(host=callers.host, port=int(port))
 
 
-def make_metrics_server(answers: DirectoryAnswers) -> Server:
-    """Return the server of ``/metrics``, ``/readyz`` and ``/healthz``."""
-    routes = Routes()
+def add_metrics_routes(routes: Routes, answers: DirectoryAnswers) -> None:
+    """Serve ``/metrics``, ``/readyz`` and ``/healthz``."""
     add_health_routes(routes, answers.is_ready)
-    return Server(handler=routes.handle)
 
 
 def watch_ages(entry: Entry) -> None:
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -11,6 +11,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.forwarding import Holding
 from limpetdrift.logs import note
+from limpetdrift.platform.requests import EXPECTED
 from limpetdrift.protocol.codec import json_request
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -169,7 +170,7 @@
 
 
 def _expecting(request: Request, endpoint: ListedEndpoint) -> Request:
-    expected = ('expect-instance', endpoint.name)
+    expected = (EXPECTED, endpoint.name)
     return replace(request, headers=(*request.headers, expected))
 
 
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -207,13 +207,6 @@
         self._end_overdue(now)
         return tuple(self._use(endpoint, now) for endpoint in endpoints)
 
-    def forget_others(self, endpoints: Iterable[ListedEndpoint]) -> None:
-        """Drop engines that are neither listed nor booked."""
-        listed = {endpoint.identity for endpoint in endpoints}
-        for identity, engine in list(self._engines.items()):
-            if identity not in listed and not engine.bookings:
-                self._engines.pop(identity)
-
     def _use(self, endpoint: ListedEndpoint, now: float) -> EngineUse:
         engine = self._engines.get(endpoint.identity)
         if engine is None:
