Share the tests' running of a world, and start an unread entry without a patch

The block that runs a world's tasks stood in two test files; the test of an unread log replaced subprocess.Popen for a moment. Assertions are unchanged.

--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -51,8 +51,11 @@
     # Times between which its own faults excuse what it does.
     troubled_until: float = 0.0
 
-    def start(self) -> None:
-        """Start a process, unless one runs."""
+    def start(self, *, is_read: bool = True) -> None:
+        """Start a process, unless one runs.
+
+        Its output goes to the log, or into a pipe that nobody reads.
+        """
         if self.popen is not None and self.popen.poll() is None:
             return
         environment = os.environ | {
@@ -63,7 +66,7 @@
             self.popen = subprocess.Popen(
                 [sys.executable, '-m', 'limpetdrift.platform'],
                 env=environment,
-                stdout=log,
+                stdout=log if is_read else subprocess.PIPE,
                 stderr=log,
             )
 
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -12,7 +12,7 @@
 from limpetdrift.protocol.work import Work
 from limpetdrift.state.suspects import Suspects
 from limpetdrift.transport.messages import Address
-from virtual import virtual
+from virtual import playing, virtual
 
 ENTRIES = 4
 
@@ -93,8 +93,7 @@
 @virtual
 async def test_request_that_crashes_endpoints_is_refused_by_all_entries():
     world = GuardWorld()
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         for number in range(CRASH_LIMIT):
             assert world.guards[0].refusal(make_work(b'bad')) is None
             await world.crash(number, b'bad', number)
@@ -104,59 +103,50 @@
             assert refusal.reason is Reason.QUARANTINED
             assert refusal.verdict is Verdict.NOT_RUN
             assert guard.refusal(make_work(b'good')) is None
-        nursery.cancel_scope.cancel()
 
 
 @virtual
 async def test_broken_connections_alone_refuse_nothing():
     """Endpoints that lose answers but live have not crashed."""
     world = GuardWorld()
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         for _ in range(2 * CRASH_LIMIT):
             endpoint = world.endpoints[0]
             world.guards[0].note_broken(make_work(b'good'), endpoint)
             await trio.sleep(0.1)
         assert world.guards[0].refusal(make_work(b'good')) is None
-        nursery.cancel_scope.cancel()
 
 
 @virtual
 async def test_requests_beside_a_crash_are_not_refused():
     world = GuardWorld()
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         for number in range(CRASH_LIMIT):
             await world.crash(0, b'bad', number)
             await world.crash(1, b'beside-%d' % number, number)
         for number in range(CRASH_LIMIT):
             work = make_work(b'beside-%d' % number)
             assert all(guard.refusal(work) is None for guard in world.guards)
-        nursery.cancel_scope.cancel()
 
 
 @virtual
 async def test_one_crash_counts_once_for_all_who_asked_the_same():
     """Seen in the soak, seed 10: many equal requests at one endpoint."""
     world = GuardWorld()
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         for _ in range(2 * CRASH_LIMIT):
             await world.crash(0, b'same', 0)
             await world.crash(1, b'same', 0)
         assert world.guards[0].refusal(make_work(b'same')) is None
-        nursery.cancel_scope.cancel()
 
 
 @virtual
 async def test_request_that_ends_well_in_between_is_no_suspect():
     world = GuardWorld()
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
+    async with playing(world):
         for number in range(2 * CRASH_LIMIT):
             await world.crash(0, b'same', number % 6)
             world.guards[0].note_served(make_work(b'same'))
             await trio.sleep(0.1)
         for guard in world.guards:
             assert guard.refusal(make_work(b'same')) is None
-        nursery.cancel_scope.cancel()
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -2,7 +2,6 @@
 
 import json
 import random
-from contextlib import asynccontextmanager
 
 import trio
 
@@ -19,7 +18,7 @@
 from limpetdrift.protocol.routetable import RouteTable
 from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.state.endpointview import EndpointView
-from virtual import virtual
+from virtual import playing, virtual
 
 READ_SECONDS = 0.5
 APPLY_SECONDS = 2.0
@@ -29,15 +28,6 @@
     return RouteTable(version=version, routes=())
 
 
-@asynccontextmanager
-async def playing(world):
-    """Run a world's tasks while the body runs."""
-    async with trio.open_nursery() as nursery:
-        world.start(nursery)
-        yield
-        nursery.cancel_scope.cancel()
-
-
 class Cluster:
     """Entries before one store that holds a route table."""
 
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -1,6 +1,5 @@
 """A real entry before the platform's stand-ins, as its own process."""
 
-import functools
 import json
 import subprocess
 import sys
@@ -15,29 +14,6 @@
 READY_SECONDS = 30.0
 
 
-class UnreadEntry:
-    """An entry whose standard output is a pipe that nobody reads."""
-
-    def __init__(self, site: Site) -> None:
-        self.site = site
-        self.entry = site.entries[0]
-
-    def restart(self) -> None:
-        """Start it again as the soak does, but with a pipe for its log."""
-        self.entry.end()
-        opened = subprocess.Popen
-        subprocess.Popen = functools.partial(_open_with_pipe, opened)
-        try:
-            self.entry.start()
-        finally:
-            subprocess.Popen = opened
-
-
-def _open_with_pipe(opened, command, **options):
-    options['stdout'] = subprocess.PIPE
-    return opened(command, **options)
-
-
 async def wait_ready(client: HttpClient, address: Address) -> None:
     with trio.fail_after(READY_SECONDS):
         while True:
@@ -60,7 +36,8 @@
             site = Site(folder=tmp_path, port=PORT, nursery=nursery)
             try:
                 await site.open(1, engines=1, desks=1)
-                UnreadEntry(site).restart()
+                site.entries[0].end()
+                site.entries[0].start(is_read=False)
                 await ask(site)
             finally:
                 site.close()
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -3,6 +3,7 @@
 import functools
 import inspect
 import random
+from contextlib import asynccontextmanager
 
 import trio
 from trio.testing import MockClock
@@ -28,3 +29,12 @@
     random.seed(seed)
     clock = MockClock(autojump_threshold=0)
     return trio.run(body, clock=clock)
+
+
+@asynccontextmanager
+async def playing(world):
+    """Run the tasks that a world starts while the body runs."""
+    async with trio.open_nursery() as nursery:
+        world.start(nursery)
+        yield
+        nursery.cancel_scope.cancel()
