Join the seeds before an entry of the product's own says it is ready

Cause: an entry announced itself and admitted before its first exchange with a peer had succeeded. Ruled out: a lost or dead record (the status lists those too).

Change: the peer listener is up, then the entry exchanges with up to 8 seeds, then it announces itself. The later of two nodes always reaches the earlier.

--- a/src/limpetdrift/coordination/membership.py
+++ b/src/limpetdrift/coordination/membership.py
@@ -33,6 +33,9 @@
 from limpetdrift.transport.messages import Address
 
 _URGENT = frozenset((MemberState.LEAVING, MemberState.DEAD))
+# Seeds called at a start; one that lives is enough, more answer a site that
+# lost some.
+SEEDS_AT_START = 8
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -79,6 +82,8 @@
                 standing=self._own.standing,
             ),
         )
+        self._seeds = seeds
+        self._random = random
         sampler = Sampler(
             node=node,
             members=self.gossip.members,
@@ -148,6 +153,16 @@
                 if address != self.node.peer_address:
                     nursery.start_soon(self._detector.call_stranger, address)
 
+    async def join_seeds(self) -> None:
+        """Exchange news with some of the seeds before the first requests.
+
+        Of two nodes that start together the later one reaches the earlier,
+        so that both know each other before either is ready.
+        """
+        seeds = self._seeds()
+        count = min(SEEDS_AT_START, len(seeds))
+        await self.join(self._random.sample(seeds, count))
+
     def silent_and_answering(self) -> EvidenceCounts:
         """Return how many peers were silent and how many answered lately."""
         return self._detector.evidence.counts(trio.current_time())
--- a/src/limpetdrift/programs/entry.py
+++ b/src/limpetdrift/programs/entry.py
@@ -48,6 +48,7 @@
             nursery,
         )
         peers = await serve_on(settings.peer_listen, parts.peers, nursery)
+        await parts.join_seeds()
         announce(settings.name, callers=callers, peers=peers)
         await stop_on_signals(parts.drain.run, nursery.cancel_scope)
 
--- a/src/limpetdrift/programs/entryparts.py
+++ b/src/limpetdrift/programs/entryparts.py
@@ -57,6 +57,7 @@
     callers: Server
     peers: Server
     drain: Drain
+    join_seeds: Task
     tasks: tuple[Task, ...]
 
 
@@ -138,6 +139,7 @@
         callers=callers,
         peers=peers,
         drain=drain,
+        join_seeds=views.membership.join_seeds,
         tasks=(*store_tasks, *views.tasks, *runs.tasks),
     )
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -27,6 +27,7 @@
 AGREE_SECONDS = 30.0
 SPREAD_SECONDS = 3.0
 AT_ONCE_SECONDS = 1.0
+GAP_SECONDS = 0.05
 RARE_ROUND_SECONDS = 20.0
 PAUSE_SECONDS = 60.0
 COUNTED_SECONDS = evidence.COUNTED_SECONDS
@@ -257,6 +258,34 @@
     assert await seconds_until_most_know(kill) > SPREAD_SECONDS
 
 
+async def no_join(_):
+    await trio.lowlevel.checkpoint()
+
+
+async def are_known_at_once():
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery=nursery)
+        earlier = cluster.start(0)
+        # The earlier one's first calls find nobody.
+        await trio.sleep(GAP_SECONDS)
+        later = cluster.start(1)
+        await later.join_seeds()
+        known = [held_live(each) for each in (earlier, later)]
+        nursery.cancel_scope.cancel()
+    return [len(each) for each in known] == [2, 2]
+
+
+@virtual
+async def test_nodes_that_start_together_know_each_other_when_ready():
+    assert await are_known_at_once()
+
+
+@virtual
+async def test_without_joining_seeds_they_wait_for_rounds(monkeypatch):
+    monkeypatch.setattr(Membership, 'join_seeds', no_join)
+    assert not await are_known_at_once()
+
+
 async def states_after_a_pause():
     """Suspect a node, heal, and let all stand still; return its states."""
     seen = []
