--- a/src/limpetdrift/coordination/membership.py
+++ b/src/limpetdrift/coordination/membership.py
@@ -100,7 +100,7 @@
             gossip=self.gossip,
             sampler=sampler,
             detector=self._detector,
-            live_names=self._live_names,
+            live_names=lambda: _names_of(self.live_entries()),
             random=random,
         )
         self.attach = self.gossip.attach
@@ -140,7 +140,8 @@
 
     def is_chosen(self, duty: str, count: int) -> bool:
         """Return whether this node is among the few that have a duty."""
-        return self.node.name in choose(duty, self._live_names(), count)
+        live = _names_of(self.live_entries())
+        return self.node.name in choose(duty, live, count)
 
     async def join(self, addresses: Iterable[Address]) -> None:
         """Exchange news with all nodes at these addresses at once.
@@ -183,9 +184,6 @@
         if record and record.state in {MemberState.SUSPECT, MemberState.DEAD}:
             self._rounds.start_check(name)
 
-    def _live_names(self) -> list[str]:
-        return [entry.name for entry in self.live_entries()]
-
     def _publish(self, record: MemberRecord) -> None:
         self.gossip.take_in(members=(record,))
 
@@ -204,3 +202,7 @@
     def _on_endpoints(self, records: tuple[EndpointRecord, ...]) -> None:
         for hook in self.on_endpoints:
             hook(records)
+
+
+def _names_of(entries: Iterable[Node]) -> list[str]:
+    return [entry.name for entry in entries]
