Measure how long requests wait for a place, and name unplanned requests

The histogram limpet_queue_seconds{kind} runs from a request's arrival to its first send. The test fails without the observation.

--- a/src/limpetdrift/coordination/enginewatch.py
+++ b/src/limpetdrift/coordination/enginewatch.py
@@ -92,12 +92,12 @@
             telemetry.count('reports_unread', reason=answer.error.reason)
             return
         ledger = self._inputs.planner.ledger(service)
-        ghosts = ledger.note_report(engine, answer.ok)
-        if ghosts:
+        unplanned = ledger.note_report(engine, answer.ok)
+        if unplanned:
             note(
                 'engine busy with requests of no plan',
                 endpoint=engine.name,
-                requests=ghosts,
+                requests=unplanned,
                 queued=answer.ok.queued,
                 memory_tokens=answer.ok.memory_tokens,
                 pace=answer.ok.pace,
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -248,6 +248,12 @@
             return Error(not_run(Reason.ENDPOINT_REFUSED, 'not listed now'))
         course.verdict = Verdict.MAY_HAVE_RUN
         course.attempts += 1
+        if course.tries == 1:
+            telemetry.observe(
+                'queue_seconds',
+                course.seconds_taken(),
+                kind=course.work.route.kind,
+            )
         if course.work.route.kind is WorkKind.STREAMING:
             return await self._send_stream(course, placement)
         limit = attempt_seconds(
--- a/src/limpetdrift/state/engineledger.py
+++ b/src/limpetdrift/state/engineledger.py
@@ -53,7 +53,7 @@
 
     ``backlog_seconds`` is how long it takes to the end of all reading that
     was planned, ``gap_seconds`` how long it has nothing to read from now on.
-    ``written`` holds the streams that it writes by plan. ``ghosts`` are
+    ``written`` holds the streams that it writes by plan. ``unplanned`` counts
     requests that it runs though no plan knows them, and ``queued`` those of
     them that wait; ``pace`` is how many times as long as usual it takes.
     """
@@ -63,15 +63,15 @@
     gap_seconds: float = float('inf')
     memory_tokens: int = 0
     written: tuple[StreamUse, ...] = ()
-    ghosts: int = 0
+    unplanned: int = 0
     queued: int = 0
     pace: float = 1.0
     failing: bool = False
 
     @property
     def streams(self) -> int:
-        """The number of streams that the engine writes, ghosts included."""
-        return len(self.written) + self.ghosts
+        """The number of streams that the engine writes, planned or not."""
+        return len(self.written) + self.unplanned
 
     @property
     def pause_seconds(self) -> float:
@@ -91,8 +91,8 @@
     failures: int = 0
     failing_until: float = float('-inf')
     report: EngineReport | None = None
-    ghosts: int = 0
-    ghost_tokens: int = 0
+    unplanned: int = 0
+    unplanned_tokens: int = 0
     reported_at: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
 
@@ -192,11 +192,11 @@
         )
         engine.report = report
         engine.reported_at = now
-        engine.ghosts = max(0, report.active + report.queued - streams)
-        engine.ghost_tokens = max(0, report.memory_tokens - planned)
-        if not engine.ghosts:
-            engine.ghost_tokens = 0
-        return engine.ghosts
+        engine.unplanned = max(0, report.active + report.queued - streams)
+        engine.unplanned_tokens = max(0, report.memory_tokens - planned)
+        if not engine.unplanned:
+            engine.unplanned_tokens = 0
+        return engine.unplanned
 
     def uses(
         self,
@@ -219,17 +219,17 @@
             if booking.stream is not None
         )
         if now - engine.reported_at > REPORT_AGE_SECONDS:
-            engine.ghosts = 0
-            engine.ghost_tokens = 0
+            engine.unplanned = 0
+            engine.unplanned_tokens = 0
         report = engine.report
         return EngineUse(
             endpoint=endpoint,
-            ghosts=engine.ghosts,
-            queued=report.queued if report and engine.ghosts else 0,
+            unplanned=engine.unplanned,
+            queued=report.queued if report and engine.unplanned else 0,
             pace=report.pace if report else 1.0,
             backlog_seconds=_free_at(engine, now) - now,
             gap_seconds=_gap_seconds(engine, now),
-            memory_tokens=engine.ghost_tokens
+            memory_tokens=engine.unplanned_tokens
             + sum(
                 booking.memory_tokens for booking in engine.bookings.values()
             ),
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -17,6 +17,7 @@
     make_route,
     whole,
 )
+from limpetdrift import telemetry
 from limpetdrift.coordination.eventrelay import split_events
 from limpetdrift.protocol.routetable import WorkKind
 from limpetdrift.protocol.verdict import Reason, not_run
@@ -49,6 +50,16 @@
     return [event.number for event in whole_events]
 
 
+def queued_seconds() -> float:
+    begin = 'limpet_queue_seconds_sum{kind="streaming"'
+    lines = telemetry.exposition().decode().splitlines()
+    return sum(
+        float(line.rpartition(' ')[2])
+        for line in lines
+        if line.startswith(begin)
+    )
+
+
 def make(*scripts: object, **options: float) -> ForwardWorld:
     made = {}
 
@@ -180,6 +191,15 @@
     assert seconds > 0.7
 
 
+def test_wait_for_engines_is_measured():
+    world = make(events(1, 3))
+    world.delay_seconds = 0.7
+    before = queued_seconds()
+    serve(world, make_route())
+    waited = queued_seconds() - before
+    assert waited == pytest.approx(0.7)
+
+
 def test_retries_end_with_the_budget():
     world = make(BROKEN, events(1, 2), reserve=0.5)
     exchange, _ = serve(world, make_route())
