Play loads on model engines in virtual time, and compare what entries know

limpet-replay plays the cases of a YAML load on engines that follow their published law, with the entries' own forwarding, planning, retries and limits. Policies (one planner, reports, digests, alone, in turn) take turns within a seed; tables and plots go over seeds.

Left out of the model: preemption, plain services, links and processor time of entries, the store.

--- a/src/limpetdrift/loads/plots.py
+++ b/src/limpetdrift/loads/plots.py
@@ -31,13 +31,18 @@
     paths = []
     for name, figure in drawn.items():
         path = folder / f'{prefix}-{name}.png'
-        FigureCanvasAgg(figure).print_png(path)
+        save_figure(figure, path)
         paths.append(path)
     return tuple(paths)
 
 
+def save_figure(figure: Figure, path: Path) -> None:
+    """Write a figure as a PNG file."""
+    FigureCanvasAgg(figure).print_png(path)
+
+
 def _draw_first_tokens(groups: Iterable[Group]) -> Figure:
-    figure = _make_figure()
+    figure = make_figure()
     axes = figure.add_subplot()
     for group in groups:
         points = _slow_by_length(group.with_long)
@@ -65,7 +70,7 @@
 
 
 def _draw_slowdowns(groups: Iterable[Group]) -> Figure:
-    figure = _make_figure()
+    figure = make_figure()
     axes = figure.add_subplot()
     for place, group in enumerate(groups):
         ratios = group.slowdowns
@@ -79,7 +84,7 @@
 
 
 def _draw_over_time(runs: Iterable[RunRecord]) -> Figure:
-    figure = _make_figure()
+    figure = make_figure()
     queue, memory = figure.subplots(2, sharex=True)
     for run in runs:
         times = [each.at for each in run.samples]
@@ -114,7 +119,8 @@
     return f'{group.policy} at {load}'
 
 
-def _make_figure() -> Figure:
+def make_figure() -> Figure:
+    """Return an empty figure of the reports' size."""
     return Figure(
         figsize=_SIZE_INCHES,
         dpi=_DOTS_PER_INCH,
--- a/src/limpetdrift/loads/report.py
+++ b/src/limpetdrift/loads/report.py
@@ -123,7 +123,7 @@
         'fairness',
         'hits by one cache',
     )
-    return _table(headings, [_policy_row(each) for each in groups])
+    return make_table(headings, [_policy_row(each) for each in groups])
 
 
 def _policy_row(group: Group) -> list[str]:
@@ -150,7 +150,7 @@
         for figures in group.with_long:
             seen.update(figures.lengths)
         rows += [_length_row(group, tokens) for tokens in sorted(seen)]
-    return _table(headings, rows)
+    return make_table(headings, rows)
 
 
 def _length_row(group: Group, tokens: int) -> list[str]:
@@ -180,7 +180,7 @@
         'resumed',
         'failures',
     )
-    return _table(headings, [_failure_row(each) for each in groups])
+    return make_table(headings, [_failure_row(each) for each in groups])
 
 
 def _failure_row(group: Group) -> list[str]:
@@ -213,7 +213,7 @@
             for account, shares in gathered.items()
         ]
     headings = ('load', 'policy', 'account', 'share answered whole')
-    return _table(headings, rows)
+    return make_table(headings, rows)
 
 
 def _names(group: Group) -> list[str]:
@@ -229,7 +229,8 @@
     return times.at.get(SLOW_PERCENTILE)
 
 
-def _table(headings: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+def make_table(headings: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Return a Markdown table."""
     rule = ['---' for _ in headings]
     lines = [' | '.join(cells) for cells in (headings, rule, *rows)]
     return ''.join(f'| {line} |\n' for line in lines)
--- /dev/null
+++ b/src/limpetdrift/programs/replay.py
@@ -0,0 +1,92 @@
+"""``limpet-replay``: plays a load in virtual time and compares policies.
+
+It opens no connection and starts no process; a run of half a minute takes a
+few seconds. ``--case`` and ``--policy`` choose some of what the file names.
+"""
+
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from absl import logging
+
+from limpetdrift.programs.serving import BAD_SETTINGS_EXIT
+from limpetdrift.replays.charts import write_charts
+from limpetdrift.replays.loadfile import Load, read_load
+from limpetdrift.replays.outcomes import RunFigures, compute_figures
+from limpetdrift.replays.playing import play, turns_of
+from limpetdrift.replays.policies import POLICIES
+from limpetdrift.replays.tables import write_report
+
+
+@cappa.command(name='limpet-replay', help='Play a load in virtual time.')
+@dataclass(frozen=True, kw_only=True)
+class Arguments:
+    """The command line."""
+
+    load: Annotated[str, cappa.Arg(help='The YAML file of the load.')]
+    out: Annotated[
+        str,
+        cappa.Arg(long='--out', help='The folder for report and plots.'),
+    ] = 'replay-run'
+    case: Annotated[
+        list[str],
+        cappa.Arg(long='--case', help='Only this case; may be repeated.'),
+    ] = field(default_factory=list)
+    policy: Annotated[
+        list[str],
+        cappa.Arg(long='--policy', help='Only this policy; may be repeated.'),
+    ] = field(default_factory=list)
+
+
+def main() -> None:
+    """Play the load of the command line, and write what came of it."""
+    arguments = cappa.parse(Arguments)
+    logging.set_verbosity(logging.ERROR)
+    load = choose(arguments)
+    folder = Path(arguments.out)
+    folder.mkdir(parents=True, exist_ok=True)
+    runs = [_play_one(load, turn) for turn in turns_of(load)]
+    report = write_report(load, runs)
+    (folder / f'{load.name}.md').write_text(report, 'utf-8')
+    write_charts(folder, load.name, runs)
+    sys.stdout.write(report)
+
+
+def choose(arguments: Arguments) -> Load:
+    """Return what is to be played, or print complaints and exit with 2."""
+    read = read_load(arguments.load, tuple(POLICIES))
+    if read.is_error():
+        _exit_with(str(complaint) for complaint in read.error)
+    load = read.ok
+    unknown = set(arguments.case) - set(load.cases)
+    unknown |= set(arguments.policy) - set(POLICIES)
+    if unknown:
+        _exit_with(f'no such case or policy: {each}' for each in unknown)
+    cases = {
+        name: case
+        for name, case in load.cases.items()
+        if not arguments.case or name in arguments.case
+    }
+    policies = tuple(arguments.policy) or load.policies
+    return replace(load, cases=cases, policies=policies)
+
+
+def _play_one(load: Load, turn) -> RunFigures:
+    figures = compute_figures(load, play(load, turn))
+    sys.stderr.write(
+        f'{turn.case} {turn.policy} {turn.seed}: {figures.worth:.3f}\n',
+    )
+    return figures
+
+
+def _exit_with(lines: Iterable[str]) -> None:
+    sys.stderr.writelines(f'{line}\n' for line in lines)
+    sys.exit(BAD_SETTINGS_EXIT)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/src/limpetdrift/replays/tables.py
@@ -0,0 +1,129 @@
+"""The report of a replay: Markdown tables over seeds."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from limpetdrift.loads.report import make_table, spread
+from limpetdrift.replays.loadfile import Load
+from limpetdrift.replays.outcomes import RunFigures
+
+_KILO = 1000
+_SHARE_DIGITS = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Group:
+    """The runs of one case with one policy, over seeds."""
+
+    case: str
+    policy: str
+    runs: tuple[RunFigures, ...]
+
+
+def group_runs(runs: Iterable[RunFigures]) -> list[Group]:
+    """Gather runs by case and policy, in the order in which they came."""
+    gathered: dict[tuple[str, str], list[RunFigures]] = {}
+    for run in runs:
+        key = (run.turn.case, run.turn.policy)
+        gathered.setdefault(key, []).append(run)
+    return [
+        Group(case=case, policy=policy, runs=tuple(mine))
+        for (case, policy), mine in gathered.items()
+    ]
+
+
+def write_report(load: Load, runs: Sequence[RunFigures]) -> str:
+    """Return the whole report as Markdown."""
+    groups = group_runs(runs)
+    sizes = load.engines
+    seeds = ', '.join(map(str, load.seeds))
+    heading = (
+        f'# {load.name}\n\n{load.entries} entries; {sizes.count} engines with '
+        f'{sizes.slots} slots; arrivals for {load.duration_seconds:.0f} s of '
+        f'virtual time; seeds {seeds}. Cells are the median over seeds, with '
+        'the least and the greatest.\n'
+    )
+    served = f'\n## What callers were served\n\n{_served(groups)}'
+    kinds = f'\n## By kind\n\n{_kinds(load, groups)}'
+    knowledge = f'\n## What knowing costs\n\n{_knowledge(groups)}'
+    return heading + served + kinds + knowledge
+
+
+def _served(groups: Iterable[Group]) -> str:
+    headings = (
+        'case',
+        'policy',
+        'worth',
+        'worst window',
+        'least account',
+        'longest prompts on time',
+    )
+    rows = [
+        [
+            group.case,
+            group.policy,
+            _shares(run.worth for run in group.runs),
+            _shares(run.worst_window for run in group.runs),
+            _shares(run.least_account for run in group.runs),
+            _shares(run.longest_on_time for run in group.runs),
+        ]
+        for group in groups
+    ]
+    return make_table(headings, rows)
+
+
+def _kinds(load: Load, groups: Iterable[Group]) -> str:
+    headings = (
+        'case',
+        'policy',
+        'kind',
+        'sent',
+        'on time',
+        'late',
+        'refused',
+        'failed',
+    )
+    rows = [_kind_row(group, kind) for group in groups for kind in load.kinds]
+    return make_table(headings, rows)
+
+
+def _kind_row(group: Group, kind: str) -> list[str]:
+    figures = [run.kinds[kind] for run in group.runs]
+    return [
+        group.case,
+        group.policy,
+        kind,
+        str(sum(each.sent for each in figures)),
+        _shares(each.on_time for each in figures),
+        _shares(each.late for each in figures),
+        _shares(each.refused for each in figures),
+        _shares(each.failed for each in figures),
+    ]
+
+
+def _knowledge(groups: Iterable[Group]) -> str:
+    headings = (
+        'case',
+        'policy',
+        'messages a second',
+        'kB a second',
+        'reports a second',
+    )
+    rows = [
+        [
+            group.case,
+            group.policy,
+            spread((run.messages_a_second for run in group.runs), 1),
+            spread(
+                (run.message_bytes_a_second / _KILO for run in group.runs),
+                1,
+            ),
+            spread((run.reports_a_second for run in group.runs), 1),
+        ]
+        for group in groups
+    ]
+    return make_table(headings, rows)
+
+
+def _shares(numbers: Iterable[float]) -> str:
+    return spread(numbers, _SHARE_DIGITS)
