Keep the settings loader out of the platform entry's start

Cause: programs.serving read settings files for two of its users, so the platform's entry imported the YAML reader, the site settings and the placement policies, none of which it uses. 98 modules of ours before, 83 after; 'yaml' is no longer loaded.

--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -18,8 +18,8 @@
     watch_ages,
 )
 from limpetdrift.platform.settings import PlatformSettings, read_settings
+from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.programs.serving import (
-    BAD_SETTINGS_EXIT,
     serve_on,
     stop_on_signals,
 )
--- a/src/limpetdrift/programs/entry.py
+++ b/src/limpetdrift/programs/entry.py
@@ -10,10 +10,10 @@
 from limpetdrift.programs.entryparts import join_parts
 from limpetdrift.programs.serving import (
     announce,
-    read_settings,
     serve_on,
     stop_on_signals,
 )
+from limpetdrift.programs.settingsfile import read_settings
 from limpetdrift.settings import EntrySettings
 
 
--- a/src/limpetdrift/programs/entryviews.py
+++ b/src/limpetdrift/programs/entryviews.py
@@ -18,7 +18,8 @@
 from limpetdrift.coordination.endpoints import EndpointInputs, Endpoints
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.programs.serving import Task, read_settings
+from limpetdrift.programs.serving import Task
+from limpetdrift.programs.settingsfile import read_settings
 from limpetdrift.programs.storeparts import StoreParts
 from limpetdrift.protocol.endpointreports import make_report_call
 from limpetdrift.protocol.gossip import MemberState
--- /dev/null
+++ b/src/limpetdrift/programs/exits.py
@@ -0,0 +1,3 @@
+"""Exit codes that the programs share."""
+
+BAD_SETTINGS_EXIT = 2
--- a/src/limpetdrift/programs/load.py
+++ b/src/limpetdrift/programs/load.py
@@ -18,7 +18,7 @@
 from limpetdrift.loads.output import keep_runs, write_outcome
 from limpetdrift.loads.running import run_experiment
 from limpetdrift.loads.site import Site, load_checker
-from limpetdrift.programs.serving import BAD_SETTINGS_EXIT
+from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 
 
 @cappa.command(name='limpet-load', help='Run a load experiment.')
--- a/src/limpetdrift/programs/replay.py
+++ b/src/limpetdrift/programs/replay.py
@@ -13,7 +13,7 @@
 import cappa
 from absl import logging
 
-from limpetdrift.programs.serving import BAD_SETTINGS_EXIT
+from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.replays.charts import write_charts
 from limpetdrift.replays.loadfile import Load, read_load
 from limpetdrift.replays.outcomes import RunFigures, compute_figures
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -9,7 +9,6 @@
 
 from limpetdrift import telemetry
 from limpetdrift.protocol.codec import encode_line
-from limpetdrift.settings import Settings, load_settings
 from limpetdrift.transport.messages import OK, UNAVAILABLE, Address, Response
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import (
@@ -19,7 +18,6 @@
     listen,
 )
 
-BAD_SETTINGS_EXIT = 2
 Task = Callable[[], Awaitable[None]]
 _METRICS_HEADERS = (('content-type', 'text/plain; version=0.0.4'),)
 
@@ -48,16 +46,6 @@
     routes.add('GET', '/metrics', metrics)
 
 
-def read_settings(path: str, kind: type[Settings]) -> Settings:
-    """Return the settings, or print all complaints and exit with 2."""
-    loaded = load_settings(path, kind)
-    if loaded.is_ok():
-        return loaded.ok
-    for complaint in loaded.error:
-        sys.stderr.write(f'{complaint}\n')
-    sys.exit(BAD_SETTINGS_EXIT)
-
-
 async def serve_on(
     address: Address,
     server: Server,
--- a/src/limpetdrift/programs/steward.py
+++ b/src/limpetdrift/programs/steward.py
@@ -21,9 +21,9 @@
 from limpetdrift.programs.serving import (
     add_health_routes,
     announce,
-    read_settings,
     stop_on_signals,
 )
+from limpetdrift.programs.settingsfile import read_settings
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.objects import make_object_calls
 from limpetdrift.protocol.orders import make_order_calls
