Pack what entries pass on once a version, and pass on what did not come back

Change: each version is packed once; lists of one version differ by a digest, which askers send. Both tests fail on the code before.

--- a/src/limpetdrift/coordination/knowledgerelay.py
+++ b/src/limpetdrift/coordination/knowledgerelay.py
@@ -60,9 +60,10 @@
 
 @dataclass(kw_only=True, slots=True)
 class HeldList:
-    """The endpoint list's version and when it was confirmed."""
+    """The endpoint list's version, its digest, and when it was confirmed."""
 
     version: int = 0
+    digest: int = 0
     confirmed_at: float = float('-inf')
 
 
@@ -88,6 +89,24 @@
     randomness: Random
 
 
+class _Packer:
+    """Packs each version once, however many ask for it."""
+
+    def __init__(self) -> None:
+        self._key: tuple[int, ...] = ()
+        self._packed = b''
+
+    def pack(
+        self,
+        key: tuple[int, ...],
+        read: Callable[[], object],
+    ) -> bytes:
+        if key != self._key:
+            self._packed = pack(read())
+            self._key = key
+        return self._packed
+
+
 class KnowledgeRelay:
     """Whether this entry reads the store, and whom it asks otherwise."""
 
@@ -96,6 +115,8 @@
         self._alone_until = float('-inf')
         self._failed: set[str] = set()
         self._news = trio.Event()
+        self._routes_pack = _Packer()
+        self._list_pack = _Packer()
 
     @property
     def reads_store(self) -> bool:
@@ -159,6 +180,7 @@
             KnowledgeRequest(
                 routes_version=self._inputs.routes.version,
                 list_version=self._inputs.held_list.version,
+                list_digest=self._inputs.held_list.digest,
                 wait_seconds=WAIT_SECONDS,
             ),
             KnowledgeReply,
@@ -176,14 +198,14 @@
         return (
             self._inputs.is_cut()
             or self._inputs.routes.version > request.routes_version
-            or self._inputs.held_list.version > request.list_version
+            or _has_other_list(self._inputs.held_list, request)
         )
 
     def _reply(self, request: KnowledgeRequest) -> KnowledgeReply:
         routes = self._inputs.routes
         held = self._inputs.held_list
         newer = routes.version > request.routes_version
-        listed = held.version > request.list_version
+        listed = _has_other_list(held, request)
         return KnowledgeReply(
             routes_version=routes.version,
             routes_age_seconds=min(routes.age_seconds(), NEVER_SECONDS),
@@ -193,8 +215,18 @@
                 NEVER_SECONDS,
             ),
             is_cut=self._inputs.is_cut(),
-            routes=pack(routes.table) if newer else None,
-            endpoints=pack(self._inputs.endpoints()) if listed else None,
+            routes=self._routes_pack.pack(
+                (routes.version,),
+                lambda: routes.table,
+            )
+            if newer
+            else None,
+            endpoints=self._list_pack.pack(
+                (held.version, held.digest),
+                self._inputs.endpoints,
+            )
+            if listed
+            else None,
         )
 
     def _choose(self) -> tuple[str, Address | None]:
@@ -253,7 +285,7 @@
                 )
         self._inputs.routes.confirm(reply.routes_version, routes_at)
         held = self._inputs.held_list
-        if reply.endpoints is None or reply.list_version <= held.version:
+        if reply.endpoints is None or reply.list_version < held.version:
             return
         endpoints = unpack(reply.endpoints, tuple[ListedEndpoint, ...])
         if endpoints.is_ok():
@@ -268,6 +300,13 @@
     return choose('readers', names, count)
 
 
+def _has_other_list(held: HeldList, request: KnowledgeRequest) -> bool:
+    """Return whether a list is newer, or lacks what didn't come back."""
+    if held.version != request.list_version:
+        return held.version > request.list_version
+    return held.digest != request.list_digest
+
+
 def _is_fresh(reply: KnowledgeReply) -> bool:
     return not reply.is_cut and reply.routes_age_seconds <= FRESH_SECONDS
 
--- a/src/limpetdrift/platform/knowledge.py
+++ b/src/limpetdrift/platform/knowledge.py
@@ -19,7 +19,8 @@
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.following import Followed, Follower
 from limpetdrift.platform.listkeeping import ListKeeper
-from limpetdrift.platform.store import RowPage, StoreClient
+from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
+from limpetdrift.protocol.knowledge import digest_of
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpointview import EndpointView
 from limpetdrift.state.heldroutes import HeldRoutes
@@ -67,6 +68,7 @@
             outage_within=lambda seconds: self._endpoints.outage_within(
                 seconds,
             ),
+            on_drop=self._note_list,
         )
         self.relay = KnowledgeRelay(inputs=self._relay_inputs())
         self._configuration = _make_follower(
@@ -86,8 +88,14 @@
             inputs,
             Followed(
                 table=ENDPOINTS_TABLE,
-                replace=self._replace_list,
-                apply=self._apply_list,
+                replace=lambda page, at: self._take_rows(
+                    self._list.replace,
+                    page,
+                ),
+                apply=lambda page, at: self._take_rows(
+                    self._list.apply,
+                    page,
+                ),
                 confirm=self._confirm_list,
                 lost=self.relay.wake,
                 is_wanted=lambda: self.relay.reads_store,
@@ -141,18 +149,21 @@
             return _HURRY_SECONDS
         return self.relay.wait_seconds or own
 
-    def _replace_list(self, page: RowPage, read_at: float) -> None:
-        self._list.replace(page.rows)
+    def _take_rows(
+        self,
+        take: Callable[[tuple[StoredRow, ...]], None],
+        page: RowPage,
+    ) -> None:
+        take(page.rows)
         self._held.version = page.version
-        self._note_change()
-
-    def _apply_list(self, page: RowPage, read_at: float) -> None:
-        self._list.apply(page.rows)
-        self._held.version = page.version
-        self._note_change()
+        self._note_list()
 
     def _take_endpoints(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
         self._list.take(endpoints)
+        self._note_list()
+
+    def _note_list(self) -> None:
+        self._held.digest = digest_of(self._inputs.view.listed)
         self._note_change()
 
     def _confirm_list(self, read_at: float) -> None:
--- a/src/limpetdrift/platform/listkeeping.py
+++ b/src/limpetdrift/platform/listkeeping.py
@@ -21,16 +21,21 @@
 
 
 class ListKeeper:
-    """Decides what a row that came, changed or went says of an endpoint."""
+    """Decides what a row that came, changed or went says of an endpoint.
+
+    ``on_drop`` is called when entries are dropped without a new row.
+    """
 
     def __init__(
         self,
         *,
         view: EndpointView,
         outage_within: OutageWithin,
+        on_drop: Callable[[], None],
     ) -> None:
         self._view = view
         self._outage_within = outage_within
+        self._on_drop = on_drop
         self._lapsed: set[str] = set()
         self._complaints: dict[str, str] = {}
 
@@ -74,12 +79,13 @@
 
     def drop_lapsed(self) -> None:
         """Drop what is still missing so long after the store's return."""
-        if self._outage_within(LAPSE_SECONDS):
+        if not self._lapsed or self._outage_within(LAPSE_SECONDS):
             return
         for name in self._lapsed:
             note('endpoint did not come back', endpoint=name)
             self._view.drop(name)
         self._lapsed.clear()
+        self._on_drop()
 
     def _put(self, endpoint: ListedEndpoint) -> None:
         self._lapsed.discard(endpoint.name)
--- a/src/limpetdrift/protocol/knowledge.py
+++ b/src/limpetdrift/protocol/knowledge.py
@@ -1,13 +1,16 @@
 """Messages by which entries pass routes and endpoints on to each other."""
 
 import zlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import TypeVar
 
 from expression import Error, Result
+from xxhash import xxh32_intdigest
 
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
+from limpetdrift.protocol.work import ListedEndpoint
 
 Content = TypeVar('Content')
 
@@ -19,11 +22,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class KnowledgeRequest:
-    """Asks for what is newer than these versions, for so long at most."""
+    """Asks for what is newer than these versions, for so long at most.
+
+    ``list_digest`` tells lists of one version apart: a reader drops entries
+    that did not come back after an outage without a new version.
+    """
 
     routes_version: int
     list_version: int
     wait_seconds: float
+    list_digest: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,6 +51,14 @@
     endpoints: bytes | None = None
 
 
+def digest_of(endpoints: Iterable[ListedEndpoint]) -> int:
+    """Return a digest that differs between two lists of endpoints."""
+    named = sorted(
+        (each.name, each.lifetime, each.leaving) for each in endpoints
+    )
+    return xxh32_intdigest(encode(named))
+
+
 def pack(content: object) -> bytes:
     """Return a message in few bytes."""
     return zlib.compress(encode(content), _LEVEL)
--- a/tests/knowledge_world.py
+++ b/tests/knowledge_world.py
@@ -14,6 +14,7 @@
 )
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.platform.store import RowPage, StoredRow
+from limpetdrift.protocol.knowledge import digest_of
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.routetable import RouteTable
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
@@ -127,3 +128,4 @@
 
     def _take(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
         self.endpoints = endpoints
+        self.held.digest = digest_of(endpoints)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from collections import Counter
 
 import trio
 
@@ -12,9 +13,11 @@
     ALONE_SECONDS,
     FRESH_SECONDS,
     WAIT_SECONDS,
+    KnowledgeRelay,
 )
 from limpetdrift.platform.following import Followed, Follower
 from limpetdrift.platform.listkeeping import LAPSE_SECONDS, ListKeeper
+from limpetdrift.protocol.knowledge import digest_of, pack
 from limpetdrift.protocol.routetable import RouteTable
 from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.state.endpointview import EndpointView
@@ -22,6 +25,8 @@
 
 READ_SECONDS = 0.5
 APPLY_SECONDS = 2.0
+# Entries that read the store for forty.
+READERS = 3
 
 
 def table(version: int) -> RouteTable:
@@ -134,6 +139,48 @@
         assert len(reading) <= 3
 
 
+def hold(entry: RelayEntry, count: int) -> None:
+    """Let an entry hold a list of one version with so many endpoints."""
+    entry.endpoints = make_endpoints(count)
+    entry.held.version = 7
+    entry.held.digest = digest_of(entry.endpoints)
+    entry.relay.wake()
+
+
+@virtual
+async def test_what_did_not_come_back_goes_everywhere_without_a_new_version():
+    cluster = Cluster(40)
+    for entry in cluster.entries:
+        hold(entry, 3)
+    async with playing(cluster):
+        await trio.sleep(5)
+        for entry in cluster.entries:
+            if entry.relay.reads_store:
+                hold(entry, 2)
+        await trio.sleep(WAIT_SECONDS)
+        assert {len(entry.endpoints) for entry in cluster.entries} == {2}
+
+
+@virtual
+async def test_each_version_is_packed_once_for_all_who_ask(monkeypatch):
+    """Answers a storm of changes that 30 entries ask one reader for."""
+    packed = Counter()
+
+    def count(content: object) -> bytes:
+        packed[type(content)] += 1
+        return pack(content)
+
+    monkeypatch.setattr(f'{KnowledgeRelay.__module__}.pack', count)
+    cluster = Cluster(40)
+    async with playing(cluster):
+        await trio.sleep(5)
+        packed.clear()
+        cluster.version = 2
+        await trio.sleep(APPLY_SECONDS)
+        assert {entry.routes.version for entry in cluster.entries} == {2}
+    assert packed[RouteTable] <= READERS
+
+
 def entry_row(state: str = 'ready') -> bytes:
     return json.dumps(
         {
@@ -153,9 +200,11 @@
         self.store = store
         self.view = EndpointView(clock=trio.current_time)
         self.lost = 0
+        self.drops = 0
         self.keeper = ListKeeper(
             view=self.view,
             outage_within=lambda seconds: self.follower.outage_within(seconds),
+            on_drop=self._note_drop,
         )
         self.follower = Follower(
             store=store,
@@ -183,6 +232,9 @@
     def _note_lost(self) -> None:
         self.lost += 1
 
+    def _note_drop(self) -> None:
+        self.drops += 1
+
 
 @virtual
 async def test_changes_of_the_list_are_taken_as_they_come():
@@ -245,8 +297,10 @@
         await trio.sleep(LAPSE_SECONDS / 2)
         assert world.names() == ['a', 'b']
         store.put('a', entry_row())
+        assert not world.drops
         await trio.sleep(LAPSE_SECONDS + 0.5)
         assert world.names() == ['a']
+        assert world.drops == 1
 
 
 @virtual
