Read changes of one burst in one call

Cause: each change of the list ended a long poll, so sixty endpoints that register at the start of a grown deployment cost up to sixty calls of each entry that still reads for itself, and a storm of configurations as many. Change: after a page with changes the next call begins 0.2 s later. The first change of a burst is still taken at once.

--- a/src/limpetdrift/platform/following.py
+++ b/src/limpetdrift/platform/following.py
@@ -17,7 +17,10 @@
 _DOUBLINGS = 6
 _JITTER = (0.5, 1.0)
 # How often a table that others follow is looked at.
-UNWANTED_SECONDS = 0.1
+UNWANTED_SECONDS = 0.25
+# Changes come in bursts: those that follow one within this time are read in
+# one call. It is a tenth of the time in which a change is to be in force.
+BURST_SECONDS = 0.2
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -58,6 +61,7 @@
         self._clock = clock
         self._random = randomness
         self._version: int | None = None
+        self._in_burst = False
         self._failures = 0
         self._lost_at: float | None = None
         self._regained_at = float('-inf')
@@ -93,6 +97,8 @@
             failure = await self._read_changes(read_at)
         if failure is None:
             self._note_regained()
+            if self._in_burst:
+                await trio.sleep(BURST_SECONDS)
             return
         if failure.reason is Reason.CONFLICT:
             note('history of the store is gone', table=self._followed.table)
@@ -137,6 +143,7 @@
         if page.rows:
             self._followed.apply(page, read_at)
         self._followed.confirm(read_at)
+        self._in_burst = bool(page.rows)
         return None
 
     async def _pause(self, failure: Failure) -> None:
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -15,7 +15,11 @@
     WAIT_SECONDS,
     KnowledgeRelay,
 )
-from limpetdrift.platform.following import Followed, Follower
+from limpetdrift.platform.following import (
+    BURST_SECONDS,
+    Followed,
+    Follower,
+)
 from limpetdrift.platform.listkeeping import LAPSE_SECONDS, ListKeeper
 from limpetdrift.protocol.knowledge import digest_of, pack
 from limpetdrift.protocol.routetable import RouteTable
@@ -254,6 +258,22 @@
         assert not world.names()
 
 
+@virtual
+async def test_burst_of_changes_takes_few_calls():
+    """Answers sixty endpoints that register while entries start."""
+    store = FakeStore()
+    world = ListWorld(store)
+    async with playing(world):
+        await trio.sleep(0.1)
+        store.calls = 0
+        for number in range(60):
+            store.put(f'e{number}', entry_row())
+            await trio.sleep(0.05)
+        assert store.calls <= 3.0 / BURST_SECONDS + 1
+        await trio.sleep(BURST_SECONDS)
+        assert len(world.names()) == 60
+
+
 @virtual
 async def test_endpoint_that_leaves_stays_leaving_whatever_the_list_says():
     store = FakeStore()
