--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -1,4 +1,4 @@
-"""Processor time of a plan and of a log line, by the number of engines.
+"""Processor time of a plan, of a log line and of a measurement.
 
 Run ``python benchmarks/planning.py``; it prints microseconds for each.
 """
@@ -7,7 +7,7 @@
 import sys
 import time
 
-from limpetdrift import logs
+from limpetdrift import logs, telemetry
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.protocol.plans import GrantEnd, PlanRequest
 from limpetdrift.protocol.routetable import EngineLaw
@@ -87,6 +87,15 @@
         return (time.process_time() - begun) / ROUNDS / 10 * 1_000_000
 
 
+def measurement_microseconds() -> float:
+    """Return what one count and one observation take together."""
+    begun = time.process_time()
+    for number in range(ROUNDS * 10):
+        telemetry.count('bench', reason='timeout')
+        telemetry.observe('bench_seconds', number, kind='streaming')
+    return (time.process_time() - begun) / ROUNDS / 10 * 1_000_000
+
+
 def main() -> None:
     """Print the table."""
     for engines in (6, 18, 60, 180):
@@ -96,6 +105,8 @@
             f'{engines} engines: short {short:.0f}, long {long:.0f}\n',
         )
     sys.stdout.write(f'log line: {line_microseconds():.0f}\n')
+    measured = measurement_microseconds()
+    sys.stdout.write(f'count and observation: {measured:.1f}\n')
 
 
 if __name__ == '__main__':
--- a/src/limpetdrift/coordination/retrying.py
+++ b/src/limpetdrift/coordination/retrying.py
@@ -3,6 +3,8 @@
 All functions are plain: they see the work, what is known and the time left.
 """
 
+from random import Random
+
 from limpetdrift.protocol.routetable import Route, WorkKind
 from limpetdrift.protocol.verdict import Failure, Reason, Verdict
 
@@ -18,6 +20,11 @@
 _PAUSE_SHARE = 3.0
 _PAUSE_SECONDS_LIMIT = 1.2
 
+# Callers that are turned away without a better estimate come back after so
+# long; the spread keeps them from coming back together.
+RETURN_SECONDS = 0.4
+_RETURN_SPREAD = (0.6, 1.4)
+
 _SERVER_ERROR = 500
 _FINAL = frozenset(
     (
@@ -106,6 +113,15 @@
     return min(seconds_left, wanted)
 
 
+def return_seconds(failure: Failure, randomness: Random) -> float:
+    """Return when a caller that was refused should come back.
+
+    Answers many who are refused at once: they come back spread over time.
+    """
+    pause = failure.retry_after_seconds or RETURN_SECONDS
+    return pause * randomness.uniform(*_RETURN_SPREAD)
+
+
 def is_failure_of_endpoint(route: Route, status: int) -> bool:
     """Return whether an answer is worth asking another endpoint.
 
--- a/src/limpetdrift/platform/answers.py
+++ b/src/limpetdrift/platform/answers.py
@@ -7,13 +7,10 @@
 from collections.abc import Callable
 from random import Random
 
+from limpetdrift.coordination.retrying import return_seconds
 from limpetdrift.protocol.verdict import Failure, Reason, Verdict
 from limpetdrift.transport.messages import Response
 
-# Callers that are turned away without a better estimate come back after so
-# long; the spread keeps them from coming back together.
-RETRY_AFTER_SECONDS = 0.4
-_SPREAD = (0.6, 1.4)
 _NOT_RUN = {
     Reason.BAD_REQUEST: 400,
     Reason.UNAUTHORIZED: 401,
@@ -35,9 +32,8 @@
         status = _NOT_RUN.get(failure.reason, _COME_BACK)
         if status != _COME_BACK:
             return _response(status, failure)
-        pause = failure.retry_after_seconds or RETRY_AFTER_SECONDS
-        spread = pause * randomness.uniform(*_SPREAD)
-        return _response(status, failure, ('retry-after', f'{spread:.3f}'))
+        seconds = return_seconds(failure, randomness)
+        return _response(status, failure, ('retry-after', f'{seconds:.3f}'))
 
     return render
 
--- a/src/limpetdrift/programs/replay.py
+++ b/src/limpetdrift/programs/replay.py
@@ -20,6 +20,7 @@
 from limpetdrift.replays.playing import play, turns_of
 from limpetdrift.replays.policies import POLICIES
 from limpetdrift.replays.tables import write_report
+from limpetdrift.replays.world import Turn
 
 
 @cappa.command(name='limpet-replay', help='Play a load in virtual time.')
@@ -75,7 +76,7 @@
     return replace(load, cases=cases, policies=policies)
 
 
-def _play_one(load: Load, turn) -> RunFigures:
+def _play_one(load: Load, turn: Turn) -> RunFigures:
     figures = compute_figures(load, play(load, turn))
     sys.stderr.write(
         f'{turn.case} {turn.policy} {turn.seed}: {figures.worth:.3f}\n',
--- a/src/limpetdrift/replays/outcomes.py
+++ b/src/limpetdrift/replays/outcomes.py
@@ -5,7 +5,8 @@
 
 from limpetdrift.replays.callers import Ending, Outcome
 from limpetdrift.replays.loadfile import Load
-from limpetdrift.replays.playing import Run, Turn
+from limpetdrift.replays.playing import Run
+from limpetdrift.replays.world import Turn
 
 WINDOW_SECONDS = 3.0
 # The longest prompts of a run that are looked at apart.
--- /dev/null
+++ b/src/limpetdrift/replays/world.py
@@ -0,0 +1,232 @@
+"""The entries and the engines of a replay, joined without sockets."""
+
+import random
+from collections.abc import AsyncIterator
+from contextlib import ExitStack, asynccontextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+import trio
+from expression import Ok, Result
+
+from limpetdrift.coordination.attempts import Answer
+from limpetdrift.coordination.forwarding import Forwarder, ForwardingParts
+from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.coordination.retrying import return_seconds
+from limpetdrift.protocol.codec import encode
+from limpetdrift.protocol.node import Node, Role
+from limpetdrift.protocol.verdict import Failure, Verdict
+from limpetdrift.protocol.work import (
+    EngineReport,
+    ListedEndpoint,
+    Placement,
+    Work,
+)
+from limpetdrift.replays.callers import Outcome
+from limpetdrift.replays.engines import Engine
+from limpetdrift.replays.loadfile import Case, Load
+from limpetdrift.replays.places import Job
+from limpetdrift.replays.policies import (
+    POLICIES,
+    SERVICE,
+    EntryInputs,
+    Task,
+)
+from limpetdrift.state.endpointview import EndpointView
+from limpetdrift.state.retrybudget import RetryBudget
+from limpetdrift.transport.messages import UNAVAILABLE, Address, Response
+
+# What engines say of themselves is so old.
+REPORT_LAG_SECONDS = 0.3
+_DOMAINS = 3
+# Names sort as their numbers do.
+_DIGITS = 3
+_FAILED = 502
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Turn:
+    """Which run it is."""
+
+    case: str
+    policy: str
+    seed: int
+
+
+@dataclass(kw_only=True)
+class Site:
+    """What a run is played on, and what it has left so far."""
+
+    load: Load
+    turn: Turn
+    engines: dict[str, Engine] = field(default_factory=dict)
+    views: list[EndpointView] = field(default_factory=list)
+    routes: dict[Address, PeerRoutes] = field(default_factory=dict)
+    forwarders: list[Forwarder] = field(default_factory=list)
+    tasks: list[Task] = field(default_factory=list)
+    outcomes: list[Outcome] = field(default_factory=list)
+    messages: int = 0
+    message_bytes: int = 0
+    reports: int = 0
+
+    @property
+    def case(self) -> Case:
+        """The load that is played."""
+        return self.load.cases[self.turn.case]
+
+    def random(self, *names: object) -> random.Random:
+        """Return the generator of one concern, seeded by the run."""
+        return random.Random(repr((self.turn.seed, *names)))
+
+
+def make_engines(site: Site) -> None:
+    """Add the engines of the load."""
+    sizes = site.load.engines
+    for number in range(sizes.count):
+        endpoint = ListedEndpoint(
+            name=_name('engine', number),
+            lifetime=1,
+            service=SERVICE,
+            address=f'10.1.0.{number}:80',
+            failure_domain=_domain(number),
+            slots=sizes.slots,
+        )
+        site.engines[endpoint.name] = Engine(endpoint=endpoint, law=sizes.law)
+
+
+def make_entries(site: Site) -> None:
+    """Add the entries, which place by the policy of the run."""
+    nodes = tuple(map(_make_node, range(site.load.entries)))
+    for node in nodes:
+        view = EndpointView(clock=trio.current_time)
+        view.replace(engine.endpoint for engine in site.engines.values())
+        routes = PeerRoutes()
+        placing = POLICIES[site.turn.policy](
+            EntryInputs(
+                node=node,
+                nodes=nodes,
+                law=site.load.engines.law,
+                view=view,
+                call=_make_call(site),
+                peer_routes=routes,
+                read_report=partial(_read_report, site),
+            ),
+        )
+        site.views.append(view)
+        site.routes[node.peer_address] = routes
+        site.tasks += placing.tasks
+        randomness = site.random(node.name)
+        parts = ForwardingParts(
+            place=placing.place,
+            release=placing.release,
+            hold=partial(_hold, site),
+            send=partial(_send, site),
+            check=lambda work: None,
+            render=partial(_render, randomness),
+            note_broken=lambda work, endpoint: None,
+            note_served=lambda work: None,
+            view=view,
+            budget=RetryBudget(),
+            clock=trio.current_time,
+            randomness=randomness,
+        )
+        site.forwarders.append(Forwarder(parts=parts))
+
+
+def _make_node(number: int) -> Node:
+    address = Address(host='10.0.0.1', port=1000 + number)
+    return Node(
+        name=_name('entry', number),
+        incarnation=number,
+        role=Role.ENTRY,
+        region='here',
+        failure_domain=_domain(number),
+        caller_address=address,
+        peer_address=address,
+    )
+
+
+def _domain(number: int) -> str:
+    return _name('domain', number % _DOMAINS)
+
+
+def _name(kind: str, number: int) -> str:
+    return '-'.join((kind, str(number).zfill(_DIGITS)))
+
+
+def _make_call(site: Site) -> PeerCall:
+    async def call_peer(
+        address: Address,
+        path: str,
+        message: object,
+        reply: type,
+        *,
+        timeout_seconds: float,
+    ) -> Result:
+        body = encode(message)
+        await trio.sleep(site.load.peer_seconds)
+        outcome = await site.routes[address].dispatch(path, body)
+        answer = outcome.ok if outcome.is_ok() else outcome.error
+        site.messages += 1
+        site.message_bytes += len(body) + len(encode(answer))
+        await trio.sleep(site.load.peer_seconds)
+        return outcome
+
+    return call_peer
+
+
+async def _read_report(
+    site: Site,
+    endpoint: ListedEndpoint,
+) -> Result[EngineReport, Failure]:
+    site.reports += 1
+    report = site.engines[endpoint.name].report()
+    await trio.sleep(REPORT_LAG_SECONDS)
+    return Ok(report)
+
+
+@asynccontextmanager
+async def _hold(
+    site: Site,
+    placement: Placement,
+) -> AsyncIterator[Placement]:
+    with ExitStack() as held:
+        for endpoint, tokens in placement.reserved:
+            engine = site.engines[endpoint.name]
+            held.enter_context(engine.places.hold(tokens))
+        yield placement
+
+
+@asynccontextmanager
+async def _send(
+    site: Site,
+    work: Work,
+    placement: Placement,
+    seconds_left: float,
+    last_event: int | None,
+) -> AsyncIterator[Answer]:
+    engine = site.engines[placement.endpoint.name]
+    helpers = tuple(
+        site.engines[helper.endpoint.name] for helper in placement.helpers
+    )
+    job = Job(
+        tokens=work.size.prompt_tokens,
+        answer_tokens=work.size.answer_tokens,
+        events=work.size.answer_tokens // site.load.engines.stride,
+        parts=1 + len(helpers),
+        reserved_tokens=sum(tokens for _, tokens in placement.reserved),
+        urgency=placement.urgency,
+        written=last_event or 0,
+    )
+    async with engine.open(job, helpers) as answer:
+        yield answer
+
+
+def _render(randomness: random.Random, failure: Failure) -> Response:
+    if failure.verdict is not Verdict.NOT_RUN:
+        return Response(status=_FAILED)
+    seconds = return_seconds(failure, randomness)
+    return Response(
+        status=UNAVAILABLE,
+        headers=(('retry-after', str(seconds)),),
+    )
--- a/tests/test_replay_loads.py
+++ b/tests/test_replay_loads.py
@@ -12,7 +12,8 @@
 
 from limpetdrift.replays.loadfile import Load, read_load
 from limpetdrift.replays.outcomes import RunFigures, compute_figures
-from limpetdrift.replays.playing import Turn, play
+from limpetdrift.replays.playing import play
+from limpetdrift.replays.world import Turn
 
 LOAD_FILE = Path(__file__).parent.parent / 'experiments/replay-simu-kona.yaml'
 SHORT = 'fault-note'
--- a/tests/test_replays.py
+++ b/tests/test_replays.py
@@ -8,15 +8,18 @@
 
 from forward_world import make_endpoints
 from limpetdrift.coordination.enginelaw import pass_seconds, read_seconds
+from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
+from limpetdrift.programs.replay import Arguments, choose
 from limpetdrift.protocol.verdict import FailureError, Reason
 from limpetdrift.replays.arrivals import draw_arrivals
 from limpetdrift.replays.engines import Engine
 from limpetdrift.replays.loadfile import Load, read_load
 from limpetdrift.replays.outcomes import compute_figures
 from limpetdrift.replays.places import Job
-from limpetdrift.replays.playing import Turn, play, turns_of
+from limpetdrift.replays.playing import play, turns_of
 from limpetdrift.replays.policies import POLICIES
 from limpetdrift.replays.tables import write_report
+from limpetdrift.replays.world import Turn
 from virtual import playing, run_virtual
 
 EXPERIMENTS = Path(__file__).parent.parent / 'experiments'
@@ -218,3 +221,18 @@
     complaints = read_load(str(path), tuple(POLICIES)).error
     found = {complaint.found for complaint in complaints}
     assert found == {'fault-nite', 'planer'}
+
+
+def test_command_line_chooses_cases_and_policies():
+    chosen = choose(
+        Arguments(load=LOAD_FILE, case=['quiet'], policy=['alone']),
+    )
+    assert list(chosen.cases) == ['quiet']
+    assert chosen.policies == ('alone',)
+
+
+def test_command_line_names_what_is_unknown(capsys):
+    with pytest.raises(SystemExit) as ended:
+        choose(Arguments(load=LOAD_FILE, case=['quite']))
+    assert ended.value.code == BAD_SETTINGS_EXIT
+    assert 'quite' in capsys.readouterr().err
