--- a/src/limpetdrift/replays/callers.py
+++ b/src/limpetdrift/replays/callers.py
@@ -12,10 +12,9 @@
 
 from limpetdrift.replays.arrivals import Arrival
 from limpetdrift.replays.loadfile import Kind, Returns
-from limpetdrift.transport.messages import OK, Headers, Response
+from limpetdrift.transport.messages import OK, UNAVAILABLE, Headers, Response
 
 _RETRY_AFTER = 'retry-after'
-_UNAVAILABLE = 503
 _AT_ONCE_SECONDS = 0.01
 
 
@@ -178,7 +177,7 @@
     status = side.response.status if side.response else 0
     if status == OK:
         return Ending.SERVED
-    return Ending.REFUSED if status == _UNAVAILABLE else Ending.FAILED
+    return Ending.REFUSED if status == UNAVAILABLE else Ending.FAILED
 
 
 def _retry_after(side: CallerSide) -> float:
--- a/src/limpetdrift/replays/engines.py
+++ b/src/limpetdrift/replays/engines.py
@@ -24,12 +24,11 @@
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.replays.places import Job, Places
 from limpetdrift.replays.readings import Reading, ReadingQueue
+from limpetdrift.transport.messages import OK, UNAVAILABLE
 
 # Work that depends on a dead engine stalls for so long.
 STALL_SECONDS = 1.5
 _SERVER_ERROR = 500
-_OK = 200
-_UNAVAILABLE = 503
 _NO_EVENTS: tuple[bytes, ...] = ()
 
 
@@ -49,11 +48,10 @@
     def __init__(self, *, endpoint: ListedEndpoint, law: EngineLaw) -> None:
         self.endpoint = endpoint
         self.condition = Condition()
-        self._law = law
         self.places = Places(law=law)
+        self._law = law
         self._writers: list[Job] = []
         self._readings = ReadingQueue(law=law)
-        self._reserved_tokens = 0
         self._changed = trio.Event()
 
     def report(self) -> EngineReport:
@@ -117,13 +115,13 @@
             await self._admit(job)
             if await self._read_prompt(job, helpers):
                 yield Answer(
-                    status=_OK,
+                    status=OK,
                     headers=(),
                     chunks=lambda: self._write(job),
                 )
             else:
                 yield Answer(
-                    status=_UNAVAILABLE,
+                    status=UNAVAILABLE,
                     headers=(),
                     chunks=_nothing,
                     refused=True,
--- a/src/limpetdrift/replays/outcomes.py
+++ b/src/limpetdrift/replays/outcomes.py
@@ -1,6 +1,6 @@
 """Figures of a run: what callers were served, and what it took."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from limpetdrift.replays.callers import Ending, Outcome
@@ -67,7 +67,10 @@
     )
 
 
-def _group(outcomes, key) -> list[list[Outcome]]:
+def _group(
+    outcomes: Iterable[Outcome],
+    key: Callable[[Outcome], str],
+) -> list[list[Outcome]]:
     groups: dict[str, list[Outcome]] = {}
     for outcome in outcomes:
         groups.setdefault(key(outcome), []).append(outcome)
@@ -112,7 +115,10 @@
     return _share(longest, lambda each: each.is_on_time(most))
 
 
-def _share(outcomes: list[Outcome], holds) -> float:
+def _share(
+    outcomes: list[Outcome],
+    holds: Callable[[Outcome], bool],
+) -> float:
     if not outcomes:
         return 1.0
     return sum(map(holds, outcomes)) / len(outcomes)
