Replays: use the loader, the registry and the gathering that are there

read_load read its file and its complaints beside settings.load_settings, and took the policies as a parameter that tests left out; bursts and faults told their times twice; the type of report readers stood in two modules; runs and outcomes were gathered by key in five places, two of them older (loads/report, loads/records).

--- a/src/limpetdrift/loads/records.py
+++ b/src/limpetdrift/loads/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from limpetdrift.loads.experiment import Case
+from limpetdrift.loads.gathering import gather
 from limpetdrift.protocol.codec import encode_line
 
 
@@ -69,12 +70,11 @@
 
 def read_runs(path: Path) -> tuple[RunRecord, ...]:
     """Read the runs of a file of records and of its samples."""
-    requests: dict[Case, list[Record]] = {}
-    samples: dict[Case, list[Sample]] = {}
-    for request in _read(path, Record):
-        requests.setdefault(request.case, []).append(request)
-    for sample in _read(_samples_path(path), Sample):
-        samples.setdefault(sample.case, []).append(sample)
+    requests = gather(_read(path, Record), lambda each: each.case)
+    samples = gather(
+        _read(_samples_path(path), Sample),
+        lambda each: each.case,
+    )
     return tuple(
         RunRecord(
             case=case,
--- a/src/limpetdrift/loads/report.py
+++ b/src/limpetdrift/loads/report.py
@@ -11,6 +11,7 @@
     RunFigures,
     Times,
 )
+from limpetdrift.loads.gathering import gather
 
 _NONE = '-'
 _KILO = 1000
@@ -48,10 +49,7 @@
 
 def group_runs(runs: Iterable[RunFigures]) -> list[Group]:
     """Gather runs by load and policy, in the order in which they came."""
-    gathered: dict[tuple[float, str], list[RunFigures]] = {}
-    for run in runs:
-        key = (run.case.load, run.case.policy)
-        gathered.setdefault(key, []).append(run)
+    gathered = gather(runs, lambda run: (run.case.load, run.case.policy))
     return [
         Group(load=load, policy=policy, runs=tuple(mine))
         for (load, policy), mine in gathered.items()
--- a/src/limpetdrift/programs/replay.py
+++ b/src/limpetdrift/programs/replay.py
@@ -59,7 +59,7 @@
 
 def choose(arguments: Arguments) -> Load:
     """Return what is to be played, or print complaints and exit with 2."""
-    read = read_load(arguments.load, tuple(POLICIES))
+    read = read_load(arguments.load)
     if read.is_error():
         _exit_with(str(complaint) for complaint in read.error)
     load = read.ok
--- a/src/limpetdrift/replays/arrivals.py
+++ b/src/limpetdrift/replays/arrivals.py
@@ -90,8 +90,7 @@
 def _times_at(case: Case, name: str, at: float) -> float:
     factor = 1.0
     for burst in case.bursts:
-        ends_at = burst.at_seconds + burst.for_seconds
         concerned = not burst.kind or burst.kind == name
-        if concerned and burst.at_seconds <= at < ends_at:
+        if concerned and burst.covers(at):
             factor *= burst.times
     return factor
--- a/src/limpetdrift/replays/loadfile.py
+++ b/src/limpetdrift/replays/loadfile.py
@@ -7,13 +7,13 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
-from pathlib import Path
 
 from expression import Result
 
 from limpetdrift.protocol.configuration import Complaint, Complaints
 from limpetdrift.protocol.routetable import EngineLaw
-from limpetdrift.state.checkedyaml import load_document
+from limpetdrift.replays.policies import POLICIES
+from limpetdrift.settings import load_settings
 from limpetdrift.state.options import Unit, above_zero, at_least, option
 
 _THOUSAND = 1000
@@ -152,8 +152,8 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Burst:
-    """A time in which a kind, or every kind, comes more often."""
+class Span:
+    """A time in which something is other than usual."""
 
     at_seconds: float = option(
         key='at',
@@ -165,24 +165,24 @@
         unit=Unit.DURATION,
         about='How long it lasts.',
     )
+
+    def covers(self, at: float) -> bool:
+        """Return whether a time from the start of the load is in it."""
+        return self.at_seconds <= at < self.at_seconds + self.for_seconds
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Burst(Span):
+    """A time in which a kind, or every kind, comes more often."""
+
     times: float = option(check=at_least(0), about='How many times the rate.')
     kind: str = option('', about='The kind; all where it is left out.')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Fault:
+class Fault(Span):
     """Engines that fail for a time."""
 
-    at_seconds: float = option(
-        key='at',
-        unit=Unit.DURATION,
-        about='When it begins.',
-    )
-    for_seconds: float = option(
-        key='for',
-        unit=Unit.DURATION,
-        about='How long it lasts.',
-    )
     kind: FaultKind = option(about='What befalls the engines.')
     share: float = option(check=above_zero, about='Share of the engines.')
     times: float = option(1.0, about='How many times as slow.')
@@ -243,29 +243,12 @@
     policies: tuple[str, ...] = option(about='What is compared, by turns.')
 
 
-def read_load(
-    path: str, known: tuple[str, ...] = ()
-) -> Result[Load, Complaints]:
-    """Read a load; each complaint names file, line and key.
-
-    ``known`` are the policies that there are; empty leaves them unchecked.
-    """
-    try:
-        text = Path(path).read_text('utf-8')
-    except OSError as error:
-        return Result.Error(
-            (_complain(path, '', 'a readable file', str(error)),)
-        )
-    return load_document(text, path, Load).bind(
-        lambda load: _check(load, path, known),
-    )
+def read_load(path: str) -> Result[Load, Complaints]:
+    """Read a load; each complaint names file, line and key."""
+    return load_settings(path, Load).bind(lambda load: _check(load, path))
 
 
-def _check(
-    load: Load,
-    path: str,
-    known: tuple[str, ...],
-) -> Result[Load, Complaints]:
+def _check(load: Load, path: str) -> Result[Load, Complaints]:
     complaints = [
         _complain(path, key, 'at least one', 'none')
         for key in ('kinds', 'accounts', 'cases', 'seeds', 'policies')
@@ -277,11 +260,11 @@
         for burst in case.bursts
         if burst.kind and burst.kind not in load.kinds
     ]
-    names = ', '.join(known)
+    names = ', '.join(POLICIES)
     complaints += [
         _complain(path, 'policies', f'one of {names}', policy)
         for policy in load.policies
-        if known and policy not in known
+        if policy not in POLICIES
     ]
     if complaints:
         return Result.Error(tuple(complaints))
--- a/src/limpetdrift/replays/outcomes.py
+++ b/src/limpetdrift/replays/outcomes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from limpetdrift.loads.gathering import gather
 from limpetdrift.replays.callers import Ending, Outcome
 from limpetdrift.replays.loadfile import Load
 from limpetdrift.replays.playing import Run
@@ -47,16 +48,13 @@
 def compute_figures(load: Load, run: Run) -> RunFigures:
     """Return the figures of one run."""
     outcomes = run.outcomes
-    by_window = _group(
-        outcomes,
-        lambda each: str(int(each.at // WINDOW_SECONDS)),
-    )
-    by_account = _group(outcomes, lambda each: each.account)
+    by_window = gather(outcomes, lambda each: each.at // WINDOW_SECONDS)
+    by_account = gather(outcomes, lambda each: each.account)
     return RunFigures(
         turn=run.turn,
         worth=_worth(load, outcomes),
-        worst_window=min(_worth(load, each) for each in by_window),
-        least_account=min(_worth(load, each) for each in by_account),
+        worst_window=min(_worth(load, each) for each in by_window.values()),
+        least_account=min(_worth(load, each) for each in by_account.values()),
         longest_on_time=_longest_on_time(load, outcomes),
         kinds={
             name: _kind_figures(load, name, outcomes) for name in load.kinds
@@ -67,16 +65,6 @@
     )
 
 
-def _group(
-    outcomes: Iterable[Outcome],
-    key: Callable[[Outcome], str],
-) -> list[list[Outcome]]:
-    groups: dict[str, list[Outcome]] = {}
-    for outcome in outcomes:
-        groups.setdefault(key(outcome), []).append(outcome)
-    return list(groups.values())
-
-
 def _worth(load: Load, outcomes: Iterable[Outcome]) -> float:
     had, possible = 0.0, 0.0
     for outcome in outcomes:
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -13,7 +13,11 @@
 import trio
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.enginewatch import EngineWatch, WatchInputs
+from limpetdrift.coordination.enginewatch import (
+    EngineWatch,
+    ReadReport,
+    WatchInputs,
+)
 from limpetdrift.coordination.forwarding import Place, Release
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.planlinks import PlanningInputs
@@ -24,7 +28,6 @@
 from limpetdrift.protocol.routetable import EngineLaw
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
-    EngineReport,
     ListedEndpoint,
     Placement,
     Work,
@@ -40,10 +43,6 @@
 _DOUBT_SECONDS = 5.0
 
 Task = Callable[[], Awaitable[None]]
-ReadReport = Callable[
-    [ListedEndpoint],
-    Awaitable[Result[EngineReport, Failure]],
-]
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/limpetdrift/replays/tables.py
+++ b/src/limpetdrift/replays/tables.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from limpetdrift.loads.gathering import gather
 from limpetdrift.loads.report import make_table, spread
 from limpetdrift.replays.loadfile import Load
 from limpetdrift.replays.outcomes import RunFigures
@@ -22,10 +23,7 @@
 
 def group_runs(runs: Iterable[RunFigures]) -> list[Group]:
     """Gather runs by case and policy, in the order in which they came."""
-    gathered: dict[tuple[str, str], list[RunFigures]] = {}
-    for run in runs:
-        key = (run.turn.case, run.turn.policy)
-        gathered.setdefault(key, []).append(run)
+    gathered = gather(runs, lambda run: (run.turn.case, run.turn.policy))
     return [
         Group(case=case, policy=policy, runs=tuple(mine))
         for (case, policy), mine in gathered.items()
--- a/tests/test_replays.py
+++ b/tests/test_replays.py
@@ -29,7 +29,7 @@
 
 
 def load_of_site() -> Load:
-    return read_load(LOAD_FILE, tuple(POLICIES)).ok
+    return read_load(LOAD_FILE).ok
 
 
 def short_load(**changes: object) -> Load:
@@ -218,7 +218,7 @@
     text = text.replace('[planner, reports', '[planer, reports')
     path = tmp_path / 'load.yaml'
     path.write_text(text, 'utf-8')
-    complaints = read_load(str(path), tuple(POLICIES)).error
+    complaints = read_load(str(path)).error
     found = {complaint.found for complaint in complaints}
     assert found == {'fault-nite', 'planer'}
 
