Join seeds by one way, plan by one request, render by one function

Registration sampled the seeds and joined them beside the new join_seeds of the membership: both use the latter now, with the platform's ten. SplitRequest was a copy of PlanRequest's fields: the split takes the request itself. The entry made its renderer of refusals twice; write_seconds had no caller. Behaviour on the platform as before; an entry of the product's own calls up to ten seeds at its start instead of eight.

--- a/src/limpetdrift/coordination/enginelaw.py
+++ b/src/limpetdrift/coordination/enginelaw.py
@@ -18,9 +18,3 @@
     """Return how long a pass takes that reads nothing."""
     step = law.step_seconds + streams * law.stream_seconds
     return law.stride * (step + context_tokens * law.context_seconds)
-
-
-def write_seconds(law: EngineLaw, answer_tokens: int, streams: int) -> float:
-    """Return how long an answer is written beside so many other streams."""
-    step = law.step_seconds + streams * law.stream_seconds
-    return answer_tokens * step
--- a/src/limpetdrift/coordination/membership.py
+++ b/src/limpetdrift/coordination/membership.py
@@ -33,9 +33,8 @@
 from limpetdrift.transport.messages import Address
 
 _URGENT = frozenset((MemberState.LEAVING, MemberState.DEAD))
-# Seeds called at a start; one that lives is enough, more answer a site that
-# lost some.
-SEEDS_AT_START = 8
+# Each of these tells of all that it knows; a few are enough at any size.
+JOINED_SEEDS = 10
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -143,27 +142,20 @@
         live = _names_of(self.live_entries())
         return self.node.name in choose(duty, live, count)
 
-    async def join(self, addresses: Iterable[Address]) -> None:
-        """Exchange news with all nodes at these addresses at once.
+    async def join_seeds(self) -> None:
+        """Exchange news with some of the seeds at once.
 
         Answers a start of many nodes together, which would find each other
-        only round by round.
+        only round by round. Of two that start at a time the later one reaches
+        the earlier, so both know each other before they are ready.
         """
+        seeds = self._seeds()
+        chosen = self._random.sample(seeds, min(JOINED_SEEDS, len(seeds)))
         async with trio.open_nursery() as nursery:
-            for address in addresses:
+            for address in chosen:
                 if address != self.node.peer_address:
                     nursery.start_soon(self._detector.call_stranger, address)
 
-    async def join_seeds(self) -> None:
-        """Exchange news with some of the seeds before the first requests.
-
-        Of two nodes that start together the later one reaches the earlier,
-        so that both know each other before either is ready.
-        """
-        seeds = self._seeds()
-        count = min(SEEDS_AT_START, len(seeds))
-        await self.join(self._random.sample(seeds, count))
-
     def silent_and_answering(self) -> EvidenceCounts:
         """Return how many peers were silent and how many answered lately."""
         return self._detector.evidence.counts(trio.current_time())
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -17,7 +17,6 @@
 from limpetdrift.coordination.rendezvous import choose
 from limpetdrift.coordination.splitting import (
     Split,
-    SplitRequest,
     choose_split,
     start_slack,
     stream_worth,
@@ -94,7 +93,7 @@
                 ),
             )
         uses = self.ledger(request.service).uses(endpoints)
-        split = choose_split(_split_request(request), uses, law)
+        split = choose_split(request, uses, law)
         refusal = _refuse(split, uses, request)
         if refusal is not None:
             return Error(refusal)
@@ -214,19 +213,7 @@
     reserved = {each.endpoint: each.tokens for each in plan.reserved}
     if name != plan.writer:
         return reserved.get(name, 0)
-    whole = request.prompt_tokens + request.answer_tokens
-    return whole - sum(reserved.values())
-
-
-def _split_request(request: PlanRequest) -> SplitRequest:
-    return SplitRequest(
-        prompt_tokens=request.prompt_tokens,
-        answer_tokens=request.answer_tokens,
-        pause_seconds=request.pause_seconds,
-        target_seconds=request.target_seconds,
-        seconds_left=request.seconds_left,
-        failure_domain=request.failure_domain,
-    )
+    return request.memory_tokens - sum(reserved.values())
 
 
 def _refuse(
--- a/src/limpetdrift/coordination/splitting.py
+++ b/src/limpetdrift/coordination/splitting.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from limpetdrift.coordination.enginelaw import pass_seconds, read_seconds
+from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.routetable import EngineLaw
 from limpetdrift.state.engineledger import EngineUse, StreamUse
 
@@ -64,23 +65,6 @@
 _STREAM_SECONDS = 1.5
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SplitRequest:
-    """A prompt, and what its caller bears, in tokens and seconds."""
-
-    prompt_tokens: int
-    answer_tokens: int
-    pause_seconds: float
-    target_seconds: float
-    seconds_left: float
-    failure_domain: str = ''
-
-    @property
-    def memory_tokens(self) -> int:
-        """The memory that prompt and answer need."""
-        return self.prompt_tokens + self.answer_tokens
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Split:
     """One way to read a prompt; ``reserved`` holds engines and tokens.
@@ -99,7 +83,7 @@
 
 
 def choose_split(
-    request: SplitRequest,
+    request: PlanRequest,
     uses: tuple[EngineUse, ...],
     law: EngineLaw,
 ) -> Split | None:
@@ -118,7 +102,7 @@
 
 
 def _most_parts(
-    request: SplitRequest,
+    request: PlanRequest,
     uses: tuple[EngineUse, ...],
     law: EngineLaw,
 ) -> int:
@@ -148,7 +132,7 @@
 
 def _split_into(
     parts: int,
-    request: SplitRequest,
+    request: PlanRequest,
     uses: tuple[EngineUse, ...],
     law: EngineLaw,
 ) -> Split | None:
@@ -176,7 +160,7 @@
 
 def _choose_engines(
     parts: int,
-    request: SplitRequest,
+    request: PlanRequest,
     uses: tuple[EngineUse, ...],
     law: EngineLaw,
 ) -> tuple[tuple[EngineUse, ...], float]:
@@ -225,7 +209,7 @@
 def _writer_cost(
     use: EngineUse,
     part: float,
-    request: SplitRequest,
+    request: PlanRequest,
     law: EngineLaw,
 ) -> float:
     """Return what it costs besides to have an engine write the answer."""
@@ -243,7 +227,7 @@
 
 def _memory_cost(
     use: EngineUse,
-    request: SplitRequest,
+    request: PlanRequest,
     law: EngineLaw,
 ) -> float:
     """Avoid engines that would have to gather memory elsewhere."""
@@ -285,7 +269,7 @@
     return 0
 
 
-def _lateness_cost(first: float, request: SplitRequest) -> float:
+def _lateness_cost(first: float, request: PlanRequest) -> float:
     target = request.target_seconds
     over = (first - _TARGET_SHARE * target) / (_LATE_SHARE * target)
     lost = _LATE_LOSS * min(1.0, max(0, over))
@@ -295,7 +279,7 @@
 
 
 def _reserve(
-    request: SplitRequest,
+    request: PlanRequest,
     writer: EngineUse,
     helpers: Iterable[EngineUse],
     law: EngineLaw,
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -47,6 +47,7 @@
 from limpetdrift.state.heldroutes import HeldRoutes
 from limpetdrift.state.retrybudget import RetryBudget
 from limpetdrift.transport.client import ClientLimits, HttpClient
+from limpetdrift.transport.messages import Response
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server, ServerLimits
 
@@ -106,7 +107,7 @@
             store=store,
             node=node,
             peers=lambda: len(membership.live_entries()) - 1,
-            join=lambda addresses: membership.join(addresses),
+            join=lambda: membership.join_seeds(),
             randomness=randomness,
         ),
         seeds=settings.seeds,
@@ -217,10 +218,11 @@
         confirmed_within_seconds=bounds.revoke_seconds * CONFIRMED_SHARE,
         sure_within_seconds=bounds.apply_seconds,
     )
+    render = make_render(base.randomness)
     front = CallerFront(
         intake=intake,
-        forwarder=_join_forwarder(base, planning, intake, guard),
-        render=make_render(base.randomness),
+        forwarder=_join_forwarder(base, planning, intake, guard, render),
+        render=render,
         drain=lambda: drain,
     )
     callers = Server(handler=make_caller_handler(front))
@@ -244,6 +246,7 @@
     planning: Planning,
     intake: Intake,
     guard: CrashGuard,
+    render: Callable[[Failure], Response],
 ) -> Forwarder:
     plain = PlainPlacing(view=base.view, randomness=base.randomness)
     endpoints = HttpClient(
@@ -280,7 +283,7 @@
             check=lambda work: guard.refusal(work) or check_key(work, intake),
             note_broken=guard.note_broken,
             note_served=guard.note_served,
-            render=make_render(base.randomness),
+            render=render,
             view=base.view,
             budget=_make_budget(base.settings),
             clock=boot_time,
--- a/src/limpetdrift/platform/registration.py
+++ b/src/limpetdrift/platform/registration.py
@@ -20,8 +20,6 @@
 # Rows are read again so often while no peer is known, and so seldom else.
 LONELY_SECONDS = 1.0
 COMPANY_SECONDS = 60.0
-# Each of these tells of all that it knows; a few are enough at any size.
-JOINED_PEERS = 10
 # Rows of processes that ended without dropping theirs go after this long.
 _STALE_MILLISECONDS = 600_000
 _RETRY_SECONDS = (0.3, 0.8)
@@ -31,13 +29,13 @@
 class RegistrationInputs:
     """What is registered where.
 
-    ``peers`` counts the known live peers, ``join`` calls those at addresses.
+    ``peers`` counts the known live peers, ``join`` calls some of the seeds.
     """
 
     store: StoreClient
     node: Node
     peers: Callable[[], int]
-    join: Callable[[tuple[Address, ...]], Awaitable[None]]
+    join: Callable[[], Awaitable[None]]
     randomness: random.Random
 
 
@@ -60,7 +58,7 @@
 
     async def run(self) -> None:
         """Register, and look for peers until cancelled."""
-        await self._join()
+        await self._inputs.join()
         while True:
             if not self._has_row:
                 await self._write()
@@ -68,7 +66,7 @@
             if lonely:
                 # The seeds of the settings may all be stale or down.
                 await self._read()
-                await self._join()
+                await self._inputs.join()
             pause = LONELY_SECONDS if lonely else COMPANY_SECONDS
             if not self._has_row:
                 pause = self._inputs.randomness.uniform(*_RETRY_SECONDS)
@@ -87,12 +85,6 @@
         if written.is_error():
             warn('registration failed', reason=written.error.reason)
 
-    async def _join(self) -> None:
-        seeds = self.seeds()
-        count = min(JOINED_PEERS, len(seeds))
-        chosen = self._inputs.randomness.sample(seeds, count)
-        await self._inputs.join(tuple(chosen))
-
     async def _read(self) -> None:
         answer = await self._inputs.store.read(TABLE)
         if answer.is_error():
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -44,6 +44,11 @@
     excluded: tuple[EndpointName, ...] = ()
     ended: tuple[GrantEnd, ...] = ()
 
+    @property
+    def memory_tokens(self) -> int:
+        """The memory that prompt and answer need."""
+        return self.prompt_tokens + self.answer_tokens
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ReservedTokens:
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -10,10 +10,10 @@
 from forward_world import make_endpoints
 from limpetdrift.coordination.enginelaw import read_seconds
 from limpetdrift.coordination.splitting import (
-    SplitRequest,
     choose_split,
     free_tokens,
 )
+from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.routetable import EngineLaw
 from limpetdrift.protocol.work import EngineReport
 from limpetdrift.state.engineledger import (
@@ -44,18 +44,23 @@
 )
 
 
-def make_request(tokens: int, **changes: object) -> SplitRequest:
+def make_request(tokens: int, **changes: object) -> PlanRequest:
     values: dict[str, object] = {
+        'service': 's',
+        'entry': 'e',
         'prompt_tokens': tokens,
         'answer_tokens': 1600,
         'pause_seconds': 1.0,
         'target_seconds': 3.0,
         'seconds_left': 12.0,
+        'patience_seconds': 12.0,
+        'hold_seconds': 12.0,
+        'failure_domain': '',
     }
-    return SplitRequest(**(values | changes))
+    return PlanRequest(**(values | changes))
 
 
-def make_short(tokens: int = 5000) -> SplitRequest:
+def make_short(tokens: int = 5000) -> PlanRequest:
     return make_request(
         tokens,
         pause_seconds=SHORT_PAUSE,
@@ -226,7 +231,7 @@
 def book(
     ledger: EngineLedger,
     name: str,
-    request: SplitRequest,
+    request: PlanRequest,
     split,
 ) -> None:
     ledger.book(
