--- a/src/limpetdrift/platform/answers.py
+++ b/src/limpetdrift/platform/answers.py
@@ -19,10 +19,13 @@
 _COME_BACK = 503
 _BROKEN = 502
 _TOO_LATE = 504
+# Turns a failure into the answer that its caller gets.
+Render = Callable[[Failure], Response]
+
 _TIMEOUTS = frozenset((Reason.DEADLINE, Reason.TIMEOUT, Reason.SILENT))
 
 
-def make_render(randomness: Random) -> Callable[[Failure], Response]:
+def make_render(randomness: Random) -> Render:
     """Return the function that renders failures."""
 
     def render(failure: Failure) -> Response:
--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -7,9 +7,9 @@
 from limpetdrift.coordination.drain import Drain
 from limpetdrift.coordination.forwarding import Forwarder
 from limpetdrift.logs import note
+from limpetdrift.platform.answers import Render
 from limpetdrift.platform.requests import REQUEST_ID, Intake, admit
 from limpetdrift.protocol.verdict import Failure
-from limpetdrift.transport.messages import Response
 from limpetdrift.transport.server import Exchange, Handler
 
 
@@ -19,7 +19,7 @@
 
     intake: Intake
     forwarder: Forwarder
-    render: Callable[[Failure], Response]
+    render: Render
     drain: Callable[[], Drain]
 
 
--- a/src/limpetdrift/platform/joining.py
+++ b/src/limpetdrift/platform/joining.py
@@ -21,7 +21,7 @@
 )
 from limpetdrift.coordination.plainplacing import PlainPlacing
 from limpetdrift.coordination.planning import Planning
-from limpetdrift.platform.answers import make_render
+from limpetdrift.platform.answers import Render, make_render
 from limpetdrift.platform.callers import CallerFront, make_caller_handler
 from limpetdrift.platform.calls import make_sending
 from limpetdrift.platform.directory import DirectoryAnswers
@@ -47,7 +47,6 @@
 from limpetdrift.state.heldroutes import HeldRoutes
 from limpetdrift.state.retrybudget import RetryBudget
 from limpetdrift.transport.client import ClientLimits, HttpClient
-from limpetdrift.transport.messages import Response
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server, ServerLimits
 
@@ -246,7 +245,7 @@
     planning: Planning,
     intake: Intake,
     guard: CrashGuard,
-    render: Callable[[Failure], Response],
+    render: Render,
 ) -> Forwarder:
     plain = PlainPlacing(view=base.view, randomness=base.randomness)
     endpoints = HttpClient(
