Leave an incarnation that starts after an operator's leaving signal unmarked

Cause: a signal without an incarnation is resolved by asking the endpoint, and the answer came from the process that had started after the signal, so the restarted endpoint was kept out of service. Change: reports carry the uptime and the age of the sample; an incarnation that is younger than the signal isn't marked. An endpoint that reports no uptime is treated as before. In the harness a restart takes a moment, so that a signal and a start never fall on the same instant.

--- a/src/limpet_standins/engine_core.py
+++ b/src/limpet_standins/engine_core.py
@@ -1,5 +1,6 @@
 """Holds the state that the handlers and tasks of a stand-in engine share."""
 
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -38,6 +39,7 @@
         self.version = settings.version
         self.role = settings.role
         self.adapters: list[str] = []
+        self._started_at = time.monotonic()
         self.events = CacheEvents(
             lag_seconds=settings.events_lag_seconds,
             controls=controls,
@@ -69,6 +71,7 @@
             'queued_prefill_tokens': self.scheduler.queued_prefill_tokens,
             'leaving': self.controls.faults.leaving,
             'incarnation': settings.incarnation,
+            'uptime_seconds': time.monotonic() - self._started_at,
             'prefill_tokens_per_second': settings.prefill_tokens_per_second,
             'step_seconds': settings.step_seconds,
         }
--- a/src/limpetdrift/coordination/endpoint_directory.py
+++ b/src/limpetdrift/coordination/endpoint_directory.py
@@ -20,6 +20,7 @@
 from limpetdrift.coordination.instance_list_poller import ListPoller
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.report_poller import ReportPoller
+from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import EndpointRecord, ListingState
 from limpetdrift.protocol.instances import InstanceList, ReadList
 from limpetdrift.protocol.lifecycle_reports import LifecycleReport, ReadReport
@@ -42,8 +43,13 @@
     OPERATOR = 'operator'
 
 
-# A leaving signal that came without the endpoint's incarnation.
-_UnresolvedSignal = tuple[Endpoint, LeavingSource]
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _UnresolvedSignal:
+    """A leaving signal that came without the endpoint's incarnation."""
+
+    endpoint: Endpoint
+    source: LeavingSource
+    received_at: float
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -125,7 +131,7 @@
         Return whether the endpoint is in the directory. A signal of an
         earlier incarnation changes nothing. Without ``incarnation`` the
         recorded one is marked at once, and later the one that the endpoint
-        reports when it is asked.
+        reports when it is asked, unless it has started since the signal.
         """
         record = self._table.find(name)
         if record is None:
@@ -182,19 +188,35 @@
         if record.endpoint is None:
             return
         try:
-            self._unresolved_signals[0].send_nowait((record.endpoint, source))
+            self._unresolved_signals[0].send_nowait(
+                _UnresolvedSignal(
+                    endpoint=record.endpoint,
+                    source=source,
+                    received_at=trio.current_time(),
+                ),
+            )
         except trio.WouldBlock:
             telemetry.count('endpoint_signs_not_settled')
 
     async def _resolve_signals(self) -> None:
-        async for endpoint, source in self._unresolved_signals[1]:
-            report = await self._read_report(endpoint)
-            if report.is_ok() and report.ok.incarnation:
-                self.mark_leaving(
-                    endpoint.name,
-                    source,
-                    report.ok.incarnation,
+        async for signal in self._unresolved_signals[1]:
+            report = await self._read_report(signal.endpoint)
+            if report.is_error() or not report.ok.incarnation:
+                continue
+            age_seconds = trio.current_time() - signal.received_at
+            if report.ok.has_started_within(age_seconds):
+                note(
+                    'endpoint has restarted since it was said to leave',
+                    endpoint=signal.endpoint.name,
+                    incarnation=report.ok.incarnation,
+                    source=signal.source,
                 )
+                continue
+            self.mark_leaving(
+                signal.endpoint.name,
+                signal.source,
+                report.ok.incarnation,
+            )
 
     def _apply_list(
         self,
--- a/src/limpetdrift/protocol/lifecycle_reports.py
+++ b/src/limpetdrift/protocol/lifecycle_reports.py
@@ -23,10 +23,22 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LifecycleReport:
-    """An endpoint's own report; incarnation 0 means unknown."""
+    """An endpoint's own report; incarnation 0 means unknown.
+
+    It was taken ``taken_seconds_ago``, when the incarnation had been running
+    for ``uptime_seconds``, which is ``None`` if the endpoint doesn't report it.
+    """
 
     leaving: bool = False
     incarnation: int = 0
+    uptime_seconds: float | None = None
+    taken_seconds_ago: float = 0.0
+
+    def has_started_within(self, seconds: float) -> bool:
+        """Return whether the incarnation is known to be younger than this."""
+        if self.uptime_seconds is None:
+            return False
+        return self.uptime_seconds + self.taken_seconds_ago < seconds
 
 
 ReadReport = Callable[[Endpoint], Awaitable[Result[LifecycleReport, Failure]]]
--- a/tests/endpoint_harness.py
+++ b/tests/endpoint_harness.py
@@ -44,11 +44,13 @@
     def __init__(self, *, endpoint):
         self.endpoint = endpoint
         self.incarnation = 1
+        self.started_at = trio.current_time()
         self.leaving_since = None
         self.listed = ListingState.LIVE
 
     def restart(self):
         self.incarnation += 1
+        self.started_at = trio.current_time()
         self.leaving_since = None
         self.listed = ListingState.LIVE
 
@@ -202,7 +204,11 @@
         incarnation = fake.incarnation
         if endpoint.role is Role.SERVICE:
             incarnation = 0
-        return LifecycleReport(leaving=leaving, incarnation=incarnation)
+        return LifecycleReport(
+            leaving=leaving,
+            incarnation=incarnation,
+            uptime_seconds=trio.current_time() - fake.started_at,
+        )
 
 
 class TimedDirectory(EndpointDirectory):
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -22,6 +22,7 @@
 HOMED_ENDPOINTS = [make_endpoint(index) for index in range(60)]
 ENGINES = 3
 SETTLE_SECONDS = 30.0
+RESTART_SECONDS = 0.0005
 INDICES = st.integers(0, ENTRIES - 1)
 NAMES = st.sampled_from([make_endpoint(index).name for index in range(ENGINES)])
 SOURCES = st.sampled_from(['list', 'report', 'refusal', 'operator'])
@@ -114,9 +115,13 @@
 
 
 async def restart(harness, name, in_list):
+    # The start lies strictly between the steps before and after it, so that
+    # a signal is of the incarnation that was running when it was sent.
     fake = harness.fake_endpoints[name]
     listed = fake.listed
+    await trio.sleep(RESTART_SECONDS)
     fake.restart()
+    await trio.sleep(RESTART_SECONDS)
     if in_list:
         harness.publish()
     else:
@@ -361,18 +366,36 @@
     }
 
 
-def run_unnoticed_restart():
-    """Restart an endpoint, and send a leaving signal before entries notice."""
+def run_script(seed, steps):
     machine = LeavingEndpoints()
-    machine.seed = 0
-    machine.steps = [
-        ('leave', 'engine-0', 'list', 0),
-        ('restart', 'engine-2', True),
-        ('leave', 'engine-2', 'refusal', 4),
-    ]
+    machine.seed = seed
+    machine.steps = steps
     machine.teardown()
 
 
+def run_unnoticed_restart():
+    """Restart an endpoint, and send a leaving signal before entries notice."""
+    run_script(
+        0,
+        [
+            ('leave', 'engine-0', 'list', 0),
+            ('restart', 'engine-2', True),
+            ('leave', 'engine-2', 'refusal', 4),
+        ],
+    )
+
+
+@pytest.mark.parametrize('seed', [0, 1, 2])
+def test_signal_does_not_mark_an_incarnation_that_starts_after_it(seed):
+    run_script(
+        seed,
+        [
+            ('leave', 'engine-2', 'operator', 4),
+            ('restart', 'engine-2', False),
+        ],
+    )
+
+
 def test_signal_without_incarnation_holds_after_unnoticed_restart():
     run_unnoticed_restart()
 
