Compute the usage of an engine again only when it has changed

Cause: a plan computed the usage of every engine, hashed and sorted the engines' names and looked at every plan in force. At 150 engines a short prompt took 6,775 function calls, and the planner of 195 entries is asked over two hundred times a second in a burst. Change: usages are kept until a booking, report or failure changes them, the order of the engines until the list changes, and time limits lie in a heap. Test: test_plan_recomputes_only_the_usages_that_changed.

--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -74,6 +74,8 @@
     def __init__(self, *, inputs: PlannerInputs) -> None:
         self._inputs = inputs
         self._ledgers: dict[str, EngineLedger] = {}
+        self._orders: dict[str, tuple[ListedEndpoint, ...]] = {}
+        self._orders_version = -1
         self._grant_numbers = count()
 
     def ledger(self, service: str) -> EngineLedger:
@@ -166,18 +168,30 @@
         return Ok(Acknowledgement())
 
     def _candidates(self, request: PlanRequest) -> tuple[ListedEndpoint, ...]:
-        """Return the usable engines, in an order specific to this entry.
+        """Return the usable engines, in an order specific to this entry."""
+        ordered = self._ordered_engines(request.service)
+        if not request.excluded:
+            return ordered
+        excluded = {(each.name, each.lifetime) for each in request.excluded}
+        return tuple(each for each in ordered if each.identity not in excluded)
+
+    def _ordered_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
+        """Return all usable engines of a service.
 
-        With a common order, entries that plan alone would all fill the same
-        engines.
+        With an order common to all entries, those that plan alone would fill
+        the same engines. The order is computed once for each list of engines.
         """
-        excluded = {(each.name, each.lifetime) for each in request.excluded}
-        usable = self._inputs.view.usable(request.service)
-        candidates = {
-            each.name: each for each in usable if each.identity not in excluded
-        }
-        ordered = choose_by_hash(self._inputs.name, candidates, len(candidates))
-        return tuple(candidates[name] for name in ordered)
+        view = self._inputs.view
+        if view.version != self._orders_version:
+            self._orders.clear()
+            self._orders_version = view.version
+        found = self._orders.get(service)
+        if found is None:
+            by_name = {each.name: each for each in view.usable(service)}
+            names = choose_by_hash(self._inputs.name, by_name, len(by_name))
+            found = tuple(by_name[name] for name in names)
+            self._orders[service] = found
+        return found
 
     def _bookings(
         self,
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -191,10 +191,7 @@
 ) -> tuple[tuple[EngineUsage, ...], float]:
     """Return the engines of least cost, the writer first, and their cost."""
     part_seconds = prefill_seconds(cost_model, request.prompt_tokens, parts)
-    prefill_costs = [
-        (usage, _prefill_cost(usage, part_seconds, cost_model))
-        for usage in usages
-    ]
+    prefill_costs = _prefill_costs(usages, part_seconds, cost_model)
     cost, writer_index = min(
         (
             cost + _writer_cost(usage, part_seconds, request, cost_model),
@@ -246,10 +243,11 @@
 ) -> float:
     """Return the additional cost of an engine that decodes the answer."""
     cost = usage.wait_seconds(part_seconds)
-    if usage.streams >= cost_model.slots:
-        cost += _QUEUED_COST * (1 + usage.streams - cost_model.slots)
-    elif usage.streams >= cost_model.slots * _PACKED_SHARE:
-        cost += _CROWDING_COST * usage.streams / cost_model.slots
+    streams = usage.streams
+    if streams >= cost_model.slots:
+        cost += _QUEUED_COST * (1 + streams - cost_model.slots)
+    elif streams >= cost_model.slots * _PACKED_SHARE:
+        cost += _CROWDING_COST * streams / cost_model.slots
     elif usage.pause_seconds > request.pause_seconds:
         cost += _OPENING_COST
     if usage.endpoint.failure_domain != request.failure_domain:
@@ -263,17 +261,25 @@
     cost_model: EngineCostModel,
 ) -> float:
     """Return the cost of an engine that needs memory set aside at others."""
-    free = free_tokens(usage, cost_model)
-    if request.memory_tokens <= free:
-        return 0
-    return _QUEUED_COST
+    is_enough = request.memory_tokens <= free_tokens(usage, cost_model)
+    return 0 if is_enough else _QUEUED_COST
 
 
-def _prefill_cost(
-    usage: EngineUsage, part_seconds: float, cost_model: EngineCostModel
-) -> float:
-    """Return the cost of an engine's prefill of a part, writer or helper."""
-    cost = _interruption_cost(usage, part_seconds, cost_model)
+def _prefill_costs(
+    usages: tuple[EngineUsage, ...],
+    part_seconds: float,
+    cost_model: EngineCostModel,
+) -> list[tuple[EngineUsage, float]]:
+    pause_seconds = part_seconds + _decode_pass_seconds(cost_model)
+    return [(usage, _prefill_cost(usage, pause_seconds)) for usage in usages]
+
+
+def _prefill_cost(usage: EngineUsage, pause_seconds: float) -> float:
+    """Return the cost of an engine's prefill of a part, writer or helper.
+
+    Its streams are interrupted for ``pause_seconds``.
+    """
+    cost = sum(_pause_cost(stream, pause_seconds) for stream in usage.written)
     cost += _QUEUED_COST * min(1, usage.queued) + _slowness_cost(usage)
     if usage.failing:
         cost += _FAILING_COST
@@ -285,14 +291,6 @@
     return _SLOW_COST * max(0, usage.pace - 1)
 
 
-def _interruption_cost(
-    usage: EngineUsage, part_seconds: float, cost_model: EngineCostModel
-) -> float:
-    """Return what the streams of an engine lose while it prefills a part."""
-    pause_seconds = part_seconds + _decode_pass_seconds(cost_model)
-    return sum(_pause_cost(stream, pause_seconds) for stream in usage.written)
-
-
 def _pause_cost(stream: StreamUse, pause_seconds: float) -> float:
     """Return what a stream loses by a pause.
 
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -23,6 +23,12 @@
         self._listed: dict[str, ListedEndpoint] = {}
         self._by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._leaving: dict[tuple[str, int], float] = {}
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """A number that rises with each change of the usable endpoints."""
+        return self._version
 
     @property
     def listed(self) -> tuple[ListedEndpoint, ...]:
@@ -79,6 +85,7 @@
             self.mark_leaving(endpoint, 'list')
 
     def _rebuild(self) -> None:
+        self._version += 1
         self._expire_leaving()
         by_service: dict[str, list[ListedEndpoint]] = {}
         for endpoint in self._listed.values():
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -5,8 +5,10 @@
 at its time limit if its end isn't reported.
 """
 
+import heapq
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 
@@ -48,7 +50,7 @@
     stream: StreamUse | None = None
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(frozen=True, kw_only=True)
 class EngineUsage:
     """The load on one engine, by which placements are decided.
 
@@ -70,12 +72,12 @@
     pace: float = 1.0
     failing: bool = False
 
-    @property
+    @cached_property
     def streams(self) -> int:
         """The number of streams that the engine decodes, planned or not."""
         return len(self.written) + self.unplanned
 
-    @property
+    @cached_property
     def pause_seconds(self) -> float:
         """The shortest pause bound of its streams, infinite without any."""
         bounds = [stream.pause_seconds for stream in self.written]
@@ -97,6 +99,9 @@
     unplanned_tokens: int = 0
     reported_at: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
+    # The last computed usage, until when it holds if nothing else changes.
+    usage: EngineUsage | None = None
+    usage_until: float = float('-inf')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -127,6 +132,8 @@
         self._clock = clock
         self._engines: dict[tuple[str, int], _Engine] = {}
         self._plans: dict[str, _BookedPlan] = {}
+        # Time limits of plans, the earliest first; a heap.
+        self._time_limits: list[tuple[float, str]] = []
 
     @property
     def plan_count(self) -> int:
@@ -139,14 +146,17 @@
             return
         now = self._clock()
         booked = tuple(bookings)
+        ends_at = now + lease.seconds
         self._plans[lease.name] = _BookedPlan(
             holder=lease.holder,
-            ends_at=now + lease.seconds,
+            ends_at=ends_at,
             bookings=booked,
         )
+        heapq.heappush(self._time_limits, (ends_at, lease.name))
         for booking in booked:
             engine = self._engine(booking.endpoint)
             engine.bookings[lease.name] = booking
+            engine.usage = None
             _schedule_prefill(engine, booking, now)
 
     def end(self, plan_name: str) -> None:
@@ -157,6 +167,7 @@
         for booking in ended.bookings:
             engine = self._engine(booking.endpoint)
             engine.bookings.pop(plan_name, None)
+            engine.usage = None
             if not engine.bookings:
                 engine.prefills.clear()
 
@@ -179,6 +190,7 @@
             MAX_FAILURE_BACKOFF_SECONDS,
         )
         engine.failures = min(engine.failures + 1, 4)
+        engine.usage = None
         engine.failing_until = now + backoff_seconds
 
     def note_report(
@@ -198,6 +210,7 @@
         planned = sum(
             booking.memory_tokens for booking in engine.bookings.values()
         )
+        engine.usage = None
         engine.report = report
         engine.reported_at = now
         engine.unplanned = max(0, report.active + report.queued - streams)
@@ -216,44 +229,79 @@
         return tuple(self._usage_of(endpoint, now) for endpoint in endpoints)
 
     def _usage_of(self, endpoint: ListedEndpoint, now: float) -> EngineUsage:
-        engine = self._engines.get(endpoint.identity)
-        if engine is None:
-            return EngineUsage(endpoint=endpoint)
-        while engine.prefills and engine.prefills[0][1] <= now:
-            engine.prefills.pop(0)
-        written = tuple(
-            booking.stream
-            for booking in engine.bookings.values()
-            if booking.stream is not None
-        )
-        if now - engine.reported_at > REPORT_STALENESS_BOUND_SECONDS:
-            engine.unplanned = 0
-            engine.unplanned_tokens = 0
-        report = engine.report
-        return EngineUsage(
-            endpoint=endpoint,
-            unplanned=engine.unplanned,
-            queued=report.queued if report and engine.unplanned else 0,
-            pace=report.pace if report else 1.0,
-            backlog_seconds=_prefills_end_at(engine, now) - now,
-            gap_seconds=_gap_seconds(engine, now),
-            memory_tokens=engine.unplanned_tokens
-            + sum(
-                booking.memory_tokens for booking in engine.bookings.values()
-            ),
-            written=written,
-            failing=engine.failing_until > now,
-        )
+        """Return the usage of one engine, computed anew only if it may differ.
+
+        In a large fleet most engines stay as they are from one plan to the
+        next.
+        """
+        engine = self._engine(endpoint)
+        usage = engine.usage
+        if (
+            usage is None
+            or usage.endpoint is not endpoint
+            or now >= engine.usage_until
+        ):
+            usage = _compute_usage(endpoint, engine, now)
+            engine.usage = usage
+            engine.usage_until = _usage_holds_until(engine, now)
+        return usage
 
     def _engine(self, endpoint: ListedEndpoint) -> _Engine:
-        return self._engines.setdefault(endpoint.identity, _Engine())
+        engine = self._engines.get(endpoint.identity)
+        if engine is None:
+            engine = _Engine()
+            self._engines[endpoint.identity] = engine
+        return engine
 
     def _end_overdue(self, now: float) -> None:
-        overdue = [
-            name for name, plan in self._plans.items() if plan.ends_at <= now
-        ]
-        for name in overdue:
-            self.end(name)
+        while self._time_limits and self._time_limits[0][0] <= now:
+            _, name = heapq.heappop(self._time_limits)
+            plan = self._plans.get(name)
+            if plan is not None and plan.ends_at <= now:
+                self.end(name)
+
+
+def _compute_usage(
+    endpoint: ListedEndpoint, engine: _Engine, now: float
+) -> EngineUsage:
+    while engine.prefills and engine.prefills[0][1] <= now:
+        engine.prefills.pop(0)
+    written = tuple(
+        booking.stream
+        for booking in engine.bookings.values()
+        if booking.stream is not None
+    )
+    if now - engine.reported_at > REPORT_STALENESS_BOUND_SECONDS:
+        engine.unplanned = 0
+        engine.unplanned_tokens = 0
+    report = engine.report
+    return EngineUsage(
+        endpoint=endpoint,
+        unplanned=engine.unplanned,
+        queued=report.queued if report and engine.unplanned else 0,
+        pace=report.pace if report else 1.0,
+        backlog_seconds=_prefills_end_at(engine, now) - now,
+        gap_seconds=_gap_seconds(engine, now),
+        memory_tokens=engine.unplanned_tokens
+        + sum(booking.memory_tokens for booking in engine.bookings.values()),
+        written=written,
+        failing=engine.failing_until > now,
+    )
+
+
+def _usage_holds_until(engine: _Engine, now: float) -> float:
+    """Return until when a usage holds if no booking or report changes it.
+
+    Booked prefills are counted from now, so with any it holds no time at all.
+    """
+    if engine.prefills:
+        return now
+    changes_at = [float('inf')]
+    if engine.failing_until > now:
+        changes_at.append(engine.failing_until)
+    if engine.unplanned:
+        changes_at.append(engine.reported_at + REPORT_STALENESS_BOUND_SECONDS)
+    return min(changes_at)
 
 
 def _schedule_prefill(engine: _Engine, booking: Booking, now: float) -> None:
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -368,3 +368,28 @@
     ledger.mark_failing(identity)
     clock.now = 21.6
     assert not is_failing()
+
+
+def test_plan_recomputes_only_the_usages_that_changed():
+    """Guards the time of a plan, which must not grow with idle engines."""
+    clock = Clock()
+    ledger = EngineLedger(clock=clock)
+    before = ledger.usages(ENGINES)
+    booking = Booking(
+        endpoint=ENGINES[0], read_seconds=2.0, stream=SHORT_STREAM
+    )
+    ledger.book(PlanLease(name='a', holder='x', seconds=9.0), [booking])
+    clock.now = 1.0
+    during = ledger.usages(ENGINES)
+    assert all(
+        new is old for new, old in zip(during[1:], before[1:], strict=True)
+    )
+    assert during[0].backlog_seconds == pytest.approx(1.0)
+    clock.now = 1.5
+    assert ledger.usages(ENGINES)[0].backlog_seconds == pytest.approx(0.5)
+    clock.now = 3.0
+    after = ledger.usages(ENGINES)[0]
+    assert not after.backlog_seconds
+    assert ledger.usages(ENGINES)[0] is after
+    ledger.end('a')
+    assert ledger.usages(ENGINES)[0].streams == 0
