Plan for the engines of a large service in groups, one planner each

Cause: one entry planned for all engines of a service. Change: services with 24 engines or more in a failure domain are divided by failure domain, and by hashed buckets above some 60 engines; the first to start of the group's entries plans for it. If a plan is refused or expensive, one other group is asked for a better one; a planner that doesn't answer is not replaced by the asker's own empty ledger there. Ruled out: a smaller plan alone; most of a planner's time is the message.

--- a/src/limpetdrift/coordination/engine_report_poller.py
+++ b/src/limpetdrift/coordination/engine_report_poller.py
@@ -38,15 +38,13 @@
 class ReportPollerInputs:
     """What a poller reads and updates.
 
-    ``engines`` returns the engines of each service, ``read`` fetches an
-    engine's report, and ``is_planner`` returns whether this entry plans now.
-    ``clock`` returns seconds.
+    ``engines`` returns the engines of each service that this entry plans for,
+    and ``read`` fetches an engine's report. ``clock`` returns seconds.
     """
 
     planner: Planner
     engines: Callable[[], dict[str, tuple[ListedEndpoint, ...]]]
     read: ReadReport
-    is_planner: Callable[[], bool]
     clock: Callable[[], float]
 
 
@@ -72,12 +70,12 @@
         """Poll engines at the current interval until cancelled."""
         while True:
             await trio.sleep(_CHECK_INTERVAL_SECONDS)
-            if self._is_due():
+            engines = self._inputs.engines()
+            if self._is_due(is_planner=any(engines.values())):
                 self._polled_at = self._inputs.clock()
-                await self._poll_all()
+                await self._poll_all(engines)
 
-    def _is_due(self) -> bool:
-        is_planner = self._inputs.is_planner()
+    def _is_due(self, *, is_planner: bool) -> bool:
         if is_planner and not self._was_planner:
             self.poll_faster()
         self._was_planner = is_planner
@@ -88,9 +86,11 @@
         )
         return is_planner and now - self._polled_at >= interval
 
-    async def _poll_all(self) -> None:
+    async def _poll_all(
+        self, engines_by_service: dict[str, tuple[ListedEndpoint, ...]]
+    ) -> None:
         async with trio.open_nursery() as nursery:
-            for service, engines in self._inputs.engines().items():
+            for service, engines in engines_by_service.items():
                 for engine in engines:
                     nursery.start_soon(self._poll_engine, service, engine)
 
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -1,10 +1,15 @@
-"""Gets plans for prompts from the planner entry, or makes them locally.
+"""Gets plans for prompts from planner entries, or makes them locally.
+
+The planner of this entry's own group of engines is asked first, and one of
+another group if that plan is refused or expensive.
 
 >>> placed = await placer.place(work, frozenset())  # doctest: +SKIP
 >>> placer.release(work, placed.ok, ())  # doctest: +SKIP
 """
 
 from collections.abc import Iterable
+from dataclasses import replace
+from random import Random
 
 from expression import Error, Ok, Result
 
@@ -17,12 +22,16 @@
     PlannerClient,
     PlannerClientInputs,
 )
-from limpetdrift.protocol.node import Node
+from limpetdrift.coordination.planning_groups import (
+    PlanningGroups,
+    cost_limit_elsewhere,
+)
 from limpetdrift.protocol.plans import (
     ActivePlans,
     EndedPlan,
     EndedPlans,
     EndpointId,
+    EngineGroup,
     Plan,
     PlanRequest,
 )
@@ -53,14 +62,24 @@
 
 
 class PlanPlacer:
-    """Places this entry's prompts; ``planner_client`` finds the planner."""
+    """Places this entry's prompts; ``planner_client`` finds the planners.
+
+    ``groups`` are the groups of engines that have a planner each.
+    """
 
     def __init__(
-        self, *, inputs: PlannerClientInputs, view: EndpointView
+        self,
+        *,
+        inputs: PlannerClientInputs,
+        view: EndpointView,
+        groups: PlanningGroups,
+        randomness: Random,
     ) -> None:
         self.planner_client = PlannerClient(inputs=inputs)
+        self.groups = groups
         self._inputs = inputs
         self._view = view
+        self._randomness = randomness
 
     def register(self, peer_routes: PeerRoutes) -> None:
         """Add the local planner's handlers to the routes for peers."""
@@ -78,13 +97,25 @@
 
         ``excluded`` holds names and lifetimes of engines not to use.
         """
-        request = self._make_request(work, excluded)
-        planner = self.planner_client.planner()
-        if planner is None:
-            answer = self._inputs.planner.plan(request)
-        else:
-            answer = await self._request_plan(planner, request)
-        return answer.bind(lambda plan: self._accept_plan(plan, request, work))
+        request = self._make_request(
+            work, excluded, self.groups.home(work.service)
+        )
+        planned = await self._plan(request)
+        cost_limit = cost_limit_elsewhere(planned)
+        group = self._choose_other_group(request)
+        if cost_limit is None or group is None:
+            return self._accept(planned, request, work)
+        second = replace(request, group=group, cost_limit=cost_limit, ended=())
+        better = await self._request_plan(second)
+        telemetry.count(
+            'plans_elsewhere', outcome='taken' if better.is_ok() else 'refused'
+        )
+        if better.is_error():
+            return self._accept(planned, request, work)
+        if planned.is_ok():
+            self.planner_client.begin(planned.ok, request)
+            self._end(work.service, EndedPlan(grant=planned.ok.grant))
+        return self._accept(better, second, work)
 
     def release(
         self,
@@ -98,6 +129,15 @@
             work.service, EndedPlan(grant=placement.grant, failed=failed_ids)
         )
 
+    def planned_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
+        """Return the engines of a service that this entry plans for."""
+        return tuple(
+            engine
+            for group in self.groups.layout(service).groups
+            if self.planner_client.planner(group) is None
+            for engine in self.groups.members(service, group)
+        )
+
     def _end(self, service: str, ended: EndedPlan) -> None:
         self._inputs.planner.end(service, (ended,))
         self.planner_client.end(service, ended)
@@ -106,6 +146,7 @@
         self,
         work: CallerRequest,
         excluded: frozenset[tuple[str, int]],
+        group: EngineGroup,
     ) -> PlanRequest:
         prompt, answer = _DEFAULT_PROMPT_TOKENS, _DEFAULT_ANSWER_TOKENS
         if work.size is not None:
@@ -136,14 +177,32 @@
                 EndpointId(name=name, lifetime=lifetime)
                 for name, lifetime in excluded
             ),
-            ended=self.planner_client.pop_ended(work.service),
+            ended=self.planner_client.pop_ended(work.service, group),
+            group=group,
         )
 
+    def _choose_other_group(self, request: PlanRequest) -> EngineGroup | None:
+        others = [
+            group
+            for group in self.groups.layout(request.service).groups
+            if group != request.group
+        ]
+        return self._randomness.choice(others) if others else None
+
+    async def _plan(self, request: PlanRequest) -> Result[Plan, Failure]:
+        """Get a plan, if need be from this entry's own ledger."""
+        planned = await self._request_plan(request)
+        if planned.is_ok() or planned.error.reason in _REFUSAL_REASONS:
+            return planned
+        return self._inputs.planner.plan(request)
+
     async def _request_plan(
-        self,
-        planner: Node,
-        request: PlanRequest,
+        self, request: PlanRequest
     ) -> Result[Plan, Failure]:
+        """Get a plan from the planner of the request's group."""
+        planner = self.planner_client.planner(request.group)
+        if planner is None:
+            return self._inputs.planner.plan(request)
         answer = await self._inputs.call(
             planner.peer_address,
             PLAN_PATH,
@@ -155,10 +214,18 @@
             # ``Planner.plan`` books only the plans that it makes itself.
             self._inputs.planner.book_plan(answer.ok, request)
         if answer.is_ok() or answer.error.reason in _REFUSAL_REASONS:
-            self.planner_client.record_answer(planner)
-            return answer
-        self.planner_client.record_unreachable(planner, answer.error)
-        return self._inputs.planner.plan(request)
+            self.planner_client.record_answer(planner, request.group)
+        else:
+            self.planner_client.record_unreachable(planner, answer.error)
+        return answer
+
+    def _accept(
+        self,
+        planned: Result[Plan, Failure],
+        request: PlanRequest,
+        work: CallerRequest,
+    ) -> Result[DispatchPlan, Failure]:
+        return planned.bind(lambda plan: self._accept_plan(plan, request, work))
 
     def _accept_plan(
         self,
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -1,10 +1,11 @@
 """Plans which engine decodes an answer and which engines prefill its prompt.
 
-One entry, the planner, plans for all: the live one that started first. So no
-election is needed, and entries that join don't replace it. If two entries
-plan at once, only efficiency suffers. Every entry keeps a ledger for each
-service, with all plans if it is the planner and with its own plans otherwise,
-so that it can plan alone while the planner is unreachable.
+One entry, the planner, plans for all engines of a group (planning_groups): the
+live one that started first. So no election is needed, and entries that join
+don't replace it. If two entries plan at once, only efficiency suffers. Every
+entry keeps a ledger for each service, with all plans of the groups that it
+plans for and with its own plans otherwise, so that it can plan alone while the
+planner is unreachable.
 """
 
 from collections.abc import Callable
@@ -28,6 +29,7 @@
     EndedPlan,
     EndedPlans,
     EndpointId,
+    EngineGroup,
     Plan,
     PlanRequest,
     ReservedTokens,
@@ -74,7 +76,9 @@
     def __init__(self, *, inputs: PlannerInputs) -> None:
         self._inputs = inputs
         self._ledgers: dict[str, EngineLedger] = {}
-        self._orders: dict[str, tuple[ListedEndpoint, ...]] = {}
+        self._orders: dict[
+            tuple[str, EngineGroup], tuple[ListedEndpoint, ...]
+        ] = {}
         self._orders_version = -1
         self._grant_numbers = count()
 
@@ -169,14 +173,16 @@
 
     def _candidates(self, request: PlanRequest) -> tuple[ListedEndpoint, ...]:
         """Return the usable engines, in an order specific to this entry."""
-        ordered = self._ordered_engines(request.service)
+        ordered = self._ordered_engines(request.service, request.group)
         if not request.excluded:
             return ordered
         excluded = {(each.name, each.lifetime) for each in request.excluded}
         return tuple(each for each in ordered if each.identity not in excluded)
 
-    def _ordered_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
-        """Return all usable engines of a service.
+    def _ordered_engines(
+        self, service: str, group: EngineGroup
+    ) -> tuple[ListedEndpoint, ...]:
+        """Return all usable engines of a group.
 
         With an order common to all entries, those that plan alone would fill
         the same engines. The order is computed once for each list of engines.
@@ -185,12 +191,16 @@
         if view.version != self._orders_version:
             self._orders.clear()
             self._orders_version = view.version
-        found = self._orders.get(service)
+        found = self._orders.get((service, group))
         if found is None:
-            by_name = {each.name: each for each in view.usable(service)}
+            by_name = {
+                each.name: each
+                for each in view.usable(service)
+                if group.contains(each.failure_domain, each.name)
+            }
             names = choose_by_hash(self._inputs.name, by_name, len(by_name))
             found = tuple(by_name[name] for name in names)
-            self._orders[service] = found
+            self._orders[(service, group)] = found
         return found
 
     def _bookings(
@@ -272,6 +282,8 @@
         > request.seconds_left * _LATEST_FIRST_TOKEN_SHARE
     ):
         reason, detail = Reason.OVERLOADED, 'would begin too late'
+    elif split.cost > request.cost_limit:
+        reason, detail = Reason.OVERLOADED, 'another group has a better plan'
     else:
         return None
     backlog = sum(usage.backlog_seconds for usage in usages) / len(usages)
@@ -299,4 +311,5 @@
         delay_seconds=split.delay_seconds,
         read_seconds=split.first_token_seconds,
         hold_seconds=request.hold_seconds,
+        cost=split.cost,
     )
--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planner_client.py
@@ -1,6 +1,7 @@
-"""Finds the planner, the entry that plans, and reports this entry's plans.
+"""Finds the planner of a group of engines, and reports this entry's plans.
 
-A new planner gets all plans in force, and each planner the plans that ended.
+A new planner gets this entry's plans in force in its group, and each planner
+the plans that ended there.
 """
 
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from limpetdrift.coordination.membership import Member
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.coordination.planner import Planner
+from limpetdrift.coordination.planning_groups import planner_candidates
 from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import MemberState
 from limpetdrift.protocol.node import Node
@@ -21,6 +23,7 @@
     ActivePlans,
     EndedPlan,
     EndedPlans,
+    EngineGroup,
     Plan,
     PlanRequest,
 )
@@ -69,33 +72,35 @@
 
 
 class PlannerClient:
-    """Finds the planner, and reports this entry's plans to it.
+    """Finds the planners, and reports this entry's plans to them.
 
-    Ended plans that are yet to be reported are kept by service.
+    Ended plans that are yet to be reported are kept by service and group.
     """
 
     def __init__(self, *, inputs: PlannerClientInputs) -> None:
         self._inputs = inputs
         self._active: dict[str, _PlanInForce] = {}
-        self._ended: dict[str, list[EndedPlan]] = {}
-        self._informed_planner = ''
+        self._ended: dict[tuple[str, EngineGroup], list[EndedPlan]] = {}
+        self._informed_planners: dict[EngineGroup, str] = {}
+        self._candidates: dict[EngineGroup, tuple[Node, ...]] = {}
         self._back_offs: dict[str, _BackOff] = {}
         self._plan_ended = trio.Event()
         self._planner_changed = trio.Event()
 
-    def planner(self) -> Node | None:
-        """Return the entry that plans, or ``None`` if it is this one.
+    def planner(self, group: EngineGroup) -> Node | None:
+        """Return the entry that plans for a group, ``None`` if it is this one.
 
-        It is the reachable entry that started first. An entry that has just
-        joined has no plans in its ledger, so it must not take over.
+        It is the first candidate that is reachable.
         """
+        candidates = self._candidates.get(group)
+        if candidates is None:
+            candidates = planner_candidates(group, self._inputs.live_entries())
+            self._candidates[group] = candidates
         now = self._inputs.clock()
-        reachable = [
-            entry
-            for entry in self._inputs.live_entries()
-            if not self._is_backed_off(entry.name, now)
-        ]
-        chosen = min(reachable, key=_start_order, default=self._inputs.node)
+        chosen = next(
+            (each for each in candidates if not self._is_backed_off(each, now)),
+            self._inputs.node,
+        )
         return None if chosen == self._inputs.node else chosen
 
     def begin(self, plan: Plan, request: PlanRequest) -> None:
@@ -107,15 +112,18 @@
         )
 
     def end(self, service: str, ended: EndedPlan) -> None:
-        """Drop a plan that has ended, and report it to the planner soon."""
-        self._active.pop(ended.grant, None)
-        if self.planner() is not None:
-            self._ended.setdefault(service, []).append(ended)
+        """Drop a plan that has ended, and report it to its planner soon."""
+        dropped = self._active.pop(ended.grant, None)
+        group = dropped.request.group if dropped else EngineGroup()
+        if self.planner(group) is not None:
+            self._ended.setdefault((service, group), []).append(ended)
             self._plan_ended.set()
 
-    def pop_ended(self, service: str) -> tuple[EndedPlan, ...]:
+    def pop_ended(
+        self, service: str, group: EngineGroup
+    ) -> tuple[EndedPlan, ...]:
         """Return and remove the ended plans that are yet to be reported."""
-        return tuple(self._ended.pop(service, ()))
+        return tuple(self._ended.pop((service, group), ()))
 
     def record_unreachable(self, planner: Node, failure: Failure) -> None:
         """Back off from a planner that could not be reached."""
@@ -134,17 +142,19 @@
             BACK_OFF_CEILING_SECONDS,
         )
 
-    def record_answer(self, planner: Node) -> None:
+    def record_answer(self, planner: Node, group: EngineGroup) -> None:
         """Reset the back-off of a planner that answered."""
         self._back_offs.pop(planner.name, None)
-        if self._informed_planner != planner.name:
+        if self._informed_planners.get(group) != planner.name:
+            self._informed_planners.setdefault(group, '')
             self._planner_changed.set()
 
     def on_members_changed(self, changed: tuple[Member, ...]) -> None:
-        """Drop the plans of entries that died, and check for a new planner."""
+        """Drop the plans of entries that died, and check for new planners."""
         for member in changed:
             if member.state is MemberState.DEAD:
                 self._inputs.planner.forget_entry(member.node.name)
+        self._candidates.clear()
         self._planner_changed.set()
 
     async def run(self) -> None:
@@ -153,13 +163,15 @@
             nursery.start_soon(self._report_ended_plans)
             nursery.start_soon(self._inform_new_planners)
 
-    def _is_backed_off(self, name: str, now: float) -> bool:
-        back_off = self._back_offs.get(name)
+    def _is_backed_off(self, entry: Node, now: float) -> bool:
+        back_off = self._back_offs.get(entry.name)
         return back_off is not None and back_off.until > now
 
-    async def _send_active_plans(self, planner: Node) -> None:
-        """Send all plans in force to a planner that is new to this entry."""
-        self._informed_planner = planner.name
+    async def _send_active_plans(
+        self, planner: Node, group: EngineGroup
+    ) -> None:
+        """Send the plans in force in a group to a planner that is new to it."""
+        self._informed_planners[group] = planner.name
         now = self._inputs.clock()
         active = tuple(
             ActivePlan(
@@ -168,8 +180,14 @@
                 age_seconds=now - each.begun_at,
             )
             for each in self._active.values()
+            if each.request.group == group
+        )
+        note(
+            'another entry plans',
+            planner=planner.name,
+            failure_domain=group.failure_domain,
+            told=len(active),
         )
-        note('another entry plans', planner=planner.name, told=len(active))
         if active:
             await self._inputs.call(
                 planner.peer_address,
@@ -183,21 +201,24 @@
         while True:
             await self._planner_changed.wait()
             self._planner_changed = trio.Event()
-            planner = self.planner()
-            if planner is not None and planner.name != self._informed_planner:
-                await self._send_active_plans(planner)
+            groups = {each.request.group for each in self._active.values()}
+            for group in groups.union(self._informed_planners):
+                planner = self.planner(group)
+                informed = self._informed_planners.get(group)
+                if planner is not None and planner.name != informed:
+                    await self._send_active_plans(planner, group)
 
     async def _report_ended_plans(self) -> None:
         while True:
             await self._plan_ended.wait()
             await trio.sleep(ENDED_BATCH_SECONDS)
             self._plan_ended = trio.Event()
-            for service in tuple(self._ended):
-                await self._send_ended_plans(service)
+            for service, group in tuple(self._ended):
+                await self._send_ended_plans(service, group)
 
-    async def _send_ended_plans(self, service: str) -> None:
-        ended = self.pop_ended(service)
-        planner = self.planner()
+    async def _send_ended_plans(self, service: str, group: EngineGroup) -> None:
+        ended = self.pop_ended(service, group)
+        planner = self.planner(group)
         if not ended or planner is None:
             return
         answer = await self._inputs.call(
@@ -210,7 +231,3 @@
         if answer.is_error():
             # The planner drops unreported plans when their hold time is over.
             telemetry.count('plans_untold', reason=answer.error.reason)
-
-
-def _start_order(entry: Node) -> tuple[int, str]:
-    return (entry.incarnation, entry.name)
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -15,6 +15,7 @@
 from limpetdrift.coordination.plan_placer import PlanPlacer
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planner_client import PlannerClientInputs
+from limpetdrift.coordination.planning_groups import PlanningGroups
 from limpetdrift.coordination.quarantine_replication import (
     DIGEST_NAME,
     QuarantineReplicator,
@@ -25,7 +26,6 @@
 from limpetdrift.platform.settings import PlatformSettings
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.suspects import CrashSuspects
@@ -72,13 +72,18 @@
             clock=boot_time,
         ),
         view=context.view,
+        groups=PlanningGroups(node=context.node, view=context.view),
+        randomness=context.randomness,
     )
     report_poller = EngineReportPoller(
         inputs=ReportPollerInputs(
             planner=planner,
-            engines=lambda: _engines_by_service(context),
+            engines=lambda: {
+                service.name: plan_placer.planned_engines(service.name)
+                for service in context.routes.services
+                if service.engine is not None
+            },
             read=make_report_reader(HttpClient()),
-            is_planner=lambda: plan_placer.planner_client.planner() is None,
             clock=boot_time,
         ),
     )
@@ -90,16 +95,6 @@
     return plan_placer, report_poller
 
 
-def _engines_by_service(
-    context: EntryContext,
-) -> dict[str, tuple[ListedEndpoint, ...]]:
-    return {
-        service.name: context.view.usable(service.name)
-        for service in context.routes.services
-        if service.engine is not None
-    }
-
-
 def _log_members(changed: tuple[Member, ...]) -> None:
     for member in changed:
         note('peer changed', peer=member.node.name, state=member.state)
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -6,6 +6,32 @@
 
 from dataclasses import dataclass
 
+from xxhash import xxh64_intdigest
+
+# Cost limit of a request that accepts any plan.
+UNLIMITED_COST = 1_000_000_000.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineGroup:
+    """A part of the engines of a service, with a planner of its own.
+
+    It contains the engines of one failure domain, or of any if
+    ``failure_domain`` is empty. In a large failure domain it is one of
+    ``bucket_count`` buckets, to which engines and entries are hashed by name.
+    The default group contains all engines.
+    """
+
+    failure_domain: str = ''
+    bucket: int = 0
+    bucket_count: int = 1
+
+    def contains(self, failure_domain: str, name: str) -> bool:
+        """Return whether an engine or entry belongs to the group."""
+        if self.failure_domain not in {'', failure_domain}:
+            return False
+        return bucket_of(name, self.bucket_count) == self.bucket
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndpointId:
@@ -37,7 +63,8 @@
     is of no use if it begins after ``seconds_left``, and has ended in any
     case after ``hold_seconds``. ``excluded`` lists engines not to use.
     ``entry`` names the requesting entry, and ``ended`` lists its ended plans
-    that it has not reported yet.
+    that it has not reported yet. The plan uses engines of ``group`` only, and
+    one that costs more than ``cost_limit`` is refused.
     """
 
     service: str
@@ -52,6 +79,8 @@
     failure_domain: str
     excluded: tuple[EndpointId, ...] = ()
     ended: tuple[EndedPlan, ...] = ()
+    group: EngineGroup = EngineGroup()
+    cost_limit: float = UNLIMITED_COST
 
     @property
     def memory_tokens(self) -> int:
@@ -75,7 +104,8 @@
     of the prompt. The request is sent after ``delay_seconds``, when the
     engines have finished the prefill that was planned for them before.
     ``read_seconds`` is the expected time to the first token, delay included.
-    The plan counts as ended after ``hold_seconds`` in any case.
+    The plan counts as ended after ``hold_seconds`` in any case. ``cost`` is
+    what the planner expects it to lose, in the worth of one short answer.
     """
 
     grant: str
@@ -85,6 +115,7 @@
     delay_seconds: float = 0.0
     read_seconds: float = 0.0
     hold_seconds: float = 0.0
+    cost: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -117,3 +148,14 @@
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Acknowledgement:
     """Confirms that a report was processed."""
+
+
+def bucket_of(name: str, bucket_count: int) -> int:
+    """Return the bucket, from 0 on, to which a name is hashed.
+
+    >>> bucket_of('engine-1', 1)
+    0
+    """
+    if bucket_count == 1:
+        return 0
+    return xxh64_intdigest(name.encode()) % bucket_count
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -3,12 +3,13 @@
 Each policy is a function that makes the placement of one entry:
 
 >>> sorted(POLICIES)
-['alone', 'digests', 'planner', 'reports', 'round-robin']
+['alone', 'digests', 'one-planner', 'planner', 'reports', 'round-robin']
 """
 
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from itertools import count
+from random import Random
 
 import trio
 from expression import Error, Ok, Result
@@ -23,6 +24,10 @@
 from limpetdrift.coordination.plan_placer import PlanPlacer
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planner_client import PlannerClientInputs
+from limpetdrift.coordination.planning_groups import (
+    MIN_GROUP_ENGINES,
+    PlanningGroups,
+)
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import Acknowledgement
 from limpetdrift.protocol.route_table import EngineCostModel
@@ -42,6 +47,8 @@
 # Must be less than ``FAST_POLLING_SECONDS`` of the report poller, so that it
 # always polls at its short interval.
 _POLL_FASTER_INTERVAL_SECONDS = 5.0
+# Minimum size of a group of engines with which no service is divided.
+_NEVER_DIVIDED = float('inf')
 
 Task = Callable[[], Awaitable[None]]
 
@@ -73,13 +80,24 @@
 
 
 def _place_by_planner(inputs: EntryInputs) -> EntryPlacement:
-    """Let one entry plan for all entries, as the product does."""
-    placer, planner = _make_placer(inputs, inputs.nodes)
+    """Let one entry plan for each group of engines, as the product does."""
+    return _place_by_planners(inputs, MIN_GROUP_ENGINES)
+
+
+def _place_by_one_planner(inputs: EntryInputs) -> EntryPlacement:
+    """Let one entry plan for all engines, however many there are."""
+    return _place_by_planners(inputs, _NEVER_DIVIDED)
+
+
+def _place_by_planners(
+    inputs: EntryInputs, min_group_engines: float
+) -> EntryPlacement:
+    placer, planner = _make_placer(inputs, inputs.nodes, min_group_engines)
     placer.register(inputs.peer_routes)
     poller = _make_report_poller(
         inputs,
         planner,
-        lambda: placer.planner_client.planner() is None,
+        lambda: placer.planned_engines(SERVICE),
     )
     return EntryPlacement(
         place=placer.place,
@@ -97,7 +115,9 @@
 def _place_by_reports(inputs: EntryInputs) -> EntryPlacement:
     """Plan by the entry's own requests and the reports of engines."""
     placer, planner = _make_placer(inputs, (inputs.node,))
-    poller = _make_report_poller(inputs, planner, lambda: True)
+    poller = _make_report_poller(
+        inputs, planner, lambda: inputs.view.usable(SERVICE)
+    )
 
     async def keep_polling_fast() -> None:
         while True:
@@ -180,6 +200,7 @@
 def _make_placer(
     inputs: EntryInputs,
     nodes: tuple[Node, ...],
+    min_group_engines: float = _NEVER_DIVIDED,
 ) -> tuple[PlanPlacer, Planner]:
     planner = Planner(
         inputs=PlannerInputs(
@@ -199,6 +220,12 @@
             clock=trio.current_time,
         ),
         view=inputs.view,
+        groups=PlanningGroups(
+            node=inputs.node,
+            view=inputs.view,
+            min_group_engines=min_group_engines,
+        ),
+        randomness=Random(inputs.node.name),
     )
     return placer, planner
 
@@ -206,14 +233,13 @@
 def _make_report_poller(
     inputs: EntryInputs,
     planner: Planner,
-    is_planner: Callable[[], bool],
+    planned_engines: Callable[[], tuple[ListedEndpoint, ...]],
 ) -> EngineReportPoller:
     return EngineReportPoller(
         inputs=ReportPollerInputs(
             planner=planner,
-            engines=lambda: {SERVICE: inputs.view.usable(SERVICE)},
+            engines=lambda: {SERVICE: planned_engines()},
             read=inputs.read_report,
-            is_planner=is_planner,
             clock=trio.current_time,
         ),
     )
@@ -237,6 +263,7 @@
 
 POLICIES: dict[str, Callable[[EntryInputs], EntryPlacement]] = {
     'planner': _place_by_planner,
+    'one-planner': _place_by_one_planner,
     'reports': _place_by_reports,
     'digests': _place_by_digests,
     'alone': _place_alone,
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 import trio
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from limpetdrift.coordination.endpoint_response import EndpointResponse
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
@@ -15,7 +15,12 @@
 from limpetdrift.coordination.retry_policy import jittered_retry_after_seconds
 from limpetdrift.protocol.codec import encode
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.verdict import Failure, Verdict
+from limpetdrift.protocol.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    may_have_run,
+)
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -38,7 +43,6 @@
 
 # Age of an engine's report when an entry receives it.
 REPORT_LAG_SECONDS = 0.3
-_FAILURE_DOMAIN_COUNT = 3
 # Numbers in names have a fixed width, so that names sort by number.
 _NUMBER_WIDTH = 3
 _BAD_GATEWAY = 502
@@ -57,9 +61,10 @@
 class SimulatedSite:
     """The state of one run: its entries and engines, and its results so far.
 
-    ``views``, ``forwarders`` and ``routes`` belong to the entries. ``messages``
-    and ``message_bytes`` count what entries send to each other, ``reports``
-    the reports that they read from engines.
+    ``views``, ``forwarders`` and ``routes`` belong to the entries.
+    ``busy_until`` is when each entry has processed the messages of peers that
+    it has received. ``messages`` and ``message_bytes`` count what entries send
+    to each other, ``reports`` the reports that they read from engines.
     """
 
     workload: Workload
@@ -67,6 +72,7 @@
     engines: dict[str, Engine] = field(default_factory=dict)
     views: list[EndpointView] = field(default_factory=list)
     routes: dict[Address, PeerRoutes] = field(default_factory=dict)
+    busy_until: dict[Address, float] = field(default_factory=dict)
     forwarders: list[Forwarder] = field(default_factory=list)
     tasks: list[Task] = field(default_factory=list)
     outcomes: list[RequestOutcome] = field(default_factory=list)
@@ -93,7 +99,7 @@
             lifetime=1,
             service=SERVICE,
             address=f'10.1.0.{number}:80',
-            failure_domain=_failure_domain_name(number),
+            failure_domain=_failure_domain_name(site.workload, number),
             slots=sizes.slots,
         )
         site.engines[endpoint.name] = Engine(
@@ -103,7 +109,10 @@
 
 def make_entries(site: SimulatedSite) -> None:
     """Add the entries to the site, with the placement policy of the run."""
-    nodes = tuple(map(_make_node, range(site.workload.entries)))
+    nodes = tuple(
+        _make_node(site.workload, number)
+        for number in range(site.workload.entries)
+    )
     for node in nodes:
         view = EndpointView(clock=trio.current_time)
         view.replace(engine.endpoint for engine in site.engines.values())
@@ -140,21 +149,21 @@
         site.forwarders.append(Forwarder(inputs=inputs))
 
 
-def _make_node(number: int) -> Node:
+def _make_node(workload: Workload, number: int) -> Node:
     address = Address(host='10.0.0.1', port=1000 + number)
     return Node(
         name=_name('entry', number),
         incarnation=number,
         role=Role.ENTRY,
         region='here',
-        failure_domain=_failure_domain_name(number),
+        failure_domain=_failure_domain_name(workload, number),
         caller_address=address,
         peer_address=address,
     )
 
 
-def _failure_domain_name(number: int) -> str:
-    return _name('domain', number % _FAILURE_DOMAIN_COUNT)
+def _failure_domain_name(workload: Workload, number: int) -> str:
+    return _name('domain', number % workload.failure_domains)
 
 
 def _name(kind: str, number: int) -> str:
@@ -171,17 +180,36 @@
         timeout_seconds: float,
     ) -> Result:
         body = encode(message)
+        site.messages += 1
+        site.message_bytes += len(body)
         await trio.sleep(site.workload.peer_seconds)
+        wait_seconds = _queue_message(site, address)
+        timeout = timeout_seconds - 2 * site.workload.peer_seconds
+        await trio.sleep(min(wait_seconds, timeout))
+        # A peer processes also those messages whose sender has given up.
         outcome = await site.routes[address].dispatch(path, body)
         answer = outcome.ok if outcome.is_ok() else outcome.error
-        site.messages += 1
-        site.message_bytes += len(body) + len(encode(answer))
+        site.message_bytes += len(encode(answer))
         await trio.sleep(site.workload.peer_seconds)
+        if wait_seconds > timeout:
+            return Error(may_have_run(Reason.IDLE_TIMEOUT, path))
         return outcome
 
     return call_peer
 
 
+def _queue_message(site: SimulatedSite, address: Address) -> float:
+    """Return the time until an entry has processed a message received now.
+
+    An entry processes one message after the other.
+    """
+    now = trio.current_time()
+    done_at = max(now, site.busy_until.get(address, now))
+    done_at += site.workload.peer_work_seconds
+    site.busy_until[address] = done_at
+    return done_at - now
+
+
 async def _read_report(
     site: SimulatedSite,
     endpoint: ListedEndpoint,
--- a/src/limpetdrift/replays/workload.py
+++ b/src/limpetdrift/replays/workload.py
@@ -253,6 +253,17 @@
         unit=Unit.DURATION,
         about='One-way message delay between two entries.',
     )
+    peer_work_seconds: float = option(
+        0.0,
+        key='peer_work',
+        unit=Unit.DURATION,
+        about='Time in which an entry processes one message of a peer.',
+    )
+    failure_domains: int = option(
+        3,
+        check=at_least(1),
+        about='Number of failure domains of entries and engines.',
+    )
     engines: Engines = option(about='The engines.')
     kinds: dict[str, Kind] = option(about='The kinds of requests.')
     accounts: dict[str, float] = option(
--- /dev/null
+++ b/tests/test_planning_groups.py
@@ -0,0 +1,281 @@
+"""Tests that large services are planned for in groups, and how they borrow."""
+
+import random
+
+import pytest
+import trio
+from expression import Error
+from hypothesis import given
+from hypothesis import strategies as st
+
+from forward_harness import make_route
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.plan_placer import PlanPlacer
+from limpetdrift.coordination.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planner_client import PlannerClientInputs
+from limpetdrift.coordination.planning_groups import (
+    MIN_GROUP_ENGINES,
+    GroupLayout,
+    PlanningGroups,
+    home_group,
+    make_layout,
+    planner_candidates,
+)
+from limpetdrift.protocol.node import Node, Role
+from limpetdrift.protocol.plans import EngineGroup
+from limpetdrift.protocol.verdict import Reason, may_have_run
+from limpetdrift.protocol.work import (
+    CallerRequest,
+    ListedEndpoint,
+    PromptSize,
+)
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.transport.messages import Address
+from test_splitting import COST_MODEL
+from virtual_time import in_virtual_time
+
+DOMAINS = ('east', 'north', 'west')
+# The longest failure domain may have half as many engines again as a group
+# should have, and hashing makes buckets uneven.
+MOST_GROUP_ENGINES = 130
+
+
+def make_entry(number: int) -> Node:
+    address = Address(host='10.0.0.1', port=1000 + number)
+    return Node(
+        name=f'entry-{number}',
+        incarnation=number,
+        role=Role.ENTRY,
+        region='r',
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        caller_address=address,
+        peer_address=address,
+    )
+
+
+def make_engine(number: int, domain: str) -> ListedEndpoint:
+    return ListedEndpoint(
+        name=f'engine-{domain}-{number}',
+        lifetime=1,
+        service='s',
+        address=f'10.1.0.{number}:80',
+        failure_domain=domain,
+        slots=8,
+    )
+
+
+def make_engines(count: int) -> tuple[ListedEndpoint, ...]:
+    return tuple(
+        make_engine(number, domain)
+        for domain in DOMAINS
+        for number in range(count)
+    )
+
+
+ENTRIES = tuple(map(make_entry, range(9)))
+ENGINES = make_engines(MIN_GROUP_ENGINES)
+LAYOUT = make_layout(dict.fromkeys(DOMAINS, MIN_GROUP_ENGINES), GroupLayout())
+
+
+class GroupHarness:
+    """Entries with a planner each, connected without sockets.
+
+    Calls to the entries in ``silent`` time out. ``calls`` holds the path and
+    the receiver of each call.
+    """
+
+    def __init__(self, engines: tuple[ListedEndpoint, ...] = ENGINES) -> None:
+        self.silent: set[Address] = set()
+        self.calls: list[tuple[str, Address]] = []
+        self.routes: dict[Address, PeerRoutes] = {}
+        self.planners: dict[str, Planner] = {}
+        self.placers = [self._make_placer(node, engines) for node in ENTRIES]
+
+    def fill(self, entry: int, domain: str) -> None:
+        """Make a planner see all engines of a failure domain as full."""
+        planner = self.planners[ENTRIES[entry].name]
+        ledger = planner.ledger('s')
+        for engine in ENGINES:
+            if engine.failure_domain == domain:
+                for _ in range(6):
+                    ledger.mark_failing(engine.identity)
+
+    def _make_placer(self, node, engines):
+        view = EndpointView(clock=trio.current_time)
+        view.replace(engines)
+        planner = Planner(
+            inputs=PlannerInputs(
+                name=node.name,
+                view=view,
+                find_cost_model=lambda service: COST_MODEL,
+                clock=trio.current_time,
+            ),
+        )
+        placer = PlanPlacer(
+            inputs=PlannerClientInputs(
+                node=node,
+                planner=planner,
+                call=self._call,
+                live_entries=lambda: ENTRIES,
+                record_connection_refused=lambda name: None,
+                clock=trio.current_time,
+            ),
+            view=view,
+            groups=PlanningGroups(node=node, view=view),
+            randomness=random.Random(1),
+        )
+        routes = PeerRoutes()
+        placer.register(routes)
+        self.planners[node.name] = planner
+        self.routes[node.peer_address] = routes
+        return placer
+
+    async def _call(self, address, path, message, reply, *, timeout_seconds):
+        self.calls.append((path, address))
+        await trio.sleep(0.001)
+        if address in self.silent:
+            await trio.sleep(timeout_seconds)
+            return Error(may_have_run(Reason.IDLE_TIMEOUT, path))
+        routes = self.routes[address]
+        return await routes._registrations[path].handler(message)
+
+
+def make_work(tokens: int = 5000) -> CallerRequest:
+    return CallerRequest(
+        request_id='1',
+        method='POST',
+        target='/',
+        headers=(),
+        body=b'',
+        route=make_route(),
+        service='s',
+        version=1,
+        arrived_at=trio.current_time(),
+        deadline=trio.current_time() + 10,
+        size=PromptSize(prompt_tokens=tokens, answer_tokens=1600),
+    )
+
+
+def group_of(domain: str) -> EngineGroup:
+    return EngineGroup(failure_domain=domain)
+
+
+def test_small_service_is_not_divided():
+    counts = dict.fromkeys(DOMAINS, MIN_GROUP_ENGINES - 1)
+    assert make_layout(counts, GroupLayout()) == GroupLayout()
+    assert home_group(GroupLayout(), 'east', 'e') == EngineGroup()
+
+
+def test_divided_service_stays_divided_while_some_engines_are_replaced():
+    counts = dict.fromkeys(DOMAINS, int(MIN_GROUP_ENGINES * 0.8))
+    assert make_layout(counts, LAYOUT) == LAYOUT
+    counts = dict.fromkeys(DOMAINS, MIN_GROUP_ENGINES // 2)
+    assert make_layout(counts, LAYOUT) == GroupLayout()
+
+
+def test_entry_without_engines_in_its_domain_uses_another():
+    assert home_group(LAYOUT, 'south', 'e').failure_domain in DOMAINS
+
+
+@pytest.mark.parametrize('engines', [30, 110, 240, 700])
+def test_groups_do_not_grow_with_the_fleet(engines):
+    layout = make_layout({'east': engines}, GroupLayout())
+    names = [f'engine-{number}' for number in range(engines)]
+    sizes = [
+        sum(group.contains('east', name) for name in names)
+        for group in layout.groups
+    ]
+    assert sum(sizes) == engines
+    assert max(sizes) <= MOST_GROUP_ENGINES
+
+
+@given(
+    counts=st.dictionaries(st.sampled_from(DOMAINS), st.integers(1, 400)),
+    name=st.text(max_size=20),
+    domain=st.sampled_from(DOMAINS),
+)
+def test_each_engine_is_in_exactly_one_group(counts, name, domain):
+    layout = make_layout(counts | {domain: 200}, GroupLayout())
+    assert sum(group.contains(domain, name) for group in layout.groups) == 1
+    assert home_group(layout, domain, name).contains(domain, name)
+
+
+def test_death_of_a_planner_changes_only_its_own_group():
+    planners = {
+        group: planner_candidates(group, ENTRIES)[0] for group in LAYOUT.groups
+    }
+    assert len(set(planners.values())) == len(DOMAINS)
+    dead = planners[group_of('north')]
+    survivors = [each for each in reversed(ENTRIES) if each != dead]
+    for group, planner in planners.items():
+        successor = planner_candidates(group, survivors)[0]
+        assert (successor == planner) == (planner != dead)
+        assert successor.failure_domain == group.failure_domain
+
+
+@in_virtual_time
+async def test_prompt_is_planned_in_its_own_failure_domain():
+    harness = GroupHarness()
+    placed = await harness.placers[5].place(make_work(), frozenset())
+    assert placed.ok.endpoint.failure_domain == ENTRIES[5].failure_domain
+    assert harness.calls == [('plan', ENTRIES[2].peer_address)]
+
+
+@in_virtual_time
+async def test_prompt_goes_elsewhere_if_its_own_group_is_failing():
+    """Replays a failure domain whose engines are lost while others are idle."""
+    harness = GroupHarness()
+    domain = ENTRIES[5].failure_domain
+    harness.fill(2, domain)
+    placed = await harness.placers[5].place(make_work(), frozenset())
+    assert placed.ok.endpoint.failure_domain != domain
+    assert harness.planners['entry-5'].ledger('s').plan_count == 1
+    await harness.placers[5].planner_client._send_ended_plans(
+        's', group_of(domain)
+    )
+    assert harness.planners['entry-2'].ledger('s').plan_count == 0
+
+
+@in_virtual_time
+async def test_first_plan_is_kept_if_the_other_planner_is_silent():
+    """A plan from an empty ledger would look better than it is."""
+    harness = GroupHarness()
+    domain = ENTRIES[5].failure_domain
+    harness.fill(2, domain)
+    harness.silent = {ENTRIES[0].peer_address, ENTRIES[1].peer_address}
+    placed = await harness.placers[5].place(make_work(), frozenset())
+    assert placed.ok.endpoint.failure_domain == domain
+
+
+@in_virtual_time
+async def test_silent_planner_delays_only_prompts_of_its_group():
+    harness = GroupHarness()
+    harness.silent = {ENTRIES[2].peer_address}
+    started = trio.current_time()
+    placed = await harness.placers[3].place(make_work(), frozenset())
+    assert placed.is_ok()
+    assert trio.current_time() - started < 0.01
+    placed = await harness.placers[8].place(make_work(), frozenset())
+    assert placed.is_ok()
+    assert 0.05 < trio.current_time() - started < 0.2
+    placed = await harness.placers[8].place(make_work(), frozenset())
+    assert placed.is_ok()
+    assert harness.calls[-1] == ('plan', ENTRIES[5].peer_address)
+
+
+@in_virtual_time
+async def test_longest_prompt_finds_engines_in_one_group():
+    harness = GroupHarness()
+    placed = await harness.placers[5].place(make_work(700_000), frozenset())
+    assert placed.is_ok()
+    assert sum(tokens for _, tokens in placed.ok.reserved) > 300_000
+
+
+@in_virtual_time
+async def test_entry_reads_reports_only_of_engines_that_it_plans_for():
+    harness = GroupHarness()
+    domains = {
+        each.failure_domain for each in harness.placers[1].planned_engines('s')
+    }
+    assert domains == {ENTRIES[1].failure_domain}
+    assert not harness.placers[4].planned_engines('s')
--- a/tests/test_replay_loads.py
+++ b/tests/test_replay_loads.py
@@ -4,6 +4,7 @@
 policy must do better than entries that don't share load information.
 """
 
+from dataclasses import replace
 from functools import cache
 from pathlib import Path
 from statistics import mean
@@ -15,7 +16,9 @@
 from limpetdrift.replays.simulation import simulate_run
 from limpetdrift.replays.workload import Workload, read_workload
 
-LOAD_FILE = Path(__file__).parent.parent / 'experiments/replay-simu-kona.yaml'
+EXPERIMENTS = Path(__file__).parent.parent / 'experiments'
+LOAD_FILE = EXPERIMENTS / 'replay-simu-kona.yaml'
+LARGE_LOAD_FILE = EXPERIMENTS / 'replay-large.yaml'
 SHORT = 'fault-note'
 SHORT_ON_TIME_SHARE = 0.97
 LONGEST_ON_TIME_SHARE = 0.95
@@ -100,3 +103,21 @@
 def test_planner_achieves_more_worth_than_alone_under_faults(case):
     worth = figures_of(case, 'planner', COMPARISON_SEED).worth
     assert worth > figures_of(case, 'alone', COMPARISON_SEED).worth
+
+
+def test_burst_on_a_large_fleet_does_not_saturate_its_planners():
+    """Replays the burst in which one planner for 150 engines is the limit.
+
+    The run ends within the burst, to keep the test short.
+    """
+    workload = replace(
+        read_workload(str(LARGE_LOAD_FILE)).ok, duration_seconds=4.5
+    )
+
+    def play(policy: str) -> RunFigures:
+        spec = RunSpec(case='short-burst', policy=policy, seed=2)
+        return compute_figures(workload, simulate_run(workload, spec))
+
+    in_groups, by_one = play('planner'), play('one-planner')
+    assert in_groups.worst_window >= WORST_WINDOW_SHARE
+    assert in_groups.worth > by_one.worth
