Relay routes within a failure domain, by fewer readers of the store

Cause: at 195 entries nine read the store, each confirming the routes every 0.5 s and following the endpoint list, and the other entries polled whichever of them a hash named, four fifths of them in other failure domains. A release of servers or a storm of configurations goes to every entry that way. Change: one reader for each 48 entries of a failure domain, which confirms every 0.75 s; entries poll a reader of their own domain first. The list of usable entries, which each plan and poll sorted anew, is cached until a member changes. The directory lists a random sample of a domain's entries where more than 64 are there, in place of the same 64 always. Result: at 195 entries in five domains 5 readers in place of 9.

--- a/src/limpetdrift/coordination/discovery.py
+++ b/src/limpetdrift/coordination/discovery.py
@@ -6,7 +6,7 @@
 >>> add_discovery_routes(routes, membership, randomness)  # doctest: +SKIP
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import groupby
 from random import Random
 
@@ -84,6 +84,26 @@
     return []
 
 
+def cache_usable_entries(
+    membership: Membership,
+) -> Callable[[], tuple[Node, ...]]:
+    """Return a function like ``usable_entries`` for frequent calls.
+
+    Its result is computed again only when a member has changed, and is the
+    same object until then. Hooks that call it must be added to the membership
+    after this call.
+    """
+    cached: list[tuple[Node, ...]] = []
+    membership.on_change.append(lambda changed: cached.clear())
+
+    def entries() -> tuple[Node, ...]:
+        if not cached:
+            cached.append(tuple(usable_entries(membership)))
+        return cached[0]
+
+    return entries
+
+
 def sample_entries(
     entries: Iterable[Node],
     randomness: Random,
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -1,14 +1,16 @@
 """Relays routes and endpoints from the entries that read the store.
 
 In a deployment of many entries the load on the store would grow with their
-number, so only a few read it, and the others poll these. The same relay serves
-entries that the store rejects while it serves others. All ages count from the
+number, so only a few of each failure domain read it, and the others poll these.
+Polls stay within the failure domain, since a release of servers or a burst of
+configurations is sent to every entry. The same relay serves entries that the
+store rejects while it serves others. All ages count from the
 start of the read in the store, so that relayed data never appears fresher than
 it is, over any number of entries.
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -35,8 +37,9 @@
 KNOWLEDGE_PATH = 'knowledge'
 # Up to this number of entries, each reads the store.
 MAX_DIRECT_ENTRIES = 12
-# Beyond it, one in this number of entries does, but at least MIN_READERS.
-ENTRIES_PER_READER = 24
+# Beyond it, one in this number of entries of a failure domain does, but at
+# least one of each and MIN_READERS in all.
+ENTRIES_PER_READER = 48
 MIN_READERS = 3
 # Long-poll timeout: how long a reader delays its reply if nothing changes.
 LONG_POLL_SECONDS = 1.0
@@ -44,7 +47,7 @@
 REPLY_MARGIN_SECONDS = 0.4
 # Long-poll timeout of a reader's own reads of the store while it serves other
 # entries. This is how often it confirms its data.
-READER_LONG_POLL_SECONDS = 0.5
+READER_LONG_POLL_SECONDS = 0.75
 # Staleness bound: above this age of the routes another reader is polled.
 # Together with LONG_POLL_SECONDS it stays below the three seconds within which
 # a deployment of many entries must follow a change.
@@ -123,6 +126,7 @@
         self._inputs = inputs
         self._direct_read_until = float('-inf')
         self._stale_readers: set[str] = set()
+        self._readers_among = _cache_readers()
         self._changed = trio.Event()
         self._routes_packer = _Packer()
         self._list_packer = _Packer()
@@ -134,12 +138,12 @@
         All entries of a small deployment do; in a large one those chosen by
         rendezvous hashing, and for a time those whose reader was stale.
         """
-        names = [entry.name for entry in self._inputs.entries()]
-        if len(names) <= MAX_DIRECT_ENTRIES:
+        entries = self._inputs.entries()
+        if len(entries) <= MAX_DIRECT_ENTRIES:
             return True
         if self._inputs.clock() < self._direct_read_until:
             return True
-        return self._inputs.node.name in _readers(names)
+        return self._inputs.node in self._readers_among(entries)
 
     @property
     def long_poll_seconds(self) -> float | None:
@@ -267,32 +271,27 @@
         were. Before any peer is known it is a seed, and the name is empty;
         without seeds the address is ``None``.
         """
-        own = self._inputs.node.name
-        entries = {
-            entry.name: entry.peer_address
-            for entry in self._inputs.entries()
-            if entry.name != own
-        }
-        if not entries:
+        own = self._inputs.node
+        peers = [each for each in self._inputs.entries() if each != own]
+        if not peers:
             seeds = [
                 seed
                 for seed in self._inputs.seeds()
-                if seed != self._inputs.node.peer_address
+                if seed != own.peer_address
             ]
             if not seeds:
                 return '', None
             return '', self._inputs.randomness.choice(seeds)
-        readers = _readers([*entries, own]) if len(entries) > 1 else entries
         candidates = [
-            name
-            for name in readers
-            if name in entries and name not in self._stale_readers
+            each
+            for each in self._readers_among(self._inputs.entries())
+            if each != own and each.name not in self._stale_readers
         ]
         if not candidates:
             self._stale_readers.clear()
-            candidates = list(entries)
-        chosen = choose_by_hash(f'reader-of/{own}', candidates, 1)[0]
-        return chosen, entries[chosen]
+            candidates = peers
+        chosen = _choose_nearest(own, candidates)
+        return chosen.name, chosen.peer_address
 
     def _record_stale_reader(self, name: str, *, has_failed: bool) -> None:
         """Record a reader whose poll failed or whose routes were stale.
@@ -340,9 +339,49 @@
         self.notify_waiters()
 
 
-def _readers(names: list[str]) -> list[str]:
-    count = max(MIN_READERS, math.ceil(len(names) / ENTRIES_PER_READER))
-    return choose_by_hash('readers', names, count)
+def choose_readers(entries: Iterable[Node]) -> tuple[Node, ...]:
+    """Return the entries that read the store for all others.
+
+    Rendezvous hashing chooses them in each failure domain.
+    """
+    by_domain: dict[str, dict[str, Node]] = {}
+    for entry in entries:
+        by_domain.setdefault(entry.failure_domain, {})[entry.name] = entry
+    least = math.ceil(MIN_READERS / max(1, len(by_domain)))
+    return tuple(
+        members[name]
+        for members in by_domain.values()
+        for name in choose_by_hash(
+            'readers',
+            members,
+            max(least, math.ceil(len(members) / ENTRIES_PER_READER)),
+        )
+    )
+
+
+def _cache_readers() -> Callable[[tuple[Node, ...]], tuple[Node, ...]]:
+    """Return ``choose_readers`` that keeps its result for the same tuple."""
+    last: list[tuple[Node, ...]] = [(), ()]
+
+    def readers_among(entries: tuple[Node, ...]) -> tuple[Node, ...]:
+        if entries is not last[0]:
+            last[0] = entries
+            last[1] = choose_readers(entries)
+        return last[1]
+
+    return readers_among
+
+
+def _choose_nearest(own: Node, candidates: list[Node]) -> Node:
+    """Return one of the candidates, of the own failure domain if possible."""
+    local = {
+        each.name: each
+        for each in candidates
+        if each.failure_domain == own.failure_domain
+    }
+    choices = local or {each.name: each for each in candidates}
+    name = choose_by_hash(f'reader-of/{own.name}', choices, 1)[0]
+    return choices[name]
 
 
 def _is_list_outdated(
--- a/src/limpetdrift/platform/directory.py
+++ b/src/limpetdrift/platform/directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 from limpetdrift.protocol.codec import json_response
 from limpetdrift.protocol.node import Node
@@ -24,9 +25,11 @@
 
     ``entries`` returns the entries that can serve callers, ``is_ready``
     whether this one can. Callers may use an answer for ``max_age_seconds``.
+    ``randomness`` samples the entries of a longer list.
     """
 
     entries: ListEntries
+    randomness: Random
     is_ready: Callable[[], bool]
     max_age_seconds: float
 
@@ -36,7 +39,9 @@
 
     async def resolve(exchange: Exchange, parameters: Parameters) -> None:
         failure_domain = exchange.request.query.get('zone', '')
-        chosen = choose_entries(inputs.entries(), failure_domain)
+        chosen = choose_entries(
+            inputs.entries(), failure_domain, inputs.randomness
+        )
         if not chosen:
             await exchange.respond(Response(status=UNAVAILABLE))
             return
@@ -65,14 +70,19 @@
 def choose_entries(
     entries: tuple[Node, ...],
     failure_domain: str,
+    randomness: Random,
 ) -> tuple[Node, ...]:
     """Return the entries to list for a caller in a failure domain.
 
     Only those of its own domain are listed if there are enough, since traffic
-    between domains is slow and expensive; otherwise all are.
+    between domains is slow and expensive; otherwise all are. Of more entries
+    than an answer can hold, a new random sample is listed each time. A fixed
+    one would leave the rest of a large deployment without callers.
     """
     local = tuple(
         each for each in entries if each.failure_domain == failure_domain
     )
     chosen = local if len(local) >= MIN_LOCAL_ENTRIES else entries
-    return tuple(sorted(chosen, key=lambda each: each.name))[:MAX_ADDRESSES]
+    if len(chosen) > MAX_ADDRESSES:
+        chosen = tuple(randomness.sample(chosen, MAX_ADDRESSES))
+    return tuple(sorted(chosen, key=lambda each: each.name))
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -9,7 +9,7 @@
 
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.crash_guard import CrashGuard
-from limpetdrift.coordination.discovery import usable_entries
+from limpetdrift.coordination.discovery import cache_usable_entries
 from limpetdrift.coordination.drain import Drain, DrainTiming
 from limpetdrift.coordination.engine_report_poller import EngineReportPoller
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
@@ -141,6 +141,7 @@
         routes=RouteTableCache(clock=boot_time),
         view=EndpointView(clock=boot_time),
         membership=membership,
+        entries=cache_usable_entries(membership),
         randomness=randomness,
     )
     return _build_components(context, store, registration, call)
@@ -172,7 +173,8 @@
             store=store,
             routes=context.routes,
             view=context.view,
-            membership=context.membership,
+            node=context.node,
+            entries=context.entries,
             call=call,
             seeds=registration.seeds,
             clock=boot_time,
@@ -189,9 +191,9 @@
 
     def entries() -> tuple[Node, ...]:
         # A process lists itself only while it can serve callers.
-        listed = usable_entries(context.membership)
+        listed = context.entries()
         if is_ready():
-            return tuple(listed)
+            return listed
         return tuple(each for each in listed if each != context.node)
 
     return EntryComponents(
@@ -207,6 +209,7 @@
         drain=drain,
         directory=DirectoryInputs(
             entries=entries,
+            randomness=context.randomness,
             is_ready=is_ready,
             max_age_seconds=min(
                 DIRECTORY_TTL_SECONDS,
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -1,11 +1,11 @@
 """Builds the components that plan engine requests, and the crash guard."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.crash_guard import CrashGuard
-from limpetdrift.coordination.discovery import usable_entries
 from limpetdrift.coordination.engine_report_poller import (
     EngineReportPoller,
     ReportPollerInputs,
@@ -34,13 +34,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EntryContext:
-    """What most components of an entry are built from."""
+    """What most components of an entry are built from.
+
+    ``entries`` returns the entries that callers may use.
+    """
 
     settings: PlatformSettings
     node: Node
     routes: RouteTableCache
     view: EndpointView
     membership: Membership
+    entries: Callable[[], tuple[Node, ...]]
     randomness: random.Random
 
 
@@ -67,7 +71,7 @@
             node=context.node,
             planner=planner,
             call=call,
-            live_entries=lambda: tuple(usable_entries(context.membership)),
+            live_entries=context.entries,
             record_connection_refused=context.membership.record_connection_refused,
             clock=boot_time,
         ),
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -7,8 +7,6 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.discovery import usable_entries
-from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.coordination.routing_relay import (
     EndpointListState,
@@ -20,6 +18,7 @@
 from limpetdrift.platform.endpoint_sync import EndpointSync
 from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
+from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.routing_sync import digest_of
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
@@ -45,14 +44,16 @@
 class ReplicaInputs:
     """The caches to keep up to date, the store, and the peers.
 
-    ``seeds`` returns addresses of peers. ``revoke_seconds`` is the time within
+    ``entries`` returns all live entries, with this one, ``node``. ``seeds``
+    returns addresses of peers. ``revoke_seconds`` is the time within
     which a revoked key must be refused.
     """
 
     store: StoreClient
     routes: RouteTableCache
     view: EndpointView
-    membership: Membership
+    node: Node
+    entries: Callable[[], tuple[Node, ...]]
     call: PeerCall
     seeds: Callable[[], tuple[Address, ...]]
     clock: Callable[[], float]
@@ -134,13 +135,13 @@
     def _relay_inputs(self) -> RoutingRelayInputs:
         inputs = self._inputs
         return RoutingRelayInputs(
-            node=inputs.membership.node,
+            node=inputs.node,
             call=inputs.call,
             routes=inputs.routes,
             endpoint_list_state=self._list_state,
             endpoints=lambda: inputs.view.listed,
             replace_endpoints=self._replace_endpoints,
-            entries=lambda: tuple(usable_entries(inputs.membership)),
+            entries=inputs.entries,
             seeds=inputs.seeds,
             is_store_unreachable=lambda: (
                 self._configuration_watcher.is_store_unreachable
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -90,6 +90,7 @@
         number: int,
         network: FakeNetwork,
         entries: Callable[[], tuple[Node, ...]],
+        failure_domain: str = 'd',
     ) -> None:
         address = Address(host=f'10.0.0.{number}', port=1)
         self.node = Node(
@@ -97,7 +98,7 @@
             incarnation=number,
             role=Role.ENTRY,
             region='r',
-            failure_domain='d',
+            failure_domain=failure_domain,
             caller_address=address,
             peer_address=address,
         )
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -43,13 +43,14 @@
 class Cluster:
     """Entries with relays, and the version of the store's route table."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, domains: int = 1) -> None:
         self.network = FakeNetwork(seed=1)
         self.version = 1
         self.store_reads = 0
         self.entries = [
-            RelayEntry(number, self.network, self._nodes)
+            RelayEntry(number, self.network, self._nodes, f'd{domain}')
             for number in range(count)
+            for domain in (number % domains,)
         ]
 
     async def poll_store(self, entry: RelayEntry) -> None:
@@ -82,6 +83,40 @@
         assert cluster.store_reads <= 3 * (APPLY_SECONDS / READ_SECONDS + 1)
 
 
+@in_virtual_time
+async def test_routes_are_relayed_within_the_failure_domain():
+    """Replays a storm of configurations on many entries.
+
+    Each version is sent to every entry, which is expensive between failure
+    domains.
+    """
+    cluster = Cluster(60, domains=5)
+    readers = {
+        each.node.name: each.node.failure_domain
+        for each in cluster.entries
+        if each.relay.is_store_reader
+    }
+    assert sorted(readers.values()) == ['d0', 'd1', 'd2', 'd3', 'd4']
+    for entry in cluster.entries:
+        if entry.node.name not in readers:
+            name, _ = entry.relay._choose_peer()
+            assert readers[name] == entry.node.failure_domain
+
+
+@in_virtual_time
+async def test_reader_of_another_domain_is_polled_if_the_local_one_is_stale():
+    cluster = Cluster(60, domains=5)
+    async with background_tasks(cluster):
+        await trio.sleep(5)
+        reader = next(
+            each for each in cluster.entries if each.relay.is_store_reader
+        )
+        reader.is_store_unreachable = True
+        cluster.version = 2
+        await trio.sleep(APPLY_SECONDS)
+        assert {entry.routes.version for entry in cluster.entries} == {2}
+
+
 @in_virtual_time
 async def test_all_entries_of_a_small_deployment_read_the_store():
     cluster = Cluster(9)
