Take text that only looks like a number for none

Cause: isdigit accepts characters such as the superscript two that int rejects, and int fails on thousands of digits, so a header token-usage of such text raised and ended the caller's connection without an answer; so did an event id or a load of an endpoint. Test: request_with_an_invalid_size_or_event_id..., which fails before.

--- a/src/limpetdrift/coordination/event_relay.py
+++ b/src/limpetdrift/coordination/event_relay.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
+from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.verdict import (
     FailureError,
     Reason,
@@ -54,6 +55,5 @@
     number = None
     for line in payload.splitlines():
         if line.startswith(_ID_FIELD):
-            text = line[len(_ID_FIELD) :].strip()
-            number = int(text) if text.isdigit() else None
+            number = parse_count(line[len(_ID_FIELD) :].decode('latin-1'))
     return StreamEvent(number=number, payload=payload)
--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -10,6 +10,7 @@
 
 from expression import Error, Ok, Result
 
+from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.route_table import Account, Route
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import CallerRequest, PromptSize
@@ -180,7 +181,7 @@
             key=_bearer_key(request) if account else '',
             priority=min(_LOWEST_PRIORITY, max(0, priority)),
             size=_parse_prompt_size(request.header(TOKEN_USAGE_HEADER)),
-            last_event_id=_parse_event_id(request.header(LAST_EVENT_ID_HEADER)),
+            last_event_id=parse_count(request.header(LAST_EVENT_ID_HEADER)),
         ),
     )
 
@@ -205,13 +206,10 @@
 def _parse_prompt_size(text: str) -> PromptSize | None:
     """Parse ``PROMPT,ANSWER`` in tokens; return ``None`` if it is invalid."""
     prompt, _, answer = text.partition(',')
-    if not (prompt.strip().isdigit() and answer.strip().isdigit()):
+    prompt_tokens, answer_tokens = parse_count(prompt), parse_count(answer)
+    if prompt_tokens is None or answer_tokens is None:
         return None
-    return PromptSize(prompt_tokens=int(prompt), answer_tokens=int(answer))
-
-
-def _parse_event_id(text: str) -> int | None:
-    return int(text) if text.isdigit() else None
+    return PromptSize(prompt_tokens=prompt_tokens, answer_tokens=answer_tokens)
 
 
 def _draw_service(route: Route, randomness: Random) -> str:
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -8,6 +8,7 @@
     SendRequest,
 )
 from limpetdrift.platform import admission as header_names
+from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -119,10 +120,10 @@
 
     ``RUNNING`` and ``WAITING`` are numbers of requests.
     """
-    parts = [part.strip() for part in text.split(',')]
-    if len(parts) != _LOAD_FIELDS or not all(map(str.isdigit, parts)):
+    counts = [parse_count(part) for part in text.split(',')]
+    if len(counts) != _LOAD_FIELDS or None in counts:
         return None
-    running, waiting, slots = map(int, parts)
+    running, waiting, slots = counts
     return EndpointLoad(running=running, waiting=waiting, slots=slots)
 
 
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -161,6 +161,16 @@
     assert parse_load(text) is None
 
 
+@pytest.mark.parametrize('number', ['²', '9' * 5000, '-1', '1.5', '', '٣'])
+def test_request_with_an_invalid_size_or_event_id_is_admitted_without(number):
+    """Guards against a number that only looks like one ending the request."""
+    request = make_request(token_usage=f'{number},1', last_event_id=number)
+    admitted = admit(request, make_admission())
+    assert admitted.ok.size is None
+    assert admitted.ok.last_event_id is None
+    assert parse_load(f'1,{number},8') is None
+
+
 def test_route_with_the_longest_matching_prefix_is_found():
     route = make_admission().routes.find_route('shop.example', '/a/b/c')
     assert route.name == 'deep'
