Ignore SIGHUP while an entry is still loading

Cause: until the handler is installed SIGHUP has its default effect, so a change of the settings ended a process in the first half second after its start, with code 129 and its callers' connections. Change: the module that Python runs first ignores the signal before it loads anything large; the program moved to platform/program.py. Test: signal_to_read_settings_does_not_end..., which ends with the signal on the code before.

--- a/src/limpetdrift/platform/__main__.py
+++ b/src/limpetdrift/platform/__main__.py
@@ -1,147 +1,18 @@
 """Runs an entry on the platform, as ``python3 -m limpetdrift.platform``."""
 
 import signal
-import sys
-from functools import partial
-
-import trio
-
-from limpetdrift import logs
-from limpetdrift.platform.directory import (
-    add_directory_routes,
-    add_readiness_routes,
-)
-from limpetdrift.platform.entry_wiring import (
-    EntryComponents,
-    build_entry,
-    serve_routes,
-)
-from limpetdrift.platform.metrics import (
-    add_metrics_routes,
-    metrics_address,
-    register_gauges,
-)
-from limpetdrift.platform.settings import PlatformSettings, read_settings
-from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
-from limpetdrift.programs.serving import (
-    listen_and_serve,
-    stop_on_signals,
-)
-from limpetdrift.protocol.codec import encode
 
 
 def main() -> None:
-    """Serve until stopped; with ``--check``, only check the settings.
-
-    Invalid settings end the process with status 2.
-    """
-    path, is_check_only = _read_command_line()
-    settings = read_settings(path or None)
-    if settings.is_error():
-        sys.stderr.write(f'{settings.error}\n')
-        sys.exit(BAD_SETTINGS_EXIT)
-    if is_check_only:
-        sys.stdout.buffer.write(encode(settings.ok) + b'\n')
-        return
-    log_queue = logs.set_up_queue('limpet-platform-entry')
-    trio.run(serve, settings.ok)
-    log_queue.flush()
-
+    """Run the entry; SIGHUP is ignored until its handler is there.
 
-def _read_command_line() -> tuple[str, bool]:
-    """Return the path of the settings file, and whether only to check it.
-
-    The path is empty where the environment names the file.
+    By default the signal ends a process, also one that is still loading its
+    libraries, which takes most of the time of a start.
     """
-    if len(sys.argv) == 1:
-        return '', False
-    # Imported only if needed: loading cappa takes a quarter of the start-up
-    # time, and the platform starts the program without arguments.
-    from limpetdrift.platform.cmdline import parse_arguments
-
-    arguments = parse_arguments()
-    return arguments.settings, arguments.check
-
-
-async def serve(settings: PlatformSettings) -> None:
-    """Run one entry until it has drained, or a second signal stops it."""
-    entry = build_entry(settings)
-    listeners = settings.listeners
-    servers = (
-        (listeners.callers, entry.callers),
-        (listeners.peers, entry.peers),
-        (
-            listeners.directory,
-            serve_routes(add_directory_routes, entry.directory),
-        ),
-        (
-            listeners.readiness,
-            serve_routes(add_readiness_routes, entry.directory),
-        ),
-        (
-            metrics_address(settings),
-            serve_routes(add_metrics_routes, entry.directory),
-        ),
-    )
-    tasks = (
-        entry.replica.run,
-        entry.plan_placer.planner_client.run,
-        entry.report_poller.run,
-        entry.crash_guard.run,
-        partial(_join_when_synced, entry),
-        _check_settings_on_signal,
-    )
-    register_gauges(entry)
-    async with trio.open_nursery() as nursery:
-        for task in tasks:
-            nursery.start_soon(task)
-        for address, server in servers:
-            if address is not None:
-                await listen_and_serve(address, server, nursery)
-        logs.note('started', instance=settings.instance, node=entry.node.name)
-        await stop_on_signals(_make_stop(entry), nursery.cancel_scope)
-    logs.note('stopped', node=entry.node.name)
-
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from limpetdrift.platform.program import run
 
-def _make_stop(entry: EntryComponents):
-    async def stop() -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(entry.registration.leave)
-            await entry.drain.run()
-            nursery.cancel_scope.cancel()
-
-    return stop
-
-
-async def _join_when_synced(entry: EntryComponents) -> None:
-    """Join the peers once this entry is synced and can serve callers.
-
-    From then on the peers list it in their directory answers.
-    """
-    await entry.replica.wait_synced()
-    logs.note('ready', node=entry.node.name)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(entry.membership.run)
-        nursery.start_soon(entry.registration.run)
-
-
-async def _check_settings_on_signal() -> None:
-    """Log on each SIGHUP whether the settings file is valid.
-
-    The file is the one that the environment names. No setting can change
-    while the process runs, so none is applied.
-    """
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            settings = read_settings()
-            if settings.is_error():
-                logs.warn(
-                    'settings file can not be read', detail=settings.error
-                )
-            else:
-                logs.note(
-                    'settings file is valid', instance=settings.ok.instance
-                )
+    run()
 
 
 if __name__ == '__main__':
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request
 from soak.site import HOST, EntryProcess, Site
@@ -109,6 +110,35 @@
     assert check(str(tmp_path / 'missing.json')).returncode == 2
 
 
+# Runs the entry's command line, and sends itself SIGHUP as the first large
+# library is loaded.
+HANGUP_AT_IMPORT = """
+import builtins, os, runpy, signal, sys
+load = builtins.__import__
+sent = []
+def load_and_hang_up(name, *arguments, **options):
+    if name == 'trio' and not sent:
+        sent.append(name)
+        os.kill(os.getpid(), signal.SIGHUP)
+    return load(name, *arguments, **options)
+builtins.__import__ = load_and_hang_up
+sys.argv = ['entry', '--check', '--settings', 'missing.json']
+runpy.run_module('limpetdrift.platform', run_name='__main__')
+"""
+
+
+def test_signal_to_read_settings_does_not_end_a_process_that_starts():
+    """Replays settings that change while machines are started in turn."""
+    ended = subprocess.run(
+        [sys.executable, '-c', HANGUP_AT_IMPORT],
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
+    assert ended.returncode == BAD_SETTINGS_EXIT
+    assert b'missing.json' in ended.stderr
+
+
 def test_entry_that_is_terminated_ends_with_exit_code_zero(tmp_path):
     exit_codes: list[int] = []
 
