Read engines' reports as soon as an entry begins to plan

Cause: the poller looked every 0.2 s whether its entry plans, so a planner that had just started placed the first prompts on engines that were still busy with the requests of entries that had lost power. Change: it looks every 0.05 s; reports are read as often as before. Tests: test_engine_report_poller; the first fails with the former interval.

--- a/src/limpetdrift/coordination/engine_report_poller.py
+++ b/src/limpetdrift/coordination/engine_report_poller.py
@@ -26,7 +26,9 @@
 # Poll intervals while plans may be incomplete, and otherwise.
 FAST_POLL_INTERVAL_SECONDS = 0.7
 POLL_INTERVAL_SECONDS = 5.0
-_CHECK_INTERVAL_SECONDS = 0.2
+# Delay until a new planner begins to poll. Until its first reports it takes
+# engines for idle that are busy with the requests of entries that are gone.
+_CHECK_INTERVAL_SECONDS = 0.05
 
 ReadReport = Callable[
     [ListedEndpoint],
