--- a/src/limpetdrift/coordination/engine_report_poller.py
+++ b/src/limpetdrift/coordination/engine_report_poller.py
@@ -30,7 +30,7 @@
 # second after the start. Until its first reports a planner takes engines for
 # idle that are busy with the requests of entries that are gone.
 _FIRST_CHECK_INTERVAL_SECONDS = 0.05
-_CHECK_INTERVAL_SECONDS = 0.25
+_CHECK_INTERVAL_SECONDS = 0.5
 _FIRST_CHECKS_SECONDS = 1.0
 
 ReadReport = Callable[
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -60,6 +60,8 @@
 _BASE_MAX_RETRY_SECONDS = 0.6
 # How long an entry reads the store itself after its reader was stale.
 DIRECT_READ_SECONDS = 4.0
+# Interval at which an entry that doesn't read the store checks if it is to.
+DUTY_CHECK_SECONDS = 1.0
 # The age of data that was never read.
 UNKNOWN_AGE_SECONDS = 1_000_000.0
 # Range of the random pause between two polls of peers.
@@ -128,6 +130,7 @@
         self._stale_readers: set[str] = set()
         self._readers_among = _cache_readers()
         self._changed = trio.Event()
+        self._direct_reading_begun = trio.Event()
         self._routes_packer = _Packer()
         self._list_packer = _Packer()
 
@@ -155,17 +158,10 @@
             return None
         return READER_LONG_POLL_SECONDS
 
-    @property
-    def max_retry_interval_seconds(self) -> float:
-        """The back-off ceiling of failing reads of the store.
-
-        It grows with the number of entries.
-        """
-        extra_entries = max(0, len(self._inputs.entries()) - MAX_DIRECT_ENTRIES)
-        return (
-            _BASE_MAX_RETRY_SECONDS
-            + extra_entries * _EXTRA_RETRY_SECONDS_PER_ENTRY
-        )
+    async def wait_store_reader(self) -> None:
+        """Wait until this entry may be a reader, for a limited time."""
+        with trio.move_on_after(DUTY_CHECK_SECONDS):
+            await self._direct_reading_begun.wait()
 
     def register(self, peer_routes: PeerRoutes) -> None:
         """Register the handler of peers' polls."""
@@ -311,6 +307,8 @@
         ):
             note('reader of the store is stale or unreachable', reader=name)
             self._direct_read_until = now + DIRECT_READ_SECONDS
+            self._direct_reading_begun.set()
+            self._direct_reading_begun = trio.Event()
 
     def _merge_reply(self, reply: RoutingSyncReply, sent_at: float) -> None:
         # The age was computed after the request was sent, so this is a lower
@@ -339,6 +337,14 @@
         self.notify_waiters()
 
 
+def max_retry_interval_seconds(entry_count: int) -> float:
+    """Return the back-off ceiling of failing reads of the store."""
+    extra_entries = max(0, entry_count - MAX_DIRECT_ENTRIES)
+    return (
+        _BASE_MAX_RETRY_SECONDS + extra_entries * _EXTRA_RETRY_SECONDS_PER_ENTRY
+    )
+
+
 def choose_readers(entries: Iterable[Node]) -> tuple[Node, ...]:
     """Return the entries that read the store for all others.
 
--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -43,6 +43,7 @@
         self._outage_within = outage_within
         self._on_drop = on_drop
         self._lapsed: set[str] = set()
+        self._has_lapsed = trio.Event()
         self._logged_errors: dict[str, str] = {}
 
     def replace(self, rows: tuple[StoredRow, ...]) -> None:
@@ -85,8 +86,11 @@
     async def run(self) -> None:
         """Drop lapsed endpoints after the grace period, until cancelled."""
         while True:
-            await trio.sleep(_CHECK_INTERVAL_SECONDS)
-            self.drop_lapsed()
+            await self._has_lapsed.wait()
+            self._has_lapsed = trio.Event()
+            while self._lapsed:
+                await trio.sleep(_CHECK_INTERVAL_SECONDS)
+                self.drop_lapsed()
 
     def drop_lapsed(self) -> None:
         """Drop lapsed endpoints if the grace period is over."""
@@ -122,6 +126,7 @@
         """Drop an endpoint, or only mark it as lapsed in or after an outage."""
         if self._outage_within(LAPSE_GRACE_SECONDS):
             self._lapsed.add(name)
+            self._has_lapsed.set()
             return
         note('endpoint gone from the list', endpoint=name)
         self._view.drop(name)
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -12,6 +12,7 @@
     EndpointListState,
     RoutingRelay,
     RoutingRelayInputs,
+    max_retry_interval_seconds,
 )
 from limpetdrift.logs import note, warn
 from limpetdrift.platform.configuration import decode_route_table
@@ -86,9 +87,10 @@
                 on_confirmed=self._confirm_routes,
                 on_store_lost=self.relay.notify_waiters,
                 is_enabled=lambda: self.relay.is_store_reader,
+                wait_enabled=self.relay.wait_store_reader,
                 long_poll_seconds=self._configuration_long_poll_seconds,
-                max_retry_interval_seconds=lambda: (
-                    self.relay.max_retry_interval_seconds
+                max_retry_interval_seconds=lambda: max_retry_interval_seconds(
+                    len(inputs.entries())
                 ),
             ),
         )
@@ -107,9 +109,10 @@
                 on_confirmed=self._confirm_list,
                 on_store_lost=self.relay.notify_waiters,
                 is_enabled=lambda: self.relay.is_store_reader,
+                wait_enabled=self.relay.wait_store_reader,
                 long_poll_seconds=lambda: LIST_LONG_POLL_SECONDS,
-                max_retry_interval_seconds=lambda: (
-                    self.relay.max_retry_interval_seconds
+                max_retry_interval_seconds=lambda: max_retry_interval_seconds(
+                    len(inputs.entries())
                 ),
             ),
         )
--- a/src/limpetdrift/platform/table_watcher.py
+++ b/src/limpetdrift/platform/table_watcher.py
@@ -1,7 +1,7 @@
 """Watches a table of the store: reads it once, then polls for changes."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
@@ -17,8 +17,6 @@
 _MAX_DOUBLINGS = 6
 # Bounds of the random factor of each retry interval.
 _JITTER = (0.5, 1.0)
-# Interval at which a watcher that is not enabled checks whether it is.
-DISABLED_CHECK_SECONDS = 0.25
 # Pause after a poll that returned changes. Changes come in bursts, and those
 # within this time are read by one call. It is a tenth of the time within which
 # a change must be in force.
@@ -33,7 +31,8 @@
     get the time at which the call began, on the watcher's clock.
     ``on_confirmed`` gets the start of each successful call; all changes up to
     then have been applied. ``on_store_lost`` is called when the store becomes
-    unreachable. The table is watched while ``is_enabled`` returns true.
+    unreachable. The table is watched while ``is_enabled`` returns true;
+    ``wait_enabled`` waits until it may return true again.
     ``long_poll_seconds`` returns the time after which a call without changes
     ends, and ``max_retry_interval_seconds`` the back-off ceiling.
     """
@@ -44,6 +43,7 @@
     on_confirmed: Callable[[float], None]
     on_store_lost: Callable[[], None]
     is_enabled: Callable[[], bool]
+    wait_enabled: Callable[[], Awaitable[None]]
     long_poll_seconds: Callable[[], float]
     max_retry_interval_seconds: Callable[[], float]
 
@@ -90,7 +90,7 @@
                 # whole table is read when the watcher is enabled again.
                 self._version = None
                 self._lost_at = None
-                await trio.sleep(DISABLED_CHECK_SECONDS)
+                await self._subscription.wait_enabled()
 
     async def step(self) -> None:
         """Read the table, or poll once for changes; back off on failure."""
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -14,6 +14,7 @@
 from knowledge_fakes import FakeStore, RelayEntry
 from limpetdrift.coordination.routing_relay import (
     DIRECT_READ_SECONDS,
+    DUTY_CHECK_SECONDS,
     LONG_POLL_SECONDS,
     STALENESS_BOUND_SECONDS,
     RoutingRelay,
@@ -143,6 +144,25 @@
         assert not outdated
 
 
+@in_virtual_time
+async def test_entry_waits_for_its_duty_to_read_the_store_without_polling():
+    """Guards the processor time of many entries that have nothing to do."""
+    cluster = Cluster(40)
+    waiting = next(
+        each for each in cluster.entries if not each.relay.is_store_reader
+    )
+    started = trio.current_time()
+    await waiting.relay.wait_store_reader()
+    assert trio.current_time() - started >= DUTY_CHECK_SECONDS
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(waiting.relay.wait_store_reader)
+        started = trio.current_time()
+        await trio.sleep(0.1)
+        waiting.relay._record_stale_reader('any', has_failed=True)
+    assert trio.current_time() - started < DUTY_CHECK_SECONDS
+    assert waiting.relay.is_store_reader
+
+
 @in_virtual_time
 async def test_entry_that_the_store_rejects_polls_its_peers():
     cluster = Cluster(6)
@@ -265,6 +285,7 @@
                 on_confirmed=lambda at: None,
                 on_store_lost=self._count_loss,
                 is_enabled=lambda: True,
+                wait_enabled=trio.lowlevel.checkpoint,
                 long_poll_seconds=lambda: 1.0,
                 max_retry_interval_seconds=lambda: 0.6,
             ),
@@ -298,6 +319,8 @@
         store.put('c', b'\xff nonsense')
         await trio.sleep(0.1)
         assert harness.names() == ['a', 'b']
+        # The pause after a burst ends, or it would end as the check is made.
+        await trio.sleep(BURST_SECONDS)
         store.put('a', endpoint_row('draining'))
         store.put('b', None)
         await trio.sleep(0.1)
