Plan with the wait for a slot, and without requests that have just ended

Cause: an overload in which all entries stop and start with nothing, replayed in virtual time, does not recover for five seconds. Reports are some hundred milliseconds old, and requests that had ended since were taken for requests of nobody, which filled engines that were free. A short prompt could be planned for an engine without memory for it, was refused, and asked again after 10 ms, up to six times. Change: plans include the wait for a slot; requests that ended within 0.5 s are counted as planned when a report is read; a prompt for one engine goes to one that can hold it, and if there is none it is refused at once with a time to come back. limpet-replay plays outages of all entries (case restart-of-all).

--- a/src/limpetdrift/coordination/engine_report_poller.py
+++ b/src/limpetdrift/coordination/engine_report_poller.py
@@ -26,12 +26,14 @@
 # Poll intervals while plans may be incomplete, and otherwise.
 FAST_POLL_INTERVAL_SECONDS = 0.7
 POLL_INTERVAL_SECONDS = 5.0
-# Intervals of the check whether this entry plans: the short one in the first
-# second after the start. Until its first reports a planner takes engines for
-# idle that are busy with the requests of entries that are gone.
+# Interval of the check whether reports are due, while this entry plans. It is
+# shorter in the first second after the start: until its first reports a planner
+# takes engines for idle that are busy with requests of entries that are gone.
 _FIRST_CHECK_INTERVAL_SECONDS = 0.05
-_CHECK_INTERVAL_SECONDS = 0.5
 _FIRST_CHECKS_SECONDS = 1.0
+_CHECK_INTERVAL_SECONDS = 0.2
+# Interval of the check whether this entry plans, while it doesn't.
+_IDLE_CHECK_INTERVAL_SECONDS = 0.5
 
 ReadReport = Callable[
     [ListedEndpoint],
@@ -73,19 +75,22 @@
 
     async def run(self) -> None:
         """Poll engines at the current interval until cancelled."""
-        checks_fast_until = self._inputs.clock() + _FIRST_CHECKS_SECONDS
+        started_at = self._inputs.clock()
         while True:
-            is_first = self._inputs.clock() < checks_fast_until
-            await trio.sleep(
-                _FIRST_CHECK_INTERVAL_SECONDS
-                if is_first
-                else _CHECK_INTERVAL_SECONDS
-            )
+            seconds_running = self._inputs.clock() - started_at
+            await trio.sleep(self._check_interval(seconds_running))
             engines = self._inputs.engines()
             if self._is_due(is_planner=any(engines.values())):
                 self._polled_at = self._inputs.clock()
                 await self._poll_all(engines)
 
+    def _check_interval(self, seconds_running: float) -> float:
+        if seconds_running < _FIRST_CHECKS_SECONDS:
+            return _FIRST_CHECK_INTERVAL_SECONDS
+        if self._was_planner:
+            return _CHECK_INTERVAL_SECONDS
+        return _IDLE_CHECK_INTERVAL_SECONDS
+
     def _is_due(self, *, is_planner: bool) -> bool:
         if is_planner and not self._was_planner:
             self.poll_faster()
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -54,8 +54,8 @@
 _MIN_TARGET_SECONDS = 0.1
 # Largest priority number on the wire; 0 is the highest priority.
 _LOWEST_PRIORITY = 9
-# Reasons with which a planner refuses a prompt. After any other failure the
-# plan is made locally.
+# Reasons with which a planner refuses a prompt; ``NO_MEMORY`` comes from those
+# of earlier builds. After any other failure the plan is made locally.
 _REFUSAL_REASONS = frozenset(
     (Reason.NO_ENDPOINT, Reason.NO_MEMORY, Reason.OVERLOADED),
 )
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -94,7 +94,7 @@
         """Choose engines for a prompt and book them.
 
         Plans that the request reports as ended are dropped first. Fails with
-        ``NO_ENDPOINT``, ``NO_MEMORY`` or ``OVERLOADED``.
+        ``NO_ENDPOINT`` or ``OVERLOADED``.
         """
         self.end(request.service, request.ended)
         cost_model = self._inputs.find_cost_model(request.service)
@@ -273,17 +273,19 @@
 
     Sheds load when long prompts arrive faster than they can be prefilled:
     those that would time out while they wait are refused at once, with the
-    time after which engines should be free.
+    time after which engines should be free. So are those for which no memory
+    is free: it is taken for seconds, so another try at once would fail, too.
     """
+    reason = Reason.OVERLOADED
     if split is None:
-        reason, detail = Reason.NO_MEMORY, 'memory of the engines is taken'
+        detail = 'memory of the engines is taken'
     elif (
         split.first_token_seconds
         > request.seconds_left * _LATEST_FIRST_TOKEN_SHARE
     ):
-        reason, detail = Reason.OVERLOADED, 'would begin too late'
+        detail = 'would begin too late'
     elif split.cost > request.cost_limit:
-        reason, detail = Reason.OVERLOADED, 'another group has a better plan'
+        detail = 'another group has a better plan'
     else:
         return None
     backlog = sum(usage.backlog_seconds for usage in usages) / len(usages)
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -111,14 +111,18 @@
     # Failing engines are helpers only if no others are left.
     healthy = tuple(usage for usage in usages if not usage.failing)
     helpers = healthy or usages
+    most = _max_parts(request, helpers, cost_model)
+    whole = _with_enough_memory(request, helpers, cost_model)
     splits = [
-        split
-        for parts in PART_COUNTS
-        if parts <= _max_parts(request, helpers, cost_model)
-        for split in (_split_into(parts, request, helpers, cost_model),)
-        if split is not None
+        _split_into(1, request, whole, cost_model),
+        *(
+            _split_into(parts, request, helpers, cost_model)
+            for parts in PART_COUNTS
+            if 1 < parts <= most
+        ),
     ]
-    return min(splits, key=lambda split: split.cost, default=None)
+    found = [split for split in splits if split is not None]
+    return min(found, key=lambda split: split.cost, default=None)
 
 
 def _max_parts(
@@ -167,6 +171,7 @@
     delay_seconds = max(usage.wait_seconds(taken) for usage in engines)
     first_token_seconds = (
         delay_seconds
+        + _queue_seconds(writer, cost_model)
         + part_seconds
         + _PASSES_TO_FIRST_TOKEN * _decode_pass_seconds(cost_model)
     )
@@ -183,6 +188,31 @@
     )
 
 
+def _with_enough_memory(
+    request: PlanRequest,
+    usages: tuple[EngineUsage, ...],
+    cost_model: EngineCostModel,
+) -> tuple[EngineUsage, ...]:
+    """Return the engines that can hold a whole prompt, or all if none can."""
+    fitting = tuple(
+        usage
+        for usage in usages
+        if request.memory_tokens <= free_tokens(usage, cost_model)
+    )
+    return fitting or usages
+
+
+def _queue_seconds(usage: EngineUsage, cost_model: EngineCostModel) -> float:
+    """Return how long a request waits at an engine for a slot.
+
+    After a restart of all entries, or when engines are lost in a burst, all
+    slots are taken. A plan that leaves out this time is given up as
+    unresponsive while it waits, and its prompt is read a second time.
+    """
+    waiting = usage.streams - cost_model.slots + 1
+    return max(0, waiting) * _SHORT_STREAM_SECONDS / cost_model.slots
+
+
 def _choose_engines(
     parts: int,
     request: PlanRequest,
--- a/src/limpetdrift/replays/admission_queue.py
+++ b/src/limpetdrift/replays/admission_queue.py
@@ -18,7 +18,8 @@
     one of them here. ``reserved_tokens`` of its memory are reserved apart from
     the job. The answer has ``events`` events, of which ``written`` are
     written, including those before a resumption. The lowest ``urgency`` is
-    admitted first. ``is_broken`` means that the engine crashed.
+    admitted first. ``is_broken`` means that the engine crashed, ``is_orphan``
+    that nobody reads the answer.
     """
 
     tokens: int
@@ -29,6 +30,7 @@
     urgency: int = 5
     written: int = 0
     is_broken: bool = False
+    is_orphan: bool = False
     progress: trio.Event = field(default_factory=trio.Event)
 
     @property
@@ -72,6 +74,10 @@
         used = sum(job.memory_tokens for job in self._running)
         return used + self._reserved_tokens
 
+    def is_running(self, job: Job) -> bool:
+        """Return whether a job is in a slot."""
+        return job in self._running
+
     def enqueue(self, job: Job) -> None:
         """Append a job to the waiting ones of its urgency."""
         self._waiting.append(job)
--- a/src/limpetdrift/replays/callers.py
+++ b/src/limpetdrift/replays/callers.py
@@ -61,12 +61,14 @@
     """A simulated caller's connection, on which one request is answered.
 
     It keeps a whole response, and of a stream the times of the first and the
-    last event, by the trio clock, and the longest pause between two events.
+    last event, by the trio clock, the longest pause between two events, and the
+    number of events.
     """
 
     last_event_at: float
     first_event_at: float | None = None
     max_pause_seconds: float = 0.0
+    events: int = 0
     response: Response | None = None
     started: bool = False
     finished: bool = False
@@ -90,6 +92,7 @@
         """
         await trio.lowlevel.checkpoint()
         now = trio.current_time()
+        self.events += 1
         if self.first_event_at is None:
             self.first_event_at = now
         else:
--- a/src/limpetdrift/replays/engines.py
+++ b/src/limpetdrift/replays/engines.py
@@ -23,6 +23,7 @@
 )
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.replays.admission_queue import AdmissionQueue, Job
+from limpetdrift.replays.orphans import Orphans, end_decoded
 from limpetdrift.replays.prefill_queue import PrefillQueue, PrefillTask
 from limpetdrift.transport.messages import OK, UNAVAILABLE
 
@@ -58,6 +59,7 @@
         self._cost_model = cost_model
         self._decoding: list[Job] = []
         self._prefills = PrefillQueue(cost_model=cost_model)
+        self.orphans = Orphans()
         self._changed = trio.Event()
 
     def report(self) -> EngineReport:
@@ -81,6 +83,7 @@
             job.is_broken = True
             job.notify_reader()
         self._decoding.clear()
+        self.orphans.clear()
         self._prefills.clear()
         self.notify_changed()
 
@@ -177,7 +180,10 @@
                 if job.is_broken:
                     nursery.cancel_scope.cancel()
         finally:
-            self._prefills.remove(task)
+            if self.orphans.is_keeping:
+                self.orphans.keep_prefill(job, task)
+            else:
+                self._prefills.remove(task)
         _check_alive(job)
         return all(helper_results)
 
@@ -213,6 +219,8 @@
             task.advance(tokens)
         for job in decoding:
             job.write_event()
+        self._decoding += self.orphans.take_prefilled(self._prefills)
+        end_decoded(self._decoding, self.admission)
         self._decoding = [
             each for each in self._decoding if each.written < each.events
         ]
@@ -226,6 +234,9 @@
         return task
 
     def _remove(self, job: Job) -> None:
+        if self.orphans.is_keeping and self.admission.is_running(job):
+            job.is_orphan = True
+            return
         self.admission.remove(job)
         if job in self._decoding:
             self._decoding.remove(job)
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -63,8 +63,9 @@
 
     ``views``, ``forwarders`` and ``routes`` belong to the entries.
     ``busy_until`` is when each entry has processed the messages of peers that
-    it has received. ``messages`` and ``message_bytes`` count what entries send
-    to each other, ``reports`` the reports that they read from engines.
+    it has received. While ``is_down``, no entry runs; ``connections`` are those
+    of callers to entries. ``messages`` and ``message_bytes`` count what entries
+    send to each other, ``reports`` the reports that they read from engines.
     """
 
     workload: Workload
@@ -76,6 +77,8 @@
     forwarders: list[Forwarder] = field(default_factory=list)
     tasks: list[Task] = field(default_factory=list)
     outcomes: list[RequestOutcome] = field(default_factory=list)
+    is_down: bool = False
+    connections: set[trio.CancelScope] = field(default_factory=set)
     messages: int = 0
     message_bytes: int = 0
     reports: int = 0
@@ -108,7 +111,13 @@
 
 
 def make_entries(site: SimulatedSite) -> None:
-    """Add the entries to the site, with the placement policy of the run."""
+    """Add the entries to the site, with the placement policy of the run.
+
+    Those of before, if any, are dropped with all that they knew.
+    """
+    for dropped in (site.views, site.forwarders, site.tasks):
+        dropped.clear()
+    site.routes.clear()
     nodes = tuple(
         _make_node(site.workload, number)
         for number in range(site.workload.entries)
--- a/src/limpetdrift/replays/simulation.py
+++ b/src/limpetdrift/replays/simulation.py
@@ -7,11 +7,12 @@
 """
 
 import itertools
+from contextlib import ExitStack
 from dataclasses import dataclass
 from functools import partial
 
 import trio
-from trio.testing import MockClock
+from trio.testing import MockClock, wait_all_tasks_blocked
 
 from limpetdrift.protocol.route_table import RequestKind, Route, ServiceShare
 from limpetdrift.protocol.work import CallerRequest, PromptSize
@@ -27,6 +28,8 @@
 )
 from limpetdrift.replays.workload import Kind, Workload
 
+# Time until a caller gives up a connection to an entry that has no power.
+_CONNECT_TIMEOUT_SECONDS = 1.0
 # Maximum attempts of one request at engines.
 _ATTEMPT_LIMIT = 2
 
@@ -80,8 +83,7 @@
     async with trio.open_nursery() as background:
         for engine in site.engines.values():
             background.start_soon(engine.run)
-        for task in site.tasks:
-            background.start_soon(task)
+        background.start_soon(_run_entries, site)
         for fault in site.case.faults:
             background.start_soon(inject_fault, site, fault)
         async with trio.open_nursery() as callers:
@@ -92,6 +94,31 @@
         background.cancel_scope.cancel()
 
 
+async def _run_entries(site: SimulatedSite) -> None:
+    """Run the entries' tasks, and stop and restart them at each outage."""
+    for outage in sorted(site.case.outages, key=lambda each: each.at_seconds):
+        with trio.move_on_at(outage.at_seconds):
+            await _run_tasks(site)
+        site.is_down = True
+        with ExitStack() as kept:
+            for engine in site.engines.values():
+                kept.enter_context(engine.orphans.keeping())
+            for connection in tuple(site.connections):
+                connection.cancel()
+            await wait_all_tasks_blocked()
+        await trio.sleep(outage.for_seconds)
+        make_entries(site)
+        site.is_down = False
+    await _run_tasks(site)
+
+
+async def _run_tasks(site: SimulatedSite) -> None:
+    async with trio.open_nursery() as nursery:
+        for task in site.tasks:
+            nursery.start_soon(task)
+        nursery.start_soon(trio.sleep_forever)
+
+
 async def _call_on_arrival(site: SimulatedSite, arrival: Arrival) -> None:
     await trio.sleep(arrival.at)
     kind = site.workload.kinds[arrival.kind]
@@ -107,11 +134,34 @@
     deadline: float,
     exchange: RecordingExchange,
 ) -> None:
+    randomness = site.make_random(arrival.number)
+    while not exchange.disconnected.is_set():
+        exchange.last_event_at = trio.current_time()
+        if site.is_down:
+            await trio.sleep(_CONNECT_TIMEOUT_SECONDS)
+            continue
+        work = _make_request(site, route, arrival, deadline, exchange)
+        connection = trio.CancelScope()
+        site.connections.add(connection)
+        with connection:
+            await randomness.choice(site.forwarders).serve(work, exchange)
+        site.connections.discard(connection)
+        if not connection.cancelled_caught:
+            return
+
+
+def _make_request(
+    site: SimulatedSite,
+    route: Route,
+    arrival: Arrival,
+    deadline: float,
+    exchange: RecordingExchange,
+) -> CallerRequest:
     size = PromptSize(
         prompt_tokens=arrival.tokens,
         answer_tokens=arrival.events * site.workload.engines.stride,
     )
-    work = CallerRequest(
+    return CallerRequest(
         request_id=str(arrival.number),
         method='POST',
         target='/',
@@ -124,9 +174,8 @@
         deadline=deadline,
         account=arrival.account,
         size=size,
+        last_event_id=exchange.events or None,
     )
-    randomness = site.make_random(arrival.number)
-    await randomness.choice(site.forwarders).serve(work, exchange)
 
 
 def _make_route(name: str, kind: Kind) -> Route:
--- a/src/limpetdrift/replays/workload.py
+++ b/src/limpetdrift/replays/workload.py
@@ -233,6 +233,9 @@
         (), about='Times of higher arrival rates.'
     )
     faults: tuple[Fault, ...] = option((), about='Faults of engines.')
+    outages: tuple[Span, ...] = option(
+        (), about='Times without entries; then all start again, empty.'
+    )
     returns: RetryBehavior = field(default_factory=RetryBehavior)
 
 
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -18,6 +19,9 @@
 MAX_FAILURE_BACKOFF_SECONDS = 6.0
 # A failure later than this after the end of a back-off counts as the first.
 FAILURE_RESET_SECONDS = 10.0
+# Age of a report when it is read, at most. Requests that ended within it may
+# still be counted there.
+REPORT_AGE_SECONDS = 0.5
 # Staleness bound of a report's count of requests that belong to no plan.
 REPORT_STALENESS_BOUND_SECONDS = 2.0
 
@@ -99,6 +103,8 @@
     unplanned_tokens: int = 0
     reported_at: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
+    # Bookings that ended lately, with the time at which each ended.
+    ended: deque[tuple[float, Booking]] = field(default_factory=deque)
     # The last computed usage, until when it holds if nothing else changes.
     usage: EngineUsage | None = None
     usage_until: float = float('-inf')
@@ -164,9 +170,12 @@
         ended = self._plans.pop(plan_name, None)
         if ended is None:
             return
+        now = self._clock()
         for booking in ended.bookings:
             engine = self._engine(booking.endpoint)
             engine.bookings.pop(plan_name, None)
+            engine.ended.append((now, booking))
+            _forget_ended(engine, now)
             engine.usage = None
             if not engine.bookings:
                 engine.prefills.clear()
@@ -200,16 +209,19 @@
     ) -> int:
         """Store an engine's report of its load.
 
-        Return the number of its requests that belong to no plan.
+        Return the number of its requests that belong to no plan. Under a high
+        load many requests end between the report and now, and these must not
+        be taken for requests of nobody.
         """
         now = self._clock()
         engine = self._engine(endpoint)
-        streams = sum(
-            booking.stream is not None for booking in engine.bookings.values()
-        )
-        planned = sum(
-            booking.memory_tokens for booking in engine.bookings.values()
-        )
+        _forget_ended(engine, now)
+        counted = [
+            *engine.bookings.values(),
+            *(booking for _, booking in engine.ended),
+        ]
+        streams = sum(booking.stream is not None for booking in counted)
+        planned = sum(booking.memory_tokens for booking in counted)
         engine.usage = None
         engine.report = report
         engine.reported_at = now
@@ -261,6 +273,11 @@
                 self.end(name)
 
 
+def _forget_ended(engine: _Engine, now: float) -> None:
+    while engine.ended and engine.ended[0][0] < now - REPORT_AGE_SECONDS:
+        engine.ended.popleft()
+
+
 def _compute_usage(
     endpoint: ListedEndpoint, engine: _Engine, now: float
 ) -> EngineUsage:
