Confirm the routes every 0.5 s again, so that readers don't seem stale

Cause: what a read confirms counts from its start, so with reads of 0.75 s a reader's data was up to 1.5 s old before the next ended, and with any delay more: the bound above which an entry that polls it reads the store itself for 4 s. Change: reads last 0.5 s as before. Test: readers_are_never_stale..., which fails with 0.75 s.

--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -47,7 +47,7 @@
 REPLY_MARGIN_SECONDS = 0.4
 # Long-poll timeout of a reader's own reads of the store while it serves other
 # entries. This is how often it confirms its data.
-READER_LONG_POLL_SECONDS = 0.75
+READER_LONG_POLL_SECONDS = 0.5
 # Staleness bound: above this age of the routes another reader is polled.
 # Together with LONG_POLL_SECONDS it stays below the three seconds within which
 # a deployment of many entries must follow a change.
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -16,6 +16,7 @@
     DIRECT_READ_SECONDS,
     DUTY_CHECK_SECONDS,
     LONG_POLL_SECONDS,
+    READER_LONG_POLL_SECONDS,
     STALENESS_BOUND_SECONDS,
     RoutingRelay,
 )
@@ -32,6 +33,8 @@
 from virtual_time import background_tasks, in_virtual_time
 
 READ_SECONDS = 0.5
+# Time that the store takes to answer while it is slow.
+STORE_SECONDS = 0.2
 APPLY_SECONDS = 2.0
 # Number of store readers in a deployment of 40 entries.
 READERS = 3
@@ -194,6 +197,37 @@
             assert reported_age >= true_age - 0.001
 
 
+class LongPollCluster(Cluster):
+    """Readers hold each read of the store open as long as the product does.
+
+    What a read confirms counts from its start, as in the product.
+    """
+
+    async def poll_store(self, entry: RelayEntry) -> None:
+        while True:
+            requested_at = trio.current_time()
+            await trio.sleep(READER_LONG_POLL_SECONDS + STORE_SECONDS)
+            if entry.relay.is_store_reader:
+                entry.routes.accept_newer(table(self.version), requested_at)
+
+
+@in_virtual_time
+async def test_readers_are_never_stale_while_nothing_changes():
+    """Guards against readers whose reads last so long that they seem stale.
+
+    Each entry that polls them would then read the store itself for 4 s.
+    """
+    cluster = LongPollCluster(40)
+    async with background_tasks(cluster):
+        await trio.sleep(5 + DIRECT_READ_SECONDS)
+        for _ in range(50):
+            await trio.sleep(0.2)
+            reading = [
+                each for each in cluster.entries if each.relay.is_store_reader
+            ]
+            assert len(reading) <= READERS
+
+
 @in_virtual_time
 async def test_direct_reading_of_the_store_ends_after_a_time():
     cluster = Cluster(40)
