End a plan that names an unknown engine at the planner that made it

Cause: the end of a plan goes to the planner of its group, which was looked up among the plans in force; a plan that was not accepted was not there, and its end went to the planner of undivided services. The engine stayed booked until the plan's time limit. Change: a plan is recorded before it is checked. Tests: plan_with_an_unknown_engine..., and messages of builds without groups.

--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -233,6 +233,7 @@
         request: PlanRequest,
         work: CallerRequest,
     ) -> Result[DispatchPlan, Failure]:
+        self.planner_client.begin(plan, request)
         writer = self._find_usable(plan.writer)
         helpers = [self._find_usable(each) for each in plan.helpers]
         if writer is None or None in helpers:
@@ -243,7 +244,6 @@
                     'the plan names an engine that is not known here',
                 ),
             )
-        self.planner_client.begin(plan, request)
         telemetry.count('placements', parts=str(1 + len(helpers)))
         return Ok(_make_dispatch_plan(plan, writer, helpers, work))
 
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 import trio
 from expression import Error
@@ -21,8 +22,9 @@
     make_layout,
     planner_candidates,
 )
+from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.plans import EngineGroup
+from limpetdrift.protocol.plans import EngineGroup, Plan, PlanRequest
 from limpetdrift.protocol.verdict import Reason, may_have_run
 from limpetdrift.protocol.work import (
     CallerRequest,
@@ -156,6 +158,21 @@
     )
 
 
+def make_plan_request() -> PlanRequest:
+    return PlanRequest(
+        service='s',
+        entry='e',
+        prompt_tokens=5000,
+        answer_tokens=1600,
+        pause_seconds=0.25,
+        patience_seconds=2.0,
+        target_seconds=0.3,
+        seconds_left=10.0,
+        hold_seconds=10.0,
+        failure_domain='east',
+    )
+
+
 def group_of(domain: str) -> EngineGroup:
     return EngineGroup(failure_domain=domain)
 
@@ -236,6 +253,23 @@
     assert harness.planners['entry-2'].ledger('s').plan_count == 0
 
 
+@in_virtual_time
+async def test_plan_with_an_unknown_engine_is_ended_at_its_planner():
+    """Guards against a plan that takes an engine's slot until its time limit."""
+    harness = GroupHarness()
+    placer = harness.placers[5]
+    work = make_work()
+    placed = (await placer.place(work, frozenset())).ok
+    placer.release(work, placed, ())
+    group = group_of(ENTRIES[5].failure_domain)
+    await placer.planner_client._send_ended_plans('s', group)
+    placer._view.drop(placed.endpoint.name)
+    placed_again = await placer.place(work, frozenset())
+    assert placed_again.error.reason is Reason.ENDPOINT_LEAVING
+    await placer.planner_client._send_ended_plans('s', group)
+    assert harness.planners['entry-2'].ledger('s').plan_count == 0
+
+
 @in_virtual_time
 async def test_first_plan_is_kept_if_the_other_planner_is_silent():
     """A plan from an empty ledger would look better than it is."""
@@ -279,3 +313,16 @@
     }
     assert domains == {ENTRIES[1].failure_domain}
     assert not harness.placers[4].planned_engines('s')
+
+
+def test_messages_of_builds_without_groups_are_understood():
+    """Replays a roll in which entries of two builds ask each other."""
+    request = make_plan_request()
+    old = msgspec.to_builtins(request)
+    for name in ('group', 'cost_limit'):
+        old.pop(name)
+    assert decode(encode(old), PlanRequest).ok == request
+    new = {**old, 'group': {'failure_domain': 'east'}, 'later_field': 1}
+    assert decode(encode(new), PlanRequest).ok.group == group_of('east')
+    plan = {'grant': 'g', 'writer': {'name': 'e', 'lifetime': 1}}
+    assert not decode(encode(plan), Plan).ok.cost
