--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -255,7 +255,7 @@
 
 @in_virtual_time
 async def test_plan_with_an_unknown_engine_is_ended_at_its_planner():
-    """Guards against a plan that takes an engine's slot until its time limit."""
+    """Guards against an engine that stays booked until the time limit."""
     harness = GroupHarness()
     placer = harness.placers[5]
     work = make_work()
