--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -102,20 +102,9 @@
         )
         planned = await self._plan(request)
         cost_limit = cost_limit_elsewhere(planned)
-        group = self._choose_other_group(request)
-        if cost_limit is None or group is None:
-            return self._accept(planned, request, work)
-        second = replace(request, group=group, cost_limit=cost_limit, ended=())
-        better = await self._request_plan(second)
-        telemetry.count(
-            'plans_elsewhere', outcome='taken' if better.is_ok() else 'refused'
-        )
-        if better.is_error():
+        if cost_limit is None:
             return self._accept(planned, request, work)
-        if planned.is_ok():
-            self.planner_client.begin(planned.ok, request)
-            self._end(work.service, EndedPlan(grant=planned.ok.grant))
-        return self._accept(better, second, work)
+        return await self._place_elsewhere(planned, request, cost_limit, work)
 
     def release(
         self,
@@ -181,6 +170,29 @@
             group=group,
         )
 
+    async def _place_elsewhere(
+        self,
+        planned: Result[Plan, Failure],
+        request: PlanRequest,
+        cost_limit: float,
+        work: CallerRequest,
+    ) -> Result[DispatchPlan, Failure]:
+        """Take the plan of another group if it is better than ``planned``."""
+        group = self._choose_other_group(request)
+        if group is None:
+            return self._accept(planned, request, work)
+        second = replace(request, group=group, cost_limit=cost_limit, ended=())
+        better = await self._request_plan(second)
+        telemetry.count(
+            'plans_elsewhere', outcome='taken' if better.is_ok() else 'refused'
+        )
+        if better.is_error():
+            return self._accept(planned, request, work)
+        if planned.is_ok():
+            self.planner_client.begin(planned.ok, request)
+            self._end(work.service, EndedPlan(grant=planned.ok.grant))
+        return self._accept(better, second, work)
+
     def _choose_other_group(self, request: PlanRequest) -> EngineGroup | None:
         others = [
             group
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -276,7 +276,6 @@
     time after which engines should be free. So are those for which no memory
     is free: it is taken for seconds, so another try at once would fail, too.
     """
-    reason = Reason.OVERLOADED
     if split is None:
         detail = 'memory of the engines is taken'
     elif (
@@ -285,12 +284,12 @@
     ):
         detail = 'would begin too late'
     elif split.cost > request.cost_limit:
-        detail = 'another group has a better plan'
+        detail = 'no better plan than another group has made'
     else:
         return None
     backlog = sum(usage.backlog_seconds for usage in usages) / len(usages)
     return not_run(
-        reason,
+        Reason.OVERLOADED,
         detail,
         retry_after_seconds=max(
             _MIN_RETRY_AFTER_SECONDS,
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -15,6 +15,7 @@
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planner_client import PlannerClientInputs
 from limpetdrift.coordination.planning_groups import (
+    MAX_GROUP_ENGINES,
     MIN_GROUP_ENGINES,
     GroupLayout,
     PlanningGroups,
@@ -37,9 +38,9 @@
 from virtual_time import in_virtual_time
 
 DOMAINS = ('east', 'north', 'west')
-# The longest failure domain may have half as many engines again as a group
-# should have, and hashing makes buckets uneven.
-MOST_GROUP_ENGINES = 130
+# A failure domain is divided only above half as many engines again as a group
+# should have; hashing makes the groups uneven.
+MOST_GROUP_ENGINES = 1.5 * MAX_GROUP_ENGINES
 
 
 def make_entry(number: int) -> Node:
