Log each answer that is cut off, with how long it had been silent

`request failed` says that an answer had begun, but not whether its engine was silent, for how long, or how many places were tried, so it can't tell an engine that paused from one that died. The new line and the counter limpet_answers_cut{reason} can.

--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -36,7 +36,8 @@
     those that may have reached an endpoint. ``excluded`` holds the endpoints
     that were tried, and ``failed`` those that failed the current placement.
     ``last_event`` is the number of the last stream event that the caller has,
-    and ``endpoint_answer`` the last error response of an endpoint.
+    ``last_event_at`` when one was last sent to the caller, and
+    ``endpoint_answer`` the last error response of an endpoint.
     ``is_logged`` says that the request is logged even if it succeeds.
     ``may_retry`` returns whether the retry budget has a retry left.
     """
@@ -52,6 +53,7 @@
     failed: list[ListedEndpoint] = field(default_factory=list)
     last_event: int | None = None
     first_event_at: float | None = None
+    last_event_at: float | None = None
     is_head_sent: bool = False
     has_caller_left: bool = False
     is_logged: bool = False
@@ -157,6 +159,7 @@
         progress.last_event = event.number
     await _send_head(progress, answer)
     await progress.exchange.send(event.payload)
+    progress.last_event_at = progress.clock()
 
 
 async def _send_head(
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -30,7 +30,7 @@
     first_event_timeout_seconds,
     may_repeat,
 )
-from limpetdrift.logs import is_sampled, note
+from limpetdrift.logs import is_sampled, note, warn
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -341,6 +341,7 @@
     ) -> None:
         """Send the failure to the caller."""
         if progress.exchange.started:
+            _log_cut_answer(progress, failure)
             # The deadline may have cut off the last write.
             await progress.exchange.abort()
             return
@@ -403,6 +404,25 @@
     )
 
 
+def _log_cut_answer(progress: RequestProgress, failure: Failure) -> None:
+    """Log an answer that ends midway, and how long it had been silent."""
+    telemetry.count('answers_cut', reason=failure.reason)
+    silent_since = progress.last_event_at or progress.first_event_at
+    warn(
+        'answer cut off',
+        id=progress.request.request_id,
+        reason=failure.reason,
+        detail=failure.detail,
+        last_event=progress.last_event,
+        silent_seconds=silent_since
+        and round(progress.clock() - silent_since, 3),
+        seconds_left=round(progress.seconds_left(), 3),
+        attempts=progress.attempts,
+        placements=progress.placements,
+        endpoints=sorted(name for name, _ in progress.excluded),
+    )
+
+
 def _log_end(
     progress: RequestProgress,
     message: str,
