Show that an answer ends when its engine only pauses

Callers see a stream that breaks off, or a 502, although the engine that has their request is sound and goes on after a pause of 1.4 s. The four tests fail on this code: the attempt is cancelled at its idle timeout, before another engine has accepted the request, and nothing is left when that one refuses, fails or is silent, too.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -105,6 +105,72 @@
     assert not exchange.aborted
 
 
+def pause_midway(seconds: float):
+    """Return a script of six events with a pause after the third."""
+
+    async def script(seen: int):
+        async for chunk in events_then(events(1, 3), seconds)(seen):
+            yield chunk
+        async for chunk in events(4, 6)(seen):
+            yield chunk
+
+    return script
+
+
+@pytest.mark.parametrize('pause_seconds', [1.4, 2.5])
+@pytest.mark.parametrize(
+    'elsewhere',
+    [
+        REFUSED,
+        BROKEN,
+        events_then(events(1, 1), 9.0),
+        whole_response(503, refused=True),
+        whole_response(500),
+    ],
+    ids=['unreachable', 'broken', 'silent', 'full', 'failing'],
+)
+def test_stream_of_a_paused_engine_survives_a_failure_elsewhere(
+    pause_seconds, elsewhere
+):
+    harness = make_harness(pause_midway(pause_seconds), elsewhere)
+    exchange, _ = serve(harness, make_route())
+    assert numbers(exchange.payload) == [1, 2, 3, 4, 5, 6]
+    assert exchange.finished
+    assert not exchange.aborted
+
+
+@pytest.mark.parametrize('pause_seconds', [1.4, 2.5])
+def test_stream_of_a_paused_engine_survives_when_no_other_accepts_it(
+    pause_seconds,
+):
+    harness = make_harness(pause_midway(pause_seconds))
+    harness.view.replace(harness.endpoints[:1])
+    exchange, _ = serve(harness, make_route())
+    assert numbers(exchange.payload) == [1, 2, 3, 4, 5, 6]
+    assert exchange.finished
+    assert not exchange.aborted
+
+
+def test_first_event_of_a_paused_engine_is_awaited_when_no_other_accepts_it():
+    harness = make_harness(events(1, 3, pause=1.5))
+    harness.view.replace(harness.endpoints[:1])
+    exchange, _ = serve(harness, make_route())
+    assert numbers(exchange.payload) == [1, 2, 3]
+    assert exchange.finished
+
+
+def test_call_at_a_paused_server_is_answered_when_the_other_one_fails():
+    async def chunks():
+        await trio.sleep(0.7)
+        yield b'late'
+
+    paused = replace(whole_response(200), chunks=chunks)
+    harness = make_harness(paused, BROKEN)
+    exchange, _ = serve(harness, IDEMPOTENT)
+    assert exchange.response.status == 200
+    assert exchange.response.body == b'late'
+
+
 def test_begun_stream_resumes_after_its_key_is_revoked():
     harness = make_harness()
 
