Keep a silent attempt until another endpoint has the next event

Callers saw streams that broke off, or a 502 after a second, although the engine that had their request was sound and only paused: the attempt was cancelled at its idle timeout, before another engine had accepted the request. When that one refused, failed or was silent, too, or no attempt was left, nothing remained of the answer.

A silent attempt now goes on while another endpoint is tried. Whichever has the next part of the answer first ends the other before it writes. So silence alone ends no answer; a failure ends it only when no other attempt is under way. A retry is charged when it is sent, since a try beside a silent attempt may find no engine.

--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import trio
-from expression import Error, Ok, Result
+from expression import Error, Ok
 
+from limpetdrift.coordination.attempt_race import Outcome, RacingAttempt
 from limpetdrift.coordination.endpoint_response import EndpointResponse
 from limpetdrift.coordination.event_relay import StreamEvent, whole_events
 from limpetdrift.coordination.retry_policy import (
@@ -20,12 +20,11 @@
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
+from limpetdrift.protocol.work import CallerRequest
 from limpetdrift.transport.messages import Response
 from limpetdrift.transport.server import Exchange
 
 EndpointIdentity = tuple[str, int]
-Outcome = Result[None, Failure]
 
 
 @dataclass(kw_only=True, slots=True)
@@ -33,8 +32,9 @@
     """The state of one request from its arrival to its end.
 
     ``placements`` counts the tries to place the request, and ``attempts``
-    those that may have reached an endpoint. ``excluded`` holds the endpoints
-    that were tried, and ``failed`` those that failed the current placement.
+    those that may have reached an endpoint, ``unproven`` of them without proof
+    that the request did not run. ``excluded`` holds the endpoints that were
+    tried.
     ``last_event`` is the number of the last stream event that the caller has,
     ``last_event_at`` when one was last sent to the caller, and
     ``endpoint_answer`` the last error response of an endpoint.
@@ -48,9 +48,8 @@
     may_retry: Callable[[], bool]
     placements: int = 0
     attempts: int = 0
-    verdict: Verdict = Verdict.NOT_RUN
+    unproven: int = 0
     excluded: set[EndpointIdentity] = field(default_factory=set)
-    failed: list[ListedEndpoint] = field(default_factory=list)
     last_event: int | None = None
     first_event_at: float | None = None
     last_event_at: float | None = None
@@ -59,6 +58,11 @@
     is_logged: bool = False
     endpoint_answer: Response | None = None
 
+    @property
+    def verdict(self) -> Verdict:
+        """Whether the request may have run."""
+        return Verdict.MAY_HAVE_RUN if self.unproven else Verdict.NOT_RUN
+
     def seconds_left(self) -> float:
         """Return the time until the deadline."""
         return self.request.deadline - self.clock()
@@ -71,12 +75,12 @@
 async def relay_response(
     progress: RequestProgress,
     answer: EndpointResponse,
-    timeout_scope: trio.CancelScope,
+    attempt: RacingAttempt,
 ) -> Outcome:
     """Read an endpoint's whole response, then send it to the caller.
 
     Nothing is sent if the endpoint refused the request or failed; the failure
-    is returned. ``timeout_scope`` cancels the attempt at its timeout.
+    is returned.
     """
     if answer.refused:
         return Error(_refusal(answer))
@@ -97,7 +101,7 @@
                 detail=f'status {answer.status}',
             ),
         )
-    await _disarm_timeout(timeout_scope)
+    await attempt.claim_answer()
     await progress.exchange.respond(response)
     return Ok(None)
 
@@ -105,57 +109,48 @@
 async def relay_events(
     progress: RequestProgress,
     answer: EndpointResponse,
-    timeout_scope: trio.CancelScope,
+    attempt: RacingAttempt,
 ) -> None:
     """Send the events of a stream to the caller as they arrive.
 
-    Events that the caller already has are skipped. ``timeout_scope`` cancels
-    the attempt when no event arrives within the idle timeout. Raises
+    Events that the caller already has are skipped. The attempt counts as
+    silent when no event arrives within the idle timeout. Raises
     ``FailureError`` if the response answers another request or is cut off.
     """
     if answer.is_for_other_request:
         raise FailureError(may_have_run(Reason.BAD_ANSWER, 'foreign answer'))
     events = whole_events(answer.chunks(), framed=answer.framed)
     async for event in events:
-        await _disarm_timeout(timeout_scope)
-        await _relay_event(progress, answer, event)
-        timeout_scope.deadline = (
-            trio.current_time()
-            + stream_idle_timeout_seconds(
+        await _relay_event(progress, answer, attempt, event)
+        attempt.await_answer(
+            stream_idle_timeout_seconds(
                 progress.request.route,
                 attempts=progress.attempts,
                 seconds_left=progress.seconds_left(),
                 may_retry=progress.may_retry(),
             )
         )
-    await _disarm_timeout(timeout_scope)
+    await attempt.claim_answer()
     await _send_head(progress, answer)
     await progress.exchange.finish()
 
 
-async def _disarm_timeout(timeout_scope: trio.CancelScope) -> None:
-    """Keep the timeout from cancelling a write to the caller.
-
-    When a suspended process resumes, a response may be there although the
-    timeout has passed. Cancelling its write would leave part of a response on
-    the caller's connection, and the next attempt would write after it. A
-    timeout that has already been triggered cancels the attempt here, before
-    the write.
-    """
-    timeout_scope.deadline = float('inf')
-    if timeout_scope.cancel_called:
-        await trio.lowlevel.checkpoint()
-
-
 async def _relay_event(
     progress: RequestProgress,
     answer: EndpointResponse,
+    attempt: RacingAttempt,
     event: StreamEvent,
 ) -> None:
     last_number = progress.last_event
+    is_known = (
+        event.number is not None
+        and last_number is not None
+        and event.number <= last_number
+    )
+    if is_known:
+        return
+    await attempt.claim_answer()
     if event.number is not None:
-        if last_number is not None and event.number <= last_number:
-            return
         progress.last_event = event.number
     await _send_head(progress, answer)
     await progress.exchange.send(event.payload)
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -1,10 +1,12 @@
 """Forwards opaque requests, with retries, to an answer or a clear failure.
 
 The entry that accepted a request owns it: its deadline, its attempts, the
-verdict on whether it has run, and its stream. Attempts run one at a time.
-When the caller disconnects, the attempt ends at once.
+verdict on whether it has run, and its stream. Attempts run one at a time,
+except while an endpoint is silent: it may only pause, so its attempt goes on
+beside one elsewhere. When the caller disconnects, all attempts end at once.
 """
 
+import math
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AbstractAsyncContextManager
@@ -14,9 +16,13 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.attempt_race import (
+    AttemptRace,
+    Outcome,
+    RacingAttempt,
+)
 from limpetdrift.coordination.delivery import (
     EndpointIdentity,
-    Outcome,
     RequestProgress,
     relay_events,
     relay_response,
@@ -56,6 +62,8 @@
 # Prompts under 2^12 tokens are one class in metrics.
 _MIN_SIZE_EXPONENT = 12
 RETRY_INTERVAL_SECONDS = 0.01
+# Interval at which another endpoint is tried while an attempt stays silent.
+SILENT_RETRY_INTERVAL_SECONDS = 0.5
 # Bounds of the random factor of each retry interval.
 _RETRY_JITTER = (0.5, 1.5)
 # Errors of a write to a caller that has disconnected.
@@ -172,22 +180,71 @@
         self, progress: RequestProgress
     ) -> Failure | None:
         """Attempt until an answer is delivered or a failure is final."""
+        race = AttemptRace()
+        async with trio.open_nursery() as nursery:
+
+            def start_attempt() -> None:
+                nursery.start_soon(self._run_attempt, progress, race.start())
+
+            start_attempt()
+            failure = await self._supervise(progress, race, start_attempt)
+            nursery.cancel_scope.cancel()
+        return failure
+
+    async def _supervise(
+        self,
+        progress: RequestProgress,
+        race: AttemptRace,
+        start_attempt: Callable[[], None],
+    ) -> Failure | None:
+        """Start attempts after failures and beside silent ones, as allowed."""
+        while True:
+            outcome = await race.wait()
+            if outcome is None:
+                if self._begin_beside_silent(progress, race):
+                    start_attempt()
+                continue
+            if outcome.is_ok():
+                return None
+            if race.is_running:
+                continue
+            failure = replace(outcome.error, verdict=progress.verdict)
+            if not self._begin_retry(progress, failure):
+                return failure
+            jitter = self._inputs.randomness.uniform(*_RETRY_JITTER)
+            await trio.sleep(RETRY_INTERVAL_SECONDS * jitter)
+            start_attempt()
+
+    async def _run_attempt(
+        self, progress: RequestProgress, attempt: RacingAttempt
+    ) -> None:
+        outcome: Outcome | None = None
         try:
-            while True:
-                outcome = await self._attempt(progress)
-                if outcome.is_ok():
-                    return None
-                failure = replace(outcome.error, verdict=progress.verdict)
-                if not self._begin_retry(progress, failure):
-                    return failure
-                jitter = self._inputs.randomness.uniform(*_RETRY_JITTER)
-                await trio.sleep(RETRY_INTERVAL_SECONDS * jitter)
+            with attempt.scope:
+                outcome = await self._attempt(progress, attempt)
         except _DISCONNECT_ERRORS:
             progress.has_caller_left = True
-        return None
+            outcome = Ok(None)
+        finally:
+            attempt.race.end(attempt, outcome)
+
+    def _begin_beside_silent(
+        self, progress: RequestProgress, race: AttemptRace
+    ) -> bool:
+        """Return whether to attempt elsewhere while an attempt is silent."""
+        silent = race.silent_attempt()
+        if silent is None:
+            return False
+        failure = may_have_run(Reason.IDLE_TIMEOUT, 'no answer in time')
+        if not self._begin_retry(progress, failure):
+            silent.silent_at = math.inf
+            return False
+        silent.was_silent = True
+        silent.await_answer(SILENT_RETRY_INTERVAL_SECONDS)
+        return True
 
     def _begin_retry(self, progress: RequestProgress, failure: Failure) -> bool:
-        """Return whether to retry; charge the retry to the budget if so.
+        """Return whether the retry budget and the route allow a retry.
 
         A retry after attempts that reached no endpoint is free of charge.
         """
@@ -202,7 +259,7 @@
         )
         if not is_allowed:
             return False
-        if progress.attempts and not self._inputs.budget.spend():
+        if progress.attempts and not self._inputs.budget.has_retry:
             telemetry.count('refusals', reason=Reason.RETRY_BUDGET)
             return False
         telemetry.count('retries', reason=failure.reason)
@@ -213,12 +270,14 @@
             verdict=failure.verdict,
             detail=failure.detail,
             attempts=progress.attempts,
-            endpoints=[each.name for each in progress.failed],
+            endpoints=sorted(name for name, _ in progress.excluded),
             seconds=round(progress.seconds_elapsed(), 3),
         )
         return True
 
-    async def _attempt(self, progress: RequestProgress) -> Outcome:
+    async def _attempt(
+        self, progress: RequestProgress, attempt: RacingAttempt
+    ) -> Outcome:
         progress.placements += 1
         refusal = self._check(progress)
         if refusal is not None:
@@ -230,42 +289,43 @@
         if placed.is_error():
             return placed.map(lambda placement: None)
         placement = placed.ok
-        progress.failed = []
         _log_placement(progress, placement)
         try:
-            return await self._reserve_and_send(progress, placement)
+            return await self._reserve_and_send(progress, attempt, placement)
         finally:
-            self._inputs.release(progress.request, placement, progress.failed)
+            _record_lost_race(attempt, placement)
+            self._inputs.release(progress.request, placement, attempt.failed)
 
     async def _reserve_and_send(
         self,
         progress: RequestProgress,
+        attempt: RacingAttempt,
         placement: DispatchPlan,
     ) -> Outcome:
-        previous_verdict = progress.verdict
         progress.excluded.add(placement.endpoint.identity)
         try:
             # Engines prefill the newest prompt first, so the request is sent
             # only when they are expected to be free.
             await trio.sleep(placement.delay_seconds)
             async with self._inputs.reserve_memory(placement) as reserved:
-                outcome = await self._send(progress, reserved)
+                outcome = await self._send(progress, attempt, reserved)
         except FailureError as error:
             outcome = Error(error.failure)
         if outcome.is_error():
-            _record_failure(progress, placement, outcome.error)
+            _record_failure(progress, attempt, placement, outcome.error)
             if outcome.error.reason is Reason.ENDPOINT_LEAVING:
                 self._inputs.view.mark_leaving(placement.endpoint, 'answer')
             if outcome.error.reason is Reason.CONNECTION_BROKEN:
                 self._inputs.report_broken_connection(
                     progress.request, placement.endpoint
                 )
-            if outcome.error.verdict is Verdict.NOT_RUN:
-                progress.verdict = previous_verdict
         return outcome
 
     async def _send(
-        self, progress: RequestProgress, placement: DispatchPlan
+        self,
+        progress: RequestProgress,
+        attempt: RacingAttempt,
+        placement: DispatchPlan,
     ) -> Outcome:
         # The caller's key may have been revoked during the reservation.
         refusal = self._check(progress)
@@ -273,7 +333,10 @@
             return Error(refusal)
         if not self._inputs.view.is_usable(placement.endpoint):
             return Error(not_run(Reason.ENDPOINT_REFUSED, 'not listed now'))
-        progress.verdict = Verdict.MAY_HAVE_RUN
+        if progress.attempts and not self._inputs.budget.spend():
+            return Error(not_run(Reason.RETRY_BUDGET, 'no retry is left'))
+        attempt.is_sent = True
+        progress.unproven += 1
         progress.attempts += 1
         if progress.placements == 1:
             telemetry.observe(
@@ -281,36 +344,13 @@
                 progress.seconds_elapsed(),
                 kind=progress.request.route.kind,
             )
-        if progress.request.route.kind is RequestKind.STREAMING:
-            return await self._send_stream(progress, placement)
-        timeout = attempt_timeout_seconds(
-            progress.request.route,
-            attempts=progress.attempts - 1,
-            seconds_left=progress.seconds_left(),
-        )
-        with trio.move_on_after(timeout) as timeout_scope:
-            async with self._open_response(progress, placement) as answer:
-                return await relay_response(progress, answer, timeout_scope)
-        return Error(may_have_run(Reason.IDLE_TIMEOUT, 'no answer in time'))
-
-    async def _send_stream(
-        self,
-        progress: RequestProgress,
-        placement: DispatchPlan,
-    ) -> Outcome:
-        timeout = first_event_timeout_seconds(
-            progress.request.route,
-            attempts=progress.attempts - 1,
-            expected_seconds=placement.read_seconds - placement.delay_seconds,
-            seconds_left=progress.seconds_left(),
-        )
-        with trio.move_on_after(timeout) as timeout_scope:
-            async with self._open_response(progress, placement) as answer:
-                if answer.refused or answer.status != OK:
-                    return await relay_response(progress, answer, timeout_scope)
-                await relay_events(progress, answer, timeout_scope)
-                return Ok(None)
-        return Error(may_have_run(Reason.IDLE_TIMEOUT, 'no event in time'))
+        attempt.await_answer(_answer_timeout_seconds(progress, placement))
+        async with self._open_response(progress, placement) as answer:
+            is_stream = progress.request.route.kind is RequestKind.STREAMING
+            if not is_stream or answer.refused or answer.status != OK:
+                return await relay_response(progress, answer, attempt)
+            await relay_events(progress, answer, attempt)
+            return Ok(None)
 
     def _check(self, progress: RequestProgress) -> Failure | None:
         """Return the failure if the request must not be sent, else ``None``.
@@ -372,16 +412,45 @@
     scope.cancel()
 
 
+def _answer_timeout_seconds(
+    progress: RequestProgress, placement: DispatchPlan
+) -> float:
+    """Return the time after which an attempt without an answer is silent."""
+    request = progress.request
+    if request.route.kind is RequestKind.STREAMING:
+        return first_event_timeout_seconds(
+            request.route,
+            attempts=progress.attempts - 1,
+            expected_seconds=placement.read_seconds - placement.delay_seconds,
+            seconds_left=progress.seconds_left(),
+        )
+    return attempt_timeout_seconds(
+        request.route,
+        attempts=progress.attempts - 1,
+        seconds_left=progress.seconds_left(),
+    )
+
+
 def _record_failure(
     progress: RequestProgress,
+    attempt: RacingAttempt,
     placement: DispatchPlan,
     failure: Failure,
 ) -> None:
     telemetry.count('attempt_failures', reason=failure.reason)
+    if failure.verdict is Verdict.NOT_RUN and attempt.is_sent:
+        progress.unproven -= 1
     if failure.reason in _UNREACHED_REASONS and progress.attempts:
         progress.attempts -= 1
     if failure.reason in _ENDPOINT_FAILURE_REASONS:
-        progress.failed.append(placement.endpoint)
+        attempt.failed.append(placement.endpoint)
+
+
+def _record_lost_race(attempt: RacingAttempt, placement: DispatchPlan) -> None:
+    """Record a silent endpoint whose answer another one has given instead."""
+    if attempt.was_silent and attempt.scope.cancel_called:
+        telemetry.count('attempt_failures', reason=Reason.IDLE_TIMEOUT)
+        attempt.failed.append(placement.endpoint)
 
 
 def _log_placement(progress: RequestProgress, placement: DispatchPlan) -> None:
--- a/src/limpetdrift/coordination/retry_policy.py
+++ b/src/limpetdrift/coordination/retry_policy.py
@@ -39,6 +39,7 @@
         Reason.NOT_FOUND,
         Reason.QUARANTINED,
         Reason.NO_ENDPOINT,
+        Reason.RETRY_BUDGET,
     ),
 )
 
