Let a stand-in endpoint fall silent for a time and go on

A sound server may fall silent for a second or so.

Test: test_silent_endpoint_pauses_its_streams_and_goes_on.

--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -9,13 +9,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 
 import msgspec
 import trio
 
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.protocol.codec import json_response
-from limpetdrift.transport.messages import Address, Request, Response
+from limpetdrift.transport.messages import Address, Headers, Request, Response
 from limpetdrift.transport.server import Exchange, Server
 
 PREFILL_TOKENS_PER_SECOND = 400_000.0
@@ -51,12 +52,14 @@
 
     ``runs`` are the requests that ran; ``arrivals`` has a request id, an
     endpoint and a time for each request that was not refused; ``left_at``
-    maps an endpoint to the time at which it first registered as draining.
+    maps an endpoint to the time at which it first registered as draining;
+    ``broken`` holds the requests whose answers an endpoint broke off.
     """
 
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[str, str, float]] = field(default_factory=list)
     left_at: dict[str, float] = field(default_factory=dict)
+    broken: set[str] = field(default_factory=set)
 
 
 class StandinEndpoint:
@@ -89,11 +92,16 @@
         self._slots = slots
         self._active = 0
         self._born = int(clock() * _MILLISECONDS)
+        self._silent_until = 0.0
 
     def make_server(self) -> Server:
         """Return an HTTP server for the requests of this lifetime."""
         return Server(handler=self.handle)
 
+    def fall_silent(self, seconds: float) -> None:
+        """Keep all connections, but serve nothing for a time, then go on."""
+        self._silent_until = self._clock() + seconds
+
     def register(self, store: StandinStore, state: str = 'ready') -> None:
         """Write this endpoint's row in the list of endpoints."""
         if state == 'draining':
@@ -123,10 +131,12 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Respond to one request; a run ends when its caller disconnects."""
+        arrived_at = self._clock()
+        await self._wait_silence()
         request = exchange.request
         immediate_response = self._respond_without_running(request)
         if immediate_response is None:
-            await self._run_until_disconnect(exchange)
+            await self._run_until_disconnect(exchange, arrived_at)
         else:
             await exchange.respond(immediate_response)
 
@@ -143,7 +153,9 @@
             return Response(status=_UNAVAILABLE, headers=not_run)
         return None
 
-    async def _run_until_disconnect(self, exchange: Exchange) -> None:
+    async def _run_until_disconnect(
+        self, exchange: Exchange, arrived_at: float
+    ) -> None:
         self._active += 1
         try:
             async with trio.open_nursery() as nursery:
@@ -153,15 +165,17 @@
                     nursery.cancel_scope.cancel()
 
                 nursery.start_soon(cancel_on_disconnect)
-                await self._run(exchange)
+                await self._run(exchange, arrived_at)
                 nursery.cancel_scope.cancel()
         finally:
+            if trio.current_effective_deadline() == -inf:
+                # The endpoint ends, not only its caller's connection.
+                self._journal.broken.add(exchange.request.header('attempt-id'))
             self._active -= 1
 
-    async def _run(self, exchange: Exchange) -> None:
+    async def _run(self, exchange: Exchange, arrived_at: float) -> None:
         request = exchange.request
         request_id = request.header('attempt-id')
-        arrived_at = self._clock()
         self._journal.arrivals.append((request_id, self.name, arrived_at))
         if self.hang:
             await trio.sleep_forever()
@@ -187,22 +201,16 @@
         )
         breaks_off = self.fail_next > 0
         self.fail_next = max(0, self.fail_next - 1)
+        if breaks_off:
+            self._journal.broken.add(request_id)
         if prompt_tokens:
             await self._stream_events(
                 exchange, int(answer_tokens) // _TOKENS_PER_EVENT, breaks_off
             )
             return
         await trio.sleep(EVENT_INTERVAL_SECONDS)
-        if breaks_off:
-            await exchange.abort()
-            return
-        await exchange.respond(
-            Response(
-                status=_OK,
-                headers=self._run_headers(request_id),
-                body=request_id.encode(),
-            ),
-        )
+        await self._wait_silence()
+        await _send_answer(exchange, self._run_headers(request_id), breaks_off)
 
     async def _stream_events(
         self,
@@ -212,12 +220,14 @@
     ) -> None:
         request = exchange.request
         last_event_id = int(request.header('last-event-id', '0') or '0')
+        await self._wait_silence()
         headers = self._run_headers(request.header('attempt-id'))
         await exchange.start(
             _OK,
             (*headers, ('content-type', 'text/event-stream')),
         )
         for number in range(last_event_id + 1, event_count + 1):
+            await self._wait_silence()
             if breaks_off and number > event_count // 2:
                 # An event without its end, as from a crash while writing.
                 await exchange.send(b'id: 9')
@@ -227,6 +237,11 @@
             await trio.sleep(EVENT_INTERVAL_SECONDS)
         await exchange.finish()
 
+    async def _wait_silence(self) -> None:
+        remaining_seconds = self._silent_until - self._clock()
+        if remaining_seconds > 0:
+            await trio.sleep(remaining_seconds)
+
     def _run_headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
         return (
             ('attempt-id', request_id),
@@ -259,3 +274,13 @@
         expires_at = self._clock() + order['holdMs'] / _MILLISECONDS
         self.reservations[order['id']] = (order['tokens'], expires_at)
         return json_response({'free': MEMORY_TOKENS - self.held_tokens()})
+
+
+async def _send_answer(
+    exchange: Exchange, headers: Headers, breaks_off: bool
+) -> None:
+    if breaks_off:
+        await exchange.abort()
+        return
+    body = exchange.request.header('attempt-id').encode()
+    await exchange.respond(Response(status=_OK, headers=headers, body=body))
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -1,17 +1,19 @@
 """Tests of the stand-in services, objects, weights and instance list."""
 
+import itertools
 import json
 
 import trio
 
 from limpet_standins.controls import Faults
 from limpet_standins.instances import make_instance_list
-from limpet_standins.local import call_local
+from limpet_standins.local import LocalExchange, call_local
 from limpet_standins.objects import make_object_store
+from limpet_standins.platform_endpoints import Journal, StandinEndpoint
 from limpet_standins.service import expected_body, make_service
 from limpet_standins.weights import make_weight_store
 from limpetdrift.protocol.codec import json_request
-from limpetdrift.transport.messages import Request
+from limpetdrift.transport.messages import Address, Request
 from virtual_time import in_virtual_time
 
 
@@ -116,3 +118,38 @@
     assert (
         await call_local(store, Request(method='GET', path='/objects/a'))
     ).is_error()
+
+
+@in_virtual_time
+async def test_silent_endpoint_pauses_its_streams_and_goes_on():
+    endpoint = StandinEndpoint(
+        name='i-1',
+        service='s',
+        address=Address(host='h', port=1),
+        journal=Journal(),
+        clock=trio.current_time,
+    )
+    headers = (('attempt-id', 'a'), ('token-usage', '400,510'))
+    request = Request(method='POST', path='/', headers=headers)
+    exchange = LocalExchange(request=request)
+    exchange.wait_closed = trio.sleep_forever
+    ends = {}
+
+    async def answer_report():
+        report = Request(method='GET', path='/-/report')
+        await call_local(endpoint, report)
+        ends['report'] = trio.current_time()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(endpoint.handle, exchange)
+        await trio.sleep(0.1)
+        endpoint.fall_silent(1.5)
+        nursery.start_soon(answer_report)
+    pauses = [
+        later - earlier
+        for (earlier, _), (later, _) in itertools.pairwise(exchange.parts)
+    ]
+    assert exchange.finished
+    assert len(exchange.parts) == 10
+    assert sum(pause > 1.4 for pause in pauses) == 1
+    assert abs(ends['report'] - 1.6) < 0.01
