Keep reservations, and answers, through an engine's short silence

What callers would see: a long prompt whose memory is reserved at several engines failed its attempt if one of them was silent for more than 0.8 s, or for 0.25 s where it accepts no connection. A reservation was lost when its renewals met a silence of 1.6 s: the next renewal came after the lifetime of 3.2 s. And the release ran in the request's task, shielded, for up to 2.4 s: a retry, or the answer at the deadline, waited as long for a silent engine.

Cause: silence of an engine was taken for a refusal of the order. Orders are the same order however often they are sent, so they are now repeated until the engine answers, for at most 2 s, each engine on its own. A refusal and a refused connection still end the attempt at once. The request waits at most 0.25 s for the release, which goes on in the background; memory that can not be released expires, as before.

Evidence: tests/test_reservations.py. Of its six cases five failed before: both of test_reservation_outlasts_a_silence_at_its_start, both of test_request_does_not_wait_for_a_silent_engine_to_release, and test_reservation_is_not_lost_when_renewals_meet_a_silence with an engine that accepts no connections.

--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -32,8 +32,15 @@
 # within which unused memory must be free again.
 RESERVATION_TTL_SECONDS = 3.2
 RENEWAL_INTERVAL_SECONDS = 1.0
-ORDER_TIMEOUT_SECONDS = 0.8
-_RELEASE_TRIES = 3
+# Time to repeat an order that an engine does not answer. It outlasts a short
+# silence of a sound engine.
+ORDER_TIMEOUT_SECONDS = 2.0
+_ORDER_RETRY_SECONDS = 0.1
+# How long a request waits for the release of its memory, which then goes on in
+# the background. A retry would compete with memory that is not yet free.
+RELEASE_WAIT_SECONDS = 0.25
+# Failures after which the engine may still carry out an order.
+_SILENCE_REASONS = frozenset((Reason.CONNECT_TIMEOUT, Reason.TIMEOUT))
 _MILLISECONDS = 1000
 _ORDER_PATH = '/-/order'
 
@@ -80,7 +87,8 @@
     await _reserve_all(client, reservations)
     raised: Exception | None = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_renew, client, reservations)
+        for reservation in reservations:
+            nursery.start_soon(_renew, client, reservation)
         try:
             yield
         except Exception as error:
@@ -98,7 +106,7 @@
     failures: list[Failure] = []
 
     async def reserve(reservation: Reservation) -> None:
-        result = await _send_order(
+        result = await _repeat_order(
             client, reservation.endpoint, _reserve_order(reservation)
         )
         if result.is_error():
@@ -112,20 +120,12 @@
         raise FailureError(failures[0])
 
 
-async def _renew(
-    client: HttpClient,
-    reservations: tuple[Reservation, ...],
-) -> None:
+async def _renew(client: HttpClient, reservation: Reservation) -> None:
     while True:
         await trio.sleep(RENEWAL_INTERVAL_SECONDS)
-        async with trio.open_nursery() as nursery:
-            for reservation in reservations:
-                nursery.start_soon(
-                    _send_order,
-                    client,
-                    reservation.endpoint,
-                    _reserve_order(reservation),
-                )
+        await _repeat_order(
+            client, reservation.endpoint, _reserve_order(reservation)
+        )
 
 
 async def _release_all(
@@ -133,36 +133,61 @@
     reservations: tuple[Reservation, ...],
 ) -> None:
     """Release all memory, even if the request has been cancelled."""
-    with trio.CancelScope(shield=True):
+    is_released = trio.Event()
+
+    async def release() -> None:
         async with trio.open_nursery() as nursery:
             for reservation in reservations:
                 nursery.start_soon(_release, client, reservation)
+        is_released.set()
+
+    trio.lowlevel.spawn_system_task(release)
+    with trio.move_on_after(RELEASE_WAIT_SECONDS, shield=True):
+        await is_released.wait()
 
 
 async def _release(client: HttpClient, reservation: Reservation) -> None:
     body = {'operation': 'release', 'id': reservation.identifier}
-    for _ in range(_RELEASE_TRIES):
-        result = await _send_order(client, reservation.endpoint, body)
-        if result.is_ok():
-            return
-    note(
-        'reserved memory could not be released, it will expire',
-        endpoint=reservation.endpoint.name,
-        tokens=reservation.tokens,
-        reason=result.error.reason,
-    )
+    result = await _repeat_order(client, reservation.endpoint, body)
+    if result.is_error():
+        note(
+            'reserved memory could not be released, it will expire',
+            endpoint=reservation.endpoint.name,
+            tokens=reservation.tokens,
+            reason=result.error.reason,
+        )
+
+
+async def _repeat_order(
+    client: HttpClient,
+    endpoint: ListedEndpoint,
+    body: dict[str, object],
+) -> Result[None, Failure]:
+    """Send an order until the engine answers it or the timeout has passed."""
+    deadline = trio.current_time() + ORDER_TIMEOUT_SECONDS
+    while True:
+        seconds_left = deadline - trio.current_time()
+        result = await _send_order(client, endpoint, body, seconds_left)
+        retry_at = trio.current_time() + _ORDER_RETRY_SECONDS
+        is_silent = (
+            result.is_error() and result.error.reason in _SILENCE_REASONS
+        )
+        if not is_silent or retry_at >= deadline:
+            return result
+        await trio.sleep_until(retry_at)
 
 
 async def _send_order(
     client: HttpClient,
     endpoint: ListedEndpoint,
     body: dict[str, object],
+    timeout_seconds: float,
 ) -> Result[None, Failure]:
     request = json_request('POST', _ORDER_PATH, body)
     result = await client.fetch(
         parse_address(endpoint.address),
         _with_expected_instance(request, endpoint),
-        timeout_seconds=ORDER_TIMEOUT_SECONDS,
+        timeout_seconds=timeout_seconds,
         new_connection=True,
     )
     telemetry.count('orders', operation=str(body['operation']))
--- /dev/null
+++ b/tests/test_reservations.py
@@ -0,0 +1,97 @@
+"""Tests of memory reservations at engines that fall silent for a time."""
+
+import math
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+from expression import Error
+
+from limpet_standins.local import call_local
+from limpet_standins.platform_endpoints import Journal, StandinEndpoint
+from limpetdrift.platform.reservations import make_reserver
+from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
+from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
+from limpetdrift.transport.messages import Address
+from virtual_time import in_virtual_time
+
+ENGINE = ListedEndpoint(
+    name='i-1',
+    lifetime=1,
+    service='engines',
+    address='127.0.0.1:1',
+    failure_domain='zone-1',
+    slots=8,
+)
+PLAN = DispatchPlan(endpoint=ENGINE, reserved=((ENGINE, 1000),))
+CONNECT_SECONDS = 0.25
+
+
+class SilentEngine:
+    """A client of one engine that falls silent.
+
+    An engine that does not accept connections lets them time out.
+    """
+
+    def __init__(self, *, accepts: bool = True) -> None:
+        self.endpoint = StandinEndpoint(
+            name=ENGINE.name,
+            service=ENGINE.service,
+            address=Address(host='127.0.0.1', port=1),
+            journal=Journal(),
+            clock=trio.current_time,
+        )
+        self.silent_until = 0.0
+        self._accepts = accepts
+
+    def fall_silent(self, seconds: float) -> None:
+        self.silent_until = trio.current_time() + seconds
+        self.endpoint.fall_silent(seconds)
+
+    async def fetch(self, address, request, *, timeout_seconds, new_connection):
+        connect_seconds = math.inf if self._accepts else CONNECT_SECONDS
+        if self.silent_until - trio.current_time() > connect_seconds:
+            await trio.sleep(connect_seconds)
+            return Error(not_run(Reason.CONNECT_TIMEOUT, 'connect'))
+        with trio.move_on_after(timeout_seconds):
+            return await call_local(self.endpoint, request)
+        return Error(may_have_run(Reason.TIMEOUT, 'no answer'))
+
+
+@asynccontextmanager
+async def reserve(engine: SilentEngine):
+    async with make_reserver(engine, 'entry-1')(PLAN):
+        yield
+
+
+@pytest.mark.parametrize('accepts', (True, False))
+@in_virtual_time
+async def test_reservation_outlasts_a_silence_at_its_start(accepts):
+    engine = SilentEngine(accepts=accepts)
+    engine.fall_silent(1.2)
+    async with reserve(engine):
+        assert engine.endpoint.held_tokens() == 1000
+
+
+@pytest.mark.parametrize('accepts', (True, False))
+@in_virtual_time
+async def test_reservation_is_not_lost_when_renewals_meet_a_silence(accepts):
+    engine = SilentEngine(accepts=accepts)
+    async with reserve(engine):
+        await trio.sleep(0.95)
+        engine.fall_silent(1.6)
+        for _ in range(50):
+            await trio.sleep(0.1)
+            assert engine.endpoint.held_tokens() == 1000
+
+
+@pytest.mark.parametrize('accepts', (True, False))
+@in_virtual_time
+async def test_request_does_not_wait_for_a_silent_engine_to_release(accepts):
+    engine = SilentEngine(accepts=accepts)
+    async with reserve(engine):
+        engine.fall_silent(1.5)
+        ended_at = trio.current_time()
+    assert trio.current_time() - ended_at < 0.3
+    await trio.sleep(1.6)
+    assert not engine.endpoint.held_tokens()
