Judge in the soak whether every request that was read is answered

The soak marked an entry as faulty from its SIGTERM to its restart, and its callers never used a connection to an entry that the directory had ceased to name, so that answers cut off by a stop were not seen. Nor did endpoints pause, nor routes move.

Callers now keep one connection to each entry and use it until it is closed. The check answered_requests judges every request: one that was read must get a whole answer or a refusal. Its excuses come from records: the deadline has passed; the caller left; the endpoint broke the answer off or was cut off while the request was under way; the process was killed or suspended then; or the entry closed the connection without reading the request. The last is read from the state of the caller's socket: the kernel resets a connection that is closed with unread bytes, or gets bytes after its close. Signals, changes of the configuration, faults of the store and silent endpoints excuse nothing, except what an endpoint still works on in the last sixth of the time for a stop.

Faults come one or two at once: endpoints that pause for 0.8 to 1.8 s, stops with a second SIGTERM or SIGHUPs, restarts in turn, and changes that move routes between services, lengthen timeouts and change the idle limit, also beside a stop. The time for a stop is the 8 s of the users' sites. Recovery is counted from the end of the last fault, since stops in turn outlast its start.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,26 +1,32 @@
 """Callers that resolve entries, send random requests and record the results.
 
 Like clients of the platform they get the addresses of the entries from the
-directory, and cache them for the time to live that it returns.
+directory, and cache them for the time to live that it returns. Each caller
+keeps one open connection to each entry and uses it until it is closed, also
+after the directory has ceased to name that entry.
 """
 
 import random
 import time
+from collections.abc import Callable
+from contextlib import aclosing
 from dataclasses import dataclass
 
 import msgspec
 import trio
 
 from limpetdrift.coordination.event_relay import split_events
-from limpetdrift.protocol.verdict import FailureError
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request, parse_address
+from soak.connections import Connection, UnansweredError, connect
 from soak.site import HOST, ROUTES, Site
 
 # Answer tokens for each event of a stream, as the stand-in engines send them.
 EVENT_TOKENS = 51
 DIRECTORY_TIMEOUT_SECONDS = 1.0
 _OK = 200
+# Share of the requests for which any open connection is chosen.
+_OPEN_CONNECTION_SHARE = 0.5
 # Lengths of prompts in tokens, each with its weight in the random choice.
 _PROMPT_SIZES = ((3000, 60), (20000, 30), (60000, 6), (450000, 2))
 
@@ -33,8 +39,9 @@
     seconds. ``status`` is 0 if no response arrived. ``is_complete`` is set if
     the response ended without an error. ``event_ids`` are those that a
     stream's caller received, and ``expected_events`` is the number of events
-    of the whole stream. ``has_disconnected`` is set if the caller was to
-    disconnect early.
+    of the whole stream. ``is_unread`` is set if the entry had not read the
+    request: it refused or closed the connection before.
+    ``has_disconnected`` is set if the caller was to disconnect early.
     """
 
     request_id: str
@@ -49,6 +56,7 @@
     is_complete: bool = False
     event_ids: tuple[int | None, ...] = ()
     expected_events: int = 0
+    is_unread: bool = False
     has_disconnected: bool = False
 
 
@@ -62,23 +70,34 @@
         self._randomness = random.Random(f'{seed}/{number}')
         self._client = HttpClient()
         self._addresses: list[Address] = []
+        self._connections: dict[Address, Connection] = {}
         self._cache_expires_at = 0.0
 
-    async def run(self, until: float) -> None:
-        """Send requests until the monotonic clock reaches ``until``."""
-        while time.monotonic() < until:
+    async def run(self, find_end: Callable[[], float]) -> None:
+        """Send requests until the monotonic clock reaches ``find_end()``."""
+        while time.monotonic() < find_end():
             await trio.sleep(self._randomness.expovariate(6))
             address = await self._choose_entry()
             if address is not None:
                 await self._call(address)
 
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self._connections.values():
+            connection.close()
+        self._connections.clear()
+
     async def _choose_entry(self) -> Address | None:
         if time.monotonic() > self._cache_expires_at:
             await self._resolve()
-        if not self._addresses:
+        addresses = self._addresses
+        uses_open = self._randomness.random() < _OPEN_CONNECTION_SHARE
+        if self._connections and uses_open:
+            addresses = list(self._connections)
+        if not addresses:
             await trio.sleep(0.1)
             return None
-        return self._randomness.choice(self._addresses)
+        return self._randomness.choice(addresses)
 
     async def _resolve(self) -> None:
         for entry in self._randomness.sample(self._site.entries, 3):
@@ -162,20 +181,35 @@
         request: Request,
         result_fields: dict[str, object],
     ) -> None:
-        body = b''
+        connection = self._connections.pop(address, None)
         try:
-            async with self._client.stream(
-                address,
-                request,
-                idle_timeout_seconds=30.0,
-            ) as stream:
-                result_fields['status'] = stream.status
-                async for chunk in stream.chunks():
-                    body += chunk
-                    result_fields['event_ids'] = _event_ids(body)
-                result_fields['is_complete'] = True
-        except FailureError:
-            return
+            if connection is None:
+                connection = await connect(address)
+            await _read_answer(connection, request, result_fields)
+        except (OSError, trio.TooSlowError):
+            # No connection was opened, so that nothing was sent on it.
+            result_fields['is_unread'] = True
+        except UnansweredError as error:
+            result_fields['is_unread'] = error.is_unread
+        finally:
+            if connection is not None and connection.is_reusable:
+                self._connections[address] = connection
+            elif connection is not None:
+                connection.close()
+
+
+async def _read_answer(
+    connection: Connection, request: Request, result_fields: dict[str, object]
+) -> None:
+    body = b''
+    async with aclosing(connection.call(request)) as answer:
+        async for part in answer:
+            if isinstance(part, int):
+                result_fields['status'] = part
+                continue
+            body += part
+            result_fields['event_ids'] = _event_ids(body)
+    result_fields['is_complete'] = True
 
 
 def _event_ids(body: bytes) -> tuple[int | None, ...]:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,11 +4,17 @@
 a line for each violation.
 """
 
-from collections import Counter
-from collections.abc import Callable, Iterator
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Iterator
 
 from soak.callers import Call
-from soak.site import DRAIN_BOUND_SECONDS, REVOCATION_BOUND_SECONDS, Site
+from soak.site import (
+    DRAIN_BOUND_SECONDS,
+    REVOCATION_BOUND_SECONDS,
+    STOP_GRACE_SECONDS,
+    EntryProcess,
+    Site,
+)
 
 # Statuses that state that the request was not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -19,6 +25,11 @@
 # not counted.
 FAULT_GRACE_SECONDS = 3.0
 
+# An entry that stops may cut off requests that were sent at most so long after
+# the SIGTERM, from this time after it on.
+_STOP_ADMISSION_SECONDS = 3.0
+_STOP_CUT_SECONDS = STOP_GRACE_SECONDS * 5 / 6
+
 Check = Callable[[Site, list[Call]], Iterator[str]]
 
 
@@ -120,6 +131,72 @@
             yield f'{call.request_id} at {call.entry} took {elapsed:.2f} s'
 
 
+def answered_requests(site: Site, calls: list[Call]) -> Iterator[str]:
+    """Every request that an entry has read gets a whole answer or a refusal.
+
+    Not counted are requests whose deadline has passed or whose caller left,
+    that an endpoint broke off, or that were under way while a process was
+    killed or suspended or their endpoint was cut off. Signals, changes of the
+    configuration, faults of the store and silent endpoints excuse nothing,
+    except that an entry that stops may cut off at the end of its time what an
+    endpoint still works on.
+    """
+    arrivals: dict[str, set[str]] = defaultdict(set)
+    for request_id, endpoint, _ in site.journal.arrivals:
+        arrivals[request_id].add(endpoint)
+    entries = {entry.host: entry for entry in site.entries}
+    for call in calls:
+        endpoints = arrivals[call.request_id]
+        if call.is_complete or _is_ended_by_caller(call):
+            continue
+        if _is_broken_by_endpoint(site, call, endpoints):
+            continue
+        if _is_ended_by_entry(entries[call.entry], call, endpoints):
+            continue
+        seconds = call.ended_at - call.sent_at
+        yield (
+            f'{call.request_id} at {call.entry} ended after {seconds:.2f} s '
+            f'with status {call.status}, {len(call.event_ids)} of '
+            f'{call.expected_events} events, from {sorted(endpoints)}'
+        )
+
+
+def _is_ended_by_caller(call: Call) -> bool:
+    has_expired = call.ended_at - call.sent_at >= call.deadline_seconds
+    return call.has_disconnected or has_expired
+
+
+def _is_broken_by_endpoint(site: Site, call: Call, endpoints: set[str]) -> bool:
+    return call.request_id in site.journal.broken or any(
+        _overlaps(call, site.endpoint_breaks.get(each, ()))
+        for each in endpoints
+    )
+
+
+def _is_ended_by_entry(
+    entry: EntryProcess, call: Call, endpoints: set[str]
+) -> bool:
+    """Return whether an entry may end a request without a whole answer."""
+    is_never_read = call.is_unread and not call.status
+    is_cut_by_stop = any(
+        call.sent_at <= stopped_at + _STOP_ADMISSION_SECONDS
+        and call.ended_at >= stopped_at + _STOP_CUT_SECONDS
+        for stopped_at in entry.stops.values()
+    )
+    return (
+        is_never_read
+        or _overlaps(call, entry.breaks)
+        or (bool(endpoints) and is_cut_by_stop)
+    )
+
+
+def _overlaps(call: Call, spans: Iterable[tuple[float, float]]) -> bool:
+    return any(
+        since <= call.ended_at and call.sent_at <= until
+        for since, until in spans
+    )
+
+
 def free_memory(site: Site, calls: list[Call]) -> Iterator[str]:
     """No engine memory stays reserved after the last request."""
     for name, running in site.endpoints.items():
@@ -134,6 +211,7 @@
     whole_streams,
     own_accounts,
     revoked_keys,
+    answered_requests,
     free_memory,
 )
 # Checks of times, which a busy machine can make fail.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,18 +2,31 @@
 
 import random
 import signal
+import subprocess
 import time
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from limpet_standins.relay import RelayFaults
-from soak.site import EntryProcess, Site
+from soak.site import STOP_GRACE_SECONDS, EntryProcess, Site
 
 Fault = Callable[[Site, random.Random], Awaitable[None]]
 # Ranges of random delays.
 _PAUSE_SECONDS = (0.2, 1.2)
 _RESTART_DELAY_SECONDS = (0.1, 0.8)
+# Numbers of faults that begin at the same time.
+_FAULTS_AT_ONCE = (1, 1, 2)
+# The time for which a sound endpoint falls silent.
+_SILENCE_SECONDS = (0.8, 1.8)
+_BETWEEN_SILENCES_SECONDS = (1.5, 3.0)
+# Signals that an entry gets after the SIGTERM that stops it.
+_SIGNALS_WHILE_STOPPING = (
+    (),
+    (signal.SIGTERM,),
+    (signal.SIGHUP,),
+    (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
+)
 _STORE_ERROR_STATUSES = (503, 429)
 
 
@@ -35,7 +48,7 @@
     killed = randomness.sample(site.entries, randomness.randint(1, 2))
     for entry in killed:
         _mark_faulty(entry)
-        entry.end()
+        entry.crash()
     await trio.sleep(randomness.uniform(*_RESTART_DELAY_SECONDS))
     for entry in killed:
         entry.start()
@@ -44,32 +57,60 @@
         _mark_recovered(entry)
 
 
-async def roll(site: Site, randomness: random.Random) -> None:
-    """Stop an entry with SIGTERM, and restart it after it has exited.
+async def _stop_and_restart(
+    entry: EntryProcess, randomness: random.Random
+) -> None:
+    """Send SIGTERM, then random signals, and restart once it has exited.
 
-    It is killed if it has not exited after six seconds.
+    A process that has not exited after the time for it is killed.
     """
-    entry = _choose_entry(site, randomness)
+    stopped = entry.popen
     _mark_faulty(entry)
+    entry.stops.setdefault(stopped.pid, time.monotonic())
     entry.signal(signal.SIGTERM)
-    with trio.move_on_after(6):
-        await trio.to_thread.run_sync(
-            entry.popen.wait,
-            abandon_on_cancel=True,
-        )
-    entry.end()
-    entry.start()
+    with trio.move_on_after(STOP_GRACE_SECONDS):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_signal_stopping, entry, stopped, randomness)
+            await trio.to_thread.run_sync(stopped.wait, abandon_on_cancel=True)
+            nursery.cancel_scope.cancel()
+    if entry.popen is stopped:
+        entry.end()
+        entry.start()
     await trio.sleep(1)
     _mark_recovered(entry)
 
 
+async def _signal_stopping(
+    entry: EntryProcess,
+    stopped: subprocess.Popen[bytes],
+    randomness: random.Random,
+) -> None:
+    for number in randomness.choice(_SIGNALS_WHILE_STOPPING):
+        await trio.sleep(randomness.uniform(*_PAUSE_SECONDS))
+        if entry.popen is stopped:
+            entry.signal(number)
+
+
+async def roll(site: Site, randomness: random.Random) -> None:
+    """Stop an entry with SIGTERM, and restart it after it has exited."""
+    await _stop_and_restart(_choose_entry(site, randomness), randomness)
+
+
+async def roll_in_turn(site: Site, randomness: random.Random) -> None:
+    """Stop and restart two entries in turn."""
+    for entry in randomness.sample(site.entries, 2):
+        await _stop_and_restart(entry, randomness)
+
+
 async def freeze(site: Site, randomness: random.Random) -> None:
     """Suspend an entry for a random time."""
     entry = _choose_entry(site, randomness)
     _mark_faulty(entry)
+    since = time.monotonic()
     entry.signal(signal.SIGSTOP)
     await trio.sleep(randomness.uniform(0.3, 2.5))
     entry.signal(signal.SIGCONT)
+    entry.breaks.append((since, time.monotonic()))
     _mark_recovered(entry)
 
 
@@ -145,8 +186,24 @@
     """Make an endpoint accept requests without answering them."""
     running = site.endpoints[randomness.choice(sorted(site.endpoints))]
     running.endpoint.hang = True
+    since = time.monotonic()
     await trio.sleep(randomness.uniform(0.5, 2))
     running.endpoint.hang = False
+    site.endpoint_breaks[running.endpoint.name].append(
+        (since, time.monotonic())
+    )
+
+
+async def pause_endpoints(
+    site: Site, randomness: random.Random, until: float
+) -> None:
+    """Every few seconds, make two sound endpoints fall silent and go on."""
+    while time.monotonic() < until:
+        await trio.sleep(randomness.uniform(*_BETWEEN_SILENCES_SECONDS))
+        for name in randomness.sample(sorted(site.endpoints), 2):
+            seconds = randomness.uniform(*_SILENCE_SECONDS)
+            site.endpoints[name].endpoint.fall_silent(seconds)
+            await trio.sleep(randomness.uniform(0, 0.5))
 
 
 async def silence_endpoint(site: Site, randomness: random.Random) -> None:
@@ -164,8 +221,12 @@
             ),
         ),
     )
+    since = time.monotonic()
     await trio.sleep(randomness.uniform(0.3, 1.5))
     running.relay.apply(RelayFaults())
+    site.endpoint_breaks[running.endpoint.name].append(
+        (since, time.monotonic())
+    )
 
 
 async def revoke(site: Site, randomness: random.Random) -> None:
@@ -175,15 +236,33 @@
 
 
 async def change_configuration(site: Site, randomness: random.Random) -> None:
-    """Write one to five configuration versions in quick succession."""
+    """Write one to five other configurations in quick succession.
+
+    Some of them only have a new version.
+    """
     for _ in range(randomness.randint(1, 5)):
-        site.publish_configuration()
+        if randomness.random() < 0.7:
+            site.change_configuration(randomness)
+        else:
+            site.publish_configuration()
         await trio.sleep(randomness.uniform(0, 0.2))
 
 
+async def change_beside_roll(site: Site, randomness: random.Random) -> None:
+    """Change the configuration while an entry stops."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(roll, site, randomness)
+        await trio.sleep(randomness.uniform(*_PAUSE_SECONDS))
+        await change_configuration(site, randomness)
+        await trio.sleep(randomness.uniform(*_PAUSE_SECONDS))
+        await change_configuration(site, randomness)
+
+
 FAULTS: tuple[Fault, ...] = (
     kill,
     roll,
+    roll_in_turn,
+    change_beside_roll,
     freeze,
     reload_settings,
     cut_store,
@@ -206,10 +285,14 @@
     Return the names of the faults after the last one has ended.
     """
     injected: list[str] = []
+    pauses = random.Random(randomness.random())
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(pause_endpoints, site, pauses, until)
         while time.monotonic() < until:
             await trio.sleep(randomness.uniform(*_PAUSE_SECONDS))
-            fault = randomness.choice(FAULTS)
-            injected.append(fault.__name__)
-            nursery.start_soon(fault, site, randomness)
+            for fault in randomness.sample(
+                FAULTS, randomness.choice((1, 1, 2))
+            ):
+                injected.append(fault.__name__)
+                nursery.start_soon(fault, site, randomness)
     return injected
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,8 +1,8 @@
 """Runs the soak test with one random seed after the other.
 
-Callers send requests while faults are injected, and go on after the last
-fault until the site should have recovered. Then all records are checked. Run
-it in the folder ``tests``:
+Callers send requests while faults are injected, and go on after the end of
+the last fault until the site should have recovered. Then all records are
+checked. Run it in the folder ``tests``, with ``src`` in ``PYTHONPATH``:
 
     python -m soak.run --first 1 --seeds 50
 """
@@ -13,7 +13,9 @@
 import tempfile
 import time
 from dataclasses import dataclass
+from functools import partial
 from itertools import chain
+from math import inf
 from pathlib import Path
 
 import trio
@@ -25,7 +27,7 @@
 from soak.site import Site
 
 READY_TIMEOUT_SECONDS = 20.0
-# Time with requests but without new faults; recovery is due in half of it.
+# Time with requests but without faults; recovery is due in half of it.
 SETTLE_SECONDS = 12.0
 # Each seed has its own range of ports, so that sites can run side by side.
 _FIRST_PORT = 21_000
@@ -88,27 +90,32 @@
     ]
     await _wait_ready(callers)
     until = time.monotonic() + options.seconds
-    recovery_due = until + SETTLE_SECONDS / 2
-    end = until + SETTLE_SECONDS
     faults: list[str] = []
+    # Unknown until the last fault has ended.
+    ends_at = inf
 
-    async def inject_faults() -> None:
-        faults.extend(await inject(site, randomness, until))
+    def find_end() -> float:
+        return ends_at
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(inject_faults)
         for caller in callers:
-            nursery.start_soon(caller.run, end)
+            nursery.start_soon(caller.run, find_end)
+        faults.extend(await inject(site, randomness, until))
+        ends_at = time.monotonic() + SETTLE_SECONDS
+    for caller in callers:
+        caller.close()
     # Lets reservations expire that were not released with their requests.
     await trio.sleep(4)
     calls = list(chain.from_iterable(each.calls for each in callers))
+    recovery_due = ends_at - SETTLE_SECONDS / 2
     return _check_records(options, site, calls, recovery_due, faults)
 
 
 async def _wait_ready(callers: list[Caller]) -> None:
     with trio.fail_after(READY_TIMEOUT_SECONDS):
         while not any(caller.calls for caller in callers):
-            await callers[0].run(time.monotonic() + 0.5)
+            end = time.monotonic() + 0.5
+            await callers[0].run(partial(float, end))
 
 
 def _check_records(
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -7,10 +7,12 @@
 
 import json
 import os
+import random
 import signal
 import subprocess
 import sys
 import time
+from collections import defaultdict
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -26,7 +28,7 @@
 
 HOST = 'shop.example'
 HEARTBEAT_INTERVAL_SECONDS = 0.4
-STOP_GRACE_SECONDS = 4
+STOP_GRACE_SECONDS = 8
 # Time in which a revoked API key must stop working.
 REVOCATION_BOUND_SECONDS = 5.0
 # Time in which entries must stop sending requests to a draining endpoint.
@@ -37,6 +39,12 @@
     'twice': ('idempotent', 'desk', 1500, 2),
     'text': ('streaming', 'engines', 8000, 2),
 }
+# Changes of the configuration: routes that another service of the same kind
+# takes over, factors of their timeouts, and limits of the callers' connections.
+MOVABLE_ROUTES = ('once', 'twice')
+OTHER_SERVICE = 'bureau'
+TIMEOUT_FACTORS = (1.0, 1.5, 3.0)
+IDLE_TIMEOUTS_MS = (1000, 3000, 15000)
 # Each entry has its own loopback address, in 127.0.1.0/24 and the following
 # networks.
 _ENTRIES_PER_SUBNET = 200
@@ -57,6 +65,10 @@
     # When the last fault of this entry ended, in seconds of the monotonic
     # clock; infinite while a fault lasts.
     fault_until: float = 0.0
+    # When processes of this entry were killed or suspended, as pairs of the
+    # start and the end; and when each got its first SIGTERM, by its id.
+    breaks: list[tuple[float, float]] = field(default_factory=list)
+    stops: dict[int, float] = field(default_factory=dict)
 
     def start(self, *, logs_to_file: bool = True) -> None:
         """Start a process, unless one runs.
@@ -90,6 +102,13 @@
         if self.popen is not None:
             self.popen.wait()
 
+    def crash(self) -> None:
+        """End the process as a fault, which excuses what it breaks off."""
+        since = time.monotonic()
+        if self.popen is not None and self.popen.poll() is None:
+            self.end()
+            self.breaks.append((since, time.monotonic()))
+
 
 @dataclass(kw_only=True)
 class RunningEndpoint:
@@ -119,6 +138,11 @@
     endpoints: dict[str, RunningEndpoint] = field(default_factory=dict)
     keys: dict[str, str] = field(default_factory=dict)
     revoked_at: dict[str, float] = field(default_factory=dict)
+    # When each endpoint was cut off or hung, as for ``EntryProcess.breaks``.
+    endpoint_breaks: dict[str, list[tuple[float, float]]] = field(
+        default_factory=lambda: defaultdict(list),
+    )
+    configuration: dict[str, object] = field(default_factory=dict)
     configuration_version: int = 0
     endpoint_count: int = 0
 
@@ -131,6 +155,7 @@
             await self.add_endpoint('engines')
         for _ in range(desks):
             await self.add_endpoint('desk')
+            await self.add_endpoint(OTHER_SERVICE)
         for number in range(entries):
             relay = Relay(target=store)
             address = await self._listen(relay.serve)
@@ -181,13 +206,25 @@
             self.nursery.start_soon(self._unlist_crashed, name)
 
     def publish_configuration(self) -> None:
-        """Write the configuration to the store under a new version."""
+        """Write the configuration to the store under a new version.
+
+        ``configuration`` replaces some of its fields.
+        """
         self.configuration_version += 1
-        self.store.put(
-            'op',
-            'config',
-            _configuration(self.configuration_version, self.keys),
-        )
+        document = _configuration(self.configuration_version, self.keys)
+        self.store.put('op', 'config', document | self.configuration)
+
+    def change_configuration(self, randomness: random.Random) -> None:
+        """Move routes, change timeouts and limits, and publish that."""
+        limits = {'idleTimeoutMs': randomness.choice(IDLE_TIMEOUTS_MS)}
+        factor = randomness.choice(TIMEOUT_FACTORS)
+        services = ('desk', OTHER_SERVICE)
+        moves = {name: randomness.choice(services) for name in MOVABLE_ROUTES}
+        self.configuration = {
+            'limits': limits,
+            'routes': _routes(factor, moves),
+        }
+        self.publish_configuration()
 
     def revoke_key(self, key: str) -> None:
         """Revoke a key, as of the time at which the store has the change."""
@@ -273,26 +310,32 @@
     }
 
 
+def _routes(timeout_factor: float, moves: dict[str, str]) -> list[dict]:
+    """Return the routes; ``moves`` maps some of them to another service."""
+    return [
+        {
+            'name': name,
+            'host': HOST,
+            'pathPrefix': f'/{name}/',
+            'kind': kind,
+            'service': moves.get(name, service),
+            'timeoutMs': timeout * timeout_factor,
+            'targetLatencyMs': 300,
+            'maxAttempts': attempts,
+            'resumable': kind == 'streaming',
+            'gapTargetMs': 250,
+        }
+        for name, (kind, service, timeout, attempts) in ROUTES.items()
+    ]
+
+
 def _configuration(version: int, keys: dict[str, str]) -> dict:
     return {
         'version': version,
-        'routes': [
-            {
-                'name': name,
-                'host': HOST,
-                'pathPrefix': f'/{name}/',
-                'kind': kind,
-                'service': service,
-                'timeoutMs': timeout,
-                'targetLatencyMs': 300,
-                'maxAttempts': attempts,
-                'resumable': kind == 'streaming',
-                'gapTargetMs': 250,
-            }
-            for name, (kind, service, timeout, attempts) in ROUTES.items()
-        ],
+        'routes': _routes(1.0, {}),
         'services': [
             {'name': 'desk'},
+            {'name': OTHER_SERVICE},
             {
                 'name': 'engines',
                 'engine': {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,14 +1,20 @@
 """Tests of the soak's checks, and one short soak run."""
 
 import dataclasses
+from collections.abc import Callable
+from contextlib import aclosing
 from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
+import trio
 
 from limpet_standins.platform_endpoints import Journal, Run
+from limpetdrift.transport.messages import Address, Request
+from limpetdrift.transport.server import bound_address, listen
 from soak import checks
 from soak.callers import Call
+from soak.connections import UnansweredError, connect
 from soak.run import SoakOptions, run_seed
 
 NOW = 1000.0
@@ -40,6 +46,9 @@
     expected_events=3,
 )
 
+CUT = {'is_complete': False}
+LATE = {'ended_at': NOW + 4.0}
+
 
 def make_site(*runs: Run, **values: object) -> SimpleNamespace:
     held_tokens = values.pop('held_tokens', 0)
@@ -47,10 +56,19 @@
     journal = Journal(runs=list(runs))
     journal.arrivals = [(run.request_id, run.endpoint, run.at) for run in runs]
     journal.left_at = values.pop('left_at', {})
+    journal.broken = values.pop('broken', set())
     return SimpleNamespace(
         journal=journal,
         revoked_at=values.pop('revoked_at', {}),
-        entries=[SimpleNamespace(host='e', fault_until=0.0)],
+        entries=[
+            SimpleNamespace(
+                host='e',
+                fault_until=0.0,
+                breaks=values.pop('breaks', []),
+                stops=values.pop('stops', {}),
+            ),
+        ],
+        endpoint_breaks=values.pop('endpoint_breaks', {}),
         endpoints={'i-1': SimpleNamespace(endpoint=endpoint)},
     )
 
@@ -74,6 +92,10 @@
     ),
     (checks.leaving_endpoints, make_site(RUN, left_at={'i-1': NOW - 3}), CALL),
     (checks.timely_answers, make_site(), {'ended_at': NOW + 2.1}),
+    (checks.answered_requests, make_site(RUN), CUT),
+    (checks.answered_requests, make_site(), {'status': 0, **CUT}),
+    (checks.answered_requests, make_site(stops={7: NOW - 1}), CUT),
+    (checks.answered_requests, make_site(breaks=[(NOW - 2, NOW - 1)]), CUT),
     (checks.free_memory, make_site(held_tokens=5), CALL),
 )
 
@@ -86,6 +108,59 @@
     assert list(check(site, [dataclasses.replace(call, **changes)]))
 
 
+EXCUSED = (
+    (make_site(), {'status': 0, 'is_unread': True}),
+    (make_site(), {'has_disconnected': True}),
+    (make_site(), {'ended_at': NOW + 1}),
+    (make_site(broken={'1-1-once'}), {}),
+    (make_site(breaks=[(NOW + 0.05, NOW + 9)]), {}),
+    (make_site(RUN, endpoint_breaks={'i-1': [(NOW - 9, NOW + 0.01)]}), {}),
+    (make_site(RUN, stops={7: NOW - 2.9}), {'deadline_seconds': 9.0, **LATE}),
+)
+
+
+@pytest.mark.parametrize(('site', 'changes'), EXCUSED)
+def test_request_may_end_without_an_answer_for_a_known_reason(site, changes):
+    call = dataclasses.replace(CALL, **CUT, **changes)
+    assert not list(checks.answered_requests(site, [call]))
+
+
+async def call_unanswered(entry: Callable) -> bool:
+    """Return whether the entry had not read the request that it cut off."""
+    listeners = await listen(Address(host='127.0.0.1', port=0))
+    request = Request(method='GET', path='/', headers=(('host', 'h'),))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, entry, listeners)
+        connection = await connect(bound_address(listeners))
+        await trio.sleep(0.05)
+        try:
+            async with aclosing(connection.call(request)) as answer:
+                async for part in answer:
+                    pytest.fail(f'received {part}')
+        except UnansweredError as error:
+            is_unread = error.is_unread
+        connection.close()
+        nursery.cancel_scope.cancel()
+    return is_unread
+
+
+def test_caller_knows_that_a_request_was_read_before_the_close():
+    async def entry(stream: trio.SocketStream) -> None:
+        await stream.receive_some(65_536)
+        await trio.aclose_forcefully(stream)
+
+    assert not trio.run(call_unanswered, entry)
+
+
+@pytest.mark.parametrize('seconds', (0, 0.1), ids=('before', 'after'))
+def test_caller_knows_that_a_request_crossed_the_close(seconds):
+    async def entry(stream: trio.SocketStream) -> None:
+        await trio.sleep(seconds)
+        await trio.aclose_forcefully(stream)
+
+    assert trio.run(call_unanswered, entry)
+
+
 @pytest.mark.parametrize('check', (*checks.ALWAYS, *checks.TIMED))
 def test_checks_report_nothing_on_valid_records(check):
     site = make_site(RUN)
