--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -90,6 +90,7 @@
     async def _choose_entry(self) -> Address | None:
         if time.monotonic() > self._cache_expires_at:
             await self._resolve()
+        self._drop_closed()
         addresses = self._addresses
         uses_open = self._randomness.random() < _OPEN_CONNECTION_SHARE
         if self._connections and uses_open:
@@ -99,6 +100,12 @@
             return None
         return self._randomness.choice(addresses)
 
+    def _drop_closed(self) -> None:
+        for address, connection in tuple(self._connections.items()):
+            if connection.is_closed:
+                connection.close()
+                del self._connections[address]
+
     async def _resolve(self) -> None:
         for entry in self._randomness.sample(self._site.entries, 3):
             answer = await self._client.fetch(
--- a/tests/soak/connections.py
+++ b/tests/soak/connections.py
@@ -48,6 +48,11 @@
         states = {self.protocol.our_state, self.protocol.their_state}
         return states == {h11.DONE}
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the entry's close has arrived while the connection idled."""
+        return self.stream.socket.is_readable()
+
     def close(self) -> None:
         """Close the connection without waiting."""
         self.stream.socket.close()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,12 +12,13 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from functools import partial
 from itertools import chain
 from math import inf
 from pathlib import Path
 
+import msgspec
 import trio
 
 from soak.callers import Call, Caller
@@ -140,6 +141,8 @@
     ]
     served = [call for call in calls if call.is_complete and call.status == 200]
     served_after = [call for call in calls_after if call in served]
+    payload = msgspec.json.encode([asdict(call) for call in calls])
+    site.folder.joinpath('calls.json').write_bytes(payload)
     if len(served_after) < 0.9 * len(calls_after):
         violations.append(
             f'recovery: {len(served_after)} of {len(calls_after)} served'
@@ -155,7 +158,7 @@
 
 
 def run_seed(options: SoakOptions) -> Outcome:
-    """Run one seed; keep its settings and logs if a check fails."""
+    """Run one seed; keep its settings, logs and calls if a check fails."""
     folder = Path(tempfile.mkdtemp(prefix=f'soak-{options.seed}-'))
     outcome = trio.run(soak, options, folder)
     if not outcome.violations:
