Log each request that ends without a whole answer, and why

Each such end now gives one line, 'connection closed without a whole answer', with the id, the path, the reason, whether the head was sent and the seconds since the request was read, and counts in limpet_exchanges_cut_total{reason}. Callers that leave are logged only for sampled requests. Connections closed at their idle limit count in limpet_transport_closed_total{reason=idle-limit}, and 'stopped' says how many exchanges the end of the process cut and how old the oldest was. What callers get is unchanged.

--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -21,7 +21,11 @@
 )
 from limpetdrift.coordination.plain_placer import PlainPlacer
 from limpetdrift.coordination.plan_placer import PlanPlacer
-from limpetdrift.platform.admission import AdmissionInputs, check_key
+from limpetdrift.platform.admission import (
+    REQUEST_ID_HEADER,
+    AdmissionInputs,
+    check_key,
+)
 from limpetdrift.platform.callers import (
     CallerHandlerInputs,
     make_caller_handler,
@@ -249,7 +253,10 @@
         render=render,
         drain=lambda: drain,
     )
-    callers = Server(handler=make_caller_handler(handler_inputs))
+    callers = Server(
+        handler=make_caller_handler(handler_inputs),
+        find_request_id=lambda request: request.header(REQUEST_ID_HEADER),
+    )
     drain_grace_seconds = bounds.stop_seconds * DRAIN_GRACE_SHARE
     drain = Drain(
         membership=context.membership,
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -100,7 +100,13 @@
                 await listen_and_serve(address, server, nursery)
         logs.note('started', instance=settings.instance, node=entry.node.name)
         await stop_on_signals(_make_stop(entry), nursery.cancel_scope)
-    logs.note('stopped', node=entry.node.name)
+    cut = entry.callers.cut_at_end
+    logs.note(
+        'stopped',
+        node=entry.node.name,
+        cut=cut.count,
+        longest_cut_seconds=round(cut.longest_seconds, 3),
+    )
 
 
 def _make_stop(entry: EntryComponents):
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -16,6 +17,12 @@
 from absl import logging
 
 from limpetdrift import telemetry
+from limpetdrift.transport.cut_exchanges import (
+    CutExchange,
+    CutReason,
+    CutRecorder,
+    CutTotals,
+)
 from limpetdrift.transport.messages import (
     DEFAULT_BODY_LIMIT_BYTES,
     DEFAULT_HEADER_LIMIT_BYTES,
@@ -70,6 +77,7 @@
     def __init__(self, *, stream: trio.abc.Stream, limits: ServerLimits):
         self.stream = stream
         self.limits = limits
+        self._is_writing = False
         # Bounds every write; a scope for each write would cost more.
         self.write_scope = trio.CancelScope()
         self.protocol = h11.Connection(
@@ -77,6 +85,19 @@
             max_incomplete_event_size=limits.header_bytes,
         )
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last response was written to its end."""
+        states = {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
+        return not self._is_writing and self.protocol.our_state in states
+
+    async def wait_first_bytes(self) -> bytes:
+        """Return a request's first bytes; none when the connection ends."""
+        with trio.move_on_after(self.limits.idle_seconds):
+            return await self.stream.receive_some(RECEIVE_BYTES)
+        telemetry.count('transport_closed', reason='idle-limit')
+        return b''
+
     async def next_event(self, read_seconds: float) -> h11.Event | type:
         """Return the next event; ``read_seconds`` bounds each read."""
         while True:
@@ -96,7 +117,9 @@
         if payload:
             now = trio.current_time()
             self.write_scope.deadline = now + self.limits.write_seconds
+            self._is_writing = True
             await self.stream.send_all(payload)
+            self._is_writing = False
             self.write_scope.deadline = math.inf
 
 
@@ -107,6 +130,7 @@
         self.request = request
         self._connection = connection
         self._started = False
+        self._end: CutReason | None = None
         self._close_headers: Headers = ()
 
     @property
@@ -114,6 +138,15 @@
         """Whether sending of the response has begun."""
         return self._started
 
+    @property
+    def cut_reason(self) -> CutReason | None:
+        """Why this exchange can get no whole response, if that is known."""
+        return self._end
+
+    def mark_failed(self) -> None:
+        """Record that the handler failed."""
+        self._end = CutReason.HANDLER_ERROR
+
     def close_afterwards(self) -> None:
         """Send ``connection: close`` with the response."""
         self._close_headers = (('connection', 'close'),)
@@ -153,6 +186,7 @@
 
     async def abort(self) -> None:
         """Close the connection in the middle of a body."""
+        self._end = CutReason.ABORTED
         await trio.aclose_forcefully(self._connection.stream)
 
     async def wait_closed(self) -> None:
@@ -170,8 +204,9 @@
                     RECEIVE_BYTES,
                 )
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+                received = b''
             if not received:
+                self._end = CutReason.PEER_CLOSED
                 return
             protocol.receive_data(received)
         await trio.sleep_forever()
@@ -181,15 +216,21 @@
 
 
 class Server:
-    """Passes the requests of each connection to one handler."""
+    """Passes the requests of each connection to one handler.
+
+    ``find_request_id`` returns the id under which a request is logged.
+    """
 
     def __init__(
         self,
         *,
         handler: Handler,
         limits: ServerLimits | None = None,
+        find_request_id: Callable[[Request], str] | None = None,
     ) -> None:
         self._handler = handler
+        self._find_request_id = find_request_id or _no_request_id
+        self._cuts = CutRecorder()
         self._limits = limits or ServerLimits()
         self._open_exchanges = 0
         self._exchange_closed = trio.Event()
@@ -199,6 +240,11 @@
         """The number of requests without a complete response."""
         return self._open_exchanges
 
+    @property
+    def cut_at_end(self) -> CutTotals:
+        """The exchanges that were cancelled together with the server."""
+        return self._cuts.totals
+
     def use_limits(self, limits: ServerLimits) -> None:
         """Set the limits of connections that are accepted from now on."""
         self._limits = limits
@@ -254,6 +300,7 @@
         self, connection: _Connection, request: Request
     ) -> None:
         exchange = Exchange(request=request, connection=connection)
+        started_at = trio.current_time()
         self._open_exchanges += 1
         try:
             await self._handler(exchange)
@@ -262,16 +309,35 @@
         except Exception:
             logging.exception('handler failed: %s', request.path)
             telemetry.count('handler_errors')
+            exchange.mark_failed()
             if not exchange.started:
                 await exchange.respond(Response(status=_INTERNAL_ERROR))
         finally:
             self._close_exchange()
+            if not connection.is_answered:
+                self._record_cut(exchange, connection, started_at)
 
     def _close_exchange(self) -> None:
         self._open_exchanges -= 1
         self._exchange_closed.set()
         self._exchange_closed = trio.Event()
 
+    def _record_cut(
+        self, exchange: Exchange, connection: _Connection, started_at: float
+    ) -> None:
+        """Record an exchange that ends now; an error may be under way."""
+        error = sys.exception()
+        self._cuts.record(
+            CutExchange(
+                request_id=self._find_request_id(exchange.request),
+                path=exchange.request.path,
+                reason=exchange.cut_reason or _cut_reason(error, connection),
+                head_sent=exchange.started,
+                seconds=trio.current_time() - started_at,
+                detail=repr(error) if error else '',
+            ),
+        )
+
 
 _STREAM_ERRORS = (
     trio.BrokenResourceError,
@@ -281,6 +347,30 @@
 _CLOSING_ERRORS = (*_STREAM_ERRORS, h11.LocalProtocolError)
 
 
+def _no_request_id(request: Request) -> str:
+    return ''
+
+
+def _cut_reason(
+    error: BaseException | None, connection: _Connection
+) -> CutReason:
+    if error is None:
+        return CutReason.UNANSWERED
+    if _is_cancellation(error):
+        if connection.write_scope.cancel_called:
+            return CutReason.SLOW_READER
+        return CutReason.CANCELLED
+    if isinstance(error, trio.BrokenResourceError):
+        return CutReason.PEER_CLOSED
+    return CutReason.HANDLER_ERROR
+
+
+def _is_cancellation(error: BaseException) -> bool:
+    if isinstance(error, BaseExceptionGroup):
+        return error.split(trio.Cancelled)[1] is None
+    return isinstance(error, trio.Cancelled)
+
+
 async def listen(address: Address) -> list[trio.SocketListener]:
     """Open listeners for one IP address and port."""
     return await trio.open_tcp_listeners(address.port, host=address.host)
@@ -311,8 +401,7 @@
     limits = connection.limits
     if not connection.protocol.trailing_data[0]:
         received = b''
-        with trio.move_on_after(limits.idle_seconds):
-            received = await connection.stream.receive_some(RECEIVE_BYTES)
+        received = await connection.wait_first_bytes()
         if not received:
             return None
         connection.protocol.receive_data(received)
