Keep draining when SIGTERM comes a second time

Callers whose requests an entry had admitted lost their answers when the entry was sent SIGTERM twice: the second signal stopped it at once and cut off every stream. Signals come in series, from supervisors that repeat them, so a second one says nothing new. What bounds a drain is its timing, and at the last a kill.

Only SIGINT during a drain stops at once now, which is an operator's second Ctrl-C. The handlers are installed before a program listens, so that SIGTERM in the middle of a start doesn't cut off the first callers, and SIGTERM has no effect between the end of a drain and the end of the process, where the default ended it before its last lines were logged.

--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -64,7 +64,7 @@
 
 
 async def serve(settings: PlatformSettings) -> None:
-    """Run one entry until it has drained, or a second signal stops it."""
+    """Run one entry until it has drained, or SIGINT ends the drain."""
     entry = build_entry(settings)
     listeners = settings.listeners
     servers = (
@@ -93,13 +93,15 @@
     )
     register_gauges(entry)
     async with trio.open_nursery() as nursery:
+        await nursery.start(
+            stop_on_signals, _make_stop(entry), nursery.cancel_scope
+        )
         for task in tasks:
             nursery.start_soon(task)
         for address, server in servers:
             if address is not None:
                 await listen_and_serve(address, server, nursery)
         logs.note('started', instance=settings.instance, node=entry.node.name)
-        await stop_on_signals(_make_stop(entry), nursery.cancel_scope)
     cut = entry.callers.cut_at_end
     logs.note(
         'stopped',
--- a/src/limpetdrift/programs/entry.py
+++ b/src/limpetdrift/programs/entry.py
@@ -41,11 +41,14 @@
 async def serve(settings: EntrySettings) -> None:
     """Run one entry until it is stopped.
 
-    The first signal starts a drain, after which it ends; a second one ends it
-    immediately.
+    The first signal starts a drain, after which it ends; SIGINT during the
+    drain ends it immediately.
     """
     async with trio.open_nursery() as nursery:
         components = build_components(settings, nursery)
+        await nursery.start(
+            stop_on_signals, components.drain.run, nursery.cancel_scope
+        )
         for task in components.tasks:
             nursery.start_soon(task)
         callers = await listen_and_serve(
@@ -58,7 +61,6 @@
         )
         await components.join_seeds()
         announce(settings.name, callers=callers, peers=peers)
-        await stop_on_signals(components.drain.run, nursery.cancel_scope)
 
 
 if __name__ == '__main__':
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -2,7 +2,7 @@
 
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import trio
 from absl import logging
@@ -78,23 +78,38 @@
 async def stop_on_signals(
     drain: Callable[[], Awaitable[None]],
     scope: trio.CancelScope,
+    *,
+    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Drain on the first SIGTERM or SIGINT, then cancel ``scope``.
 
-    A second signal cancels it immediately.
+    During the drain further SIGTERMs are logged only, since whoever sends
+    them may repeat them; SIGINT cancels ``scope`` immediately. SIGTERM has no
+    effect any more once the drain has ended.
     """
+    early: list[int] = []
+    # Restored when the receiver closes: the default would end the process
+    # before its last lines are logged.
+    signal.signal(signal.SIGTERM, lambda number, frame: early.append(number))
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        task_status.started()
         async with trio.open_nursery() as nursery:
-            await anext(received)
+            if not early:
+                await anext(received)
             logging.info('draining')
             nursery.start_soon(_drain_and_stop, drain, scope)
-            await anext(received)
-            logging.info(
-                'second signal received; stopping without finishing the drain'
-            )
+            await _wait_for_interrupt(received)
+            logging.info('interrupted; stopping without finishing the drain')
             scope.cancel()
 
 
+async def _wait_for_interrupt(received: AsyncIterator[int]) -> None:
+    async for number in received:
+        if number == signal.SIGINT:
+            return
+        logging.info('draining already; signal %d has no effect', number)
+
+
 async def _drain_and_stop(
     drain: Callable[[], Awaitable[None]],
     scope: trio.CancelScope,
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -1,6 +1,7 @@
 """Tests of an entry that runs as a process with stand-ins of the platform."""
 
 import json
+import signal
 import subprocess
 import sys
 
@@ -160,3 +161,64 @@
 
     trio.run(run_site)
     assert exit_codes == [0]
+
+
+def test_signals_in_series_cut_off_no_admitted_stream(tmp_path):
+    bodies: list[bytes | None] = []
+    exit_codes: list[int] = []
+
+    async def open_stream(entry: EntryProcess, key: str) -> None:
+        answer = await HttpClient().fetch(
+            Address(host=entry.host, port=entry.port),
+            Request(
+                method='POST',
+                path='/text/x',
+                headers=(
+                    ('host', HOST),
+                    ('attempt-id', 'a1'),
+                    ('authorization', f'Bearer {key}'),
+                    ('token-usage', '2000,2000'),
+                ),
+            ),
+            timeout_seconds=10,
+        )
+        bodies.append(answer.ok.body if answer.is_ok() else None)
+
+    async def stop_in_series(entry: EntryProcess) -> None:
+        for number in (
+            signal.SIGHUP,
+            signal.SIGTERM,
+            signal.SIGTERM,
+            signal.SIGHUP,
+            signal.SIGTERM,
+        ):
+            await trio.sleep(0.15)
+            entry.signal(number)
+        exit_codes.append(await trio.to_thread.run_sync(entry.popen.wait))
+
+    async def run_site() -> None:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=tmp_path, port=PORT + 40, nursery=nursery)
+            try:
+                await site.open(1, engines=1, desks=1)
+                await stop_during_a_stream(site.entries[0])
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+    async def stop_during_a_stream(entry: EntryProcess) -> None:
+        address = Address(host=entry.host, port=PORT + 41)
+        await wait_ready(HttpClient(), address)
+        await trio.sleep(1)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(open_stream, entry, 'key-0')
+            nursery.start_soon(stop_in_series, entry)
+
+    trio.run(run_site)
+    events = [
+        line
+        for line in (bodies[0] or b'').splitlines()
+        if line.startswith(b'id: ')
+    ]
+    assert len(events) == 39
+    assert exit_codes == [0]
