--- a/src/limpet_standins/serving.py
+++ b/src/limpet_standins/serving.py
@@ -10,13 +10,13 @@
 from limpet_standins.controls import Controls
 from limpetdrift import logs
 from limpetdrift.protocol.codec import decode, encode_line, json_response
+from limpetdrift.transport.connection import ServerLimits
 from limpetdrift.transport.messages import parse_address
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import (
     Exchange,
     Handler,
     Server,
-    ServerLimits,
     bound_address,
     listen,
 )
--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -13,8 +13,10 @@
     admit,
 )
 from limpetdrift.platform.failure_responses import RenderFailure
+from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.verdict import Failure
-from limpetdrift.transport.server import Exchange, Handler
+from limpetdrift.transport.connection import ServerLimits
+from limpetdrift.transport.server import Exchange, Handler, Server
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -61,3 +63,16 @@
         await exchange.respond(inputs.render(failure))
 
     return serve
+
+
+def apply_limits(server: Server, table: RouteTable) -> None:
+    """Make a server use the limits on callers of a route table."""
+    limits = table.limits
+    server.use_limits(
+        ServerLimits(
+            body_bytes=limits.body_bytes,
+            header_bytes=limits.header_bytes,
+            idle_seconds=limits.idle_seconds,
+            head_seconds=limits.head_seconds,
+        ),
+    )
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -28,6 +28,7 @@
 )
 from limpetdrift.platform.callers import (
     CallerHandlerInputs,
+    apply_limits,
     make_caller_handler,
 )
 from limpetdrift.platform.directory import DirectoryInputs
@@ -51,7 +52,6 @@
 from limpetdrift.platform.store import StoreClient
 from limpetdrift.platform.store_replica import ReplicaInputs, StoreReplica
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import (
     CallerRequest,
@@ -63,7 +63,7 @@
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.client import ClientLimits, HttpClient
 from limpetdrift.transport.routing import Routes
-from limpetdrift.transport.server import Server, ServerLimits
+from limpetdrift.transport.server import Server
 
 # Staleness bound of keys, as a share of the time within which a revoked key
 # must be refused. The rest covers requests on their way to an endpoint.
@@ -270,7 +270,7 @@
         ),
         randomness=context.randomness,
     )
-    context.routes.on_change.append(lambda table: _apply_limits(callers, table))
+    context.routes.on_change.append(lambda table: apply_limits(callers, table))
     return callers, drain
 
 
@@ -336,18 +336,6 @@
     )
 
 
-def _apply_limits(callers: Server, table: RouteTable) -> None:
-    limits = table.limits
-    callers.use_limits(
-        ServerLimits(
-            body_bytes=limits.body_bytes,
-            header_bytes=limits.header_bytes,
-            idle_seconds=limits.idle_seconds,
-            head_seconds=limits.head_seconds,
-        ),
-    )
-
-
 def _build_peer_server(
     membership: Membership,
     plan_placer: PlanPlacer,
--- /dev/null
+++ b/src/limpetdrift/transport/connection.py
@@ -0,0 +1,97 @@
+"""One connection of a server: its stream, its h11 state and its limits."""
+
+import math
+from dataclasses import dataclass
+
+import h11
+import trio
+
+from limpetdrift import telemetry
+from limpetdrift.transport.messages import (
+    DEFAULT_BODY_LIMIT_BYTES,
+    DEFAULT_HEADER_LIMIT_BYTES,
+)
+
+RECEIVE_BYTES = 65_536
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLimits:
+    """Limits on each connection of a server.
+
+    ``body_bytes`` and ``header_bytes`` are the maximum sizes of a request's
+    body and headers. ``idle_seconds`` bounds the wait for the first byte of a
+    request, ``head_seconds`` the wait for the rest of its head,
+    ``body_seconds`` each read of its body, and ``write_seconds`` each write
+    to the peer.
+    """
+
+    body_bytes: int = DEFAULT_BODY_LIMIT_BYTES
+    header_bytes: int = DEFAULT_HEADER_LIMIT_BYTES
+    idle_seconds: float = 75.0
+    head_seconds: float = 10.0
+    body_seconds: float = 10.0
+    write_seconds: float = 20.0
+
+
+class BadInputError(Exception):
+    """A request exceeds a limit or breaks the protocol.
+
+    ``status`` is the HTTP status to respond with.
+    """
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+class Connection:
+    """The stream and the h11 state of one accepted connection."""
+
+    def __init__(self, *, stream: trio.abc.Stream, limits: ServerLimits):
+        self.stream = stream
+        self.limits = limits
+        self._is_writing = False
+        # Bounds every write; a scope for each write would cost more.
+        self.write_scope = trio.CancelScope()
+        self.protocol = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=limits.header_bytes,
+        )
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the last response was written to its end."""
+        states = {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
+        return not self._is_writing and self.protocol.our_state in states
+
+    async def wait_first_bytes(self) -> bytes:
+        """Return a request's first bytes; none when the connection ends."""
+        with trio.move_on_after(self.limits.idle_seconds):
+            return await self.stream.receive_some(RECEIVE_BYTES)
+        telemetry.count('transport_closed', reason='idle-limit')
+        return b''
+
+    async def next_event(self, read_seconds: float) -> h11.Event | type:
+        """Return the next event; ``read_seconds`` bounds each read."""
+        while True:
+            event = self.protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            with trio.fail_after(read_seconds):
+                received = await self.stream.receive_some(RECEIVE_BYTES)
+            self.protocol.receive_data(received)
+
+    async def send(self, *events: h11.Event) -> None:
+        """Write events in one call.
+
+        The write scope is cancelled if the peer reads too slowly.
+        """
+        payload = b''.join(self.protocol.send(event) or b'' for event in events)
+        if payload:
+            now = trio.current_time()
+            self.write_scope.deadline = now + self.limits.write_seconds
+            self._is_writing = True
+            await self.stream.send_all(payload)
+            self._is_writing = False
+            self.write_scope.deadline = math.inf
--- a/tests/server_harness.py
+++ b/tests/server_harness.py
@@ -2,7 +2,8 @@
 
 from trio.testing import memory_stream_pair
 
-from limpetdrift.transport.server import Server, ServerLimits
+from limpetdrift.transport.connection import ServerLimits
+from limpetdrift.transport.server import Server
 
 HEAD = b'GET /x HTTP/1.1\r\nHost: a\r\nId: r-1\r\n\r\n'
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -8,8 +8,9 @@
 import trio
 from trio.testing import lockstep_stream_pair, memory_stream_pair
 
+from limpetdrift.transport.connection import ServerLimits
 from limpetdrift.transport.messages import Response
-from limpetdrift.transport.server import Server, ServerLimits
+from limpetdrift.transport.server import Server
 from virtual_time import in_virtual_time
 
 LIMITS = ServerLimits(
--- a/tests/test_cut_exchanges.py
+++ b/tests/test_cut_exchanges.py
@@ -5,8 +5,8 @@
 from trio.testing import lockstep_stream_pair, memory_stream_pair
 
 from limpetdrift.transport import cut_exchanges
+from limpetdrift.transport.connection import ServerLimits
 from limpetdrift.transport.messages import Response
-from limpetdrift.transport.server import ServerLimits
 from server_harness import HEAD, ServerHarness, read_all
 from virtual_time import run_in_virtual_time
 
