Answer requests that are half read when a drain ends

A caller whose body was still on its way when the drain ended got a closed connection: the drain waits for requests that have been read, and then the nursery was cancelled with all connections. So did one whose request crossed the close of its idle connection, and one that waited when the longest drain was over, though nothing had been sent to it.

A server now closes in steps: it stops accepting, ends idle connections after a last read, answers what has begun to arrive for up to 0.4 s (both entries), then cancels the handlers and gives status 500 to requests without any part of a response. All of it lies within the margin before the kill.

--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -24,6 +24,7 @@
 from limpetdrift.platform.settings import PlatformSettings, read_settings
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.programs.serving import (
+    CLOSE_SECONDS,
     listen_and_serve,
     stop_on_signals,
 )
@@ -116,6 +117,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(entry.registration.leave)
             await entry.drain.run()
+            await entry.callers.close(CLOSE_SECONDS)
             nursery.cancel_scope.cancel()
 
     return stop
--- a/src/limpetdrift/programs/entry.py
+++ b/src/limpetdrift/programs/entry.py
@@ -9,6 +9,7 @@
 from limpetdrift import logs
 from limpetdrift.programs.entry_wiring import build_components
 from limpetdrift.programs.serving import (
+    CLOSE_SECONDS,
     announce,
     listen_and_serve,
     stop_on_signals,
@@ -46,9 +47,12 @@
     """
     async with trio.open_nursery() as nursery:
         components = build_components(settings, nursery)
-        await nursery.start(
-            stop_on_signals, components.drain.run, nursery.cancel_scope
-        )
+
+        async def stop() -> None:
+            await components.drain.run()
+            await components.callers.close(CLOSE_SECONDS)
+
+        await nursery.start(stop_on_signals, stop, nursery.cancel_scope)
         for task in components.tasks:
             nursery.start_soon(task)
         callers = await listen_and_serve(
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -19,6 +19,8 @@
 )
 
 Task = Callable[[], Awaitable[None]]
+# How long requests that are half read at the end of a drain may still take.
+CLOSE_SECONDS = 0.4
 _METRICS_HEADERS = (('content-type', 'text/plain; version=0.0.4'),)
 
 
--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -13,6 +13,8 @@
 )
 
 RECEIVE_BYTES = 65_536
+# How long a connection is read once more before it is closed as idle.
+LAST_READ_SECONDS = 0.05
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,24 +54,47 @@
         self.stream = stream
         self.limits = limits
         self._is_writing = False
+        self._is_closing = False
+        self._idle_scope = trio.CancelScope()
         # Bounds every write; a scope for each write would cost more.
         self.write_scope = trio.CancelScope()
+        # Bounds the handler of the request under way.
+        self.handler_scope = trio.CancelScope()
         self.protocol = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=limits.header_bytes,
         )
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection closes after the request under way."""
+        return self._is_closing
+
     @property
     def is_answered(self) -> bool:
         """Whether the last response was written to its end."""
         states = {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
         return not self._is_writing and self.protocol.our_state in states
 
+    def close_when_idle(self) -> None:
+        """Close after the request that is being received or answered."""
+        self._is_closing = True
+        self._idle_scope.cancel()
+
     async def wait_first_bytes(self) -> bytes:
         """Return a request's first bytes; none when the connection ends."""
-        with trio.move_on_after(self.limits.idle_seconds):
+        now = trio.current_time()
+        self._idle_scope = trio.CancelScope(
+            deadline=now + self.limits.idle_seconds
+        )
+        if not self._is_closing:
+            with self._idle_scope:
+                return await self.stream.receive_some(RECEIVE_BYTES)
+        # A request may have arrived as the wait ended.
+        with trio.move_on_after(LAST_READ_SECONDS):
             return await self.stream.receive_some(RECEIVE_BYTES)
-        telemetry.count('transport_closed', reason='idle-limit')
+        reason = 'server-closing' if self._is_closing else 'idle-limit'
+        telemetry.count('transport_closed', reason=reason)
         return b''
 
     async def next_event(self, read_seconds: float) -> h11.Event | type:
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -36,7 +36,6 @@
 async def _receive_head(connection: Connection) -> h11.Request | None:
     limits = connection.limits
     if not connection.protocol.trailing_data[0]:
-        received = b''
         received = await connection.wait_first_bytes()
         if not received:
             return None
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -36,6 +36,8 @@
 
 _TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
 _INTERNAL_ERROR = 500
+# How long the last responses may take when a server closes.
+LAST_WRITE_SECONDS = 0.1
 
 
 class Exchange:
@@ -47,6 +49,8 @@
         self._started = False
         self._end: CutReason | None = None
         self._close_headers: Headers = ()
+        if connection.is_closing:
+            self.close_afterwards()
 
     @property
     def started(self) -> bool:
@@ -58,9 +62,9 @@
         """Why this exchange can get no whole response, if that is known."""
         return self._end
 
-    def mark_failed(self) -> None:
-        """Record that the handler failed."""
-        self._end = CutReason.HANDLER_ERROR
+    def mark_cut(self, reason: CutReason) -> None:
+        """Record why the handler has ended without a whole response."""
+        self._end = reason
 
     def close_afterwards(self) -> None:
         """Send ``connection: close`` with the response."""
@@ -148,7 +152,11 @@
         self._cuts = CutRecorder()
         self._limits = limits or ServerLimits()
         self._open_exchanges = 0
-        self._exchange_closed = trio.Event()
+        # Woken when an exchange or a connection has ended.
+        self._waiting = trio.lowlevel.ParkingLot()
+        self._connections: set[Connection] = set()
+        self._accept_scopes: list[trio.CancelScope] = []
+        self._is_closing = False
 
     @property
     def open_exchanges(self) -> int:
@@ -167,7 +175,7 @@
     async def wait_idle(self) -> None:
         """Wait until every received request has its complete response."""
         while self._open_exchanges:
-            await self._exchange_closed.wait()
+            await self._waiting.park()
 
     async def serve(
         self,
@@ -175,23 +183,61 @@
         *,
         task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept connections until cancelled."""
-        await trio.serve_listeners(
-            self.handle_stream,
-            listeners,
-            task_status=task_status,
-        )
+        """Accept connections until cancelled, and serve those accepted."""
+        accept_scope = trio.CancelScope()
+        self._accept_scopes.append(accept_scope)
+        async with trio.open_nursery() as nursery:
+            with accept_scope:
+                await trio.serve_listeners(
+                    self.handle_stream,
+                    listeners,
+                    handler_nursery=nursery,
+                    task_status=task_status,
+                )
+
+    async def close(self, timeout_seconds: float) -> None:
+        """Accept no more connections, and end those that are open.
+
+        Requests that have begun to arrive are still answered. After the
+        timeout the handlers are cancelled, and requests without any part of
+        a response get status 500.
+        """
+        self._is_closing = True
+        for accept_scope in self._accept_scopes:
+            accept_scope.cancel()
+        for connection in self._connections:
+            connection.close_when_idle()
+        with trio.move_on_after(timeout_seconds):
+            await self._wait_unconnected()
+        for unfinished in self._connections:
+            unfinished.handler_scope.cancel()
+        with trio.move_on_after(LAST_WRITE_SECONDS):
+            await self._wait_unconnected()
 
     async def handle_stream(self, stream: trio.abc.Stream) -> None:
         """Serve the requests of one connection in order until it is closed."""
         connection = Connection(stream=stream, limits=self._limits)
+        if self._is_closing:
+            connection.close_when_idle()
+        self._connections.add(connection)
+        try:
+            await self._serve_connection(connection)
+        finally:
+            self._connections.discard(connection)
+            self._waiting.unpark_all()
+
+    async def _wait_unconnected(self) -> None:
+        while self._connections:
+            await self._waiting.park()
+
+    async def _serve_connection(self, connection: Connection) -> None:
         try:
             with connection.write_scope:
                 await self._serve_requests(connection)
         except _CLOSING_ERRORS as error:
             telemetry.count('transport_closed', reason=type(error).__name__)
         finally:
-            await trio.aclose_forcefully(stream)
+            await trio.aclose_forcefully(connection.stream)
         if connection.write_scope.cancelled_caught:
             telemetry.count('transport_closed', reason='slow-reader')
 
@@ -218,29 +264,37 @@
         started_at = trio.current_time()
         self._open_exchanges += 1
         try:
-            await self._handler(exchange)
+            await self._call_handler(exchange, connection)
         except _STREAM_ERRORS:
             raise
         except Exception:
             logging.exception('handler failed: %s', request.path)
             telemetry.count('handler_errors')
-            exchange.mark_failed()
+            exchange.mark_cut(CutReason.HANDLER_ERROR)
             if not exchange.started:
                 await exchange.respond(Response(status=_INTERNAL_ERROR))
         finally:
-            self._close_exchange()
-            if not connection.is_answered:
-                self._record_cut(exchange, connection, started_at)
+            self._end_exchange(exchange, connection, started_at)
 
-    def _close_exchange(self) -> None:
-        self._open_exchanges -= 1
-        self._exchange_closed.set()
-        self._exchange_closed = trio.Event()
+    async def _call_handler(
+        self, exchange: Exchange, connection: Connection
+    ) -> None:
+        connection.handler_scope = trio.CancelScope()
+        with connection.handler_scope:
+            await self._handler(exchange)
+        if connection.handler_scope.cancelled_caught:
+            exchange.mark_cut(CutReason.CANCELLED)
+            if not exchange.started:
+                await exchange.respond(Response(status=_INTERNAL_ERROR))
 
-    def _record_cut(
+    def _end_exchange(
         self, exchange: Exchange, connection: Connection, started_at: float
     ) -> None:
-        """Record an exchange that ends now; an error may be under way."""
+        """End an exchange; an error may be on its way to the connection."""
+        self._open_exchanges -= 1
+        self._waiting.unpark_all()
+        if connection.is_answered:
+            return
         error = sys.exception()
         self._cuts.record(
             CutExchange(
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -4,13 +4,15 @@
 import signal
 import subprocess
 import sys
+from contextlib import suppress
 
 import trio
 
+from limpetdrift.platform.entry_wiring import DRAIN_GRACE_SHARE
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request
-from soak.site import HOST, EntryProcess, Site
+from soak.site import HOST, STOP_GRACE_SECONDS, EntryProcess, Site
 
 PORT = 20_900
 READY_SECONDS = 30.0
@@ -222,3 +224,37 @@
     ]
     assert len(events) == 39
     assert exit_codes == [0]
+
+
+def test_request_half_read_at_the_end_of_a_drain_is_refused(tmp_path):
+    answers: list[bytes] = []
+
+    async def post_slowly(entry: EntryProcess) -> None:
+        """Send the rest of a body just after the grace period has ended."""
+        stream = await trio.open_tcp_stream(entry.host, entry.port)
+        head = f'POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a1\r\n'
+        await stream.send_all(f'{head}Content-Length: 4\r\n\r\nha'.encode())
+        await trio.sleep(DRAIN_GRACE_SHARE * STOP_GRACE_SECONDS + 0.2)
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(b'lf')
+            answers.append(await stream.receive_some(4096))
+
+    async def run_site() -> None:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=tmp_path, port=PORT + 60, nursery=nursery)
+            try:
+                await site.open(1, engines=1, desks=1)
+                await stop_during_a_request(site.entries[0])
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+    async def stop_during_a_request(entry: EntryProcess) -> None:
+        address = Address(host=entry.host, port=PORT + 61)
+        await wait_ready(HttpClient(), address)
+        entry.signal(signal.SIGTERM)
+        await post_slowly(entry)
+        await trio.to_thread.run_sync(entry.popen.wait)
+
+    trio.run(run_site)
+    assert answers[0].startswith(b'HTTP/1.1 503 ')
--- /dev/null
+++ b/tests/test_server_close.py
@@ -0,0 +1,111 @@
+"""A server that closes answers the requests that it has begun to read."""
+
+import pytest
+import trio
+
+from limpetdrift.transport.messages import Address, Response
+from limpetdrift.transport.server import Server, bound_address, listen
+from server_harness import HEAD, ServerHarness, read_all
+from virtual_time import in_virtual_time
+
+LONG = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nhalf '
+
+
+async def refuse(exchange):
+    await exchange.respond(Response(status=503, body=b'draining'))
+
+
+async def never_answer(exchange):
+    await trio.sleep_forever()
+
+
+async def stream_without_end(exchange):
+    await exchange.start(200)
+    await trio.sleep_forever()
+
+
+@in_virtual_time
+async def test_half_read_request_is_answered_before_the_server_closes():
+    async with trio.open_nursery() as nursery:
+        harness = ServerHarness(nursery=nursery, handler=refuse)
+        stream = harness.connect()
+        await stream.send_all(LONG)
+        await trio.sleep(1)
+        nursery.start_soon(harness.server.close, 2.0)
+        await trio.sleep(1)
+        await stream.send_all(b'whole')
+        received = await read_all(stream)
+    assert received.startswith(b'HTTP/1.1 503 ')
+    assert b'connection: close' in received.lower()
+    assert received.endswith(b'draining')
+
+
+@pytest.mark.parametrize('delay', [0.0, 0.001, 0.04])
+@in_virtual_time
+async def test_request_that_arrives_as_the_server_closes_is_answered(delay):
+    async with trio.open_nursery() as nursery:
+        harness = ServerHarness(nursery=nursery, handler=refuse)
+        stream = harness.connect()
+        await trio.sleep(1)
+        nursery.start_soon(harness.server.close, 2.0)
+        await trio.sleep(delay)
+        await stream.send_all(HEAD)
+        assert (await read_all(stream)).endswith(b'draining')
+
+
+@in_virtual_time
+async def test_idle_connections_do_not_delay_the_close():
+    async with trio.open_nursery() as nursery:
+        harness = ServerHarness(nursery=nursery, handler=refuse)
+        for _ in range(20):
+            harness.connect()
+        await trio.sleep(1)
+        with trio.fail_after(0.1):
+            await harness.server.close(2.0)
+
+
+@in_virtual_time
+async def test_request_that_never_ends_delays_the_close_up_to_the_timeout():
+    async with trio.open_nursery() as nursery:
+        harness = ServerHarness(nursery=nursery, handler=refuse)
+        stream = harness.connect()
+        await stream.send_all(LONG)
+        started_at = trio.current_time()
+        await harness.server.close(2.0)
+        assert 2.0 <= trio.current_time() - started_at < 2.3
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('handler', 'start'),
+    [
+        (never_answer, b'HTTP/1.1 500 '),
+        (stream_without_end, b'HTTP/1.1 200 '),
+    ],
+)
+@in_virtual_time
+async def test_requests_that_outlast_the_close_get_a_failure(handler, start):
+    async with trio.open_nursery() as nursery:
+        harness = ServerHarness(nursery=nursery, handler=handler)
+        stream = harness.connect()
+        await stream.send_all(HEAD)
+        nursery.start_soon(harness.server.close, 2.0)
+        assert (await read_all(stream)).startswith(start)
+
+
+def test_connections_are_refused_once_the_server_has_closed():
+    async def run():
+        server = Server(handler=refuse)
+        async with trio.open_nursery() as nursery:
+            listeners = await listen(Address(host='127.0.0.1', port=0))
+            address = bound_address(listeners)
+            await nursery.start(server.serve, listeners)
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            await stream.send_all(HEAD)
+            with trio.fail_after(10):
+                await server.close(5.0)
+            assert (await read_all(stream)).endswith(b'draining')
+            with pytest.raises(OSError, match='all attempts'):
+                await trio.open_tcp_stream(address.host, address.port)
+
+    trio.run(run)
