--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -197,13 +197,17 @@
 async def pause_endpoints(
     site: Site, randomness: random.Random, until: float
 ) -> None:
-    """Every few seconds, make two sound endpoints fall silent and go on."""
+    """Every few seconds, make one, two or all endpoints fall silent.
+
+    They are sound, and go on after it.
+    """
     while time.monotonic() < until:
         await trio.sleep(randomness.uniform(*_BETWEEN_SILENCES_SECONDS))
-        for name in randomness.sample(sorted(site.endpoints), 2):
+        names = sorted(site.endpoints)
+        count = randomness.choice((1, 2, len(names)))
+        for name in randomness.sample(names, count):
             seconds = randomness.uniform(*_SILENCE_SECONDS)
             site.endpoints[name].endpoint.fall_silent(seconds)
-            await trio.sleep(randomness.uniform(0, 0.5))
 
 
 async def silence_endpoint(site: Site, randomness: random.Random) -> None:
