--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -167,10 +167,13 @@
     assert not list(check(site, [CALL, STREAM]))
 
 
-def test_short_soak_run_has_no_violations():
+@pytest.mark.parametrize('seed', (7, 2201), ids=('engines', 'one-engine'))
+def test_short_soak_run_has_no_violations(seed):
     """Leaves out the checks of times, since the machine may be busy."""
     outcome = run_seed(
-        SoakOptions(seed=7, entries=3, callers=4, seconds=6.0, is_timed=False),
+        SoakOptions(
+            seed=seed, entries=3, callers=4, seconds=6.0, is_timed=False
+        ),
     )
     assert outcome.violations == ()
     assert outcome.served
