Let open connections follow the limits in force

After a configuration that raised the idle limit, callers that kept to it sent requests into the close of connections opened before: those kept the limits of their first moment for as long as they lived. The same held for the limits of heads and bodies, which open connections refused with 431, 413 or 408 while new ones took them.

Each wait now uses the limits in force as it begins. A raised idle limit extends the waits under way; a lowered one leaves them their end, since the caller may still count on it. The bound on incomplete heads moves from h11, where it can't change, to the reading of events.

--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -1,6 +1,7 @@
 """One connection of a server: its stream, its h11 state and its limits."""
 
 import math
+import sys
 from dataclasses import dataclass
 
 import h11
@@ -15,6 +16,7 @@
 RECEIVE_BYTES = 65_536
 # How long a connection is read once more before it is closed as idle.
 LAST_READ_SECONDS = 0.05
+_HEADERS_TOO_LARGE = 431
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -48,11 +50,15 @@
 
 
 class Connection:
-    """The stream and the h11 state of one accepted connection."""
+    """The stream and the h11 state of one accepted connection.
+
+    ``limits`` are those in force; each wait uses those at its beginning.
+    """
 
     def __init__(self, *, stream: trio.abc.Stream, limits: ServerLimits):
         self.stream = stream
         self.limits = limits
+        self._idle_since = trio.current_time()
         self._is_writing = False
         self._is_closing = False
         self._idle_scope = trio.CancelScope()
@@ -62,7 +68,8 @@
         self.handler_scope = trio.CancelScope()
         self.protocol = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=limits.header_bytes,
+            # h11's own bound can't change; next_event enforces the limit.
+            max_incomplete_event_size=sys.maxsize,
         )
 
     @property
@@ -76,6 +83,17 @@
         states = {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
         return not self._is_writing and self.protocol.our_state in states
 
+    def use_limits(self, limits: ServerLimits) -> None:
+        """Set the limits of the waits to come.
+
+        A wait for a request is extended by a longer limit, but not shortened:
+        the peer may still count on the limit under which it began.
+        """
+        self.limits = limits
+        self._idle_scope.deadline = max(
+            self._idle_scope.deadline, self._idle_since + limits.idle_seconds
+        )
+
     def close_when_idle(self) -> None:
         """Close after the request that is being received or answered."""
         self._is_closing = True
@@ -83,9 +101,9 @@
 
     async def wait_first_bytes(self) -> bytes:
         """Return a request's first bytes; none when the connection ends."""
-        now = trio.current_time()
+        self._idle_since = trio.current_time()
         self._idle_scope = trio.CancelScope(
-            deadline=now + self.limits.idle_seconds
+            deadline=self._idle_since + self.limits.idle_seconds
         )
         if not self._is_closing:
             with self._idle_scope:
@@ -98,11 +116,18 @@
         return b''
 
     async def next_event(self, read_seconds: float) -> h11.Event | type:
-        """Return the next event; ``read_seconds`` bounds each read."""
+        """Return the next event; ``read_seconds`` bounds each read.
+
+        Raise ``BadInputError`` if an incomplete head is over its limit.
+        """
         while True:
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
+            if len(self.protocol.trailing_data[0]) > self.limits.header_bytes:
+                raise BadInputError(
+                    _HEADERS_TOO_LARGE, 'headers over the limit'
+                )
             with trio.fail_after(read_seconds):
                 received = await self.stream.receive_some(RECEIVE_BYTES)
             self.protocol.receive_data(received)
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -34,12 +34,12 @@
 
 
 async def _receive_head(connection: Connection) -> h11.Request | None:
-    limits = connection.limits
     if not connection.protocol.trailing_data[0]:
         received = await connection.wait_first_bytes()
         if not received:
             return None
         connection.protocol.receive_data(received)
+    limits = connection.limits
     with trio.fail_after(limits.head_seconds):
         event = await connection.next_event(limits.head_seconds)
     if not isinstance(event, h11.Request):
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -169,8 +169,10 @@
         return self._cuts.totals
 
     def use_limits(self, limits: ServerLimits) -> None:
-        """Set the limits of connections that are accepted from now on."""
+        """Set the limits of all connections, from their next wait on."""
         self._limits = limits
+        for connection in self._connections:
+            connection.use_limits(limits)
 
     async def wait_idle(self) -> None:
         """Wait until every received request has its complete response."""
