Refuse a malformed target instead of ending the process

One request with a target such as //[ ended the whole entry, and with it every request of every other caller: urlsplit raises ValueError, nothing caught it, and it left the nursery that serves all connections.

Such a target now gets status 400. Any other error outside of a handler closes its own connection only, with a log line and a count in limpet_transport_closed_total{reason=error}.

--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -80,7 +80,10 @@
 
 
 def _make_request(head: h11.Request, body: bytes) -> Request:
-    target = urlsplit(head.target.decode('latin-1'))
+    try:
+        target = urlsplit(head.target.decode('latin-1'))
+    except ValueError as error:
+        raise BadInputError(_BAD_REQUEST, f'target: {error}') from error
     return Request(
         method=head.method.decode('ascii'),
         path=unquote(target.path),
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -238,6 +238,10 @@
                 await self._serve_requests(connection)
         except _CLOSING_ERRORS as error:
             telemetry.count('transport_closed', reason=type(error).__name__)
+        except Exception:
+            # One connection must not end the process.
+            logging.exception('connection failed')
+            telemetry.count('transport_closed', reason='error')
         finally:
             await trio.aclose_forcefully(connection.stream)
         if connection.write_scope.cancelled_caught:
