Relay headers with bytes outside of ASCII

A caller got a closed connection without an answer when the endpoint's response had such a byte in a header, and status 500 when its own request had one: header values are decoded as latin-1, and h11 encodes texts as ASCII. The error came after the exchange was marked as started, so nothing else was sent.

Headers are now encoded as they were decoded, on both sides.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -30,6 +30,7 @@
     Headers,
     Request,
     Response,
+    encode_headers,
 )
 
 RECEIVE_BYTES = 262_144
@@ -348,7 +349,7 @@
     head = h11.Request(
         method=request.method,
         target=_request_target(request),
-        headers=[*own_headers, *request.headers],
+        headers=encode_headers((*own_headers, *request.headers)),
     )
     payload = protocol.send(head) or b''
     if request.body:
--- a/src/limpetdrift/transport/messages.py
+++ b/src/limpetdrift/transport/messages.py
@@ -72,5 +72,17 @@
         return next(_header_values(self.headers, name), default)
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    r"""Return headers as the bytes that were decoded to them.
+
+    >>> encode_headers((('x', 'caf\xe9'),))
+    [(b'x', b'caf\xe9')]
+    """
+    return [
+        (name.encode('latin-1'), text.encode('latin-1'))
+        for name, text in headers
+    ]
+
+
 def _header_values(headers: Headers, wanted_name: str) -> Iterator[str]:
     return (text for name, text in headers if name == wanted_name)
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -31,6 +31,7 @@
     Headers,
     Request,
     Response,
+    encode_headers,
 )
 from limpetdrift.transport.receiving import receive_request
 
@@ -80,7 +81,9 @@
         )
         self._started = True
         await self._connection.send(
-            h11.Response(status_code=response.status, headers=list(headers)),
+            h11.Response(
+                status_code=response.status, headers=encode_headers(headers)
+            ),
             h11.Data(data=response.body),
             h11.EndOfMessage(),
         )
@@ -91,7 +94,7 @@
         await self._connection.send(
             h11.Response(
                 status_code=status,
-                headers=[*headers, *self._close_headers],
+                headers=encode_headers((*headers, *self._close_headers)),
             ),
         )
 
