Answer HEAD requests, and send no body with 204 and 304

A caller that sent HEAD got a closed connection without an answer whenever the answer had a body, as each refusal has; so did any caller of an answer 204 or 304 with one. h11 refuses to frame such a body, and the error came after the exchange was marked as started.

The body is now left out where the method or the status allows none.

--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -37,6 +37,7 @@
 
 _TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
 _INTERNAL_ERROR = 500
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # How long the last responses may take when a server closes.
 LAST_WRITE_SECONDS = 0.1
 
@@ -48,6 +49,7 @@
         self.request = request
         self._connection = connection
         self._started = False
+        self._has_body = True
         self._end: CutReason | None = None
         self._close_headers: Headers = ()
         if connection.is_closing:
@@ -73,23 +75,23 @@
 
     async def respond(self, response: Response) -> None:
         """Send a whole response."""
-        length = str(len(response.body))
-        headers = (
-            *response.headers,
-            *self._close_headers,
-            ('content-length', length),
-        )
+        self._has_body = self._may_have_body(response.status)
+        headers = (*response.headers, *self._close_headers)
+        if response.status not in _STATUSES_WITHOUT_BODY:
+            length = str(len(response.body))
+            headers = (*headers, ('content-length', length))
         self._started = True
         await self._connection.send(
             h11.Response(
                 status_code=response.status, headers=encode_headers(headers)
             ),
-            h11.Data(data=response.body),
+            h11.Data(data=response.body if self._has_body else b''),
             h11.EndOfMessage(),
         )
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send a response head; without a content length, chunks follow."""
+        self._has_body = self._may_have_body(status)
         self._started = True
         await self._connection.send(
             h11.Response(
@@ -99,8 +101,9 @@
         )
 
     async def send(self, payload: bytes) -> None:
-        """Send a part of the body."""
-        await self._connection.send(h11.Data(data=payload))
+        """Send a part of the body, unless the response may have none."""
+        if self._has_body:
+            await self._connection.send(h11.Data(data=payload))
 
     async def finish(self) -> None:
         """End the body, after which the next request can be received."""
@@ -133,6 +136,10 @@
             protocol.receive_data(received)
         await trio.sleep_forever()
 
+    def _may_have_body(self, status: int) -> bool:
+        is_head = self.request.method == 'HEAD'
+        return not is_head and status not in _STATUSES_WITHOUT_BODY
+
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
