Answer requests whose handler fails before the head is sent

A caller got a closed connection without an answer in two cases in which nothing had been sent to it. A handler that failed with an error of some other stream or with a timeout was taken for a broken connection of the caller. And an exchange counted as started before its head was encoded, so that a head that h11 refuses (a status below 200, a line break in a header) left no way to send a failure.

Stream errors before the head now end in status 500, like all others, and an exchange has started once its head is encoded.

Evidence: test_handler_that_fails_before_the_head_is_answered (a timeout, a broken stream) and test_answer_that_can_not_be_encoded_becomes_a_failure failed before, with no byte received.

--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -80,11 +80,9 @@
         if response.status not in _STATUSES_WITHOUT_BODY:
             length = str(len(response.body))
             headers = (*headers, ('content-length', length))
-        self._started = True
-        await self._connection.send(
-            h11.Response(
-                status_code=response.status, headers=encode_headers(headers)
-            ),
+        await self._send_head(
+            response.status,
+            headers,
             h11.Data(data=response.body if self._has_body else b''),
             h11.EndOfMessage(),
         )
@@ -92,13 +90,7 @@
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send a response head; without a content length, chunks follow."""
         self._has_body = self._may_have_body(status)
-        self._started = True
-        await self._connection.send(
-            h11.Response(
-                status_code=status,
-                headers=encode_headers((*headers, *self._close_headers)),
-            ),
-        )
+        await self._send_head(status, (*headers, *self._close_headers))
 
     async def send(self, payload: bytes) -> None:
         """Send a part of the body, unless the response may have none."""
@@ -136,6 +128,14 @@
             protocol.receive_data(received)
         await trio.sleep_forever()
 
+    async def _send_head(
+        self, status: int, headers: Headers, *following: h11.Event
+    ) -> None:
+        # Raises an error if the head is invalid, before anything is sent.
+        head = h11.Response(status_code=status, headers=encode_headers(headers))
+        self._started = True
+        await self._connection.send(head, *following)
+
     def _may_have_body(self, status: int) -> bool:
         is_head = self.request.method == 'HEAD'
         return not is_head and status not in _STATUSES_WITHOUT_BODY
@@ -281,9 +281,10 @@
         self._open_exchanges += 1
         try:
             await self._call_handler(exchange, connection)
-        except _STREAM_ERRORS:
-            raise
-        except Exception:
+        except Exception as error:
+            # Before the head, such an error is not of this connection.
+            if exchange.started and isinstance(error, _STREAM_ERRORS):
+                raise
             logging.exception('handler failed: %s', request.path)
             telemetry.count('handler_errors')
             exchange.mark_cut(CutReason.HANDLER_ERROR)
--- a/tests/test_sending_of_answers.py
+++ b/tests/test_sending_of_answers.py
@@ -55,3 +55,36 @@
     received = exchange_bytes(stream, request_head(method))
     assert received.startswith(b'HTTP/1.1 200 ')
     assert (b'a part' in received) is (method != b'HEAD')
+
+
+@pytest.mark.parametrize(
+    'error',
+    [
+        trio.TooSlowError(),
+        trio.BrokenResourceError(),
+        ExceptionGroup('nursery', [KeyError('service')]),
+        ExceptionGroup('nursery', [trio.TooSlowError()]),
+    ],
+)
+def test_handler_that_fails_before_the_head_is_answered(error):
+    async def fail(exchange):
+        await trio.lowlevel.checkpoint()
+        raise error
+
+    assert exchange_bytes(fail, request_head()).startswith(b'HTTP/1.1 500 ')
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers'),
+    [(99, ()), (101, ()), (200, (('x', 'a\r\nb'),)), (200, (('a b', 'c'),))],
+)
+def test_answer_that_can_not_be_encoded_becomes_a_failure(status, headers):
+    async def answer(exchange):
+        await exchange.respond(Response(status=status, headers=headers))
+
+    async def stream(exchange):
+        await exchange.start(status, headers)
+
+    for handler in (answer, stream):
+        received = exchange_bytes(handler, request_head())
+        assert received.startswith(b'HTTP/1.1 500 ')
