Send no new work to an endpoint whose answer says that it leaves

Callers would have had requests placed on a server that had said that it leaves, until the list of endpoints showed it: the header Server-Leaving was not read, and was forwarded to callers.

Each answer of an endpoint (a result, a refusal, an error, the head of a stream, a report, the answer to an order) is now decoded for the signal, and the lifetime to which the request was sent is marked as leaving. Answers of another process at the address (421, another Instance-Id, a report with another start time) mark nothing; reports drop their pooled connection when the lifetime at an address changes. Leaving engines that the list shows as ready ride on plan requests and on reports of ended plans, and a report is sent at once when an answer marks one, so that the planner names them to nobody. Entries of the build before ignore the new field.

--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 import trio
@@ -64,7 +64,8 @@
 
     ``fail_next`` is the number of next runs whose connection is aborted
     before the response is complete. While ``hang`` is set, requests are
-    accepted but neither run nor answered. ``reservations`` maps the id of a
+    accepted but neither run nor answered. While ``leaving`` is set, all
+    answers say that the endpoint leaves. ``reservations`` maps the id of a
     reservation to its tokens and its expiry time.
     """
 
@@ -83,12 +84,13 @@
         self.address = address
         self.fail_next = 0
         self.hang = False
+        self.leaving = False
         self.reservations: dict[str, tuple[int, float]] = {}
         self._journal = journal
         self._clock = clock
-        self._slots = slots
+        self.slots = slots
         self._active = 0
-        self._born = int(clock() * _MILLISECONDS)
+        self.lifetime = int(clock() * _MILLISECONDS)
 
     def make_server(self) -> Server:
         """Return an HTTP server for the requests of this lifetime."""
@@ -106,9 +108,9 @@
                 'address': str(self.address),
                 'zone': 'zone-1',
                 'version': 'v1',
-                'slots': self._slots,
+                'slots': self.slots,
                 'state': state,
-                'born': self._born,
+                'born': self.lifetime,
             },
         )
 
@@ -128,7 +130,8 @@
         if immediate_response is None:
             await self._run_until_disconnect(exchange)
         else:
-            await exchange.respond(immediate_response)
+            headers = (*immediate_response.headers, *self._signal_headers())
+            await exchange.respond(replace(immediate_response, headers=headers))
 
     def _respond_without_running(self, request: Request) -> Response | None:
         """Return a report, reservation or refusal; None if it has to run."""
@@ -138,7 +141,7 @@
             return self._handle_order(request)
         if request.header('expect-instance', self.name) != self.name:
             return Response(status=_MISDIRECTED)
-        if self._active >= self._slots:
+        if self._active >= self.slots:
             not_run = (('not-executed', '1'),)
             return Response(status=_UNAVAILABLE, headers=not_run)
         return None
@@ -231,9 +234,13 @@
         return (
             ('attempt-id', request_id),
             ('server-seal', f'{self.name}.{request_id}'),
-            ('server-load', f'{self._active},0,{self._slots}'),
+            ('server-load', f'{self._active},0,{self.slots}'),
+            *self._signal_headers(),
         )
 
+    def _signal_headers(self) -> tuple[tuple[str, str], ...]:
+        return (('server-leaving', '1'),) if self.leaving else ()
+
     def _report(self) -> dict[str, object]:
         return {
             'stage': 'combined',
@@ -244,7 +251,7 @@
             'active': self._active,
             'kvUsed': self.held_tokens(),
             'kvTotal': MEMORY_TOKENS,
-            'born': self._born,
+            'born': self.lifetime,
         }
 
     def _handle_order(self, request: Request) -> Response:
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -118,6 +118,12 @@
             work.service, EndedPlan(grant=placement.grant, failed=failed_ids)
         )
 
+    def announce_leaving(self, engine: ListedEndpoint) -> None:
+        """Report soon to the planners of an engine that it leaves."""
+        for group in self.groups.layout(engine.service).groups:
+            if group.contains(engine.failure_domain, engine.name):
+                self.planner_client.announce_leaving(engine.service, group)
+
     def planned_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the engines of a service that this entry plans for."""
         return tuple(
@@ -168,6 +174,7 @@
             ),
             ended=self.planner_client.pop_ended(work.service, group),
             group=group,
+            leaving=self._inputs.planner.leaving(work.service),
         )
 
     async def _place_elsewhere(
@@ -178,9 +185,14 @@
         work: CallerRequest,
     ) -> Result[DispatchPlan, Failure]:
         """Take the plan of another group if it is better than ``planned``."""
-        group = self._choose_other_group(request)
-        if group is None:
+        others = [
+            group
+            for group in self.groups.layout(request.service).groups
+            if group != request.group
+        ]
+        if not others:
             return self._accept(planned, request, work)
+        group = self._randomness.choice(others)
         second = replace(request, group=group, cost_limit=cost_limit, ended=())
         better = await self._request_plan(second)
         telemetry.count(
@@ -193,14 +205,6 @@
             self._end(work.service, EndedPlan(grant=planned.ok.grant))
         return self._accept(better, second, work)
 
-    def _choose_other_group(self, request: PlanRequest) -> EngineGroup | None:
-        others = [
-            group
-            for group in self.groups.layout(request.service).groups
-            if group != request.group
-        ]
-        return self._randomness.choice(others) if others else None
-
     async def _plan(self, request: PlanRequest) -> Result[Plan, Failure]:
         """Get a plan, if need be from this entry's own ledger."""
         planned = await self._request_plan(request)
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -37,7 +37,7 @@
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.endpoint_view import PEER_SOURCE, EndpointView
 from limpetdrift.state.engine_ledger import (
     Booking,
     EngineLedger,
@@ -93,10 +93,12 @@
     def plan(self, request: PlanRequest) -> Result[Plan, Failure]:
         """Choose engines for a prompt and book them.
 
-        Plans that the request reports as ended are dropped first. Fails with
+        Plans that the request reports as ended are dropped first, and engines
+        that it reports as leaving are not used again. Fails with
         ``NO_ENDPOINT`` or ``OVERLOADED``.
         """
         self.end(request.service, request.ended)
+        self._mark_leaving(request.leaving)
         cost_model = self._inputs.find_cost_model(request.service)
         endpoints = self._candidates(request)
         if cost_model is None or not endpoints:
@@ -160,6 +162,7 @@
     ) -> Result[Acknowledgement, Failure]:
         """Drop a peer's ended plans."""
         self.end(message.service, message.ended)
+        self._mark_leaving(message.leaving)
         return Ok(Acknowledgement())
 
     async def answer_active(
@@ -171,6 +174,18 @@
             self.book_plan(each.plan, each.request, each.age_seconds)
         return Ok(Acknowledgement())
 
+    def leaving(self, service: str) -> tuple[EndpointId, ...]:
+        """Return the engines that peers must be told of as leaving."""
+        ahead_of_list = self._inputs.view.leaving_ahead_of_list(service)
+        return tuple(map(endpoint_id_of, ahead_of_list))
+
+    def _mark_leaving(self, leaving: tuple[EndpointId, ...]) -> None:
+        view = self._inputs.view
+        for each in leaving:
+            endpoint = view.find(each.name, each.lifetime)
+            if endpoint is not None:
+                view.mark_leaving(endpoint, PEER_SOURCE)
+
     def _candidates(self, request: PlanRequest) -> tuple[ListedEndpoint, ...]:
         """Return the usable engines, in an order specific to this entry."""
         ordered = self._ordered_engines(request.service, request.group)
--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planner_client.py
@@ -98,7 +98,11 @@
             self._candidates[group] = candidates
         now = self._inputs.clock()
         chosen = next(
-            (each for each in candidates if not self._is_backed_off(each, now)),
+            (
+                each
+                for each in candidates
+                if not _is_backed_off(self._back_offs.get(each.name), now)
+            ),
             self._inputs.node,
         )
         return None if chosen == self._inputs.node else chosen
@@ -119,6 +123,12 @@
             self._ended.setdefault((service, group), []).append(ended)
             self._plan_ended.set()
 
+    def announce_leaving(self, service: str, group: EngineGroup) -> None:
+        """Report soon which engines leave to the planner of their group."""
+        if self.planner(group) is not None:
+            self._ended.setdefault((service, group), [])
+            self._plan_ended.set()
+
     def pop_ended(
         self, service: str, group: EngineGroup
     ) -> tuple[EndedPlan, ...]:
@@ -163,10 +173,6 @@
             nursery.start_soon(self._report_ended_plans)
             nursery.start_soon(self._inform_new_planners)
 
-    def _is_backed_off(self, entry: Node, now: float) -> bool:
-        back_off = self._back_offs.get(entry.name)
-        return back_off is not None and back_off.until > now
-
     async def _send_active_plans(
         self, planner: Node, group: EngineGroup
     ) -> None:
@@ -218,16 +224,21 @@
 
     async def _send_ended_plans(self, service: str, group: EngineGroup) -> None:
         ended = self.pop_ended(service, group)
+        leaving = self._inputs.planner.leaving(service)
         planner = self.planner(group)
-        if not ended or planner is None:
+        if planner is None or not (ended or leaving):
             return
         answer = await self._inputs.call(
             planner.peer_address,
             ENDED_PATH,
-            EndedPlans(service=service, ended=ended),
+            EndedPlans(service=service, ended=ended, leaving=leaving),
             Acknowledgement,
             timeout_seconds=_REPORT_TIMEOUT_SECONDS,
         )
         if answer.is_error():
             # The planner drops unreported plans when their hold time is over.
             telemetry.count('plans_untold', reason=answer.error.reason)
+
+
+def _is_backed_off(back_off: _BackOff | None, now: float) -> bool:
+    return back_off is not None and back_off.until > now
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -3,11 +3,18 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
+from limpetdrift.coordination.endpoint_gate import ApplySignals
 from limpetdrift.coordination.endpoint_response import (
     EndpointResponse,
     SendRequest,
 )
 from limpetdrift.platform import admission as header_names
+from limpetdrift.platform.endpoint_signals import (
+    INSTANCE_HEADER,
+    LEAVING_HEADER,
+    MISDIRECTED,
+    decode_signals,
+)
 from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.work import (
     CallerRequest,
@@ -27,16 +34,20 @@
 )
 
 _MILLISECONDS = 1000.0
-_MISDIRECTED = 421
 # Set on responses to requests that the endpoint has not begun to run.
 _NOT_RUN_HEADER = 'not-executed'
 _LOAD_HEADER = 'server-load'
-_INSTANCE_HEADER = 'instance-id'
 # Address of another endpoint that caused a refusal.
 _FAILED_ADDRESS_HEADER = 'at-server'
 # Not forwarded to callers.
 _INTERNAL_HEADERS = frozenset(
-    (_NOT_RUN_HEADER, _LOAD_HEADER, _INSTANCE_HEADER, _FAILED_ADDRESS_HEADER)
+    (
+        _NOT_RUN_HEADER,
+        _LOAD_HEADER,
+        INSTANCE_HEADER,
+        LEAVING_HEADER,
+        _FAILED_ADDRESS_HEADER,
+    )
 )
 _LOAD_FIELDS = 3
 # Connect timeout of the crash check. An address where no process listens
@@ -47,11 +58,13 @@
 OnLoad = Callable[[ListedEndpoint, EndpointLoad], None]
 
 
-def make_send_request(client: HttpClient, on_load: OnLoad) -> SendRequest:
+def make_send_request(
+    client: HttpClient, on_load: OnLoad, apply_signals: ApplySignals
+) -> SendRequest:
     """Return the function that sends a request to an endpoint.
 
     ``on_load`` is called with the load that an endpoint of a plain service
-    reports in its response.
+    reports in its response, and ``apply_signals`` with the signals of each.
     """
 
     @asynccontextmanager
@@ -77,6 +90,12 @@
             idle_timeout_seconds=seconds_left,
             new_connection=True,
         ) as stream:
+            apply_signals(
+                placement.endpoint,
+                decode_signals(
+                    placement.endpoint, stream.status, stream.headers
+                ),
+            )
             response = decode_response_head(stream, caller_request.request_id)
             if response.load is not None and not placement.grant:
                 on_load(placement.endpoint, response.load)
@@ -105,8 +124,8 @@
     return EndpointResponse(
         status=stream.status,
         headers=_forwarded_headers(stream.headers),
-        refused=_NOT_RUN_HEADER in headers or stream.status == _MISDIRECTED,
-        is_from_other_process=stream.status == _MISDIRECTED,
+        refused=_NOT_RUN_HEADER in headers or stream.status == MISDIRECTED,
+        is_from_other_process=stream.status == MISDIRECTED,
         is_for_other_request=echoed_id != request_id,
         failed_address=headers.get(_FAILED_ADDRESS_HEADER, ''),
         load=parse_load(headers.get(_LOAD_HEADER, '')),
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -36,6 +36,7 @@
     EntryContext,
     build_crash_guard,
     build_planning,
+    handle_signals,
 )
 from limpetdrift.platform.registration import (
     REGISTERED_PROCESSES,
@@ -275,6 +276,7 @@
     render: RenderFailure,
 ) -> Forwarder:
     plain_placer = PlainPlacer(view=context.view, randomness=context.randomness)
+    apply_signals = handle_signals(context, plan_placer)
     endpoint_client = HttpClient(
         limits=ClientLimits(
             connect_seconds=ENDPOINT_CONNECT_TIMEOUT_SECONDS,
@@ -304,8 +306,12 @@
         inputs=ForwardingInputs(
             place=place,
             release=release,
-            reserve_memory=make_reserver(endpoint_client, context.node.name),
-            send=make_send_request(endpoint_client, plain_placer.apply_load),
+            reserve_memory=make_reserver(
+                endpoint_client, context.node.name, apply_signals
+            ),
+            send=make_send_request(
+                endpoint_client, plain_placer.apply_load, apply_signals
+            ),
             check=lambda request: (
                 crash_guard.refusal(request) or check_key(request, admission)
             ),
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -6,6 +6,10 @@
 
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.crash_guard import CrashGuard
+from limpetdrift.coordination.endpoint_gate import (
+    ApplySignals,
+    make_signal_handler,
+)
 from limpetdrift.coordination.engine_report_poller import (
     EngineReportPoller,
     ReportPollerInputs,
@@ -87,7 +91,10 @@
                 for service in context.routes.services
                 if service.engine is not None
             },
-            read=make_report_reader(HttpClient()),
+            read=make_report_reader(
+                HttpClient(),
+                handle_signals(context, plan_placer),
+            ),
             clock=boot_time,
         ),
     )
@@ -99,6 +106,13 @@
     return plan_placer, report_poller
 
 
+def handle_signals(
+    context: EntryContext, plan_placer: PlanPlacer
+) -> ApplySignals:
+    """Return the function that applies the signals in endpoints' answers."""
+    return make_signal_handler(context.view, plan_placer.announce_leaving)
+
+
 def _log_members(changed: tuple[Member, ...]) -> None:
     for member in changed:
         note('peer changed', peer=member.node.name, state=member.state)
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -3,11 +3,13 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from limpetdrift.coordination.endpoint_gate import ApplySignals
 from limpetdrift.coordination.engine_report_poller import ReadReport
+from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import OK, Request, parse_address
+from limpetdrift.transport.messages import OK, Request, Response, parse_address
 
 REPORT_TIMEOUT_SECONDS = 0.5
 _PATH = '/-/report'
@@ -25,22 +27,40 @@
     born: int | None = None
 
 
-def make_report_reader(client: HttpClient) -> ReadReport:
-    """Return the function that reads an engine's report."""
+def make_report_reader(
+    client: HttpClient, apply_signals: ApplySignals
+) -> ReadReport:
+    """Return the function that reads an engine's report.
+
+    ``apply_signals`` is called with the signals of each answer.
+    """
+    lifetimes: dict[str, int] = {}
 
     async def read(engine: ListedEndpoint) -> Result[EngineReport, Failure]:
+        address = parse_address(engine.address)
+        if lifetimes.get(engine.address) != engine.lifetime:
+            # A pooled connection may lead to an earlier lifetime.
+            client.drop_idle_connections(address)
+            lifetimes[engine.address] = engine.lifetime
         result = await client.fetch(
-            parse_address(engine.address),
+            address,
             Request(method='GET', path=_PATH),
             timeout_seconds=REPORT_TIMEOUT_SECONDS,
         )
-        return result.bind(
-            lambda response: (
-                decode_report(response.body, engine)
-                if response.status == OK
-                else Error(_bad_report(f'status {response.status}'))
-            ),
-        )
+        return result.bind(lambda response: decode_answer(response, engine))
+
+    def decode_answer(
+        response: Response, engine: ListedEndpoint
+    ) -> Result[EngineReport, Failure]:
+        report = Error(_bad_report(f'status {response.status}'))
+        if response.status == OK:
+            report = decode_report(response.body, engine)
+        if report.is_ok() or response.status != OK:
+            apply_signals(
+                engine,
+                decode_signals(engine, response.status, response.headers),
+            )
+        return report
 
     return read
 
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -2,16 +2,18 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import count
 
 import trio
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.endpoint_gate import ApplySignals
 from limpetdrift.coordination.forwarding import ReserveMemory
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
+from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.codec import json_request
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -38,13 +40,25 @@
 _ORDER_PATH = '/-/order'
 
 
-def make_reserver(client: HttpClient, name: str) -> ReserveMemory:
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Orders:
+    """What orders are sent with, and what gets the signals of answers."""
+
+    client: HttpClient
+    apply_signals: ApplySignals
+
+
+def make_reserver(
+    client: HttpClient, name: str, apply_signals: ApplySignals
+) -> ReserveMemory:
     """Return the function that reserves a placement's memory.
 
     ``name`` is unique to this process, and so are its reservations'
-    identifiers, which begin with it.
+    identifiers, which begin with it. ``apply_signals`` is called with the
+    signals of each answer.
     """
     counter = count()
+    orders = _Orders(client=client, apply_signals=apply_signals)
 
     @asynccontextmanager
     async def reserve(placement: DispatchPlan) -> AsyncIterator[DispatchPlan]:
@@ -60,27 +74,27 @@
             for endpoint, tokens in placement.reserved
         )
         try:
-            async with _reserved(client, reservations):
+            async with _reserved(orders, reservations):
                 yield _with_reservations(placement, reservations)
         finally:
-            await _release_all(client, reservations)
+            await _release_all(orders, reservations)
 
     return reserve
 
 
 @asynccontextmanager
 async def _reserved(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> AsyncIterator[None]:
     """Reserve all memory, and renew it while the context is open.
 
     Raises ``FailureError`` if an engine refuses.
     """
-    await _reserve_all(client, reservations)
+    await _reserve_all(orders, reservations)
     raised: Exception | None = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_renew, client, reservations)
+        nursery.start_soon(_renew, orders, reservations)
         try:
             yield
         except Exception as error:
@@ -92,14 +106,14 @@
 
 
 async def _reserve_all(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> None:
     failures: list[Failure] = []
 
     async def reserve(reservation: Reservation) -> None:
         result = await _send_order(
-            client, reservation.endpoint, _reserve_order(reservation)
+            orders, reservation.endpoint, _reserve_order(reservation)
         )
         if result.is_error():
             failures.append(result.error)
@@ -113,7 +127,7 @@
 
 
 async def _renew(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> None:
     while True:
@@ -122,27 +136,27 @@
             for reservation in reservations:
                 nursery.start_soon(
                     _send_order,
-                    client,
+                    orders,
                     reservation.endpoint,
                     _reserve_order(reservation),
                 )
 
 
 async def _release_all(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> None:
     """Release all memory, even if the request has been cancelled."""
     with trio.CancelScope(shield=True):
         async with trio.open_nursery() as nursery:
             for reservation in reservations:
-                nursery.start_soon(_release, client, reservation)
+                nursery.start_soon(_release, orders, reservation)
 
 
-async def _release(client: HttpClient, reservation: Reservation) -> None:
+async def _release(orders: _Orders, reservation: Reservation) -> None:
     body = {'operation': 'release', 'id': reservation.identifier}
     for _ in range(_RELEASE_TRIES):
-        result = await _send_order(client, reservation.endpoint, body)
+        result = await _send_order(orders, reservation.endpoint, body)
         if result.is_ok():
             return
     note(
@@ -154,25 +168,28 @@
 
 
 async def _send_order(
-    client: HttpClient,
+    orders: _Orders,
     endpoint: ListedEndpoint,
     body: dict[str, object],
 ) -> Result[None, Failure]:
     request = json_request('POST', _ORDER_PATH, body)
-    result = await client.fetch(
+    result = await orders.client.fetch(
         parse_address(endpoint.address),
         _with_expected_instance(request, endpoint),
         timeout_seconds=ORDER_TIMEOUT_SECONDS,
         new_connection=True,
     )
     telemetry.count('orders', operation=str(body['operation']))
-    return result.bind(
-        lambda response: (
-            Ok(None)
-            if response.status == OK
-            else Error(not_run(Reason.NO_MEMORY, f'status {response.status}'))
-        ),
+    if result.is_error():
+        return Error(result.error)
+    response = result.ok
+    orders.apply_signals(
+        endpoint,
+        decode_signals(endpoint, response.status, response.headers),
     )
+    if response.status == OK:
+        return Ok(None)
+    return Error(not_run(Reason.NO_MEMORY, f'status {response.status}'))
 
 
 def _with_expected_instance(
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -63,8 +63,10 @@
     is of no use if it begins after ``seconds_left``, and has ended in any
     case after ``hold_seconds``. ``excluded`` lists engines not to use.
     ``entry`` names the requesting entry, and ``ended`` lists its ended plans
-    that it has not reported yet. The plan uses engines of ``group`` only, and
-    one that costs more than ``cost_limit`` is refused.
+    that it has not reported yet. ``leaving`` lists engines of the service that
+    the entry knows to leave although the list doesn't say so. The plan uses
+    engines of ``group`` only, and one that costs more than ``cost_limit`` is
+    refused.
     """
 
     service: str
@@ -81,6 +83,7 @@
     ended: tuple[EndedPlan, ...] = ()
     group: EngineGroup = EngineGroup()
     cost_limit: float = UNLIMITED_COST
+    leaving: tuple[EndpointId, ...] = ()
 
     @property
     def memory_tokens(self) -> int:
@@ -120,10 +123,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndedPlans:
-    """Reports to the planner which plans of a service have ended."""
+    """Reports to the planner which plans of a service have ended.
+
+    ``leaving`` is that of a ``PlanRequest``.
+    """
 
     service: str
     ended: tuple[EndedPlan, ...]
+    leaving: tuple[EndpointId, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -13,6 +13,11 @@
 # Retention period of the leaving signals of endpoints that are no longer
 # listed. An outdated list that still shows them can't arrive later.
 LEAVING_RETENTION_SECONDS = 120.0
+# Sources of leaving signals: the endpoint's own answer, the platform's list,
+# and another entry.
+ANSWER_SOURCE = 'answer'
+LIST_SOURCE = 'list'
+PEER_SOURCE = 'peer'
 
 
 class EndpointView:
@@ -23,6 +28,7 @@
         self._listed: dict[str, ListedEndpoint] = {}
         self._by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._leaving: dict[tuple[str, int], float] = {}
+        self._ahead_of_list: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._version = 0
 
     @property
@@ -62,6 +68,13 @@
         """Return a service's endpoints for new work, sorted by name."""
         return self._by_service.get(service, ())
 
+    def leaving_ahead_of_list(self, service: str) -> tuple[ListedEndpoint, ...]:
+        """Return a service's endpoints that leave without the list saying so.
+
+        Other entries may not know of them.
+        """
+        return self._ahead_of_list.get(service, ())
+
     def is_usable(self, endpoint: ListedEndpoint) -> bool:
         """Return whether this lifetime is listed and isn't leaving."""
         if endpoint.identity in self._leaving:
@@ -87,23 +100,45 @@
 
     def _apply_leaving_flag(self, endpoint: ListedEndpoint) -> None:
         if endpoint.leaving:
-            self.mark_leaving(endpoint, 'list')
+            self.mark_leaving(endpoint, LIST_SOURCE)
 
     def _rebuild(self) -> None:
         self._version += 1
-        self._expire_leaving()
-        by_service: dict[str, list[ListedEndpoint]] = {}
+        _expire_leaving(
+            self._leaving,
+            {endpoint.identity for endpoint in self._listed.values()},
+            self._clock() - LEAVING_RETENTION_SECONDS,
+        )
+        staying = []
+        ahead_of_list = []
         for endpoint in self._listed.values():
             if endpoint.identity not in self._leaving:
-                by_service.setdefault(endpoint.service, []).append(endpoint)
-        self._by_service = {
-            service: tuple(sorted(found, key=lambda each: each.name))
-            for service, found in by_service.items()
-        }
-
-    def _expire_leaving(self) -> None:
-        listed = {endpoint.identity for endpoint in self._listed.values()}
-        cutoff = self._clock() - LEAVING_RETENTION_SECONDS
-        for identity, marked_at in list(self._leaving.items()):
-            if marked_at < cutoff and identity not in listed:
-                self._leaving.pop(identity)
+                staying.append(endpoint)
+            elif not endpoint.leaving:
+                ahead_of_list.append(endpoint)
+        self._by_service = _group_by_service(staying)
+        self._ahead_of_list = _group_by_service(ahead_of_list)
+
+
+def _group_by_service(
+    endpoints: Iterable[ListedEndpoint],
+) -> dict[str, tuple[ListedEndpoint, ...]]:
+    """Return the endpoints of each service, sorted by name."""
+    by_service: dict[str, list[ListedEndpoint]] = {}
+    for endpoint in endpoints:
+        by_service.setdefault(endpoint.service, []).append(endpoint)
+    return {
+        service: tuple(sorted(found, key=lambda each: each.name))
+        for service, found in by_service.items()
+    }
+
+
+def _expire_leaving(
+    leaving: dict[tuple[str, int], float],
+    listed: set[tuple[str, int]],
+    cutoff: float,
+) -> None:
+    """Drop the signals before ``cutoff`` of endpoints that aren't listed."""
+    for identity, marked_at in list(leaving.items()):
+        if marked_at < cutoff and identity not in listed:
+            leaving.pop(identity)
--- /dev/null
+++ b/tests/test_endpoint_signals.py
@@ -0,0 +1,187 @@
+"""Tests of what an entry does with the signals in endpoints' answers."""
+
+import time
+from dataclasses import dataclass, field
+
+import pytest
+import trio
+
+from forward_harness import make_route
+from limpet_standins.platform_endpoints import Journal, StandinEndpoint
+from limpetdrift.coordination.endpoint_gate import make_signal_handler
+from limpetdrift.coordination.endpoint_response import EndpointResponse
+from limpetdrift.platform.endpoint_client import make_send_request
+from limpetdrift.platform.endpoint_signals import decode_signals
+from limpetdrift.platform.reports import make_report_reader
+from limpetdrift.platform.reservations import make_reserver
+from limpetdrift.protocol.verdict import Failure, FailureError
+from limpetdrift.protocol.work import (
+    CallerRequest,
+    DispatchPlan,
+    ListedEndpoint,
+)
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address
+from limpetdrift.transport.server import bound_address, listen
+
+SECONDS_LEFT = 5.0
+
+
+def make_endpoint(address: Address, lifetime: int) -> ListedEndpoint:
+    return ListedEndpoint(
+        name='i-1',
+        lifetime=lifetime,
+        service='s',
+        address=str(address),
+        failure_domain='d',
+        slots=8,
+    )
+
+
+@dataclass(kw_only=True)
+class Calls:
+    """One stand-in endpoint on loopback, and an entry's calls to it."""
+
+    standin: StandinEndpoint
+    endpoint: ListedEndpoint
+    view: EndpointView
+    client: HttpClient = field(default_factory=HttpClient)
+    announced: list[ListedEndpoint] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        apply_signals = make_signal_handler(self.view, self.announced.append)
+        self._send = make_send_request(
+            self.client, lambda endpoint, load: None, apply_signals
+        )
+        self._read = make_report_reader(self.client, apply_signals)
+        self._reserve = make_reserver(self.client, 'entry-1', apply_signals)
+
+    async def send(self) -> EndpointResponse | Failure:
+        """Send a request; return its whole answer or why it failed."""
+        now = time.monotonic()
+        work = CallerRequest(
+            request_id='a1',
+            method='POST',
+            target='/x',
+            headers=(('attempt-id', 'a1'),),
+            body=b'',
+            route=make_route(),
+            service='s',
+            version=1,
+            arrived_at=now,
+            deadline=now + SECONDS_LEFT,
+        )
+        placement = DispatchPlan(endpoint=self.endpoint)
+        try:
+            async with self._send(
+                work, placement, SECONDS_LEFT, None
+            ) as answer:
+                async for _ in answer.chunks():
+                    await trio.lowlevel.checkpoint()
+                return answer
+        except FailureError as error:
+            return error.failure
+
+    async def read_report(self):
+        """Read the endpoint's report."""
+        return await self._read(self.endpoint)
+
+    async def reserve(self) -> Failure | None:
+        """Reserve and release memory; return why that failed, if it did."""
+        placement = DispatchPlan(
+            endpoint=self.endpoint, reserved=((self.endpoint, 1000),)
+        )
+        try:
+            async with self._reserve(placement):
+                await trio.lowlevel.checkpoint()
+        except FailureError as error:
+            return error.failure
+        return None
+
+
+def run_calls(body) -> None:
+    """Run an async function of ``Calls`` against a stand-in on loopback."""
+
+    async def run() -> None:
+        listeners = await listen(Address(host='127.0.0.1', port=0))
+        address = bound_address(listeners)
+        standin = StandinEndpoint(
+            name='i-1',
+            service='s',
+            address=address,
+            journal=Journal(),
+            clock=time.monotonic,
+        )
+        endpoint = make_endpoint(address, standin.lifetime)
+        view = EndpointView(clock=time.monotonic)
+        view.replace((endpoint,))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(standin.make_server().serve, listeners)
+            with trio.fail_after(SECONDS_LEFT):
+                await body(Calls(standin=standin, endpoint=endpoint, view=view))
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@pytest.mark.parametrize('call', ['send', 'read_report', 'reserve'])
+def test_endpoint_that_says_it_leaves_in_any_answer_gets_no_new_work(call):
+    async def body(calls: Calls) -> None:
+        await getattr(calls, call)()
+        assert calls.view.is_usable(calls.endpoint)
+        calls.standin.leaving = True
+        await getattr(calls, call)()
+        assert not calls.view.usable('s')
+        assert calls.view.leaving_ahead_of_list('s') == (calls.endpoint,)
+        assert calls.announced == [calls.endpoint]
+
+    run_calls(body)
+
+
+def test_refusal_that_says_the_endpoint_leaves_is_not_forwarded_as_such():
+    async def body(calls: Calls) -> None:
+        calls.standin.leaving = True
+        calls.standin.slots = 0
+        answer = await calls.send()
+        assert answer.refused
+        assert not calls.view.usable('s')
+        assert 'server-leaving' not in dict(answer.headers)
+
+    run_calls(body)
+
+
+def test_report_of_another_lifetime_does_not_mark_the_listed_one():
+    async def body(calls: Calls) -> None:
+        calls.standin.leaving = True
+        later = make_endpoint(calls.standin.address, calls.standin.lifetime + 1)
+        calls.view.replace((later,))
+        calls.endpoint = later
+        assert (await calls.read_report()).is_error()
+        assert calls.view.is_usable(later)
+
+    run_calls(body)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers'),
+    [
+        (421, (('server-leaving', '1'),)),
+        (200, (('server-leaving', '1'), ('instance-id', 'i-2'))),
+        (200, (('server-leaving', '0'),)),
+        (200, ()),
+    ],
+)
+def test_answers_that_do_not_signal_a_leaving_endpoint(status, headers):
+    endpoint = make_endpoint(Address(host='127.0.0.1', port=1), 1)
+    assert not decode_signals(endpoint, status, headers).leaving
+
+
+def test_list_that_shows_the_leaving_endpoint_ends_its_announcement():
+    endpoint = make_endpoint(Address(host='127.0.0.1', port=1), 1)
+    view = EndpointView(clock=time.monotonic)
+    view.replace((endpoint,))
+    view.mark_leaving(endpoint, 'answer')
+    assert view.leaving_ahead_of_list('s') == (endpoint,)
+    view.drop(endpoint.name)
+    assert not view.leaving_ahead_of_list('s')
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -1,6 +1,7 @@
 """Tests that large services are planned for in groups, and how they borrow."""
 
 import random
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -32,7 +33,7 @@
     ListedEndpoint,
     PromptSize,
 )
-from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 from limpetdrift.transport.messages import Address
 from test_splitting import COST_MODEL
 from virtual_time import in_virtual_time
@@ -316,11 +317,64 @@
     assert not harness.placers[4].planned_engines('s')
 
 
+@in_virtual_time
+async def test_planner_names_no_engine_that_an_entry_knows_to_leave():
+    """The list shows an engine as ready after its answers say it leaves."""
+    harness = GroupHarness()
+    placer, other = harness.placers[5], harness.placers[8]
+    work = make_work()
+    leaving = (await placer.place(work, frozenset())).ok
+    placer.release(work, leaving, ())
+    group = group_of(ENTRIES[5].failure_domain)
+    await placer.planner_client._send_ended_plans('s', group)
+    placer._view.mark_leaving(leaving.endpoint, ANSWER_SOURCE)
+    placed = await placer.place(work, frozenset())
+    assert placed.ok.endpoint != leaving.endpoint
+    placer.release(work, placed.ok, ())
+    await placer.planner_client._send_ended_plans('s', group)
+    planned_elsewhere = await other.place(work, frozenset())
+    assert planned_elsewhere.ok.endpoint != leaving.endpoint
+
+
+@in_virtual_time
+async def test_planner_is_told_that_an_engine_leaves_without_a_plan_request():
+    harness = GroupHarness()
+    placer = harness.placers[5]
+    domain = ENTRIES[5].failure_domain
+    engine = next(each for each in ENGINES if each.failure_domain == domain)
+    planner_view = harness.planners['entry-2']._inputs.view
+    assert placer.groups.home('s') == group_of(domain)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(placer.planner_client.run)
+        placer._view.mark_leaving(engine, ANSWER_SOURCE)
+        placer.announce_leaving(engine)
+        await trio.sleep(0.2)
+        nursery.cancel_scope.cancel()
+    assert not planner_view.is_usable(engine)
+    assert harness.planners['entry-0']._inputs.view.is_usable(engine)
+
+
+@in_virtual_time
+async def test_report_of_an_earlier_lifetime_marks_no_restarted_engine():
+    harness = GroupHarness()
+    placer = harness.placers[5]
+    domain = ENTRIES[5].failure_domain
+    engine = next(each for each in ENGINES if each.failure_domain == domain)
+    restarted = replace(engine, lifetime=engine.lifetime + 1)
+    planner_view = harness.planners['entry-2']._inputs.view
+    planner_view.put(restarted)
+    placer._view.mark_leaving(engine, ANSWER_SOURCE)
+    await placer.place(make_work(), frozenset())
+    assert planner_view.is_usable(restarted)
+    placer._view.put(restarted)
+    assert placer._view.is_usable(restarted)
+
+
 def test_messages_of_builds_without_groups_are_understood():
     """Replays a roll in which entries of two builds ask each other."""
     request = make_plan_request()
     old = msgspec.to_builtins(request)
-    for name in ('group', 'cost_limit'):
+    for name in ('group', 'cost_limit', 'leaving'):
         old.pop(name)
     assert decode(encode(old), PlanRequest).ok == request
     new = {**old, 'group': {'failure_domain': 'east'}, 'later_field': 1}
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -19,6 +19,8 @@
     'Server-Seal',
     'Server-Load',
     'server-load',
+    'Server-Leaving',
+    'server-leaving',
     'Not-Executed',
     'not-executed',
     'Prompt-Prefix',
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -8,7 +8,7 @@
 
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request
+from limpetdrift.transport.messages import Address, Request, Response
 from soak.site import HOST, EntryProcess, Site
 
 PORT = 20_900
@@ -68,6 +68,68 @@
     assert set(statuses) <= {404, 503}
 
 
+def run_with_desks(folder, desks: int, body) -> None:
+    """Run a function of a site with one entry that is ready."""
+
+    async def run_site() -> None:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=folder, port=PORT, nursery=nursery)
+            try:
+                await site.open(1, engines=0, desks=desks)
+                entry = site.entries[0]
+                await wait_ready(
+                    HttpClient(), Address(host=entry.host, port=PORT + 1)
+                )
+                await body(site)
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run_site)
+
+
+async def send_calls(site: Site, names) -> list[Response]:
+    """Send one call to the desks after the other."""
+    client = HttpClient()
+    answers = []
+    for name in names:
+        headers = {
+            'host': HOST,
+            'attempt-id': name,
+            'authorization': 'Bearer key-0',
+            'deadline-ms': '1500',
+        }
+        answer = await client.fetch(
+            Address(host=site.entries[0].host, port=PORT),
+            Request(
+                method='GET', path='/twice/x', headers=tuple(headers.items())
+            ),
+            timeout_seconds=5,
+        )
+        answers.append(answer.ok)
+    return answers
+
+
+def test_desk_that_says_it_leaves_in_an_answer_gets_no_more_calls(tmp_path):
+    async def body(site: Site) -> None:
+        first = next(iter(site.endpoints.values())).endpoint
+        await send_calls(site, (f'before-{each}' for each in range(20)))
+        assert first.name in {run.endpoint for run in site.journal.runs}
+        first.leaving = True
+        site.journal.runs.clear()
+        answers = await send_calls(
+            site, (f'after-{each}' for each in range(20))
+        )
+        assert {answer.status for answer in answers} == {200}
+        assert not any(answer.header('server-leaving') for answer in answers)
+        at_first = [
+            run for run in site.journal.runs if run.endpoint == first.name
+        ]
+        assert len(at_first) <= 1
+
+    run_with_desks(tmp_path, 2, body)
+
+
 def test_check_prints_valid_settings_and_rejects_invalid_ones(tmp_path):
     path = tmp_path / 'node.json'
     path.write_text(
