Send an endpoint nothing in the time that its 503 named

A server that turned a request away with 503 and Retry-After got the next requests, orders and polls of this entry all the same, and its Retry-After reached callers as if it were the entry's.

Such an answer now starts a back-off for that lifetime, kept by the entry only (EndpointBackOffs, on the clock that runs on during suspension). Reserved memory is still released, once: that frees what the engine lacks and adds no work. A shorter later time does not shorten a longer one; a longer one than 60 s is cut, and text that is no number is ignored, both with a log line. A refused request is answered with the least time left when no endpoint of its service is open; the jitter of that answer only lengthens it, and it is rounded up.

Evidence: the property in test_endpoint_back_offs plays any interleaving of answers, sends and time; test_endpoint_signals shows against a stand-in over sockets that nothing arrives.

--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -52,11 +52,14 @@
     ``runs`` are the requests that ran; ``arrivals`` has a request id, an
     endpoint and a time for each request that was not refused; ``left_at``
     maps an endpoint to the time at which it first registered as draining.
+    ``turned_away`` has a path, an endpoint and a time for each request that was
+    answered with a time to retry.
     """
 
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[str, str, float]] = field(default_factory=list)
     left_at: dict[str, float] = field(default_factory=dict)
+    turned_away: list[tuple[str, str, float]] = field(default_factory=list)
 
 
 class StandinEndpoint:
@@ -65,8 +68,9 @@
     ``fail_next`` is the number of next runs whose connection is aborted
     before the response is complete. While ``hang`` is set, requests are
     accepted but neither run nor answered. While ``leaving`` is set, all
-    answers say that the endpoint leaves. ``reservations`` maps the id of a
-    reservation to its tokens and its expiry time.
+    answers say that the endpoint leaves. Until ``busy_until`` it turns all but
+    releases away, with a time to retry or ``busy_text``. ``reservations`` maps
+    the id of a reservation to its tokens and its expiry time.
     """
 
     def __init__(
@@ -85,8 +89,10 @@
         self.fail_next = 0
         self.hang = False
         self.leaving = False
+        self.busy_until = float('-inf')
+        self.busy_text: str | None = None
         self.reservations: dict[str, tuple[int, float]] = {}
-        self._journal = journal
+        self.journal = journal
         self._clock = clock
         self.slots = slots
         self._active = 0
@@ -99,7 +105,7 @@
     def register(self, store: StandinStore, state: str = 'ready') -> None:
         """Write this endpoint's row in the list of endpoints."""
         if state == 'draining':
-            self._journal.left_at.setdefault(self.name, self._clock())
+            self.journal.left_at.setdefault(self.name, self._clock())
         store.put(
             'servers',
             self.name,
@@ -135,6 +141,8 @@
 
     def _respond_without_running(self, request: Request) -> Response | None:
         """Return a report, reservation or refusal; None if it has to run."""
+        if self._clock() < self.busy_until and not _is_release(request):
+            return self._turn_away(request)
         if request.path == '/-/report':
             return json_response(self._report())
         if request.path == '/-/order':
@@ -146,6 +154,15 @@
             return Response(status=_UNAVAILABLE, headers=not_run)
         return None
 
+    def _turn_away(self, request: Request) -> Response:
+        now = self._clock()
+        self.journal.turned_away.append((request.path, self.name, now))
+        text = self.busy_text or str(self.busy_until - now)
+        return Response(
+            status=_UNAVAILABLE,
+            headers=(('not-executed', '1'), ('retry-after', text)),
+        )
+
     async def _run_until_disconnect(self, exchange: Exchange) -> None:
         self._active += 1
         try:
@@ -165,7 +182,7 @@
         request = exchange.request
         request_id = request.header('attempt-id')
         arrived_at = self._clock()
-        self._journal.arrivals.append((request_id, self.name, arrived_at))
+        self.journal.arrivals.append((request_id, self.name, arrived_at))
         if self.hang:
             await trio.sleep_forever()
         prompt_tokens, _, answer_tokens = request.header(
@@ -178,7 +195,7 @@
                 / PREFILL_TOKENS_PER_SECOND
                 / prefilling_engines
             )
-        self._journal.runs.append(
+        self.journal.runs.append(
             Run(
                 request_id=request_id,
                 endpoint=self.name,
@@ -266,3 +283,9 @@
         expires_at = self._clock() + order['holdMs'] / _MILLISECONDS
         self.reservations[order['id']] = (order['tokens'], expires_at)
         return json_response({'free': MEMORY_TOKENS - self.held_tokens()})
+
+
+def _is_release(request: Request) -> bool:
+    if request.path != '/-/order':
+        return False
+    return msgspec.json.decode(request.body)['operation'] == 'release'
--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -1,13 +1,20 @@
-"""Applies what endpoints signal in their answers.
+"""Decides what is sent to endpoints by what their answers signalled.
 
 An endpoint that leaves says so in any of its answers, often before the
-platform's list does.
+platform's list does. One that turns a request away may name a time in which
+this entry must send it nothing.
 """
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.protocol.work import (
+    CallerRequest,
+    DispatchPlan,
+    ListedEndpoint,
+)
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 
 
@@ -15,28 +22,97 @@
 class EndpointSignals:
     """What an answer says about the endpoint apart from the request.
 
-    ``leaving`` means that this lifetime takes no new work.
+    ``leaving`` means that this lifetime takes no new work, and
+    ``back_off_seconds`` is the time in which it takes nothing from this entry.
     """
 
     leaving: bool = False
+    back_off_seconds: float = 0.0
 
 
-ApplySignals = Callable[[ListedEndpoint, EndpointSignals], None]
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointGate:
+    """The functions that decide on sends and take the endpoints' answers.
+
+    ``apply_signals`` gets the signals of each answer of an endpoint.
+    ``check_call`` returns why an endpoint must get nothing now, ``check_send``
+    why a request must not be sent as placed, and ``check_service`` why one
+    must not be placed at all; all return ``None`` if nothing is against it.
+    ``record_success`` is called when a request has succeeded.
+    """
+
+    apply_signals: Callable[[ListedEndpoint, EndpointSignals], None]
+    check_call: Callable[[ListedEndpoint], Failure | None]
+    check_send: Callable[[DispatchPlan], Failure | None]
+    check_service: Callable[[str], Failure | None]
+    record_success: Callable[[CallerRequest, DispatchPlan], None]
 
 
-def make_signal_handler(
+def make_gate(
     view: EndpointView,
     announce_leaving: Callable[[ListedEndpoint], None],
-) -> ApplySignals:
-    """Return the function that applies the signals of an endpoint's answer.
+) -> EndpointGate:
+    """Return the gate to the endpoints of a view.
 
-    The endpoint is the one to which the request was sent, so that an answer
-    of an earlier lifetime does not affect a later one. ``announce_leaving``
-    tells other entries.
+    The endpoint of an answer is the one to which the request was sent, so that
+    an answer of an earlier lifetime does not affect a later one.
+    ``announce_leaving`` tells other entries.
     """
 
-    def apply(endpoint: ListedEndpoint, signals: EndpointSignals) -> None:
+    def apply_signals(
+        endpoint: ListedEndpoint, signals: EndpointSignals
+    ) -> None:
         if signals.leaving and view.mark_leaving(endpoint, ANSWER_SOURCE):
             announce_leaving(endpoint)
+        if signals.back_off_seconds > 0:
+            view.back_offs.extend(endpoint, signals.back_off_seconds)
+
+    def record_success(work: CallerRequest, placement: DispatchPlan) -> None:
+        view.back_offs.record_success(
+            placement.identities, placement_name(work, placement)
+        )
+
+    return EndpointGate(
+        apply_signals=apply_signals,
+        check_call=partial(check_call, view),
+        check_send=partial(check_send, view),
+        check_service=partial(check_service, view),
+        record_success=record_success,
+    )
+
+
+def check_call(view: EndpointView, endpoint: ListedEndpoint) -> Failure | None:
+    """Refuse a call to an endpoint during its back-off."""
+    if view.back_offs.seconds_left(endpoint.identity) > 0:
+        detail = f'{endpoint.name} asked for a back-off'
+        return not_run(Reason.ENDPOINT_UNAVAILABLE, detail)
+    return None
+
+
+def check_send(view: EndpointView, placement: DispatchPlan) -> Failure | None:
+    """Refuse a request one of whose endpoints must get no part of it now."""
+    for helper in placement.endpoints[1:]:
+        if not view.is_usable(helper):
+            detail = f'{helper.name} is leaving or gone'
+            return not_run(Reason.ENDPOINT_UNAVAILABLE, detail)
+    refusals = (check_call(view, each) for each in placement.endpoints)
+    return next(filter(None, refusals), None)
+
+
+def check_service(view: EndpointView, service: str) -> Failure | None:
+    """Refuse a request while no endpoint of its service may be chosen.
+
+    Callers learn at once when the first endpoint's back-off ends, rather than
+    wait for it here until their deadline.
+    """
+    seconds = view.back_offs.seconds_until_open(view.usable(service))
+    if seconds is None:
+        return None
+    return not_run(
+        Reason.SERVICE_BACK_OFF, service, retry_after_seconds=seconds
+    )
+
 
-    return apply
+def placement_name(work: CallerRequest, placement: DispatchPlan) -> str:
+    """Return the name under which a placement counts as in flight."""
+    return placement.grant or work.request_id
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -74,7 +74,13 @@
     ),
 )
 # Failures that prove that no endpoint received the request.
-_UNREACHED_REASONS = frozenset((Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT))
+_UNREACHED_REASONS = frozenset(
+    (
+        Reason.CONNECT_FAILED,
+        Reason.CONNECT_TIMEOUT,
+        Reason.ENDPOINT_UNAVAILABLE,
+    ),
+)
 
 PlaceRequest = Callable[
     [CallerRequest, frozenset[EndpointIdentity]],
--- a/src/limpetdrift/coordination/retry_policy.py
+++ b/src/limpetdrift/coordination/retry_policy.py
@@ -28,6 +28,8 @@
 # factor, which keeps refused callers from returning at the same time.
 FALLBACK_RETRY_AFTER_SECONDS = 0.4
 _RETRY_AFTER_JITTER = (0.6, 1.4)
+# The factor's bounds where a retry before the estimate would be refused again.
+_LATER_RETRY_JITTER = (1.0, 1.8)
 
 _SERVER_ERROR = 500
 _FINAL_REASONS = frozenset(
@@ -39,6 +41,7 @@
         Reason.NOT_FOUND,
         Reason.QUARANTINED,
         Reason.NO_ENDPOINT,
+        Reason.SERVICE_BACK_OFF,
     ),
 )
 
@@ -128,7 +131,10 @@
     When many callers are refused at once, their retries are spread over time.
     """
     retry_after = failure.retry_after_seconds or FALLBACK_RETRY_AFTER_SECONDS
-    return retry_after * randomness.uniform(*_RETRY_AFTER_JITTER)
+    jitter = _RETRY_AFTER_JITTER
+    if failure.reason is Reason.SERVICE_BACK_OFF:
+        jitter = _LATER_RETRY_JITTER
+    return retry_after * randomness.uniform(*jitter)
 
 
 def is_failure_of_endpoint(route: Route, status: int) -> bool:
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-from limpetdrift.coordination.endpoint_gate import ApplySignals
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.endpoint_response import (
     EndpointResponse,
     SendRequest,
@@ -13,9 +13,11 @@
     INSTANCE_HEADER,
     LEAVING_HEADER,
     MISDIRECTED,
+    RETRY_AFTER_HEADER,
     decode_signals,
 )
 from limpetdrift.protocol.counts import parse_count
+from limpetdrift.protocol.verdict import FailureError
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -28,6 +30,7 @@
     is_connection_refused,
 )
 from limpetdrift.transport.messages import (
+    UNAVAILABLE,
     Headers,
     Request,
     parse_address,
@@ -50,6 +53,7 @@
     )
 )
 _LOAD_FIELDS = 3
+_SERVER_ERROR = 500
 # Connect timeout of the crash check. An address where no process listens
 # refuses connections at once; a timeout does not prove a crash.
 _CRASH_CHECK_TIMEOUT_SECONDS = 0.3
@@ -59,12 +63,13 @@
 
 
 def make_send_request(
-    client: HttpClient, on_load: OnLoad, apply_signals: ApplySignals
+    client: HttpClient, on_load: OnLoad, gate: EndpointGate
 ) -> SendRequest:
     """Return the function that sends a request to an endpoint.
 
     ``on_load`` is called with the load that an endpoint of a plain service
-    reports in its response, and ``apply_signals`` with the signals of each.
+    reports in its response. ``gate`` is checked right before a request is
+    sent, since its placement may be older than an endpoint's last answer.
     """
 
     @asynccontextmanager
@@ -74,6 +79,9 @@
         seconds_left: float,
         last_event_id: int | None,
     ) -> AsyncIterator[EndpointResponse]:
+        refusal = gate.check_send(placement)
+        if refusal is not None:
+            raise FailureError(refusal)
         request = Request(
             method=caller_request.method,
             path='',
@@ -90,7 +98,7 @@
             idle_timeout_seconds=seconds_left,
             new_connection=True,
         ) as stream:
-            apply_signals(
+            gate.apply_signals(
                 placement.endpoint,
                 decode_signals(
                     placement.endpoint, stream.status, stream.headers
@@ -99,6 +107,9 @@
             response = decode_response_head(stream, caller_request.request_id)
             if response.load is not None and not placement.grant:
                 on_load(placement.endpoint, response.load)
+            _check_refusal(gate, caller_request, response)
+            if response.status < _SERVER_ERROR and not response.refused:
+                gate.record_success(caller_request, placement)
             yield response
 
     return send
@@ -123,7 +134,7 @@
     echoed_id = headers.get(header_names.REQUEST_ID_HEADER, request_id)
     return EndpointResponse(
         status=stream.status,
-        headers=_forwarded_headers(stream.headers),
+        headers=_forwarded_headers(stream.status, stream.headers),
         refused=_NOT_RUN_HEADER in headers or stream.status == MISDIRECTED,
         is_from_other_process=stream.status == MISDIRECTED,
         is_for_other_request=echoed_id != request_id,
@@ -146,6 +157,18 @@
     return EndpointLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _check_refusal(
+    gate: EndpointGate,
+    caller_request: CallerRequest,
+    response: EndpointResponse,
+) -> None:
+    """Raise ``FailureError`` if no other endpoint may get a refused request."""
+    if response.refused and not response.is_from_other_process:
+        refusal = gate.check_service(caller_request.service)
+        if refusal is not None:
+            raise FailureError(refusal)
+
+
 def _request_headers(
     caller_request: CallerRequest,
     placement: DispatchPlan,
@@ -190,6 +213,9 @@
     )
 
 
-def _forwarded_headers(headers: Headers) -> Headers:
+def _forwarded_headers(status: int, headers: Headers) -> Headers:
     dropped = header_names.CONNECTION_HEADERS | _INTERNAL_HEADERS
+    if status == UNAVAILABLE:
+        # It concerns this entry, which may have other endpoints.
+        dropped |= {RETRY_AFTER_HEADER}
     return tuple(pair for pair in headers if pair[0] not in dropped)
--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -1,13 +1,20 @@
 """Decodes what endpoints signal about themselves in the headers of answers."""
 
+import re
+
 from limpetdrift.coordination.endpoint_gate import EndpointSignals
+from limpetdrift.logs import warn
 from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.transport.messages import Headers
+from limpetdrift.transport.messages import UNAVAILABLE, Headers
 
 MISDIRECTED = 421
 LEAVING_HEADER = 'server-leaving'
+RETRY_AFTER_HEADER = 'retry-after'
 INSTANCE_HEADER = 'instance-id'
 _SET = '1'
+# A number that is not negative. One beyond the range of floating point is
+# infinite, and then cut to the limit like any other that is too large.
+_SECONDS = re.compile(r'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?', flags=re.ASCII)
 
 
 def decode_signals(
@@ -23,4 +30,32 @@
         return EndpointSignals()
     return EndpointSignals(
         leaving=by_name.get(LEAVING_HEADER, '').strip() == _SET,
+        back_off_seconds=_decode_back_off(endpoint, status, by_name),
     )
+
+
+def parse_seconds(text: str) -> float | None:
+    """Parse a number of seconds; return ``None`` if it is invalid.
+
+    >>> parse_seconds(' 0.25 '), parse_seconds('-1'), parse_seconds('nan')
+    (0.25, None, None)
+    """
+    found = _SECONDS.fullmatch(text.strip())
+    return float(found.group()) if found else None
+
+
+def _decode_back_off(
+    endpoint: ListedEndpoint, status: int, headers: dict[str, str]
+) -> float:
+    text = headers.get(RETRY_AFTER_HEADER)
+    if status != UNAVAILABLE or text is None:
+        return 0.0
+    seconds = parse_seconds(text)
+    if seconds is None:
+        warn(
+            'back-off is no number of seconds',
+            endpoint=endpoint.name,
+            value=text,
+        )
+        return 0.0
+    return seconds
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -35,8 +35,8 @@
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
     build_crash_guard,
+    build_gate,
     build_planning,
-    handle_signals,
 )
 from limpetdrift.platform.registration import (
     REGISTERED_PROCESSES,
@@ -276,7 +276,7 @@
     render: RenderFailure,
 ) -> Forwarder:
     plain_placer = PlainPlacer(view=context.view, randomness=context.randomness)
-    apply_signals = handle_signals(context, plan_placer)
+    gate = build_gate(context, plan_placer)
     endpoint_client = HttpClient(
         limits=ClientLimits(
             connect_seconds=ENDPOINT_CONNECT_TIMEOUT_SECONDS,
@@ -307,10 +307,10 @@
             place=place,
             release=release,
             reserve_memory=make_reserver(
-                endpoint_client, context.node.name, apply_signals
+                endpoint_client, context.node.name, gate
             ),
             send=make_send_request(
-                endpoint_client, plain_placer.apply_load, apply_signals
+                endpoint_client, plain_placer.apply_load, gate
             ),
             check=lambda request: (
                 crash_guard.refusal(request) or check_key(request, admission)
--- a/src/limpetdrift/platform/failure_responses.py
+++ b/src/limpetdrift/platform/failure_responses.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from math import ceil
 from random import Random
 
 from limpetdrift.coordination.retry_policy import jittered_retry_after_seconds
@@ -19,6 +20,7 @@
 _SERVICE_UNAVAILABLE = 503
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
+_MILLISECONDS = 1000
 # Renders a failure as the response to the caller.
 RenderFailure = Callable[[Failure], Response]
 
@@ -43,7 +45,9 @@
         if status != _SERVICE_UNAVAILABLE:
             return _response(status, failure)
         seconds = jittered_retry_after_seconds(failure, randomness)
-        return _response(status, failure, ('retry-after', f'{seconds:.3f}'))
+        # Rounded up, so that it doesn't end before the time that it stands for.
+        rounded = ceil(seconds * _MILLISECONDS) / _MILLISECONDS
+        return _response(status, failure, ('retry-after', f'{rounded:.3f}'))
 
     return render
 
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -7,8 +7,8 @@
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.crash_guard import CrashGuard
 from limpetdrift.coordination.endpoint_gate import (
-    ApplySignals,
-    make_signal_handler,
+    EndpointGate,
+    make_gate,
 )
 from limpetdrift.coordination.engine_report_poller import (
     EngineReportPoller,
@@ -93,7 +93,7 @@
             },
             read=make_report_reader(
                 HttpClient(),
-                handle_signals(context, plan_placer),
+                build_gate(context, plan_placer),
             ),
             clock=boot_time,
         ),
@@ -106,11 +106,9 @@
     return plan_placer, report_poller
 
 
-def handle_signals(
-    context: EntryContext, plan_placer: PlanPlacer
-) -> ApplySignals:
-    """Return the function that applies the signals in endpoints' answers."""
-    return make_signal_handler(context.view, plan_placer.announce_leaving)
+def build_gate(context: EntryContext, plan_placer: PlanPlacer) -> EndpointGate:
+    """Return the gate that all requests to endpoints pass."""
+    return make_gate(context.view, plan_placer.announce_leaving)
 
 
 def _log_members(changed: tuple[Member, ...]) -> None:
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -3,7 +3,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.endpoint_gate import ApplySignals
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.engine_report_poller import ReadReport
 from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
@@ -27,16 +27,17 @@
     born: int | None = None
 
 
-def make_report_reader(
-    client: HttpClient, apply_signals: ApplySignals
-) -> ReadReport:
+def make_report_reader(client: HttpClient, gate: EndpointGate) -> ReadReport:
     """Return the function that reads an engine's report.
 
-    ``apply_signals`` is called with the signals of each answer.
+    It fails without a call while ``gate`` is closed to the engine.
     """
     lifetimes: dict[str, int] = {}
 
     async def read(engine: ListedEndpoint) -> Result[EngineReport, Failure]:
+        refusal = gate.check_call(engine)
+        if refusal is not None:
+            return Error(refusal)
         address = parse_address(engine.address)
         if lifetimes.get(engine.address) != engine.lifetime:
             # A pooled connection may lead to an earlier lifetime.
@@ -56,7 +57,7 @@
         if response.status == OK:
             report = decode_report(response.body, engine)
         if report.is_ok() or response.status != OK:
-            apply_signals(
+            gate.apply_signals(
                 engine,
                 decode_signals(engine, response.status, response.headers),
             )
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -9,7 +9,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.endpoint_gate import ApplySignals
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.forwarding import ReserveMemory
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
@@ -38,27 +38,28 @@
 _RELEASE_TRIES = 3
 _MILLISECONDS = 1000
 _ORDER_PATH = '/-/order'
+_RELEASE = 'release'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Orders:
-    """What orders are sent with, and what gets the signals of answers."""
+    """What orders are sent with."""
 
     client: HttpClient
-    apply_signals: ApplySignals
+    gate: EndpointGate
 
 
 def make_reserver(
-    client: HttpClient, name: str, apply_signals: ApplySignals
+    client: HttpClient, name: str, gate: EndpointGate
 ) -> ReserveMemory:
     """Return the function that reserves a placement's memory.
 
     ``name`` is unique to this process, and so are its reservations'
-    identifiers, which begin with it. ``apply_signals`` is called with the
-    signals of each answer.
+    identifiers, which begin with it. While ``gate`` is closed to an engine,
+    no memory is reserved there and no reservation renewed.
     """
     counter = count()
-    orders = _Orders(client=client, apply_signals=apply_signals)
+    orders = _Orders(client=client, gate=gate)
 
     @asynccontextmanager
     async def reserve(placement: DispatchPlan) -> AsyncIterator[DispatchPlan]:
@@ -154,11 +155,15 @@
 
 
 async def _release(orders: _Orders, reservation: Reservation) -> None:
-    body = {'operation': 'release', 'id': reservation.identifier}
+    # Sent during a back-off, too, but once only: it frees memory that the
+    # engine needs, and adds no work.
+    body = {'operation': _RELEASE, 'id': reservation.identifier}
     for _ in range(_RELEASE_TRIES):
         result = await _send_order(orders, reservation.endpoint, body)
         if result.is_ok():
             return
+        if orders.gate.check_call(reservation.endpoint) is not None:
+            break
     note(
         'reserved memory could not be released, it will expire',
         endpoint=reservation.endpoint.name,
@@ -172,6 +177,9 @@
     endpoint: ListedEndpoint,
     body: dict[str, object],
 ) -> Result[None, Failure]:
+    refusal = orders.gate.check_call(endpoint)
+    if refusal is not None and body['operation'] != _RELEASE:
+        return Error(not_run(Reason.NO_MEMORY, refusal.detail))
     request = json_request('POST', _ORDER_PATH, body)
     result = await orders.client.fetch(
         parse_address(endpoint.address),
@@ -183,7 +191,7 @@
     if result.is_error():
         return Error(result.error)
     response = result.ok
-    orders.apply_signals(
+    orders.gate.apply_signals(
         endpoint,
         decode_signals(endpoint, response.status, response.headers),
     )
--- a/src/limpetdrift/protocol/verdict.py
+++ b/src/limpetdrift/protocol/verdict.py
@@ -47,6 +47,8 @@
     ENDPOINT_LEAVING = 'endpoint-leaving'
     ENDPOINT_REFUSED = 'endpoint-refused'
     ENDPOINT_FAILED = 'endpoint-failed'
+    ENDPOINT_UNAVAILABLE = 'endpoint-unavailable'
+    SERVICE_BACK_OFF = 'service-back-off'
     CONNECT_FAILED = 'connect-failed'
     CONNECT_TIMEOUT = 'connect-timeout'
     CONNECTION_BROKEN = 'connection-broken'
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -145,3 +145,13 @@
     grant: str = ''
     delay_seconds: float = 0.0
     read_seconds: float = 0.0
+
+    @property
+    def endpoints(self) -> tuple[ListedEndpoint, ...]:
+        """The endpoint and the helpers."""
+        return (self.endpoint, *(each.endpoint for each in self.helpers))
+
+    @property
+    def identities(self) -> tuple[tuple[str, int], ...]:
+        """Names and lifetimes of the endpoint and the helpers."""
+        return tuple(each.identity for each in self.endpoints)
--- /dev/null
+++ b/src/limpetdrift/state/endpoint_back_offs.py
@@ -0,0 +1,152 @@
+"""Keeps for how long endpoints asked this entry to send them nothing.
+
+An endpoint that turns a request away may name a time. Without a limit on the
+first requests after it, all that waited for its end would arrive at once, and
+be turned away again.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from limpetdrift import telemetry
+from limpetdrift.logs import note, warn
+from limpetdrift.protocol.work import ListedEndpoint
+
+# Longest back-off that is accepted; a longer one is cut to it, so that one
+# wrong value does not exclude an endpoint for good.
+MAX_BACK_OFF_SECONDS = 60.0
+# Requests in flight to an endpoint after its back-off, until one of them has
+# succeeded.
+RECOVERY_REQUESTS = 2
+# Retry interval while the recovery limit is reached.
+RECOVERY_RETRY_SECONDS = 0.3
+
+Identity = tuple[str, int]
+
+
+@dataclass(kw_only=True, slots=True)
+class _BackOff:
+    """The end of a back-off, and the requests in flight after it."""
+
+    until: float
+    in_flight: set[str] = field(default_factory=set)
+
+
+class EndpointBackOffs:
+    """The back-offs of lifetimes that haven't served a request since.
+
+    ``clock`` returns seconds and runs on while the machine is suspended.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._back_offs: dict[Identity, _BackOff] = {}
+
+    def extend(self, endpoint: ListedEndpoint, seconds: float) -> None:
+        """Send a lifetime nothing for a time; a longer back-off stays."""
+        if seconds > MAX_BACK_OFF_SECONDS:
+            warn(
+                'back-off cut to the limit',
+                endpoint=endpoint.name,
+                seconds=seconds,
+                limit=MAX_BACK_OFF_SECONDS,
+            )
+            seconds = MAX_BACK_OFF_SECONDS
+        if seconds <= 0:
+            return
+        telemetry.count('endpoint_back_offs')
+        if not self.seconds_left(endpoint.identity):
+            note(
+                'endpoint asked for a back-off',
+                endpoint=endpoint.name,
+                seconds=seconds,
+            )
+        until = self._clock() + seconds
+        found = self._back_offs.setdefault(
+            endpoint.identity, _BackOff(until=until)
+        )
+        found.until = max(found.until, until)
+
+    def seconds_left(self, identity: Identity) -> float:
+        """Return the rest of a lifetime's back-off, 0 if it has none."""
+        found = self._back_offs.get(identity)
+        return 0.0 if found is None else max(0.0, found.until - self._clock())
+
+    def is_open(self, identity: Identity) -> bool:
+        """Return whether a lifetime may be chosen for a request now."""
+        found = self._back_offs.get(identity)
+        return found is None or self._seconds_closed(found) <= 0
+
+    def open_only(
+        self, endpoints: tuple[ListedEndpoint, ...]
+    ) -> tuple[ListedEndpoint, ...]:
+        """Return the endpoints that may be chosen for a request now."""
+        if not self._back_offs:
+            return endpoints
+        return tuple(each for each in endpoints if self.is_open(each.identity))
+
+    def closed(
+        self, endpoints: Iterable[ListedEndpoint]
+    ) -> frozenset[Identity]:
+        """Return those that may not be chosen for a request now."""
+        if not self._back_offs:
+            return frozenset()
+        return frozenset(
+            each.identity
+            for each in endpoints
+            if not self.is_open(each.identity)
+        )
+
+    def seconds_until_open(
+        self, endpoints: tuple[ListedEndpoint, ...]
+    ) -> float | None:
+        """Return when the first may be chosen; ``None`` if one may be now."""
+        if not self._back_offs or not endpoints:
+            return None
+        found = [self._back_offs.get(each.identity) for each in endpoints]
+        least = min(
+            0.0 if each is None else self._seconds_closed(each)
+            for each in found
+        )
+        return least if least > 0 else None
+
+    def begin(self, identities: Iterable[Identity], name: str) -> None:
+        """Count a request in flight; ``name`` is unique to its placement."""
+        if self._back_offs:
+            for identity in identities:
+                found = self._back_offs.get(identity)
+                if found is not None:
+                    found.in_flight.add(name)
+
+    def end(self, identities: Iterable[Identity], name: str) -> None:
+        """Count a request in flight no longer, if it was counted."""
+        if self._back_offs:
+            for identity in identities:
+                found = self._back_offs.get(identity)
+                if found is not None:
+                    found.in_flight.discard(name)
+
+    def record_success(self, identities: Iterable[Identity], name: str) -> None:
+        """Lift the limit where a request succeeded that began under it."""
+        if self._back_offs:
+            for identity in identities:
+                found = self._back_offs.get(identity)
+                if (
+                    found is not None
+                    and name in found.in_flight
+                    and found.until <= self._clock()
+                ):
+                    self._back_offs.pop(identity)
+
+    def forget_unlisted(self, listed: set[Identity]) -> None:
+        """Drop the ended back-offs of lifetimes that aren't listed."""
+        for identity in tuple(self._back_offs):
+            if identity not in listed and not self.seconds_left(identity):
+                self._back_offs.pop(identity)
+
+    def _seconds_closed(self, back_off: _BackOff) -> float:
+        """Return when a lifetime may be chosen, 0 or less if it may be now."""
+        left = back_off.until - self._clock()
+        if left <= 0 and len(back_off.in_flight) >= RECOVERY_REQUESTS:
+            return RECOVERY_RETRY_SECONDS
+        return left
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -9,6 +9,7 @@
 
 from limpetdrift.logs import note
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_back_offs import EndpointBackOffs
 
 # Retention period of the leaving signals of endpoints that are no longer
 # listed. An outdated list that still shows them can't arrive later.
@@ -21,7 +22,11 @@
 
 
 class EndpointView:
-    """The listed endpoints, and the lifetimes that are leaving."""
+    """The listed endpoints, and the lifetimes that are leaving.
+
+    ``back_offs`` are those that endpoints asked this entry for. They don't
+    change which endpoints are usable, since they don't concern other entries.
+    """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
@@ -30,6 +35,7 @@
         self._leaving: dict[tuple[str, int], float] = {}
         self._ahead_of_list: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._version = 0
+        self.back_offs = EndpointBackOffs(clock=clock)
 
     @property
     def version(self) -> int:
@@ -104,11 +110,10 @@
 
     def _rebuild(self) -> None:
         self._version += 1
-        _expire_leaving(
-            self._leaving,
-            {endpoint.identity for endpoint in self._listed.values()},
-            self._clock() - LEAVING_RETENTION_SECONDS,
-        )
+        listed = {endpoint.identity for endpoint in self._listed.values()}
+        cutoff = self._clock() - LEAVING_RETENTION_SECONDS
+        _expire_leaving(self._leaving, listed, cutoff)
+        self.back_offs.forget_unlisted(listed)
         staying = []
         ahead_of_list = []
         for endpoint in self._listed.values():
--- /dev/null
+++ b/tests/test_endpoint_back_offs.py
@@ -0,0 +1,169 @@
+"""Tests that nothing is sent to an endpoint in the time that it named."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from forward_harness import make_endpoints
+from limpetdrift.state.endpoint_back_offs import (
+    MAX_BACK_OFF_SECONDS,
+    RECOVERY_REQUESTS,
+    EndpointBackOffs,
+)
+
+FIRST, SECOND, THIRD = make_endpoints(3)
+# Requests that are already on their way may still arrive in this time.
+ARRIVAL_SECONDS = 0.5
+# Those that may arrive later during a back-off.
+LATE_ARRIVALS = 2
+SECONDS = st.floats(min_value=0, max_value=3, allow_nan=False)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just('wait'), SECONDS),
+        st.tuples(st.just('turned away'), SECONDS),
+        st.tuples(st.just('send'), st.integers(min_value=1, max_value=30)),
+        st.tuples(st.just('end'), st.booleans()),
+    ),
+    max_size=60,
+)
+
+
+class Clock:
+    """A clock that tests set."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class Caller:
+    """Sends requests to one endpoint as a placer does, and records them."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self.back_offs = EndpointBackOffs(clock=self.clock)
+        self.sends: list[float] = []
+        self.closed: list[tuple[float, float]] = []
+        self.in_flight: list[str] = []
+        self.count = 0
+
+    def play(self, step: str, argument: float) -> None:
+        """Play one step."""
+        if step == 'wait':
+            self.clock.now += argument
+        elif step == 'turned away':
+            self.back_offs.extend(FIRST, argument)
+            self.closed.append((self.clock.now, self.clock.now + argument))
+        elif step == 'send':
+            for _ in range(int(argument)):
+                self.send()
+        elif self.in_flight:
+            name = self.in_flight.pop(0)
+            if argument:
+                self.back_offs.record_success((FIRST.identity,), name)
+            self.back_offs.end((FIRST.identity,), name)
+
+    def send(self) -> None:
+        """Send a request if one may be placed."""
+        if self.back_offs.is_open(FIRST.identity):
+            self.count += 1
+            name = str(self.count)
+            self.back_offs.begin((FIRST.identity,), name)
+            self.in_flight.append(name)
+            self.sends.append(self.clock.now)
+
+
+@given(STEPS)
+def test_almost_nothing_is_sent_between_an_answer_and_the_end_it_named(steps):
+    caller = Caller()
+    for step, argument in steps:
+        caller.play(step, argument)
+    for answered_at, until in caller.closed:
+        late = [
+            at
+            for at in caller.sends
+            if answered_at + ARRIVAL_SECONDS < at < until
+        ]
+        assert len(late) <= LATE_ARRIVALS
+
+
+@given(STEPS)
+def test_endpoints_without_a_back_off_are_always_open(steps):
+    caller = Caller()
+    for step, argument in steps:
+        caller.play(step, argument)
+        assert caller.back_offs.is_open(SECOND.identity)
+        assert caller.back_offs.open_only((SECOND, THIRD)) == (SECOND, THIRD)
+        assert caller.back_offs.seconds_until_open((FIRST, SECOND)) is None
+
+
+def test_few_requests_are_in_flight_after_a_back_off_until_one_succeeds():
+    """Guards against all waiting requests arriving at its end."""
+    caller = Caller()
+    for step, argument in (('turned away', 1.0), ('wait', 1.0), ('send', 20)):
+        caller.play(step, argument)
+    assert len(caller.sends) == RECOVERY_REQUESTS
+    for step, argument in (('end', 0), ('send', 20)):
+        caller.play(step, argument)
+    assert len(caller.sends) == RECOVERY_REQUESTS + 1
+    for step, argument in (('end', 1), ('send', 20)):
+        caller.play(step, argument)
+    assert len(caller.sends) == RECOVERY_REQUESTS + 21
+
+
+def test_success_of_a_request_from_before_does_not_lift_the_limit():
+    caller = Caller()
+    for step, argument in (
+        ('send', 1),
+        ('turned away', 1.0),
+        ('end', 1),
+        ('send', 1),
+    ):
+        caller.play(step, argument)
+    assert len(caller.sends) == 1
+    caller.play('wait', 1.0)
+    caller.back_offs.record_success((FIRST.identity,), '1')
+    caller.play('send', 20)
+    assert len(caller.sends) == 1 + RECOVERY_REQUESTS
+
+
+def test_shorter_later_back_off_does_not_shorten_a_longer_one():
+    caller = Caller()
+    caller.back_offs.extend(FIRST, 5.0)
+    caller.back_offs.extend(FIRST, 1.0)
+    assert caller.back_offs.seconds_left(FIRST.identity) == 5.0
+
+
+def test_back_off_above_the_limit_is_cut_and_logged(monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        'limpetdrift.state.endpoint_back_offs.warn',
+        lambda event, **fields: lines.append(fields),
+    )
+    caller = Caller()
+    caller.back_offs.extend(FIRST, float('inf'))
+    left = caller.back_offs.seconds_left(FIRST.identity)
+    assert left == MAX_BACK_OFF_SECONDS
+    assert lines[0]['endpoint'] == FIRST.name
+
+
+def test_back_off_holds_while_the_endpoint_is_missing_from_the_list():
+    caller = Caller()
+    caller.back_offs.extend(FIRST, 5.0)
+    caller.back_offs.forget_unlisted(set())
+    assert not caller.back_offs.is_open(FIRST.identity)
+    caller.clock.now = 5.0
+    caller.back_offs.forget_unlisted(set())
+    assert caller.back_offs.open_only((FIRST,)) == (FIRST,)
+
+
+def test_time_until_the_first_of_all_endpoints_opens():
+    caller = Caller()
+    caller.back_offs.extend(FIRST, 5.0)
+    caller.back_offs.extend(SECOND, 2.0)
+    assert caller.back_offs.seconds_until_open((FIRST, SECOND)) == 2.0
+    assert caller.back_offs.closed((FIRST, SECOND, THIRD)) == {
+        FIRST.identity,
+        SECOND.identity,
+    }
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -1,23 +1,26 @@
 """Tests of what an entry does with the signals in endpoints' answers."""
 
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 import trio
+from hypothesis import given
+from hypothesis import strategies as st
 
 from forward_harness import make_route
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
-from limpetdrift.coordination.endpoint_gate import make_signal_handler
+from limpetdrift.coordination.endpoint_gate import make_gate
 from limpetdrift.coordination.endpoint_response import EndpointResponse
 from limpetdrift.platform.endpoint_client import make_send_request
-from limpetdrift.platform.endpoint_signals import decode_signals
+from limpetdrift.platform.endpoint_signals import decode_signals, parse_seconds
 from limpetdrift.platform.reports import make_report_reader
 from limpetdrift.platform.reservations import make_reserver
-from limpetdrift.protocol.verdict import Failure, FailureError
+from limpetdrift.protocol.verdict import Failure, FailureError, Reason, Verdict
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
+    Helper,
     ListedEndpoint,
 )
 from limpetdrift.state.endpoint_view import EndpointView
@@ -50,14 +53,14 @@
     announced: list[ListedEndpoint] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        apply_signals = make_signal_handler(self.view, self.announced.append)
+        gate = make_gate(self.view, self.announced.append)
         self._send = make_send_request(
-            self.client, lambda endpoint, load: None, apply_signals
+            self.client, lambda endpoint, load: None, gate
         )
-        self._read = make_report_reader(self.client, apply_signals)
-        self._reserve = make_reserver(self.client, 'entry-1', apply_signals)
+        self._read = make_report_reader(self.client, gate)
+        self.reserve_memory = make_reserver(self.client, 'entry-1', gate)
 
-    async def send(self) -> EndpointResponse | Failure:
+    async def send(self, **changes: object) -> EndpointResponse | Failure:
         """Send a request; return its whole answer or why it failed."""
         now = time.monotonic()
         work = CallerRequest(
@@ -72,7 +75,7 @@
             arrived_at=now,
             deadline=now + SECONDS_LEFT,
         )
-        placement = DispatchPlan(endpoint=self.endpoint)
+        placement = DispatchPlan(endpoint=self.endpoint, **changes)
         try:
             async with self._send(
                 work, placement, SECONDS_LEFT, None
@@ -93,7 +96,7 @@
             endpoint=self.endpoint, reserved=((self.endpoint, 1000),)
         )
         try:
-            async with self._reserve(placement):
+            async with self.reserve_memory(placement):
                 await trio.lowlevel.checkpoint()
         except FailureError as error:
             return error.failure
@@ -185,3 +188,133 @@
     assert view.leaving_ahead_of_list('s') == (endpoint,)
     view.drop(endpoint.name)
     assert not view.leaving_ahead_of_list('s')
+
+
+@pytest.mark.parametrize('call', ['send', 'read_report', 'reserve'])
+@pytest.mark.parametrize('first', ['send', 'read_report', 'reserve'])
+def test_endpoint_that_asked_for_a_back_off_gets_nothing(call, first):
+    async def body(calls: Calls) -> None:
+        standin = calls.standin
+        standin.busy_until = time.monotonic() + 0.3
+        await getattr(calls, first)()
+        assert len(standin.journal.turned_away) == 1
+        await getattr(calls, call)()
+        assert len(standin.journal.turned_away) == 1
+        assert calls.view.usable('s')
+        await trio.sleep(0.35)
+        await getattr(calls, call)()
+        assert len(standin.journal.turned_away) == 1
+
+    run_calls(body)
+
+
+def test_reserved_memory_is_released_during_a_back_off():
+    async def body(calls: Calls) -> None:
+        placement = DispatchPlan(
+            endpoint=calls.endpoint, reserved=((calls.endpoint, 1000),)
+        )
+        async with calls.reserve_memory(placement):
+            assert calls.standin.held_tokens() == 1000
+            calls.view.back_offs.extend(calls.endpoint, 30.0)
+        assert not calls.standin.held_tokens()
+
+    run_calls(body)
+
+
+def test_request_is_not_sent_during_the_back_off_of_a_helper():
+    async def body(calls: Calls) -> None:
+        address = Address(host='127.0.0.1', port=1)
+        helper = replace(make_endpoint(address, 1), name='i-2')
+        calls.view.put(helper)
+        helpers = (Helper(endpoint=helper),)
+        calls.view.back_offs.extend(helper, 30.0)
+        failure = await calls.send(helpers=helpers)
+        assert failure.reason is Reason.ENDPOINT_UNAVAILABLE
+        assert failure.verdict is Verdict.NOT_RUN
+        assert not calls.standin.journal.arrivals
+
+    run_calls(body)
+
+
+def test_request_is_not_sent_after_a_helper_said_that_it_leaves():
+    async def body(calls: Calls) -> None:
+        address = Address(host='127.0.0.1', port=1)
+        helper = replace(make_endpoint(address, 1), name='i-2')
+        calls.view.put(helper)
+        calls.view.mark_leaving(helper, 'answer')
+        failure = await calls.send(helpers=(Helper(endpoint=helper),))
+        assert failure.reason is Reason.ENDPOINT_UNAVAILABLE
+        assert not calls.standin.journal.arrivals
+
+    run_calls(body)
+
+
+def test_retry_time_of_the_only_endpoint_is_what_the_caller_gets():
+    async def body(calls: Calls) -> None:
+        calls.standin.busy_until = time.monotonic() + 3.0
+        failure = await calls.send()
+        assert failure.reason is Reason.SERVICE_BACK_OFF
+        assert failure.verdict is Verdict.NOT_RUN
+        assert 2.0 < failure.retry_after_seconds <= 3.0
+
+    run_calls(body)
+
+
+def test_retry_time_is_not_forwarded_while_another_endpoint_may_serve():
+    async def body(calls: Calls) -> None:
+        address = Address(host='127.0.0.1', port=1)
+        calls.view.put(replace(make_endpoint(address, 1), name='i-2'))
+        calls.standin.busy_until = time.monotonic() + 3.0
+        answer = await calls.send()
+        assert answer.refused
+        assert 'retry-after' not in dict(answer.headers)
+
+    run_calls(body)
+
+
+@pytest.mark.parametrize(
+    ('text', 'seconds'),
+    [
+        ('0', 0.0),
+        ('2', 2.0),
+        (' 0.25 ', 0.25),
+        ('.5', 0.5),
+        ('1e1', 10.0),
+        ('-1', None),
+        ('-0.5', None),
+        ('nan', None),
+        ('inf', None),
+        ('1_0', None),
+        ('\u0661', None),
+        ('', None),
+        ('Wed, 21 Oct 2026 07:28:00 GMT', None),
+    ],
+)
+def test_back_off_text_is_a_number_of_seconds_or_invalid(text, seconds):
+    assert parse_seconds(text) == seconds
+
+
+@given(st.text(max_size=30) | st.floats().map(str))
+def test_back_off_of_any_text_is_a_number_that_is_not_negative(text):
+    seconds = parse_seconds(text)
+    assert seconds is None or seconds >= 0
+
+
+@pytest.mark.parametrize('text', ['-1', 'soon', 'nan'])
+def test_invalid_back_off_is_logged_and_ignored(text, monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        'limpetdrift.platform.endpoint_signals.warn',
+        lambda event, **fields: lines.append(fields),
+    )
+    endpoint = make_endpoint(Address(host='127.0.0.1', port=1), 1)
+    signals = decode_signals(endpoint, 503, (('retry-after', text),))
+    assert not signals.back_off_seconds
+    assert lines == [{'endpoint': 'i-1', 'value': text}]
+
+
+@pytest.mark.parametrize('status', [200, 429, 500])
+def test_retry_time_of_another_status_is_no_back_off(status):
+    endpoint = make_endpoint(Address(host='127.0.0.1', port=1), 1)
+    signals = decode_signals(endpoint, status, (('retry-after', '5'),))
+    assert not signals.back_off_seconds
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -144,6 +144,30 @@
     assert len(harness.sent) == 3
 
 
+def test_request_refused_right_before_its_send_uses_no_attempt():
+    refused = not_run(Reason.ENDPOINT_UNAVAILABLE, 'asked for a back-off')
+    harness = make_harness(refused, whole_response(200))
+    once = make_route(kind=RequestKind.NON_IDEMPOTENT, attempt_limit=1)
+    exchange, _ = serve(harness, once)
+    assert exchange.response.status == 200
+
+
+def test_call_that_met_only_refusals_is_answered_as_not_run():
+    harness = make_harness(*(whole_response(503, refused=True),) * 3)
+    exchange, seconds = serve(harness, IDEMPOTENT)
+    assert exchange.response.status == 503
+    assert seconds < 0.1
+
+
+def test_call_is_refused_at_once_when_all_endpoints_asked_for_a_back_off():
+    """Guards against a call that is held until its deadline."""
+    refused = not_run(Reason.SERVICE_BACK_OFF, retry_after_seconds=2.0)
+    harness = make_harness(refused)
+    exchange, seconds = serve(harness, IDEMPOTENT)
+    assert exchange.response.body == b'service-back-off'
+    assert not seconds
+
+
 def test_idempotent_call_is_retried_when_an_endpoint_hangs():
     async def hang(seen: int):
         await trio.sleep(30)
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -259,3 +259,14 @@
     assert render(may_have_run(Reason.CONNECTION_BROKEN)).status == 502
     assert render(not_run(Reason.UNAUTHORIZED)).status == 401
     assert render(not_run(Reason.NOT_FOUND)).status == 404
+
+
+@given(st.floats(min_value=0.001, max_value=60), st.integers(0, 100))
+def test_retry_time_of_a_back_off_ends_no_earlier_than_the_back_off(
+    seconds, seed
+):
+    render = make_failure_renderer(Random(seed))
+    refusal = not_run(Reason.SERVICE_BACK_OFF, retry_after_seconds=seconds)
+    response = render(refusal)
+    assert response.status == 503
+    assert float(response.header('retry-after')) >= seconds
