Place nothing on endpoints in back-off, and little right after it

Callers would have had requests planned on servers that had asked this entry for a back-off, refused right before the send, and planned there again; with all servers of a service in back-off they would have been tried until their placements were used up, and told to come back before any server was open.

Calls of plain services are balanced over open endpoints only, also when all others have failed the call. When no endpoint of a service is open, a request is refused as not run without asking a planner, with the time until the first one is. After a back-off two requests are in flight until one of them has succeeded. They are counted from the placement, or from the send if the placement is older than the back-off, until the placement's release. While no endpoint has a back-off, all this is a look at an empty dictionary.

--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -43,7 +43,7 @@
 
     apply_signals: Callable[[ListedEndpoint, EndpointSignals], None]
     check_call: Callable[[ListedEndpoint], Failure | None]
-    check_send: Callable[[DispatchPlan], Failure | None]
+    check_send: Callable[[CallerRequest, DispatchPlan], Failure | None]
     check_service: Callable[[str], Failure | None]
     record_success: Callable[[CallerRequest, DispatchPlan], None]
 
@@ -67,17 +67,12 @@
         if signals.back_off_seconds > 0:
             view.back_offs.extend(endpoint, signals.back_off_seconds)
 
-    def record_success(work: CallerRequest, placement: DispatchPlan) -> None:
-        view.back_offs.record_success(
-            placement.identities, placement_name(work, placement)
-        )
-
     return EndpointGate(
         apply_signals=apply_signals,
         check_call=partial(check_call, view),
         check_send=partial(check_send, view),
         check_service=partial(check_service, view),
-        record_success=record_success,
+        record_success=partial(record_success, view),
     )
 
 
@@ -89,14 +84,23 @@
     return None
 
 
-def check_send(view: EndpointView, placement: DispatchPlan) -> Failure | None:
+def check_send(
+    view: EndpointView, work: CallerRequest, placement: DispatchPlan
+) -> Failure | None:
     """Refuse a request one of whose endpoints must get no part of it now."""
     for helper in placement.endpoints[1:]:
         if not view.is_usable(helper):
             detail = f'{helper.name} is leaving or gone'
             return not_run(Reason.ENDPOINT_UNAVAILABLE, detail)
-    refusals = (check_call(view, each) for each in placement.endpoints)
-    return next(filter(None, refusals), None)
+    back_offs = view.back_offs
+    if not back_offs or back_offs.admit(
+        placement.identities, _name(work, placement)
+    ):
+        return None
+    names = ' '.join(each.name for each in placement.endpoints)
+    return not_run(
+        Reason.ENDPOINT_UNAVAILABLE, f'one of {names} asked for a back-off'
+    )
 
 
 def check_service(view: EndpointView, service: str) -> Failure | None:
@@ -113,6 +117,32 @@
     )
 
 
-def placement_name(work: CallerRequest, placement: DispatchPlan) -> str:
+def begin_placement(
+    view: EndpointView, work: CallerRequest, placement: DispatchPlan
+) -> None:
+    """Count a placed request in flight where that is limited."""
+    if view.back_offs:
+        view.back_offs.begin(placement.identities, _name(work, placement))
+
+
+def end_placement(
+    view: EndpointView, work: CallerRequest, placement: DispatchPlan
+) -> None:
+    """Count a request in flight no longer."""
+    if view.back_offs:
+        view.back_offs.end(placement.identities, _name(work, placement))
+
+
+def record_success(
+    view: EndpointView, work: CallerRequest, placement: DispatchPlan
+) -> None:
+    """Lift the limits under which a request began that has succeeded."""
+    if view.back_offs:
+        view.back_offs.record_success(
+            placement.identities, _name(work, placement)
+        )
+
+
+def _name(work: CallerRequest, placement: DispatchPlan) -> str:
     """Return the name under which a placement counts as in flight."""
     return placement.grant or work.request_id
--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/plain_placer.py
@@ -5,6 +5,11 @@
 
 from expression import Error, Ok, Result
 
+from limpetdrift.coordination.endpoint_gate import (
+    begin_placement,
+    check_service,
+    end_placement,
+)
 from limpetdrift.protocol.service import ServiceLoad
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
@@ -36,14 +41,18 @@
         """Choose a usable endpoint and count a call in flight there.
 
         ``excluded`` holds names and lifetimes of endpoints not to use. Fails
-        with ``NO_ENDPOINT`` if no other is usable.
+        with ``NO_ENDPOINT`` if no other is usable, and with
+        ``SERVICE_BACK_OFF`` if all that are usable asked for a back-off.
         """
         usable = self._view.usable(work.service)
         names = frozenset(name for name, _ in excluded)
-        chosen = self._balancer.choose(usable, names)
+        chosen = self._balancer.choose(
+            self._view.back_offs.open_only(usable), names
+        )
         if chosen is None:
             return Error(
-                not_run(
+                check_service(self._view, work.service)
+                or not_run(
                     Reason.NO_ENDPOINT,
                     work.service,
                     retry_after_seconds=RETRY_AFTER_SECONDS,
@@ -51,7 +60,9 @@
             )
         self._balancer.of(chosen).in_flight += 1
         self._balancer.forget_others(usable)
-        return Ok(DispatchPlan(endpoint=chosen))
+        placement = DispatchPlan(endpoint=chosen)
+        begin_placement(self._view, work, placement)
+        return Ok(placement)
 
     def release(
         self,
@@ -62,6 +73,7 @@
         """Count the end of a call, and a failure if ``failed`` names any."""
         usage = self._balancer.of(placement.endpoint)
         usage.in_flight -= 1
+        end_placement(self._view, work, placement)
         if tuple(failed):
             usage.mark_failing()
 
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -14,6 +14,11 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.endpoint_gate import (
+    begin_placement,
+    check_service,
+    end_placement,
+)
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.planner import endpoint_id_of
 from limpetdrift.coordination.planner_client import (
@@ -95,10 +100,16 @@
     ) -> Result[DispatchPlan, Failure]:
         """Return the engines to which a prompt is sent, or why it is refused.
 
-        ``excluded`` holds names and lifetimes of engines not to use.
+        ``excluded`` holds names and lifetimes of engines not to use. Those that
+        asked this entry for a back-off are excluded, too. They don't count as
+        attempts, and other entries may use them.
         """
+        refusal = check_service(self._view, work.service)
+        if refusal is not None:
+            return Error(refusal)
+        closed = self._view.back_offs.closed(self._view.usable(work.service))
         request = self._make_request(
-            work, excluded, self.groups.home(work.service)
+            work, excluded | closed, self.groups.home(work.service)
         )
         planned = await self._plan(request)
         cost_limit = cost_limit_elsewhere(planned)
@@ -113,6 +124,7 @@
         failed: Iterable[ListedEndpoint],
     ) -> None:
         """End a plan; ``failed`` lists the engines that failed it."""
+        end_placement(self._view, work, placement)
         failed_ids = tuple(endpoint_id_of(endpoint) for endpoint in failed)
         self._end(
             work.service, EndedPlan(grant=placement.grant, failed=failed_ids)
@@ -257,17 +269,19 @@
             return Error(
                 not_run(
                     Reason.ENDPOINT_LEAVING,
-                    'the plan names an engine that is not known here',
+                    'the plan names an engine that is not usable here',
                 ),
             )
         telemetry.count('placements', parts=str(1 + len(helpers)))
-        return Ok(_make_dispatch_plan(plan, writer, helpers, work))
+        placement = _make_dispatch_plan(plan, writer, helpers, work)
+        begin_placement(self._view, work, placement)
+        return Ok(placement)
 
     def _find_usable(self, engine_id: EndpointId) -> ListedEndpoint | None:
         found = self._view.find(engine_id.name, engine_id.lifetime)
         if found is None or not self._view.is_usable(found):
             return None
-        return found
+        return found if self._view.back_offs.is_open(found.identity) else None
 
 
 def _make_dispatch_plan(
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -79,7 +79,7 @@
         seconds_left: float,
         last_event_id: int | None,
     ) -> AsyncIterator[EndpointResponse]:
-        refusal = gate.check_send(placement)
+        refusal = gate.check_send(caller_request, placement)
         if refusal is not None:
             raise FailureError(refusal)
         request = Request(
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -61,7 +61,8 @@
     ``patience_seconds`` without an event the caller disconnects. The other
     times count from now: the answer should begin within ``target_seconds``,
     is of no use if it begins after ``seconds_left``, and has ended in any
-    case after ``hold_seconds``. ``excluded`` lists engines not to use.
+    case after ``hold_seconds``. ``excluded`` lists engines not to use, neither
+    as writer nor as helper.
     ``entry`` names the requesting entry, and ``ended`` lists its ended plans
     that it has not reported yet. ``leaving`` lists engines of the service that
     the entry knows to leave although the list doesn't say so. The plan uses
--- a/src/limpetdrift/state/endpoint_back_offs.py
+++ b/src/limpetdrift/state/endpoint_back_offs.py
@@ -42,6 +42,10 @@
         self._clock = clock
         self._back_offs: dict[Identity, _BackOff] = {}
 
+    def __bool__(self) -> bool:
+        """Whether any lifetime has a back-off or is limited after one."""
+        return bool(self._back_offs)
+
     def extend(self, endpoint: ListedEndpoint, seconds: float) -> None:
         """Send a lifetime nothing for a time; a longer back-off stays."""
         if seconds > MAX_BACK_OFF_SECONDS:
@@ -112,31 +116,38 @@
 
     def begin(self, identities: Iterable[Identity], name: str) -> None:
         """Count a request in flight; ``name`` is unique to its placement."""
-        if self._back_offs:
-            for identity in identities:
-                found = self._back_offs.get(identity)
-                if found is not None:
-                    found.in_flight.add(name)
+        for found in _find_all(self._back_offs, identities):
+            found.in_flight.add(name)
+
+    def admit(self, identities: Iterable[Identity], name: str) -> bool:
+        """Return whether a placed request may be sent, and count it if so.
+
+        It may have been placed before a back-off, and not be counted yet.
+        """
+        now = self._clock()
+        found = _find_all(self._back_offs, identities)
+        for each in found:
+            is_full = len(each.in_flight) >= RECOVERY_REQUESTS
+            if each.until > now or (is_full and name not in each.in_flight):
+                return False
+        for each in found:
+            each.in_flight.add(name)
+        return True
 
     def end(self, identities: Iterable[Identity], name: str) -> None:
         """Count a request in flight no longer, if it was counted."""
-        if self._back_offs:
-            for identity in identities:
-                found = self._back_offs.get(identity)
-                if found is not None:
-                    found.in_flight.discard(name)
+        for found in _find_all(self._back_offs, identities):
+            found.in_flight.discard(name)
 
     def record_success(self, identities: Iterable[Identity], name: str) -> None:
         """Lift the limit where a request succeeded that began under it."""
-        if self._back_offs:
-            for identity in identities:
-                found = self._back_offs.get(identity)
-                if (
-                    found is not None
-                    and name in found.in_flight
-                    and found.until <= self._clock()
-                ):
-                    self._back_offs.pop(identity)
+        now = self._clock()
+        for identity in identities:
+            found = self._back_offs.get(identity)
+            if found is None or found.until > now:
+                continue
+            if name in found.in_flight:
+                self._back_offs.pop(identity)
 
     def forget_unlisted(self, listed: set[Identity]) -> None:
         """Drop the ended back-offs of lifetimes that aren't listed."""
@@ -150,3 +161,10 @@
         if left <= 0 and len(back_off.in_flight) >= RECOVERY_REQUESTS:
             return RECOVERY_RETRY_SECONDS
         return left
+
+
+def _find_all(
+    back_offs: dict[Identity, _BackOff], identities: Iterable[Identity]
+) -> list[_BackOff]:
+    found = map(back_offs.get, identities)
+    return [each for each in found if each is not None]
--- a/tests/test_endpoint_back_offs.py
+++ b/tests/test_endpoint_back_offs.py
@@ -1,14 +1,23 @@
 """Tests that nothing is sent to an endpoint in the time that it named."""
 
+import random
+
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forward_harness import make_endpoints
+from forward_harness import make_endpoints, make_route
+from limpetdrift.coordination.endpoint_gate import make_gate
+from limpetdrift.coordination.plain_placer import PlainPlacer
+from limpetdrift.protocol.verdict import Reason
+from limpetdrift.protocol.work import CallerRequest
 from limpetdrift.state.endpoint_back_offs import (
     MAX_BACK_OFF_SECONDS,
     RECOVERY_REQUESTS,
     EndpointBackOffs,
 )
+from limpetdrift.state.endpoint_view import EndpointView
+from virtual_time import in_virtual_time
 
 FIRST, SECOND, THIRD = make_endpoints(3)
 # Requests that are already on their way may still arrive in this time.
@@ -167,3 +176,104 @@
         FIRST.identity,
         SECOND.identity,
     }
+
+
+class PlainHarness:
+    """A placer of calls, and its view of three endpoints."""
+
+    def __init__(self) -> None:
+        self.endpoints = (FIRST, SECOND, THIRD)
+        self.view = EndpointView(clock=trio.current_time)
+        self.view.replace(self.endpoints)
+        self.placer = PlainPlacer(view=self.view, randomness=random.Random(1))
+        self.count = 0
+
+    def make_call(self) -> CallerRequest:
+        """Return a call with an id of its own."""
+        self.count += 1
+        now = trio.current_time()
+        return CallerRequest(
+            request_id=str(self.count),
+            method='GET',
+            target='/x',
+            headers=(),
+            body=b'',
+            route=make_route(),
+            service='s',
+            version=1,
+            arrived_at=now,
+            deadline=now + 1,
+        )
+
+
+@in_virtual_time
+async def test_call_goes_to_no_endpoint_in_back_off_though_others_failed_it():
+    harness = PlainHarness()
+    harness.view.back_offs.extend(FIRST, 5.0)
+    failed = frozenset((SECOND.identity, THIRD.identity))
+    for _ in range(50):
+        work = harness.make_call()
+        placed = (await harness.placer.place(work, failed)).ok
+        assert placed.endpoint != FIRST
+        harness.placer.release(work, placed, (placed.endpoint,))
+
+
+@in_virtual_time
+async def test_call_is_refused_with_the_least_time_left():
+    harness = PlainHarness()
+    for seconds, endpoint in enumerate(harness.endpoints, start=2):
+        harness.view.back_offs.extend(endpoint, seconds)
+    placed = await harness.placer.place(harness.make_call(), frozenset())
+    assert placed.error.reason is Reason.SERVICE_BACK_OFF
+    assert placed.error.retry_after_seconds == 2.0
+    await trio.sleep(2.0)
+    placed = await harness.placer.place(harness.make_call(), frozenset())
+    assert placed.ok.endpoint == FIRST
+
+
+@in_virtual_time
+async def test_few_of_the_calls_placed_before_a_back_off_are_sent_after_it():
+    """Their planned delays may end when the back-off has ended."""
+    harness = PlainHarness()
+    harness.view.replace((FIRST,))
+    gate = make_gate(harness.view, lambda endpoint: None)
+    calls = [harness.make_call() for _ in range(20)]
+    placed = [
+        (await harness.placer.place(each, frozenset())).ok for each in calls
+    ]
+    harness.view.back_offs.extend(FIRST, 1.0)
+    assert gate.check_send(calls[0], placed[0]) is not None
+    await trio.sleep(1.0)
+    sent = [
+        (call, placement)
+        for call, placement in zip(calls, placed, strict=True)
+        if gate.check_send(call, placement) is None
+    ]
+    assert len(sent) == RECOVERY_REQUESTS
+    gate.record_success(*sent[0])
+    for call, placement in zip(calls, placed, strict=True):
+        harness.placer.release(call, placement, ())
+        assert gate.check_send(call, placement) is None
+
+
+@in_virtual_time
+async def test_few_calls_follow_a_back_off_until_one_has_succeeded():
+    harness = PlainHarness()
+    harness.view.replace((FIRST,))
+    harness.view.back_offs.extend(FIRST, 1.0)
+    await trio.sleep(1.0)
+    calls = [harness.make_call() for _ in range(20)]
+    placed = [await harness.placer.place(each, frozenset()) for each in calls]
+    accepted = [
+        (work, each.ok)
+        for work, each in zip(calls, placed, strict=True)
+        if each.is_ok()
+    ]
+    assert len(accepted) == RECOVERY_REQUESTS
+    refused = next(each.error for each in placed if each.is_error())
+    assert refused.retry_after_seconds > 0
+    work, placement = accepted[0]
+    gate = make_gate(harness.view, lambda endpoint: None)
+    gate.record_success(work, placement)
+    for call in calls:
+        assert (await harness.placer.place(call, frozenset())).is_ok()
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -1,6 +1,7 @@
 """Tests that large services are planned for in groups, and how they borrow."""
 
 import random
+from collections import Counter
 from dataclasses import replace
 
 import msgspec
@@ -33,6 +34,7 @@
     ListedEndpoint,
     PromptSize,
 )
+from limpetdrift.state.endpoint_back_offs import RECOVERY_REQUESTS
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 from limpetdrift.transport.messages import Address
 from test_splitting import COST_MODEL
@@ -354,6 +356,56 @@
     assert harness.planners['entry-0']._inputs.view.is_usable(engine)
 
 
+@in_virtual_time
+async def test_no_plan_names_an_engine_that_asked_its_entry_for_a_back_off():
+    """Neither as writer nor as helper, while other entries may use it."""
+    harness = GroupHarness()
+    placer, other = harness.placers[5], harness.placers[8]
+    work = make_work(400_000)
+    domain = ENTRIES[5].failure_domain
+    engines = [each for each in ENGINES if each.failure_domain == domain]
+    closed = {each.identity for each in engines[::2]}
+    for engine in engines[::2]:
+        placer._view.back_offs.extend(engine, 5.0)
+    placed = (await placer.place(work, frozenset())).ok
+    assert len(placed.identities) > 2
+    assert closed.isdisjoint(placed.identities)
+    placer.release(work, placed, ())
+    await placer.planner_client._send_ended_plans('s', group_of(domain))
+    planned_elsewhere = (await other.place(work, frozenset())).ok
+    assert not closed.isdisjoint(planned_elsewhere.identities)
+
+
+@in_virtual_time
+async def test_prompt_is_refused_at_once_if_all_engines_asked_for_a_back_off():
+    harness = GroupHarness()
+    placer = harness.placers[5]
+    for number, engine in enumerate(ENGINES):
+        placer._view.back_offs.extend(engine, 2.0 + number)
+    started = trio.current_time()
+    placed = await placer.place(make_work(), frozenset())
+    assert placed.error.reason is Reason.SERVICE_BACK_OFF
+    assert placed.error.retry_after_seconds == 2.0
+    assert trio.current_time() == started
+    assert not harness.calls
+
+
+@in_virtual_time
+async def test_few_prompts_go_to_an_engine_whose_back_off_has_ended():
+    harness = GroupHarness()
+    placer = harness.placers[5]
+    for engine in ENGINES:
+        placer._view.back_offs.extend(engine, 2.0)
+    await trio.sleep(2.0)
+    used = Counter()
+    for _ in range(4 * len(ENGINES)):
+        placed = await placer.place(make_work(1000), frozenset())
+        if placed.is_ok():
+            used.update(placed.ok.identities)
+    assert used
+    assert max(used.values()) <= RECOVERY_REQUESTS
+
+
 @in_virtual_time
 async def test_report_of_an_earlier_lifetime_marks_no_restarted_engine():
     harness = GroupHarness()
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 
 import trio
 
@@ -130,6 +131,43 @@
     run_with_desks(tmp_path, 2, body)
 
 
+def test_desk_that_asked_for_a_back_off_is_left_alone_until_its_end(tmp_path):
+    async def body(site: Site) -> None:
+        first = next(iter(site.endpoints.values())).endpoint
+        started = time.monotonic()
+        first.busy_until = started + 3.0
+        names = (f'during-{each}' for each in range(20))
+        answers = await send_calls(site, names)
+        assert time.monotonic() < first.busy_until
+        assert {answer.status for answer in answers} == {200}
+        assert len(site.journal.turned_away) == 1
+        await trio.sleep(first.busy_until - time.monotonic() + 0.1)
+        await send_calls(site, (f'after-{each}' for each in range(20)))
+        assert first.name in {run.endpoint for run in site.journal.runs}
+
+    run_with_desks(tmp_path, 2, body)
+
+
+def test_call_is_refused_at_once_if_all_desks_asked_for_a_back_off(tmp_path):
+    async def body(site: Site) -> None:
+        endpoints = [each.endpoint for each in site.endpoints.values()]
+        started = time.monotonic()
+        for endpoint in endpoints:
+            endpoint.busy_until = started + 10.0
+        answers = await send_calls(site, (f'a-{each}' for each in range(20)))
+        seconds = time.monotonic() - started
+        assert seconds < 5.0
+        assert {answer.status for answer in answers} == {503}
+        least = 10.0 - seconds
+        retry_times = {float(each.header('retry-after')) for each in answers}
+        assert min(retry_times) >= least
+        assert len(retry_times) > 10
+        assert len(site.journal.turned_away) == len(endpoints)
+        assert not site.journal.runs
+
+    run_with_desks(tmp_path, 2, body)
+
+
 def test_check_prints_valid_settings_and_rejects_invalid_ones(tmp_path):
     path = tmp_path / 'node.json'
     path.write_text(
