--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -69,14 +69,14 @@
     assert set(statuses) <= {404, 503}
 
 
-def run_with_desks(folder, desks: int, body) -> None:
+def run_with_endpoints(folder, body, **counts: int) -> None:
     """Run a function of a site with one entry that is ready."""
 
     async def run_site() -> None:
         async with trio.open_nursery() as nursery:
             site = Site(folder=folder, port=PORT, nursery=nursery)
             try:
-                await site.open(1, engines=0, desks=desks)
+                await site.open(1, **({'engines': 0, 'desks': 0} | counts))
                 entry = site.entries[0]
                 await wait_ready(
                     HttpClient(), Address(host=entry.host, port=PORT + 1)
@@ -89,8 +89,10 @@
     trio.run(run_site)
 
 
-async def send_calls(site: Site, names) -> list[Response]:
-    """Send one call to the desks after the other."""
+async def send_calls(
+    site: Site, names, path: str = '/twice/x', **changes: str
+) -> list[Response]:
+    """Send one call after the other."""
     client = HttpClient()
     answers = []
     for name in names:
@@ -99,12 +101,11 @@
             'attempt-id': name,
             'authorization': 'Bearer key-0',
             'deadline-ms': '1500',
+            **changes,
         }
         answer = await client.fetch(
             Address(host=site.entries[0].host, port=PORT),
-            Request(
-                method='GET', path='/twice/x', headers=tuple(headers.items())
-            ),
+            Request(method='GET', path=path, headers=tuple(headers.items())),
             timeout_seconds=5,
         )
         answers.append(answer.ok)
@@ -128,7 +129,7 @@
         ]
         assert len(at_first) <= 1
 
-    run_with_desks(tmp_path, 2, body)
+    run_with_endpoints(tmp_path, body, desks=2)
 
 
 def test_desk_that_asked_for_a_back_off_is_left_alone_until_its_end(tmp_path):
@@ -145,7 +146,23 @@
         await send_calls(site, (f'after-{each}' for each in range(20)))
         assert first.name in {run.endpoint for run in site.journal.runs}
 
-    run_with_desks(tmp_path, 2, body)
+    run_with_endpoints(tmp_path, body, desks=2)
+
+
+def test_engine_that_asked_for_a_back_off_gets_no_prompt_and_no_poll(tmp_path):
+    prompt = {'token-usage': '4000,510', 'deadline-ms': '8000'}
+
+    async def body(site: Site) -> None:
+        first = next(iter(site.endpoints.values())).endpoint
+        first.busy_until = time.monotonic() + 3.0
+        names = (f'during-{each}' for each in range(5))
+        answers = await send_calls(site, names, '/text/x', **prompt)
+        assert {answer.status for answer in answers} == {200}
+        await trio.sleep(first.busy_until - time.monotonic() - 0.1)
+        # A poll and a prompt may be on their way at once.
+        assert 1 <= len(site.journal.turned_away) <= 2
+
+    run_with_endpoints(tmp_path, body, engines=2)
 
 
 def test_call_is_refused_at_once_if_all_desks_asked_for_a_back_off(tmp_path):
@@ -165,7 +182,7 @@
         assert len(site.journal.turned_away) == len(endpoints)
         assert not site.journal.runs
 
-    run_with_desks(tmp_path, 2, body)
+    run_with_endpoints(tmp_path, body, desks=2)
 
 
 def test_check_prints_valid_settings_and_rejects_invalid_ones(tmp_path):
