Let the property of back-offs also place requests before they begin

A request may wait in its planned delay while a back-off begins and ends. The property now places and sends separately, allows no send at all between an answer and the end that it named (it allowed two), and holds the limit on requests in flight after it.

--- a/tests/test_endpoint_back_offs.py
+++ b/tests/test_endpoint_back_offs.py
@@ -1,9 +1,10 @@
 """Tests that nothing is sent to an endpoint in the time that it named."""
 
 import random
+from dataclasses import replace
 
 import trio
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from forward_harness import make_endpoints, make_route
@@ -20,17 +21,14 @@
 from virtual_time import in_virtual_time
 
 FIRST, SECOND, THIRD = make_endpoints(3)
-# Requests that are already on their way may still arrive in this time.
-ARRIVAL_SECONDS = 0.5
-# Those that may arrive later during a back-off.
-LATE_ARRIVALS = 2
 SECONDS = st.floats(min_value=0, max_value=3, allow_nan=False)
 STEPS = st.lists(
     st.one_of(
         st.tuples(st.just('wait'), SECONDS),
-        st.tuples(st.just('turned away'), SECONDS),
-        st.tuples(st.just('send'), st.integers(min_value=1, max_value=30)),
-        st.tuples(st.just('end'), st.booleans()),
+        st.tuples(st.just('turn_away'), SECONDS),
+        st.tuples(st.just('place_all'), st.integers(min_value=1, max_value=30)),
+        st.tuples(st.just('send_all'), st.integers(min_value=1, max_value=30)),
+        st.tuples(st.just('end_first'), st.booleans()),
     ),
     max_size=60,
 )
@@ -47,54 +45,110 @@
 
 
 class Caller:
-    """Sends requests to one endpoint as a placer does, and records them."""
+    """Sends requests to one endpoint as an entry does, and records them.
+
+    ``placed`` holds those that wait in their planned delay. ``recovering``
+    holds those that were sent after a back-off without a success since.
+    """
 
     def __init__(self) -> None:
         self.clock = Clock()
         self.back_offs = EndpointBackOffs(clock=self.clock)
         self.sends: list[float] = []
         self.closed: list[tuple[float, float]] = []
+        self.placed: list[str] = []
         self.in_flight: list[str] = []
+        self.recovering: set[str] = set()
         self.count = 0
 
     def play(self, step: str, argument: float) -> None:
-        """Play one step."""
-        if step == 'wait':
-            self.clock.now += argument
-        elif step == 'turned away':
-            self.back_offs.extend(FIRST, argument)
-            self.closed.append((self.clock.now, self.clock.now + argument))
-        elif step == 'send':
-            for _ in range(int(argument)):
-                self.send()
-        elif self.in_flight:
-            name = self.in_flight.pop(0)
-            if argument:
-                self.back_offs.record_success((FIRST.identity,), name)
-            self.back_offs.end((FIRST.identity,), name)
-
-    def send(self) -> None:
-        """Send a request if one may be placed."""
+        """Play one step, which is named like a method."""
+        getattr(self, step)(argument)
+
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.clock.now += seconds
+
+    def turn_away(self, seconds: float) -> None:
+        """Receive an answer that names a time."""
+        self.back_offs.extend(FIRST, seconds)
+        if seconds:
+            self.closed.append((self.clock.now, self.clock.now + seconds))
+
+    def place_all(self, count: int) -> None:
+        """Place requests that wait in their planned delay."""
+        for _ in range(count):
+            self.place()
+
+    def send_all(self, count: int) -> None:
+        """Place requests, and send as many."""
+        for _ in range(count):
+            self.place()
+            self.send()
+
+    def end_first(self, is_success: bool) -> None:
+        """End the request that was sent first."""
+        if self.in_flight:
+            self.end(self.in_flight.pop(0), is_success=is_success)
+
+    def place(self) -> None:
+        """Place a request if the endpoint may be chosen."""
         if self.back_offs.is_open(FIRST.identity):
             self.count += 1
-            name = str(self.count)
-            self.back_offs.begin((FIRST.identity,), name)
-            self.in_flight.append(name)
-            self.sends.append(self.clock.now)
+            self.placed.append(str(self.count))
+            self.back_offs.begin((FIRST.identity,), self.placed[-1])
+
+    def send(self) -> None:
+        """Send the request that was placed first, unless it is refused."""
+        if not self.placed:
+            return
+        name = self.placed.pop(0)
+        if not self.back_offs.admit((FIRST.identity,), name):
+            self.back_offs.end((FIRST.identity,), name)
+            return
+        self.in_flight.append(name)
+        self.sends.append(self.clock.now)
+        if self.closed:
+            self.recovering.add(name)
+
+    def end(self, name: str, *, is_success: bool) -> None:
+        """End a request."""
+        is_open = all(until <= self.clock.now for _, until in self.closed)
+        if is_success:
+            self.back_offs.record_success((FIRST.identity,), name)
+            if is_open and name in self.recovering:
+                self.closed.clear()
+                self.recovering.clear()
+        self.back_offs.end((FIRST.identity,), name)
+        self.recovering.discard(name)
 
 
 @given(STEPS)
-def test_almost_nothing_is_sent_between_an_answer_and_the_end_it_named(steps):
+@example(
+    [('place_all', 3), ('turn_away', 3.0), ('wait', 1.0), ('send_all', 3)],
+)
+def test_nothing_is_sent_between_an_answer_and_the_end_that_it_named(steps):
     caller = Caller()
+    closed = set()
     for step, argument in steps:
         caller.play(step, argument)
-    for answered_at, until in caller.closed:
-        late = [
-            at
-            for at in caller.sends
-            if answered_at + ARRIVAL_SECONDS < at < until
-        ]
-        assert len(late) <= LATE_ARRIVALS
+        closed.update(caller.closed)
+    for answered_at, until in closed:
+        late = [at for at in caller.sends if answered_at < at < until]
+        assert not late
+
+
+@given(STEPS)
+@example(
+    [('place_all', 5), ('turn_away', 1.0), ('wait', 1.0), ('send_all', 5)],
+)
+def test_few_requests_are_in_flight_after_any_back_off_until_a_success(
+    steps,
+):
+    caller = Caller()
+    for step, argument in steps:
+        caller.play(step, argument)
+        assert len(caller.recovering) <= RECOVERY_REQUESTS
 
 
 @given(STEPS)
@@ -110,13 +164,13 @@
 def test_few_requests_are_in_flight_after_a_back_off_until_one_succeeds():
     """Guards against all waiting requests arriving at its end."""
     caller = Caller()
-    for step, argument in (('turned away', 1.0), ('wait', 1.0), ('send', 20)):
+    for step, argument in (('turn_away', 1.0), ('wait', 1.0), ('send_all', 20)):
         caller.play(step, argument)
     assert len(caller.sends) == RECOVERY_REQUESTS
-    for step, argument in (('end', 0), ('send', 20)):
+    for step, argument in (('end_first', False), ('send_all', 20)):
         caller.play(step, argument)
     assert len(caller.sends) == RECOVERY_REQUESTS + 1
-    for step, argument in (('end', 1), ('send', 20)):
+    for step, argument in (('end_first', True), ('send_all', 20)):
         caller.play(step, argument)
     assert len(caller.sends) == RECOVERY_REQUESTS + 21
 
@@ -124,19 +178,26 @@
 def test_success_of_a_request_from_before_does_not_lift_the_limit():
     caller = Caller()
     for step, argument in (
-        ('send', 1),
-        ('turned away', 1.0),
-        ('end', 1),
-        ('send', 1),
+        ('send_all', 1),
+        ('turn_away', 1.0),
+        ('end_first', True),
+        ('send_all', 1),
     ):
         caller.play(step, argument)
     assert len(caller.sends) == 1
     caller.play('wait', 1.0)
     caller.back_offs.record_success((FIRST.identity,), '1')
-    caller.play('send', 20)
+    caller.play('send_all', 20)
     assert len(caller.sends) == 1 + RECOVERY_REQUESTS
 
 
+def test_endpoint_that_starts_again_is_free_of_its_back_off():
+    caller = Caller()
+    caller.back_offs.extend(FIRST, 5.0)
+    restarted = replace(FIRST, lifetime=FIRST.lifetime + 1)
+    assert caller.back_offs.is_open(restarted.identity)
+
+
 def test_shorter_later_back_off_does_not_shorten_a_longer_one():
     caller = Caller()
     caller.back_offs.extend(FIRST, 5.0)
