--- a/src/limpetdrift/coordination/retry_policy.py
+++ b/src/limpetdrift/coordination/retry_policy.py
@@ -42,6 +42,7 @@
         Reason.QUARANTINED,
         Reason.NO_ENDPOINT,
         Reason.SERVICE_BACK_OFF,
+        Reason.RETRY_BUDGET,
     ),
 )
 
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -24,6 +24,7 @@
 from limpetdrift.platform.settings import PlatformSettings, read_settings
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.programs.serving import (
+    CLOSE_SECONDS,
     listen_and_serve,
     stop_on_signals,
 )
@@ -64,7 +65,7 @@
 
 
 async def serve(settings: PlatformSettings) -> None:
-    """Run one entry until it has drained, or a second signal stops it."""
+    """Run one entry until it has drained, or SIGINT ends the drain."""
     entry = build_entry(settings)
     listeners = settings.listeners
     servers = (
@@ -93,14 +94,22 @@
     )
     register_gauges(entry)
     async with trio.open_nursery() as nursery:
+        await nursery.start(
+            stop_on_signals, _make_stop(entry), nursery.cancel_scope
+        )
         for task in tasks:
             nursery.start_soon(task)
         for address, server in servers:
             if address is not None:
                 await listen_and_serve(address, server, nursery)
         logs.note('started', instance=settings.instance, node=entry.node.name)
-        await stop_on_signals(_make_stop(entry), nursery.cancel_scope)
-    logs.note('stopped', node=entry.node.name)
+    cut = entry.callers.cut_at_end
+    logs.note(
+        'stopped',
+        node=entry.node.name,
+        cut=cut.count,
+        longest_cut_seconds=round(cut.longest_seconds, 3),
+    )
 
 
 def _make_stop(entry: EntryComponents):
@@ -108,6 +117,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(entry.registration.leave)
             await entry.drain.run()
+            await entry.callers.close(CLOSE_SECONDS)
             nursery.cancel_scope.cancel()
 
     return stop
