--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -8,7 +8,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 
 import msgspec
@@ -54,12 +54,15 @@
     endpoint and a time for each request that was not refused; ``left_at``
     maps an endpoint to the time at which it first registered as draining;
     ``broken`` holds the requests whose answers an endpoint broke off.
+    ``turned_away`` has a path, an endpoint and a time for each request that was
+    answered with a time to retry.
     """
 
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[str, str, float]] = field(default_factory=list)
     left_at: dict[str, float] = field(default_factory=dict)
     broken: set[str] = field(default_factory=set)
+    turned_away: list[tuple[str, str, float]] = field(default_factory=list)
 
 
 class StandinEndpoint:
@@ -67,8 +70,10 @@
 
     ``fail_next`` is the number of next runs whose connection is aborted
     before the response is complete. While ``hang`` is set, requests are
-    accepted but neither run nor answered. ``reservations`` maps the id of a
-    reservation to its tokens and its expiry time.
+    accepted but neither run nor answered. While ``leaving`` is set, all
+    answers say that the endpoint leaves. Until ``busy_until`` it turns all but
+    releases away, with a time to retry or ``busy_text``. ``reservations`` maps
+    the id of a reservation to its tokens and its expiry time.
     """
 
     def __init__(
@@ -86,12 +91,15 @@
         self.address = address
         self.fail_next = 0
         self.hang = False
+        self.leaving = False
+        self.busy_until = float('-inf')
+        self.busy_text: str | None = None
         self.reservations: dict[str, tuple[int, float]] = {}
-        self._journal = journal
+        self.journal = journal
         self._clock = clock
-        self._slots = slots
+        self.slots = slots
         self._active = 0
-        self._born = int(clock() * _MILLISECONDS)
+        self.lifetime = int(clock() * _MILLISECONDS)
         self._silent_until = 0.0
 
     def make_server(self) -> Server:
@@ -105,7 +113,7 @@
     def register(self, store: StandinStore, state: str = 'ready') -> None:
         """Write this endpoint's row in the list of endpoints."""
         if state == 'draining':
-            self._journal.left_at.setdefault(self.name, self._clock())
+            self.journal.left_at.setdefault(self.name, self._clock())
         store.put(
             'servers',
             self.name,
@@ -114,9 +122,9 @@
                 'address': str(self.address),
                 'zone': 'zone-1',
                 'version': 'v1',
-                'slots': self._slots,
+                'slots': self.slots,
                 'state': state,
-                'born': self._born,
+                'born': self.lifetime,
             },
         )
 
@@ -138,17 +146,20 @@
         if immediate_response is None:
             await self._run_until_disconnect(exchange, arrived_at)
         else:
-            await exchange.respond(immediate_response)
+            headers = (*immediate_response.headers, *_signal_headers(self))
+            await exchange.respond(replace(immediate_response, headers=headers))
 
     def _respond_without_running(self, request: Request) -> Response | None:
         """Return a report, reservation or refusal; None if it has to run."""
+        if self._clock() < self.busy_until and not _is_release(request):
+            return _turn_away(self, request, self._clock())
         if request.path == '/-/report':
             return json_response(self._report())
         if request.path == '/-/order':
             return self._handle_order(request)
         if request.header('expect-instance', self.name) != self.name:
             return Response(status=_MISDIRECTED)
-        if self._active >= self._slots:
+        if self._active >= self.slots:
             not_run = (('not-executed', '1'),)
             return Response(status=_UNAVAILABLE, headers=not_run)
         return None
@@ -170,13 +181,13 @@
         finally:
             if trio.current_effective_deadline() == -inf:
                 # The endpoint ends, not only its caller's connection.
-                self._journal.broken.add(exchange.request.header('attempt-id'))
+                self.journal.broken.add(exchange.request.header('attempt-id'))
             self._active -= 1
 
     async def _run(self, exchange: Exchange, arrived_at: float) -> None:
         request = exchange.request
         request_id = request.header('attempt-id')
-        self._journal.arrivals.append((request_id, self.name, arrived_at))
+        self.journal.arrivals.append((request_id, self.name, arrived_at))
         if self.hang:
             await trio.sleep_forever()
         prompt_tokens, _, answer_tokens = request.header(
@@ -189,7 +200,7 @@
                 / PREFILL_TOKENS_PER_SECOND
                 / prefilling_engines
             )
-        self._journal.runs.append(
+        self.journal.runs.append(
             Run(
                 request_id=request_id,
                 endpoint=self.name,
@@ -202,7 +213,7 @@
         breaks_off = self.fail_next > 0
         self.fail_next = max(0, self.fail_next - 1)
         if breaks_off:
-            self._journal.broken.add(request_id)
+            self.journal.broken.add(request_id)
         if prompt_tokens:
             await self._stream_events(
                 exchange, int(answer_tokens) // _TOKENS_PER_EVENT, breaks_off
@@ -246,7 +257,8 @@
         return (
             ('attempt-id', request_id),
             ('server-seal', f'{self.name}.{request_id}'),
-            ('server-load', f'{self._active},0,{self._slots}'),
+            ('server-load', f'{self._active},0,{self.slots}'),
+            *_signal_headers(self),
         )
 
     def _report(self) -> dict[str, object]:
@@ -259,7 +271,7 @@
             'active': self._active,
             'kvUsed': self.held_tokens(),
             'kvTotal': MEMORY_TOKENS,
-            'born': self._born,
+            'born': self.lifetime,
         }
 
     def _handle_order(self, request: Request) -> Response:
@@ -276,6 +288,27 @@
         return json_response({'free': MEMORY_TOKENS - self.held_tokens()})
 
 
+def _signal_headers(endpoint: StandinEndpoint) -> Headers:
+    return (('server-leaving', '1'),) if endpoint.leaving else ()
+
+
+def _turn_away(
+    endpoint: StandinEndpoint, request: Request, now: float
+) -> Response:
+    endpoint.journal.turned_away.append((request.path, endpoint.name, now))
+    text = endpoint.busy_text or str(endpoint.busy_until - now)
+    return Response(
+        status=_UNAVAILABLE,
+        headers=(('not-executed', '1'), ('retry-after', text)),
+    )
+
+
+def _is_release(request: Request) -> bool:
+    if request.path != '/-/order':
+        return False
+    return msgspec.json.decode(request.body)['operation'] == 'release'
+
+
 async def _send_answer(
     exchange: Exchange, headers: Headers, breaks_off: bool
 ) -> None:
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -2,16 +2,18 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import count
 
 import trio
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.forwarding import ReserveMemory
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
+from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.codec import json_request
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -43,15 +45,28 @@
 _SILENCE_REASONS = frozenset((Reason.CONNECT_TIMEOUT, Reason.TIMEOUT))
 _MILLISECONDS = 1000
 _ORDER_PATH = '/-/order'
+_RELEASE = 'release'
 
 
-def make_reserver(client: HttpClient, name: str) -> ReserveMemory:
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Orders:
+    """What orders are sent with."""
+
+    client: HttpClient
+    gate: EndpointGate
+
+
+def make_reserver(
+    client: HttpClient, name: str, gate: EndpointGate
+) -> ReserveMemory:
     """Return the function that reserves a placement's memory.
 
     ``name`` is unique to this process, and so are its reservations'
-    identifiers, which begin with it.
+    identifiers, which begin with it. While ``gate`` is closed to an engine,
+    no memory is reserved there and no reservation renewed.
     """
     counter = count()
+    orders = _Orders(client=client, gate=gate)
 
     @asynccontextmanager
     async def reserve(placement: DispatchPlan) -> AsyncIterator[DispatchPlan]:
@@ -67,28 +82,28 @@
             for endpoint, tokens in placement.reserved
         )
         try:
-            async with _reserved(client, reservations):
+            async with _reserved(orders, reservations):
                 yield _with_reservations(placement, reservations)
         finally:
-            await _release_all(client, reservations)
+            await _release_all(orders, reservations)
 
     return reserve
 
 
 @asynccontextmanager
 async def _reserved(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> AsyncIterator[None]:
     """Reserve all memory, and renew it while the context is open.
 
     Raises ``FailureError`` if an engine refuses.
     """
-    await _reserve_all(client, reservations)
+    await _reserve_all(orders, reservations)
     raised: Exception | None = None
     async with trio.open_nursery() as nursery:
         for reservation in reservations:
-            nursery.start_soon(_renew, client, reservation)
+            nursery.start_soon(_renew, orders, reservation)
         try:
             yield
         except Exception as error:
@@ -100,14 +115,14 @@
 
 
 async def _reserve_all(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> None:
     failures: list[Failure] = []
 
     async def reserve(reservation: Reservation) -> None:
         result = await _repeat_order(
-            client, reservation.endpoint, _reserve_order(reservation)
+            orders, reservation.endpoint, _reserve_order(reservation)
         )
         if result.is_error():
             failures.append(result.error)
@@ -120,16 +135,16 @@
         raise FailureError(failures[0])
 
 
-async def _renew(client: HttpClient, reservation: Reservation) -> None:
+async def _renew(orders: _Orders, reservation: Reservation) -> None:
     while True:
         await trio.sleep(RENEWAL_INTERVAL_SECONDS)
         await _repeat_order(
-            client, reservation.endpoint, _reserve_order(reservation)
+            orders, reservation.endpoint, _reserve_order(reservation)
         )
 
 
 async def _release_all(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> None:
     """Release all memory, even if the request has been cancelled."""
@@ -138,7 +153,7 @@
     async def release() -> None:
         async with trio.open_nursery() as nursery:
             for reservation in reservations:
-                nursery.start_soon(_release, client, reservation)
+                nursery.start_soon(_release, orders, reservation)
         is_released.set()
 
     trio.lowlevel.spawn_system_task(release)
@@ -146,9 +161,11 @@
         await is_released.wait()
 
 
-async def _release(client: HttpClient, reservation: Reservation) -> None:
-    body = {'operation': 'release', 'id': reservation.identifier}
-    result = await _repeat_order(client, reservation.endpoint, body)
+async def _release(orders: _Orders, reservation: Reservation) -> None:
+    # Sent during a back-off, too, but once only: it frees memory that the
+    # engine needs, and adds no work.
+    body = {'operation': _RELEASE, 'id': reservation.identifier}
+    result = await _repeat_order(orders, reservation.endpoint, body)
     if result.is_error():
         note(
             'reserved memory could not be released, it will expire',
@@ -159,7 +176,7 @@
 
 
 async def _repeat_order(
-    client: HttpClient,
+    orders: _Orders,
     endpoint: ListedEndpoint,
     body: dict[str, object],
 ) -> Result[None, Failure]:
@@ -167,37 +184,44 @@
     deadline = trio.current_time() + ORDER_TIMEOUT_SECONDS
     while True:
         seconds_left = deadline - trio.current_time()
-        result = await _send_order(client, endpoint, body, seconds_left)
+        result = await _send_order(orders, endpoint, body, seconds_left)
         retry_at = trio.current_time() + _ORDER_RETRY_SECONDS
         is_silent = (
             result.is_error() and result.error.reason in _SILENCE_REASONS
         )
-        if not is_silent or retry_at >= deadline:
+        is_closed = orders.gate.check_call(endpoint) is not None
+        if is_closed or not is_silent or retry_at >= deadline:
             return result
         await trio.sleep_until(retry_at)
 
 
 async def _send_order(
-    client: HttpClient,
+    orders: _Orders,
     endpoint: ListedEndpoint,
     body: dict[str, object],
     timeout_seconds: float,
 ) -> Result[None, Failure]:
+    refusal = orders.gate.check_call(endpoint)
+    if refusal is not None and body['operation'] != _RELEASE:
+        return Error(not_run(Reason.NO_MEMORY, refusal.detail))
     request = json_request('POST', _ORDER_PATH, body)
-    result = await client.fetch(
+    result = await orders.client.fetch(
         parse_address(endpoint.address),
         _with_expected_instance(request, endpoint),
         timeout_seconds=timeout_seconds,
         new_connection=True,
     )
     telemetry.count('orders', operation=str(body['operation']))
-    return result.bind(
-        lambda response: (
-            Ok(None)
-            if response.status == OK
-            else Error(not_run(Reason.NO_MEMORY, f'status {response.status}'))
-        ),
+    if result.is_error():
+        return Error(result.error)
+    response = result.ok
+    orders.gate.apply_signals(
+        endpoint,
+        decode_signals(endpoint, response.status, response.headers),
     )
+    if response.status == OK:
+        return Ok(None)
+    return Error(not_run(Reason.NO_MEMORY, f'status {response.status}'))
 
 
 def _with_expected_instance(
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -9,9 +9,11 @@
 
 from limpet_standins.local import call_local
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
+from limpetdrift.coordination.endpoint_gate import make_gate
 from limpetdrift.platform.reservations import make_reserver
 from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
+from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.messages import Address
 from virtual_time import in_virtual_time
 
@@ -60,7 +62,9 @@
 
 @asynccontextmanager
 async def reserve(engine: SilentEngine):
-    async with make_reserver(engine, 'entry-1')(PLAN):
+    view = EndpointView(clock=trio.current_time)
+    gate = make_gate(view, lambda endpoint: None)
+    async with make_reserver(engine, 'entry-1', gate)(PLAN):
         yield
 
 
