Read both tables in full once the store is in a new era

Callers would see endpoints and routes that are missing or gone: after the store came back from an older copy, versions were given out again, and a feed went on at a version of the era before, so that changes were passed over without an error until the next one.

Each answer's Store-Era, also that of a failed call or a write, is compared to the last known one (state/store_era.py). A newer era ends the open polls, voids the positions of both watchers, and counts as the end of an outage. An answer from an earlier era is a failed call with a log line. A missing or malformed header counts as the last known era, with one log line. A full read of several pages that spans a return starts over.

tests/test_store_era.py: with the earlier store client and watcher, test_versions_given_out_again_hide_no_change_of_the_endpoint_list, test_write_that_sees_a_new_era_makes_both_tables_be_read_at_once and test_answer_from_an_earlier_era_is_ignored fail, the last two since that client has no era; test_full_read_that_spans_a_return_starts_over fails for want of the field. test_store_without_eras_is_followed_as_before passes on both.

--- a/src/limpetdrift/platform/store.py
+++ b/src/limpetdrift/platform/store.py
@@ -20,6 +20,7 @@
     may_have_run,
     not_run,
 )
+from limpetdrift.state.store_era import UNKNOWN_ERA, EraOrder, StoreEra
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import (
     OK,
@@ -37,6 +38,7 @@
 _TOO_MANY = 429
 _CONDITION_FAILED = 412
 _JSON = (('content-type', 'application/json'),)
+_ERA_HEADER = 'store-era'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,11 +54,13 @@
 class RowPage:
     """Rows as of ``version``, the newest version of the whole store.
 
-    A ``truncated`` page ends before the last row of the table.
+    Versions are only comparable within one ``era`` of the store. A
+    ``truncated`` page ends before the last row of the table.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
+    era: int = UNKNOWN_ERA
     truncated: bool = False
 
 
@@ -77,9 +81,13 @@
 
 
 class StoreClient:
-    """Calls one metadata store; failures are returned, not raised."""
+    """Calls one metadata store; failures are returned, not raised.
+
+    ``era`` follows the store's era. An answer of an earlier one is a failure.
+    """
 
     def __init__(self, *, client: HttpClient, address: Address) -> None:
+        self.era = StoreEra()
         self._client = client
         self._address = address
 
@@ -106,8 +114,9 @@
         """Return the rows that changed after a version, once there are any.
 
         After the long-poll timeout the page is empty. A failure with the
-        reason ``CONFLICT`` means that the store's changelog no longer reaches
-        back to ``after_version``; the whole table must be read then.
+        reason ``CONFLICT`` means that the store's changelog doesn't reach back
+        to ``after_version``, or that the store came back from a copy without
+        this version; the whole table must be read then.
         """
         query = {
             'table': table,
@@ -170,7 +179,9 @@
             Request(method='GET', path=path, query=query),
             timeout_seconds,
         )
-        return result.bind(_decode_page)
+        return result.bind(
+            lambda response: _decode_page(response, self.era.known)
+        )
 
     async def _call(
         self,
@@ -182,11 +193,23 @@
             request,
             timeout_seconds=timeout_seconds,
         )
-        checked = result.bind(_check_status)
+        checked = result.bind(
+            lambda response: self._check_era(request.path, response)
+        ).bind(_check_status)
         outcome = 'answered' if checked.is_ok() else checked.error.reason
         telemetry.count('store_calls', path=request.path, outcome=outcome)
         return checked
 
+    def _check_era(
+        self, path: str, response: Response
+    ) -> Result[Response, Failure]:
+        order = self.era.observe(response.header(_ERA_HEADER), path)
+        if order is EraOrder.OLDER:
+            return Error(
+                may_have_run(Reason.BAD_ANSWER, 'answer from an earlier era')
+            )
+        return Ok(response)
+
 
 def _check_status(response: Response) -> Result[Response, Failure]:
     status = response.status
@@ -201,11 +224,12 @@
     return Error(may_have_run(Reason.BAD_ANSWER, f'status {status}'))
 
 
-def _decode_page(response: Response) -> Result[RowPage, Failure]:
+def _decode_page(response: Response, era: int) -> Result[RowPage, Failure]:
     return decode(response.body, _WirePage).map(
         lambda page: RowPage(
             rows=tuple(_decode_row(row) for row in page.rows),
             version=page.version,
+            era=era,
             truncated=page.truncated,
         ),
     )
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -117,6 +117,12 @@
             ),
         )
         inputs.routes.on_change.append(lambda table: self._on_change())
+        inputs.store.era.on_rise.extend(
+            (
+                self._configuration_watcher.restart,
+                self._endpoints_watcher.restart,
+            )
+        )
 
     @property
     def is_synced(self) -> bool:
--- a/src/limpetdrift/platform/table_watcher.py
+++ b/src/limpetdrift/platform/table_watcher.py
@@ -8,7 +8,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.logs import note
-from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
+from limpetdrift.platform.store import RowPage, StoreClient
 from limpetdrift.protocol.verdict import Failure, Reason
 
 # The retry interval after a failed call doubles with each further failure. The
@@ -63,7 +63,9 @@
         self._subscription = subscription
         self._clock = clock
         self._randomness = randomness
-        self._version: int | None = None
+        # The era and version up to which all changes have been applied.
+        self._position: tuple[int, int] | None = None
+        self._poll = trio.CancelScope()
         self._in_burst = False
         self._failures = 0
         self._lost_at: float | None = None
@@ -80,25 +82,36 @@
         """Whether calls have failed since the last successful one."""
         return self._lost_at is not None
 
+    def restart(self) -> None:
+        """Read the whole table next, since the store is in a new era.
+
+        The changes since the last read are unknown, and rows may lapse until
+        they are written again, as after an outage.
+        """
+        self._position = None
+        self._in_burst = False
+        self._regained_at = self._clock()
+        self._poll.cancel()
+
     async def run(self) -> None:
         """Watch the table until cancelled."""
         while True:
             if self._subscription.is_enabled():
                 await self.step()
             else:
-                # Peers provide newer data than this version meanwhile, so the
+                # Peers provide newer data than this position meanwhile, so the
                 # whole table is read when the watcher is enabled again.
-                self._version = None
+                self._position = None
                 self._lost_at = None
                 await self._subscription.wait_enabled()
 
     async def step(self) -> None:
         """Read the table, or poll once for changes; back off on failure."""
         requested_at = self._clock()
-        if self._version is None:
+        if self._position is None:
             failure = await self._read_all(requested_at)
         else:
-            failure = await self._read_changes(requested_at)
+            failure = await self._read_changes(requested_at, *self._position)
         if failure is None:
             self._record_success()
             if self._in_burst:
@@ -110,13 +123,12 @@
                 table=self._subscription.table,
             )
             telemetry.count('store_rereads', table=self._subscription.table)
-            self._version = None
+            self._position = None
             return
         await self._back_off(failure)
 
     async def _read_all(self, requested_at: float) -> Failure | None:
-        rows: list[StoredRow] = []
-        version: int | None = None
+        pages: list[RowPage] = []
         start = ''
         while True:
             result = await self._store.read(
@@ -125,30 +137,49 @@
             if result.is_error():
                 return result.error
             page = result.ok
-            rows.extend(page.rows)
-            version = page.version if version is None else version
+            if pages and page.era != pages[0].era:
+                # The pages read so far are of an earlier era.
+                pages.clear()
+                start = ''
+                continue
+            pages.append(page)
             if not page.truncated or not page.rows:
                 break
             last = page.rows[-1].key
             start = f'{last}\0'
-        self._version = version
+        first = pages[0]
+        self._position = (first.era, first.version)
         self._subscription.on_snapshot(
-            RowPage(rows=tuple(rows), version=version),
+            RowPage(
+                rows=tuple(row for page in pages for row in page.rows),
+                version=first.version,
+                era=first.era,
+            ),
             requested_at,
         )
         self._subscription.on_confirmed(requested_at)
         return None
 
-    async def _read_changes(self, requested_at: float) -> Failure | None:
-        result = await self._store.poll_changes(
-            self._subscription.table,
-            self._version,
-            self._subscription.long_poll_seconds(),
-        )
+    async def _read_changes(
+        self, requested_at: float, era: int, version: int
+    ) -> Failure | None:
+        self._poll = trio.CancelScope()
+        with self._poll:
+            result = await self._store.poll_changes(
+                self._subscription.table,
+                version,
+                self._subscription.long_poll_seconds(),
+            )
+        if self._poll.cancelled_caught:
+            return None
         if result.is_error():
             return result.error
         page = result.ok
-        self._version = max(self._version, page.version)
+        if self._position is None or page.era != era:
+            # These are not the changes after this position.
+            self.restart()
+            return None
+        self._position = (era, max(version, page.version))
         if page.rows:
             self._subscription.on_changes(page, requested_at)
         self._subscription.on_confirmed(requested_at)
--- /dev/null
+++ b/src/limpetdrift/state/store_era.py
@@ -0,0 +1,105 @@
+"""Follows the era of a store that may come back from an older copy.
+
+After such a return, versions go back and are given out again, so a version
+means nothing without its era. The era rises with each return.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum, unique
+
+from limpetdrift.logs import note, warn
+
+# The era before any was seen.
+UNKNOWN_ERA = 0
+# Limit of the digits of an era. A larger number is malformed: once accepted,
+# it would make every later answer one from the past.
+_MAX_DIGITS = 12
+
+
+@unique
+class EraOrder(StrEnum):
+    """An answer's era, compared to the last known one."""
+
+    SAME = 'same'
+    NEWER = 'newer'
+    OLDER = 'older'
+    UNREADABLE = 'unreadable'
+
+
+def classify_era(known: int, text: str) -> EraOrder:
+    """Compare an era, as received, to the last known one.
+
+    >>> [classify_era(3, text).value for text in ('2', '3', '4', '', '-4')]
+    ['older', 'same', 'newer', 'unreadable', 'unreadable']
+    """
+    if not (text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS):
+        return EraOrder.UNREADABLE
+    era = int(text)
+    if era == known:
+        return EraOrder.SAME
+    return EraOrder.NEWER if era > known else EraOrder.OLDER
+
+
+class StoreEra:
+    """The newest era that was seen in answers of the store or of peers.
+
+    The functions in ``on_rise`` are called with each rise, also from
+    ``UNKNOWN_ERA`` to the first era.
+    """
+
+    def __init__(self) -> None:
+        self.on_rise: list[Callable[[], None]] = []
+        self._known = UNKNOWN_ERA
+        self._first = UNKNOWN_ERA
+        self._is_unreadable_logged = False
+
+    @property
+    def known(self) -> int:
+        """The newest era."""
+        return self._known
+
+    @property
+    def first(self) -> int:
+        """The era that was seen first.
+
+        What peers of a build without eras send counts as of this era, since
+        they do not notice a return of the store.
+        """
+        return self._first
+
+    def observe(self, text: str, call: str) -> EraOrder:
+        """Compare the era of an answer, and adopt it if it is newer.
+
+        ``call`` names the call that was answered.
+        """
+        order = classify_era(self._known, text)
+        if order is EraOrder.NEWER:
+            self.learn(int(text), call)
+        elif order is EraOrder.OLDER:
+            warn(
+                'answer from an earlier era of the store ignored',
+                era=int(text),
+                known=self._known,
+                call=call,
+            )
+        elif order is EraOrder.UNREADABLE and not self._is_unreadable_logged:
+            self._is_unreadable_logged = True
+            warn(
+                'answer of the store names no valid era',
+                text=text[:_MAX_DIGITS],
+                known=self._known,
+                call=call,
+            )
+        return order
+
+    def learn(self, era: int, call: str) -> None:
+        """Adopt an era if it is newer than the known one."""
+        if era <= self._known:
+            return
+        before = self._known
+        self._known = era
+        if before == UNKNOWN_ERA:
+            self._first = era
+        note('era of the store has risen', before=before, era=era, call=call)
+        for listener in self.on_rise:
+            listener()
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -30,6 +30,7 @@
         self.rows: dict[str, StoredRow] = {}
         self.history: list[StoredRow] = []
         self.version = 1
+        self.era = 1
         self.oldest_version = 0
         self.failure: Failure | None = None
         self.calls = 0
@@ -60,7 +61,7 @@
         if self.failure is not None:
             return Error(self.failure)
         rows = tuple(self.rows[key] for key in sorted(self.rows))
-        return Ok(RowPage(rows=rows, version=self.version))
+        return Ok(RowPage(rows=rows, version=self.version, era=self.era))
 
     async def poll_changes(
         self,
@@ -79,7 +80,7 @@
         changes = tuple(
             row for row in self.history if row.version > after_version
         )
-        return Ok(RowPage(rows=changes, version=self.version))
+        return Ok(RowPage(rows=changes, version=self.version, era=self.era))
 
 
 class RelayEntry:
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -17,6 +17,8 @@
     'Expect-Instance',
     'expect-instance',
     'Server-Seal',
+    'Store-Era',
+    'store-era',
     'Server-Load',
     'server-load',
     'Not-Executed',
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -5,14 +5,21 @@
 
 import functools
 import json
+import random
 
 import trio
+from expression import Ok
 
+from era_site import EraSite
 from limpet_standins.local import call_local
 from limpet_standins.platform_store import StandinStore
+from limpetdrift.platform.endpoint_sync import LAPSE_GRACE_SECONDS
+from limpetdrift.platform.store import RowPage, StoredRow
+from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
 from limpetdrift.protocol.codec import json_request
+from limpetdrift.state.store_era import EraOrder, StoreEra, classify_era
 from limpetdrift.transport.messages import OK, Request
-from virtual_time import in_virtual_time
+from virtual_time import background_tasks, in_virtual_time
 
 GONE = 410
 UNAVAILABLE = 503
@@ -104,3 +111,167 @@
         assert (await read(store)).status == OK
     assert ended_at == [1]
     assert store.rows.era == 2
+
+
+def test_era_of_an_answer_is_compared_to_the_known_one():
+    orders = [
+        (5, '5', EraOrder.SAME),
+        (5, '6', EraOrder.NEWER),
+        (5, '4', EraOrder.OLDER),
+        (5, '0', EraOrder.OLDER),
+        (0, '1', EraOrder.NEWER),
+    ]
+    for known, text, order in orders:
+        assert classify_era(known, text) is order
+    for text in ('', 'x', '-6', '6.0', '+6', '\u0666', '1' + 30 * '0'):
+        assert classify_era(5, text) is EraOrder.UNREADABLE
+
+
+def test_missing_header_is_logged_once_and_counts_as_the_last_known_era(
+    caplog,
+):
+    caplog.set_level('INFO', 'absl')
+    era = StoreEra()
+    era.observe('3', 'read')
+    for text in ('', 'x', ''):
+        assert era.observe(text, 'read') is EraOrder.UNREADABLE
+    assert era.known == 3
+    message = 'answer of the store names no valid era'
+    assert caplog.messages.count(message) == 1
+
+
+async def settle(site):
+    """Write a first configuration and endpoint, and let all entries read."""
+    site.write_configuration(1, 'first')
+    site.write_endpoint('a')
+    await trio.sleep(1)
+
+
+@in_virtual_time
+async def test_versions_given_out_again_hide_no_change_of_the_endpoint_list():
+    """Guards against a feed that goes on at a version of the era before.
+
+    The store returns to an older copy while the entry is cut off, and has
+    given out more versions than before when the entry polls again.
+    """
+    site = EraSite(1)
+    entry = site.entries[0]
+    async with background_tasks(site):
+        await settle(site)
+        copy = site.store.rows.take_copy()
+        site.write_endpoint('b')
+        await trio.sleep(1)
+        assert entry.usable() == ['a', 'b']
+        entry.client.is_cut = True
+        await trio.sleep(1)
+        site.return_to(copy)
+        site.write_endpoint('c')
+        site.write_endpoint('d')
+        entry.client.is_cut = False
+        await trio.sleep(1)
+        assert entry.usable() == ['a', 'b', 'c', 'd']
+        await trio.sleep(2 * LAPSE_GRACE_SECONDS)
+        assert entry.usable() == ['a', 'c', 'd']
+
+
+@in_virtual_time
+async def test_write_that_sees_a_new_era_makes_both_tables_be_read_at_once():
+    site = EraSite(1)
+    entry = site.entries[0]
+    async with background_tasks(site):
+        await settle(site)
+        entry.client.calls.clear()
+        entry.store.era.learn(2, 'write')
+        await trio.sleep(0.1)
+        assert entry.client.calls[:2] == ['/-/rows-get', '/-/rows-get']
+
+
+@in_virtual_time
+async def test_answer_from_an_earlier_era_is_ignored(caplog):
+    caplog.set_level('INFO', 'absl')
+    site = EraSite(1)
+    entry = site.entries[0]
+    async with background_tasks(site):
+        await settle(site)
+        entry.store.era.learn(5, 'write')
+        site.write_endpoint('b')
+        await trio.sleep(1)
+        assert entry.usable() == ['a']
+        assert 'answer from an earlier era of the store ignored' in (
+            caplog.messages
+        )
+        site.store.era_text = '5'
+        await trio.sleep(2)
+        assert entry.usable() == ['a', 'b']
+
+
+@in_virtual_time
+async def test_store_without_eras_is_followed_as_before():
+    site = EraSite(2)
+    site.store.era_text = ''
+    async with background_tasks(site):
+        await settle(site)
+        site.write_endpoint('b')
+        site.write_configuration(2, 'second')
+        await trio.sleep(1)
+        for entry in site.entries:
+            assert entry.usable() == ['a', 'b']
+            assert entry.routes.version == 2
+            assert entry.routes.age_seconds() < 2
+
+
+class PagedStore:
+    """Serves a table in two pages, between which the store's era rises."""
+
+    def __init__(self) -> None:
+        self.starts = []
+
+    async def read(self, table, *, start=''):
+        await trio.sleep(0.01)
+        self.starts.append(start)
+        is_old = len(self.starts) == 1
+        names = ('a', 'gone') if is_old else ('a', 'b')
+        rows = tuple(
+            StoredRow(key=name, version=1, value=b'') for name in names
+        )
+        page = rows[1:] if start else rows[:1]
+        return Ok(
+            RowPage(
+                rows=page,
+                version=9 if is_old else 5,
+                era=1 if is_old else 2,
+                truncated=not start,
+            )
+        )
+
+    async def poll_changes(self, table, version, seconds):
+        await trio.sleep_forever()
+
+
+@in_virtual_time
+async def test_full_read_that_spans_a_return_starts_over():
+    store = PagedStore()
+    snapshots = []
+    watcher = TableWatcher(
+        store=store,
+        subscription=TableSubscription(
+            table='servers',
+            on_snapshot=lambda page, at: snapshots.append(page),
+            on_changes=lambda page, at: None,
+            on_confirmed=lambda at: None,
+            on_store_lost=lambda: None,
+            is_enabled=lambda: True,
+            wait_enabled=trio.lowlevel.checkpoint,
+            long_poll_seconds=lambda: 1.0,
+            max_retry_interval_seconds=lambda: 0.6,
+        ),
+        clock=trio.current_time,
+        randomness=random.Random(1),
+    )
+    with trio.move_on_after(1):
+        await watcher.run()
+    assert len(snapshots) == 1
+    snapshot = snapshots[0]
+    assert [row.key for row in snapshot.rows] == ['a', 'b']
+    assert (snapshot.era, snapshot.version) == (2, 5)
+    assert store.starts == ['', 'a\0', '', 'a\0']
