Order relayed routes and endpoints by the era of the store

After the store came back from an older copy, entries that poll peers kept the endpoint list of the era before until the store's versions had caught up: the new list had a lower version and was ignored, so callers were sent to endpoints that were gone, and new ones got nothing.

The endpoint list is now ordered by (era, version), and routes by (version, era): the operator's version is part of the configuration and never goes back, but may be given out again with other content, which is then applied. Requests and replies carry the eras in new fields with defaults, and the packed content is keyed by them. An entry of the build before sends none: it is compared by the version alone, and what it replies counts as of the first era that was seen here, since it does not notice a return. Comparison and merging move to routing_merge.py, out of the relay.

--- /dev/null
+++ b/src/limpetdrift/coordination/routing_merge.py
@@ -0,0 +1,128 @@
+"""Compares routing data between entries, and merges what a peer replied.
+
+Routes are ordered by their version and then by the era of the store, and the
+endpoint list by the era and then by the version, since the store's versions go
+back when it returns to an older copy.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from limpetdrift.logs import note
+from limpetdrift.protocol.route_table import RouteTable
+from limpetdrift.protocol.routing_sync import (
+    RoutingSyncReply,
+    RoutingSyncRequest,
+    unpack,
+)
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.store_era import UNKNOWN_ERA, StoreEra
+
+
+@dataclass(kw_only=True, slots=True)
+class EndpointListState:
+    """The endpoint list's version, its digest, and when it was confirmed.
+
+    Versions are ordered within one ``era`` of the store.
+    """
+
+    era: int = UNKNOWN_ERA
+    version: int = 0
+    digest: int = 0
+    confirmed_at: float = float('-inf')
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """The era and the version."""
+        return self.era, self.version
+
+    def move_to(self, era: int, version: int) -> None:
+        """Take another position."""
+        self.era = era
+        self.version = version
+
+
+def are_routes_outdated(
+    routes: RouteTableCache, request: RoutingSyncRequest
+) -> bool:
+    """Return whether the routes of a request are older.
+
+    An entry of a build without eras is compared by the version alone.
+    """
+    if routes.version != request.routes_version or request.routes_era is None:
+        return routes.version > request.routes_version
+    return routes.era > request.routes_era
+
+
+def is_list_outdated(
+    list_state: EndpointListState, request: RoutingSyncRequest
+) -> bool:
+    """Return whether the endpoint list of a request is older or differs.
+
+    Lists of one version differ where a reader has dropped endpoints that did
+    not register again after an outage of the store. An entry of a build
+    without eras is compared by the version alone.
+    """
+    request_era = request.list_era
+    if request_era is None:
+        request_era = list_state.era
+    position = (request_era, request.list_version)
+    if list_state.position != position:
+        return list_state.position > position
+    return list_state.digest != request.list_digest
+
+
+def merge_reply(
+    reply: RoutingSyncReply,
+    sent_at: float,
+    *,
+    routes: RouteTableCache,
+    list_state: EndpointListState,
+    store_era: StoreEra,
+    replace_endpoints: Callable[[tuple[ListedEndpoint, ...]], None],
+) -> None:
+    """Merge a peer's reply to a poll that was sent at ``sent_at``."""
+    _merge_routes(
+        reply, sent_at, routes, _adopt_era(reply.routes_era, store_era)
+    )
+    position = (_adopt_era(reply.list_era, store_era), reply.list_version)
+    if reply.endpoints is None or position < list_state.position:
+        return False
+    endpoints = unpack(reply.endpoints, tuple[ListedEndpoint, ...])
+    if endpoints.is_ok():
+        list_state.move_to(*position)
+        list_state.confirmed_at = sent_at - reply.list_age_seconds
+        replace_endpoints(endpoints.ok)
+    return endpoints.is_ok()
+
+
+def _merge_routes(
+    reply: RoutingSyncReply, sent_at: float, routes: RouteTableCache, era: int
+) -> None:
+    # The age was computed after the request was sent, so this is a lower
+    # bound of the start of the read, and the data never appears fresher.
+    routes_at = sent_at - reply.routes_age_seconds
+    if reply.routes is not None:
+        table = unpack(reply.routes, RouteTable)
+        if table.is_ok() and routes.accept_newer(table.ok, routes_at, era):
+            note(
+                'configuration in force',
+                version=table.ok.version,
+                era=era,
+                source='peer',
+                age_seconds=round(reply.routes_age_seconds, 3),
+            )
+    routes.confirm(reply.routes_version, routes_at, era)
+
+
+def _adopt_era(era: int | None, store_era: StoreEra) -> int:
+    """Return the era of a peer's version, and adopt it if it is newer.
+
+    A peer of a build without eras does not notice that the store returned, so
+    its versions are at best of the first era that was seen here.
+    """
+    if era is None:
+        return store_era.first
+    store_era.learn(era, 'relay')
+    return era
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -20,18 +20,23 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.rendezvous import choose_by_hash
+from limpetdrift.coordination.routing_merge import (
+    EndpointListState,
+    are_routes_outdated,
+    is_list_outdated,
+    merge_reply,
+)
 from limpetdrift.logs import note
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import (
     RoutingSyncReply,
     RoutingSyncRequest,
     pack,
-    unpack,
 )
 from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.messages import Address
 
 KNOWLEDGE_PATH = 'knowledge'
@@ -68,19 +73,12 @@
 _POLL_INTERVAL_SECONDS = (0.05, 0.15)
 
 
-@dataclass(kw_only=True, slots=True)
-class EndpointListState:
-    """The endpoint list's version, its digest, and when it was confirmed."""
-
-    version: int = 0
-    digest: int = 0
-    confirmed_at: float = float('-inf')
-
-
 @dataclass(frozen=True, kw_only=True)
 class RoutingRelayInputs:
     """The data that is relayed, and the entries that take part.
 
+    ``store_era`` follows the eras that the store and the peers name.
+
     ``is_store_unreachable`` returns whether this entry can't reach the store.
     ``endpoints`` returns the endpoint list, and ``replace_endpoints`` replaces
     it. ``entries`` returns all live entries, including this one. ``seeds``
@@ -96,6 +94,7 @@
     entries: Callable[[], tuple[Node, ...]]
     seeds: Callable[[], tuple[Address, ...]]
     is_store_unreachable: Callable[[], bool]
+    store_era: StoreEra
     clock: Callable[[], float]
     randomness: Random
 
@@ -210,7 +209,9 @@
             KNOWLEDGE_PATH,
             RoutingSyncRequest(
                 routes_version=self._inputs.routes.version,
+                routes_era=self._inputs.routes.era,
                 list_version=self._inputs.endpoint_list_state.version,
+                list_era=self._inputs.endpoint_list_state.era,
                 list_digest=self._inputs.endpoint_list_state.digest,
                 wait_seconds=LONG_POLL_SECONDS,
             ),
@@ -222,38 +223,47 @@
             self._stale_readers.clear()
         else:
             self._record_stale_reader(name, has_failed=reply.is_error())
-        if reply.is_ok():
-            self._merge_reply(reply.ok, sent_at)
+        if reply.is_ok() and merge_reply(
+            reply.ok,
+            sent_at,
+            routes=self._inputs.routes,
+            list_state=self._inputs.endpoint_list_state,
+            store_era=self._inputs.store_era,
+            replace_endpoints=self._inputs.replace_endpoints,
+        ):
+            self.notify_waiters()
 
     def _is_reply_due(self, request: RoutingSyncRequest) -> bool:
         return (
             self._inputs.is_store_unreachable()
-            or self._inputs.routes.version > request.routes_version
-            or _is_list_outdated(self._inputs.endpoint_list_state, request)
+            or are_routes_outdated(self._inputs.routes, request)
+            or is_list_outdated(self._inputs.endpoint_list_state, request)
         )
 
     def _reply(self, request: RoutingSyncRequest) -> RoutingSyncReply:
         routes = self._inputs.routes
         list_state = self._inputs.endpoint_list_state
-        are_routes_newer = routes.version > request.routes_version
-        is_list_newer = _is_list_outdated(list_state, request)
+        are_routes_newer = are_routes_outdated(routes, request)
+        is_list_newer = is_list_outdated(list_state, request)
         return RoutingSyncReply(
             routes_version=routes.version,
+            routes_era=routes.era,
             routes_age_seconds=min(routes.age_seconds(), UNKNOWN_AGE_SECONDS),
             list_version=list_state.version,
+            list_era=list_state.era,
             list_age_seconds=min(
                 self._inputs.clock() - list_state.confirmed_at,
                 UNKNOWN_AGE_SECONDS,
             ),
             is_cut=self._inputs.is_store_unreachable(),
             routes=self._routes_packer.pack(
-                (routes.version,),
+                (routes.era, routes.version),
                 lambda: routes.table,
             )
             if are_routes_newer
             else None,
             endpoints=self._list_packer.pack(
-                (list_state.version, list_state.digest),
+                (*list_state.position, list_state.digest),
                 self._inputs.endpoints,
             )
             if is_list_newer
@@ -310,32 +320,6 @@
             self._direct_reading_begun.set()
             self._direct_reading_begun = trio.Event()
 
-    def _merge_reply(self, reply: RoutingSyncReply, sent_at: float) -> None:
-        # The age was computed after the request was sent, so this is a lower
-        # bound of the start of the read, and the data never appears fresher.
-        routes_at = sent_at - reply.routes_age_seconds
-        if reply.routes is not None:
-            table = unpack(reply.routes, RouteTable)
-            if table.is_ok() and self._inputs.routes.accept_newer(
-                table.ok, routes_at
-            ):
-                note(
-                    'configuration in force',
-                    version=table.ok.version,
-                    source='peer',
-                    age_seconds=round(reply.routes_age_seconds, 3),
-                )
-        self._inputs.routes.confirm(reply.routes_version, routes_at)
-        list_state = self._inputs.endpoint_list_state
-        if reply.endpoints is None or reply.list_version < list_state.version:
-            return
-        endpoints = unpack(reply.endpoints, tuple[ListedEndpoint, ...])
-        if endpoints.is_ok():
-            list_state.version = reply.list_version
-            list_state.confirmed_at = sent_at - reply.list_age_seconds
-            self._inputs.replace_endpoints(endpoints.ok)
-        self.notify_waiters()
-
 
 def max_retry_interval_seconds(entry_count: int) -> float:
     """Return the back-off ceiling of failing reads of the store."""
@@ -390,19 +374,6 @@
     return choices[name]
 
 
-def _is_list_outdated(
-    list_state: EndpointListState, request: RoutingSyncRequest
-) -> bool:
-    """Return whether the endpoint list of a request is older or differs.
-
-    Lists of one version differ where a reader has dropped endpoints that did
-    not register again after an outage of the store.
-    """
-    if list_state.version != request.list_version:
-        return list_state.version > request.list_version
-    return list_state.digest != request.list_digest
-
-
 def _is_fresh(reply: RoutingSyncReply) -> bool:
     return (
         not reply.is_cut and reply.routes_age_seconds <= STALENESS_BOUND_SECONDS
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -155,6 +155,7 @@
             is_store_unreachable=lambda: (
                 self._configuration_watcher.is_store_unreachable
             ),
+            store_era=inputs.store.era,
             clock=inputs.clock,
             randomness=inputs.randomness,
         )
@@ -177,7 +178,7 @@
         page: RowPage,
     ) -> None:
         apply(page.rows)
-        self._list_state.version = page.version
+        self._list_state.move_to(page.era, page.version)
         self._on_list_changed()
 
     def _replace_endpoints(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
@@ -198,24 +199,30 @@
     ) -> None:
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                self._apply_configuration(row.value, requested_at)
+                self._apply_configuration(row.value, requested_at, page.era)
 
-    def _apply_configuration(self, payload: bytes, requested_at: float) -> None:
+    def _apply_configuration(
+        self, payload: bytes, requested_at: float, era: int
+    ) -> None:
         decoded = decode_route_table(payload)
         if decoded.is_error():
             telemetry.count('configurations_unread')
             warn('configuration can not be read', detail=decoded.error)
-        elif self._routes.accept_newer(decoded.ok, requested_at):
+            return
+        if self._routes.accept_newer(decoded.ok, requested_at, era):
             note(
                 'configuration in force',
                 version=self._routes.version,
+                era=era,
                 source='store',
                 routes=len(decoded.ok.routes),
                 accounts=len(decoded.ok.accounts),
             )
 
     def _confirm_routes(self, requested_at: float) -> None:
-        self._routes.confirm(self._routes.version, requested_at)
+        self._routes.confirm(
+            self._routes.version, requested_at, self._routes.era
+        )
 
     def _on_change(self) -> None:
         if self._list_state.version and self._routes.table is not None:
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -24,7 +24,8 @@
 class RoutingSyncRequest:
     """Long poll for routes or an endpoint list newer than these versions.
 
-    The reply is delayed by ``wait_seconds`` at most. ``list_digest``
+    Each version is of an era of the store; entries of a build without eras
+    send none. The reply is delayed by ``wait_seconds`` at most. ``list_digest``
     distinguishes endpoint lists of the same version: an entry that reads the
     store drops endpoints that did not register again after an outage, which
     gives the list no new version.
@@ -34,12 +35,16 @@
     list_version: int
     wait_seconds: float
     list_digest: int = 0
+    routes_era: int | None = None
+    list_era: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingSyncReply:
     """The replier's versions, their ages, and the content that is newer.
 
+    Each version is of an era of the store, as in the request.
+
     The ages count from the start of the read that confirmed the versions.
     ``routes`` and ``endpoints`` are packed, and ``None`` if the polling entry
     has them already. ``is_cut`` is true if the replier can't reach the store.
@@ -52,6 +57,8 @@
     is_cut: bool
     routes: bytes | None = None
     endpoints: bytes | None = None
+    routes_era: int | None = None
+    list_era: int | None = None
 
 
 def digest_of(endpoints: Iterable[ListedEndpoint]) -> int:
--- a/src/limpetdrift/state/route_cache.py
+++ b/src/limpetdrift/state/route_cache.py
@@ -1,6 +1,8 @@
 """Caches the newest route table and the time when it was confirmed.
 
-A table is only replaced by a newer one. ``confirmed_at`` is the start of the
+A table is only replaced by a newer one: of a higher version, or of the same
+version and a newer era of the store with other content. The operator gives a
+version out again if the store lost it. ``confirmed_at`` is the start of the
 last read that found no newer table. It is a time of a clock that also runs
 while the machine is suspended, so that the cache's age is right after a
 process wakes.
@@ -14,6 +16,7 @@
     RouteTable,
     Service,
 )
+from limpetdrift.state.store_era import UNKNOWN_ERA
 
 TableListener = Callable[[RouteTable], None]
 
@@ -29,6 +32,10 @@
         self.on_change: list[TableListener] = []
         self._clock = clock
         self._table: RouteTable | None = None
+        self._era = UNKNOWN_ERA
+        # Tables of the version in force that another one has replaced. An
+        # older copy of the store may show them again.
+        self._superseded: list[RouteTable] = []
         self._confirmed_at = float('-inf')
         self._routes_by_host: dict[str, list[Route]] = {}
         self._accounts_by_key: dict[str, Account] = {}
@@ -49,6 +56,11 @@
         """The version of the table in force; 0 before the first."""
         return self._table.version if self._table else 0
 
+    @property
+    def era(self) -> int:
+        """The era of the store in which the table in force was read."""
+        return self._era
+
     @property
     def confirmed_at(self) -> float:
         """The start of the last read that found no newer table."""
@@ -58,29 +70,44 @@
         """Return the time since the table was confirmed."""
         return self._clock() - self._confirmed_at
 
-    def accept_newer(self, table: RouteTable, requested_at: float) -> bool:
+    def accept_newer(
+        self,
+        table: RouteTable,
+        requested_at: float,
+        era: int = UNKNOWN_ERA,
+    ) -> bool:
         """Put a table in force if it is newer; return whether it was.
 
         ``requested_at`` is the time at which the read that returned the table
-        began. A table of the same version confirms the one in force; an older
-        one changes nothing, not even ``confirmed_at``.
+        began, and ``era`` the store's era then. A table of the same version
+        confirms the one in force; an older one changes nothing, not even
+        ``confirmed_at``.
         """
-        if table.version < self.version:
+        if not self._replaces(table, era):
+            self.confirm(table.version, requested_at, era)
             return False
-        changed = table.version > self.version
-        if changed:
-            self._put_in_force(table)
-        self.confirm(table.version, requested_at)
-        return changed
-
-    def confirm(self, version: int, requested_at: float) -> None:
+        if table.version > self.version:
+            self._superseded.clear()
+        elif self._table is not None:
+            self._superseded.append(self._table)
+        self._era = era
+        self._put_in_force(table)
+        self.confirm(table.version, requested_at, era)
+        return True
+
+    def confirm(
+        self, version: int, requested_at: float, era: int = UNKNOWN_ERA
+    ) -> bool:
         """Record that a read found no newer table than the one in force.
 
         ``requested_at`` is the time at which the read began. The call has no
-        effect unless ``version`` is that of the table in force.
+        effect, and returns false, unless ``version`` and ``era`` are those of
+        the table in force.
         """
-        if version == self.version and self._table is not None:
-            self._confirmed_at = max(self._confirmed_at, requested_at)
+        if self._table is None or (version, era) != (self.version, self._era):
+            return False
+        self._confirmed_at = max(self._confirmed_at, requested_at)
+        return True
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest matching prefix."""
@@ -101,6 +128,17 @@
         """Return a service by its name."""
         return self._services.get(name)
 
+    def _replaces(self, table: RouteTable, era: int) -> bool:
+        """Return whether a table is newer; adopt the era of an equal one."""
+        if table.version != self.version or self._table is None:
+            return table.version > self.version or self._table is None
+        if era <= self._era or table in self._superseded:
+            return False
+        if table == self._table:
+            self._era = era
+            return False
+        return True
+
     def _put_in_force(self, table: RouteTable) -> None:
         self._table = table
         by_host: dict[str, list[Route]] = {}
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -20,6 +20,7 @@
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.messages import Address
 
 
@@ -104,14 +105,15 @@
             peer_address=address,
         )
         self.is_store_unreachable = False
+        self.store_era = StoreEra()
         self.routes = RouteTableCache(clock=trio.current_time)
         self.endpoint_list_state = EndpointListState()
         self.endpoints: tuple[ListedEndpoint, ...] = ()
-        peer_routes = PeerRoutes()
+        self.peer_routes = PeerRoutes()
         self.relay = RoutingRelay(
             inputs=RoutingRelayInputs(
                 node=self.node,
-                call=network.add_peer(address, peer_routes),
+                call=network.add_peer(address, self.peer_routes),
                 routes=self.routes,
                 endpoint_list_state=self.endpoint_list_state,
                 endpoints=lambda: self.endpoints,
@@ -119,16 +121,19 @@
                 entries=entries,
                 seeds=tuple,
                 is_store_unreachable=lambda: self.is_store_unreachable,
+                store_era=self.store_era,
                 clock=trio.current_time,
                 randomness=random.Random(number),
             ),
         )
         self.routes.on_change.append(lambda table: self.relay.notify_waiters())
-        self.relay.register(peer_routes)
+        self.relay.register(self.peer_routes)
 
     def read(self, table: RouteTable) -> None:
         """Apply a route table as if it was read from the store now."""
-        self.routes.accept_newer(table, trio.current_time())
+        self.routes.accept_newer(
+            table, trio.current_time(), self.store_era.known
+        )
 
     def _replace_endpoints(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
         self.endpoints = endpoints
