Confirm no configuration that an older copy of the store lacks

A key that had been revoked would have been accepted for as long as the store showed an older copy: each read confirmed the version in force, also when the store's own row was older, so the age of the configuration never grew. An entry that had started or been cut off read the older copy and took it for the newest.

state/stored_configuration.py remembers what the store showed last and confirms only that; while the store is behind, the newer table stays in force and its age runs on until the store or a peer shows that version or a newer one. After a start and after each rise of the era one peer is polled, and reads confirm nothing before it has replied or failed. A version that is given out again with other content is applied; content that was replaced within one version never comes back.

--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -79,7 +79,9 @@
 
     ``store_era`` follows the eras that the store and the peers name.
 
-    ``is_store_unreachable`` returns whether this entry can't reach the store.
+    ``is_store_unreachable`` returns whether this entry can't reach the store,
+    and ``is_store_behind`` whether the store shows an older configuration than
+    the one in force.
     ``endpoints`` returns the endpoint list, and ``replace_endpoints`` replaces
     it. ``entries`` returns all live entries, including this one. ``seeds``
     returns addresses of peers to poll before any peer is known.
@@ -94,6 +96,7 @@
     entries: Callable[[], tuple[Node, ...]]
     seeds: Callable[[], tuple[Address, ...]]
     is_store_unreachable: Callable[[], bool]
+    is_store_behind: Callable[[], bool]
     store_era: StoreEra
     clock: Callable[[], float]
     randomness: Random
@@ -191,7 +194,12 @@
     async def run(self) -> None:
         """Poll peers while this entry doesn't or can't read the store."""
         while True:
-            if not self.is_store_reader or self._inputs.is_store_unreachable():
+            if self._inputs.store_era.is_peer_poll_due:
+                await self._poll_once(wait_seconds=0.0)
+                self._inputs.store_era.record_peer_poll()
+            elif (
+                not self.is_store_reader or self._inputs.is_store_unreachable()
+            ):
                 await self.poll_peer()
             # Also limits the rate of polls that fail at once.
             await trio.sleep(
@@ -199,10 +207,25 @@
             )
 
     async def poll_peer(self) -> None:
-        """Poll one peer, and merge its reply."""
+        """Poll one peer, and record whether it is stale."""
+        name, reply = await self._poll_once(wait_seconds=LONG_POLL_SECONDS)
+        if reply is None:
+            return
+        if reply.is_ok() and _is_fresh(reply.ok):
+            self._stale_readers.clear()
+        else:
+            self._record_stale_reader(name, has_failed=reply.is_error())
+
+    async def _poll_once(
+        self, *, wait_seconds: float
+    ) -> tuple[str, Result[RoutingSyncReply, Failure] | None]:
+        """Poll one peer, and merge its reply; return its name and the reply.
+
+        The reply is ``None`` if there is no peer.
+        """
         name, address = self._choose_peer()
         if address is None:
-            return
+            return name, None
         sent_at = self._inputs.clock()
         reply = await self._inputs.call(
             address,
@@ -213,16 +236,12 @@
                 list_version=self._inputs.endpoint_list_state.version,
                 list_era=self._inputs.endpoint_list_state.era,
                 list_digest=self._inputs.endpoint_list_state.digest,
-                wait_seconds=LONG_POLL_SECONDS,
+                wait_seconds=wait_seconds,
             ),
             RoutingSyncReply,
-            timeout_seconds=LONG_POLL_SECONDS + REPLY_MARGIN_SECONDS,
+            timeout_seconds=wait_seconds + REPLY_MARGIN_SECONDS,
         )
         telemetry.count('knowledge_asked', outcome=_outcome(reply))
-        if reply.is_ok() and _is_fresh(reply.ok):
-            self._stale_readers.clear()
-        else:
-            self._record_stale_reader(name, has_failed=reply.is_error())
         if reply.is_ok() and merge_reply(
             reply.ok,
             sent_at,
@@ -232,6 +251,7 @@
             replace_endpoints=self._inputs.replace_endpoints,
         ):
             self.notify_waiters()
+        return name, reply
 
     def _is_reply_due(self, request: RoutingSyncRequest) -> bool:
         return (
@@ -256,6 +276,7 @@
                 UNKNOWN_AGE_SECONDS,
             ),
             is_cut=self._inputs.is_store_unreachable(),
+            is_store_behind=self._inputs.is_store_behind(),
             routes=self._routes_packer.pack(
                 (routes.era, routes.version),
                 lambda: routes.table,
@@ -375,8 +396,10 @@
 
 
 def _is_fresh(reply: RoutingSyncReply) -> bool:
-    return (
-        not reply.is_cut and reply.routes_age_seconds <= STALENESS_BOUND_SECONDS
+    """Return whether reading the store would show nothing newer."""
+    return not reply.is_cut and (
+        reply.is_store_behind
+        or reply.routes_age_seconds <= STALENESS_BOUND_SECONDS
     )
 
 
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -24,6 +24,7 @@
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.stored_configuration import StoredConfiguration
 from limpetdrift.transport.messages import Address
 
 CONFIGURATION_TABLE = 'op'
@@ -69,6 +70,9 @@
         self._inputs = inputs
         self._routes = inputs.routes
         self._list_state = EndpointListState()
+        self._stored = StoredConfiguration(
+            routes=inputs.routes, store_era=inputs.store.era
+        )
         self._synced = trio.Event()
         self._endpoint_sync = EndpointSync(
             view=inputs.view,
@@ -84,7 +88,7 @@
                 table=CONFIGURATION_TABLE,
                 on_snapshot=self._apply_configuration_rows,
                 on_changes=self._apply_configuration_rows,
-                on_confirmed=self._confirm_routes,
+                on_confirmed=self._stored.confirm,
                 on_store_lost=self.relay.notify_waiters,
                 is_enabled=lambda: self.relay.is_store_reader,
                 wait_enabled=self.relay.wait_store_reader,
@@ -155,6 +159,9 @@
             is_store_unreachable=lambda: (
                 self._configuration_watcher.is_store_unreachable
             ),
+            is_store_behind=lambda: (
+                self.relay.is_store_reader and self._stored.is_behind
+            ),
             store_era=inputs.store.era,
             clock=inputs.clock,
             randomness=inputs.randomness,
@@ -165,10 +172,12 @@
 
         It is short after the process was paused or partitioned: then the
         configuration is confirmed at once, since all keys are refused until
-        it is.
+        it is. There is nothing to hurry for while the store is behind, or a
+        peer is yet to be polled.
         """
         interval = self._inputs.revoke_seconds * CONFIRMATION_INTERVAL_SHARE
-        if self._routes.age_seconds() > interval * _OVERDUE_INTERVALS:
+        is_overdue = self._routes.age_seconds() > interval * _OVERDUE_INTERVALS
+        if is_overdue and not self._stored.is_held_up:
             return _OVERDUE_LONG_POLL_SECONDS
         return self.relay.long_poll_seconds or interval
 
@@ -197,33 +206,26 @@
     def _apply_configuration_rows(
         self, page: RowPage, requested_at: float
     ) -> None:
+        self._stored.begin_era(page.era)
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
-                self._apply_configuration(row.value, requested_at, page.era)
+                self._apply_configuration(row.value, requested_at)
 
-    def _apply_configuration(
-        self, payload: bytes, requested_at: float, era: int
-    ) -> None:
+    def _apply_configuration(self, payload: bytes, requested_at: float) -> None:
         decoded = decode_route_table(payload)
         if decoded.is_error():
             telemetry.count('configurations_unread')
             warn('configuration can not be read', detail=decoded.error)
-            return
-        if self._routes.accept_newer(decoded.ok, requested_at, era):
+        elif self._stored.accept(decoded.ok, requested_at):
             note(
                 'configuration in force',
                 version=self._routes.version,
-                era=era,
+                era=self._routes.era,
                 source='store',
                 routes=len(decoded.ok.routes),
                 accounts=len(decoded.ok.accounts),
             )
 
-    def _confirm_routes(self, requested_at: float) -> None:
-        self._routes.confirm(
-            self._routes.version, requested_at, self._routes.era
-        )
-
     def _on_change(self) -> None:
         if self._list_state.version and self._routes.table is not None:
             self._synced.set()
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -47,7 +47,9 @@
 
     The ages count from the start of the read that confirmed the versions.
     ``routes`` and ``endpoints`` are packed, and ``None`` if the polling entry
-    has them already. ``is_cut`` is true if the replier can't reach the store.
+    has them already. ``is_cut`` is true if the replier can't reach the store,
+    and ``is_store_behind`` if the store shows an older configuration than the
+    one in force.
     """
 
     routes_version: int
@@ -59,6 +61,7 @@
     endpoints: bytes | None = None
     routes_era: int | None = None
     list_era: int | None = None
+    is_store_behind: bool = False
 
 
 def digest_of(endpoints: Iterable[ListedEndpoint]) -> int:
--- a/src/limpetdrift/state/store_era.py
+++ b/src/limpetdrift/state/store_era.py
@@ -44,14 +44,23 @@
     """The newest era that was seen in answers of the store or of peers.
 
     The functions in ``on_rise`` are called with each rise, also from
-    ``UNKNOWN_ERA`` to the first era.
+    ``UNKNOWN_ERA`` to the first era. One peer is polled after a start and
+    after each rise from a known era, since peers may know what an older copy
+    of the store lacks; the functions in ``on_peer_poll`` are called after it.
     """
 
     def __init__(self) -> None:
         self.on_rise: list[Callable[[], None]] = []
+        self.on_peer_poll: list[Callable[[], None]] = []
         self._known = UNKNOWN_ERA
         self._first = UNKNOWN_ERA
         self._is_unreadable_logged = False
+        self._is_peer_poll_due = True
+
+    @property
+    def is_peer_poll_due(self) -> bool:
+        """Whether a peer is yet to be polled in this era."""
+        return self._is_peer_poll_due
 
     @property
     def known(self) -> int:
@@ -100,6 +109,14 @@
         self._known = era
         if before == UNKNOWN_ERA:
             self._first = era
+        else:
+            self._is_peer_poll_due = True
         note('era of the store has risen', before=before, era=era, call=call)
         for listener in self.on_rise:
             listener()
+
+    def record_peer_poll(self) -> None:
+        """Record that a peer was polled, or that none could be."""
+        self._is_peer_poll_due = False
+        for listener in self.on_peer_poll:
+            listener()
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -121,6 +121,7 @@
                 entries=entries,
                 seeds=tuple,
                 is_store_unreachable=lambda: self.is_store_unreachable,
+                is_store_behind=bool,
                 store_era=self.store_era,
                 clock=trio.current_time,
                 randomness=random.Random(number),
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -10,19 +10,23 @@
 import trio
 from expression import Ok
 
-from era_site import EraSite
+from era_site import REVOKE_SECONDS, EraSite
 from limpet_standins.local import call_local
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.platform.endpoint_sync import LAPSE_GRACE_SECONDS
 from limpetdrift.platform.store import RowPage, StoredRow
+from limpetdrift.platform.store_replica import CONFIRMATION_INTERVAL_SHARE
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
 from limpetdrift.protocol.codec import json_request
+from limpetdrift.protocol.route_table import RouteTable
+from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.store_era import EraOrder, StoreEra, classify_era
 from limpetdrift.transport.messages import OK, Request
 from virtual_time import background_tasks, in_virtual_time
 
 GONE = 410
 UNAVAILABLE = 503
+CONFIRMATION_SECONDS = REVOKE_SECONDS * CONFIRMATION_INTERVAL_SHARE
 
 
 async def call(store, request):
@@ -275,3 +279,139 @@
     assert [row.key for row in snapshot.rows] == ['a', 'b']
     assert (snapshot.era, snapshot.version) == (2, 5)
     assert store.starts == ['', 'a\0', '', 'a\0']
+
+
+@in_virtual_time
+async def test_older_copy_confirms_no_configuration_that_a_newer_one_replaced(
+    caplog,
+):
+    """Guards against a revoked key that seems confirmed, and age that stops.
+
+    The store lost the version that revoked the key.
+    """
+    caplog.set_level('INFO', 'absl')
+    site = EraSite(3)
+    async with background_tasks(site):
+        await settle(site)
+        copy = site.store.rows.take_copy()
+        site.write_configuration(2, 'second')
+        await trio.sleep(1)
+        returned_at = trio.current_time()
+        site.return_to(copy)
+        for entry in site.entries:
+            entry.client.calls.clear()
+        await trio.sleep(8)
+        for entry in site.entries:
+            assert entry.keys() == {'second'}
+            assert entry.routes.confirmed_at <= returned_at
+            # Eight seconds take 6.4 polls of one table, 2.7 of the other.
+            assert len(entry.client.calls) < 16
+        message = 'store shows an older configuration than the one in force'
+        assert caplog.messages.count(message) == 3
+        site.write_configuration(2, 'second')
+        await trio.sleep(0.5)
+        # The age counts from the start of the poll that showed the version.
+        for entry in site.entries:
+            assert entry.routes.age_seconds() < 0.5 + CONFIRMATION_SECONDS
+
+
+@in_virtual_time
+async def test_version_given_out_again_with_other_content_is_applied():
+    site = EraSite(3)
+    async with background_tasks(site):
+        await settle(site)
+        copy = site.store.rows.take_copy()
+        site.write_configuration(2, 'lost')
+        await trio.sleep(1)
+        site.return_to(copy)
+        await trio.sleep(1)
+        site.write_configuration(2, 'again')
+        await trio.sleep(1)
+        for entry in site.entries:
+            assert entry.keys() == {'again'}
+            assert entry.routes.age_seconds() < 2
+
+
+@in_virtual_time
+async def test_entry_that_reads_an_older_copy_takes_the_newest_from_a_peer():
+    """An entry that was cut off, and one that starts, know no better."""
+    site = EraSite(3)
+    cut = site.entries[0]
+    async with background_tasks(site):
+        await settle(site)
+        copy = site.store.rows.take_copy()
+        cut.client.is_cut = True
+        site.network.isolate(cut.node.peer_address)
+        await trio.sleep(1)
+        site.write_configuration(2, 'second')
+        await trio.sleep(1)
+        site.return_to(copy)
+        await trio.sleep(1)
+        site.network.heal()
+        cut.client.is_cut = False
+        started = site.add_entry()
+        confirmed_tables = []
+        for _ in range(400):
+            await trio.sleep(0.005)
+            for entry in (cut, started):
+                if entry.routes.age_seconds() < 0.5:
+                    confirmed_tables.append(entry.routes.version)
+        assert set(confirmed_tables) <= {2}
+        assert cut.routes.version == started.routes.version == 2
+
+
+@in_virtual_time
+async def test_first_entry_of_a_site_confirms_what_it_reads_at_once():
+    site = EraSite(1)
+    site.write_configuration(1, 'first')
+    site.write_endpoint('a')
+    async with background_tasks(site):
+        await trio.sleep(0.1)
+        assert site.entries[0].replica.is_synced
+        assert site.entries[0].routes.age_seconds() < 0.2
+        assert len(site.entries[0].client.calls) == 4
+
+
+def test_content_that_was_replaced_in_one_version_never_comes_back():
+    """An older copy may show it again in a later era."""
+    routes = RouteTableCache(clock=float)
+    first = RouteTable(version=7, routes=(), requires_keys=True)
+    second = RouteTable(version=7, routes=())
+    assert routes.accept_newer(first, 1.0, 1)
+    assert routes.accept_newer(second, 2.0, 2)
+    assert not routes.accept_newer(first, 3.0, 3)
+    assert routes.table == second
+    assert routes.confirmed_at == 2.0
+    assert not routes.accept_newer(second, 4.0, 3)
+    assert routes.confirmed_at == 4.0
+    assert not routes.accept_newer(first, 5.0, 2)
+    assert routes.confirmed_at == 4.0
+
+
+async def count_calls(site, seconds):
+    """Return the calls to the store of all entries within a time."""
+    before = sum(len(entry.client.calls) for entry in site.entries)
+    await trio.sleep(seconds)
+    return sum(len(entry.client.calls) for entry in site.entries) - before
+
+
+@in_virtual_time
+async def test_store_that_is_behind_is_read_no_more_often_than_in_calm_times():
+    """Guards against readers that seem stale, as nothing can be confirmed.
+
+    All entries of a large deployment would then read the store themselves.
+    """
+    site = EraSite(40)
+    async with background_tasks(site):
+        await settle(site)
+        await trio.sleep(5)
+        calm_calls = await count_calls(site, 10)
+        copy = site.store.rows.take_copy()
+        site.write_configuration(2, 'second')
+        await trio.sleep(2)
+        site.return_to(copy)
+        await trio.sleep(1)
+        calls = await count_calls(site, 10)
+        assert {entry.routes.version for entry in site.entries} == {2}
+        assert max(entry.routes.age_seconds() for entry in site.entries) > 10
+        assert calls <= 1.1 * calm_calls
