Keep gone endpoint lifetimes out when an older copy shows them

After the store came back from an older copy, entries sent requests to endpoints that had gone seconds before, and took a restarted endpoint for its earlier run, since the copy still had their rows.

EndpointSync remembers the lifetimes that went, each with the era and its row's last version (state/gone_lifetimes.py). A full read in a later era shows such a lifetime only as a copy unless its row has a higher version; rows from the feed were written after the return and always count. Leaving marks stick to the lifetime as before, and endpoints that the copy lacks lapse with the grace period of an outage, which begins with the rise of the era. The first era that is seen at a start is no rise any more: it delayed drops in the first two seconds.

--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -2,7 +2,9 @@
 
 The rows of running endpoints may lapse while the store is unreachable, and
 come back after it. So endpoints without a row stay in the view for a grace
-period after an outage, lest all of them are dropped at once.
+period after an outage, lest all of them are dropped at once. The same holds
+after the store came back from an older copy, which lacks newer rows and may
+show endpoints that had gone; these stay out until their rows are written anew.
 """
 
 from collections.abc import Callable, Iterable
@@ -15,6 +17,8 @@
 from limpetdrift.platform.store import StoredRow
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.gone_lifetimes import Departure, GoneLifetimes
+from limpetdrift.state.store_era import UNKNOWN_ERA
 
 # Grace period after an outage of the store. Rows that lapsed during the outage
 # come back within two seconds of its end; other endpoints are gone.
@@ -45,24 +49,39 @@
         self._lapsed: set[str] = set()
         self._has_lapsed = trio.Event()
         self._logged_errors: dict[str, str] = {}
+        self._gone = GoneLifetimes()
+        self._era = UNKNOWN_ERA
+        # The versions of the rows by name, where they were read here.
+        self._row_versions: dict[str, int] = {}
 
-    def replace(self, rows: tuple[StoredRow, ...]) -> None:
+    def replace(
+        self, rows: tuple[StoredRow, ...], era: int = UNKNOWN_ERA
+    ) -> None:
         """Replace all endpoints by those of the whole list."""
-        endpoints = [self._decode(row) for row in rows]
-        listed = [each for each in endpoints if each is not None]
+        self._era = era
+        listed = [
+            endpoint
+            for row in rows
+            for endpoint in (self._decode(row),)
+            if endpoint is not None and not self._is_of_copy(endpoint, row)
+        ]
         names = {each.name for each in listed}
         for current in self._view.listed:
             if current.name not in names:
                 self._drop(current.name)
         self._put_all(listed)
+        self._row_versions = {row.key: row.version for row in rows}
         note('endpoint list read', endpoints=len(listed), rows=len(rows))
 
-    def replace_from_peer(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
+    def replace_from_peer(
+        self, endpoints: tuple[ListedEndpoint, ...], era: int = UNKNOWN_ERA
+    ) -> None:
         """Replace all endpoints by a peer's.
 
         Those that the peer lacks are dropped at once, since it has waited for
         the grace period.
         """
+        self._era = era
         names = {each.name for each in endpoints}
         for current in self._view.listed:
             if current.name not in names:
@@ -71,7 +90,8 @@
                     'endpoint gone from the list of a peer',
                     endpoint=current.name,
                 )
-                self._view.drop(current.name)
+                self._remove(current.name)
+        self._row_versions.clear()
         self._put_all(endpoints)
 
     def apply(self, rows: tuple[StoredRow, ...]) -> None:
@@ -81,7 +101,8 @@
             if endpoint is None:
                 self._drop(row.key)
             else:
-                self._put(endpoint)
+                self._put_all((endpoint,))
+                self._row_versions[row.key] = row.version
 
     async def run(self) -> None:
         """Drop lapsed endpoints after the grace period, until cancelled."""
@@ -98,18 +119,19 @@
             return
         for name in self._lapsed:
             note('endpoint did not come back', endpoint=name)
-            self._view.drop(name)
+            self._remove(name)
         self._lapsed.clear()
         self._on_drop()
 
-    def _put(self, endpoint: ListedEndpoint) -> None:
-        self._put_all((endpoint,))
-
     def _put_all(self, endpoints: Iterable[ListedEndpoint]) -> None:
         changed = []
         for endpoint in endpoints:
             self._lapsed.discard(endpoint.name)
-            if self._view.find(endpoint.name, endpoint.lifetime) != endpoint:
+            self._gone.discard(endpoint)
+            current = self._view.find(endpoint.name)
+            if current is not None and current.lifetime != endpoint.lifetime:
+                self._record_departure(current)
+            if current != endpoint:
                 changed.append(endpoint)
                 note(
                     'endpoint listed',
@@ -129,7 +151,32 @@
             self._has_lapsed.set()
             return
         note('endpoint gone from the list', endpoint=name)
-        self._view.drop(name)
+        self._remove(name)
+
+    def _remove(self, name: str) -> None:
+        endpoint = self._view.find(name)
+        if endpoint is not None:
+            self._record_departure(endpoint)
+            self._row_versions.pop(name, None)
+            self._view.drop(name)
+
+    def _record_departure(self, endpoint: ListedEndpoint) -> None:
+        row_version = self._row_versions.get(endpoint.name)
+        self._gone.add(
+            endpoint, Departure(era=self._era, row_version=row_version)
+        )
+
+    def _is_of_copy(self, endpoint: ListedEndpoint, row: StoredRow) -> bool:
+        is_of_copy = self._gone.is_shown_by_copy(
+            endpoint, self._era, row.version
+        )
+        if is_of_copy:
+            note(
+                'endpoint that had gone is in an older copy of the store',
+                endpoint=endpoint.name,
+                lifetime=endpoint.lifetime,
+            )
+        return is_of_copy
 
     def _decode(self, row: StoredRow) -> ListedEndpoint | None:
         if row.value is None:
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -103,7 +104,7 @@
             TableSubscription(
                 table=ENDPOINTS_TABLE,
                 on_snapshot=lambda page, at: self._apply_endpoint_rows(
-                    self._endpoint_sync.replace,
+                    partial(self._endpoint_sync.replace, era=page.era),
                     page,
                 ),
                 on_changes=lambda page, at: self._apply_endpoint_rows(
@@ -191,7 +192,7 @@
         self._on_list_changed()
 
     def _replace_endpoints(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
-        self._endpoint_sync.replace_from_peer(endpoints)
+        self._endpoint_sync.replace_from_peer(endpoints, self._list_state.era)
         self._on_list_changed()
 
     def _on_list_changed(self) -> None:
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -69,10 +69,15 @@
         listed = self._listed.get(endpoint.name)
         return listed is not None and listed.identity == endpoint.identity
 
-    def find(self, name: str, lifetime: int) -> ListedEndpoint | None:
-        """Return the listed endpoint of this name and lifetime, if any."""
+    def find(
+        self, name: str, lifetime: int | None = None
+    ) -> ListedEndpoint | None:
+        """Return the listed endpoint of this name and lifetime, if any.
+
+        Without a lifetime, return the one that is listed.
+        """
         listed = self._listed.get(name)
-        if listed is None or listed.lifetime != lifetime:
+        if listed is None or lifetime not in {None, listed.lifetime}:
             return None
         return listed
 
--- a/src/limpetdrift/state/store_era.py
+++ b/src/limpetdrift/state/store_era.py
@@ -43,10 +43,10 @@
 class StoreEra:
     """The newest era that was seen in answers of the store or of peers.
 
-    The functions in ``on_rise`` are called with each rise, also from
-    ``UNKNOWN_ERA`` to the first era. One peer is polled after a start and
-    after each rise from a known era, since peers may know what an older copy
-    of the store lacks; the functions in ``on_peer_poll`` are called after it.
+    The functions in ``on_rise`` are called with each rise from a known era.
+    One peer is polled after a start and after each such rise, since peers may
+    know what an older copy of the store lacks; the functions in
+    ``on_peer_poll`` are called after it.
     """
 
     def __init__(self) -> None:
@@ -107,11 +107,11 @@
             return
         before = self._known
         self._known = era
+        note('era of the store has risen', before=before, era=era, call=call)
         if before == UNKNOWN_ERA:
             self._first = era
-        else:
-            self._is_peer_poll_due = True
-        note('era of the store has risen', before=before, era=era, call=call)
+            return
+        self._is_peer_poll_due = True
         for listener in self.on_rise:
             listener()
 
