Write registration rows again that an older copy lacks

After the store came back from an older copy, rows of processes that had registered since were gone for good, so that a process that started later could find no peer there.

Each rise of the era makes the processes that had a row write it again, after a random delay of up to 3 s, also if the row is assigned to others by then; a failed write is retried as at a start. No other process writes.

That build_entry connects it is not tested in a process of its own.

--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -127,6 +127,7 @@
         ),
         seeds=settings.seeds,
     )
+    store.era.on_rise.append(registration.write_again)
     call = make_peer_call(
         HttpClient(
             limits=ClientLimits(connect_seconds=PEER_CONNECT_TIMEOUT_SECONDS)
--- a/src/limpetdrift/platform/registration.py
+++ b/src/limpetdrift/platform/registration.py
@@ -2,7 +2,8 @@
 
 A process writes one row after its start and deletes it at its end. The rows
 only serve to find a first peer; the peers' gossip decides which are live. So
-in a large deployment only a few processes write one.
+in a large deployment only a few processes write one. These write it again
+after the store came back from an older copy, which may lack it.
 """
 
 import random
@@ -27,6 +28,9 @@
 # Rows of processes that started this much earlier than this one are deleted,
 # since a process that was killed leaves its row behind.
 _STALE_MILLISECONDS = 600_000
+# Rows are written again within this time after the store came back from a copy,
+# so that the writes of all processes are spread.
+REWRITE_SPREAD_SECONDS = 3.0
 # Bounds of the random interval between tries to write the row.
 _WRITE_RETRY_SECONDS = (0.3, 0.8)
 
@@ -60,6 +64,9 @@
         self._inputs = inputs
         self._seeds = set(seeds)
         self._has_row = False
+        # Whether the row was written, and may be lost.
+        self._is_row_lost = False
+        self._row_lost = trio.Event()
 
     def seeds(self) -> tuple[Address, ...]:
         """Return the peers' addresses from the settings and the rows."""
@@ -69,7 +76,9 @@
         """Write the row, and look for peers until cancelled."""
         await self._inputs.join()
         while True:
-            is_due = not self._has_row and self._inputs.is_assigned()
+            is_due = self._is_row_lost or (
+                not self._has_row and self._inputs.is_assigned()
+            )
             if is_due:
                 await self._write_row()
             has_no_peer = self._inputs.count_peers() == 0
@@ -86,18 +95,35 @@
                 interval = self._inputs.randomness.uniform(
                     *_WRITE_RETRY_SECONDS
                 )
-            await trio.sleep(interval)
+            await self._wait_until_due(interval)
+
+    def write_again(self) -> None:
+        """Write the row again soon, since the store may have lost it."""
+        if self._has_row:
+            self._is_row_lost = True
+            self._row_lost.set()
 
     async def leave(self) -> None:
         """Delete the row; if that fails, another process deletes it later."""
-        if self._has_row:
+        if self._has_row or self._is_row_lost:
             self._has_row = False
+            self._is_row_lost = False
             await self._inputs.store.delete(TABLE, self._inputs.node.name)
 
+    async def _wait_until_due(self, seconds: float) -> None:
+        """Wait, or until the row was lost and a random delay has passed."""
+        with trio.move_on_after(seconds):
+            await self._row_lost.wait()
+            self._row_lost = trio.Event()
+            await trio.sleep(
+                self._inputs.randomness.uniform(0, REWRITE_SPREAD_SECONDS)
+            )
+
     async def _write_row(self) -> None:
         node = self._inputs.node
         written = await self._inputs.store.put(TABLE, node.name, encode(node))
         self._has_row = written.is_ok()
+        self._is_row_lost = self._is_row_lost and written.is_error()
         if written.is_error():
             warn('registration failed', reason=written.error.reason)
 
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -14,6 +14,12 @@
 from limpet_standins.local import call_local
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.platform.endpoint_sync import LAPSE_GRACE_SECONDS
+from limpetdrift.platform.registration import (
+    REWRITE_SPREAD_SECONDS,
+    Registration,
+    RegistrationInputs,
+)
+from limpetdrift.platform.registration import TABLE as REGISTRATION_TABLE
 from limpetdrift.platform.store import RowPage, StoredRow
 from limpetdrift.platform.store_replica import CONFIRMATION_INTERVAL_SHARE
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
@@ -415,3 +421,36 @@
         assert {entry.routes.version for entry in site.entries} == {2}
         assert max(entry.routes.age_seconds() for entry in site.entries) > 10
         assert calls <= 1.1 * calm_calls
+
+
+@in_virtual_time
+async def test_registration_row_that_the_copy_lacks_is_written_again():
+    site = EraSite(2)
+    async with background_tasks(site):
+        await settle(site)
+        copy = site.store.rows.take_copy()
+        for entry in site.entries:
+            site.nursery.start_soon(register(entry).run)
+        await trio.sleep(1)
+        assert len(site.store.rows.read(REGISTRATION_TABLE)) == 2
+        site.return_to(copy)
+        assert not site.store.rows.read(REGISTRATION_TABLE)
+        await trio.sleep(REWRITE_SPREAD_SECONDS + 0.5)
+        assert len(site.store.rows.read(REGISTRATION_TABLE)) == 2
+
+
+def register(entry):
+    """Return the registration of an entry, connected as in the program."""
+    registration = Registration(
+        inputs=RegistrationInputs(
+            store=entry.store,
+            node=entry.node,
+            count_peers=lambda: 1,
+            join=trio.lowlevel.checkpoint,
+            is_assigned=lambda: True,
+            randomness=random.Random(1),
+        ),
+        seeds=(),
+    )
+    entry.store.era.on_rise.append(registration.write_again)
+    return registration
