--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import trio
 
@@ -24,6 +25,7 @@
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.stored_configuration import StoredConfiguration
 from limpetdrift.transport.messages import Address
 
 CONFIGURATION_TABLE = 'op'
@@ -69,6 +71,9 @@
         self._inputs = inputs
         self._routes = inputs.routes
         self._list_state = EndpointListState()
+        self._stored = StoredConfiguration(
+            routes=inputs.routes, store_era=inputs.store.era
+        )
         self._synced = trio.Event()
         self._endpoint_sync = EndpointSync(
             view=inputs.view,
@@ -84,7 +89,7 @@
                 table=CONFIGURATION_TABLE,
                 on_snapshot=self._apply_configuration_rows,
                 on_changes=self._apply_configuration_rows,
-                on_confirmed=self._confirm_routes,
+                on_confirmed=self._stored.confirm,
                 on_store_lost=self.relay.notify_waiters,
                 is_enabled=lambda: self.relay.is_store_reader,
                 wait_enabled=self.relay.wait_store_reader,
@@ -99,7 +104,7 @@
             TableSubscription(
                 table=ENDPOINTS_TABLE,
                 on_snapshot=lambda page, at: self._apply_endpoint_rows(
-                    self._endpoint_sync.replace,
+                    partial(self._endpoint_sync.replace, era=page.era),
                     page,
                 ),
                 on_changes=lambda page, at: self._apply_endpoint_rows(
@@ -117,6 +122,12 @@
             ),
         )
         inputs.routes.on_change.append(lambda table: self._on_change())
+        inputs.store.era.on_rise.extend(
+            (
+                self._configuration_watcher.restart,
+                self._endpoints_watcher.restart,
+            )
+        )
 
     @property
     def is_synced(self) -> bool:
@@ -149,6 +160,10 @@
             is_store_unreachable=lambda: (
                 self._configuration_watcher.is_store_unreachable
             ),
+            is_store_behind=lambda: (
+                self.relay.is_store_reader and self._stored.is_behind
+            ),
+            store_era=inputs.store.era,
             clock=inputs.clock,
             randomness=inputs.randomness,
         )
@@ -158,10 +173,12 @@
 
         It is short after the process was paused or partitioned: then the
         configuration is confirmed at once, since all keys are refused until
-        it is.
+        it is. There is nothing to hurry for while the store is behind, or a
+        peer is yet to be polled.
         """
         interval = self._inputs.revoke_seconds * CONFIRMATION_INTERVAL_SHARE
-        if self._routes.age_seconds() > interval * _OVERDUE_INTERVALS:
+        is_overdue = self._routes.age_seconds() > interval * _OVERDUE_INTERVALS
+        if is_overdue and not self._stored.is_held_up:
             return _OVERDUE_LONG_POLL_SECONDS
         return self.relay.long_poll_seconds or interval
 
@@ -171,11 +188,11 @@
         page: RowPage,
     ) -> None:
         apply(page.rows)
-        self._list_state.version = page.version
+        self._list_state.move_to(page.era, page.version)
         self._on_list_changed()
 
     def _replace_endpoints(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
-        self._endpoint_sync.replace_from_peer(endpoints)
+        self._endpoint_sync.replace_from_peer(endpoints, self._list_state.era)
         self._on_list_changed()
 
     def _on_list_changed(self) -> None:
@@ -190,6 +207,7 @@
     def _apply_configuration_rows(
         self, page: RowPage, requested_at: float
     ) -> None:
+        self._stored.begin_era(page.era)
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
                 self._apply_configuration(row.value, requested_at)
@@ -199,18 +217,16 @@
         if decoded.is_error():
             telemetry.count('configurations_unread')
             warn('configuration can not be read', detail=decoded.error)
-        elif self._routes.accept_newer(decoded.ok, requested_at):
+        elif self._stored.accept(decoded.ok, requested_at):
             note(
                 'configuration in force',
                 version=self._routes.version,
+                era=self._routes.era,
                 source='store',
                 routes=len(decoded.ok.routes),
                 accounts=len(decoded.ok.accounts),
             )
 
-    def _confirm_routes(self, requested_at: float) -> None:
-        self._routes.confirm(self._routes.version, requested_at)
-
     def _on_change(self) -> None:
         if self._list_state.version and self._routes.table is not None:
             self._synced.set()
