Report plans as ended when a placement is cancelled

Engines stayed booked until a caller's deadline, and other prompts were planned around them, when the placement of a second attempt was cancelled because the first one had gone on: the first of two plans wasn't ended, and ended plans of other requests that rode on the cancelled call were lost.

The plan that isn't used is ended, and ended plans whose report has no answer are reported again. Evidence: test_cancelled_placement_leaves_no_plan_booked and test_ended_plans_are_reported_after_a_cancelled_placement failed before.

--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from random import Random
 
+import trio
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
@@ -19,7 +20,7 @@
     check_service,
     end_placement,
 )
-from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.planner import endpoint_id_of
 from limpetdrift.coordination.planner_client import (
     ACTIVE_PATH,
@@ -31,6 +32,7 @@
     PlanningGroups,
     cost_limit_elsewhere,
 )
+from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import (
     ActivePlans,
     EndedPlan,
@@ -134,7 +136,7 @@
         """Report soon to the planners of an engine that it leaves."""
         for group in self.groups.layout(engine.service).groups:
             if group.contains(engine.failure_domain, engine.name):
-                self.planner_client.announce_leaving(engine.service, group)
+                self.planner_client.report_soon(engine.service, group)
 
     def planned_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the engines of a service that this entry plans for."""
@@ -206,16 +208,26 @@
             return self._accept(planned, request, work)
         group = self._randomness.choice(others)
         second = replace(request, group=group, cost_limit=cost_limit, ended=())
-        better = await self._request_plan(second)
+        try:
+            better = await self._request_plan(second)
+        except trio.Cancelled:
+            self._discard(planned, request)
+            raise
         telemetry.count(
             'plans_elsewhere', outcome='taken' if better.is_ok() else 'refused'
         )
         if better.is_error():
             return self._accept(planned, request, work)
+        self._discard(planned, request)
+        return self._accept(better, second, work)
+
+    def _discard(
+        self, planned: Result[Plan, Failure], request: PlanRequest
+    ) -> None:
+        """End a plan that is not used."""
         if planned.is_ok():
             self.planner_client.begin(planned.ok, request)
-            self._end(work.service, EndedPlan(grant=planned.ok.grant))
-        return self._accept(better, second, work)
+            self._end(request.service, EndedPlan(grant=planned.ok.grant))
 
     async def _plan(self, request: PlanRequest) -> Result[Plan, Failure]:
         """Get a plan, if need be from this entry's own ledger."""
@@ -231,12 +243,8 @@
         planner = self.planner_client.planner(request.group)
         if planner is None:
             return self._inputs.planner.plan(request)
-        answer = await self._inputs.call(
-            planner.peer_address,
-            PLAN_PATH,
-            request,
-            Plan,
-            timeout_seconds=PLAN_TIMEOUT_SECONDS,
+        answer = await _call_planner(
+            self._inputs.call, self.planner_client, planner, request
         )
         if answer.is_ok():
             # ``Planner.plan`` books only the plans that it makes itself.
@@ -262,8 +270,8 @@
         work: CallerRequest,
     ) -> Result[DispatchPlan, Failure]:
         self.planner_client.begin(plan, request)
-        writer = self._find_usable(plan.writer)
-        helpers = [self._find_usable(each) for each in plan.helpers]
+        writer = _find_usable(self._view, plan.writer)
+        helpers = [_find_usable(self._view, each) for each in plan.helpers]
         if writer is None or None in helpers:
             self._end(work.service, EndedPlan(grant=plan.grant))
             return Error(
@@ -277,11 +285,39 @@
         begin_placement(self._view, work, placement)
         return Ok(placement)
 
-    def _find_usable(self, engine_id: EndpointId) -> ListedEndpoint | None:
-        found = self._view.find(engine_id.name, engine_id.lifetime)
-        if found is None or not self._view.is_usable(found):
-            return None
-        return found if self._view.back_offs.is_open(found.identity) else None
+
+async def _call_planner(
+    call: PeerCall,
+    planner_client: PlannerClient,
+    planner: Node,
+    request: PlanRequest,
+) -> Result[Plan, Failure]:
+    """Ask a planner; ended plans that it may not know of are kept."""
+    has_answered = False
+    try:
+        answer = await call(
+            planner.peer_address,
+            PLAN_PATH,
+            request,
+            Plan,
+            timeout_seconds=PLAN_TIMEOUT_SECONDS,
+        )
+        has_answered = answer.is_ok() or answer.error.reason in _REFUSAL_REASONS
+    finally:
+        if request.ended and not has_answered:
+            planner_client.report_soon(
+                request.service, request.group, request.ended
+            )
+    return answer
+
+
+def _find_usable(
+    view: EndpointView, engine_id: EndpointId
+) -> ListedEndpoint | None:
+    found = view.find(engine_id.name, engine_id.lifetime)
+    if found is None or not view.is_usable(found):
+        return None
+    return found if view.back_offs.is_open(found.identity) else None
 
 
 def _make_dispatch_plan(
--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planner_client.py
@@ -119,14 +119,17 @@
         """Drop a plan that has ended, and report it to its planner soon."""
         dropped = self._active.pop(ended.grant, None)
         group = dropped.request.group if dropped else EngineGroup()
-        if self.planner(group) is not None:
-            self._ended.setdefault((service, group), []).append(ended)
-            self._plan_ended.set()
+        self.report_soon(service, group, (ended,))
 
-    def announce_leaving(self, service: str, group: EngineGroup) -> None:
-        """Report soon which engines leave to the planner of their group."""
+    def report_soon(
+        self,
+        service: str,
+        group: EngineGroup,
+        ended: tuple[EndedPlan, ...] = (),
+    ) -> None:
+        """Report ended plans, and engines that leave, to a group's planner."""
         if self.planner(group) is not None:
-            self._ended.setdefault((service, group), [])
+            self._ended.setdefault((service, group), []).extend(ended)
             self._plan_ended.set()
 
     def pop_ended(
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -274,6 +274,38 @@
     assert harness.planners['entry-2'].ledger('s').plan_count == 0
 
 
+@in_virtual_time
+async def test_cancelled_placement_leaves_no_plan_booked():
+    """Guards against an engine that stays booked until the time limit."""
+    harness = GroupHarness()
+    placer = harness.placers[5]
+    domain = ENTRIES[5].failure_domain
+    harness.fill(2, domain)
+    harness.silent = {ENTRIES[0].peer_address, ENTRIES[1].peer_address}
+    with trio.move_on_after(0.02):
+        await placer.place(make_work(), frozenset())
+    await placer.planner_client._send_ended_plans('s', group_of(domain))
+    counts = [each.ledger('s').plan_count for each in harness.planners.values()]
+    assert sum(counts) == 0
+
+
+@in_virtual_time
+async def test_ended_plans_are_reported_after_a_cancelled_placement():
+    """Guards against an engine that stays booked until the time limit."""
+    harness = GroupHarness()
+    placer = harness.placers[5]
+    work = make_work()
+    placed = (await placer.place(work, frozenset())).ok
+    placer.release(work, placed, ())
+    harness.silent = {ENTRIES[2].peer_address}
+    with trio.move_on_after(0.02):
+        await placer.place(make_work(), frozenset())
+    harness.silent = set()
+    group = group_of(ENTRIES[5].failure_domain)
+    await placer.planner_client._send_ended_plans('s', group)
+    assert harness.planners['entry-2'].ledger('s').plan_count == 0
+
+
 @in_virtual_time
 async def test_first_plan_is_kept_if_the_other_planner_is_silent():
     """A plan from an empty ledger would look better than it is."""
