Read the response while a long request is sent

A caller waited until its deadline, and then got a failure, when an endpoint answered a long request early and stopped reading it: the client wrote the whole body before it read, and the write blocked once the buffers were full.

Requests over 64 KiB are now written beside the reading of the response; shorter ones fit the buffers and are written first, as before. A connection whose request wasn't written to its end is closed, not pooled, so that no other bytes arrive where the rest of the body is due. Each chunk written extends the idle timeout of the wait under way.

Evidence: test_early_response_is_read_while_the_body_is_sent and test_connection_whose_body_is_not_sent_is_not_reused failed before with a timeout. test_reader_that_pauses_while_the_body_is_sent_is_not_timed_out failed on a trial that set the timeout anew with each chunk.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -34,6 +34,8 @@
 )
 
 RECEIVE_BYTES = 262_144
+# A request of this size fits into the buffers of a new connection.
+SHORT_REQUEST_BYTES = 65_536
 _BROKEN_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -59,10 +61,14 @@
 
 @dataclass(kw_only=True, slots=True)
 class _PooledConnection:
-    """A connection, its h11 state and the time since which it is idle."""
+    """A connection, its h11 state and the time since which it is idle.
+
+    ``is_sent`` is whether the last request was written to its end.
+    """
 
     stream: trio.abc.Stream
     protocol: h11.Connection
+    is_sent: bool = False
     reused: bool = False
     idle_since: float = 0.0
 
@@ -82,6 +88,11 @@
         """Set the deadline at the start of a wait for the peer."""
         self.scope.deadline = trio.current_time() + self.seconds
 
+    def extend(self) -> None:
+        """Move the deadline, if there is one, as bytes were sent."""
+        if self.scope.deadline < math.inf:
+            self.start()
+
     def stop(self) -> None:
         """Remove the deadline at the end of a wait for the peer."""
         self.scope.deadline = math.inf
@@ -154,9 +165,11 @@
         connection = await self._connect(address, new_connection=new_connection)
         try:
             with idle_timeout.scope:
-                yield await _open_response(
-                    connection, address, request, idle_timeout
-                )
+                payload = _encode_request(connection.protocol, address, request)
+                async with _sending(connection, payload, idle_timeout):
+                    yield await _open_response(
+                        connection, address, idle_timeout
+                    )
         finally:
             self._release(address, connection)
         if idle_timeout.scope.cancelled_caught:
@@ -253,7 +266,7 @@
     def _release(self, address: Address, connection: _PooledConnection) -> None:
         protocol = connection.protocol
         states = {protocol.our_state, protocol.their_state}
-        is_complete = states == {h11.DONE}
+        is_complete = connection.is_sent and states == {h11.DONE}
         idle = self._idle[address]
         if not is_complete or len(idle) >= self._limits.idle_connections:
             _close(connection)
@@ -303,10 +316,8 @@
 async def _open_response(
     connection: _PooledConnection,
     address: Address,
-    request: Request,
     idle_timeout: IdleTimeout,
 ) -> ResponseStream:
-    await _send_request(connection, address, request, idle_timeout)
     event = await _next_event(connection, idle_timeout)
     while isinstance(event, h11.InformationalResponse):
         event = await _next_event(connection, idle_timeout)
@@ -322,20 +333,63 @@
     )
 
 
-async def _send_request(
+@asynccontextmanager
+async def _sending(
     connection: _PooledConnection,
-    address: Address,
-    request: Request,
+    payload: bytes,
     idle_timeout: IdleTimeout,
-) -> None:
-    payload = _encode_request(connection.protocol, address, request)
+) -> AsyncIterator[None]:
+    """Send a request; a long one is sent while its response is read.
+
+    A server may respond before it has read a long body, and read no further.
+    """
+    connection.is_sent = False
     idle_timeout.start()
+    if len(payload) <= SHORT_REQUEST_BYTES:
+        try:
+            await _send(connection, payload, idle_timeout)
+        except _BROKEN_ERRORS as error:
+            raise FailureError(
+                may_have_run(Reason.CONNECTION_BROKEN, repr(error)),
+            ) from error
+        yield
+        return
+    failure = None
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_send_long, connection, payload, idle_timeout)
+        # Raised outside of the nursery, which would wrap it.
+        try:
+            yield
+        except Exception as error:
+            failure = error
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+
+
+async def _send_long(
+    connection: _PooledConnection,
+    payload: bytes,
+    idle_timeout: IdleTimeout,
+) -> None:
     try:
-        await connection.stream.send_all(payload)
-    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-        raise FailureError(
-            may_have_run(Reason.CONNECTION_BROKEN, f'{address}: {error!r}'),
-        ) from error
+        await _send(connection, payload, idle_timeout)
+    except _BROKEN_ERRORS as error:
+        # The response may have arrived before; else reading it fails, too.
+        telemetry.count('requests_sent_in_part', reason=type(error).__name__)
+
+
+async def _send(
+    connection: _PooledConnection,
+    payload: bytes,
+    idle_timeout: IdleTimeout,
+) -> None:
+    remaining = memoryview(payload)
+    while remaining:
+        await connection.stream.send_all(remaining[:SHORT_REQUEST_BYTES])
+        remaining = remaining[SHORT_REQUEST_BYTES:]
+        idle_timeout.extend()
+    connection.is_sent = True
 
 
 def _encode_request(
