--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -258,3 +258,32 @@
 
     trio.run(run_site)
     assert answers[0].startswith(b'HTTP/1.1 503 ')
+
+
+def test_entry_terminated_as_it_begins_to_listen_drains(tmp_path):
+    exit_codes: list[int] = []
+
+    async def terminate_once_it_listens(entry: EntryProcess) -> int:
+        with trio.fail_after(READY_SECONDS):
+            while True:
+                with suppress(OSError):
+                    await trio.open_tcp_stream(entry.host, entry.port)
+                    break
+                await trio.sleep(0.001)
+        entry.popen.terminate()
+        return await trio.to_thread.run_sync(entry.popen.wait)
+
+    async def run_site() -> None:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=tmp_path, port=PORT + 80, nursery=nursery)
+            try:
+                await site.open(1, engines=1, desks=1)
+                exit_codes.append(
+                    await terminate_once_it_listens(site.entries[0])
+                )
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run_site)
+    assert exit_codes == [0]
