--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -8,14 +8,15 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from math import inf
 
 import msgspec
 import trio
 
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.protocol.codec import json_response
-from limpetdrift.transport.messages import Address, Request, Response
+from limpetdrift.transport.messages import Address, Headers, Request, Response
 from limpetdrift.transport.server import Exchange, Server
 
 PREFILL_TOKENS_PER_SECOND = 400_000.0
@@ -51,12 +52,17 @@
 
     ``runs`` are the requests that ran; ``arrivals`` has a request id, an
     endpoint and a time for each request that was not refused; ``left_at``
-    maps an endpoint to the time at which it first registered as draining.
+    maps an endpoint to the time at which it first registered as draining;
+    ``broken`` holds the requests whose answers an endpoint broke off.
+    ``turned_away`` has a path, an endpoint and a time for each request that was
+    answered with a time to retry.
     """
 
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[str, str, float]] = field(default_factory=list)
     left_at: dict[str, float] = field(default_factory=dict)
+    broken: set[str] = field(default_factory=set)
+    turned_away: list[tuple[str, str, float]] = field(default_factory=list)
 
 
 class StandinEndpoint:
@@ -64,8 +70,10 @@
 
     ``fail_next`` is the number of next runs whose connection is aborted
     before the response is complete. While ``hang`` is set, requests are
-    accepted but neither run nor answered. ``reservations`` maps the id of a
-    reservation to its tokens and its expiry time.
+    accepted but neither run nor answered. While ``leaving`` is set, all
+    answers say that the endpoint leaves. Until ``busy_until`` it turns all but
+    releases away, with a time to retry or ``busy_text``. ``reservations`` maps
+    the id of a reservation to its tokens and its expiry time.
     """
 
     def __init__(
@@ -83,21 +91,29 @@
         self.address = address
         self.fail_next = 0
         self.hang = False
+        self.leaving = False
+        self.busy_until = float('-inf')
+        self.busy_text: str | None = None
         self.reservations: dict[str, tuple[int, float]] = {}
-        self._journal = journal
+        self.journal = journal
         self._clock = clock
-        self._slots = slots
+        self.slots = slots
         self._active = 0
-        self._born = int(clock() * _MILLISECONDS)
+        self.lifetime = int(clock() * _MILLISECONDS)
+        self._silent_until = 0.0
 
     def make_server(self) -> Server:
         """Return an HTTP server for the requests of this lifetime."""
         return Server(handler=self.handle)
 
+    def fall_silent(self, seconds: float) -> None:
+        """Keep all connections, but serve nothing for a time, then go on."""
+        self._silent_until = self._clock() + seconds
+
     def register(self, store: StandinStore, state: str = 'ready') -> None:
         """Write this endpoint's row in the list of endpoints."""
         if state == 'draining':
-            self._journal.left_at.setdefault(self.name, self._clock())
+            self.journal.left_at.setdefault(self.name, self._clock())
         store.put(
             'servers',
             self.name,
@@ -106,9 +122,9 @@
                 'address': str(self.address),
                 'zone': 'zone-1',
                 'version': 'v1',
-                'slots': self._slots,
+                'slots': self.slots,
                 'state': state,
-                'born': self._born,
+                'born': self.lifetime,
             },
         )
 
@@ -123,27 +139,34 @@
 
     async def handle(self, exchange: Exchange) -> None:
         """Respond to one request; a run ends when its caller disconnects."""
+        arrived_at = self._clock()
+        await self._wait_silence()
         request = exchange.request
         immediate_response = self._respond_without_running(request)
         if immediate_response is None:
-            await self._run_until_disconnect(exchange)
+            await self._run_until_disconnect(exchange, arrived_at)
         else:
-            await exchange.respond(immediate_response)
+            headers = (*immediate_response.headers, *_signal_headers(self))
+            await exchange.respond(replace(immediate_response, headers=headers))
 
     def _respond_without_running(self, request: Request) -> Response | None:
         """Return a report, reservation or refusal; None if it has to run."""
+        if self._clock() < self.busy_until and not _is_release(request):
+            return _turn_away(self, request, self._clock())
         if request.path == '/-/report':
             return json_response(self._report())
         if request.path == '/-/order':
             return self._handle_order(request)
         if request.header('expect-instance', self.name) != self.name:
             return Response(status=_MISDIRECTED)
-        if self._active >= self._slots:
+        if self._active >= self.slots:
             not_run = (('not-executed', '1'),)
             return Response(status=_UNAVAILABLE, headers=not_run)
         return None
 
-    async def _run_until_disconnect(self, exchange: Exchange) -> None:
+    async def _run_until_disconnect(
+        self, exchange: Exchange, arrived_at: float
+    ) -> None:
         self._active += 1
         try:
             async with trio.open_nursery() as nursery:
@@ -153,16 +176,18 @@
                     nursery.cancel_scope.cancel()
 
                 nursery.start_soon(cancel_on_disconnect)
-                await self._run(exchange)
+                await self._run(exchange, arrived_at)
                 nursery.cancel_scope.cancel()
         finally:
+            if trio.current_effective_deadline() == -inf:
+                # The endpoint ends, not only its caller's connection.
+                self.journal.broken.add(exchange.request.header('attempt-id'))
             self._active -= 1
 
-    async def _run(self, exchange: Exchange) -> None:
+    async def _run(self, exchange: Exchange, arrived_at: float) -> None:
         request = exchange.request
         request_id = request.header('attempt-id')
-        arrived_at = self._clock()
-        self._journal.arrivals.append((request_id, self.name, arrived_at))
+        self.journal.arrivals.append((request_id, self.name, arrived_at))
         if self.hang:
             await trio.sleep_forever()
         prompt_tokens, _, answer_tokens = request.header(
@@ -175,7 +200,7 @@
                 / PREFILL_TOKENS_PER_SECOND
                 / prefilling_engines
             )
-        self._journal.runs.append(
+        self.journal.runs.append(
             Run(
                 request_id=request_id,
                 endpoint=self.name,
@@ -187,22 +212,16 @@
         )
         breaks_off = self.fail_next > 0
         self.fail_next = max(0, self.fail_next - 1)
+        if breaks_off:
+            self.journal.broken.add(request_id)
         if prompt_tokens:
             await self._stream_events(
                 exchange, int(answer_tokens) // _TOKENS_PER_EVENT, breaks_off
             )
             return
         await trio.sleep(EVENT_INTERVAL_SECONDS)
-        if breaks_off:
-            await exchange.abort()
-            return
-        await exchange.respond(
-            Response(
-                status=_OK,
-                headers=self._run_headers(request_id),
-                body=request_id.encode(),
-            ),
-        )
+        await self._wait_silence()
+        await _send_answer(exchange, self._run_headers(request_id), breaks_off)
 
     async def _stream_events(
         self,
@@ -212,12 +231,14 @@
     ) -> None:
         request = exchange.request
         last_event_id = int(request.header('last-event-id', '0') or '0')
+        await self._wait_silence()
         headers = self._run_headers(request.header('attempt-id'))
         await exchange.start(
             _OK,
             (*headers, ('content-type', 'text/event-stream')),
         )
         for number in range(last_event_id + 1, event_count + 1):
+            await self._wait_silence()
             if breaks_off and number > event_count // 2:
                 # An event without its end, as from a crash while writing.
                 await exchange.send(b'id: 9')
@@ -227,11 +248,17 @@
             await trio.sleep(EVENT_INTERVAL_SECONDS)
         await exchange.finish()
 
+    async def _wait_silence(self) -> None:
+        remaining_seconds = self._silent_until - self._clock()
+        if remaining_seconds > 0:
+            await trio.sleep(remaining_seconds)
+
     def _run_headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
         return (
             ('attempt-id', request_id),
             ('server-seal', f'{self.name}.{request_id}'),
-            ('server-load', f'{self._active},0,{self._slots}'),
+            ('server-load', f'{self._active},0,{self.slots}'),
+            *_signal_headers(self),
         )
 
     def _report(self) -> dict[str, object]:
@@ -244,7 +271,7 @@
             'active': self._active,
             'kvUsed': self.held_tokens(),
             'kvTotal': MEMORY_TOKENS,
-            'born': self._born,
+            'born': self.lifetime,
         }
 
     def _handle_order(self, request: Request) -> Response:
@@ -259,3 +286,34 @@
         expires_at = self._clock() + order['holdMs'] / _MILLISECONDS
         self.reservations[order['id']] = (order['tokens'], expires_at)
         return json_response({'free': MEMORY_TOKENS - self.held_tokens()})
+
+
+def _signal_headers(endpoint: StandinEndpoint) -> Headers:
+    return (('server-leaving', '1'),) if endpoint.leaving else ()
+
+
+def _turn_away(
+    endpoint: StandinEndpoint, request: Request, now: float
+) -> Response:
+    endpoint.journal.turned_away.append((request.path, endpoint.name, now))
+    text = endpoint.busy_text or str(endpoint.busy_until - now)
+    return Response(
+        status=_UNAVAILABLE,
+        headers=(('not-executed', '1'), ('retry-after', text)),
+    )
+
+
+def _is_release(request: Request) -> bool:
+    if request.path != '/-/order':
+        return False
+    return msgspec.json.decode(request.body)['operation'] == 'release'
+
+
+async def _send_answer(
+    exchange: Exchange, headers: Headers, breaks_off: bool
+) -> None:
+    if breaks_off:
+        await exchange.abort()
+        return
+    body = exchange.request.header('attempt-id').encode()
+    await exchange.respond(Response(status=_OK, headers=headers, body=body))
--- /dev/null
+++ b/src/limpetdrift/coordination/attempt_race.py
@@ -0,0 +1,169 @@
+"""Holds the attempts of one request that run side by side.
+
+An endpoint that is silent may be dead, or may only pause for a second. So a
+silent attempt goes on while another endpoint is tried, and the attempt that
+has the next part of the answer first ends the other. A request has one
+attempt except during such a silence.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+import trio
+from expression import Ok, Result
+
+from limpetdrift.protocol.verdict import Failure
+from limpetdrift.protocol.work import ListedEndpoint
+
+Outcome = Result[None, Failure]
+
+# Attempts of one request that run at the same time, at most.
+MAX_CONCURRENT_ATTEMPTS = 2
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class RacingAttempt:
+    """One attempt of a request.
+
+    ``silent_at`` is the trio time at which it counts as silent, infinity
+    while no answer is awaited. ``is_silent`` is set from then on until a part
+    of the answer comes, and ``tries_beside`` counts the attempts that were
+    tried meanwhile. ``is_sent`` is set once the request may have reached the
+    endpoint, ``has_written`` once a part of the answer went to the caller.
+    ``failed`` lists endpoints that failed the attempt.
+    """
+
+    race: 'AttemptRace'
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    endpoint: ListedEndpoint | None = None
+    silent_at: float = math.inf
+    is_silent: bool = False
+    tries_beside: int = 0
+    is_sent: bool = False
+    has_written: bool = False
+    failed: list[ListedEndpoint] = field(default_factory=list)
+
+    @property
+    def was_ended(self) -> bool:
+        """Whether another attempt, or the end of the request, ended it."""
+        return self.scope.cancel_called
+
+    def expect_answer_within(self, timeout_seconds: float) -> None:
+        """Count as silent if no part of the answer comes in this time."""
+        self.silent_at = trio.current_time() + timeout_seconds
+        self.race.watch_until(self.silent_at)
+
+    async def claim_answer(self) -> None:
+        """End all other attempts before a part of the answer is written.
+
+        If another attempt has ended this one, it is cancelled here, before the
+        write: a write that is cancelled midway would leave part of an answer
+        on the caller's connection.
+        """
+        if self.was_ended:
+            await trio.lowlevel.checkpoint()
+        self.silent_at = math.inf
+        self.is_silent = False
+        self.tries_beside = 0
+        self.has_written = True
+        self.race.cancel_others(self)
+
+
+class AttemptRace:
+    """The attempts of a request that are under way, and outcomes of others."""
+
+    def __init__(self) -> None:
+        self._running: list[RacingAttempt] = []
+        self._failures: list[Outcome] = []
+        self._is_answered = False
+        self._has_outcome = trio.Event()
+        self._wait_scope = trio.CancelScope()
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the caller has the whole answer, or has left."""
+        return self._is_answered
+
+    @property
+    def has_contender(self) -> bool:
+        """Whether any attempt may still answer."""
+        return bool(self._contenders())
+
+    def start(self) -> RacingAttempt:
+        """Add an attempt."""
+        attempt = RacingAttempt(race=self)
+        self._running.append(attempt)
+        return attempt
+
+    def end(self, attempt: RacingAttempt, outcome: Outcome | None) -> None:
+        """Remove an attempt; it has no outcome if it was ended."""
+        self._running.remove(attempt)
+        if outcome is None:
+            return
+        if outcome.is_ok():
+            self.mark_answered()
+            return
+        self._failures.append(outcome)
+        self._has_outcome.set()
+
+    def mark_answered(self) -> None:
+        """Record that the caller has the whole answer, or has left."""
+        self._is_answered = True
+        self._has_outcome.set()
+
+    def cancel_others(self, attempt: RacingAttempt) -> None:
+        """End all attempts but one."""
+        for other in self._running:
+            if other is not attempt:
+                other.scope.cancel()
+
+    def has_other_contender(self, attempt: RacingAttempt) -> bool:
+        """Return whether another attempt may still answer."""
+        return any(other is not attempt for other in self._contenders())
+
+    def is_used_by_other(self, attempt: RacingAttempt) -> bool:
+        """Return whether another attempt is under way at the same endpoint."""
+        return any(
+            other is not attempt and other.endpoint == attempt.endpoint
+            for other in self._contenders()
+        )
+
+    def silent_attempt(self) -> RacingAttempt | None:
+        """Return an attempt that is silent while no other may answer."""
+        contenders = self._contenders()
+        if len(contenders) >= MAX_CONCURRENT_ATTEMPTS:
+            return None
+        now = trio.current_time()
+        silent = (each for each in contenders if each.silent_at <= now)
+        return next(silent, None)
+
+    def watch_until(self, silent_at: float) -> None:
+        """Make ``wait`` look for silence at a trio time at the latest."""
+        self._wait_scope.deadline = min(self._wait_scope.deadline, silent_at)
+
+    async def wait(self) -> Outcome | None:
+        """Return how an attempt ended, or ``None`` once one is silent.
+
+        An answer comes before the failure of another attempt.
+        """
+        while not self._is_answered and not self._failures:
+            if self.silent_attempt() is not None:
+                return None
+            self._has_outcome = trio.Event()
+            self._wait_scope = trio.CancelScope(
+                deadline=self._next_silence_at()
+            )
+            with self._wait_scope:
+                await self._has_outcome.wait()
+        return Ok(None) if self._is_answered else self._failures.pop(0)
+
+    def _next_silence_at(self) -> float:
+        """Return when to look for silence; an answer may come until then."""
+        contenders = self._contenders()
+        if len(contenders) >= MAX_CONCURRENT_ATTEMPTS:
+            return math.inf
+        return min((each.silent_at for each in contenders), default=math.inf)
+
+    def _contenders(self) -> list[RacingAttempt]:
+        """Return the attempts that have not been ended."""
+        return [each for each in self._running if not each.was_ended]
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -1,8 +1,9 @@
 """Forwards opaque requests, with retries, to an answer or a clear failure.
 
 The entry that accepted a request owns it: its deadline, its attempts, the
-verdict on whether it has run, and its stream. Attempts run one at a time.
-When the caller disconnects, the attempt ends at once.
+verdict on whether it has run, and its stream. Attempts run one at a time,
+except while an endpoint is silent: it may only pause, so its attempt goes on
+beside one elsewhere. When the caller disconnects, all attempts end at once.
 """
 
 import random
@@ -11,12 +12,17 @@
 from dataclasses import dataclass, replace
 
 import trio
+from absl import logging
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.attempt_race import (
+    AttemptRace,
+    Outcome,
+    RacingAttempt,
+)
 from limpetdrift.coordination.delivery import (
     EndpointIdentity,
-    Outcome,
     RequestProgress,
     relay_events,
     relay_response,
@@ -30,7 +36,7 @@
     first_event_timeout_seconds,
     may_repeat,
 )
-from limpetdrift.logs import is_sampled, note
+from limpetdrift.logs import is_sampled, note, warn
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -56,6 +62,8 @@
 # Prompts under 2^12 tokens are one class in metrics.
 _MIN_SIZE_EXPONENT = 12
 RETRY_INTERVAL_SECONDS = 0.01
+# First interval between tries elsewhere while an attempt stays silent.
+SILENT_RETRY_INTERVAL_SECONDS = 0.5
 # Bounds of the random factor of each retry interval.
 _RETRY_JITTER = (0.5, 1.5)
 # Errors of a write to a caller that has disconnected.
@@ -74,7 +82,13 @@
     ),
 )
 # Failures that prove that no endpoint received the request.
-_UNREACHED_REASONS = frozenset((Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT))
+_UNREACHED_REASONS = frozenset(
+    (
+        Reason.CONNECT_FAILED,
+        Reason.CONNECT_TIMEOUT,
+        Reason.ENDPOINT_UNAVAILABLE,
+    ),
+)
 
 PlaceRequest = Callable[
     [CallerRequest, frozenset[EndpointIdentity]],
@@ -149,17 +163,25 @@
             await self._answer_failure(progress, failure)
 
     async def _run(self, progress: RequestProgress) -> Failure | None:
+        race = AttemptRace()
         failure: Failure | None = None
         deadline_scope = trio.CancelScope(
             deadline=trio.current_time() + max(0, progress.seconds_left()),
         )
         async with trio.open_nursery() as nursery:
+
+            def start_attempt() -> None:
+                nursery.start_soon(self._run_attempt, progress, race.start())
+
             nursery.start_soon(
-                _cancel_on_disconnect, progress, nursery.cancel_scope
+                _cancel_on_disconnect, progress, race, nursery.cancel_scope
             )
             with deadline_scope:
-                failure = await self._attempt_until_final(progress)
+                failure = await self._supervise(progress, race, start_attempt)
             nursery.cancel_scope.cancel()
+        if race.is_answered:
+            # The deadline may pass while the attempts clean up.
+            return None
         if deadline_scope.cancelled_caught:
             return Failure(
                 verdict=progress.verdict,
@@ -168,26 +190,72 @@
             )
         return failure
 
-    async def _attempt_until_final(
-        self, progress: RequestProgress
+    async def _supervise(
+        self,
+        progress: RequestProgress,
+        race: AttemptRace,
+        start_attempt: Callable[[], None],
     ) -> Failure | None:
-        """Attempt until an answer is delivered or a failure is final."""
+        """Start attempts until an answer is delivered or a failure is final."""
+        start_attempt()
+        while True:
+            outcome = await race.wait()
+            if outcome is None:
+                if self._may_try_beside(progress, race):
+                    start_attempt()
+                continue
+            if outcome.is_ok():
+                return None
+            if race.has_contender:
+                continue
+            failure = replace(outcome.error, verdict=progress.verdict)
+            if not self._may_retry(progress, failure):
+                return failure
+            jitter = self._inputs.randomness.uniform(*_RETRY_JITTER)
+            await trio.sleep(RETRY_INTERVAL_SECONDS * jitter)
+            start_attempt()
+
+    async def _run_attempt(
+        self, progress: RequestProgress, attempt: RacingAttempt
+    ) -> None:
+        outcome: Outcome | None = None
         try:
-            while True:
-                outcome = await self._attempt(progress)
-                if outcome.is_ok():
-                    return None
-                failure = replace(outcome.error, verdict=progress.verdict)
-                if not self._begin_retry(progress, failure):
-                    return failure
-                jitter = self._inputs.randomness.uniform(*_RETRY_JITTER)
-                await trio.sleep(RETRY_INTERVAL_SECONDS * jitter)
+            with attempt.scope:
+                outcome = await self._attempt(progress, attempt)
         except _DISCONNECT_ERRORS:
             progress.has_caller_left = True
-        return None
+            outcome = Ok(None)
+        except Exception:
+            if attempt.has_written:
+                raise
+            # Another attempt may still answer.
+            logging.exception('attempt failed')
+            outcome = Error(may_have_run(Reason.INTERNAL, 'attempt failed'))
+        finally:
+            attempt.race.end(attempt, outcome)
+
+    def _may_try_beside(
+        self, progress: RequestProgress, race: AttemptRace
+    ) -> bool:
+        """Return whether to try another endpoint while an attempt is silent.
+
+        It is asked again after an interval that doubles each time.
+        """
+        silent = race.silent_attempt()
+        if silent is None:
+            return False
+        if not silent.is_silent:
+            silent.is_silent = True
+            telemetry.count('attempts_silent')
+        interval = SILENT_RETRY_INTERVAL_SECONDS * 2**silent.tries_beside
+        silent.tries_beside += 1
+        silent.expect_answer_within(interval)
+        return self._may_retry(
+            progress, may_have_run(Reason.IDLE_TIMEOUT, 'no answer in time')
+        )
 
-    def _begin_retry(self, progress: RequestProgress, failure: Failure) -> bool:
-        """Return whether to retry; charge the retry to the budget if so.
+    def _may_retry(self, progress: RequestProgress, failure: Failure) -> bool:
+        """Return whether the route and the retry budget allow a retry.
 
         A retry after attempts that reached no endpoint is free of charge.
         """
@@ -202,23 +270,16 @@
         )
         if not is_allowed:
             return False
-        if progress.attempts and not self._inputs.budget.spend():
+        if progress.attempts and not self._inputs.budget.has_retry:
             telemetry.count('refusals', reason=Reason.RETRY_BUDGET)
             return False
         telemetry.count('retries', reason=failure.reason)
-        note(
-            'attempt failed, trying another endpoint',
-            id=request.request_id,
-            reason=failure.reason,
-            verdict=failure.verdict,
-            detail=failure.detail,
-            attempts=progress.attempts,
-            endpoints=[each.name for each in progress.failed],
-            seconds=round(progress.seconds_elapsed(), 3),
-        )
+        _log_retry(progress, failure)
         return True
 
-    async def _attempt(self, progress: RequestProgress) -> Outcome:
+    async def _attempt(
+        self, progress: RequestProgress, attempt: RacingAttempt
+    ) -> Outcome:
         progress.placements += 1
         refusal = self._check(progress)
         if refusal is not None:
@@ -228,44 +289,51 @@
             frozenset(progress.excluded),
         )
         if placed.is_error():
+            if attempt.race.has_other_contender(attempt):
+                # Refusals during a silence leave tries for a later failure.
+                progress.placements -= 1
             return placed.map(lambda placement: None)
         placement = placed.ok
-        progress.failed = []
+        attempt.endpoint = placement.endpoint
         _log_placement(progress, placement)
         try:
-            return await self._reserve_and_send(progress, placement)
+            return await self._reserve_and_send(progress, attempt, placement)
         finally:
-            self._inputs.release(progress.request, placement, progress.failed)
+            _record_end(progress, attempt)
+            self._inputs.release(progress.request, placement, attempt.failed)
 
     async def _reserve_and_send(
         self,
         progress: RequestProgress,
+        attempt: RacingAttempt,
         placement: DispatchPlan,
     ) -> Outcome:
-        previous_verdict = progress.verdict
+        if attempt.race.is_used_by_other(attempt):
+            return Error(not_run(Reason.NO_ENDPOINT, 'no other endpoint'))
         progress.excluded.add(placement.endpoint.identity)
         try:
             # Engines prefill the newest prompt first, so the request is sent
             # only when they are expected to be free.
             await trio.sleep(placement.delay_seconds)
             async with self._inputs.reserve_memory(placement) as reserved:
-                outcome = await self._send(progress, reserved)
+                outcome = await self._send(progress, attempt, reserved)
         except FailureError as error:
             outcome = Error(error.failure)
         if outcome.is_error():
-            _record_failure(progress, placement, outcome.error)
+            _record_failure(progress, attempt, outcome.error)
             if outcome.error.reason is Reason.ENDPOINT_LEAVING:
                 self._inputs.view.mark_leaving(placement.endpoint, 'answer')
             if outcome.error.reason is Reason.CONNECTION_BROKEN:
                 self._inputs.report_broken_connection(
                     progress.request, placement.endpoint
                 )
-            if outcome.error.verdict is Verdict.NOT_RUN:
-                progress.verdict = previous_verdict
         return outcome
 
     async def _send(
-        self, progress: RequestProgress, placement: DispatchPlan
+        self,
+        progress: RequestProgress,
+        attempt: RacingAttempt,
+        placement: DispatchPlan,
     ) -> Outcome:
         # The caller's key may have been revoked during the reservation.
         refusal = self._check(progress)
@@ -273,7 +341,10 @@
             return Error(refusal)
         if not self._inputs.view.is_usable(placement.endpoint):
             return Error(not_run(Reason.ENDPOINT_REFUSED, 'not listed now'))
-        progress.verdict = Verdict.MAY_HAVE_RUN
+        if progress.attempts and not self._inputs.budget.spend():
+            return Error(not_run(Reason.RETRY_BUDGET, 'no retry is left'))
+        attempt.is_sent = True
+        progress.unproven += 1
         progress.attempts += 1
         if progress.placements == 1:
             telemetry.observe(
@@ -281,36 +352,15 @@
                 progress.seconds_elapsed(),
                 kind=progress.request.route.kind,
             )
-        if progress.request.route.kind is RequestKind.STREAMING:
-            return await self._send_stream(progress, placement)
-        timeout = attempt_timeout_seconds(
-            progress.request.route,
-            attempts=progress.attempts - 1,
-            seconds_left=progress.seconds_left(),
+        attempt.expect_answer_within(
+            _answer_timeout_seconds(progress, placement)
         )
-        with trio.move_on_after(timeout) as timeout_scope:
-            async with self._open_response(progress, placement) as answer:
-                return await relay_response(progress, answer, timeout_scope)
-        return Error(may_have_run(Reason.IDLE_TIMEOUT, 'no answer in time'))
-
-    async def _send_stream(
-        self,
-        progress: RequestProgress,
-        placement: DispatchPlan,
-    ) -> Outcome:
-        timeout = first_event_timeout_seconds(
-            progress.request.route,
-            attempts=progress.attempts - 1,
-            expected_seconds=placement.read_seconds - placement.delay_seconds,
-            seconds_left=progress.seconds_left(),
-        )
-        with trio.move_on_after(timeout) as timeout_scope:
-            async with self._open_response(progress, placement) as answer:
-                if answer.refused or answer.status != OK:
-                    return await relay_response(progress, answer, timeout_scope)
-                await relay_events(progress, answer, timeout_scope)
-                return Ok(None)
-        return Error(may_have_run(Reason.IDLE_TIMEOUT, 'no event in time'))
+        async with self._open_response(progress, placement) as answer:
+            is_stream = progress.request.route.kind is RequestKind.STREAMING
+            if not is_stream or answer.refused or answer.status != OK:
+                return await relay_response(progress, answer, attempt)
+            await relay_events(progress, answer, attempt)
+            return Ok(None)
 
     def _check(self, progress: RequestProgress) -> Failure | None:
         """Return the failure if the request must not be sent, else ``None``.
@@ -341,6 +391,7 @@
     ) -> None:
         """Send the failure to the caller."""
         if progress.exchange.started:
+            _log_cut_answer(progress, failure)
             # The deadline may have cut off the last write.
             await progress.exchange.abort()
             return
@@ -364,23 +415,72 @@
 
 
 async def _cancel_on_disconnect(
-    progress: RequestProgress, scope: trio.CancelScope
+    progress: RequestProgress, race: AttemptRace, scope: trio.CancelScope
 ) -> None:
     await progress.exchange.wait_closed()
-    progress.has_caller_left = True
+    progress.has_caller_left = not race.is_answered
     scope.cancel()
 
 
+def _answer_timeout_seconds(
+    progress: RequestProgress, placement: DispatchPlan
+) -> float:
+    """Return the time after which an attempt without an answer is silent."""
+    request = progress.request
+    if request.route.kind is RequestKind.STREAMING:
+        return first_event_timeout_seconds(
+            request.route,
+            attempts=progress.attempts - 1,
+            expected_seconds=placement.read_seconds - placement.delay_seconds,
+            seconds_left=progress.seconds_left(),
+        )
+    return attempt_timeout_seconds(
+        request.route,
+        attempts=progress.attempts - 1,
+        seconds_left=progress.seconds_left(),
+    )
+
+
 def _record_failure(
     progress: RequestProgress,
-    placement: DispatchPlan,
+    attempt: RacingAttempt,
     failure: Failure,
 ) -> None:
     telemetry.count('attempt_failures', reason=failure.reason)
-    if failure.reason in _UNREACHED_REASONS and progress.attempts:
+    if attempt.is_sent and failure.verdict is Verdict.NOT_RUN:
+        progress.unproven -= 1
+    if attempt.is_sent and failure.reason in _UNREACHED_REASONS:
         progress.attempts -= 1
     if failure.reason in _ENDPOINT_FAILURE_REASONS:
-        progress.failed.append(placement.endpoint)
+        attempt.failed.append(attempt.endpoint)
+
+
+def _record_end(progress: RequestProgress, attempt: RacingAttempt) -> None:
+    """Record an endpoint that is silent to the end as failed.
+
+    One that was only slower than another may be used again.
+    """
+    if attempt.is_silent and attempt.endpoint not in attempt.failed:
+        telemetry.count('attempt_failures', reason=Reason.IDLE_TIMEOUT)
+        attempt.failed.append(attempt.endpoint)
+    elif attempt.was_ended and not attempt.is_silent:
+        progress.excluded.discard(attempt.endpoint.identity)
+
+
+def _log_retry(progress: RequestProgress, failure: Failure) -> None:
+    is_silent = failure.reason is Reason.IDLE_TIMEOUT
+    note(
+        'attempt silent, trying another endpoint beside it'
+        if is_silent
+        else 'attempt failed, trying another endpoint',
+        id=progress.request.request_id,
+        reason=failure.reason,
+        verdict=failure.verdict,
+        detail=failure.detail,
+        attempts=progress.attempts,
+        endpoints=sorted(name for name, _ in progress.excluded),
+        seconds=round(progress.seconds_elapsed(), 3),
+    )
 
 
 def _log_placement(progress: RequestProgress, placement: DispatchPlan) -> None:
@@ -403,6 +503,25 @@
     )
 
 
+def _log_cut_answer(progress: RequestProgress, failure: Failure) -> None:
+    """Log an answer that ends midway, and how long it had been silent."""
+    telemetry.count('answers_cut', reason=failure.reason)
+    silent_since = progress.last_event_at or progress.first_event_at
+    warn(
+        'answer cut off',
+        id=progress.request.request_id,
+        reason=failure.reason,
+        detail=failure.detail,
+        last_event=progress.last_event,
+        silent_seconds=silent_since
+        and round(progress.clock() - silent_since, 3),
+        seconds_left=round(progress.seconds_left(), 3),
+        attempts=progress.attempts,
+        placements=progress.placements,
+        endpoints=sorted(name for name, _ in progress.excluded),
+    )
+
+
 def _log_end(
     progress: RequestProgress,
     message: str,
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -14,6 +14,11 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.endpoint_gate import (
+    begin_placement,
+    check_service,
+    end_placement,
+)
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.planner import endpoint_id_of
 from limpetdrift.coordination.planner_client import (
@@ -95,10 +100,16 @@
     ) -> Result[DispatchPlan, Failure]:
         """Return the engines to which a prompt is sent, or why it is refused.
 
-        ``excluded`` holds names and lifetimes of engines not to use.
+        ``excluded`` holds names and lifetimes of engines not to use. Those that
+        asked this entry for a back-off are excluded, too. They don't count as
+        attempts, and other entries may use them.
         """
+        refusal = check_service(self._view, work.service)
+        if refusal is not None:
+            return Error(refusal)
+        closed = self._view.back_offs.closed(self._view.usable(work.service))
         request = self._make_request(
-            work, excluded, self.groups.home(work.service)
+            work, excluded | closed, self.groups.home(work.service)
         )
         planned = await self._plan(request)
         cost_limit = cost_limit_elsewhere(planned)
@@ -113,11 +124,18 @@
         failed: Iterable[ListedEndpoint],
     ) -> None:
         """End a plan; ``failed`` lists the engines that failed it."""
+        end_placement(self._view, work, placement)
         failed_ids = tuple(endpoint_id_of(endpoint) for endpoint in failed)
         self._end(
             work.service, EndedPlan(grant=placement.grant, failed=failed_ids)
         )
 
+    def announce_leaving(self, engine: ListedEndpoint) -> None:
+        """Report soon to the planners of an engine that it leaves."""
+        for group in self.groups.layout(engine.service).groups:
+            if group.contains(engine.failure_domain, engine.name):
+                self.planner_client.announce_leaving(engine.service, group)
+
     def planned_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the engines of a service that this entry plans for."""
         return tuple(
@@ -168,6 +186,7 @@
             ),
             ended=self.planner_client.pop_ended(work.service, group),
             group=group,
+            leaving=self._inputs.planner.leaving(work.service),
         )
 
     async def _place_elsewhere(
@@ -178,9 +197,14 @@
         work: CallerRequest,
     ) -> Result[DispatchPlan, Failure]:
         """Take the plan of another group if it is better than ``planned``."""
-        group = self._choose_other_group(request)
-        if group is None:
+        others = [
+            group
+            for group in self.groups.layout(request.service).groups
+            if group != request.group
+        ]
+        if not others:
             return self._accept(planned, request, work)
+        group = self._randomness.choice(others)
         second = replace(request, group=group, cost_limit=cost_limit, ended=())
         better = await self._request_plan(second)
         telemetry.count(
@@ -193,14 +217,6 @@
             self._end(work.service, EndedPlan(grant=planned.ok.grant))
         return self._accept(better, second, work)
 
-    def _choose_other_group(self, request: PlanRequest) -> EngineGroup | None:
-        others = [
-            group
-            for group in self.groups.layout(request.service).groups
-            if group != request.group
-        ]
-        return self._randomness.choice(others) if others else None
-
     async def _plan(self, request: PlanRequest) -> Result[Plan, Failure]:
         """Get a plan, if need be from this entry's own ledger."""
         planned = await self._request_plan(request)
@@ -253,17 +269,19 @@
             return Error(
                 not_run(
                     Reason.ENDPOINT_LEAVING,
-                    'the plan names an engine that is not known here',
+                    'the plan names an engine that is not usable here',
                 ),
             )
         telemetry.count('placements', parts=str(1 + len(helpers)))
-        return Ok(_make_dispatch_plan(plan, writer, helpers, work))
+        placement = _make_dispatch_plan(plan, writer, helpers, work)
+        begin_placement(self._view, work, placement)
+        return Ok(placement)
 
     def _find_usable(self, engine_id: EndpointId) -> ListedEndpoint | None:
         found = self._view.find(engine_id.name, engine_id.lifetime)
         if found is None or not self._view.is_usable(found):
             return None
-        return found
+        return found if self._view.back_offs.is_open(found.identity) else None
 
 
 def _make_dispatch_plan(
--- a/src/limpetdrift/coordination/retry_policy.py
+++ b/src/limpetdrift/coordination/retry_policy.py
@@ -14,13 +14,13 @@
 MIN_ATTEMPT_SECONDS = 0.03
 # Share of the remaining time for one attempt while another may follow.
 _ATTEMPT_TIME_SHARE = 0.4
-# A stream is tried elsewhere if its first event takes longer than the expected
-# time, times the factor, plus the margin. Clients disconnect after two seconds
-# without an event.
+# A stream is tried elsewhere, too, if its first event takes longer than the
+# expected time, times the factor, plus the margin. Clients disconnect after two
+# seconds without an event.
 _FIRST_EVENT_MARGIN_SECONDS = 0.9
 _FIRST_EVENT_FACTOR = 1.5
 # Idle timeout of a begun stream, as a multiple of the longest pause that the
-# route allows, and its lower bound. After it the engine is presumed dead.
+# route allows, and its lower bound. After it another engine is tried as well.
 _IDLE_TIMEOUT_FACTOR = 3.0
 _MIN_IDLE_TIMEOUT_SECONDS = 1.2
 
@@ -28,6 +28,8 @@
 # factor, which keeps refused callers from returning at the same time.
 FALLBACK_RETRY_AFTER_SECONDS = 0.4
 _RETRY_AFTER_JITTER = (0.6, 1.4)
+# The factor's bounds where a retry before the estimate would be refused again.
+_LATER_RETRY_JITTER = (1.0, 1.8)
 
 _SERVER_ERROR = 500
 _FINAL_REASONS = frozenset(
@@ -39,6 +41,9 @@
         Reason.NOT_FOUND,
         Reason.QUARANTINED,
         Reason.NO_ENDPOINT,
+        Reason.SERVICE_BACK_OFF,
+        Reason.RETRY_BUDGET,
+        Reason.INTERNAL,
     ),
 )
 
@@ -69,7 +74,7 @@
     attempts: int,
     seconds_left: float,
 ) -> float:
-    """Return the timeout of one attempt of a call that is not streamed.
+    """Return after what time a call that is not streamed is tried elsewhere.
 
     This handles endpoints that accept a request and never answer: the timeout
     of a repeatable request leaves time for a second endpoint.
@@ -128,7 +133,10 @@
     When many callers are refused at once, their retries are spread over time.
     """
     retry_after = failure.retry_after_seconds or FALLBACK_RETRY_AFTER_SECONDS
-    return retry_after * randomness.uniform(*_RETRY_AFTER_JITTER)
+    jitter = _RETRY_AFTER_JITTER
+    if failure.reason is Reason.SERVICE_BACK_OFF:
+        jitter = _LATER_RETRY_JITTER
+    return retry_after * randomness.uniform(*jitter)
 
 
 def is_failure_of_endpoint(route: Route, status: int) -> bool:
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -40,6 +40,7 @@
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
     build_crash_guard,
+    build_gate,
     build_planning,
 )
 from limpetdrift.platform.registration import (
@@ -131,6 +132,7 @@
         ),
         seeds=settings.seeds,
     )
+    store.era.on_rise.append(registration.write_again)
     call = make_peer_call(
         HttpClient(
             limits=ClientLimits(connect_seconds=PEER_CONNECT_TIMEOUT_SECONDS)
@@ -282,6 +284,7 @@
     render: RenderFailure,
 ) -> Forwarder:
     plain_placer = PlainPlacer(view=context.view, randomness=context.randomness)
+    gate = build_gate(context, plan_placer)
     endpoint_client = HttpClient(
         limits=ClientLimits(
             connect_seconds=ENDPOINT_CONNECT_TIMEOUT_SECONDS,
@@ -311,8 +314,12 @@
         inputs=ForwardingInputs(
             place=place,
             release=release,
-            reserve_memory=make_reserver(endpoint_client, context.node.name),
-            send=make_send_request(endpoint_client, plain_placer.apply_load),
+            reserve_memory=make_reserver(
+                endpoint_client, context.node.name, gate
+            ),
+            send=make_send_request(
+                endpoint_client, plain_placer.apply_load, gate
+            ),
             check=lambda request: (
                 crash_guard.refusal(request) or check_key(request, admission)
             ),
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -2,16 +2,18 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import count
 
 import trio
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.forwarding import ReserveMemory
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
+from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.codec import json_request
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -32,19 +34,39 @@
 # within which unused memory must be free again.
 RESERVATION_TTL_SECONDS = 3.2
 RENEWAL_INTERVAL_SECONDS = 1.0
-ORDER_TIMEOUT_SECONDS = 0.8
-_RELEASE_TRIES = 3
+# Time to repeat an order that an engine does not answer. It outlasts a short
+# silence of a sound engine.
+ORDER_TIMEOUT_SECONDS = 2.0
+_ORDER_RETRY_SECONDS = 0.1
+# How long a request waits for the release of its memory, which then goes on in
+# the background. A retry would compete with memory that is not yet free.
+RELEASE_WAIT_SECONDS = 0.25
+# Failures after which the engine may still carry out an order.
+_SILENCE_REASONS = frozenset((Reason.CONNECT_TIMEOUT, Reason.TIMEOUT))
 _MILLISECONDS = 1000
 _ORDER_PATH = '/-/order'
+_RELEASE = 'release'
 
 
-def make_reserver(client: HttpClient, name: str) -> ReserveMemory:
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Orders:
+    """What orders are sent with."""
+
+    client: HttpClient
+    gate: EndpointGate
+
+
+def make_reserver(
+    client: HttpClient, name: str, gate: EndpointGate
+) -> ReserveMemory:
     """Return the function that reserves a placement's memory.
 
     ``name`` is unique to this process, and so are its reservations'
-    identifiers, which begin with it.
+    identifiers, which begin with it. While ``gate`` is closed to an engine,
+    no memory is reserved there and no reservation renewed.
     """
     counter = count()
+    orders = _Orders(client=client, gate=gate)
 
     @asynccontextmanager
     async def reserve(placement: DispatchPlan) -> AsyncIterator[DispatchPlan]:
@@ -60,27 +82,28 @@
             for endpoint, tokens in placement.reserved
         )
         try:
-            async with _reserved(client, reservations):
+            async with _reserved(orders, reservations):
                 yield _with_reservations(placement, reservations)
         finally:
-            await _release_all(client, reservations)
+            await _release_all(orders, reservations)
 
     return reserve
 
 
 @asynccontextmanager
 async def _reserved(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> AsyncIterator[None]:
     """Reserve all memory, and renew it while the context is open.
 
     Raises ``FailureError`` if an engine refuses.
     """
-    await _reserve_all(client, reservations)
+    await _reserve_all(orders, reservations)
     raised: Exception | None = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_renew, client, reservations)
+        for reservation in reservations:
+            nursery.start_soon(_renew, orders, reservation)
         try:
             yield
         except Exception as error:
@@ -92,14 +115,14 @@
 
 
 async def _reserve_all(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> None:
     failures: list[Failure] = []
 
     async def reserve(reservation: Reservation) -> None:
-        result = await _send_order(
-            client, reservation.endpoint, _reserve_order(reservation)
+        result = await _repeat_order(
+            orders, reservation.endpoint, _reserve_order(reservation)
         )
         if result.is_error():
             failures.append(result.error)
@@ -112,67 +135,93 @@
         raise FailureError(failures[0])
 
 
-async def _renew(
-    client: HttpClient,
-    reservations: tuple[Reservation, ...],
-) -> None:
+async def _renew(orders: _Orders, reservation: Reservation) -> None:
     while True:
         await trio.sleep(RENEWAL_INTERVAL_SECONDS)
-        async with trio.open_nursery() as nursery:
-            for reservation in reservations:
-                nursery.start_soon(
-                    _send_order,
-                    client,
-                    reservation.endpoint,
-                    _reserve_order(reservation),
-                )
+        await _repeat_order(
+            orders, reservation.endpoint, _reserve_order(reservation)
+        )
 
 
 async def _release_all(
-    client: HttpClient,
+    orders: _Orders,
     reservations: tuple[Reservation, ...],
 ) -> None:
     """Release all memory, even if the request has been cancelled."""
-    with trio.CancelScope(shield=True):
+    is_released = trio.Event()
+
+    async def release() -> None:
         async with trio.open_nursery() as nursery:
             for reservation in reservations:
-                nursery.start_soon(_release, client, reservation)
+                nursery.start_soon(_release, orders, reservation)
+        is_released.set()
 
+    trio.lowlevel.spawn_system_task(release)
+    with trio.move_on_after(RELEASE_WAIT_SECONDS, shield=True):
+        await is_released.wait()
 
-async def _release(client: HttpClient, reservation: Reservation) -> None:
-    body = {'operation': 'release', 'id': reservation.identifier}
-    for _ in range(_RELEASE_TRIES):
-        result = await _send_order(client, reservation.endpoint, body)
-        if result.is_ok():
-            return
-    note(
-        'reserved memory could not be released, it will expire',
-        endpoint=reservation.endpoint.name,
-        tokens=reservation.tokens,
-        reason=result.error.reason,
-    )
+
+async def _release(orders: _Orders, reservation: Reservation) -> None:
+    # Sent during a back-off, too, but once only: it frees memory that the
+    # engine needs, and adds no work.
+    body = {'operation': _RELEASE, 'id': reservation.identifier}
+    result = await _repeat_order(orders, reservation.endpoint, body)
+    if result.is_error():
+        note(
+            'reserved memory could not be released, it will expire',
+            endpoint=reservation.endpoint.name,
+            tokens=reservation.tokens,
+            reason=result.error.reason,
+        )
+
+
+async def _repeat_order(
+    orders: _Orders,
+    endpoint: ListedEndpoint,
+    body: dict[str, object],
+) -> Result[None, Failure]:
+    """Send an order until the engine answers it or the timeout has passed."""
+    deadline = trio.current_time() + ORDER_TIMEOUT_SECONDS
+    while True:
+        seconds_left = deadline - trio.current_time()
+        result = await _send_order(orders, endpoint, body, seconds_left)
+        retry_at = trio.current_time() + _ORDER_RETRY_SECONDS
+        is_silent = (
+            result.is_error() and result.error.reason in _SILENCE_REASONS
+        )
+        is_closed = orders.gate.check_call(endpoint) is not None
+        if is_closed or not is_silent or retry_at >= deadline:
+            return result
+        await trio.sleep_until(retry_at)
 
 
 async def _send_order(
-    client: HttpClient,
+    orders: _Orders,
     endpoint: ListedEndpoint,
     body: dict[str, object],
+    timeout_seconds: float,
 ) -> Result[None, Failure]:
+    refusal = orders.gate.check_call(endpoint)
+    if refusal is not None and body['operation'] != _RELEASE:
+        return Error(not_run(Reason.NO_MEMORY, refusal.detail))
     request = json_request('POST', _ORDER_PATH, body)
-    result = await client.fetch(
+    result = await orders.client.fetch(
         parse_address(endpoint.address),
         _with_expected_instance(request, endpoint),
-        timeout_seconds=ORDER_TIMEOUT_SECONDS,
+        timeout_seconds=timeout_seconds,
         new_connection=True,
     )
     telemetry.count('orders', operation=str(body['operation']))
-    return result.bind(
-        lambda response: (
-            Ok(None)
-            if response.status == OK
-            else Error(not_run(Reason.NO_MEMORY, f'status {response.status}'))
-        ),
+    if result.is_error():
+        return Error(result.error)
+    response = result.ok
+    orders.gate.apply_signals(
+        endpoint,
+        decode_signals(endpoint, response.status, response.headers),
     )
+    if response.status == OK:
+        return Ok(None)
+    return Error(not_run(Reason.NO_MEMORY, f'status {response.status}'))
 
 
 def _with_expected_instance(
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import time
 from contextlib import suppress
 
 import trio
@@ -11,7 +12,7 @@
 from limpetdrift.platform.entry_wiring import DRAIN_GRACE_SHARE
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request
+from limpetdrift.transport.messages import Address, Request, Response
 from soak.site import HOST, STOP_GRACE_SECONDS, EntryProcess, Site
 
 PORT = 20_900
@@ -71,6 +72,127 @@
     assert set(statuses) <= {404, 503}
 
 
+def run_with_endpoints(folder, body, **counts: int) -> None:
+    """Run a function of a site with one entry that is ready."""
+
+    async def run_site() -> None:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=folder, port=PORT, nursery=nursery)
+            try:
+                await site.open(1, **({'engines': 0, 'desks': 0} | counts))
+                entry = site.entries[0]
+                await wait_ready(
+                    HttpClient(), Address(host=entry.host, port=PORT + 1)
+                )
+                await body(site)
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run_site)
+
+
+async def send_calls(
+    site: Site, names, path: str = '/twice/x', **changes: str
+) -> list[Response]:
+    """Send one call after the other."""
+    client = HttpClient()
+    answers = []
+    for name in names:
+        headers = {
+            'host': HOST,
+            'attempt-id': name,
+            'authorization': 'Bearer key-0',
+            'deadline-ms': '1500',
+            **changes,
+        }
+        answer = await client.fetch(
+            Address(host=site.entries[0].host, port=PORT),
+            Request(method='GET', path=path, headers=tuple(headers.items())),
+            timeout_seconds=5,
+        )
+        answers.append(answer.ok)
+    return answers
+
+
+def test_desk_that_says_it_leaves_in_an_answer_gets_no_more_calls(tmp_path):
+    async def body(site: Site) -> None:
+        first = next(iter(site.endpoints.values())).endpoint
+        await send_calls(site, (f'before-{each}' for each in range(20)))
+        assert first.name in {run.endpoint for run in site.journal.runs}
+        first.leaving = True
+        site.journal.runs.clear()
+        answers = await send_calls(
+            site, (f'after-{each}' for each in range(20))
+        )
+        assert {answer.status for answer in answers} == {200}
+        assert not any(answer.header('server-leaving') for answer in answers)
+        at_first = [
+            run for run in site.journal.runs if run.endpoint == first.name
+        ]
+        assert len(at_first) <= 1
+
+    run_with_endpoints(tmp_path, body, desks=2)
+
+
+def test_desk_that_asked_for_a_back_off_is_left_alone_until_its_end(tmp_path):
+    async def body(site: Site) -> None:
+        first = next(iter(site.endpoints.values())).endpoint
+        started = time.monotonic()
+        first.busy_until = started + 3.0
+        names = (f'during-{each}' for each in range(20))
+        answers = await send_calls(site, names)
+        assert time.monotonic() < first.busy_until
+        assert {answer.status for answer in answers} == {200}
+        assert len(site.journal.turned_away) == 1
+        await trio.sleep(first.busy_until - time.monotonic() + 0.1)
+        await send_calls(site, (f'after-{each}' for each in range(20)))
+        assert first.name in {run.endpoint for run in site.journal.runs}
+
+    run_with_endpoints(tmp_path, body, desks=2)
+
+
+def test_engine_that_asked_for_a_back_off_gets_no_prompt_and_no_poll(tmp_path):
+    prompt = {'token-usage': '4000,510', 'deadline-ms': '8000'}
+
+    async def body(site: Site) -> None:
+        first = next(iter(site.endpoints.values())).endpoint
+        first.busy_until = time.monotonic() + 3.0
+        names = (f'during-{each}' for each in range(5))
+        answers = await send_calls(site, names, '/text/x', **prompt)
+        assert {answer.status for answer in answers} == {200}
+        await trio.sleep(first.busy_until - time.monotonic() - 0.1)
+        # A poll and a prompt may be on their way at once.
+        assert 1 <= len(site.journal.turned_away) <= 2
+
+    run_with_endpoints(tmp_path, body, engines=2)
+
+
+def test_call_is_refused_at_once_if_all_desks_asked_for_a_back_off(tmp_path):
+    async def body(site: Site) -> None:
+        endpoints = [
+            each.endpoint
+            for each in site.endpoints.values()
+            if each.endpoint.service == 'desk'
+        ]
+        assert len(endpoints) == 2
+        started = time.monotonic()
+        for endpoint in endpoints:
+            endpoint.busy_until = started + 10.0
+        answers = await send_calls(site, (f'a-{each}' for each in range(20)))
+        seconds = time.monotonic() - started
+        assert seconds < 5.0
+        assert {answer.status for answer in answers} == {503}
+        least = 10.0 - seconds
+        retry_times = {float(each.header('retry-after')) for each in answers}
+        assert min(retry_times) >= least
+        assert len(retry_times) > 10
+        assert len(site.journal.turned_away) == len(endpoints)
+        assert not site.journal.runs
+
+    run_with_endpoints(tmp_path, body, desks=2)
+
+
 def test_check_prints_valid_settings_and_rejects_invalid_ones(tmp_path):
     path = tmp_path / 'node.json'
     path.write_text(
