Give each soak run ports that no other run uses

Two runs of one seed at the same time used the same ports: the entries of one could not listen, and its callers reached the entries of the other. Seed 7, played beside a test run, so reported single_runs and own_accounts, and its entries' logs show ids placed twice. The range of ports now starts at that of the seed, and a bound socket reserves it.

Test: test_two_runs_of_one_seed_use_different_ports (the function is new).

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,9 +9,12 @@
 
 import argparse
 import random
+import socket
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import asdict, dataclass
 from functools import partial
 from itertools import chain
@@ -32,7 +35,7 @@
 SETTLE_SECONDS = 12.0
 # With few engines a stream that loses its engine may find no other.
 _ENGINE_COUNTS = (1, 3, 6)
-# Each seed has its own range of ports, so that sites can run side by side.
+# Sites that run side by side have different ranges of ports.
 _FIRST_PORT = 21_000
 _PORTS_PER_SITE = 10
 _PORT_RANGES = 800
@@ -72,19 +75,39 @@
 async def soak(options: SoakOptions, folder: Path) -> Outcome:
     """Start a site, run one seed on it and stop the site."""
     randomness = random.Random(options.seed)
-    port = _FIRST_PORT + options.seed % _PORT_RANGES * _PORTS_PER_SITE
-    async with trio.open_nursery() as nursery:
-        site = Site(folder=folder, port=port, nursery=nursery)
-        try:
-            engines = randomness.choice(_ENGINE_COUNTS)
-            await site.open(options.entries, engines=engines, desks=3)
-            outcome = await _run_load(options, site, randomness)
-        finally:
-            site.close()
-        nursery.cancel_scope.cancel()
+    with reserve_ports(options.seed) as port:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=folder, port=port, nursery=nursery)
+            try:
+                engines = randomness.choice(_ENGINE_COUNTS)
+                await site.open(options.entries, engines=engines, desks=3)
+                outcome = await _run_load(options, site, randomness)
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
     return outcome
 
 
+@contextmanager
+def reserve_ports(seed: int) -> Iterator[int]:
+    """Yield the first port of a range that no other run uses.
+
+    A socket on the last port of the range reserves it. Callers of two sites
+    on the same ports would reach the entries of both.
+    """
+    for offset in range(_PORT_RANGES):
+        number = (seed + offset) % _PORT_RANGES
+        port = _FIRST_PORT + number * _PORTS_PER_SITE
+        with socket.socket() as reservation:
+            try:
+                reservation.bind(('127.0.0.1', port + _PORTS_PER_SITE - 1))
+            except OSError:
+                continue
+            yield port
+            return
+    raise RuntimeError('no range of ports is free')
+
+
 async def _run_load(
     options: SoakOptions, site: Site, randomness: random.Random
 ) -> Outcome:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 from soak import checks
 from soak.callers import Call
 from soak.connections import UnansweredError, connect
-from soak.run import SoakOptions, run_seed
+from soak.run import SoakOptions, reserve_ports, run_seed
 
 NOW = 1000.0
 CALL = Call(
@@ -179,6 +179,12 @@
     assert outcome.served
 
 
+def test_two_runs_of_one_seed_use_different_ports():
+    """Else the callers of each reach the entries of the other."""
+    with reserve_ports(7) as first, reserve_ports(7) as second:
+        assert first != second
+
+
 def test_soak_has_less_than_a_tenth_of_the_lines_of_src():
     tests = Path(__file__).parent
     source = tests.parent / 'src'
