Let the soak's store come back older, and endpoints turn requests away

The faults now include a store that goes on from a copy up to three seconds old, after which its writers write their rows again, endpoints that answer 503 with a time to retry, and endpoints that say that they leave.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -158,6 +158,19 @@
         _mark_recovered(entry)
 
 
+async def return_store(site: Site, randomness: random.Random) -> None:
+    """Let the store come back from a copy that is up to three seconds old."""
+    copy = site.store.rows.take_copy()
+    await trio.sleep(randomness.uniform(0.3, 3))
+    for entry in site.entries:
+        _mark_faulty(entry)
+    await site.store.restore(copy, away_seconds=randomness.uniform(0.2, 1.5))
+    site.write_rows_again()
+    await trio.sleep(1)
+    for entry in site.entries:
+        _mark_recovered(entry)
+
+
 async def crash_endpoint(site: Site, randomness: random.Random) -> None:
     """Crash an endpoint, and start another of its service."""
     name = randomness.choice(sorted(site.endpoints))
@@ -171,10 +184,17 @@
     """Start another endpoint of the same service, and drain the old one."""
     name = randomness.choice(sorted(site.endpoints))
     running = site.endpoints[name]
+    running.endpoint.leaving = randomness.random() < 0.5
     await site.add_endpoint(running.endpoint.service)
     await site.retire_endpoint(name)
 
 
+async def turn_away(site: Site, randomness: random.Random) -> None:
+    """Make an endpoint refuse all requests, with a time to retry."""
+    running = site.endpoints[randomness.choice(sorted(site.endpoints))]
+    running.endpoint.busy_until = time.monotonic() + randomness.uniform(0.3, 2)
+
+
 async def break_answers(site: Site, randomness: random.Random) -> None:
     """Make two endpoints abort the answers of their next one to three runs."""
     for name in randomness.sample(sorted(site.endpoints), 2):
@@ -271,8 +291,10 @@
     reload_settings,
     cut_store,
     fail_store,
+    return_store,
     crash_endpoint,
     replace_endpoint,
+    turn_away,
     break_answers,
     hang_endpoint,
     silence_endpoint,
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -226,6 +226,16 @@
         }
         self.publish_configuration()
 
+    def write_rows_again(self) -> None:
+        """Write what an older copy of the store lacks, as its writers do."""
+        self.publish_configuration()
+        for row in self.store.rows.read('servers'):
+            if row.key not in self.endpoints:
+                self.store.delete('servers', row.key)
+        for name, running in self.endpoints.items():
+            state = 'draining' if name in self.journal.left_at else 'ready'
+            running.endpoint.register(self.store, state)
+
     def revoke_key(self, key: str) -> None:
         """Revoke a key, as of the time at which the store has the change."""
         self.keys.pop(key, None)
