Use an endpoint again that wrote its row late between two returns

An endpoint that wrote its row only after the grace period was dropped, and counted as gone. After another return of the store its new row was taken for one of the copy, since it had a low version, and the endpoint was used by no entry before its next write.

That a row was not written within the grace period is no proof that the endpoint has gone, so it is no departure any more; a tombstone is, also within the grace period.

--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -99,6 +99,7 @@
         for row in rows:
             endpoint = self._decode(row)
             if endpoint is None:
+                self._record_departure(row.key)
                 self._drop(row.key)
             else:
                 self._put_all((endpoint,))
@@ -119,7 +120,10 @@
             return
         for name in self._lapsed:
             note('endpoint did not come back', endpoint=name)
-            self._remove(name)
+            # No departure: that its row was not written in time is no proof
+            # that the endpoint has gone.
+            self._row_versions.pop(name, None)
+            self._view.drop(name)
         self._lapsed.clear()
         self._on_drop()
 
@@ -130,7 +134,7 @@
             self._gone.discard(endpoint)
             current = self._view.find(endpoint.name)
             if current is not None and current.lifetime != endpoint.lifetime:
-                self._record_departure(current)
+                self._record_departure(current.name)
             if current != endpoint:
                 changed.append(endpoint)
                 note(
@@ -154,17 +158,17 @@
         self._remove(name)
 
     def _remove(self, name: str) -> None:
+        self._record_departure(name)
+        self._row_versions.pop(name, None)
+        self._view.drop(name)
+
+    def _record_departure(self, name: str) -> None:
         endpoint = self._view.find(name)
         if endpoint is not None:
-            self._record_departure(endpoint)
-            self._row_versions.pop(name, None)
-            self._view.drop(name)
-
-    def _record_departure(self, endpoint: ListedEndpoint) -> None:
-        row_version = self._row_versions.get(endpoint.name)
-        self._gone.add(
-            endpoint, Departure(era=self._era, row_version=row_version)
-        )
+            row_version = self._row_versions.get(name)
+            self._gone.add(
+                endpoint, Departure(era=self._era, row_version=row_version)
+            )
 
     def _is_of_copy(self, endpoint: ListedEndpoint, row: StoredRow) -> bool:
         is_of_copy = self._gone.is_shown_by_copy(
--- a/tests/era_site.py
+++ b/tests/era_site.py
@@ -1,5 +1,7 @@
 """Entries that read one stand-in store and relay to each other, no sockets."""
 
+import base64
+import json
 import random
 
 import trio
@@ -145,5 +147,18 @@
     def drop_endpoint(self, name: str) -> None:
         self.store.delete(ENDPOINTS_TABLE, name)
 
+    def stored_configuration(self) -> dict:
+        """Return the configuration that the store shows, or an empty one."""
+        rows = self.store.rows.read(CONFIGURATION_TABLE)
+        if not rows:
+            return {'version': 0, 'tenants': [{'apiKeys': ['']}]}
+        return json.loads(base64.b64decode(rows[0].text))
+
+    def stored_version(self) -> int:
+        return self.stored_configuration()['version']
+
+    def stored_key(self) -> str:
+        return self.stored_configuration()['tenants'][0]['apiKeys'][0]
+
     def return_to(self, copy) -> None:
         self.store.rows.return_to(copy)
--- a/tests/test_era_endpoints.py
+++ b/tests/test_era_endpoints.py
@@ -96,3 +96,25 @@
         await trio.sleep(2 * LAPSE_GRACE_SECONDS)
         for entry in site.entries:
             assert [each.lifetime for each in entry.view.listed] == [2]
+
+
+@in_virtual_time
+async def test_endpoint_that_wrote_too_late_is_used_after_the_next_return():
+    """Guards against an endpoint that is held to be gone for good.
+
+    It wrote its row right after the second return, before it was read there.
+    """
+    site = EraSite(ENTRIES)
+    async with background_tasks(site):
+        await settle(site, 'a')
+        copy = site.store.rows.take_copy()
+        site.write_endpoint('other')
+        site.write_endpoint('b')
+        await trio.sleep(1)
+        site.return_to(copy)
+        await trio.sleep(2 * LAPSE_GRACE_SECONDS)
+        assert usable_everywhere(site) == ['a']
+        site.return_to(copy)
+        site.write_endpoint('b')
+        await trio.sleep(1)
+        assert usable_everywhere(site) == ['a', 'b']
