Answer a caller when a stream breaks that is not the caller's

A caller would have got neither an answer nor a refusal if any stream but its own broke during an attempt, for instance that of an order: each such error was taken for the caller's departure. Only an attempt that has begun to write can find that out now; otherwise the attempt failed. No call is known that raises such an error today.

test_broken_stream_elsewhere_is_not_taken_for_a_caller_that_left failed before, with no response.

--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -222,15 +222,8 @@
         try:
             with attempt.scope:
                 outcome = await self._attempt(progress, attempt)
-        except _DISCONNECT_ERRORS:
-            progress.has_caller_left = True
-            outcome = Ok(None)
-        except Exception:
-            if attempt.has_written:
-                raise
-            # Another attempt may still answer.
-            logging.exception('attempt failed')
-            outcome = Error(may_have_run(Reason.INTERNAL, 'attempt failed'))
+        except Exception as error:
+            outcome = _outcome_of_error(progress, attempt, error)
         finally:
             attempt.race.end(attempt, outcome)
 
@@ -422,6 +415,24 @@
     scope.cancel()
 
 
+def _outcome_of_error(
+    progress: RequestProgress, attempt: RacingAttempt, error: Exception
+) -> Outcome:
+    """Return how an attempt ended that raised an error.
+
+    Once it writes to the caller, a broken stream means that the caller has
+    left; any other error is raised again.
+    """
+    if not attempt.has_written:
+        # Another attempt may still answer.
+        logging.exception('attempt failed')
+        return Error(may_have_run(Reason.INTERNAL, 'attempt failed'))
+    if isinstance(error, _DISCONNECT_ERRORS):
+        progress.has_caller_left = True
+        return Ok(None)
+    raise error
+
+
 def _answer_timeout_seconds(
     progress: RequestProgress, placement: DispatchPlan
 ) -> float:
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -20,6 +20,7 @@
     whole_response,
 )
 from limpetdrift.coordination.attempt_race import AttemptRace
+from limpetdrift.coordination.endpoint_gate import make_gate
 from limpetdrift.coordination.event_relay import split_events
 from limpetdrift.coordination.plain_placer import PlainPlacer
 from limpetdrift.platform.reservations import (
@@ -35,6 +36,7 @@
     not_run,
 )
 from limpetdrift.protocol.work import DispatchPlan
+from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.server import Server
 from virtual_time import run_in_virtual_time
 
@@ -285,6 +287,22 @@
     assert exchange.finished
 
 
+async def break_off() -> None:
+    raise trio.BrokenResourceError('of an order')
+
+
+def test_broken_stream_elsewhere_is_not_taken_for_a_caller_that_left():
+    @asynccontextmanager
+    async def reserve(placement):
+        await break_off()
+        yield placement
+
+    harness = make_harness(events(1, 3))
+    use(harness, reserve_memory=reserve)
+    exchange, _ = serve(harness, make_route())
+    assert exchange.response.status == 503
+
+
 def test_endpoint_that_stays_silent_to_the_end_is_reported_as_failed():
     harness = make_harness(hang, endpoint_count=1)
 
@@ -359,10 +377,12 @@
         read_seconds=0.1,
         grant='g',
     )
-    reserve = make_reserver(SilentClient(), 'n')
     seconds = []
 
     async def run() -> None:
+        view = EndpointView(clock=trio.current_time)
+        gate = make_gate(view, lambda endpoint: None)
+        reserve = make_reserver(SilentClient(), 'n', gate)
         with pytest.raises(FailureError):
             await reserve(placement).__aenter__()
         seconds.append(trio.current_time())
