Take no absence from a peer's list for a proof that an endpoint went

An entry that was cut off from the store learned from a peer's list that an endpoint was missing, where it had only been late to write its row. After the next return it took the endpoint's new row for one of the copy, and used it no more.

Absence at a peer is no departure any more.

--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -79,7 +79,8 @@
         """Replace all endpoints by a peer's.
 
         Those that the peer lacks are dropped at once, since it has waited for
-        the grace period.
+        the grace period. That is no departure, since the peer may have dropped
+        them only because their rows were not written in time.
         """
         self._era = era
         names = {each.name for each in endpoints}
@@ -90,7 +91,7 @@
                     'endpoint gone from the list of a peer',
                     endpoint=current.name,
                 )
-                self._remove(current.name)
+                self._view.drop(current.name)
         self._row_versions.clear()
         self._put_all(endpoints)
 
--- a/tests/test_era_endpoints.py
+++ b/tests/test_era_endpoints.py
@@ -118,3 +118,26 @@
         site.write_endpoint('b')
         await trio.sleep(1)
         assert usable_everywhere(site) == ['a', 'b']
+
+
+@in_virtual_time
+async def test_endpoint_that_a_peer_dropped_is_used_after_the_next_return():
+    """Guards against taking its absence at a peer for a proof that it went."""
+    site = EraSite(ENTRIES)
+    cut = site.entries[0]
+    async with background_tasks(site):
+        await settle(site, 'a')
+        copy = site.store.rows.take_copy()
+        site.write_endpoint('other')
+        site.write_endpoint('b')
+        await trio.sleep(1)
+        cut.client.is_cut = True
+        site.return_to(copy)
+        await trio.sleep(3 * LAPSE_GRACE_SECONDS)
+        assert usable_everywhere(site) == ['a']
+        site.network.isolate(cut.node.peer_address)
+        site.return_to(copy)
+        site.write_endpoint('b')
+        cut.client.is_cut = False
+        await trio.sleep(2)
+        assert usable_everywhere(site) == ['a', 'b']
