Never replace a restarted endpoint by an earlier lifetime of a copy

The copy showed an earlier lifetime whose row an entry had not seen. The entry took it for a restart, counted the lifetime in use as gone, and did not use it again after the next return.

Lifetimes are times of starts, so a lower one is earlier: in the first full read of a new era it counts as gone, and only a higher one makes the lifetime in use a gone one.

--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -58,11 +58,15 @@
         self, rows: tuple[StoredRow, ...], era: int = UNKNOWN_ERA
     ) -> None:
         """Replace all endpoints by those of the whole list."""
+        decoded = [(self._decode(row), row) for row in rows]
+        if era > self._era:
+            self._record_earlier_lifetimes(
+                endpoint for endpoint, _ in decoded if endpoint is not None
+            )
         self._era = era
         listed = [
             endpoint
-            for row in rows
-            for endpoint in (self._decode(row),)
+            for endpoint, row in decoded
             if endpoint is not None and not self._is_of_copy(endpoint, row)
         ]
         names = {each.name for each in listed}
@@ -134,7 +138,8 @@
             self._lapsed.discard(endpoint.name)
             self._gone.discard(endpoint)
             current = self._view.find(endpoint.name)
-            if current is not None and current.lifetime != endpoint.lifetime:
+            # The lifetime is the time of the start, so it grows.
+            if current is not None and current.lifetime < endpoint.lifetime:
                 self._record_departure(current.name)
             if current != endpoint:
                 changed.append(endpoint)
@@ -171,6 +176,17 @@
                 endpoint, Departure(era=self._era, row_version=row_version)
             )
 
+    def _record_earlier_lifetimes(
+        self, endpoints: Iterable[ListedEndpoint]
+    ) -> None:
+        """Record endpoints that have started again since, as known here."""
+        for endpoint in endpoints:
+            current = self._view.find(endpoint.name)
+            if current is not None and current.lifetime > endpoint.lifetime:
+                self._gone.add(
+                    endpoint, Departure(era=self._era, row_version=None)
+                )
+
     def _is_of_copy(self, endpoint: ListedEndpoint, row: StoredRow) -> bool:
         is_of_copy = self._gone.is_shown_by_copy(
             endpoint, self._era, row.version
--- a/tests/test_era_endpoints.py
+++ b/tests/test_era_endpoints.py
@@ -141,3 +141,32 @@
         cut.client.is_cut = False
         await trio.sleep(2)
         assert usable_everywhere(site) == ['a', 'b']
+
+
+@in_virtual_time
+async def test_earlier_lifetime_that_no_entry_saw_replaces_no_later_one():
+    """The entry was cut off while the earlier one wrote its row."""
+    site = EraSite(1)
+    cut = site.entries[0]
+    async with background_tasks(site):
+        await settle(site, 'a')
+        cut.client.is_cut = True
+        await trio.sleep(1)
+        site.write_endpoint('b', born=1)
+        copy = site.store.rows.take_copy()
+        site.write_endpoint('b', born=2)
+        site.store.truncate_changelog()
+        cut.client.is_cut = False
+        await trio.sleep(3 * LAPSE_GRACE_SECONDS)
+        assert cut.usable() == ['a', 'b']
+        site.return_to(copy)
+        site.write_endpoint('other')
+        await trio.sleep(0.5)
+        assert cut.view.find('b', 2)
+        site.write_endpoint('b', born=2)
+        await trio.sleep(2 * LAPSE_GRACE_SECONDS)
+        assert cut.view.find('b', 2)
+        site.return_to(copy)
+        site.write_endpoint('b', born=2)
+        await trio.sleep(2 * LAPSE_GRACE_SECONDS)
+        assert cut.view.find('b', 2)
