--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -58,11 +58,15 @@
         self, rows: tuple[StoredRow, ...], era: int = UNKNOWN_ERA
     ) -> None:
         """Replace all endpoints by those of the whole list."""
+        decoded = [(self._decode(row), row) for row in rows]
+        if era > self._era:
+            self._record_earlier_lifetimes(
+                endpoint for endpoint, _ in decoded if endpoint is not None
+            )
         self._era = era
         listed = [
             endpoint
-            for row in rows
-            for endpoint in (self._decode(row),)
+            for endpoint, row in decoded
             if endpoint is not None and not self._is_of_copy(endpoint, row)
         ]
         names = {each.name for each in listed}
@@ -79,7 +83,8 @@
         """Replace all endpoints by a peer's.
 
         Those that the peer lacks are dropped at once, since it has waited for
-        the grace period.
+        the grace period. That is no departure, since the peer may have dropped
+        them only because their rows were not written in time.
         """
         self._era = era
         names = {each.name for each in endpoints}
@@ -90,7 +95,7 @@
                     'endpoint gone from the list of a peer',
                     endpoint=current.name,
                 )
-                self._remove(current.name)
+                self._view.drop(current.name)
         self._row_versions.clear()
         self._put_all(endpoints)
 
@@ -133,7 +138,8 @@
             self._lapsed.discard(endpoint.name)
             self._gone.discard(endpoint)
             current = self._view.find(endpoint.name)
-            if current is not None and current.lifetime != endpoint.lifetime:
+            # The lifetime is the time of the start, so it grows.
+            if current is not None and current.lifetime < endpoint.lifetime:
                 self._record_departure(current.name)
             if current != endpoint:
                 changed.append(endpoint)
@@ -170,6 +176,17 @@
                 endpoint, Departure(era=self._era, row_version=row_version)
             )
 
+    def _record_earlier_lifetimes(
+        self, endpoints: Iterable[ListedEndpoint]
+    ) -> None:
+        """Record endpoints that have started again since, as known here."""
+        for endpoint in endpoints:
+            current = self._view.find(endpoint.name)
+            if current is not None and current.lifetime > endpoint.lifetime:
+                self._gone.add(
+                    endpoint, Departure(era=self._era, row_version=None)
+                )
+
     def _is_of_copy(self, endpoint: ListedEndpoint, row: StoredRow) -> bool:
         is_of_copy = self._gone.is_shown_by_copy(
             endpoint, self._era, row.version
