--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -190,7 +190,10 @@
 
     async def retire_endpoint(self, name: str) -> None:
         """Drain an endpoint, and end it after the drain bound and a margin."""
-        running = self.endpoints[name]
+        running = self.endpoints.get(name)
+        if running is None:
+            # It has crashed meanwhile.
+            return
         running.endpoint.register(self.store, 'draining')
         await trio.sleep(DRAIN_BOUND_SECONDS + 1.5)
         self.store.delete('servers', name)
