--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -31,12 +31,18 @@
     EndpointResponse,
     SendRequest,
 )
+from limpetdrift.coordination.request_logs import (
+    log_cut_answer,
+    log_end,
+    log_placement,
+    log_retry,
+)
 from limpetdrift.coordination.retry_policy import (
     attempt_timeout_seconds,
     first_event_timeout_seconds,
     may_repeat,
 )
-from limpetdrift.logs import is_sampled, note, warn
+from limpetdrift.logs import is_sampled
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -59,8 +65,6 @@
 # Placements per request. This bounds the search when endpoints refuse
 # connections, which does not count against the route's attempt limit.
 PLACEMENT_LIMIT = 6
-# Prompts under 2^12 tokens are one class in metrics.
-_MIN_SIZE_EXPONENT = 12
 RETRY_INTERVAL_SECONDS = 0.01
 # First interval between tries elsewhere while an attempt stays silent.
 SILENT_RETRY_INTERVAL_SECONDS = 0.5
@@ -154,12 +158,12 @@
             kind=request.route.kind,
         )
         if progress.has_caller_left:
-            _log_end(progress, 'caller left', None)
+            log_end(progress, 'caller left', None)
         elif failure is None:
-            _log_end(progress, 'served', None)
+            log_end(progress, 'served', None)
             self._inputs.report_success(request)
         else:
-            _log_end(progress, 'request failed', failure)
+            log_end(progress, 'request failed', failure)
             await self._answer_failure(progress, failure)
 
     async def _run(self, progress: RequestProgress) -> Failure | None:
@@ -267,7 +271,7 @@
             telemetry.count('refusals', reason=Reason.RETRY_BUDGET)
             return False
         telemetry.count('retries', reason=failure.reason)
-        _log_retry(progress, failure)
+        log_retry(progress, failure)
         return True
 
     async def _attempt(
@@ -288,7 +292,7 @@
             return placed.map(lambda placement: None)
         placement = placed.ok
         attempt.endpoint = placement.endpoint
-        _log_placement(progress, placement)
+        log_placement(progress, placement)
         try:
             return await self._reserve_and_send(progress, attempt, placement)
         finally:
@@ -384,7 +388,7 @@
     ) -> None:
         """Send the failure to the caller."""
         if progress.exchange.started:
-            _log_cut_answer(progress, failure)
+            log_cut_answer(progress, failure)
             # The deadline may have cut off the last write.
             await progress.exchange.abort()
             return
@@ -394,19 +398,6 @@
         await progress.exchange.respond(response)
 
 
-def size_label(request: CallerRequest) -> str:
-    """Return the class of a prompt's length, as a metric label.
-
-    Each class's upper limit is four times that of the class below, so that the
-    metric has few label values.
-    """
-    if request.size is None:
-        return 'unknown'
-    exponent = max(_MIN_SIZE_EXPONENT, request.size.prompt_tokens.bit_length())
-    limit = 1 << (exponent + exponent % 2)
-    return f'under-{limit}'
-
-
 async def _cancel_on_disconnect(
     progress: RequestProgress, race: AttemptRace, scope: trio.CancelScope
 ) -> None:
@@ -476,93 +467,3 @@
         attempt.failed.append(attempt.endpoint)
     elif attempt.was_ended and not attempt.is_silent:
         progress.excluded.discard(attempt.endpoint.identity)
-
-
-def _log_retry(progress: RequestProgress, failure: Failure) -> None:
-    is_silent = failure.reason is Reason.IDLE_TIMEOUT
-    note(
-        'attempt silent, trying another endpoint beside it'
-        if is_silent
-        else 'attempt failed, trying another endpoint',
-        id=progress.request.request_id,
-        reason=failure.reason,
-        verdict=failure.verdict,
-        detail=failure.detail,
-        attempts=progress.attempts,
-        endpoints=sorted(name for name, _ in progress.excluded),
-        seconds=round(progress.seconds_elapsed(), 3),
-    )
-
-
-def _log_placement(progress: RequestProgress, placement: DispatchPlan) -> None:
-    if placement.helpers:
-        progress.is_logged = True
-    if not progress.is_logged:
-        return
-    note(
-        'placed',
-        id=progress.request.request_id,
-        endpoint=placement.endpoint.name,
-        helpers=[each.endpoint.name for each in placement.helpers],
-        reserved=[tokens for _, tokens in placement.reserved],
-        prompt_tokens=progress.request.size
-        and progress.request.size.prompt_tokens,
-        read_seconds=round(placement.read_seconds, 3),
-        grant=placement.grant,
-        version=progress.request.version,
-        seconds=round(progress.seconds_elapsed(), 3),
-    )
-
-
-def _log_cut_answer(progress: RequestProgress, failure: Failure) -> None:
-    """Log an answer that ends midway, and how long it had been silent."""
-    telemetry.count('answers_cut', reason=failure.reason)
-    silent_since = progress.last_event_at or progress.first_event_at
-    warn(
-        'answer cut off',
-        id=progress.request.request_id,
-        reason=failure.reason,
-        detail=failure.detail,
-        last_event=progress.last_event,
-        silent_seconds=silent_since
-        and round(progress.clock() - silent_since, 3),
-        seconds_left=round(progress.seconds_left(), 3),
-        attempts=progress.attempts,
-        placements=progress.placements,
-        endpoints=sorted(name for name, _ in progress.excluded),
-    )
-
-
-def _log_end(
-    progress: RequestProgress,
-    message: str,
-    failure: Failure | None,
-) -> None:
-    """Count how a request ended; log failures and some of the successes."""
-    request = progress.request
-    outcome = failure.reason if failure else message.replace(' ', '-')
-    telemetry.count('requests', outcome=outcome)
-    first_event_seconds = None
-    if progress.first_event_at is not None:
-        first_event_seconds = round(
-            progress.first_event_at - request.arrived_at, 3
-        )
-        telemetry.observe(
-            'first_event_seconds', first_event_seconds, size=size_label(request)
-        )
-    if failure is None and not progress.is_logged:
-        return
-    note(
-        message,
-        id=request.request_id,
-        route=request.route.name,
-        account=request.account,
-        reason=failure and failure.reason,
-        verdict=failure and failure.verdict,
-        detail=failure and failure.detail,
-        attempts=progress.attempts,
-        version=request.version,
-        first_event_seconds=first_event_seconds,
-        seconds=round(progress.seconds_elapsed(), 3),
-        begun=progress.is_head_sent,
-    )
