Drop lapsed endpoints that a peer's list still holds

After a return of the store some entries went on using endpoints that had no row any more. A reader that merged a peer's list, in reply to a poll it had sent before its own full read, took back what had lapsed or gone there: the peer held it only for its own grace period, and no change of a row dropped it at the reader later. The poll of a peer after each rise of the era made this likely; it could happen before in a poll that ended after an outage.

An entry that reads the store takes no endpoint list from peers but a first one, and what has lapsed stays so until a row shows it.

merge_reply also declares what it returns.

--- a/src/limpetdrift/coordination/routing_merge.py
+++ b/src/limpetdrift/coordination/routing_merge.py
@@ -81,12 +81,19 @@
     list_state: EndpointListState,
     store_era: StoreEra,
     replace_endpoints: Callable[[tuple[ListedEndpoint, ...]], None],
-) -> None:
-    """Merge a peer's reply to a poll that was sent at ``sent_at``."""
-    _merge_routes(
-        reply, sent_at, routes, _adopt_era(reply.routes_era, store_era)
-    )
+    is_reading: bool,
+) -> bool:
+    """Merge a peer's reply to a poll that was sent at ``sent_at``.
+
+    Return whether the endpoint list was replaced. An entry that ``is_reading``
+    the store itself takes only a first list: a peer's may hold endpoints that
+    have no row, and no change of a row would drop them here.
+    """
+    routes_era = _adopt_era(reply.routes_era, store_era)
+    _merge_routes(reply, sent_at, routes, routes_era)
     position = (_adopt_era(reply.list_era, store_era), reply.list_version)
+    if is_reading and list_state.version:
+        return False
     if reply.endpoints is None or position < list_state.position:
         return False
     endpoints = unpack(reply.endpoints, tuple[ListedEndpoint, ...])
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -249,6 +249,8 @@
             list_state=self._inputs.endpoint_list_state,
             store_era=self._inputs.store_era,
             replace_endpoints=self._inputs.replace_endpoints,
+            is_reading=self.is_store_reader
+            and not self._inputs.is_store_unreachable(),
         ):
             self.notify_waiters()
         return name, reply
--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -73,6 +73,7 @@
         for current in self._view.listed:
             if current.name not in names:
                 self._drop(current.name)
+        self._lapsed -= names
         self._put_all(listed)
         self._row_versions = {row.key: row.version for row in rows}
         note('endpoint list read', endpoints=len(listed), rows=len(rows))
@@ -84,7 +85,9 @@
 
         Those that the peer lacks are dropped at once, since it has waited for
         the grace period. That is no departure, since the peer may have dropped
-        them only because their rows were not written in time.
+        them only because their rows were not written in time. Those that have
+        lapsed here stay so until a row shows them, since the peer's list may
+        hold them for the same reason.
         """
         self._era = era
         names = {each.name for each in endpoints}
@@ -107,6 +110,7 @@
                 self._record_departure(row.key)
                 self._drop(row.key)
             else:
+                self._lapsed.discard(endpoint.name)
                 self._put_all((endpoint,))
                 self._row_versions[row.key] = row.version
 
@@ -135,7 +139,6 @@
     def _put_all(self, endpoints: Iterable[ListedEndpoint]) -> None:
         changed = []
         for endpoint in endpoints:
-            self._lapsed.discard(endpoint.name)
             self._gone.discard(endpoint)
             current = self._view.find(endpoint.name)
             # The lifetime is the time of the start, so it grows.
--- a/tests/test_era_endpoints.py
+++ b/tests/test_era_endpoints.py
@@ -3,7 +3,10 @@
 import trio
 
 from era_site import EraSite
-from limpetdrift.platform.endpoint_sync import LAPSE_GRACE_SECONDS
+from forward_harness import make_endpoints
+from limpetdrift.platform.endpoint_sync import LAPSE_GRACE_SECONDS, EndpointSync
+from limpetdrift.platform.store import StoredRow
+from limpetdrift.state.endpoint_view import EndpointView
 from virtual_time import background_tasks, in_virtual_time
 
 ENTRIES = 3
@@ -170,3 +173,23 @@
         site.write_endpoint('b', born=2)
         await trio.sleep(2 * LAPSE_GRACE_SECONDS)
         assert cut.view.find('b', 2)
+
+
+@in_virtual_time
+async def test_lapsed_endpoint_is_dropped_though_a_peer_still_holds_it():
+    """The peer may hold it only for its own grace period."""
+    is_grace = True
+    view = EndpointView(clock=trio.current_time)
+    endpoint_sync = EndpointSync(
+        view=view,
+        outage_within=lambda seconds: is_grace,
+        on_drop=lambda: None,
+    )
+    kept, lapsed = make_endpoints(2)
+    endpoint_sync.replace_from_peer((kept, lapsed), 1)
+    tombstone = StoredRow(key=lapsed.name, version=9, value=None)
+    endpoint_sync.apply((tombstone,))
+    endpoint_sync.replace_from_peer((kept, lapsed), 1)
+    is_grace = False
+    endpoint_sync.drop_lapsed()
+    assert [each.name for each in view.listed] == [kept.name]
