Take a sample of a run that is shorter than the first one

test_answers_are_whole_if_an_engine_and_an_entry_are_killed failed once, in a whole run of the tests at a load of about 30: the run of a little over a second was over before its first sample, whose reads of the engines' loads were slow, so there was none to judge. Such a run now gets one sample at its end. test_run_shorter_than_the_sample_interval_has_a_sample failed before.

--- a/src/limpetdrift/loads/running.py
+++ b/src/limpetdrift/loads/running.py
@@ -37,9 +37,10 @@
         case=case,
         engines=site.engines,
         in_flight=lambda: sender.in_flight,
+        started_at=sender.started_at,
     )
     async with trio.open_nursery() as background:
-        background.start_soon(sampler.run, sender.started_at)
+        background.start_soon(sampler.run)
         for fault in experiment.faults:
             background.start_soon(sender.inject_fault, fault)
         async with trio.open_nursery() as requests:
@@ -47,6 +48,9 @@
                 await trio.sleep_until(sender.started_at + arrival.at)
                 requests.start_soon(sender.send, arrival)
         background.cancel_scope.cancel()
+    if not sampler.samples:
+        # The run was shorter than the first sample.
+        await sampler.take()
     return RunRecord(
         case=case,
         requests=tuple(sorted(sender.records, key=_request_number)),
--- a/src/limpetdrift/loads/sampling.py
+++ b/src/limpetdrift/loads/sampling.py
@@ -10,6 +10,7 @@
 from limpetdrift.loads.records import Sample
 from limpetdrift.protocol.engine_management import (
     EngineLoad,
+    EngineManagementCalls,
     make_engine_management_calls,
 )
 from limpetdrift.transport.client import HttpClient
@@ -46,29 +47,36 @@
 
 @dataclass(kw_only=True)
 class Sampler:
-    """Takes samples at intervals of ``SAMPLE_INTERVAL_SECONDS``."""
+    """Takes samples at intervals of ``SAMPLE_INTERVAL_SECONDS``.
+
+    ``started_at`` is the trio time at which the run began.
+    """
 
     case: RunSpec
     engines: tuple[Address, ...]
     in_flight: Callable[[], int]
+    started_at: float
+    meter: IdleShareMeter = field(default_factory=IdleShareMeter)
+    calls: EngineManagementCalls = field(
+        default_factory=lambda: make_engine_management_calls(HttpClient())
+    )
     samples: list[Sample] = field(default_factory=list)
 
-    async def run(self, started_at: float) -> None:
-        """Take samples until cancelled.
-
-        Engines that don't answer are left out of a sample.
-        """
-        calls = make_engine_management_calls(HttpClient())
-        meter = IdleShareMeter()
-        meter.read_idle_share()
+    async def run(self) -> None:
+        """Take samples until cancelled."""
+        self.meter.read_idle_share()
         while True:
             await trio.sleep(SAMPLE_INTERVAL_SECONDS)
-            loads: list[EngineLoad] = []
-            async with trio.open_nursery() as nursery:
-                for address in self.engines:
-                    nursery.start_soon(_add_load, calls.load, address, loads)
-            at = trio.current_time() - started_at
-            self._add(at, meter.read_idle_share(), loads)
+            await self.take()
+
+    async def take(self) -> None:
+        """Take one sample; engines that don't answer are left out of it."""
+        loads: list[EngineLoad] = []
+        async with trio.open_nursery() as nursery:
+            for address in self.engines:
+                nursery.start_soon(_add_load, self.calls.load, address, loads)
+        at = trio.current_time() - self.started_at
+        self._add(at, self.meter.read_idle_share(), loads)
 
     def _add(self, at: float, idle: float, loads: list[EngineLoad]) -> None:
         self.samples.append(
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,6 +5,7 @@
 import pytest
 
 from limpet_standins.experiment import open_site
+from limpetdrift.loads import sampling
 from limpetdrift.loads.arrivals import (
     arrival_rate,
     draw_arrivals,
@@ -257,6 +258,15 @@
     assert len(list(tmp_path.glob('*.png'))) == 3
 
 
+def test_run_shorter_than_the_sample_interval_has_a_sample(
+    experiment, monkeypatch
+):
+    monkeypatch.setattr(sampling, 'SAMPLE_INTERVAL_SECONDS', 60.0)
+    runs = tuple(run_experiment(experiment, open_site))
+    assert len(runs) == 1
+    assert len(runs[0].samples) == 1
+
+
 def test_answers_are_whole_if_an_engine_and_an_entry_are_killed(
     experiment, tmp_path
 ):
