--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,8 +33,10 @@
 READY_TIMEOUT_SECONDS = 20.0
 # Time with requests but without faults; recovery is due in half of it.
 SETTLE_SECONDS = 12.0
-# With few engines a stream that loses its engine may find no other.
+# With few engines a stream that loses its engine may find no other. Their
+# number is multiplied for more callers, whom they could not serve.
 _ENGINE_COUNTS = (1, 3, 6)
+_CALLERS_PER_ENGINES = 8
 # Sites that run side by side have different ranges of ports.
 _FIRST_PORT = 21_000
 _PORTS_PER_SITE = 10
@@ -80,6 +82,7 @@
             site = Site(folder=folder, port=port, nursery=nursery)
             try:
                 engines = randomness.choice(_ENGINE_COUNTS)
+                engines *= max(1, options.callers // _CALLERS_PER_ENGINES)
                 await site.open(options.entries, engines=engines, desks=3)
                 outcome = await _run_load(options, site, randomness)
             finally:
