Play servers that say they leave or name a time in the soak

Two faults, announce_leaving and turn_away, join the mix, and two checks of times judge them for each entry: told_endpoints and kept_back_offs.

The checks themselves are tested in test_soak.

--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -46,6 +46,20 @@
     has_key: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TurnedAway:
+    """A request answered with a time to retry, which ends at ``until``.
+
+    The id is empty for reports and orders. Times are as in ``Run``.
+    """
+
+    request_id: str
+    path: str
+    endpoint: str
+    at: float
+    until: float
+
+
 @dataclass(kw_only=True)
 class Journal:
     """What all endpoints recorded; times are in seconds of their clock.
@@ -54,15 +68,17 @@
     endpoint and a time for each request that was not refused; ``left_at``
     maps an endpoint to the time at which it first registered as draining;
     ``broken`` holds the requests whose answers an endpoint broke off.
-    ``turned_away`` has a path, an endpoint and a time for each request that was
-    answered with a time to retry.
+    ``turned_away`` are the requests that were answered with a time to retry;
+    ``told_leaving`` has a request id and an endpoint for each run whose answer
+    says that the endpoint leaves.
     """
 
     runs: list[Run] = field(default_factory=list)
     arrivals: list[tuple[str, str, float]] = field(default_factory=list)
     left_at: dict[str, float] = field(default_factory=dict)
     broken: set[str] = field(default_factory=set)
-    turned_away: list[tuple[str, str, float]] = field(default_factory=list)
+    turned_away: list[TurnedAway] = field(default_factory=list)
+    told_leaving: list[tuple[str, str]] = field(default_factory=list)
 
 
 class StandinEndpoint:
@@ -142,17 +158,19 @@
         arrived_at = self._clock()
         await self._wait_silence()
         request = exchange.request
-        immediate_response = self._respond_without_running(request)
+        immediate_response = self._respond_without_running(request, arrived_at)
         if immediate_response is None:
             await self._run_until_disconnect(exchange, arrived_at)
         else:
             headers = (*immediate_response.headers, *_signal_headers(self))
             await exchange.respond(replace(immediate_response, headers=headers))
 
-    def _respond_without_running(self, request: Request) -> Response | None:
+    def _respond_without_running(
+        self, request: Request, arrived_at: float
+    ) -> Response | None:
         """Return a report, reservation or refusal; None if it has to run."""
         if self._clock() < self.busy_until and not _is_release(request):
-            return _turn_away(self, request, self._clock())
+            return _turn_away(self, request, arrived_at)
         if request.path == '/-/report':
             return json_response(self._report())
         if request.path == '/-/order':
@@ -254,6 +272,8 @@
             await trio.sleep(remaining_seconds)
 
     def _run_headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
+        if self.leaving:
+            self.journal.told_leaving.append((request_id, self.name))
         return (
             ('attempt-id', request_id),
             ('server-seal', f'{self.name}.{request_id}'),
@@ -293,10 +313,18 @@
 
 
 def _turn_away(
-    endpoint: StandinEndpoint, request: Request, now: float
+    endpoint: StandinEndpoint, request: Request, arrived_at: float
 ) -> Response:
-    endpoint.journal.turned_away.append((request.path, endpoint.name, now))
-    text = endpoint.busy_text or str(endpoint.busy_until - now)
+    endpoint.journal.turned_away.append(
+        TurnedAway(
+            request_id=request.header('attempt-id'),
+            path=request.path,
+            endpoint=endpoint.name,
+            at=arrived_at,
+            until=endpoint.busy_until,
+        ),
+    )
+    text = endpoint.busy_text or str(endpoint.busy_until - arrived_at)
     return Response(
         status=_UNAVAILABLE,
         headers=(('not-executed', '1'), ('retry-after', text)),
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
 
+from limpet_standins.platform_endpoints import TurnedAway
 from soak.callers import Call
 from soak.site import (
     DRAIN_BOUND_SECONDS,
@@ -24,6 +25,10 @@
 # Grace period after an injected fault of an entry, in which its late work is
 # not counted.
 FAULT_GRACE_SECONDS = 3.0
+# Requests on their way when an endpoint names a time may arrive this long
+# after it, and this many later.
+_ARRIVAL_SECONDS = 0.5
+_LATE_ARRIVALS = 2
 
 # An entry that stops may cut off requests that were sent at most so long after
 # the SIGTERM, from this time after it on.
@@ -113,6 +118,59 @@
             )
 
 
+def told_endpoints(site: Site, calls: list[Call]) -> Iterator[str]:
+    """An endpoint whose answer said that it leaves gets no later request.
+
+    This counts for the entry that passed the answer on, unless it was killed,
+    stopped or frozen since.
+    """
+    by_id = {call.request_id: call for call in calls}
+    reached = Counter(request_id for request_id, _, _ in site.journal.arrivals)
+    told_at: dict[tuple[str, str], float] = {}
+    for request_id, endpoint in site.journal.told_leaving:
+        call = by_id.get(request_id)
+        if call and call.is_complete and reached[request_id] == 1:
+            key = (call.entry, endpoint)
+            told_at[key] = min(call.ended_at, told_at.get(key, call.ended_at))
+    entries = {entry.host: entry for entry in site.entries}
+    for request_id, endpoint, at in site.journal.arrivals:
+        call = by_id.get(request_id)
+        since = call and told_at.get((call.entry, endpoint))
+        if since is None or _is_interrupted(entries[call.entry], since, at):
+            continue
+        late = call.sent_at - since - DRAIN_BOUND_SECONDS - TOLERANCE_SECONDS
+        if late > 0:
+            yield f'{request_id} reached {endpoint}, which had said it leaves'
+
+
+def kept_back_offs(site: Site, calls: list[Call]) -> Iterator[str]:
+    """An entry sends an endpoint almost nothing in the time that it named.
+
+    Entries that were killed, stopped or frozen in it are not counted, nor are
+    endpoints that were cut off.
+    """
+    hosts = {call.request_id: call.entry for call in calls}
+    entries = {entry.host: entry for entry in site.entries}
+    by_pair: dict[tuple[str, str], list[TurnedAway]] = defaultdict(list)
+    for refused in site.journal.turned_away:
+        host = hosts.get(refused.request_id)
+        if host is not None:
+            by_pair[(host, refused.endpoint)].append(refused)
+    for (host, endpoint), turned_away in by_pair.items():
+        for first in turned_away:
+            begin = first.at + _ARRIVAL_SECONDS + TOLERANCE_SECONDS
+            late = [
+                each for each in turned_away if begin < each.at < first.until
+            ]
+            if len(late) <= _LATE_ARRIVALS:
+                continue
+            span = (first.at, late[-1].at)
+            cuts = site.endpoint_breaks.get(endpoint, ())
+            if _is_interrupted(entries[host], *span) or _meets(span, cuts):
+                continue
+            yield f'{len(late)} requests of {host} reached {endpoint} too soon'
+
+
 def timely_answers(site: Site, calls: list[Call]) -> Iterator[str]:
     """Every request ends at most half a second after its deadline.
 
@@ -197,6 +255,24 @@
     )
 
 
+def _meets(
+    span: tuple[float, float], others: Iterable[tuple[float, float]]
+) -> bool:
+    return any(since <= span[1] and span[0] <= until for since, until in others)
+
+
+def _is_interrupted(entry: EntryProcess, since: float, until: float) -> bool:
+    """Return whether an entry was killed, stopped or frozen in a time.
+
+    One that is told to stop ends up to ``STOP_GRACE_SECONDS`` later.
+    """
+    stops = [
+        (stopped_at, stopped_at + STOP_GRACE_SECONDS)
+        for stopped_at in entry.stops.values()
+    ]
+    return _meets((since, until), (*entry.breaks, *stops))
+
+
 def free_memory(site: Site, calls: list[Call]) -> Iterator[str]:
     """No engine memory stays reserved after the last request."""
     for name, running in site.endpoints.items():
@@ -215,4 +291,9 @@
     free_memory,
 )
 # Checks of times, which a busy machine can make fail.
-TIMED: tuple[Check, ...] = (leaving_endpoints, timely_answers)
+TIMED: tuple[Check, ...] = (
+    leaving_endpoints,
+    told_endpoints,
+    kept_back_offs,
+    timely_answers,
+)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,10 @@
     (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP),
 )
 _STORE_ERROR_STATUSES = (503, 429)
+# For how long an endpoint says that it leaves before the list shows it, and for
+# how long one turns requests away.
+_ANNOUNCEMENT_SECONDS = (4.0, 8.0)
+_BACK_OFF_SECONDS = (4.0, 8.0)
 
 
 def _choose_entry(site: Site, randomness: random.Random) -> EntryProcess:
@@ -194,6 +198,26 @@
     )
 
 
+async def announce_leaving(site: Site, randomness: random.Random) -> None:
+    """Let an endpoint say that it leaves before the list shows it."""
+    name = randomness.choice(sorted(site.endpoints))
+    endpoint = site.endpoints[name].endpoint
+    endpoint.leaving = True
+    await site.add_endpoint(endpoint.service)
+    await trio.sleep(randomness.uniform(*_ANNOUNCEMENT_SECONDS))
+    if name in site.endpoints:
+        await site.retire_endpoint(name)
+
+
+async def turn_away(site: Site, randomness: random.Random) -> None:
+    """Let two endpoints turn requests away, and name a time."""
+    seconds = randomness.uniform(*_BACK_OFF_SECONDS)
+    for name in randomness.sample(sorted(site.endpoints), 2):
+        endpoint = site.endpoints[name].endpoint
+        endpoint.busy_until = time.monotonic() + seconds
+    await trio.sleep(seconds)
+
+
 async def pause_endpoints(
     site: Site, randomness: random.Random, until: float
 ) -> None:
@@ -202,7 +226,10 @@
         await trio.sleep(randomness.uniform(*_BETWEEN_SILENCES_SECONDS))
         for name in randomness.sample(sorted(site.endpoints), 2):
             seconds = randomness.uniform(*_SILENCE_SECONDS)
-            site.endpoints[name].endpoint.fall_silent(seconds)
+            # It may have crashed since the names were drawn.
+            running = site.endpoints.get(name)
+            if running is not None:
+                running.endpoint.fall_silent(seconds)
             await trio.sleep(randomness.uniform(0, 0.5))
 
 
@@ -271,6 +298,8 @@
     replace_endpoint,
     break_answers,
     hang_endpoint,
+    announce_leaving,
+    turn_away,
     silence_endpoint,
     revoke,
     change_configuration,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from limpet_standins.platform_endpoints import Journal, Run
+from limpet_standins.platform_endpoints import Journal, Run, TurnedAway
 from limpetdrift.transport.messages import Address, Request
 from limpetdrift.transport.server import bound_address, listen
 from soak import checks
@@ -57,6 +57,8 @@
     journal.arrivals = [(run.request_id, run.endpoint, run.at) for run in runs]
     journal.left_at = values.pop('left_at', {})
     journal.broken = values.pop('broken', set())
+    journal.told_leaving = values.pop('told_leaving', [])
+    journal.turned_away = values.pop('turned_away', [])
     return SimpleNamespace(
         journal=journal,
         revoked_at=values.pop('revoked_at', {}),
@@ -73,6 +75,17 @@
     )
 
 
+SOON = [
+    TurnedAway(
+        request_id=CALL.request_id,
+        path='/once/x',
+        endpoint='i-1',
+        at=NOW + seconds,
+        until=NOW + 3,
+    )
+    for seconds in (0, 1.1, 1.2, 1.3)
+]
+
 VIOLATIONS = (
     (checks.single_runs, make_site(RUN, RUN), CALL),
     (checks.true_refusals, make_site(RUN), {'status': 503}),
@@ -91,6 +104,7 @@
         CALL,
     ),
     (checks.leaving_endpoints, make_site(RUN, left_at={'i-1': NOW - 3}), CALL),
+    (checks.kept_back_offs, make_site(turned_away=SOON), CALL),
     (checks.timely_answers, make_site(), {'ended_at': NOW + 2.1}),
     (checks.answered_requests, make_site(RUN), CUT),
     (checks.answered_requests, make_site(), {'status': 0, **CUT}),
@@ -108,6 +122,22 @@
     assert list(check(site, [dataclasses.replace(call, **changes)]))
 
 
+def test_request_to_an_endpoint_that_had_said_it_leaves_is_reported():
+    later = dataclasses.replace(
+        CALL, request_id='2-1-once', sent_at=NOW + 3, ended_at=NOW + 4
+    )
+    late_run = dataclasses.replace(RUN, request_id='2-1-once', at=NOW + 3)
+    site = make_site(RUN, late_run, told_leaving=[(RUN.request_id, 'i-1')])
+    assert list(checks.told_endpoints(site, [CALL, later]))
+    sooner = dataclasses.replace(later, sent_at=NOW + 1)
+    assert not list(checks.told_endpoints(site, [CALL, sooner]))
+
+
+def test_few_requests_to_an_endpoint_in_back_off_are_allowed():
+    site = make_site(turned_away=SOON[:-1])
+    assert not list(checks.kept_back_offs(site, [CALL]))
+
+
 EXCUSED = (
     (make_site(), {'status': 0, 'is_unread': True}),
     (make_site(), {'has_disconnected': True}),
