--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -6,13 +6,13 @@
 beside one elsewhere. When the caller disconnects, all attempts end at once.
 """
 
-import math
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, replace
 
 import trio
+from absl import logging
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
@@ -31,12 +31,18 @@
     EndpointResponse,
     SendRequest,
 )
+from limpetdrift.coordination.request_logs import (
+    log_cut_answer,
+    log_end,
+    log_placement,
+    log_retry,
+)
 from limpetdrift.coordination.retry_policy import (
     attempt_timeout_seconds,
     first_event_timeout_seconds,
     may_repeat,
 )
-from limpetdrift.logs import is_sampled, note, warn
+from limpetdrift.logs import is_sampled
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -59,10 +65,8 @@
 # Placements per request. This bounds the search when endpoints refuse
 # connections, which does not count against the route's attempt limit.
 PLACEMENT_LIMIT = 6
-# Prompts under 2^12 tokens are one class in metrics.
-_MIN_SIZE_EXPONENT = 12
 RETRY_INTERVAL_SECONDS = 0.01
-# Interval at which another endpoint is tried while an attempt stays silent.
+# First interval between tries elsewhere while an attempt stays silent.
 SILENT_RETRY_INTERVAL_SECONDS = 0.5
 # Bounds of the random factor of each retry interval.
 _RETRY_JITTER = (0.5, 1.5)
@@ -154,26 +158,34 @@
             kind=request.route.kind,
         )
         if progress.has_caller_left:
-            _log_end(progress, 'caller left', None)
+            log_end(progress, 'caller left', None)
         elif failure is None:
-            _log_end(progress, 'served', None)
+            log_end(progress, 'served', None)
             self._inputs.report_success(request)
         else:
-            _log_end(progress, 'request failed', failure)
+            log_end(progress, 'request failed', failure)
             await self._answer_failure(progress, failure)
 
     async def _run(self, progress: RequestProgress) -> Failure | None:
+        race = AttemptRace()
         failure: Failure | None = None
         deadline_scope = trio.CancelScope(
             deadline=trio.current_time() + max(0, progress.seconds_left()),
         )
         async with trio.open_nursery() as nursery:
+
+            def start_attempt() -> None:
+                nursery.start_soon(self._run_attempt, progress, race.start())
+
             nursery.start_soon(
-                _cancel_on_disconnect, progress, nursery.cancel_scope
+                _cancel_on_disconnect, progress, race, nursery.cancel_scope
             )
             with deadline_scope:
-                failure = await self._attempt_until_final(progress)
+                failure = await self._supervise(progress, race, start_attempt)
             nursery.cancel_scope.cancel()
+        if race.is_answered:
+            # The deadline may pass while the attempts clean up.
+            return None
         if deadline_scope.cancelled_caught:
             return Failure(
                 verdict=progress.verdict,
@@ -182,40 +194,26 @@
             )
         return failure
 
-    async def _attempt_until_final(
-        self, progress: RequestProgress
-    ) -> Failure | None:
-        """Attempt until an answer is delivered or a failure is final."""
-        race = AttemptRace()
-        async with trio.open_nursery() as nursery:
-
-            def start_attempt() -> None:
-                nursery.start_soon(self._run_attempt, progress, race.start())
-
-            start_attempt()
-            failure = await self._supervise(progress, race, start_attempt)
-            nursery.cancel_scope.cancel()
-        return failure
-
     async def _supervise(
         self,
         progress: RequestProgress,
         race: AttemptRace,
         start_attempt: Callable[[], None],
     ) -> Failure | None:
-        """Start attempts after failures and beside silent ones, as allowed."""
+        """Start attempts until an answer is delivered or a failure is final."""
+        start_attempt()
         while True:
             outcome = await race.wait()
             if outcome is None:
-                if self._begin_beside_silent(progress, race):
+                if self._may_try_beside(progress, race):
                     start_attempt()
                 continue
             if outcome.is_ok():
                 return None
-            if race.is_running:
+            if race.has_contender:
                 continue
             failure = replace(outcome.error, verdict=progress.verdict)
-            if not self._begin_retry(progress, failure):
+            if not self._may_retry(progress, failure):
                 return failure
             jitter = self._inputs.randomness.uniform(*_RETRY_JITTER)
             await trio.sleep(RETRY_INTERVAL_SECONDS * jitter)
@@ -228,29 +226,33 @@
         try:
             with attempt.scope:
                 outcome = await self._attempt(progress, attempt)
-        except _DISCONNECT_ERRORS:
-            progress.has_caller_left = True
-            outcome = Ok(None)
+        except Exception as error:
+            outcome = _outcome_of_error(progress, attempt, error)
         finally:
             attempt.race.end(attempt, outcome)
 
-    def _begin_beside_silent(
+    def _may_try_beside(
         self, progress: RequestProgress, race: AttemptRace
     ) -> bool:
-        """Return whether to attempt elsewhere while an attempt is silent."""
+        """Return whether to try another endpoint while an attempt is silent.
+
+        It is asked again after an interval that doubles each time.
+        """
         silent = race.silent_attempt()
         if silent is None:
             return False
-        failure = may_have_run(Reason.IDLE_TIMEOUT, 'no answer in time')
-        if not self._begin_retry(progress, failure):
-            silent.silent_at = math.inf
-            return False
-        silent.was_silent = True
-        silent.await_answer(SILENT_RETRY_INTERVAL_SECONDS)
-        return True
+        if not silent.is_silent:
+            silent.is_silent = True
+            telemetry.count('attempts_silent')
+        interval = SILENT_RETRY_INTERVAL_SECONDS * 2**silent.tries_beside
+        silent.tries_beside += 1
+        silent.expect_answer_within(interval)
+        return self._may_retry(
+            progress, may_have_run(Reason.IDLE_TIMEOUT, 'no answer in time')
+        )
 
-    def _begin_retry(self, progress: RequestProgress, failure: Failure) -> bool:
-        """Return whether the retry budget and the route allow a retry.
+    def _may_retry(self, progress: RequestProgress, failure: Failure) -> bool:
+        """Return whether the route and the retry budget allow a retry.
 
         A retry after attempts that reached no endpoint is free of charge.
         """
@@ -269,16 +271,7 @@
             telemetry.count('refusals', reason=Reason.RETRY_BUDGET)
             return False
         telemetry.count('retries', reason=failure.reason)
-        note(
-            'attempt failed, trying another endpoint',
-            id=request.request_id,
-            reason=failure.reason,
-            verdict=failure.verdict,
-            detail=failure.detail,
-            attempts=progress.attempts,
-            endpoints=sorted(name for name, _ in progress.excluded),
-            seconds=round(progress.seconds_elapsed(), 3),
-        )
+        log_retry(progress, failure)
         return True
 
     async def _attempt(
@@ -293,13 +286,17 @@
             frozenset(progress.excluded),
         )
         if placed.is_error():
+            if attempt.race.has_other_contender(attempt):
+                # Refusals during a silence leave tries for a later failure.
+                progress.placements -= 1
             return placed.map(lambda placement: None)
         placement = placed.ok
-        _log_placement(progress, placement)
+        attempt.endpoint = placement.endpoint
+        log_placement(progress, placement)
         try:
             return await self._reserve_and_send(progress, attempt, placement)
         finally:
-            _record_lost_race(attempt, placement)
+            _record_end(progress, attempt)
             self._inputs.release(progress.request, placement, attempt.failed)
 
     async def _reserve_and_send(
@@ -308,6 +305,8 @@
         attempt: RacingAttempt,
         placement: DispatchPlan,
     ) -> Outcome:
+        if attempt.race.is_used_by_other(attempt):
+            return Error(not_run(Reason.NO_ENDPOINT, 'no other endpoint'))
         progress.excluded.add(placement.endpoint.identity)
         try:
             # Engines prefill the newest prompt first, so the request is sent
@@ -318,7 +317,7 @@
         except FailureError as error:
             outcome = Error(error.failure)
         if outcome.is_error():
-            _record_failure(progress, attempt, placement, outcome.error)
+            _record_failure(progress, attempt, outcome.error)
             if outcome.error.reason is Reason.ENDPOINT_LEAVING:
                 self._inputs.view.mark_leaving(placement.endpoint, 'answer')
             if outcome.error.reason is Reason.CONNECTION_BROKEN:
@@ -350,7 +349,9 @@
                 progress.seconds_elapsed(),
                 kind=progress.request.route.kind,
             )
-        attempt.await_answer(_answer_timeout_seconds(progress, placement))
+        attempt.expect_answer_within(
+            _answer_timeout_seconds(progress, placement)
+        )
         async with self._open_response(progress, placement) as answer:
             is_stream = progress.request.route.kind is RequestKind.STREAMING
             if not is_stream or answer.refused or answer.status != OK:
@@ -387,7 +388,7 @@
     ) -> None:
         """Send the failure to the caller."""
         if progress.exchange.started:
-            _log_cut_answer(progress, failure)
+            log_cut_answer(progress, failure)
             # The deadline may have cut off the last write.
             await progress.exchange.abort()
             return
@@ -397,27 +398,32 @@
         await progress.exchange.respond(response)
 
 
-def size_label(request: CallerRequest) -> str:
-    """Return the class of a prompt's length, as a metric label.
-
-    Each class's upper limit is four times that of the class below, so that the
-    metric has few label values.
-    """
-    if request.size is None:
-        return 'unknown'
-    exponent = max(_MIN_SIZE_EXPONENT, request.size.prompt_tokens.bit_length())
-    limit = 1 << (exponent + exponent % 2)
-    return f'under-{limit}'
-
-
 async def _cancel_on_disconnect(
-    progress: RequestProgress, scope: trio.CancelScope
+    progress: RequestProgress, race: AttemptRace, scope: trio.CancelScope
 ) -> None:
     await progress.exchange.wait_closed()
-    progress.has_caller_left = True
+    progress.has_caller_left = not race.is_answered
     scope.cancel()
 
 
+def _outcome_of_error(
+    progress: RequestProgress, attempt: RacingAttempt, error: Exception
+) -> Outcome:
+    """Return how an attempt ended that raised an error.
+
+    Once it writes to the caller, a broken stream means that the caller has
+    left; any other error is raised again.
+    """
+    if not attempt.has_written:
+        # Another attempt may still answer.
+        logging.exception('attempt failed')
+        return Error(may_have_run(Reason.INTERNAL, 'attempt failed'))
+    if isinstance(error, _DISCONNECT_ERRORS):
+        progress.has_caller_left = True
+        return Ok(None)
+    raise error
+
+
 def _answer_timeout_seconds(
     progress: RequestProgress, placement: DispatchPlan
 ) -> float:
@@ -440,94 +446,24 @@
 def _record_failure(
     progress: RequestProgress,
     attempt: RacingAttempt,
-    placement: DispatchPlan,
     failure: Failure,
 ) -> None:
     telemetry.count('attempt_failures', reason=failure.reason)
-    if failure.verdict is Verdict.NOT_RUN and attempt.is_sent:
+    if attempt.is_sent and failure.verdict is Verdict.NOT_RUN:
         progress.unproven -= 1
-    if failure.reason in _UNREACHED_REASONS and progress.attempts:
+    if attempt.is_sent and failure.reason in _UNREACHED_REASONS:
         progress.attempts -= 1
     if failure.reason in _ENDPOINT_FAILURE_REASONS:
-        attempt.failed.append(placement.endpoint)
-
-
-def _record_lost_race(attempt: RacingAttempt, placement: DispatchPlan) -> None:
-    """Record a silent endpoint whose answer another one has given instead."""
-    if attempt.was_silent and attempt.scope.cancel_called:
-        telemetry.count('attempt_failures', reason=Reason.IDLE_TIMEOUT)
-        attempt.failed.append(placement.endpoint)
-
-
-def _log_placement(progress: RequestProgress, placement: DispatchPlan) -> None:
-    if placement.helpers:
-        progress.is_logged = True
-    if not progress.is_logged:
-        return
-    note(
-        'placed',
-        id=progress.request.request_id,
-        endpoint=placement.endpoint.name,
-        helpers=[each.endpoint.name for each in placement.helpers],
-        reserved=[tokens for _, tokens in placement.reserved],
-        prompt_tokens=progress.request.size
-        and progress.request.size.prompt_tokens,
-        read_seconds=round(placement.read_seconds, 3),
-        grant=placement.grant,
-        version=progress.request.version,
-        seconds=round(progress.seconds_elapsed(), 3),
-    )
-
+        attempt.failed.append(attempt.endpoint)
 
-def _log_cut_answer(progress: RequestProgress, failure: Failure) -> None:
-    """Log an answer that ends midway, and how long it had been silent."""
-    telemetry.count('answers_cut', reason=failure.reason)
-    silent_since = progress.last_event_at or progress.first_event_at
-    warn(
-        'answer cut off',
-        id=progress.request.request_id,
-        reason=failure.reason,
-        detail=failure.detail,
-        last_event=progress.last_event,
-        silent_seconds=silent_since
-        and round(progress.clock() - silent_since, 3),
-        seconds_left=round(progress.seconds_left(), 3),
-        attempts=progress.attempts,
-        placements=progress.placements,
-        endpoints=sorted(name for name, _ in progress.excluded),
-    )
 
+def _record_end(progress: RequestProgress, attempt: RacingAttempt) -> None:
+    """Record an endpoint that is silent to the end as failed.
 
-def _log_end(
-    progress: RequestProgress,
-    message: str,
-    failure: Failure | None,
-) -> None:
-    """Count how a request ended; log failures and some of the successes."""
-    request = progress.request
-    outcome = failure.reason if failure else message.replace(' ', '-')
-    telemetry.count('requests', outcome=outcome)
-    first_event_seconds = None
-    if progress.first_event_at is not None:
-        first_event_seconds = round(
-            progress.first_event_at - request.arrived_at, 3
-        )
-        telemetry.observe(
-            'first_event_seconds', first_event_seconds, size=size_label(request)
-        )
-    if failure is None and not progress.is_logged:
-        return
-    note(
-        message,
-        id=request.request_id,
-        route=request.route.name,
-        account=request.account,
-        reason=failure and failure.reason,
-        verdict=failure and failure.verdict,
-        detail=failure and failure.detail,
-        attempts=progress.attempts,
-        version=request.version,
-        first_event_seconds=first_event_seconds,
-        seconds=round(progress.seconds_elapsed(), 3),
-        begun=progress.is_head_sent,
-    )
+    One that was only slower than another may be used again.
+    """
+    if attempt.is_silent and attempt.endpoint not in attempt.failed:
+        telemetry.count('attempt_failures', reason=Reason.IDLE_TIMEOUT)
+        attempt.failed.append(attempt.endpoint)
+    elif attempt.was_ended and not attempt.is_silent:
+        progress.excluded.discard(attempt.endpoint.identity)
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -34,12 +34,12 @@
 
 
 async def _receive_head(connection: Connection) -> h11.Request | None:
-    limits = connection.limits
     if not connection.protocol.trailing_data[0]:
         received = await connection.wait_first_bytes()
         if not received:
             return None
         connection.protocol.receive_data(received)
+    limits = connection.limits
     with trio.fail_after(limits.head_seconds):
         event = await connection.next_event(limits.head_seconds)
     if not isinstance(event, h11.Request):
@@ -80,7 +80,10 @@
 
 
 def _make_request(head: h11.Request, body: bytes) -> Request:
-    target = urlsplit(head.target.decode('latin-1'))
+    try:
+        target = urlsplit(head.target.decode('latin-1'))
+    except ValueError as error:
+        raise BadInputError(_BAD_REQUEST, f'target: {error}') from error
     return Request(
         method=head.method.decode('ascii'),
         path=unquote(target.path),
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -31,11 +31,13 @@
     Headers,
     Request,
     Response,
+    encode_headers,
 )
 from limpetdrift.transport.receiving import receive_request
 
 _TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
 _INTERNAL_ERROR = 500
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 # How long the last responses may take when a server closes.
 LAST_WRITE_SECONDS = 0.1
 
@@ -47,6 +49,7 @@
         self.request = request
         self._connection = connection
         self._started = False
+        self._has_body = True
         self._end: CutReason | None = None
         self._close_headers: Headers = ()
         if connection.is_closing:
@@ -72,32 +75,27 @@
 
     async def respond(self, response: Response) -> None:
         """Send a whole response."""
-        length = str(len(response.body))
-        headers = (
-            *response.headers,
-            *self._close_headers,
-            ('content-length', length),
-        )
-        self._started = True
-        await self._connection.send(
-            h11.Response(status_code=response.status, headers=list(headers)),
-            h11.Data(data=response.body),
+        self._has_body = self._may_have_body(response.status)
+        headers = (*response.headers, *self._close_headers)
+        if response.status not in _STATUSES_WITHOUT_BODY:
+            length = str(len(response.body))
+            headers = (*headers, ('content-length', length))
+        await self._send_head(
+            response.status,
+            headers,
+            h11.Data(data=response.body if self._has_body else b''),
             h11.EndOfMessage(),
         )
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send a response head; without a content length, chunks follow."""
-        self._started = True
-        await self._connection.send(
-            h11.Response(
-                status_code=status,
-                headers=[*headers, *self._close_headers],
-            ),
-        )
+        self._has_body = self._may_have_body(status)
+        await self._send_head(status, (*headers, *self._close_headers))
 
     async def send(self, payload: bytes) -> None:
-        """Send a part of the body."""
-        await self._connection.send(h11.Data(data=payload))
+        """Send a part of the body, unless the response may have none."""
+        if self._has_body:
+            await self._connection.send(h11.Data(data=payload))
 
     async def finish(self) -> None:
         """End the body, after which the next request can be received."""
@@ -130,6 +128,18 @@
             protocol.receive_data(received)
         await trio.sleep_forever()
 
+    async def _send_head(
+        self, status: int, headers: Headers, *following: h11.Event
+    ) -> None:
+        # Raises an error if the head is invalid, before anything is sent.
+        head = h11.Response(status_code=status, headers=encode_headers(headers))
+        self._started = True
+        await self._connection.send(head, *following)
+
+    def _may_have_body(self, status: int) -> bool:
+        is_head = self.request.method == 'HEAD'
+        return not is_head and status not in _STATUSES_WITHOUT_BODY
+
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -169,8 +179,10 @@
         return self._cuts.totals
 
     def use_limits(self, limits: ServerLimits) -> None:
-        """Set the limits of connections that are accepted from now on."""
+        """Set the limits of all connections, from their next wait on."""
         self._limits = limits
+        for connection in self._connections:
+            connection.use_limits(limits)
 
     async def wait_idle(self) -> None:
         """Wait until every received request has its complete response."""
@@ -236,6 +248,10 @@
                 await self._serve_requests(connection)
         except _CLOSING_ERRORS as error:
             telemetry.count('transport_closed', reason=type(error).__name__)
+        except Exception:
+            # One connection must not end the process.
+            logging.exception('connection failed')
+            telemetry.count('transport_closed', reason='error')
         finally:
             await trio.aclose_forcefully(connection.stream)
         if connection.write_scope.cancelled_caught:
@@ -265,9 +281,10 @@
         self._open_exchanges += 1
         try:
             await self._call_handler(exchange, connection)
-        except _STREAM_ERRORS:
-            raise
-        except Exception:
+        except Exception as error:
+            # Before the head, such an error is not of this connection.
+            if exchange.started and isinstance(error, _STREAM_ERRORS):
+                raise
             logging.exception('handler failed: %s', request.path)
             telemetry.count('handler_errors')
             exchange.mark_cut(CutReason.HANDLER_ERROR)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -162,6 +162,19 @@
         _mark_recovered(entry)
 
 
+async def return_store(site: Site, randomness: random.Random) -> None:
+    """Let the store come back from a copy that is up to three seconds old."""
+    copy = site.store.rows.take_copy()
+    await trio.sleep(randomness.uniform(0.3, 3))
+    for entry in site.entries:
+        _mark_faulty(entry)
+    await site.store.restore(copy, away_seconds=randomness.uniform(0.2, 1.5))
+    site.write_rows_again()
+    await trio.sleep(1)
+    for entry in site.entries:
+        _mark_recovered(entry)
+
+
 async def crash_endpoint(site: Site, randomness: random.Random) -> None:
     """Crash an endpoint, and start another of its service."""
     name = randomness.choice(sorted(site.endpoints))
@@ -175,10 +188,17 @@
     """Start another endpoint of the same service, and drain the old one."""
     name = randomness.choice(sorted(site.endpoints))
     running = site.endpoints[name]
+    running.endpoint.leaving = randomness.random() < 0.5
     await site.add_endpoint(running.endpoint.service)
     await site.retire_endpoint(name)
 
 
+async def turn_away(site: Site, randomness: random.Random) -> None:
+    """Make an endpoint refuse all requests, with a time to retry."""
+    running = site.endpoints[randomness.choice(sorted(site.endpoints))]
+    running.endpoint.busy_until = time.monotonic() + randomness.uniform(0.3, 2)
+
+
 async def break_answers(site: Site, randomness: random.Random) -> None:
     """Make two endpoints abort the answers of their next one to three runs."""
     for name in randomness.sample(sorted(site.endpoints), 2):
@@ -209,7 +229,7 @@
         await site.retire_endpoint(name)
 
 
-async def turn_away(site: Site, randomness: random.Random) -> None:
+async def turn_away_longer(site: Site, randomness: random.Random) -> None:
     """Let two endpoints turn requests away, and name a time."""
     seconds = randomness.uniform(*_BACK_OFF_SECONDS)
     for name in randomness.sample(sorted(site.endpoints), 2):
@@ -221,16 +241,17 @@
 async def pause_endpoints(
     site: Site, randomness: random.Random, until: float
 ) -> None:
-    """Every few seconds, make two sound endpoints fall silent and go on."""
+    """Every few seconds, make one, two or all endpoints fall silent.
+
+    They are sound, and go on after it.
+    """
     while time.monotonic() < until:
         await trio.sleep(randomness.uniform(*_BETWEEN_SILENCES_SECONDS))
-        for name in randomness.sample(sorted(site.endpoints), 2):
+        names = sorted(site.endpoints)
+        count = randomness.choice((1, 2, len(names)))
+        for name in randomness.sample(names, count):
             seconds = randomness.uniform(*_SILENCE_SECONDS)
-            # It may have crashed since the names were drawn.
-            running = site.endpoints.get(name)
-            if running is not None:
-                running.endpoint.fall_silent(seconds)
-            await trio.sleep(randomness.uniform(0, 0.5))
+            site.endpoints[name].endpoint.fall_silent(seconds)
 
 
 async def silence_endpoint(site: Site, randomness: random.Random) -> None:
@@ -294,12 +315,14 @@
     reload_settings,
     cut_store,
     fail_store,
+    return_store,
     crash_endpoint,
     replace_endpoint,
+    turn_away,
     break_answers,
     hang_endpoint,
     announce_leaving,
-    turn_away,
+    turn_away_longer,
     silence_endpoint,
     revoke,
     change_configuration,
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -190,7 +190,10 @@
 
     async def retire_endpoint(self, name: str) -> None:
         """Drain an endpoint, and end it after the drain bound and a margin."""
-        running = self.endpoints[name]
+        running = self.endpoints.get(name)
+        if running is None:
+            # It has crashed meanwhile.
+            return
         running.endpoint.register(self.store, 'draining')
         await trio.sleep(DRAIN_BOUND_SECONDS + 1.5)
         self.store.delete('servers', name)
@@ -226,6 +229,16 @@
         }
         self.publish_configuration()
 
+    def write_rows_again(self) -> None:
+        """Write what an older copy of the store lacks, as its writers do."""
+        self.publish_configuration()
+        for row in self.store.rows.read('servers'):
+            if row.key not in self.endpoints:
+                self.store.delete('servers', row.key)
+        for name, running in self.endpoints.items():
+            state = 'draining' if name in self.journal.left_at else 'ready'
+            running.endpoint.register(self.store, state)
+
     def revoke_key(self, key: str) -> None:
         """Revoke a key, as of the time at which the store has the change."""
         self.keys.pop(key, None)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,7 +15,7 @@
 from soak import checks
 from soak.callers import Call
 from soak.connections import UnansweredError, connect
-from soak.run import SoakOptions, run_seed
+from soak.run import SoakOptions, reserve_ports, run_seed
 
 NOW = 1000.0
 CALL = Call(
@@ -197,15 +197,24 @@
     assert not list(check(site, [CALL, STREAM]))
 
 
-def test_short_soak_run_has_no_violations():
+@pytest.mark.parametrize('seed', (7, 2201), ids=('engines', 'one-engine'))
+def test_short_soak_run_has_no_violations(seed):
     """Leaves out the checks of times, since the machine may be busy."""
     outcome = run_seed(
-        SoakOptions(seed=7, entries=3, callers=4, seconds=6.0, is_timed=False),
+        SoakOptions(
+            seed=seed, entries=3, callers=4, seconds=6.0, is_timed=False
+        ),
     )
     assert outcome.violations == ()
     assert outcome.served
 
 
+def test_two_runs_of_one_seed_use_different_ports():
+    """Else the callers of each reach the entries of the other."""
+    with reserve_ports(7) as first, reserve_ports(7) as second:
+        assert first != second
+
+
 def test_soak_has_less_than_a_tenth_of_the_lines_of_src():
     tests = Path(__file__).parent
     source = tests.parent / 'src'
