--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -289,6 +289,9 @@
         limits=ClientLimits(
             connect_seconds=ENDPOINT_CONNECT_TIMEOUT_SECONDS,
             idle_connections=0,
+            # An engine may read a prompt for longer than it may hold memory
+            # for one whose engine has died.
+            probes_keep_alive=True,
         ),
     )
 
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -34,6 +34,9 @@
 )
 
 RECEIVE_BYTES = 262_144
+# Whole seconds, as the socket options take them.
+KEEP_ALIVE_TIMEOUT_SECONDS = 3
+KEEP_ALIVE_INTERVAL_SECONDS = 1
 # A request of this size fits into the buffers of a new connection.
 SHORT_REQUEST_BYTES = 65_536
 _BROKEN_ERRORS = (
@@ -50,13 +53,18 @@
     ``connect_seconds`` is the connect timeout. ``idle_timeout_seconds``
     bounds each wait for the peer's next byte. ``idle_seconds`` is the time
     for which an unused connection stays in the pool, and
-    ``idle_connections`` the maximum number of them for each address.
+    ``idle_connections`` the maximum number of them for each address. With
+    ``probes_keep_alive``, a connection breaks about
+    ``KEEP_ALIVE_TIMEOUT_SECONDS`` after the peer's machine has stopped
+    acknowledging, also while nothing is sent; a process that only pauses still
+    acknowledges.
     """
 
     connect_seconds: float = 1.0
     idle_timeout_seconds: float = 5.0
     idle_seconds: float = 30.0
     idle_connections: int = 32
+    probes_keep_alive: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -238,6 +246,8 @@
         try:
             with trio.fail_after(self._limits.connect_seconds):
                 stream = await _connect(address)
+            if self._limits.probes_keep_alive:
+                _probe_keep_alive(stream)
         except (OSError, trio.TooSlowError) as error:
             # Only a refused connection proves that no process listens there.
             refused = isinstance(error, ConnectionRefusedError)
@@ -287,6 +297,17 @@
     return trio.SocketStream(sock)
 
 
+def _probe_keep_alive(stream: trio.SocketStream) -> None:
+    probes = KEEP_ALIVE_TIMEOUT_SECONDS // KEEP_ALIVE_INTERVAL_SECONDS - 1
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, setting in (
+        (socket.TCP_KEEPIDLE, KEEP_ALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS),
+        (socket.TCP_KEEPCNT, probes),
+    ):
+        stream.setsockopt(socket.IPPROTO_TCP, option, setting)
+
+
 async def is_connection_refused(
     address: Address, timeout_seconds: float
 ) -> bool:
