Keep the process when the release of memory raises an error

All callers of an entry would have lost their answers if the release of reserved memory raised an error, such as for an engine's name that no header can hold: since it runs in a system task, trio would have ended the process with an internal error. The error is logged, and the memory expires. test_error_in_a_release_does_not_end_the_process failed before with TrioInternalError.

--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -6,6 +6,7 @@
 from itertools import count
 
 import trio
+from absl import logging
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
@@ -151,9 +152,13 @@
     is_released = trio.Event()
 
     async def release() -> None:
-        async with trio.open_nursery() as nursery:
-            for reservation in reservations:
-                nursery.start_soon(_release, orders, reservation)
+        try:
+            async with trio.open_nursery() as nursery:
+                for reservation in reservations:
+                    nursery.start_soon(_release, orders, reservation)
+        except Exception:
+            # An error that leaves a system task would end the process.
+            logging.exception('reserved memory could not be released')
         is_released.set()
 
     trio.lowlevel.spawn_system_task(release)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -99,3 +99,17 @@
     assert trio.current_time() - ended_at < 0.3
     await trio.sleep(1.6)
     assert not engine.endpoint.held_tokens()
+
+
+class FailingClient:
+    """A client that raises an error with each order."""
+
+    async def fetch(self, address, request, *, timeout_seconds, new_connection):
+        raise UnicodeEncodeError('latin-1', ENGINE.name, 0, 1, 'no such byte')
+
+
+@in_virtual_time
+async def test_error_in_a_release_does_not_end_the_process():
+    with pytest.raises(ExceptionGroup):
+        await reserve(FailingClient()).__aenter__()
+    await trio.sleep(1)
