Renew the memory of running prompts in an engine's back-off

A prompt that ran was cut off 3.2 s after another request of this entry had been turned away by one of its engines with a longer Retry-After: its reservation wasn't renewed meanwhile. Renewals keep what runs, as releases free it; both now pass the gate, once each. New reservations still don't.

--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -46,7 +46,6 @@
 _SILENCE_REASONS = frozenset((Reason.CONNECT_TIMEOUT, Reason.TIMEOUT))
 _MILLISECONDS = 1000
 _ORDER_PATH = '/-/order'
-_RELEASE = 'release'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,7 +63,8 @@
 
     ``name`` is unique to this process, and so are its reservations'
     identifiers, which begin with it. While ``gate`` is closed to an engine,
-    no memory is reserved there and no reservation renewed.
+    no memory is reserved there; what is reserved is renewed and released, since
+    a prompt that runs would be cut off without its memory.
     """
     counter = count()
     orders = _Orders(client=client, gate=gate)
@@ -140,7 +140,10 @@
     while True:
         await trio.sleep(RENEWAL_INTERVAL_SECONDS)
         await _repeat_order(
-            orders, reservation.endpoint, _reserve_order(reservation)
+            orders,
+            reservation.endpoint,
+            _reserve_order(reservation),
+            passes_gate=True,
         )
 
 
@@ -167,10 +170,10 @@
 
 
 async def _release(orders: _Orders, reservation: Reservation) -> None:
-    # Sent during a back-off, too, but once only: it frees memory that the
-    # engine needs, and adds no work.
-    body = {'operation': _RELEASE, 'id': reservation.identifier}
-    result = await _repeat_order(orders, reservation.endpoint, body)
+    body = {'operation': 'release', 'id': reservation.identifier}
+    result = await _repeat_order(
+        orders, reservation.endpoint, body, passes_gate=True
+    )
     if result.is_error():
         note(
             'reserved memory could not be released, it will expire',
@@ -184,10 +187,19 @@
     orders: _Orders,
     endpoint: ListedEndpoint,
     body: dict[str, object],
+    *,
+    passes_gate: bool = False,
 ) -> Result[None, Failure]:
-    """Send an order until the engine answers it or the timeout has passed."""
+    """Send an order until the engine answers it or the timeout has passed.
+
+    While the gate is closed to the engine, one that ``passes_gate`` is sent
+    once, and others are not sent.
+    """
     deadline = trio.current_time() + ORDER_TIMEOUT_SECONDS
     while True:
+        refusal = orders.gate.check_call(endpoint)
+        if refusal is not None and not passes_gate:
+            return Error(not_run(Reason.NO_MEMORY, refusal.detail))
         seconds_left = deadline - trio.current_time()
         result = await _send_order(orders, endpoint, body, seconds_left)
         retry_at = trio.current_time() + _ORDER_RETRY_SECONDS
@@ -206,9 +218,6 @@
     body: dict[str, object],
     timeout_seconds: float,
 ) -> Result[None, Failure]:
-    refusal = orders.gate.check_call(endpoint)
-    if refusal is not None and body['operation'] != _RELEASE:
-        return Error(not_run(Reason.NO_MEMORY, refusal.detail))
     request = json_request('POST', _ORDER_PATH, body)
     result = await orders.client.fetch(
         parse_address(endpoint.address),
