Use an endpoint again whose row is rewritten in the same era

An entry that knew an endpoint only from a peer's list, and saw it go, left it out after a return of the store whatever its row's version, until a change came by the feed. The version with which the copy shows it is now remembered, and a higher one is taken for written. test_lifetime_of_unknown_row_is_back_once_its_row_is_rewritten failed before.

--- a/src/limpetdrift/state/gone_lifetimes.py
+++ b/src/limpetdrift/state/gone_lifetimes.py
@@ -4,7 +4,7 @@
 counts as back only once its row has been written after the return.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from limpetdrift.protocol.work import ListedEndpoint
 
@@ -63,6 +63,9 @@
     ) -> bool:
         """Return whether a full read shows a gone lifetime only as a copy."""
         departure = self._departures.get(endpoint.identity)
-        return departure is not None and is_row_of_copy(
-            departure, era, row_version
-        )
+        if departure is None or not is_row_of_copy(departure, era, row_version):
+            return False
+        if departure.row_version is None:
+            # A higher version from now on shows that the row was written.
+            self.add(endpoint, replace(departure, row_version=row_version))
+        return True
