Poll another peer in a new era if the first doesn't answer

After a return of the store an entry that starts polls one peer before it takes the copy's configuration for the newest. If that peer was dead, the copy counted as confirmed, with a key that may be revoked.

--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -195,8 +195,11 @@
         """Poll peers while this entry doesn't or can't read the store."""
         while True:
             if self._inputs.store_era.is_peer_poll_due:
-                await self._poll_once(wait_seconds=0.0)
-                self._inputs.store_era.record_peer_poll()
+                era = self._inputs.store_era.known
+                _, reply = await self._poll_once(wait_seconds=0.0)
+                self._inputs.store_era.record_peer_poll(
+                    era, has_failed=reply is not None and reply.is_error()
+                )
             elif (
                 not self.is_store_reader or self._inputs.is_store_unreachable()
             ):
