Take no era from a peer for the end of the store's outage

An entry that learned of a newer era from a peer while the store was down told its peers for up to a second that it reached the store: the poll that the era cancels counted as a success. test_era_from_a_peer_does_not_end_an_outage_of_the_store failed before.

--- a/src/limpetdrift/platform/table_watcher.py
+++ b/src/limpetdrift/platform/table_watcher.py
@@ -112,6 +112,9 @@
             failure = await self._read_all(requested_at)
         else:
             failure = await self._read_changes(requested_at, *self._position)
+        if failure is None and self._position is None:
+            # Restarted during the call, which says nothing about the store.
+            return
         if failure is None:
             self._record_success()
             if self._in_burst:
