Compare lifetimes where an attempt looks for another one's endpoint

Beside a silent attempt at a service's only endpoint, tries there used up the placements, so that a later failure found none; one such try also freed the first request's slot after a back-off, and when the endpoint's row had changed, the request went to the same process twice. Such tries no longer count, placements of one request have numbers, and lifetimes are compared, not rows.

test_tries_beside_at_the_only_endpoint_leave_a_retry, test_second_try_at_one_endpoint_frees_no_recovery_slot and test_no_second_attempt_at_a_lifetime_whose_row_has_changed failed before.

--- a/src/limpetdrift/coordination/attempt_race.py
+++ b/src/limpetdrift/coordination/attempt_race.py
@@ -122,9 +122,12 @@
         return any(other is not attempt for other in self._contenders())
 
     def is_used_by_other(self, attempt: RacingAttempt) -> bool:
-        """Return whether another attempt is under way at the same endpoint."""
+        """Return whether another attempt is under way at the same lifetime."""
+        identity = attempt.endpoint.identity
         return any(
-            other is not attempt and other.endpoint == attempt.endpoint
+            other is not attempt
+            and other.endpoint is not None
+            and other.endpoint.identity == identity
             for other in self._contenders()
         )
 
--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -145,4 +145,4 @@
 
 def _name(work: CallerRequest, placement: DispatchPlan) -> str:
     """Return the name under which a placement counts as in flight."""
-    return placement.grant or work.request_id
+    return placement.grant or f'{work.request_id}/{placement.number}'
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -286,9 +286,7 @@
             frozenset(progress.excluded),
         )
         if placed.is_error():
-            if attempt.race.has_other_contender(attempt):
-                # Refusals during a silence leave tries for a later failure.
-                progress.placements -= 1
+            _forget_refused_try(progress, attempt)
             return placed.map(lambda placement: None)
         placement = placed.ok
         attempt.endpoint = placement.endpoint
@@ -306,6 +304,7 @@
         placement: DispatchPlan,
     ) -> Outcome:
         if attempt.race.is_used_by_other(attempt):
+            _forget_refused_try(progress, attempt)
             return Error(not_run(Reason.NO_ENDPOINT, 'no other endpoint'))
         progress.excluded.add(placement.endpoint.identity)
         try:
@@ -443,6 +442,14 @@
     )
 
 
+def _forget_refused_try(
+    progress: RequestProgress, attempt: RacingAttempt
+) -> None:
+    """Leave tries for a later failure after one beside a silent attempt."""
+    if attempt.race.has_other_contender(attempt):
+        progress.placements -= 1
+
+
 def _record_failure(
     progress: RequestProgress,
     attempt: RacingAttempt,
--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/plain_placer.py
@@ -1,6 +1,7 @@
 """Chooses endpoints of plain services by load and recent failures."""
 
 from collections.abc import Iterable
+from itertools import count
 from random import Random
 
 from expression import Error, Ok, Result
@@ -32,6 +33,7 @@
     def __init__(self, *, view: EndpointView, randomness: Random) -> None:
         self._view = view
         self._balancer = ServiceBalancer(randomness=randomness)
+        self._numbers = count()
 
     async def place(
         self,
@@ -60,7 +62,7 @@
             )
         self._balancer.of(chosen).in_flight += 1
         self._balancer.forget_others(usable)
-        placement = DispatchPlan(endpoint=chosen)
+        placement = DispatchPlan(endpoint=chosen, number=next(self._numbers))
         begin_placement(self._view, work, placement)
         return Ok(placement)
 
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -135,7 +135,7 @@
     request is sent. The request is sent after ``delay_seconds``; its first
     event is expected after ``read_seconds``, delay included. ``urgency`` is
     the priority that is sent along. ``grant`` names the plan; it is empty for
-    a request without one.
+    a request without one, whose placements ``number`` tells apart.
     """
 
     endpoint: ListedEndpoint
@@ -143,6 +143,7 @@
     reserved: tuple[tuple[ListedEndpoint, int], ...] = ()
     urgency: int = 5
     grant: str = ''
+    number: int = 0
     delay_seconds: float = 0.0
     read_seconds: float = 0.0
 
