Mend what a newcomer's reading of the change found

Docstrings that named no unit or meaning, words with two meanings (end, held up), predicates that change state, an enum without explanation, a reason that held for one of two orders only. No logic changes.

--- a/src/limpetdrift/coordination/attempt_race.py
+++ b/src/limpetdrift/coordination/attempt_race.py
@@ -15,6 +15,7 @@
 from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import ListedEndpoint
 
+# How an attempt ended: ``Ok`` if the caller has the whole answer or has left.
 Outcome = Result[None, Failure]
 
 # Attempts of one request that run at the same time, at most.
@@ -25,11 +26,13 @@
 class RacingAttempt:
     """One attempt of a request.
 
-    ``silent_at`` is the trio time at which it counts as silent, infinity
-    while no answer is awaited. ``is_silent`` is set from then on until a part
-    of the answer comes, and ``tries_beside`` counts the attempts that were
-    tried meanwhile. ``is_sent`` is set once the request may have reached the
-    endpoint, ``has_written`` once a part of the answer went to the caller.
+    ``silent_at`` is the trio time at which it counts as silent, and during a
+    silence that of the next try elsewhere; infinity while no answer is awaited.
+    ``is_silent`` is set during a silence, which ends when a part of the answer
+    goes to the caller. ``tries_beside`` counts the times in this silence at
+    which a try elsewhere was due. ``is_sent`` is set once the request may have
+    reached the endpoint, ``has_written`` once a part of the answer went to the
+    caller.
     ``failed`` lists endpoints that failed the attempt.
     """
 
@@ -44,8 +47,8 @@
     failed: list[ListedEndpoint] = field(default_factory=list)
 
     @property
-    def was_ended(self) -> bool:
-        """Whether another attempt, or the end of the request, ended it."""
+    def is_cancelled(self) -> bool:
+        """Whether another attempt, or the end of the request, cancelled it."""
         return self.scope.cancel_called
 
     def expect_answer_within(self, timeout_seconds: float) -> None:
@@ -54,13 +57,13 @@
         self.race.watch_until(self.silent_at)
 
     async def claim_answer(self) -> None:
-        """End all other attempts before a part of the answer is written.
+        """Cancel all other attempts before a part of the answer is written.
 
-        If another attempt has ended this one, it is cancelled here, before the
-        write: a write that is cancelled midway would leave part of an answer
-        on the caller's connection.
+        If another attempt has cancelled this one, ``trio.Cancelled`` is raised
+        here, before the write: a write that is cancelled midway would leave
+        part of an answer on the caller's connection.
         """
-        if self.was_ended:
+        if self.is_cancelled:
             await trio.lowlevel.checkpoint()
         self.silent_at = math.inf
         self.is_silent = False
@@ -96,7 +99,7 @@
         return attempt
 
     def end(self, attempt: RacingAttempt, outcome: Outcome | None) -> None:
-        """Remove an attempt; it has no outcome if it was ended."""
+        """Remove an attempt; ``outcome`` is ``None`` if it was cancelled."""
         self._running.remove(attempt)
         if outcome is None:
             return
@@ -112,7 +115,7 @@
         self._has_outcome.set()
 
     def cancel_others(self, attempt: RacingAttempt) -> None:
-        """End all attempts but one."""
+        """Cancel all attempts but one."""
         for other in self._running:
             if other is not attempt:
                 other.scope.cancel()
@@ -147,7 +150,7 @@
     async def wait(self) -> Outcome | None:
         """Return how an attempt ended, or ``None`` once one is silent.
 
-        An answer comes before the failure of another attempt.
+        An answer takes precedence over the failure of another attempt.
         """
         while not self._is_answered and not self._failures:
             if self.silent_attempt() is not None:
@@ -168,5 +171,5 @@
         return min((each.silent_at for each in contenders), default=math.inf)
 
     def _contenders(self) -> list[RacingAttempt]:
-        """Return the attempts that have not been ended."""
-        return [each for each in self._running if not each.was_ended]
+        """Return the attempts that have not been cancelled."""
+        return [each for each in self._running if not each.is_cancelled]
--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -34,7 +34,7 @@
     ``placements`` counts the tries to place the request, and ``attempts``
     those that may have reached an endpoint, ``unproven`` of them without proof
     that the request did not run. ``excluded`` holds the endpoints that were
-    tried.
+    tried, without those whose attempt another one overtook.
     ``last_event`` is the number of the last stream event that the caller has,
     ``last_event_at`` when one was last sent to the caller, and
     ``endpoint_answer`` the last error response of an endpoint.
--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -2,7 +2,7 @@
 
 An endpoint that leaves says so in any of its answers, often before the
 platform's list does. One that turns a request away may name a time in which
-this entry must send it nothing.
+this entry must send it no requests and no polls.
 """
 
 from collections.abc import Callable
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -57,7 +57,7 @@
     DispatchPlan,
     ListedEndpoint,
 )
-from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.transport.messages import OK, Response
 from limpetdrift.transport.server import Exchange
@@ -205,7 +205,7 @@
         while True:
             outcome = await race.wait()
             if outcome is None:
-                if self._may_try_beside(progress, race):
+                if self._schedule_try_beside(progress, race):
                     start_attempt()
                 continue
             if outcome.is_ok():
@@ -231,12 +231,12 @@
         finally:
             attempt.race.end(attempt, outcome)
 
-    def _may_try_beside(
+    def _schedule_try_beside(
         self, progress: RequestProgress, race: AttemptRace
     ) -> bool:
-        """Return whether to try another endpoint while an attempt is silent.
+        """Return whether to try another endpoint now, beside a silent attempt.
 
-        It is asked again after an interval that doubles each time.
+        Sets the time of the next such try; its interval doubles each time.
         """
         silent = race.silent_attempt()
         if silent is None:
@@ -318,7 +318,9 @@
         if outcome.is_error():
             _record_failure(progress, attempt, outcome.error)
             if outcome.error.reason is Reason.ENDPOINT_LEAVING:
-                self._inputs.view.mark_leaving(placement.endpoint, 'answer')
+                self._inputs.view.mark_leaving(
+                    placement.endpoint, ANSWER_SOURCE
+                )
             if outcome.error.reason is Reason.CONNECTION_BROKEN:
                 self._inputs.report_broken_connection(
                     progress.request, placement.endpoint
@@ -472,5 +474,5 @@
     if attempt.is_silent and attempt.endpoint not in attempt.failed:
         telemetry.count('attempt_failures', reason=Reason.IDLE_TIMEOUT)
         attempt.failed.append(attempt.endpoint)
-    elif attempt.was_ended and not attempt.is_silent:
+    elif attempt.is_cancelled and not attempt.is_silent:
         progress.excluded.discard(attempt.endpoint.identity)
--- a/src/limpetdrift/coordination/routing_merge.py
+++ b/src/limpetdrift/coordination/routing_merge.py
@@ -1,8 +1,9 @@
 """Compares routing data between entries, and merges what a peer replied.
 
-Routes are ordered by their version and then by the era of the store, and the
-endpoint list by the era and then by the version, since the store's versions go
-back when it returns to an older copy.
+Routes are ordered by their version, which the operator assigns and which never
+goes back, and among equal versions by the era of the store. The endpoint list's
+version is the store's own and goes back when the store returns to an older
+copy, so the list is ordered by the era first.
 """
 
 from collections.abc import Callable
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -216,6 +216,7 @@
 def _forwarded_headers(status: int, headers: Headers) -> Headers:
     dropped = header_names.CONNECTION_HEADERS | _INTERNAL_HEADERS
     if status == UNAVAILABLE:
-        # It concerns this entry, which may have other endpoints.
+        # The endpoint's retry time is meant for this entry, not for the caller,
+        # whom another endpoint may serve.
         dropped |= {RETRY_AFTER_HEADER}
     return tuple(pair for pair in headers if pair[0] not in dropped)
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -35,8 +35,8 @@
 # within which unused memory must be free again.
 RESERVATION_TTL_SECONDS = 3.2
 RENEWAL_INTERVAL_SECONDS = 1.0
-# Time to repeat an order that an engine does not answer. It outlasts a short
-# silence of a sound engine.
+# Timeout of an order, which is repeated until the engine answers. It is longer
+# than a pause of an engine that goes on.
 ORDER_TIMEOUT_SECONDS = 2.0
 _ORDER_RETRY_SECONDS = 0.1
 # How long a request waits for the release of its memory, which then goes on in
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Orders:
-    """What orders are sent with."""
+    """The client that sends orders, and the gate that decides on them."""
 
     client: HttpClient
     gate: EndpointGate
@@ -98,7 +98,8 @@
 ) -> AsyncIterator[None]:
     """Reserve all memory, and renew it while the context is open.
 
-    Raises ``FailureError`` if an engine refuses.
+    Raises ``FailureError`` if an engine refuses, is in its back-off, or does
+    not answer in time.
     """
     await _reserve_all(orders, reservations)
     raised: Exception | None = None
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -178,7 +178,7 @@
         """
         interval = self._inputs.revoke_seconds * CONFIRMATION_INTERVAL_SHARE
         is_overdue = self._routes.age_seconds() > interval * _OVERDUE_INTERVALS
-        if is_overdue and not self._stored.is_held_up:
+        if is_overdue and not self._stored.is_confirmation_blocked:
             return _OVERDUE_LONG_POLL_SECONDS
         return self.relay.long_poll_seconds or interval
 
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -90,8 +90,9 @@
     effect any more once the drain has ended.
     """
     early: list[int] = []
-    # Restored when the receiver closes: the default would end the process
-    # before its last lines are logged.
+    # Catches a SIGTERM that arrives before the receiver is open. The receiver
+    # restores this handler when it closes; the default one would then end the
+    # process before its last lines are logged.
     signal.signal(signal.SIGTERM, lambda number, frame: early.append(number))
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
         task_status.started()
--- a/src/limpetdrift/state/endpoint_back_offs.py
+++ b/src/limpetdrift/state/endpoint_back_offs.py
@@ -1,8 +1,9 @@
-"""Keeps for how long endpoints asked this entry to send them nothing.
+"""Keeps the back-offs that endpoints asked this entry for.
 
-An endpoint that turns a request away may name a time. Without a limit on the
-first requests after it, all that waited for its end would arrive at once, and
-be turned away again.
+An endpoint that turns a request away may name a time in which it gets no
+requests and no polls. Without a limit on the first requests after that time,
+all requests that waited for its end would arrive at once, and be turned away
+again.
 """
 
 from collections.abc import Callable, Iterable
@@ -33,7 +34,7 @@
 
 
 class EndpointBackOffs:
-    """The back-offs of lifetimes that haven't served a request since.
+    """The back-offs of endpoint lifetimes, each until a request succeeds after.
 
     ``clock`` returns seconds and runs on while the machine is suspended.
     """
@@ -47,7 +48,10 @@
         return bool(self._back_offs)
 
     def extend(self, endpoint: ListedEndpoint, seconds: float) -> None:
-        """Send a lifetime nothing for a time; a longer back-off stays."""
+        """Begin a back-off, or extend one that would end earlier.
+
+        ``seconds`` above ``MAX_BACK_OFF_SECONDS`` are cut to it.
+        """
         if seconds > MAX_BACK_OFF_SECONDS:
             warn(
                 'back-off cut to the limit',
@@ -92,7 +96,7 @@
     def closed(
         self, endpoints: Iterable[ListedEndpoint]
     ) -> frozenset[Identity]:
-        """Return those that may not be chosen for a request now."""
+        """Return the identities of those that may not be chosen now."""
         if not self._back_offs:
             return frozenset()
         return frozenset(
@@ -104,7 +108,10 @@
     def seconds_until_open(
         self, endpoints: tuple[ListedEndpoint, ...]
     ) -> float | None:
-        """Return when the first may be chosen; ``None`` if one may be now."""
+        """Return the seconds until one may be chosen, ``None`` if one may now.
+
+        Without endpoints, return ``None``.
+        """
         if not self._back_offs or not endpoints:
             return None
         found = [self._back_offs.get(each.identity) for each in endpoints]
@@ -156,7 +163,7 @@
                 self._back_offs.pop(identity)
 
     def _seconds_closed(self, back_off: _BackOff) -> float:
-        """Return when a lifetime may be chosen, 0 or less if it may be now."""
+        """Return the seconds until a lifetime may be chosen; 0 or less: now."""
         left = back_off.until - self._clock()
         if left <= 0 and len(back_off.in_flight) >= RECOVERY_REQUESTS:
             return RECOVERY_RETRY_SECONDS
--- a/src/limpetdrift/state/gone_lifetimes.py
+++ b/src/limpetdrift/state/gone_lifetimes.py
@@ -17,7 +17,7 @@
 class Departure:
     """The era in which a lifetime went, and its row's last known version.
 
-    The version is ``None`` if the row was only known from a peer.
+    The version is ``None`` if no row of this lifetime was read here.
     """
 
     era: int
@@ -25,10 +25,11 @@
 
 
 def is_row_of_copy(departure: Departure, era: int, row_version: int) -> bool:
-    """Return whether a row of a full read is older than the departure.
+    """Return whether a row of a full read is taken for one of an older copy.
 
     A row that was written after the return has a higher version than those
-    that the copy holds.
+    that the copy holds. If the last known version is unknown, each row of a
+    full read in a later era is taken for one of the copy.
 
     >>> departure = Departure(era=1, row_version=7)
     >>> [is_row_of_copy(departure, 2, version) for version in (6, 7, 8)]
--- a/src/limpetdrift/state/store_era.py
+++ b/src/limpetdrift/state/store_era.py
@@ -1,7 +1,7 @@
-"""Follows the era of a store that may come back from an older copy.
+"""Follows the era of a store, a number that rises with each return of it.
 
-After such a return, versions go back and are given out again, so a version
-means nothing without its era. The era rises with each return.
+A store returns when it is restored from an older copy. Its versions then go
+back and are given out again, so a version means nothing without its era.
 """
 
 from collections.abc import Callable
@@ -82,7 +82,8 @@
     def observe(self, text: str, call: str) -> EraOrder:
         """Compare the era of an answer, and adopt it if it is newer.
 
-        ``call`` names the call that was answered.
+        ``call`` names the call that was answered. An answer without a valid
+        era is logged once, and callers treat it as one of the known era.
         """
         order = classify_era(self._known, text)
         if order is EraOrder.NEWER:
@@ -105,7 +106,11 @@
         return order
 
     def learn(self, era: int, call: str) -> None:
-        """Adopt an era if it is newer than the known one."""
+        """Adopt an era if it is newer than the known one.
+
+        ``call`` names its source in the log: a path of the store, or ``relay``
+        for a peer's reply.
+        """
         if era <= self._known:
             return
         before = self._known
--- a/src/limpetdrift/state/stored_configuration.py
+++ b/src/limpetdrift/state/stored_configuration.py
@@ -29,7 +29,7 @@
         self._era = UNKNOWN_ERA
         self._is_behind = False
         self._unconfirmed_at = _NEVER
-        store_era.on_peer_poll.append(self._confirm_held_up)
+        store_era.on_peer_poll.append(self._confirm_deferred_read)
 
     @property
     def is_behind(self) -> bool:
@@ -37,7 +37,7 @@
         return self._is_behind
 
     @property
-    def is_held_up(self) -> bool:
+    def is_confirmation_blocked(self) -> bool:
         """Whether no read can confirm the table in force for now."""
         return self._is_behind or self._store_era.is_peer_poll_due
 
@@ -49,14 +49,21 @@
             self._unconfirmed_at = _NEVER
 
     def accept(self, table: RouteTable, requested_at: float) -> bool:
-        """Put a table that was read in force, if it is newer."""
+        """Put a table that was read in force if newer; return whether it was.
+
+        ``requested_at`` is the start of the read.
+        """
         self._version = table.version
         is_due = self._store_era.is_peer_poll_due
         read_at = _NEVER if is_due else requested_at
         return self._routes.accept_newer(table, read_at, self._era)
 
     def confirm(self, requested_at: float) -> None:
-        """Confirm the table in force, if the store shows it."""
+        """Confirm the table in force, if the store shows it.
+
+        ``requested_at`` is the start of the read. While a peer is yet to be
+        polled, the read is kept and takes effect after the poll.
+        """
         if self._store_era.is_peer_poll_due:
             self._unconfirmed_at = requested_at
             return
@@ -73,7 +80,7 @@
                 era=self._era,
             )
 
-    def _confirm_held_up(self) -> None:
+    def _confirm_deferred_read(self) -> None:
         if self._unconfirmed_at > _NEVER:
             self.confirm(self._unconfirmed_at)
             self._unconfirmed_at = _NEVER
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -34,10 +34,12 @@
 )
 
 RECEIVE_BYTES = 262_144
-# Whole seconds, as the socket options take them.
+# Time without an acknowledgement after which a connection breaks, and interval
+# of the TCP keep-alive probes. The socket options take whole seconds.
 KEEP_ALIVE_TIMEOUT_SECONDS = 3
 KEEP_ALIVE_INTERVAL_SECONDS = 1
-# A request of this size fits into the buffers of a new connection.
+# A request of this size fits into the buffers of a new connection. A longer one
+# is written in parts of this size, each of which extends the idle timeout.
 SHORT_REQUEST_BYTES = 65_536
 _BROKEN_ERRORS = (
     trio.BrokenResourceError,
@@ -97,7 +99,7 @@
         self.scope.deadline = trio.current_time() + self.seconds
 
     def extend(self) -> None:
-        """Move the deadline, if there is one, as bytes were sent."""
+        """Restart a running timeout after bytes were sent."""
         if self.scope.deadline < math.inf:
             self.start()
 
--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -13,10 +13,11 @@
     DEFAULT_HEADER_LIMIT_BYTES,
 )
 
+# Maximum size of one read.
 RECEIVE_BYTES = 65_536
 # How long a connection is read once more before it is closed as idle.
 LAST_READ_SECONDS = 0.05
-_HEADERS_TOO_LARGE = 431
+HEADERS_TOO_LARGE = 431
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -100,7 +101,7 @@
         self._idle_scope.cancel()
 
     async def wait_first_bytes(self) -> bytes:
-        """Return a request's first bytes; none when the connection ends."""
+        """Return a request's first bytes, ``b''`` when the connection ends."""
         self._idle_since = trio.current_time()
         self._idle_scope = trio.CancelScope(
             deadline=self._idle_since + self.limits.idle_seconds
@@ -125,9 +126,7 @@
             if event is not h11.NEED_DATA:
                 return event
             if len(self.protocol.trailing_data[0]) > self.limits.header_bytes:
-                raise BadInputError(
-                    _HEADERS_TOO_LARGE, 'headers over the limit'
-                )
+                raise BadInputError(HEADERS_TOO_LARGE, 'headers over the limit')
             with trio.fail_after(read_seconds):
                 received = await self.stream.receive_some(RECEIVE_BYTES)
             self.protocol.receive_data(received)
--- a/src/limpetdrift/transport/cut_exchanges.py
+++ b/src/limpetdrift/transport/cut_exchanges.py
@@ -8,7 +8,12 @@
 
 
 class CutReason(StrEnum):
-    """Why a connection is closed without a whole response."""
+    """Why a connection is closed without a whole response.
+
+    The handler called ``abort``, raised an error, or returned without a whole
+    response (``UNANSWERED``); the peer read too slowly or closed the
+    connection; or the handler was cancelled, as when the process ends.
+    """
 
     ABORTED = 'aborted'
     HANDLER_ERROR = 'handler-error'
@@ -35,7 +40,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class CutTotals:
-    """The exchanges that ended because the process ends."""
+    """Number of the cancelled exchanges, and how long the longest had run."""
 
     count: int = 0
     longest_seconds: float = 0.0
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -5,13 +5,16 @@
 import h11
 import trio
 
-from limpetdrift.transport.connection import BadInputError, Connection
+from limpetdrift.transport.connection import (
+    HEADERS_TOO_LARGE,
+    BadInputError,
+    Connection,
+)
 from limpetdrift.transport.messages import Request
 
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
 _BODY_TOO_LARGE = 413
-_HEADERS_TOO_LARGE = 431
 
 
 async def receive_request(connection: Connection) -> Request | None:
@@ -48,7 +51,7 @@
     # arrives in one read can exceed it.
     size = sum(len(name) + len(text) for name, text in event.headers)
     if size > limits.header_bytes:
-        raise BadInputError(_HEADERS_TOO_LARGE, 'headers over the limit')
+        raise BadInputError(HEADERS_TOO_LARGE, 'headers over the limit')
     return event
 
 
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -50,7 +50,7 @@
         self._connection = connection
         self._started = False
         self._has_body = True
-        self._end: CutReason | None = None
+        self._cut_reason: CutReason | None = None
         self._close_headers: Headers = ()
         if connection.is_closing:
             self.close_afterwards()
@@ -63,11 +63,11 @@
     @property
     def cut_reason(self) -> CutReason | None:
         """Why this exchange can get no whole response, if that is known."""
-        return self._end
+        return self._cut_reason
 
     def mark_cut(self, reason: CutReason) -> None:
         """Record why the handler has ended without a whole response."""
-        self._end = reason
+        self._cut_reason = reason
 
     def close_afterwards(self) -> None:
         """Send ``connection: close`` with the response."""
@@ -103,7 +103,7 @@
 
     async def abort(self) -> None:
         """Close the connection in the middle of a body."""
-        self._end = CutReason.ABORTED
+        self._cut_reason = CutReason.ABORTED
         await trio.aclose_forcefully(self._connection.stream)
 
     async def wait_closed(self) -> None:
@@ -123,7 +123,7 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 received = b''
             if not received:
-                self._end = CutReason.PEER_CLOSED
+                self._cut_reason = CutReason.PEER_CLOSED
                 return
             protocol.receive_data(received)
         await trio.sleep_forever()
@@ -282,7 +282,8 @@
         try:
             await self._call_handler(exchange, connection)
         except Exception as error:
-            # Before the head, such an error is not of this connection.
+            # A stream error before the response began is that of another
+            # connection of the handler, so this peer can still be answered.
             if exchange.started and isinstance(error, _STREAM_ERRORS):
                 raise
             logging.exception('handler failed: %s', request.path)
