Poll one peer in a new era again, and give entry tests ports of their own

Polling up to three peers in turn kept an entry that said it was ready from serving: its configuration is confirmed only after the last poll, and requests with keys were refused until then, for 0.3 s where no peer listened. The poll that was under way as the era rose still doesn't count.

The tests of entry processes also shared one range of ports between workers; each site now reserves its own.

--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -196,10 +196,8 @@
         while True:
             if self._inputs.store_era.is_peer_poll_due:
                 era = self._inputs.store_era.known
-                _, reply = await self._poll_once(wait_seconds=0.0)
-                self._inputs.store_era.record_peer_poll(
-                    era, has_failed=reply is not None and reply.is_error()
-                )
+                await self._poll_once(wait_seconds=0.0)
+                self._inputs.store_era.record_peer_poll(era)
             elif (
                 not self.is_store_reader or self._inputs.is_store_unreachable()
             ):
--- a/src/limpetdrift/state/store_era.py
+++ b/src/limpetdrift/state/store_era.py
@@ -14,8 +14,6 @@
 # Limit of the digits of an era. A larger number is malformed: once accepted,
 # it would make every later answer one from the past.
 _MAX_DIGITS = 12
-# Peers that are polled in an era until one answers, at most.
-MAX_PEER_POLLS = 3
 
 
 @unique
@@ -58,7 +56,6 @@
         self._first = UNKNOWN_ERA
         self._is_unreadable_logged = False
         self._is_peer_poll_due = True
-        self._failed_peer_polls = 0
 
     @property
     def is_peer_poll_due(self) -> bool:
@@ -123,17 +120,10 @@
         for listener in self.on_rise:
             listener()
 
-    def record_peer_poll(self, era: int, *, has_failed: bool) -> None:
-        """Record the poll of a peer that was due in an era.
-
-        After a failed one another peer is due, up to ``MAX_PEER_POLLS``.
-        """
+    def record_peer_poll(self, era: int) -> None:
+        """Record that a peer was polled in an era, or that none could be."""
         if era != self._known:
             return
-        self._failed_peer_polls += has_failed
-        if has_failed and self._failed_peer_polls < MAX_PEER_POLLS:
-            return
-        self._failed_peer_polls = 0
         self._is_peer_poll_due = False
         for listener in self.on_peer_poll:
             listener()
--- a/tests/test_era_processes.py
+++ b/tests/test_era_processes.py
@@ -1,12 +1,11 @@
 """Runs real entries while the store comes back from an older copy."""
 
-import os
-
 import trio
 
 from limpetdrift.platform.registration import TABLE as REGISTRATION_TABLE
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import OK, Address, Request
+from soak.run import reserve_ports
 from soak.site import HOST, Site
 
 ENTRIES = 3
@@ -19,7 +18,7 @@
 GAP_SECONDS = 2.0
 TIMEOUT_SECONDS = 30
 # The ports of soak sites end below.
-FIRST_PORT = 29_100
+PORTS_SEED = 780
 
 
 class Probe:
@@ -91,15 +90,15 @@
 
 
 async def run_site(folder):
-    port = FIRST_PORT + os.getpid() % 300 * 10
-    async with trio.open_nursery() as nursery:
-        site = Site(folder=folder, port=port, nursery=nursery)
-        try:
-            await site.open(ENTRIES, engines=0, desks=2)
-            statuses = await return_with_a_key_revoked(site)
-        finally:
-            site.close()
-        nursery.cancel_scope.cancel()
+    with reserve_ports(PORTS_SEED) as port:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=folder, port=port, nursery=nursery)
+            try:
+                await site.open(ENTRIES, engines=0, desks=2)
+                statuses = await return_with_a_key_revoked(site)
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
     return statuses, [entry.log.read_text() for entry in site.entries]
 
 
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 import time
-from contextlib import suppress
+from contextlib import asynccontextmanager, suppress
 
 import trio
 
@@ -13,9 +13,10 @@
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request, Response
+from soak.run import reserve_ports
 from soak.site import HOST, STOP_GRACE_SECONDS, EntryProcess, Site
 
-PORT = 20_900
+PORTS_SEED = 790
 READY_SECONDS = 30.0
 
 
@@ -32,6 +33,20 @@
             await trio.sleep(0.1)
 
 
+@asynccontextmanager
+async def open_site(folder, **counts: int):
+    """Open a site with one entry, on ports that no other test uses."""
+    with reserve_ports(PORTS_SEED) as port:
+        async with trio.open_nursery() as nursery:
+            site = Site(folder=folder, port=port, nursery=nursery)
+            try:
+                await site.open(1, **counts)
+                yield site
+            finally:
+                site.close()
+            nursery.cancel_scope.cancel()
+
+
 def test_entry_serves_while_no_process_reads_its_log(tmp_path):
     """Guards against blocking on a full pipe, which holds about 250 lines.
 
@@ -40,24 +55,18 @@
     statuses: list[int] = []
 
     async def run_site() -> None:
-        async with trio.open_nursery() as nursery:
-            site = Site(folder=tmp_path, port=PORT, nursery=nursery)
-            try:
-                await site.open(1, engines=1, desks=1)
-                site.entries[0].end()
-                site.entries[0].start(logs_to_file=False)
-                await send_requests(site)
-            finally:
-                site.close()
-            nursery.cancel_scope.cancel()
+        async with open_site(tmp_path, engines=1, desks=1) as site:
+            site.entries[0].end()
+            site.entries[0].start(logs_to_file=False)
+            await send_requests(site)
 
     async def send_requests(site: Site) -> None:
         host = site.entries[0].host
         client = HttpClient()
-        await wait_ready(client, Address(host=host, port=PORT + 1))
+        await wait_ready(client, Address(host=host, port=site.port + 1))
         for number in range(1200):
             answer = await client.fetch(
-                Address(host=host, port=PORT),
+                Address(host=host, port=site.port),
                 Request(
                     method='GET',
                     path='/nowhere',
@@ -76,18 +85,13 @@
     """Run a function of a site with one entry that is ready."""
 
     async def run_site() -> None:
-        async with trio.open_nursery() as nursery:
-            site = Site(folder=folder, port=PORT, nursery=nursery)
-            try:
-                await site.open(1, **({'engines': 0, 'desks': 0} | counts))
-                entry = site.entries[0]
-                await wait_ready(
-                    HttpClient(), Address(host=entry.host, port=PORT + 1)
-                )
-                await body(site)
-            finally:
-                site.close()
-            nursery.cancel_scope.cancel()
+        all_counts = {'engines': 0, 'desks': 0} | counts
+        async with open_site(folder, **all_counts) as site:
+            entry = site.entries[0]
+            await wait_ready(
+                HttpClient(), Address(host=entry.host, port=entry.port + 1)
+            )
+            await body(site)
 
     trio.run(run_site)
 
@@ -107,7 +111,7 @@
             **changes,
         }
         answer = await client.fetch(
-            Address(host=site.entries[0].host, port=PORT),
+            Address(host=site.entries[0].host, port=site.port),
             Request(method='GET', path=path, headers=tuple(headers.items())),
             timeout_seconds=5,
         )
@@ -268,20 +272,14 @@
     exit_codes: list[int] = []
 
     async def stop(entry: EntryProcess) -> int:
-        address = Address(host=entry.host, port=PORT + 21)
+        address = Address(host=entry.host, port=entry.port + 1)
         await wait_ready(HttpClient(), address)
         entry.popen.terminate()
         return await trio.to_thread.run_sync(entry.popen.wait)
 
     async def run_site() -> None:
-        async with trio.open_nursery() as nursery:
-            site = Site(folder=tmp_path, port=PORT + 20, nursery=nursery)
-            try:
-                await site.open(1, engines=1, desks=1)
-                exit_codes.append(await stop(site.entries[0]))
-            finally:
-                site.close()
-            nursery.cancel_scope.cancel()
+        async with open_site(tmp_path, engines=1, desks=1) as site:
+            exit_codes.append(await stop(site.entries[0]))
 
     trio.run(run_site)
     assert exit_codes == [0]
@@ -321,17 +319,11 @@
         exit_codes.append(await trio.to_thread.run_sync(entry.popen.wait))
 
     async def run_site() -> None:
-        async with trio.open_nursery() as nursery:
-            site = Site(folder=tmp_path, port=PORT + 40, nursery=nursery)
-            try:
-                await site.open(1, engines=1, desks=1)
-                await stop_during_a_stream(site.entries[0])
-            finally:
-                site.close()
-            nursery.cancel_scope.cancel()
+        async with open_site(tmp_path, engines=1, desks=1) as site:
+            await stop_during_a_stream(site.entries[0])
 
     async def stop_during_a_stream(entry: EntryProcess) -> None:
-        address = Address(host=entry.host, port=PORT + 41)
+        address = Address(host=entry.host, port=entry.port + 1)
         await wait_ready(HttpClient(), address)
         await trio.sleep(1)
         async with trio.open_nursery() as nursery:
@@ -362,17 +354,11 @@
             answers.append(await stream.receive_some(4096))
 
     async def run_site() -> None:
-        async with trio.open_nursery() as nursery:
-            site = Site(folder=tmp_path, port=PORT + 60, nursery=nursery)
-            try:
-                await site.open(1, engines=1, desks=1)
-                await stop_during_a_request(site.entries[0])
-            finally:
-                site.close()
-            nursery.cancel_scope.cancel()
+        async with open_site(tmp_path, engines=1, desks=1) as site:
+            await stop_during_a_request(site.entries[0])
 
     async def stop_during_a_request(entry: EntryProcess) -> None:
-        address = Address(host=entry.host, port=PORT + 61)
+        address = Address(host=entry.host, port=entry.port + 1)
         await wait_ready(HttpClient(), address)
         entry.signal(signal.SIGTERM)
         await post_slowly(entry)
@@ -396,16 +382,8 @@
         return await trio.to_thread.run_sync(entry.popen.wait)
 
     async def run_site() -> None:
-        async with trio.open_nursery() as nursery:
-            site = Site(folder=tmp_path, port=PORT + 80, nursery=nursery)
-            try:
-                await site.open(1, engines=1, desks=1)
-                exit_codes.append(
-                    await terminate_once_it_listens(site.entries[0])
-                )
-            finally:
-                site.close()
-            nursery.cancel_scope.cancel()
+        async with open_site(tmp_path, engines=1, desks=1) as site:
+            exit_codes.append(await terminate_once_it_listens(site.entries[0]))
 
     trio.run(run_site)
     assert exit_codes == [0]
