--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -447,7 +447,10 @@
 def _forget_refused_try(
     progress: RequestProgress, attempt: RacingAttempt
 ) -> None:
-    """Leave tries for a later failure after one beside a silent attempt."""
+    """Take a refused try off the count if another attempt is under way.
+
+    Tries during a silence would leave none for a failure after it.
+    """
     if attempt.race.has_other_contender(attempt):
         progress.placements -= 1
 
