--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -87,7 +87,8 @@
     ``fail_next`` is the number of next runs whose connection is aborted
     before the response is complete. While ``hang`` is set, requests are
     accepted but neither run nor answered. While ``leaving`` is set, all
-    answers say that the endpoint leaves. Until ``busy_until`` it turns all but
+    answers say that the endpoint leaves. ``rate_limit`` is the limit that all
+    answers name, in requests a second. Until ``busy_until`` it turns all but
     releases away, with a time to retry or ``busy_text``. ``reservations`` maps
     the id of a reservation to its tokens and its expiry time.
     """
@@ -108,6 +109,7 @@
         self.fail_next = 0
         self.hang = False
         self.leaving = False
+        self.rate_limit: float | str | None = None
         self.busy_until = float('-inf')
         self.busy_text: str | None = None
         self.reservations: dict[str, tuple[int, float]] = {}
@@ -309,7 +311,12 @@
 
 
 def _signal_headers(endpoint: StandinEndpoint) -> Headers:
-    return (('server-leaving', '1'),) if endpoint.leaving else ()
+    signals = []
+    if endpoint.leaving:
+        signals.append(('server-leaving', '1'))
+    if endpoint.rate_limit is not None:
+        signals.append(('server-limit', str(endpoint.rate_limit)))
+    return tuple(signals)
 
 
 def _turn_away(
--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -7,27 +7,42 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import StrEnum, unique
 from functools import partial
 
+from limpetdrift import telemetry
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
     ListedEndpoint,
 )
+from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 
 
+@unique
+class CallKind(StrEnum):
+    """The kinds of requests that an entry sends to endpoints."""
+
+    REQUEST = 'request'
+    REPORT = 'report'
+    ORDER = 'order'
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndpointSignals:
     """What an answer says about the endpoint apart from the request.
 
     ``leaving`` means that this lifetime takes no new work, and
     ``back_off_seconds`` is the time in which it takes nothing from this entry.
+    ``rate_limit`` is the number of requests a second that it takes from all
+    entries together, ``None`` if the answer tells nothing of it.
     """
 
     leaving: bool = False
     back_off_seconds: float = 0.0
+    rate_limit: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,13 +53,15 @@
     ``check_call`` returns why an endpoint must get nothing now, ``check_send``
     why a request must not be sent as placed, and ``check_service`` why one
     must not be placed at all; all return ``None`` if nothing is against it.
-    ``record_success`` is called when a request has succeeded.
+    ``record_call`` is called right before each request, report poll or order
+    is sent, and ``record_success`` when a request has succeeded.
     """
 
     apply_signals: Callable[[ListedEndpoint, EndpointSignals], None]
     check_call: Callable[[ListedEndpoint], Failure | None]
     check_send: Callable[[CallerRequest, DispatchPlan], Failure | None]
     check_service: Callable[[str], Failure | None]
+    record_call: Callable[[ListedEndpoint, CallKind], None]
     record_success: Callable[[CallerRequest, DispatchPlan], None]
 
 
@@ -66,12 +83,15 @@
             announce_leaving(endpoint)
         if signals.back_off_seconds > 0:
             view.back_offs.extend(endpoint, signals.back_off_seconds)
+        if signals.rate_limit is not None:
+            view.limits.set_rate(endpoint, signals.rate_limit)
 
     return EndpointGate(
         apply_signals=apply_signals,
         check_call=partial(check_call, view),
         check_send=partial(check_send, view),
         check_service=partial(check_service, view),
+        record_call=partial(record_call, view),
         record_success=partial(record_success, view),
     )
 
@@ -117,6 +137,14 @@
     )
 
 
+def record_call(
+    view: EndpointView, endpoint: ListedEndpoint, kind: CallKind
+) -> None:
+    """Count a call to an endpoint that has a rate limit."""
+    if view.limits.rate_of(endpoint.identity) < UNLIMITED:
+        telemetry.count('calls_to_limited_endpoints', kind=kind)
+
+
 def begin_placement(
     view: EndpointView, work: CallerRequest, placement: DispatchPlan
 ) -> None:
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-from limpetdrift.coordination.endpoint_gate import EndpointGate
+from limpetdrift.coordination.endpoint_gate import CallKind, EndpointGate
 from limpetdrift.coordination.endpoint_response import (
     EndpointResponse,
     SendRequest,
@@ -12,6 +12,7 @@
 from limpetdrift.platform.endpoint_signals import (
     INSTANCE_HEADER,
     LEAVING_HEADER,
+    LIMIT_HEADER,
     MISDIRECTED,
     RETRY_AFTER_HEADER,
     decode_signals,
@@ -49,6 +50,7 @@
         _LOAD_HEADER,
         INSTANCE_HEADER,
         LEAVING_HEADER,
+        LIMIT_HEADER,
         _FAILED_ADDRESS_HEADER,
     )
 )
@@ -82,6 +84,7 @@
         refusal = gate.check_send(caller_request, placement)
         if refusal is not None:
             raise FailureError(refusal)
+        gate.record_call(placement.endpoint, CallKind.REQUEST)
         request = Request(
             method=caller_request.method,
             path='',
--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -5,16 +5,19 @@
 from limpetdrift.coordination.endpoint_gate import EndpointSignals
 from limpetdrift.logs import warn
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.transport.messages import UNAVAILABLE, Headers
 
 MISDIRECTED = 421
 LEAVING_HEADER = 'server-leaving'
 RETRY_AFTER_HEADER = 'retry-after'
+# Set while the endpoint limits the rate of requests from all entries.
+LIMIT_HEADER = 'server-limit'
 INSTANCE_HEADER = 'instance-id'
 _SET = '1'
 # A number that is not negative. One beyond the range of floating point is
-# infinite, and then cut to the limit like any other that is too large.
-_SECONDS = re.compile(r'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?', flags=re.ASCII)
+# infinite.
+_NUMBER = re.compile(r'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?', flags=re.ASCII)
 
 
 def decode_signals(
@@ -31,16 +34,17 @@
     return EndpointSignals(
         leaving=by_name.get(LEAVING_HEADER, '').strip() == _SET,
         back_off_seconds=_decode_back_off(endpoint, status, by_name),
+        rate_limit=_decode_rate_limit(endpoint, by_name),
     )
 
 
-def parse_seconds(text: str) -> float | None:
-    """Parse a number of seconds; return ``None`` if it is invalid.
+def parse_decimal(text: str) -> float | None:
+    """Parse a number that is not negative; return ``None`` if it is invalid.
 
-    >>> parse_seconds(' 0.25 '), parse_seconds('-1'), parse_seconds('nan')
+    >>> parse_decimal(' 0.25 '), parse_decimal('-1'), parse_decimal('nan')
     (0.25, None, None)
     """
-    found = _SECONDS.fullmatch(text.strip())
+    found = _NUMBER.fullmatch(text.strip())
     return float(found.group()) if found else None
 
 
@@ -50,7 +54,7 @@
     text = headers.get(RETRY_AFTER_HEADER)
     if status != UNAVAILABLE or text is None:
         return 0.0
-    seconds = parse_seconds(text)
+    seconds = parse_decimal(text)
     if seconds is None:
         warn(
             'back-off is no number of seconds',
@@ -59,3 +63,20 @@
         )
         return 0.0
     return seconds
+
+
+def _decode_rate_limit(
+    endpoint: ListedEndpoint, headers: dict[str, str]
+) -> float | None:
+    """Return the limit in requests a second, ``None`` if it is invalid."""
+    text = headers.get(LIMIT_HEADER)
+    if text is None:
+        return UNLIMITED
+    rate = parse_decimal(text)
+    if rate is None:
+        warn(
+            'rate limit is no number',
+            endpoint=endpoint.name,
+            value=text,
+        )
+    return rate
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -3,7 +3,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.endpoint_gate import EndpointGate
+from limpetdrift.coordination.endpoint_gate import CallKind, EndpointGate
 from limpetdrift.coordination.engine_report_poller import ReadReport
 from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
@@ -43,6 +43,7 @@
             # A pooled connection may lead to an earlier lifetime.
             client.drop_idle_connections(address)
             lifetimes[engine.address] = engine.lifetime
+        gate.record_call(engine, CallKind.REPORT)
         result = await client.fetch(
             address,
             Request(method='GET', path=_PATH),
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -10,6 +10,7 @@
 from limpetdrift.logs import note
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_back_offs import EndpointBackOffs
+from limpetdrift.state.endpoint_limits import EndpointLimits
 
 # Retention period of the leaving signals of endpoints that are no longer
 # listed. An outdated list that still shows them can't arrive later.
@@ -26,6 +27,7 @@
 
     ``back_offs`` are those that endpoints asked this entry for. They don't
     change which endpoints are usable, since they don't concern other entries.
+    ``limits`` are the rates that endpoints take from all entries together.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
@@ -36,6 +38,7 @@
         self._ahead_of_list: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._version = 0
         self.back_offs = EndpointBackOffs(clock=clock)
+        self.limits = EndpointLimits()
 
     @property
     def version(self) -> int:
@@ -119,6 +122,7 @@
         cutoff = self._clock() - LEAVING_RETENTION_SECONDS
         _expire_leaving(self._leaving, listed, cutoff)
         self.back_offs.forget_unlisted(listed)
+        self.limits.forget_unlisted(listed)
         staying = []
         ahead_of_list = []
         for endpoint in self._listed.values():
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -13,7 +13,7 @@
 from limpetdrift.coordination.endpoint_gate import make_gate
 from limpetdrift.coordination.endpoint_response import EndpointResponse
 from limpetdrift.platform.endpoint_client import make_send_request
-from limpetdrift.platform.endpoint_signals import decode_signals, parse_seconds
+from limpetdrift.platform.endpoint_signals import decode_signals, parse_decimal
 from limpetdrift.platform.reports import make_report_reader
 from limpetdrift.platform.reservations import make_reserver
 from limpetdrift.protocol.verdict import Failure, FailureError, Reason, Verdict
@@ -23,6 +23,7 @@
     Helper,
     ListedEndpoint,
 )
+from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address
@@ -291,12 +292,12 @@
     ],
 )
 def test_back_off_text_is_a_number_of_seconds_or_invalid(text, seconds):
-    assert parse_seconds(text) == seconds
+    assert parse_decimal(text) == seconds
 
 
 @given(st.text(max_size=30) | st.floats().map(str))
 def test_back_off_of_any_text_is_a_number_that_is_not_negative(text):
-    seconds = parse_seconds(text)
+    seconds = parse_decimal(text)
     assert seconds is None or seconds >= 0
 
 
@@ -318,3 +319,56 @@
     endpoint = make_endpoint(Address(host='127.0.0.1', port=1), 1)
     signals = decode_signals(endpoint, status, (('retry-after', '5'),))
     assert not signals.back_off_seconds
+
+
+@pytest.mark.parametrize('call', ['send', 'read_report', 'reserve'])
+def test_rate_limit_in_any_answer_is_logged_once_and_holds_while_named(
+    call, monkeypatch
+):
+    lines = []
+    monkeypatch.setattr(
+        'limpetdrift.state.endpoint_limits.note',
+        lambda event, **fields: lines.append(
+            (fields['previous'], fields['requests_per_second'])
+        ),
+    )
+
+    async def body(calls: Calls) -> None:
+        limits = calls.view.limits
+        await getattr(calls, call)()
+        calls.standin.rate_limit = 50
+        await getattr(calls, call)()
+        await getattr(calls, call)()
+        assert limits.rate_of(calls.endpoint.identity) == 50
+        calls.standin.rate_limit = None
+        await getattr(calls, call)()
+        assert limits.rate_of(calls.endpoint.identity) == UNLIMITED
+        assert lines == [(None, 50.0), (50.0, None)]
+
+    run_calls(body)
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'rate'),
+    [
+        (200, (('server-limit', '1.5'),), 1.5),
+        (503, (('server-limit', '0'),), 0.0),
+        (200, (), UNLIMITED),
+        (200, (('server-limit', 'few'),), None),
+        (200, (('server-limit', '-1'),), None),
+        (421, (('server-limit', '1'),), None),
+        (200, (('server-limit', '1'), ('instance-id', 'i-2')), None),
+    ],
+)
+def test_rate_limit_of_an_answer(status, headers, rate):
+    endpoint = make_endpoint(Address(host='127.0.0.1', port=1), 1)
+    assert decode_signals(endpoint, status, headers).rate_limit == rate
+
+
+def test_rate_limit_is_not_forwarded_to_the_caller():
+    async def body(calls: Calls) -> None:
+        calls.standin.rate_limit = 50
+        answer = await calls.send()
+        assert 'server-limit' not in dict(answer.headers)
+
+    run_calls(body)
