--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -192,7 +192,7 @@
             revoke_seconds=context.settings.bounds.revoke_seconds,
         ),
     )
-    plan_placer, report_poller = build_planning(context, call)
+    plan_placer, report_poller = build_planning(context, call, HttpClient())
     crash_guard = build_crash_guard(context, call)
     callers, drain = _build_caller_server(context, plan_placer, crash_guard)
 
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -40,7 +40,7 @@
 class EntryContext:
     """What most components of an entry are built from.
 
-    ``entries`` returns the entries that callers may use.
+    ``entries`` returns the entries that callers may use, and ``clock`` seconds.
     """
 
     settings: PlatformSettings
@@ -50,11 +50,13 @@
     membership: Membership
     entries: Callable[[], tuple[Node, ...]]
     randomness: random.Random
+    clock: Callable[[], float] = boot_time
 
 
 def build_planning(
     context: EntryContext,
     call: PeerCall,
+    report_client: HttpClient,
 ) -> tuple[PlanPlacer, EngineReportPoller]:
     """Return the placer of engine requests and the engine report poller."""
 
@@ -67,7 +69,7 @@
             name=context.node.name,
             view=context.view,
             find_cost_model=find_cost_model,
-            clock=boot_time,
+            clock=context.clock,
         ),
     )
     plan_placer = PlanPlacer(
@@ -77,7 +79,7 @@
             call=call,
             live_entries=context.entries,
             record_connection_refused=context.membership.record_connection_refused,
-            clock=boot_time,
+            clock=context.clock,
         ),
         view=context.view,
         groups=PlanningGroups(node=context.node, view=context.view),
@@ -92,10 +94,10 @@
                 if service.engine is not None
             },
             read=make_report_reader(
-                HttpClient(),
+                report_client,
                 build_gate(context, plan_placer),
             ),
-            clock=boot_time,
+            clock=context.clock,
         ),
     )
     context.membership.on_change.append(
