--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -17,9 +17,11 @@
     DispatchPlan,
     ListedEndpoint,
 )
-from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 
+# Time without an answer after which an endpoint that limits its rate is polled.
+LIMITED_POLL_SECONDS = 10.0
+
 
 @unique
 class CallKind(StrEnum):
@@ -53,45 +55,62 @@
     ``check_call`` returns why an endpoint must get nothing now, ``check_send``
     why a request must not be sent as placed, and ``check_service`` why one
     must not be placed at all; all return ``None`` if nothing is against it.
-    ``record_call`` is called right before each request, report poll or order
-    is sent, and ``record_success`` when a request has succeeded.
+    ``may_poll`` returns whether a report may be polled; it then counts as sent.
+    ``record_order`` is called right before an order is sent, and
+    ``record_success`` when a request has succeeded.
     """
 
     apply_signals: Callable[[ListedEndpoint, EndpointSignals], None]
     check_call: Callable[[ListedEndpoint], Failure | None]
     check_send: Callable[[CallerRequest, DispatchPlan], Failure | None]
     check_service: Callable[[str], Failure | None]
-    record_call: Callable[[ListedEndpoint, CallKind], None]
+    may_poll: Callable[[ListedEndpoint], bool]
+    record_order: Callable[[ListedEndpoint], None]
     record_success: Callable[[CallerRequest, DispatchPlan], None]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Announcements:
+    """The functions that tell other entries of endpoints.
+
+    ``leaving`` tells that an endpoint leaves, and ``limit`` that it changed its
+    rate limit. ``call_spent`` tells of a call to an endpoint with a limit that
+    was sent without a permit.
+    """
+
+    leaving: Callable[[ListedEndpoint], None]
+    limit: Callable[[ListedEndpoint], None]
+    call_spent: Callable[[ListedEndpoint], None]
+
+
 def make_gate(
     view: EndpointView,
-    announce_leaving: Callable[[ListedEndpoint], None],
+    announcements: Announcements,
 ) -> EndpointGate:
     """Return the gate to the endpoints of a view.
 
     The endpoint of an answer is the one to which the request was sent, so that
     an answer of an earlier lifetime does not affect a later one.
-    ``announce_leaving`` tells other entries.
     """
 
     def apply_signals(
         endpoint: ListedEndpoint, signals: EndpointSignals
     ) -> None:
         if signals.leaving and view.mark_leaving(endpoint, ANSWER_SOURCE):
-            announce_leaving(endpoint)
+            announcements.leaving(endpoint)
         if signals.back_off_seconds > 0:
             view.back_offs.extend(endpoint, signals.back_off_seconds)
-        if signals.rate_limit is not None:
-            view.limits.set_rate(endpoint, signals.rate_limit)
+        rate = signals.rate_limit
+        if rate is not None and view.limits.name(endpoint, rate):
+            announcements.limit(endpoint)
 
     return EndpointGate(
         apply_signals=apply_signals,
         check_call=partial(check_call, view),
         check_send=partial(check_send, view),
         check_service=partial(check_service, view),
-        record_call=partial(record_call, view),
+        may_poll=partial(may_poll, view, announcements.call_spent),
+        record_order=partial(record_order, view, announcements.call_spent),
         record_success=partial(record_success, view),
     )
 
@@ -112,6 +131,9 @@
         if not view.is_usable(helper):
             detail = f'{helper.name} is leaving or gone'
             return not_run(Reason.ENDPOINT_UNAVAILABLE, detail)
+    refusal = _check_permits(view, placement)
+    if refusal is not None:
+        return refusal
     back_offs = view.back_offs
     if not back_offs or back_offs.admit(
         placement.identities, _name(work, placement)
@@ -123,6 +145,24 @@
     )
 
 
+def _check_permits(
+    view: EndpointView, placement: DispatchPlan
+) -> Failure | None:
+    """Refuse a request to an endpoint that named a limit after its placement.
+
+    Another endpoint may take it, or the decider may permit it then.
+    """
+    if not view.limits:
+        return None
+    for endpoint in placement.endpoints:
+        is_limited = view.limits.is_limited(endpoint.identity)
+        if is_limited and endpoint.identity not in placement.permitted:
+            detail = f'{endpoint.name} limits its rate'
+            return not_run(Reason.ENDPOINT_UNAVAILABLE, detail)
+    _count_call(view, placement.endpoint, CallKind.REQUEST)
+    return None
+
+
 def check_service(view: EndpointView, service: str) -> Failure | None:
     """Refuse a request while no endpoint of its service may be chosen.
 
@@ -137,11 +177,43 @@
     )
 
 
-def record_call(
+def may_poll(
+    view: EndpointView,
+    spend: Callable[[ListedEndpoint], None],
+    endpoint: ListedEndpoint,
+) -> bool:
+    """Return whether an endpoint's report may be polled now, and count it.
+
+    While an endpoint limits its rate, its answers to requests tell as much.
+    It is polled only if there were none for a while, since an endpoint that
+    gets nothing can't say that its limit has ended.
+    """
+    limits = view.limits
+    if not limits.is_limited(endpoint.identity):
+        return True
+    silence = limits.seconds_since_named(endpoint.identity)
+    if silence < LIMITED_POLL_SECONDS:
+        return False
+    _count_call(view, endpoint, CallKind.REPORT)
+    spend(endpoint)
+    return True
+
+
+def record_order(
+    view: EndpointView,
+    spend: Callable[[ListedEndpoint], None],
+    endpoint: ListedEndpoint,
+) -> None:
+    """Count an order, which is sent in any case."""
+    if view.limits.is_limited(endpoint.identity):
+        _count_call(view, endpoint, CallKind.ORDER)
+        spend(endpoint)
+
+
+def _count_call(
     view: EndpointView, endpoint: ListedEndpoint, kind: CallKind
 ) -> None:
-    """Count a call to an endpoint that has a rate limit."""
-    if view.limits.rate_of(endpoint.identity) < UNLIMITED:
+    if view.limits.is_limited(endpoint.identity):
         telemetry.count('calls_to_limited_endpoints', kind=kind)
 
 
--- /dev/null
+++ b/src/limpetdrift/coordination/limit_exchange.py
@@ -0,0 +1,237 @@
+"""Spreads the rate limits of endpoints among the entries.
+
+An entry that hears a new limit tells the endpoint's decider, which passes it on
+to all. The gossip of the membership makes up for lost messages, and an entry
+that starts asks its seeds before it serves. An entry also tells the decider of
+calls that it had to send without a permit.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from expression import Ok, Result
+
+from limpetdrift import telemetry
+from limpetdrift.coordination.endpoint_permits import EndpointPermits
+from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.coordination.record_replication import (
+    RecordReplicator,
+    ReplicatedRecords,
+)
+from limpetdrift.protocol.codec import decode, encode
+from limpetdrift.protocol.limits import (
+    PULL_PATH,
+    PUSH_PATH,
+    SPENT_PATH,
+    LimitRecord,
+    LimitRecords,
+    LimitsDigest,
+    LimitsPull,
+    SpentCalls,
+)
+from limpetdrift.protocol.node import Node
+from limpetdrift.protocol.plans import EndpointId
+from limpetdrift.protocol.verdict import Failure
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_limits import EndpointLimits
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.transport.messages import Address
+
+DIGEST_NAME = 'limits'
+# Batching interval of reports to deciders.
+REPORT_BATCH_SECONDS = 0.02
+_REPORT_TIMEOUT_SECONDS = 0.3
+# Longest time for which a starting entry waits for what its seeds know.
+LEARN_TIMEOUT_SECONDS = 0.3
+# Seeds that are asked at a start. Each knows all limits.
+_LEARN_SEEDS = 3
+
+# Returns the entry that decides for an endpoint, ``None`` if it is this one.
+FindDecider = Callable[[ListedEndpoint], Node | None]
+
+
+@dataclass(frozen=True, kw_only=True)
+class LimitExchangeInputs:
+    """What an exchange needs of its entry."""
+
+    node: Node
+    view: EndpointView
+    permits: EndpointPermits
+    find_decider: FindDecider
+    live_entries: Callable[[], tuple[Node, ...]]
+    call: PeerCall
+
+
+class LimitExchange:
+    """Reports what this entry hears of limits, and learns what others hear.
+
+    ``run`` has to run in the background. ``wait_learned`` waits until ``learn``
+    has ended.
+    """
+
+    def __init__(self, *, inputs: LimitExchangeInputs) -> None:
+        self._inputs = inputs
+        self._limits: EndpointLimits = inputs.view.limits
+        self._replicator = RecordReplicator(
+            node=inputs.node,
+            replicated=_describe_records(self._limits, self._merge),
+            live_entries=inputs.live_entries,
+            call=inputs.call,
+        )
+        self._changed: dict[tuple[str, int], ListedEndpoint] = {}
+        self._spent: list[ListedEndpoint] = []
+        self._report_due = trio.Event()
+        self._learned = trio.Event()
+        self.wait_learned = self._learned.wait
+        self.on_digest = self._replicator.on_digest
+
+    def register(self, peer_routes: PeerRoutes) -> None:
+        """Register the handlers of peers' calls."""
+        self._replicator.register(peer_routes)
+        peer_routes.add(SPENT_PATH, SpentCalls, self._answer_spent)
+
+    def make_digest(self) -> bytes:
+        """Return the digest for the membership's gossip, if there is any."""
+        if not self._limits:
+            return b''
+        return encode(LimitsDigest(limits=self._limits.digest))
+
+    def announce(self, endpoint: ListedEndpoint) -> None:
+        """Tell the decider of a changed limit, or all if it is this entry."""
+        if self._inputs.find_decider(endpoint) is None:
+            self._replicator.add(self._limits.record_of(endpoint.identity))
+        else:
+            self._changed[endpoint.identity] = endpoint
+            self._report_due.set()
+
+    def spend(self, endpoint: ListedEndpoint) -> None:
+        """Count a call that was sent without a permit."""
+        if not self._inputs.permits.take(endpoint):
+            return
+        if self._inputs.find_decider(endpoint) is not None:
+            self._spent.append(endpoint)
+            self._report_due.set()
+
+    async def learn(self, seeds: tuple[Address, ...]) -> None:
+        """Ask some seeds for all limits; return when one has answered.
+
+        Without it, an entry that has just started would send calls that the
+        endpoints have asked all others not to send.
+        """
+
+        async def learn_from(address: Address) -> None:
+            if await self._replicator.pull_from(address, LEARN_TIMEOUT_SECONDS):
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for address in seeds[:_LEARN_SEEDS]:
+                nursery.start_soon(learn_from, address)
+        self._learned.set()
+
+    async def run(self) -> None:
+        """Spread limits and report calls until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._replicator.run)
+            while True:
+                await self._report_due.wait()
+                await trio.sleep(REPORT_BATCH_SECONDS)
+                self._report_due = trio.Event()
+                changed = tuple(self._changed.values())
+                spent = tuple(self._spent)
+                self._changed.clear()
+                self._spent.clear()
+                # A decider that doesn't answer must not delay later reports.
+                nursery.start_soon(self._report_changes, changed)
+                nursery.start_soon(self._report_spent, spent)
+
+    async def _report_changes(
+        self, changed: tuple[ListedEndpoint, ...]
+    ) -> None:
+        for decider, endpoints in self._by_decider(changed).items():
+            records = tuple(
+                record
+                for each in endpoints
+                if (record := self._limits.record_of(each.identity))
+            )
+            answer = await self._inputs.call(
+                decider.peer_address,
+                PUSH_PATH,
+                LimitRecords(records=records),
+                LimitsPull,
+                timeout_seconds=_REPORT_TIMEOUT_SECONDS,
+            )
+            if answer.is_error():
+                telemetry.count('limits_untold', reason=answer.error.reason)
+                for record in records:
+                    self._replicator.add(record)
+
+    async def _report_spent(self, spent: tuple[ListedEndpoint, ...]) -> None:
+        for decider, endpoints in self._by_decider(spent).items():
+            answer = await self._inputs.call(
+                decider.peer_address,
+                SPENT_PATH,
+                SpentCalls(
+                    endpoints=tuple(
+                        EndpointId(name=each.name, lifetime=each.lifetime)
+                        for each in endpoints
+                    )
+                ),
+                LimitsPull,
+                timeout_seconds=_REPORT_TIMEOUT_SECONDS,
+            )
+            if answer.is_error():
+                telemetry.count('spent_untold', reason=answer.error.reason)
+
+    def _by_decider(
+        self, endpoints: tuple[ListedEndpoint, ...]
+    ) -> dict[Node, list[ListedEndpoint]]:
+        grouped: dict[Node, list[ListedEndpoint]] = {}
+        for endpoint in endpoints:
+            decider = self._inputs.find_decider(endpoint)
+            if decider is None:
+                self.announce(endpoint)
+            else:
+                grouped.setdefault(decider, []).append(endpoint)
+        return grouped
+
+    async def _answer_spent(
+        self, message: SpentCalls
+    ) -> Result[LimitsPull, Failure]:
+        for each in message.endpoints:
+            endpoint = self._inputs.view.find(each.name, each.lifetime)
+            if endpoint is not None:
+                self._inputs.permits.take(endpoint)
+        return Ok(LimitsPull())
+
+    def _merge(self, message: LimitRecords) -> None:
+        for record in message.records:
+            if self._limits.merge(record):
+                self._pass_on(record)
+
+    def _pass_on(self, record: LimitRecord) -> None:
+        """Tell all entries of a change that this one decides by."""
+        endpoint = self._inputs.view.find(
+            record.endpoint.name, record.endpoint.lifetime
+        )
+        if endpoint and self._inputs.find_decider(endpoint) is None:
+            self._replicator.add(record)
+
+
+def _describe_records(
+    limits: EndpointLimits, merge: Callable[[LimitRecords], None]
+) -> ReplicatedRecords:
+    def has_digest(digest: bytes) -> bool:
+        decoded = decode(digest, LimitsDigest)
+        return decoded.is_error() or decoded.ok.limits == limits.digest
+
+    return ReplicatedRecords(
+        push_path=PUSH_PATH,
+        pull_path=PULL_PATH,
+        message_type=LimitRecords,
+        pull=LimitsPull(),
+        compose=lambda records: LimitRecords(records=records),
+        merge=merge,
+        all_records=limits.records,
+        has_digest=has_digest,
+    )
--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/plain_placer.py
@@ -11,6 +11,7 @@
     check_service,
     end_placement,
 )
+from limpetdrift.coordination.permit_client import PermitClient
 from limpetdrift.protocol.service import ServiceLoad
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
@@ -30,8 +31,15 @@
 class PlainPlacer:
     """Places calls of this entry on the endpoints of plain services."""
 
-    def __init__(self, *, view: EndpointView, randomness: Random) -> None:
+    def __init__(
+        self,
+        *,
+        view: EndpointView,
+        permit_client: PermitClient,
+        randomness: Random,
+    ) -> None:
         self._view = view
+        self._permit_client = permit_client
         self._balancer = ServiceBalancer(randomness=randomness)
         self._numbers = count()
 
@@ -43,26 +51,27 @@
         """Choose a usable endpoint and count a call in flight there.
 
         ``excluded`` holds names and lifetimes of endpoints not to use. Fails
-        with ``NO_ENDPOINT`` if no other is usable, and with
-        ``SERVICE_BACK_OFF`` if all that are usable asked for a back-off.
+        with ``NO_ENDPOINT`` if no other is usable, with ``SERVICE_BACK_OFF`` if
+        all that are usable asked for a back-off, and with ``OVERLOADED`` if the
+        rate limits of all are used up.
         """
         usable = self._view.usable(work.service)
         names = frozenset(name for name, _ in excluded)
-        chosen = self._balancer.choose(
-            self._view.back_offs.open_only(usable), names
-        )
-        if chosen is None:
+        is_open = self._view.back_offs.open_only(usable)
+        chosen = await self._choose(is_open, names)
+        if chosen.is_error():
             return Error(
-                check_service(self._view, work.service)
-                or not_run(
-                    Reason.NO_ENDPOINT,
-                    work.service,
-                    retry_after_seconds=RETRY_AFTER_SECONDS,
-                ),
+                check_service(self._view, work.service) or chosen.error
             )
-        self._balancer.of(chosen).in_flight += 1
+        endpoint = chosen.ok
+        self._balancer.of(endpoint).in_flight += 1
         self._balancer.forget_others(usable)
-        placement = DispatchPlan(endpoint=chosen, number=next(self._numbers))
+        is_limited = self._view.limits.is_limited(endpoint.identity)
+        placement = DispatchPlan(
+            endpoint=endpoint,
+            number=next(self._numbers),
+            permitted=frozenset((endpoint.identity,) if is_limited else ()),
+        )
         begin_placement(self._view, work, placement)
         return Ok(placement)
 
@@ -88,3 +97,52 @@
                 leaving=False,
             ),
         )
+
+    async def _choose(
+        self, endpoints: tuple[ListedEndpoint, ...], names: frozenset[str]
+    ) -> Result[ListedEndpoint, Failure]:
+        """Choose an endpoint, with a permit for it if it limits its rate.
+
+        Callers are refused for want of a permit only if no endpoint without
+        a limit is left.
+        """
+        limits = self._view.limits
+        limited = tuple(
+            each for each in endpoints if limits.is_limited(each.identity)
+        )
+        unlimited = tuple(each for each in endpoints if each not in limited)
+        worth_asking = tuple(
+            each for each in limited if not self._permit_client.is_refused(each)
+        )
+        chosen = self._balancer.choose((*unlimited, *worth_asking), names)
+        if chosen in worth_asking:
+            permitted = await self._permit_client.acquire(
+                (chosen,), is_final=False
+            )
+            if permitted.is_ok():
+                return permitted
+            chosen = self._balancer.choose(unlimited, names)
+        if chosen is not None:
+            return Ok(chosen)
+        if limited:
+            return await self._choose_limited(limited, names)
+        return Error(
+            not_run(
+                Reason.NO_ENDPOINT,
+                'no endpoint is usable',
+                retry_after_seconds=RETRY_AFTER_SECONDS,
+            )
+        )
+
+    async def _choose_limited(
+        self, limited: tuple[ListedEndpoint, ...], names: frozenset[str]
+    ) -> Result[ListedEndpoint, Failure]:
+        """Get a permit for any of the endpoints, or a time to retry."""
+        ordered = sorted(
+            limited,
+            key=lambda each: (
+                each.name in names,
+                self._balancer.of(each).pressure,
+            ),
+        )
+        return await self._permit_client.acquire(tuple(ordered), is_final=True)
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -134,9 +134,8 @@
 
     def announce_leaving(self, engine: ListedEndpoint) -> None:
         """Report soon to the planners of an engine that it leaves."""
-        for group in self.groups.layout(engine.service).groups:
-            if group.contains(engine.failure_domain, engine.name):
-                self.planner_client.report_soon(engine.service, group)
+        group = self.groups.group_of(engine)
+        self.planner_client.report_soon(engine.service, group)
 
     def planned_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the engines of a service that this entry plans for."""
@@ -234,7 +233,7 @@
         planned = await self._request_plan(request)
         if planned.is_ok() or planned.error.reason in _REFUSAL_REASONS:
             return planned
-        return self._inputs.planner.plan(request)
+        return self._inputs.planner.plan(request, is_decider=False)
 
     async def _request_plan(
         self, request: PlanRequest
@@ -338,4 +337,7 @@
         grant=plan.grant,
         delay_seconds=plan.delay_seconds,
         read_seconds=plan.read_seconds,
+        permitted=frozenset(
+            (each.name, each.lifetime) for each in plan.permitted
+        ),
     )
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -15,6 +15,10 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.coordination.endpoint_permits import (
+    EndpointPermits,
+    ShareOfLimit,
+)
 from limpetdrift.coordination.engine_cost_model import prefill_seconds
 from limpetdrift.coordination.prompt_splitting import (
     Split,
@@ -45,6 +49,7 @@
     PlanLease,
     StreamUse,
 )
+from limpetdrift.state.rate_budget import LEADING_SHARE
 
 # Admission threshold: a prompt is refused if its first token is expected after
 # more than this share of the time left.
@@ -61,13 +66,14 @@
     """The data from which plans are made.
 
     ``name``, the entry's name, is the prefix of its grants. ``clock`` returns
-    seconds.
+    seconds. ``share_of`` is that of ``EndpointPermits``.
     """
 
     name: str
     view: EndpointView
     find_cost_model: FindCostModel
     clock: Callable[[], float]
+    share_of: ShareOfLimit = lambda endpoint: LEADING_SHARE
 
 
 class Planner:
@@ -81,6 +87,9 @@
         ] = {}
         self._orders_version = -1
         self._grant_numbers = count()
+        self.permits = EndpointPermits(
+            view=inputs.view, clock=inputs.clock, share_of=inputs.share_of
+        )
 
     def ledger(self, service: str) -> EngineLedger:
         """Return the ledger of a service."""
@@ -90,12 +99,15 @@
             self._ledgers[service] = found
         return found
 
-    def plan(self, request: PlanRequest) -> Result[Plan, Failure]:
+    def plan(
+        self, request: PlanRequest, *, is_decider: bool = True
+    ) -> Result[Plan, Failure]:
         """Choose engines for a prompt and book them.
 
         Plans that the request reports as ended are dropped first, and engines
-        that it reports as leaving are not used again. Fails with
-        ``NO_ENDPOINT`` or ``OVERLOADED``.
+        that it reports as leaving are not used again. Those that limit their
+        rate are used within it, and not at all unless this entry
+        ``is_decider``. Fails with ``NO_ENDPOINT`` or ``OVERLOADED``.
         """
         self.end(request.service, request.ended)
         self._mark_leaving(request.leaving)
@@ -109,13 +121,23 @@
                     retry_after_seconds=_MIN_RETRY_AFTER_SECONDS,
                 ),
             )
-        usages = self.ledger(request.service).usages(endpoints)
+        permits = self.permits
+        callable_now = (
+            permits.open_only(endpoints)
+            if is_decider
+            else permits.unlimited_only(endpoints)
+        )
+        if not callable_now:
+            return Error(permits.refuse(request.service, endpoints))
+        usages = permits.with_calls_left(
+            self.ledger(request.service).usages(callable_now)
+        )
         split = choose_split(request, usages, cost_model)
         refusal = _find_refusal(split, usages, request)
         if refusal is not None:
             return Error(refusal)
         grant = '.'.join((self._inputs.name, str(next(self._grant_numbers))))
-        plan = _make_plan(grant, split, request)
+        plan = _make_plan(grant, split, request, _take_permits(permits, split))
         self.book_plan(plan, request)
         return Ok(plan)
 
@@ -313,7 +335,23 @@
     )
 
 
-def _make_plan(grant: str, split: Split, request: PlanRequest) -> Plan:
+def _take_permits(
+    permits: EndpointPermits, split: Split
+) -> tuple[EndpointId, ...]:
+    """Count a plan's calls; return the engines that limit their rate."""
+    return tuple(
+        endpoint_id_of(usage.endpoint)
+        for usage in (split.writer, *split.helpers)
+        if permits.take(usage.endpoint)
+    )
+
+
+def _make_plan(
+    grant: str,
+    split: Split,
+    request: PlanRequest,
+    permitted: tuple[EndpointId, ...],
+) -> Plan:
     return Plan(
         grant=grant,
         writer=endpoint_id_of(split.writer.endpoint),
@@ -328,4 +366,5 @@
         read_seconds=split.first_token_seconds,
         hold_seconds=request.hold_seconds,
         cost=split.cost,
+        permitted=permitted,
     )
--- a/src/limpetdrift/coordination/planning_groups.py
+++ b/src/limpetdrift/coordination/planning_groups.py
@@ -176,6 +176,17 @@
             self.layout(service), self._node.failure_domain, self._node.name
         )
 
+    def group_of(self, endpoint: ListedEndpoint) -> EngineGroup:
+        """Return the group that an endpoint belongs to."""
+        return next(
+            (
+                group
+                for group in self.layout(endpoint.service).groups
+                if group.contains(endpoint.failure_domain, endpoint.name)
+            ),
+            EngineGroup(),
+        )
+
     def members(
         self, service: str, group: EngineGroup
     ) -> tuple[ListedEndpoint, ...]:
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -77,6 +77,9 @@
 _SHORT_WAIT_LIMIT_SECONDS = 0.1
 # Prefill time of a short prompt.
 _SHORT_PREFILL_SECONDS = 0.05
+# Calls to a helper for a reservation: to reserve and release the memory, and
+# its part of the prompt.
+_RESERVATION_CALLS = 3
 # Duration of a short stream, from which the number of streams gives the
 # arrival rate of short prompts.
 _SHORT_STREAM_SECONDS = 1.5
@@ -357,7 +360,10 @@
     """Return the memory to reserve at helpers; ``None`` if it is too little."""
     missing = request.memory_tokens - free_tokens(writer, cost_model)
     reserved: list[tuple[EngineUsage, int]] = []
-    by_free_memory = sorted(helpers, key=lambda usage: usage.memory_tokens)
+    by_free_memory = sorted(
+        (usage for usage in helpers if usage.calls_left >= _RESERVATION_CALLS),
+        key=lambda usage: usage.memory_tokens,
+    )
     for usage in by_free_memory:
         if missing <= 0:
             break
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
-from limpetdrift.coordination.endpoint_gate import CallKind, EndpointGate
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.endpoint_response import (
     EndpointResponse,
     SendRequest,
@@ -84,7 +84,6 @@
         refusal = gate.check_send(caller_request, placement)
         if refusal is not None:
             raise FailureError(refusal)
-        gate.record_call(placement.endpoint, CallKind.REQUEST)
         request = Request(
             method=caller_request.method,
             path='',
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -11,7 +11,6 @@
 from limpetdrift.coordination.crash_guard import CrashGuard
 from limpetdrift.coordination.discovery import cache_usable_entries
 from limpetdrift.coordination.drain import Drain, DrainTiming
-from limpetdrift.coordination.engine_report_poller import EngineReportPoller
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import (
@@ -20,7 +19,6 @@
     make_peer_call,
 )
 from limpetdrift.coordination.plain_placer import PlainPlacer
-from limpetdrift.coordination.plan_placer import PlanPlacer
 from limpetdrift.platform.admission import (
     REQUEST_ID_HEADER,
     AdmissionInputs,
@@ -39,8 +37,8 @@
 )
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
+    Planning,
     build_crash_guard,
-    build_gate,
     build_planning,
 )
 from limpetdrift.platform.registration import (
@@ -100,8 +98,7 @@
     replica: StoreReplica
     membership: Membership
     registration: Registration
-    plan_placer: PlanPlacer
-    report_poller: EngineReportPoller
+    planning: Planning
     crash_guard: CrashGuard
     drain: Drain
     directory: DirectoryInputs
@@ -192,9 +189,9 @@
             revoke_seconds=context.settings.bounds.revoke_seconds,
         ),
     )
-    plan_placer, report_poller = build_planning(context, call, HttpClient())
+    planning = build_planning(context, call, HttpClient())
     crash_guard = build_crash_guard(context, call)
-    callers, drain = _build_caller_server(context, plan_placer, crash_guard)
+    callers, drain = _build_caller_server(context, planning, crash_guard)
 
     def is_ready() -> bool:
         return replica.is_synced and not drain.is_leaving
@@ -213,8 +210,7 @@
         replica=replica,
         membership=context.membership,
         registration=registration,
-        plan_placer=plan_placer,
-        report_poller=report_poller,
+        planning=planning,
         crash_guard=crash_guard,
         drain=drain,
         directory=DirectoryInputs(
@@ -228,14 +224,14 @@
         ),
         callers=callers,
         peers=_build_peer_server(
-            context.membership, plan_placer, replica, crash_guard
+            context.membership, planning, replica, crash_guard
         ),
     )
 
 
 def _build_caller_server(
     context: EntryContext,
-    plan_placer: PlanPlacer,
+    planning: Planning,
     crash_guard: CrashGuard,
 ) -> tuple[Server, Drain]:
     bounds = context.settings.bounds
@@ -250,7 +246,7 @@
     handler_inputs = CallerHandlerInputs(
         admission=admission,
         forwarder=_build_forwarder(
-            context, plan_placer, admission, crash_guard, render
+            context, planning, admission, crash_guard, render
         ),
         render=render,
         drain=lambda: drain,
@@ -278,13 +274,18 @@
 
 def _build_forwarder(
     context: EntryContext,
-    plan_placer: PlanPlacer,
+    planning: Planning,
     admission: AdmissionInputs,
     crash_guard: CrashGuard,
     render: RenderFailure,
 ) -> Forwarder:
-    plain_placer = PlainPlacer(view=context.view, randomness=context.randomness)
-    gate = build_gate(context, plan_placer)
+    plan_placer = planning.plan_placer
+    plain_placer = PlainPlacer(
+        view=context.view,
+        permit_client=planning.permit_client,
+        randomness=context.randomness,
+    )
+    gate = planning.gate
     endpoint_client = HttpClient(
         limits=ClientLimits(
             connect_seconds=ENDPOINT_CONNECT_TIMEOUT_SECONDS,
@@ -299,6 +300,7 @@
         request: CallerRequest,
         excluded: frozenset[tuple[str, int]],
     ) -> Result[DispatchPlan, Failure]:
+        await planning.limit_exchange.wait_learned()
         service = context.routes.find_service(request.service)
         if service is None or service.engine is None:
             return await plain_placer.place(request, excluded)
@@ -348,7 +350,7 @@
 
 def _build_peer_server(
     membership: Membership,
-    plan_placer: PlanPlacer,
+    planning: Planning,
     replica: StoreReplica,
     crash_guard: CrashGuard,
 ) -> Server:
@@ -356,7 +358,7 @@
     crash_guard.replicator.register(peer_routes)
     replica.relay.register(peer_routes)
     membership.register(peer_routes)
-    plan_placer.register(peer_routes)
+    planning.register(peer_routes)
     routes = Routes()
     peer_routes.mount(routes, '')
     return Server(handler=routes.handle)
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -7,6 +7,7 @@
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.crash_guard import CrashGuard
 from limpetdrift.coordination.endpoint_gate import (
+    Announcements,
     EndpointGate,
     make_gate,
 )
@@ -14,8 +15,23 @@
     EngineReportPoller,
     ReportPollerInputs,
 )
+from limpetdrift.coordination.limit_deciders import (
+    LimitDeciderInputs,
+    LimitDeciders,
+)
+from limpetdrift.coordination.limit_exchange import (
+    DIGEST_NAME as LIMITS_DIGEST_NAME,
+)
+from limpetdrift.coordination.limit_exchange import (
+    LimitExchange,
+    LimitExchangeInputs,
+)
 from limpetdrift.coordination.membership import Member, Membership
-from limpetdrift.coordination.peers import PeerCall
+from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.coordination.permit_client import (
+    PermitClient,
+    PermitClientInputs,
+)
 from limpetdrift.coordination.plan_placer import PlanPlacer
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planner_client import PlannerClientInputs
@@ -30,6 +46,7 @@
 from limpetdrift.platform.settings import PlatformSettings
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.route_table import EngineCostModel
+from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.suspects import CrashSuspects
@@ -53,64 +70,134 @@
     clock: Callable[[], float] = boot_time
 
 
+@dataclass(frozen=True, kw_only=True)
+class Planning:
+    """The components that decide which endpoint gets which call, and when."""
+
+    plan_placer: PlanPlacer
+    report_poller: EngineReportPoller
+    permit_client: PermitClient
+    limit_exchange: LimitExchange
+    gate: EndpointGate
+
+    def register(self, peer_routes: PeerRoutes) -> None:
+        """Register the handlers of peers' calls."""
+        self.plan_placer.register(peer_routes)
+        self.permit_client.register(peer_routes)
+        self.limit_exchange.register(peer_routes)
+
+
 def build_planning(
     context: EntryContext,
     call: PeerCall,
     report_client: HttpClient,
-) -> tuple[PlanPlacer, EngineReportPoller]:
-    """Return the placer of engine requests and the engine report poller."""
+) -> Planning:
+    """Return the components; ``report_client`` polls the engines' reports."""
+    planner, plan_placer, deciders = _build_planner(context, call)
+    planner_client = plan_placer.planner_client
+    permits = planner.permits
+    limit_exchange = LimitExchange(
+        inputs=LimitExchangeInputs(
+            node=context.node,
+            view=context.view,
+            permits=permits,
+            find_decider=deciders.find,
+            live_entries=context.membership.live_entries,
+            call=call,
+        ),
+    )
+    gate = make_gate(
+        context.view,
+        Announcements(
+            leaving=plan_placer.announce_leaving,
+            limit=limit_exchange.announce,
+            call_spent=limit_exchange.spend,
+        ),
+    )
+    report_poller = EngineReportPoller(
+        inputs=ReportPollerInputs(
+            planner=planner,
+            engines=lambda: {
+                service.name: plan_placer.planned_engines(service.name)
+                for service in context.routes.services
+                if service.engine is not None
+            },
+            read=make_report_reader(report_client, gate),
+            clock=context.clock,
+        ),
+    )
+    membership = context.membership
+    membership.on_change += (
+        planner_client.on_members_changed,
+        report_poller.on_members_changed,
+        deciders.on_members_changed,
+        _log_members,
+    )
+    membership.register_digest(
+        LIMITS_DIGEST_NAME, limit_exchange.make_digest, limit_exchange.on_digest
+    )
+    return Planning(
+        plan_placer=plan_placer,
+        report_poller=report_poller,
+        permit_client=PermitClient(
+            inputs=PermitClientInputs(
+                view=context.view,
+                permits=permits,
+                find_decider=deciders.find,
+                record_unreachable=planner_client.record_unreachable,
+                call=call,
+                clock=context.clock,
+            ),
+        ),
+        limit_exchange=limit_exchange,
+        gate=gate,
+    )
 
+
+def _build_planner(
+    context: EntryContext, call: PeerCall
+) -> tuple[Planner, PlanPlacer, LimitDeciders]:
     def find_cost_model(service: str) -> EngineCostModel | None:
         found = context.routes.find_service(service)
         return found.engine if found else None
 
+    def share_of(endpoint: ListedEndpoint) -> float:
+        return deciders.share_of(endpoint)
+
     planner = Planner(
         inputs=PlannerInputs(
             name=context.node.name,
             view=context.view,
             find_cost_model=find_cost_model,
             clock=context.clock,
+            share_of=share_of,
         ),
     )
+    membership = context.membership
+    groups = PlanningGroups(node=context.node, view=context.view)
     plan_placer = PlanPlacer(
         inputs=PlannerClientInputs(
             node=context.node,
             planner=planner,
             call=call,
             live_entries=context.entries,
-            record_connection_refused=context.membership.record_connection_refused,
+            record_connection_refused=membership.record_connection_refused,
             clock=context.clock,
         ),
         view=context.view,
-        groups=PlanningGroups(node=context.node, view=context.view),
+        groups=groups,
         randomness=context.randomness,
     )
-    report_poller = EngineReportPoller(
-        inputs=ReportPollerInputs(
-            planner=planner,
-            engines=lambda: {
-                service.name: plan_placer.planned_engines(service.name)
-                for service in context.routes.services
-                if service.engine is not None
-            },
-            read=make_report_reader(
-                report_client,
-                build_gate(context, plan_placer),
-            ),
-            clock=context.clock,
-        ),
-    )
-    context.membership.on_change.append(
-        plan_placer.planner_client.on_members_changed
+    deciders = LimitDeciders(
+        inputs=LimitDeciderInputs(
+            node=context.node,
+            groups=groups,
+            planner_client=plan_placer.planner_client,
+            live_entries=context.entries,
+            members=membership.members,
+        )
     )
-    context.membership.on_change.append(report_poller.on_members_changed)
-    context.membership.on_change.append(_log_members)
-    return plan_placer, report_poller
-
-
-def build_gate(context: EntryContext, plan_placer: PlanPlacer) -> EndpointGate:
-    """Return the gate that all requests to endpoints pass."""
-    return make_gate(context.view, plan_placer.announce_leaving)
+    return planner, plan_placer, deciders
 
 
 def _log_members(changed: tuple[Member, ...]) -> None:
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -86,8 +86,10 @@
     )
     tasks = (
         entry.replica.run,
-        entry.plan_placer.planner_client.run,
-        entry.report_poller.run,
+        entry.planning.plan_placer.planner_client.run,
+        entry.planning.report_poller.run,
+        entry.planning.limit_exchange.run,
+        partial(_learn_limits, entry),
         entry.crash_guard.run,
         partial(_join_when_synced, entry),
         _check_settings_on_signal,
@@ -123,6 +125,13 @@
     return stop
 
 
+async def _learn_limits(entry: EntryComponents) -> None:
+    """Ask the peers that the settings name for the endpoints' rate limits."""
+    own_address = entry.node.peer_address
+    seeds = tuple(each for each in entry.settings.seeds if each != own_address)
+    await entry.planning.limit_exchange.learn(seeds)
+
+
 async def _join_when_synced(entry: EntryComponents) -> None:
     """Join the peers once this entry is synced and can serve callers.
 
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -3,10 +3,15 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.endpoint_gate import CallKind, EndpointGate
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.engine_report_poller import ReadReport
 from limpetdrift.platform.endpoint_signals import decode_signals
-from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
+from limpetdrift.protocol.verdict import (
+    Failure,
+    Reason,
+    may_have_run,
+    not_run,
+)
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import OK, Request, Response, parse_address
@@ -38,12 +43,15 @@
         refusal = gate.check_call(engine)
         if refusal is not None:
             return Error(refusal)
+        if not gate.may_poll(engine):
+            return Error(
+                not_run(Reason.ENDPOINT_UNAVAILABLE, 'limits its rate')
+            )
         address = parse_address(engine.address)
         if lifetimes.get(engine.address) != engine.lifetime:
             # A pooled connection may lead to an earlier lifetime.
             client.drop_idle_connections(address)
             lifetimes[engine.address] = engine.lifetime
-        gate.record_call(engine, CallKind.REPORT)
         result = await client.fetch(
             address,
             Request(method='GET', path=_PATH),
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -10,7 +10,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.endpoint_gate import CallKind, EndpointGate
+from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.forwarding import ReserveMemory
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
@@ -220,7 +220,7 @@
     timeout_seconds: float,
 ) -> Result[None, Failure]:
     request = json_request('POST', _ORDER_PATH, body)
-    orders.gate.record_call(endpoint, CallKind.ORDER)
+    orders.gate.record_order(endpoint)
     result = await orders.client.fetch(
         parse_address(endpoint.address),
         _with_expected_instance(request, endpoint),
--- /dev/null
+++ b/src/limpetdrift/protocol/limits.py
@@ -0,0 +1,78 @@
+"""Messages about the rates that endpoints take from all entries together.
+
+One entry decides for an endpoint which calls it gets: the planner of the
+endpoint's group.
+"""
+
+from dataclasses import dataclass
+
+from limpetdrift.protocol.plans import EndpointId
+
+PUSH_PATH = 'limits'
+PULL_PATH = 'limits-pull'
+SPENT_PATH = 'limits-spent'
+PERMIT_PATH = 'permit'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitRecord:
+    """A limit that a lifetime of an endpoint named ``age_seconds`` ago.
+
+    ``requests_per_second`` is ``None`` if it named none any more. Of two
+    records the younger one holds.
+    """
+
+    endpoint: EndpointId
+    requests_per_second: float | None
+    age_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitRecords:
+    """Records that are reported to the decider, or that it passes on."""
+
+    records: tuple[LimitRecord, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitsPull:
+    """Requests a peer's records; also the reply to a push."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LimitsDigest:
+    """A hash over the limits that a node knows, compared through gossip."""
+
+    limits: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SpentCalls:
+    """Reports calls that were sent without a permit, one id for each.
+
+    Memory that a prompt holds has to be renewed and released.
+    """
+
+    endpoints: tuple[EndpointId, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PermitRequest:
+    """Asks for one call to one of the endpoints, the first choice first.
+
+    ``records`` holds what the asking entry knows of their limits. If
+    ``is_final`` is set, the caller is refused without a permit; the decider
+    then names a time to retry.
+    """
+
+    service: str
+    endpoints: tuple[EndpointId, ...]
+    records: tuple[LimitRecord, ...] = ()
+    is_final: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Permit:
+    """Allows one call to an endpoint, at once."""
+
+    endpoint: EndpointId
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -110,6 +110,8 @@
     ``read_seconds`` is the expected time to the first token, delay included.
     The plan counts as ended after ``hold_seconds`` in any case. ``cost`` is
     what the planner expects it to lose, in the worth of one short answer.
+    ``permitted`` lists those engines that limit their rate and whose part of
+    the plan is counted there.
     """
 
     grant: str
@@ -120,6 +122,7 @@
     read_seconds: float = 0.0
     hold_seconds: float = 0.0
     cost: float = 0.0
+    permitted: tuple[EndpointId, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -136,6 +136,8 @@
     event is expected after ``read_seconds``, delay included. ``urgency`` is
     the priority that is sent along. ``grant`` names the plan; it is empty for
     a request without one, whose placements ``number`` tells apart.
+    ``permitted`` has the identities of those endpoints with a rate limit at
+    which the request is counted already.
     """
 
     endpoint: ListedEndpoint
@@ -146,6 +148,7 @@
     number: int = 0
     delay_seconds: float = 0.0
     read_seconds: float = 0.0
+    permitted: frozenset[tuple[str, int]] = frozenset()
 
     @property
     def endpoints(self) -> tuple[ListedEndpoint, ...]:
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -38,7 +38,7 @@
         self._ahead_of_list: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._version = 0
         self.back_offs = EndpointBackOffs(clock=clock)
-        self.limits = EndpointLimits()
+        self.limits = EndpointLimits(clock=clock)
 
     @property
     def version(self) -> int:
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -63,7 +63,8 @@
     ``written`` holds the planned streams that it decodes. ``unplanned`` counts
     its requests that belong to no plan. ``queued`` is the length of its own
     queue, or 0 while ``unplanned`` is 0. ``pace`` is a slowdown factor: 2.0
-    means that the engine takes twice its usual time.
+    means that the engine takes twice its usual time. ``calls_left`` is the
+    number of calls that it may get now, infinite if it doesn't limit them.
     """
 
     endpoint: ListedEndpoint
@@ -75,6 +76,7 @@
     queued: int = 0
     pace: float = 1.0
     failing: bool = False
+    calls_left: float = float('inf')
 
     @cached_property
     def streams(self) -> int:
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -8,8 +8,15 @@
 import trio
 from expression import Error, Ok, Result
 
+from limpetdrift.coordination.endpoint_gate import Announcements
+from limpetdrift.coordination.endpoint_permits import EndpointPermits
 from limpetdrift.coordination.endpoint_response import EndpointResponse
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
+from limpetdrift.coordination.permit_client import (
+    PermitClient,
+    PermitClientInputs,
+)
+from limpetdrift.coordination.plain_placer import PlainPlacer
 from limpetdrift.protocol.route_table import RequestKind, Route, ServiceShare
 from limpetdrift.protocol.verdict import (
     Failure,
@@ -24,6 +31,7 @@
     ListedEndpoint,
 )
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.rate_budget import LEADING_SHARE
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.transport.messages import Response
 
@@ -45,6 +53,42 @@
     return Route(**(values | changes))
 
 
+def _ignore(endpoint: ListedEndpoint) -> None:
+    """Tell nobody of an endpoint."""
+
+
+def make_announcements(leaving=_ignore) -> Announcements:
+    """Return announcements of which only leaving endpoints are told."""
+    return Announcements(
+        leaving=leaving,
+        limit=_ignore,
+        call_spent=_ignore,
+    )
+
+
+def make_plain_placer(view: EndpointView, seed: int = 1) -> PlainPlacer:
+    """Return a placer whose entry decides on all rate limits."""
+    permits = EndpointPermits(
+        view=view,
+        clock=trio.current_time,
+        share_of=lambda endpoint: LEADING_SHARE,
+    )
+    return PlainPlacer(
+        view=view,
+        permit_client=PermitClient(
+            inputs=PermitClientInputs(
+                view=view,
+                permits=permits,
+                find_decider=lambda endpoint: None,
+                record_unreachable=lambda node, failure: None,
+                call=None,
+                clock=trio.current_time,
+            )
+        ),
+        randomness=random.Random(seed),
+    )
+
+
 def make_endpoints(count: int) -> tuple[ListedEndpoint, ...]:
     """Return endpoints of the service ``s``."""
     return tuple(
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -22,7 +22,6 @@
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
-    build_gate,
     build_planning,
 )
 from limpetdrift.platform.reservations import make_reserver
@@ -213,12 +212,16 @@
             clock=trio.current_time,
         )
         client = EndpointClient(site, node.name)
-        planning = build_planning(context, call, client)
-        self.plan_placer = planning[0]
-        self.report_poller = planning[1]
-        self.plan_placer.register(self.peer_routes)
-        self.plain_placer = PlainPlacer(view=self.view, randomness=randomness)
-        gate = build_gate(context, self.plan_placer)
+        self.planning = build_planning(context, call, client)
+        self.planning.register(self.peer_routes)
+        self.plan_placer = self.planning.plan_placer
+        self.plain_placer = PlainPlacer(
+            view=self.view,
+            permit_client=self.planning.permit_client,
+            randomness=randomness,
+        )
+        self.seeds = site.seeds()
+        gate = self.planning.gate
         self.forwarder = Forwarder(
             inputs=ForwardingInputs(
                 place=self._place,
@@ -243,7 +246,9 @@
         return (
             self.membership.run,
             self.plan_placer.planner_client.run,
-            self.report_poller.run,
+            self.planning.report_poller.run,
+            self.planning.limit_exchange.run,
+            self._learn_limits,
         )
 
     async def run(self) -> None:
@@ -266,7 +271,13 @@
         for scope in (self.scope, *self._calls):
             scope.cancel()
 
+    async def _learn_limits(self) -> None:
+        own_address = self.node.peer_address
+        others = (each for each in self.seeds if each != own_address)
+        await self.planning.limit_exchange.learn(tuple(others))
+
     async def _place(self, work, excluded):
+        await self.planning.limit_exchange.wait_learned()
         placer = (
             self.plan_placer
             if work.service == ENGINES_SERVICE
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -2,7 +2,6 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import replace
-from random import Random
 
 import pytest
 import trio
@@ -15,14 +14,15 @@
     ForwardHarness,
     events,
     events_then,
+    make_announcements,
     make_endpoints,
+    make_plain_placer,
     make_route,
     whole_response,
 )
 from limpetdrift.coordination.attempt_race import AttemptRace
 from limpetdrift.coordination.endpoint_gate import make_gate
 from limpetdrift.coordination.event_relay import split_events
-from limpetdrift.coordination.plain_placer import PlainPlacer
 from limpetdrift.platform.reservations import (
     ORDER_TIMEOUT_SECONDS,
     RELEASE_WAIT_SECONDS,
@@ -384,7 +384,7 @@
 
     async def run() -> None:
         view = EndpointView(clock=trio.current_time)
-        gate = make_gate(view, lambda endpoint: None)
+        gate = make_gate(view, make_announcements())
         reserve = make_reserver(SilentClient(), 'n', gate)
         with pytest.raises(FailureError):
             await reserve(placement).__aenter__()
@@ -402,7 +402,7 @@
 
     paused = replace(whole_response(200), chunks=chunks)
     harness = make_harness(paused, whole_response(200), endpoint_count=1)
-    placer = PlainPlacer(view=harness.view, randomness=Random(1))
+    placer = make_plain_placer(harness.view)
     use(harness, place=placer.place, release=placer.release)
     exchange, _ = serve(harness, IDEMPOTENT)
     assert [each.endpoint for each in harness.sent] == ['i-0']
--- a/tests/test_endpoint_back_offs.py
+++ b/tests/test_endpoint_back_offs.py
@@ -1,15 +1,18 @@
 """Tests that nothing is sent to an endpoint in the time that it named."""
 
-import random
 from dataclasses import replace
 
 import trio
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from forward_harness import make_endpoints, make_route
+from forward_harness import (
+    make_announcements,
+    make_endpoints,
+    make_plain_placer,
+    make_route,
+)
 from limpetdrift.coordination.endpoint_gate import make_gate
-from limpetdrift.coordination.plain_placer import PlainPlacer
 from limpetdrift.protocol.verdict import Reason
 from limpetdrift.protocol.work import CallerRequest
 from limpetdrift.state.endpoint_back_offs import (
@@ -246,7 +249,7 @@
         self.endpoints = (FIRST, SECOND, THIRD)
         self.view = EndpointView(clock=trio.current_time)
         self.view.replace(self.endpoints)
-        self.placer = PlainPlacer(view=self.view, randomness=random.Random(1))
+        self.placer = make_plain_placer(self.view)
         self.count = 0
 
     def make_call(self) -> CallerRequest:
@@ -297,7 +300,7 @@
     """Their planned delays may end when the back-off has ended."""
     harness = PlainHarness()
     harness.view.replace((FIRST,))
-    gate = make_gate(harness.view, lambda endpoint: None)
+    gate = make_gate(harness.view, make_announcements())
     calls = [harness.make_call() for _ in range(20)]
     placed = [
         (await harness.placer.place(each, frozenset())).ok for each in calls
@@ -334,7 +337,7 @@
     refused = next(each.error for each in placed if each.is_error())
     assert refused.retry_after_seconds > 0
     work, placement = accepted[0]
-    gate = make_gate(harness.view, lambda endpoint: None)
+    gate = make_gate(harness.view, make_announcements())
     gate.record_success(work, placement)
     for call in calls:
         assert (await harness.placer.place(call, frozenset())).is_ok()
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forward_harness import make_route
+from forward_harness import make_announcements, make_route
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
 from limpetdrift.coordination.endpoint_gate import make_gate
 from limpetdrift.coordination.endpoint_response import EndpointResponse
@@ -54,7 +54,7 @@
     announced: list[ListedEndpoint] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        gate = make_gate(self.view, self.announced.append)
+        gate = make_gate(self.view, make_announcements(self.announced.append))
         self._send = make_send_request(
             self.client, lambda endpoint, load: None, gate
         )
@@ -335,14 +335,15 @@
 
     async def body(calls: Calls) -> None:
         limits = calls.view.limits
+        identity = calls.endpoint.identity
         await getattr(calls, call)()
         calls.standin.rate_limit = 50
         await getattr(calls, call)()
-        await getattr(calls, call)()
-        assert limits.rate_of(calls.endpoint.identity) == 50
+        await calls.send(permitted=frozenset((identity,)))
+        assert limits.rate_of(identity) == 50
         calls.standin.rate_limit = None
-        await getattr(calls, call)()
-        assert limits.rate_of(calls.endpoint.identity) == UNLIMITED
+        await calls.send(permitted=frozenset((identity,)))
+        assert limits.rate_of(identity) == UNLIMITED
         assert lines == [(None, 50.0), (50.0, None)]
 
     run_calls(body)
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -9,10 +9,15 @@
 from expression import Error, Ok
 from trio.testing import memory_stream_pair
 
-from forward_harness import make_endpoints, make_route, whole_response
+from forward_harness import (
+    make_announcements,
+    make_endpoints,
+    make_plain_placer,
+    make_route,
+    whole_response,
+)
 from limpetdrift.coordination.attempt_race import AttemptRace
 from limpetdrift.coordination.endpoint_gate import EndpointSignals, make_gate
-from limpetdrift.coordination.plain_placer import PlainPlacer
 from limpetdrift.coordination.routing_relay import (
     EndpointListState,
     RoutingRelay,
@@ -69,7 +74,7 @@
 async def test_running_request_keeps_its_memory_in_a_back_off():
     engine = SilentEngine()
     view = EndpointView(clock=trio.current_time)
-    gate = make_gate(view, lambda endpoint: None)
+    gate = make_gate(view, make_announcements())
     async with make_reserver(engine, 'entry-1', gate)(PLAN):
         await trio.sleep(0.5)
         # The engine turns another request of this entry away.
@@ -83,8 +88,8 @@
 async def test_second_try_at_one_endpoint_frees_no_recovery_slot():
     view = EndpointView(clock=trio.current_time)
     view.replace((FIRST,))
-    gate = make_gate(view, lambda endpoint: None)
-    placer = PlainPlacer(view=view, randomness=random.Random(1))
+    gate = make_gate(view, make_announcements())
+    placer = make_plain_placer(view)
     gate.apply_signals(FIRST, EndpointSignals(back_off_seconds=0.5))
     await trio.sleep(0.6)
     works = [
