--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -17,11 +17,9 @@
     DispatchPlan,
     ListedEndpoint,
 )
+from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 
-# Time without an answer after which an endpoint that limits its rate is polled.
-LIMITED_POLL_SECONDS = 10.0
-
 
 @unique
 class CallKind(StrEnum):
@@ -191,8 +189,7 @@
     limits = view.limits
     if not limits.is_limited(endpoint.identity):
         return True
-    silence = limits.seconds_since_named(endpoint.identity)
-    if silence < LIMITED_POLL_SECONDS:
+    if limits.seconds_untold(endpoint.identity) < UNTOLD_SECONDS:
         return False
     _count_call(view, endpoint, CallKind.REPORT)
     spend(endpoint)
--- a/src/limpetdrift/coordination/endpoint_permits.py
+++ b/src/limpetdrift/coordination/endpoint_permits.py
@@ -12,6 +12,7 @@
 from limpetdrift import telemetry
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.engine_ledger import EngineUsage
 from limpetdrift.state.rate_budget import RateBudgets, RetryTimes
@@ -56,6 +57,13 @@
         """Return whether an endpoint may get a call now."""
         return self.calls_left(endpoint) >= 1
 
+    def may_try(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether a call is due that tells if a limit has ended.
+
+        An endpoint with a limit of zero would else be lost for good.
+        """
+        return self._limits.seconds_untold(endpoint.identity) >= UNTOLD_SECONDS
+
     def open_only(
         self, endpoints: tuple[ListedEndpoint, ...]
     ) -> tuple[ListedEndpoint, ...]:
@@ -91,7 +99,8 @@
         """Count a call; return whether the endpoint has a limit."""
         if not self._limits.is_limited(endpoint.identity):
             return False
-        self._budgets.forget_others(self._limits)
+        self._limits.record_call(endpoint.identity)
+        self._budgets.forget_unless(self._limits.is_limited)
         self._budgets.take(endpoint.identity)
         return True
 
--- a/src/limpetdrift/coordination/permit_client.py
+++ b/src/limpetdrift/coordination/permit_client.py
@@ -133,7 +133,7 @@
             if (endpoint := view.find(each.name, each.lifetime))
         )
         for endpoint in endpoints:
-            if permits.may_call(endpoint):
+            if permits.may_call(endpoint) or permits.may_try(endpoint):
                 permits.take(endpoint)
                 telemetry.count('permits', outcome='granted')
                 return Ok(Permit(endpoint=endpoint_id_of(endpoint)))
--- a/src/limpetdrift/state/endpoint_limits.py
+++ b/src/limpetdrift/state/endpoint_limits.py
@@ -19,6 +19,9 @@
 
 # The rate of an endpoint that names no limit, in requests a second.
 UNLIMITED = math.inf
+# Time without news of a limit after which the endpoint gets a call that tells
+# whether it has ended, even if the limit itself allows none.
+UNTOLD_SECONDS = 10.0
 # Retention period of limits whose lifetime isn't listed. An entry that starts
 # may learn of limits before it has read the list.
 UNLISTED_RETENTION_SECONDS = 120.0
@@ -28,11 +31,15 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Limit:
-    """A limit, when it was last named, and since when there is one here."""
+    """A limit, when it was last named, and since when there is one here.
+
+    ``called_at`` is when a call was last permitted, whose answer tells of it.
+    """
 
     rate: float
     named_at: float
     limited_since: float
+    called_at: float = float('-inf')
 
 
 class EndpointLimits:
@@ -49,10 +56,6 @@
         """Whether a limit is or was known."""
         return bool(self._limits)
 
-    def __contains__(self, identity: Identity) -> bool:
-        """Whether a limit of a lifetime is or was known."""
-        return identity in self._limits
-
     @property
     def digest(self) -> int:
         """A hash over the limits in force."""
@@ -96,10 +99,18 @@
         limit = self._limits.get(identity)
         return math.inf if limit is None else limit.limited_since
 
-    def seconds_since_named(self, identity: Identity) -> float:
-        """Return the time since an answer told of a lifetime's limit."""
+    def record_call(self, identity: Identity) -> None:
+        """Record a call whose answer will tell of a lifetime's limit."""
         limit = self._limits.get(identity)
-        return math.inf if limit is None else self._clock() - limit.named_at
+        if limit is not None:
+            limit.called_at = self._clock()
+
+    def seconds_untold(self, identity: Identity) -> float:
+        """Return the time since an answer told of a limit or was due to."""
+        limit = self._limits.get(identity)
+        if limit is None:
+            return math.inf
+        return self._clock() - max(limit.named_at, limit.called_at)
 
     def record_of(self, identity: Identity) -> LimitRecord | None:
         """Return what is known of a lifetime's limit, for a peer."""
--- a/src/limpetdrift/state/rate_budget.py
+++ b/src/limpetdrift/state/rate_budget.py
@@ -7,7 +7,7 @@
 that all should ask uses nearly the whole limit; any other uses a small part.
 """
 
-from collections.abc import Callable, Container
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -72,10 +72,10 @@
         if bucket is not None:
             bucket.calls = max(-_MAX_DEBT_CALLS, bucket.calls - 1)
 
-    def forget_others(self, kept: Container[Identity]) -> None:
-        """Drop the buckets of all other lifetimes."""
+    def forget_unless(self, is_kept: Callable[[Identity], bool]) -> None:
+        """Drop the buckets of lifetimes that need none."""
         for identity in tuple(self._buckets):
-            if identity not in kept:
+            if not is_kept(identity):
                 self._buckets.pop(identity)
 
 
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -7,7 +7,7 @@
 import json
 import random
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
 from expression import Ok
@@ -112,6 +112,10 @@
             default=0,
         )
 
+    def count_all_as_told(self) -> None:
+        """Let no start of an entry excuse any of its calls."""
+        self.arrivals = [replace(each, is_told=True) for each in self.arrivals]
+
     def count_since(self, since: float, kind: str = 'request') -> int:
         """Return the calls of a kind since a time."""
         return sum(
