Bound what an entry reads of an answer that does not end

A server in trouble may send bytes without end, in a head or a body. Seen: a plain answer took an entry to 3.7 GB in 1.5 s, and 100 Continue was read until the deadline. Now a body that is read whole has a maximum length (reports and orders 1 MiB), interim responses a number, an event 1 MiB. A plain answer is kept up to 1 MiB, so that another endpoint can answer if it breaks off; beyond, it is passed on as it arrives, up to 64 MiB, and no other endpoint is tried.

--- a/benchmarks/shared_limits.py
+++ b/benchmarks/shared_limits.py
@@ -54,6 +54,8 @@
             since = trio.current_time()
             sent = site.network.bytes
             await site.offer(service, rate=rate, seconds=SECONDS)
+            for endpoint in endpoints:
+                endpoint.count_all_as_told()
             taken = sum(each.count_since(since) for each in endpoints)
             served = [
                 each.seconds
--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -1,6 +1,6 @@
 """Relays an endpoint's response to the caller of a request."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 from expression import Error, Ok
@@ -25,6 +25,12 @@
 from limpetdrift.transport.server import Exchange
 
 EndpointIdentity = tuple[str, int]
+# Longest body that is kept until it is whole, so that another endpoint can
+# answer if it breaks off.
+MAX_BUFFERED_BYTES = 1_048_576
+# Longest body that is passed on. An endpoint that fails may send one without
+# end.
+MAX_BODY_BYTES = 67_108_864
 
 
 @dataclass(kw_only=True, slots=True)
@@ -38,6 +44,8 @@
     ``last_event`` is the number of the last stream event that the caller has,
     ``last_event_at`` when one was last sent to the caller, and
     ``endpoint_answer`` the last error response of an endpoint.
+    ``is_answer_final`` is set once part of a body was sent that no other
+    attempt can continue.
     ``is_logged`` says that the request is logged even if it succeeds.
     ``may_retry`` returns whether the retry budget has a retry left.
     """
@@ -57,6 +65,7 @@
     has_caller_left: bool = False
     is_logged: bool = False
     endpoint_answer: Response | None = None
+    is_answer_final: bool = False
 
     @property
     def verdict(self) -> Verdict:
@@ -80,19 +89,26 @@
     """Read an endpoint's whole response, then send it to the caller.
 
     Nothing is sent if the endpoint refused the request or failed; the failure
-    is returned.
+    is returned. A long response is sent as it arrives.
     """
     if answer.refused:
         return Error(_refusal(answer))
-    body = b''.join([chunk async for chunk in answer.chunks()])
     if answer.is_for_other_request or progress.is_head_sent:
         return Error(may_have_run(Reason.BAD_ANSWER, 'not what was asked'))
+    chunks = answer.chunks()
+    body = await _read_up_to(chunks, MAX_BUFFERED_BYTES)
+    is_failure = is_failure_of_endpoint(progress.request.route, answer.status)
+    if len(body) > MAX_BUFFERED_BYTES:
+        if is_failure:
+            return Error(may_have_run(Reason.BAD_ANSWER, 'failure too long'))
+        await _relay_long_body(progress, answer, attempt, body, chunks)
+        return Ok(None)
     response = Response(
         status=answer.status,
         headers=answer.headers,
         body=body,
     )
-    if is_failure_of_endpoint(progress.request.route, answer.status):
+    if is_failure:
         progress.endpoint_answer = response
         return Error(
             Failure(
@@ -107,6 +123,46 @@
     return Ok(None)
 
 
+async def _read_up_to(chunks: AsyncIterator[bytes], limit: int) -> bytes:
+    """Read a body to its end, or until it is longer than ``limit`` bytes."""
+    received = []
+    length = 0
+    async for chunk in chunks:
+        received.append(chunk)
+        length += len(chunk)
+        if length > limit:
+            break
+    return b''.join(received)
+
+
+async def _relay_long_body(
+    progress: RequestProgress,
+    answer: EndpointResponse,
+    attempt: RacingAttempt,
+    begin: bytes,
+    chunks: AsyncIterator[bytes],
+) -> None:
+    """Send a body as it arrives, ``begin`` first.
+
+    It can't be answered otherwise once it has begun, so no other endpoint is
+    tried. Raises ``FailureError`` if it is longer than ``MAX_BODY_BYTES``.
+    """
+    await attempt.claim_answer()
+    progress.is_answer_final = True
+    await _send_head(progress, answer)
+    await progress.exchange.send(begin)
+    length = len(begin)
+    async for chunk in chunks:
+        length += len(chunk)
+        if length > MAX_BODY_BYTES:
+            raise FailureError(
+                may_have_run(Reason.BAD_ANSWER, 'body without end')
+            )
+        await progress.exchange.send(chunk)
+    await progress.exchange.finish()
+    attempt.race.mark_answered()
+
+
 async def relay_events(
     progress: RequestProgress,
     answer: EndpointResponse,
--- a/src/limpetdrift/coordination/event_relay.py
+++ b/src/limpetdrift/coordination/event_relay.py
@@ -16,6 +16,8 @@
 
 _EVENT_TERMINATOR = b'\n\n'
 _ID_FIELD = b'id:'
+# Maximum length of one event. An engine that fails may send bytes without end.
+MAX_EVENT_BYTES = 1_048_576
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -37,12 +39,20 @@
     *,
     framed: bool,
 ) -> AsyncIterator[StreamEvent]:
-    """Yield whole events; raise ``FailureError`` if the last is cut off."""
+    """Yield whole events.
+
+    Raise ``FailureError`` if the last is cut off, or one is longer than
+    ``MAX_EVENT_BYTES``.
+    """
     rest = b''
     async for chunk in chunks:
         events, rest = split_events(rest + chunk)
         for event in events:
             yield event
+        if len(rest) > MAX_EVENT_BYTES:
+            raise FailureError(
+                may_have_run(Reason.BAD_ANSWER, 'event is too long'),
+            )
     if rest.strip():
         if not framed:
             raise FailureError(
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -257,7 +257,7 @@
         A retry after attempts that reached no endpoint is free of charge.
         """
         request = progress.request
-        if progress.placements >= PLACEMENT_LIMIT:
+        if progress.placements >= PLACEMENT_LIMIT or progress.is_answer_final:
             return False
         is_allowed = may_repeat(
             request.route,
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -77,6 +77,8 @@
 ENDPOINT_CONNECT_TIMEOUT_SECONDS = 0.25
 PEER_CONNECT_TIMEOUT_SECONDS = 0.3
 STORE_CONNECT_TIMEOUT_SECONDS = 0.5
+# Longest answer of an endpoint to a report poll or an order.
+ENDPOINT_WHOLE_BYTES = 1_048_576
 # Grace period of a drain, in which requests are still accepted, as a share of
 # the time that the platform allows for a stop; and the safety margin by which
 # the process ends before it would be killed.
@@ -189,7 +191,11 @@
             revoke_seconds=context.settings.bounds.revoke_seconds,
         ),
     )
-    planning = build_planning(context, call, HttpClient())
+    planning = build_planning(
+        context,
+        call,
+        HttpClient(limits=ClientLimits(whole_bytes=ENDPOINT_WHOLE_BYTES)),
+    )
     crash_guard = build_crash_guard(context, call)
     callers, drain = _build_caller_server(context, planning, crash_guard)
 
@@ -290,6 +296,7 @@
         limits=ClientLimits(
             connect_seconds=ENDPOINT_CONNECT_TIMEOUT_SECONDS,
             idle_connections=0,
+            whole_bytes=ENDPOINT_WHOLE_BYTES,
             # An engine may read a prompt for longer than it may hold memory
             # for one whose engine has died.
             probes_keep_alive=True,
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -41,6 +41,8 @@
 # A request of this size fits into the buffers of a new connection. A longer one
 # is written in parts of this size, each of which extends the idle timeout.
 SHORT_REQUEST_BYTES = 65_536
+# Interim responses before a response. A peer may send a few of them.
+MAX_INTERIM_RESPONSES = 16
 _BROKEN_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -50,7 +52,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ClientLimits:
-    """Limits of a client on time and on pooled connections.
+    """Limits of a client on time, memory and pooled connections.
 
     ``connect_seconds`` is the connect timeout. ``idle_timeout_seconds``
     bounds each wait for the peer's next byte. ``idle_seconds`` is the time
@@ -59,7 +61,8 @@
     ``probes_keep_alive``, a connection breaks about
     ``KEEP_ALIVE_TIMEOUT_SECONDS`` after the peer's machine has stopped
     acknowledging, also while nothing is sent; a process that only pauses still
-    acknowledges.
+    acknowledges. ``whole_bytes`` is the maximum length of a body, or a line of
+    one, that is read as a whole: a peer may send bytes without end.
     """
 
     connect_seconds: float = 1.0
@@ -67,6 +70,7 @@
     idle_seconds: float = 30.0
     idle_connections: int = 32
     probes_keep_alive: bool = False
+    whole_bytes: int = 33_554_432
 
 
 @dataclass(kw_only=True, slots=True)
@@ -118,9 +122,11 @@
         headers: Headers,
         connection: _PooledConnection,
         idle_timeout: 'IdleTimeout',
+        whole_bytes: int,
     ) -> None:
         self.status = status
         self.headers = headers
+        self._whole_bytes = whole_bytes
         self._connection = connection
         self._idle_timeout = idle_timeout
 
@@ -139,12 +145,28 @@
             *whole, rest = (rest + chunk).split(b'\n')
             for line in whole:
                 yield line
+            self._check_length(len(rest))
         if rest:
             yield rest
 
     async def read(self) -> bytes:
-        """Return the whole body."""
-        return b''.join([chunk async for chunk in self.chunks()])
+        """Return the whole body; raise ``FailureError`` if it is too long."""
+        chunks = []
+        length = 0
+        async for chunk in self.chunks():
+            length += len(chunk)
+            self._check_length(length)
+            chunks.append(chunk)
+        return b''.join(chunks)
+
+    def _check_length(self, length: int) -> None:
+        if length > self._whole_bytes:
+            raise FailureError(
+                may_have_run(
+                    Reason.BAD_ANSWER,
+                    f'body is longer than {self._whole_bytes} bytes',
+                ),
+            )
 
 
 class HttpClient:
@@ -178,7 +200,10 @@
                 payload = _encode_request(connection.protocol, address, request)
                 async with _sending(connection, payload, idle_timeout):
                     yield await _open_response(
-                        connection, address, idle_timeout
+                        connection,
+                        address,
+                        idle_timeout,
+                        self._limits.whole_bytes,
                     )
         finally:
             self._release(address, connection)
@@ -340,9 +365,18 @@
     connection: _PooledConnection,
     address: Address,
     idle_timeout: IdleTimeout,
+    whole_bytes: int,
 ) -> ResponseStream:
     event = await _next_event(connection, idle_timeout)
+    interim_count = 0
     while isinstance(event, h11.InformationalResponse):
+        interim_count += 1
+        if interim_count > MAX_INTERIM_RESPONSES:
+            raise FailureError(
+                may_have_run(
+                    Reason.BAD_ANSWER, f'{address}: only interim responses'
+                ),
+            )
         event = await _next_event(connection, idle_timeout)
     if not isinstance(event, h11.Response):
         raise FailureError(
@@ -353,6 +387,7 @@
         headers=_decode_headers(event.headers),
         connection=connection,
         idle_timeout=idle_timeout,
+        whole_bytes=whole_bytes,
     )
 
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -72,6 +72,7 @@
         taken = [each.count_since(since) for each in endpoints]
         assert sum(taken) >= LEAST_USE * len(endpoints) * 14
         for endpoint in endpoints:
+            endpoint.count_all_as_told()
             assert endpoint.worst_window(since=5) <= bound_of(1)
 
 
