Close pooled connections that hold bytes of no awaited answer

A server may send a second copy of an answer, late. On a pooled connection the next call took it for its own answer. Requests to endpoints always use new connections and check the echoed id, so no caller of the platform was affected; report polls and calls to peers and to the store reuse connections. Now one is closed if more than the answer has arrived, or if it isn't quiet when it is to be used again; the latter also spares calls on connections that the peer has closed. test_second_copies: three of four cases failed before.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import select
 import socket
 from collections import defaultdict
 from collections.abc import AsyncIterator
@@ -294,7 +295,7 @@
         earliest = trio.current_time() - self._limits.idle_seconds
         while idle:
             connection = idle.pop()
-            if connection.idle_since >= earliest:
+            if connection.idle_since >= earliest and _is_quiet(connection):
                 connection.reused = True
                 return connection
             _close(connection)
@@ -305,7 +306,9 @@
         states = {protocol.our_state, protocol.their_state}
         is_complete = connection.is_sent and states == {h11.DONE}
         idle = self._idle[address]
-        if not is_complete or len(idle) >= self._limits.idle_connections:
+        has_more = bool(protocol.trailing_data[0])
+        is_full = len(idle) >= self._limits.idle_connections
+        if not is_complete or has_more or is_full:
             _close(connection)
             return
         protocol.start_next_cycle()
@@ -353,6 +356,20 @@
     return False
 
 
+def _is_quiet(connection: _PooledConnection) -> bool:
+    """Return whether an idle connection is open and has nothing to read.
+
+    Bytes that no request is waiting for, such as a second copy of an answer,
+    would be taken for the answer to the next request.
+    """
+    if not isinstance(connection.stream, trio.SocketStream):
+        return True
+    descriptor = connection.stream.socket.fileno()
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return not poller.poll(0)
+
+
 def _close(connection: _PooledConnection) -> None:
     transport = connection.stream
     if isinstance(transport, trio.SSLStream):
