Answer requests on connections that a closing server has not taken yet

During a planned stop under load, connections wait in the listener's queue. They were reset when the server closed: their requests got no answer. The server now takes them for 0.05 s more before it closes its listeners. The new test of test_server_close failed before with a reset.

--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -38,6 +38,9 @@
 _TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
 _INTERNAL_ERROR = 500
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Time in which a server that closes still takes connections from the queues
+# of its listeners.
+LAST_ACCEPT_SECONDS = 0.05
 # How long the last responses may take when a server closes.
 LAST_WRITE_SECONDS = 0.28
 
@@ -215,11 +218,14 @@
         a response get status 500.
         """
         self._is_closing = True
-        for accept_scope in self._accept_scopes:
-            accept_scope.cancel()
         for connection in self._connections:
             connection.close_when_idle()
-        with trio.move_on_after(timeout_seconds):
+        # The system has accepted connections that are still to be served.
+        accept_seconds = min(LAST_ACCEPT_SECONDS, timeout_seconds)
+        await trio.sleep(accept_seconds)
+        for accept_scope in self._accept_scopes:
+            accept_scope.cancel()
+        with trio.move_on_after(timeout_seconds - accept_seconds):
             await self._wait_unconnected()
         for unfinished in self._connections:
             unfinished.handler_scope.cancel()
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -1,5 +1,7 @@
 """A server that closes answers the requests that it has begun to read."""
 
+import socket
+
 import pytest
 import trio
 
@@ -109,3 +111,26 @@
                 await trio.open_tcp_stream(address.host, address.port)
 
     trio.run(run)
+
+
+def test_request_on_a_connection_that_is_not_served_yet_is_answered():
+    """The system accepts connections before the server knows of them."""
+
+    async def run():
+        server = Server(handler=refuse)
+        async with trio.open_nursery() as nursery:
+            listeners = await listen(Address(host='127.0.0.1', port=0))
+            address = bound_address(listeners)
+            await nursery.start(server.serve, listeners)
+            peers = []
+            for _ in range(30):
+                peer = socket.create_connection((address.host, address.port))
+                peer.sendall(HEAD)
+                peers.append(peer)
+            with trio.fail_after(10):
+                await server.close(5.0)
+        for peer in peers:
+            with peer:
+                assert peer.recv(65_536).endswith(b'draining')
+
+    trio.run(run)
