Count only new events of a stream as progress

A stalled stream that sent a comment or an event that the caller had now and then restarted its idle timeout each time, and lasted until the deadline. Now another engine is tried beside it. Comments are passed on except while two attempts race.

--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -178,7 +178,9 @@
         raise FailureError(may_have_run(Reason.BAD_ANSWER, 'foreign answer'))
     events = whole_events(answer.chunks(), framed=answer.framed)
     async for event in events:
-        await _relay_event(progress, answer, attempt, event)
+        if not await _relay_event(progress, answer, attempt, event):
+            # A stream that stalls may go on sending comments.
+            continue
         attempt.expect_answer_within(
             stream_idle_timeout_seconds(
                 progress.request.route,
@@ -198,7 +200,8 @@
     answer: EndpointResponse,
     attempt: RacingAttempt,
     event: StreamEvent,
-) -> None:
+) -> bool:
+    """Send an event unless the caller has it; return whether it is new."""
     last_number = progress.last_event
     is_known = (
         event.number is not None
@@ -206,15 +209,22 @@
         and event.number <= last_number
     )
     is_unordered = event.number is None and last_number is not None
+    is_progress = not (is_known or is_unordered or event.is_comment)
     if is_known or (is_unordered and not attempt.has_written):
         # Only a new numbered event shows that this attempt is ahead.
-        return
-    await attempt.claim_answer()
+        return False
+    if is_progress:
+        await attempt.claim_answer()
+    elif attempt.race.has_other_contender(attempt):
+        return False
     if event.number is not None:
         progress.last_event = event.number
     await _send_head(progress, answer)
     await progress.exchange.send(event.payload)
-    progress.last_event_at = progress.clock()
+    attempt.has_written = True
+    if is_progress:
+        progress.last_event_at = progress.clock()
+    return is_progress
 
 
 async def _send_head(
--- a/src/limpetdrift/coordination/event_relay.py
+++ b/src/limpetdrift/coordination/event_relay.py
@@ -16,6 +16,7 @@
 
 _EVENT_TERMINATOR = b'\n\n'
 _ID_FIELD = b'id:'
+_COMMENT = b':'
 # Maximum length of one event. An engine that fails may send bytes without end.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -27,6 +28,12 @@
     number: int | None
     payload: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether the event has only comments, which keep a stream alive."""
+        lines = self.payload.splitlines()
+        return all(line.startswith(_COMMENT) for line in lines if line)
+
 
 def split_events(received: bytes) -> tuple[list[StreamEvent], bytes]:
     """Return the whole events at the start, and the bytes after them."""
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -290,6 +290,44 @@
     assert exchange.finished
 
 
+@pytest.mark.parametrize(
+    ('begun', 'trickle'),
+    [
+        (0, b': waiting\n\n'),
+        (3, b': waiting\n\n'),
+        (0, b'i'),
+        (3, b'i'),
+        (3, b'id: 1\ndata: x\n\n'),
+    ],
+)
+def test_stalled_stream_that_sends_bytes_now_and_then_goes_on_elsewhere(
+    begun, trickle
+):
+    async def stalled(seen: int):
+        for number in range(1, begun + 1):
+            yield f'id: {number}\ndata: x\n\n'.encode()
+        while True:
+            yield trickle
+            await trio.sleep(0.3)
+
+    harness = make_harness(stalled, events(1, 6))
+    exchange, seconds = serve(harness, make_route())
+    numbered = [number for number in numbers(exchange.payload) if number]
+    assert numbered == [1, 2, 3, 4, 5, 6]
+    assert exchange.finished
+    assert len(harness.sent) == 2
+    assert seconds < 5
+
+
+def test_slow_but_sound_stream_is_not_tried_elsewhere():
+    """Each pause is longer than the route's, and shorter than a silence."""
+    harness = make_harness(events(1, 8, pause=1.0))
+    exchange, _ = serve(harness, make_route())
+    assert numbers(exchange.payload) == list(range(1, 9))
+    assert exchange.finished
+    assert len(harness.sent) == 1
+
+
 async def break_off() -> None:
     raise trio.BrokenResourceError('of an order')
 
