--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -60,6 +60,16 @@
     until: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RateLimit:
+    """A limit that an endpoint named, in requests a second, and its time."""
+
+    endpoint: str
+    rate: float
+    since: float
+    until: float
+
+
 @dataclass(kw_only=True)
 class Journal:
     """What all endpoints recorded; times are in seconds of their clock.
@@ -70,7 +80,7 @@
     ``broken`` holds the requests whose answers an endpoint broke off.
     ``turned_away`` are the requests that were answered with a time to retry;
     ``told_leaving`` has a request id and an endpoint for each run whose answer
-    says that the endpoint leaves.
+    says that the endpoint leaves. ``limits`` are the rate limits of endpoints.
     """
 
     runs: list[Run] = field(default_factory=list)
@@ -79,6 +89,7 @@
     broken: set[str] = field(default_factory=set)
     turned_away: list[TurnedAway] = field(default_factory=list)
     told_leaving: list[tuple[str, str]] = field(default_factory=list)
+    limits: list[RateLimit] = field(default_factory=list)
 
 
 class StandinEndpoint:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -29,6 +29,10 @@
 # after it, and this many later.
 _ARRIVAL_SECONDS = 0.5
 _LATE_ARRIVALS = 2
+# Time after which all entries know a rate limit, and the window in which the
+# calls to an endpoint are counted.
+_TOLD_SECONDS = 3.0
+_LIMIT_WINDOW_SECONDS = 4.0
 
 # An entry that stops may cut off requests that were sent at most so long after
 # the SIGTERM, from this time after it on.
@@ -171,6 +175,32 @@
             yield f'{len(late)} requests of {host} reached {endpoint} too soon'
 
 
+def kept_limits(site: Site, calls: list[Call]) -> Iterator[str]:
+    """An endpoint gets no more calls in any time than its rate limit allows.
+
+    Entries that were killed, stopped or frozen meanwhile are not counted.
+    """
+    hosts = {call.request_id: call.entry for call in calls}
+    entries = {entry.host: entry for entry in site.entries}
+    for limit in site.journal.limits:
+        times = [
+            at
+            for request_id, endpoint, at in site.journal.arrivals
+            if endpoint == limit.endpoint
+            and limit.since + _TOLD_SECONDS <= at <= limit.until
+            and request_id in hosts
+            and not _is_interrupted(entries[hosts[request_id]], limit.since, at)
+        ]
+        allowed = 1.5 * limit.rate * _LIMIT_WINDOW_SECONDS + 5
+        for first in times:
+            window = [
+                at for at in times if 0 <= at - first < _LIMIT_WINDOW_SECONDS
+            ]
+            if len(window) > allowed:
+                yield f'{limit.endpoint} got {len(window)} calls, {limit.rate}'
+                break
+
+
 def timely_answers(site: Site, calls: list[Call]) -> Iterator[str]:
     """Every request ends at most half a second after its deadline.
 
@@ -295,5 +325,6 @@
     leaving_endpoints,
     told_endpoints,
     kept_back_offs,
+    kept_limits,
     timely_answers,
 )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,7 @@
 
 import trio
 
+from limpet_standins.platform_endpoints import RateLimit
 from limpet_standins.relay import RelayFaults
 from soak.site import STOP_GRACE_SECONDS, EntryProcess, Site
 
@@ -32,6 +33,9 @@
 # how long one turns requests away.
 _ANNOUNCEMENT_SECONDS = (4.0, 8.0)
 _BACK_OFF_SECONDS = (4.0, 8.0)
+# How long endpoints limit their rate, and to how many requests a second.
+_LIMIT_SECONDS = (6.0, 12.0)
+_RATE_LIMITS = (0.4, 1, 3)
 
 
 def _choose_entry(site: Site, randomness: random.Random) -> EntryProcess:
@@ -238,6 +242,31 @@
     await trio.sleep(seconds)
 
 
+async def limit_endpoints(
+    site: Site, randomness: random.Random, until: float
+) -> None:
+    """Let one to three endpoints after another name a rate limit for a time."""
+    while time.monotonic() < until:
+        await trio.sleep(randomness.uniform(*_PAUSE_SECONDS))
+        seconds = randomness.uniform(*_LIMIT_SECONDS)
+        names = randomness.sample(sorted(site.endpoints), 3)
+        limited = [site.endpoints[name].endpoint for name in names]
+        for endpoint in limited:
+            endpoint.rate_limit = randomness.choice(_RATE_LIMITS)
+            since = time.monotonic()
+            site.journal.limits.append(
+                RateLimit(
+                    endpoint=endpoint.name,
+                    rate=endpoint.rate_limit,
+                    since=since,
+                    until=since + seconds,
+                )
+            )
+        await trio.sleep(seconds)
+        for each in limited:
+            each.rate_limit = None
+
+
 async def pause_endpoints(
     site: Site, randomness: random.Random, until: float
 ) -> None:
@@ -337,9 +366,13 @@
     Return the names of the faults after the last one has ended.
     """
     injected: list[str] = []
-    pauses = random.Random(randomness.random())
+    pauses_seed = randomness.random()
+    pauses = random.Random(pauses_seed)
+    # Derived, so that earlier seeds inject the same faults as before.
+    limits = random.Random(1 + pauses_seed)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(pause_endpoints, site, pauses, until)
+        nursery.start_soon(limit_endpoints, site, limits, until)
         while time.monotonic() < until:
             await trio.sleep(randomness.uniform(*_PAUSE_SECONDS))
             for fault in randomness.sample(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,7 +9,12 @@
 import pytest
 import trio
 
-from limpet_standins.platform_endpoints import Journal, Run, TurnedAway
+from limpet_standins.platform_endpoints import (
+    Journal,
+    RateLimit,
+    Run,
+    TurnedAway,
+)
 from limpetdrift.transport.messages import Address, Request
 from limpetdrift.transport.server import bound_address, listen
 from soak import checks
@@ -59,6 +64,7 @@
     journal.broken = values.pop('broken', set())
     journal.told_leaving = values.pop('told_leaving', [])
     journal.turned_away = values.pop('turned_away', [])
+    journal.limits = values.pop('limits', [])
     return SimpleNamespace(
         journal=journal,
         revoked_at=values.pop('revoked_at', {}),
@@ -133,6 +139,16 @@
     assert not list(checks.told_endpoints(site, [CALL, sooner]))
 
 
+@pytest.mark.parametrize(('rate', 'is_kept'), [(0.4, False), (1, True)])
+def test_calls_to_an_endpoint_with_a_rate_limit_are_counted(rate, is_kept):
+    runs = [
+        dataclasses.replace(RUN, at=NOW + number / 3) for number in range(10)
+    ]
+    limit = RateLimit(endpoint='i-1', rate=rate, since=NOW - 5, until=NOW + 60)
+    site = make_site(*runs, limits=[limit])
+    assert is_kept == (not list(checks.kept_limits(site, [CALL])))
+
+
 def test_few_requests_to_an_endpoint_in_back_off_are_allowed():
     site = make_site(turned_away=SOON[:-1])
     assert not list(checks.kept_back_offs(site, [CALL]))
