Poll several peers at once for a newer configuration than the store's

After a return of the store, an entry that started polled one peer. If that one was dead, the older copy that the entry had read counted as confirmed, so a revoked key or an older route was in force.

--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -48,6 +48,8 @@
 MIN_READERS = 3
 # Long-poll timeout: how long a reader delays its reply if nothing changes.
 LONG_POLL_SECONDS = 1.0
+# Peers that are polled at once for a newer configuration than the store's.
+MAX_PARALLEL_POLLS = 3
 # Margin of the caller's timeout over the long-poll timeout.
 REPLY_MARGIN_SECONDS = 0.4
 # Long-poll timeout of a reader's own reads of the store while it serves other
@@ -187,7 +189,7 @@
         and at the latest after the long-poll timeout.
         """
         with trio.move_on_after(min(request.wait_seconds, LONG_POLL_SECONDS)):
-            while not self._is_reply_due(request):
+            while not _is_reply_due(self._inputs, request):
                 await self._changed.wait()
         return Ok(self._reply(request))
 
@@ -196,7 +198,7 @@
         while True:
             if self._inputs.store_era.is_peer_poll_due:
                 era = self._inputs.store_era.known
-                await self._poll_once(wait_seconds=0.0)
+                await self._poll_any()
                 self._inputs.store_era.record_peer_poll(era)
             elif (
                 not self.is_store_reader or self._inputs.is_store_unreachable()
@@ -209,24 +211,34 @@
 
     async def poll_peer(self) -> None:
         """Poll one peer, and record whether it is stale."""
-        name, reply = await self._poll_once(wait_seconds=LONG_POLL_SECONDS)
-        if reply is None:
+        name, address = self._choose_peer()
+        if address is None:
             return
+        reply = await self._poll(address, wait_seconds=LONG_POLL_SECONDS)
         if reply.is_ok() and _is_fresh(reply.ok):
             self._stale_readers.clear()
         else:
             self._record_stale_reader(name, has_failed=reply.is_error())
 
-    async def _poll_once(
-        self, *, wait_seconds: float
-    ) -> tuple[str, Result[RoutingSyncReply, Failure] | None]:
-        """Poll one peer, and merge its reply; return its name and the reply.
+    async def _poll_any(self) -> None:
+        """Poll some peers at once, until one has replied.
 
-        The reply is ``None`` if there is no peer.
+        One that is dead or silent must not hide what another one knows.
         """
-        name, address = self._choose_peer()
-        if address is None:
-            return name, None
+        async with trio.open_nursery() as nursery:
+
+            async def poll(address: Address) -> None:
+                reply = await self._poll(address, wait_seconds=0.0)
+                if reply.is_ok():
+                    nursery.cancel_scope.cancel()
+
+            for address in _choose_some(self._inputs):
+                nursery.start_soon(poll, address)
+
+    async def _poll(
+        self, address: Address, *, wait_seconds: float
+    ) -> Result[RoutingSyncReply, Failure]:
+        """Poll one peer, and merge its reply."""
         sent_at = self._inputs.clock()
         reply = await self._inputs.call(
             address,
@@ -254,14 +266,7 @@
             and not self._inputs.is_store_unreachable(),
         ):
             self.notify_waiters()
-        return name, reply
-
-    def _is_reply_due(self, request: RoutingSyncRequest) -> bool:
-        return (
-            self._inputs.is_store_unreachable()
-            or are_routes_outdated(self._inputs.routes, request)
-            or is_list_outdated(self._inputs.endpoint_list_state, request)
-        )
+        return reply
 
     def _reply(self, request: RoutingSyncRequest) -> RoutingSyncReply:
         routes = self._inputs.routes
@@ -304,14 +309,7 @@
         own = self._inputs.node
         peers = [each for each in self._inputs.entries() if each != own]
         if not peers:
-            seeds = [
-                seed
-                for seed in self._inputs.seeds()
-                if seed != own.peer_address
-            ]
-            if not seeds:
-                return '', None
-            return '', self._inputs.randomness.choice(seeds)
+            return '', next(iter(_choose_some(self._inputs)), None)
         candidates = [
             each
             for each in self._readers_among(self._inputs.entries())
@@ -353,6 +351,28 @@
     )
 
 
+def _is_reply_due(
+    inputs: RoutingRelayInputs, request: RoutingSyncRequest
+) -> bool:
+    return (
+        inputs.is_store_unreachable()
+        or are_routes_outdated(inputs.routes, request)
+        or is_list_outdated(inputs.endpoint_list_state, request)
+    )
+
+
+def _choose_some(inputs: RoutingRelayInputs) -> list[Address]:
+    """Return a few random peers, or seeds before any peer is known."""
+    own_address = inputs.node.peer_address
+    peers = [each.peer_address for each in inputs.entries()]
+    addresses = [each for each in peers if each != own_address]
+    if not addresses:
+        seeds = inputs.seeds()
+        addresses = [each for each in seeds if each != own_address]
+    count = min(MAX_PARALLEL_POLLS, len(addresses))
+    return inputs.randomness.sample(addresses, count)
+
+
 def choose_readers(entries: Iterable[Node]) -> tuple[Node, ...]:
     """Return the entries that read the store for all others.
 
