--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -34,7 +34,7 @@
     return EndpointSignals(
         leaving=by_name.get(LEAVING_HEADER, '').strip() == _SET,
         back_off_seconds=_decode_back_off(endpoint, status, by_name),
-        rate_limit=_decode_rate_limit(endpoint, by_name),
+        rate_limit=_decode_rate_limit(endpoint, headers),
     )
 
 
@@ -66,17 +66,21 @@
 
 
 def _decode_rate_limit(
-    endpoint: ListedEndpoint, headers: dict[str, str]
+    endpoint: ListedEndpoint, headers: Headers
 ) -> float | None:
-    """Return the limit in requests a second, ``None`` if it is invalid."""
-    text = headers.get(LIMIT_HEADER)
-    if text is None:
+    """Return the limit in requests a second, ``None`` if it is invalid.
+
+    Of several in one head the lowest valid one holds.
+    """
+    texts = [text for name, text in headers if name == LIMIT_HEADER]
+    if not texts:
         return UNLIMITED
-    rate = parse_decimal(text)
-    if rate is None:
+    rates = [parse_decimal(text) for text in texts]
+    valid = [rate for rate in rates if rate is not None]
+    if len(valid) != 1:
         warn(
-            'rate limit is no number',
+            'rate limit is no single number',
             endpoint=endpoint.name,
-            value=text,
+            value=', '.join(texts),
         )
-    return rate
+    return min(valid, default=None)
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -356,6 +356,9 @@
         (503, (('server-limit', '0'),), 0.0),
         (200, (), UNLIMITED),
         (200, (('server-limit', 'few'),), None),
+        (200, (('server-limit', '2'), ('server-limit', '.5')), 0.5),
+        (200, (('server-limit', 'few'), ('server-limit', '3')), 3.0),
+        (200, (('server-limit', '1, 2'),), None),
         (200, (('server-limit', '-1'),), None),
         (421, (('server-limit', '1'),), None),
         (200, (('server-limit', '1'), ('instance-id', 'i-2')), None),
@@ -373,3 +376,16 @@
         assert 'server-limit' not in dict(answer.headers)
 
     run_calls(body)
+
+
+@pytest.mark.parametrize('texts', [('few',), ('-1',), ('1', '2')])
+def test_invalid_rate_limit_is_logged_with_its_endpoint(texts, monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        'limpetdrift.platform.endpoint_signals.warn',
+        lambda event, **fields: lines.append(fields),
+    )
+    endpoint = make_endpoint(Address(host='127.0.0.1', port=1), 1)
+    headers = tuple(('server-limit', text) for text in texts)
+    decode_signals(endpoint, 200, headers)
+    assert lines == [{'endpoint': 'i-1', 'value': ', '.join(texts)}]
