Prefer endpoints with a limit to one that has failed the request

If a permit for the chosen endpoint was refused, a call could go back to the one endpoint that had just failed it, though others with a limit had room. The new test of test_rate_limits shows it.

--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/plain_placer.py
@@ -106,19 +106,19 @@
         Callers are refused for want of a permit only if no endpoint without
         a limit is left.
         """
-        limits = self._view.limits
-        limited = tuple(
-            each for each in endpoints if limits.is_limited(each.identity)
-        )
-        unlimited = tuple(each for each in endpoints if each not in limited)
+        limited = self._limited_among(endpoints)
+        unlimited = endpoints
+        if limited:
+            unlimited = tuple(each for each in endpoints if each not in limited)
         worth_asking = tuple(
             each for each in limited if not self._permit_client.is_refused(each)
         )
         chosen = self._balancer.choose((*unlimited, *worth_asking), names)
         if chosen in worth_asking:
-            permitted = await self._permit_client.acquire(
-                (chosen,), is_final=False
-            )
+            # An endpoint that failed this request is the last choice.
+            has_other = any(each.name not in names for each in unlimited)
+            asked = (chosen,) if has_other else (chosen, *worth_asking)
+            permitted = await self._permit_client.acquire(asked, is_final=False)
             if permitted.is_ok():
                 return permitted
             chosen = self._balancer.choose(unlimited, names)
@@ -134,6 +134,16 @@
             )
         )
 
+    def _limited_among(
+        self, endpoints: tuple[ListedEndpoint, ...]
+    ) -> tuple[ListedEndpoint, ...]:
+        limits = self._view.limits
+        if not limits:
+            return ()
+        return tuple(
+            each for each in endpoints if limits.is_limited(each.identity)
+        )
+
     async def _choose_limited(
         self, limited: tuple[ListedEndpoint, ...], names: frozenset[str]
     ) -> Result[ListedEndpoint, Failure]:
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -49,6 +49,7 @@
 # Time of an answer's head, and of the rest of a stream.
 ANSWER_SECONDS = 0.05
 STREAM_SECONDS = 0.6
+SHORT_PROMPT = PromptSize(prompt_tokens=4000, answer_tokens=1500)
 _MAX_SEEDS = 3
 _HOSTS_IN_SUBNET = 200
 _NETWORKS = {PLAIN_SERVICE: '10.1.0', ENGINES_SERVICE: '10.2.0'}
@@ -361,11 +362,10 @@
         entry.kill()
         self.network.kill(entry.node.peer_address)
 
-    async def call(self, number: int, service: str, **changes) -> None:
-        """Send one request of a caller through an entry."""
-        entry = self.entries.get(number)
-        if entry is None:
-            return
+    def make_work(
+        self, service: str, size: PromptSize = SHORT_PROMPT
+    ) -> CallerRequest:
+        """Return a request of a caller that arrives now."""
         self._requests += 1
         now = trio.current_time()
         is_engine = service == ENGINES_SERVICE
@@ -374,9 +374,7 @@
             shares=(ServiceShare(service=service),),
             patience_seconds=2.0,
         )
-        size = PromptSize(prompt_tokens=4000, answer_tokens=1500)
-        exchange = FakeExchange()
-        work = CallerRequest(
+        return CallerRequest(
             request_id=f'a{self._requests}',
             method='POST',
             target='/x',
@@ -387,8 +385,17 @@
             version=1,
             arrived_at=now,
             deadline=now + route.timeout_seconds,
-            size=changes.get('size', size) if is_engine else None,
+            size=size if is_engine else None,
         )
+
+    async def call(self, number: int, service: str, **changes) -> None:
+        """Send one request of a caller through an entry."""
+        entry = self.entries.get(number)
+        if entry is None:
+            return
+        now = trio.current_time()
+        exchange = FakeExchange()
+        work = self.make_work(service, **changes)
         await entry.serve(work, exchange)
         status = exchange.status or (exchange.response or _LOST).status
         retry_after = (exchange.response or _LOST).header('retry-after')
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -216,6 +216,21 @@
             assert endpoint.worst_window(since=5) <= bound_of(1)
 
 
+@in_virtual_time
+async def test_failed_endpoint_is_used_again_only_after_those_with_a_limit():
+    async with open_limit_site(entries=3, plain=3) as site:
+        failed, *limited = site.of_service(PLAIN_SERVICE)
+        for endpoint in limited:
+            endpoint.limit = 2
+        await site.offer(PLAIN_SERVICE, rate=20, seconds=3)
+        await trio.sleep(2)
+        entry = site.entries[1]
+        placed = await entry.plain_placer.place(
+            site.make_work(PLAIN_SERVICE), frozenset((failed.listed.identity,))
+        )
+        assert placed.ok.endpoint != failed.listed
+
+
 @in_virtual_time
 async def test_requests_on_their_way_to_an_endpoint_that_names_a_limit():
     """Forty prompts are sent before the first answer names the limit."""
