Divide the reserve of retries among the live entries of a site

The reserve was divided by twice the number of failure domains, whatever the number of entries: on a site of 91 they held 1,911 retries of an allowed 258, which a service that fails as a whole would have got at once.

--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -85,7 +85,7 @@
 DRAIN_GRACE_SHARE = 0.35
 KILL_MARGIN_SECONDS = 0.8
 # Minimum number of entries that a site is assumed to have when the retry budget
-# is divided among them.
+# is divided among them, since an entry that starts knows no other yet.
 _MIN_ENTRIES = 2
 _MILLISECONDS = 1000
 
@@ -339,20 +339,29 @@
             report_success=crash_guard.report_success,
             render=render,
             view=context.view,
-            budget=_build_retry_budget(context.settings),
+            budget=_build_retry_budget(context),
             clock=boot_time,
             randomness=context.randomness,
         ),
     )
 
 
-def _build_retry_budget(settings: PlatformSettings) -> RetryBudget:
-    entries = max(_MIN_ENTRIES, 2 * len(settings.failure_domains))
-    reserve = settings.bounds.retry_reserve * RETRY_BUDGET_SHARE / entries
-    return RetryBudget(
-        share=settings.bounds.retry_share * RETRY_BUDGET_SHARE,
-        reserve=max(1.0, reserve),
+def _build_retry_budget(context: EntryContext) -> RetryBudget:
+    """Return this entry's part of the budget that all entries share."""
+    bounds = context.settings.bounds
+    assumed = 2 * len(context.settings.failure_domains)
+
+    def reserve() -> float:
+        entries = max(_MIN_ENTRIES, assumed, len(context.entries()))
+        return max(1.0, bounds.retry_reserve * RETRY_BUDGET_SHARE / entries)
+
+    budget = RetryBudget(
+        share=bounds.retry_share * RETRY_BUDGET_SHARE, reserve=reserve()
+    )
+    context.membership.on_change.append(
+        lambda changed: budget.limit_balance(reserve())
     )
+    return budget
 
 
 def _build_peer_server(
