Send changes of limits to all entries in batches

An endpoint that names another limit in each answer made its decider send a message to all entries for each. The new test allows ten pushes a second. Reports to deciders no longer announce again what they only count.

--- a/src/limpetdrift/coordination/limit_exchange.py
+++ b/src/limpetdrift/coordination/limit_exchange.py
@@ -41,6 +41,9 @@
 DIGEST_NAME = 'limits'
 # Batching interval of reports to deciders.
 REPORT_BATCH_SECONDS = 0.02
+# Batching interval of pushes to all entries, for an endpoint that names another
+# limit in each answer.
+PUSH_BATCH_SECONDS = 0.1
 _REPORT_TIMEOUT_SECONDS = 0.3
 # Longest time for which a starting entry waits for what its seeds know.
 LEARN_TIMEOUT_SECONDS = 0.3
@@ -148,12 +151,16 @@
     async def _report_changes(
         self, changed: tuple[ListedEndpoint, ...]
     ) -> None:
-        for decider, endpoints in self._by_decider(changed).items():
+        by_decider = _group_by(self._inputs.find_decider, changed)
+        for decider, endpoints in by_decider.items():
             records = tuple(
                 record
                 for each in endpoints
                 if (record := self._limits.record_of(each.identity))
             )
+            if decider is None:
+                self._broadcast(records)
+                continue
             answer = await self._inputs.call(
                 decider.peer_address,
                 PUSH_PATH,
@@ -163,11 +170,14 @@
             )
             if answer.is_error():
                 telemetry.count('limits_untold', reason=answer.error.reason)
-                for record in records:
-                    self._replicator.add(record)
+                self._broadcast(records)
 
     async def _report_spent(self, spent: tuple[ListedEndpoint, ...]) -> None:
-        for decider, endpoints in self._by_decider(spent).items():
+        by_decider = _group_by(self._inputs.find_decider, spent)
+        for decider, endpoints in by_decider.items():
+            if decider is None:
+                # This entry has counted the calls as it sent them.
+                continue
             answer = await self._inputs.call(
                 decider.peer_address,
                 SPENT_PATH,
@@ -183,17 +193,9 @@
             if answer.is_error():
                 telemetry.count('spent_untold', reason=answer.error.reason)
 
-    def _by_decider(
-        self, endpoints: tuple[ListedEndpoint, ...]
-    ) -> dict[Node, list[ListedEndpoint]]:
-        grouped: dict[Node, list[ListedEndpoint]] = {}
-        for endpoint in endpoints:
-            decider = self._inputs.find_decider(endpoint)
-            if decider is None:
-                self.announce(endpoint)
-            else:
-                grouped.setdefault(decider, []).append(endpoint)
-        return grouped
+    def _broadcast(self, records: tuple[LimitRecord, ...]) -> None:
+        for record in records:
+            self._replicator.add(record)
 
     async def _answer_spent(
         self, message: SpentCalls
@@ -218,6 +220,15 @@
             self._replicator.add(record)
 
 
+def _group_by(
+    find_decider: FindDecider, endpoints: tuple[ListedEndpoint, ...]
+) -> dict[Node | None, list[ListedEndpoint]]:
+    grouped: dict[Node | None, list[ListedEndpoint]] = {}
+    for endpoint in endpoints:
+        grouped.setdefault(find_decider(endpoint), []).append(endpoint)
+    return grouped
+
+
 def _describe_records(
     limits: EndpointLimits, merge: Callable[[LimitRecords], None]
 ) -> ReplicatedRecords:
@@ -234,4 +245,5 @@
         merge=merge,
         all_records=limits.records,
         has_digest=has_digest,
+        batch_seconds=PUSH_BATCH_SECONDS,
     )
--- a/src/limpetdrift/coordination/record_replication.py
+++ b/src/limpetdrift/coordination/record_replication.py
@@ -32,7 +32,7 @@
     push. ``compose`` makes the message of type ``message_type`` that holds
     records. ``merge`` applies such a message, ``all_records`` returns the
     records for a pull, and ``has_digest`` tells whether a peer's digest equals
-    this node's.
+    this node's. Changes within ``batch_seconds`` are sent in one message.
     """
 
     push_path: str
@@ -43,6 +43,7 @@
     merge: Callable[[Any], None]
     all_records: Callable[[], tuple[Any, ...]]
     has_digest: Callable[[bytes], bool]
+    batch_seconds: float = 0.0
 
 
 class RecordReplicator:
@@ -103,6 +104,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await self._work_added.wait()
+                await trio.sleep(self._replicated.batch_seconds)
                 self._work_added = trio.Event()
                 queued = tuple(self._queued)
                 self._queued.clear()
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -390,3 +390,24 @@
                 if each.state is MemberState.LIVE
             ]
             assert len(live) == 5
+
+
+@in_virtual_time
+async def test_limits_that_change_with_each_answer_are_sent_in_batches():
+    async with open_limit_site(entries=20, engines=2, plain=2) as site:
+        limited = site.of_service(PLAIN_SERVICE)[0]
+        limited.limit = 50
+        await site.offer(PLAIN_SERVICE, rate=100, seconds=2)
+        messages = site.network.messages
+        for step in range(100):
+            limited.limit = 50 + step / 100
+            await site.offer(PLAIN_SERVICE, rate=100, seconds=0.05)
+        with_changes = site.network.messages - messages
+        messages = site.network.messages
+        await site.offer(PLAIN_SERVICE, rate=100, seconds=5)
+        without = site.network.messages - messages
+        # Ten pushes a second to 19 peers, with an answer each.
+        assert with_changes - without < 1.5 * 5 * 10 * 19 * 2
+        for entry in site.entries.values():
+            known = entry.view.limits.rate_of(limited.listed.identity)
+            assert known == limited.limit
