Start no second attempt while a comment goes to the caller

Since comments no longer restart the idle timeout of a stream, it could pass while one is written to a caller that reads slowly; the second attempt then cancelled the write midway, which breaks the connection. test_comment_to_a_caller_that_reads_slowly_is_not_cut_by_a_second_attempt fails without this.

--- a/src/limpetdrift/coordination/attempt_race.py
+++ b/src/limpetdrift/coordination/attempt_race.py
@@ -7,6 +7,8 @@
 """
 
 import math
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import trio
@@ -56,6 +58,19 @@
         self.silent_at = trio.current_time() + timeout_seconds
         self.race.watch_until(self.silent_at)
 
+    @contextmanager
+    def timeout_paused(self) -> Iterator[None]:
+        """Start no try elsewhere while the context is open.
+
+        One that has the next part of the answer would cancel this attempt in
+        the middle of a write to the caller.
+        """
+        silent_at = self.silent_at
+        self.silent_at = math.inf
+        yield
+        self.silent_at = silent_at
+        self.race.watch_until(silent_at)
+
     async def claim_answer(self) -> None:
         """Cancel all other attempts before a part of the answer is written.
 
--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -215,16 +215,22 @@
         return False
     if is_progress:
         await attempt.claim_answer()
-    elif attempt.race.has_other_contender(attempt):
-        return False
+        await _write_event(progress, answer, event)
+        progress.last_event_at = progress.clock()
+    elif not attempt.race.has_other_contender(attempt):
+        with attempt.timeout_paused():
+            await _write_event(progress, answer, event)
+        attempt.has_written = True
+    return is_progress
+
+
+async def _write_event(
+    progress: RequestProgress, answer: EndpointResponse, event: StreamEvent
+) -> None:
     if event.number is not None:
         progress.last_event = event.number
     await _send_head(progress, answer)
     await progress.exchange.send(event.payload)
-    attempt.has_written = True
-    if is_progress:
-        progress.last_event_at = progress.clock()
-    return is_progress
 
 
 async def _send_head(
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -109,7 +109,8 @@
     """The response that a caller received, and whether it disconnected.
 
     ``is_partially_written`` is set during each write and stays set when the
-    write is cancelled. ``heads`` counts the responses that were begun.
+    write is cancelled. Each write takes ``write_seconds``. ``heads`` counts the
+    responses that were begun.
     """
 
     response: Response | None = None
@@ -120,6 +121,7 @@
     heads: int = 0
     is_partially_written: bool = False
     aborted: bool = False
+    write_seconds: float = 0.0
     disconnected: trio.Event = field(default_factory=trio.Event)
 
     async def respond(self, response: Response) -> None:
@@ -151,7 +153,7 @@
         assert not self.is_partially_written, 'write after a cancelled write'
         self.started = True
         self.is_partially_written = True
-        await trio.lowlevel.checkpoint()
+        await trio.sleep(self.write_seconds)
         self.is_partially_written = False
 
 
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -319,6 +319,28 @@
     assert seconds < 5
 
 
+def test_comment_to_a_caller_that_reads_slowly_is_not_cut_by_a_second_attempt():
+    """A write that is cancelled midway would break the caller's connection."""
+
+    async def stalled(seen: int):
+        yield b'id: 1\ndata: x\n\n'
+        await trio.sleep(1.1)
+        yield b': waiting\n\n'
+        await trio.sleep(30)
+
+    async def read_slowly(exchange) -> None:
+        await trio.sleep(1.0)
+        exchange.write_seconds = 1.0
+        await trio.sleep(1.5)
+        exchange.write_seconds = 0.0
+
+    harness = make_harness(stalled, events(1, 6))
+    exchange, _ = serve(harness, make_route(), during=read_slowly)
+    numbered = [number for number in numbers(exchange.payload) if number]
+    assert numbered == [1, 2, 3, 4, 5, 6]
+    assert exchange.finished
+
+
 def test_slow_but_sound_stream_is_not_tried_elsewhere():
     """Each pause is longer than the route's, and shorter than a silence."""
     harness = make_harness(events(1, 8, pause=1.0))
