--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -210,6 +210,7 @@
 def _count_call(
     view: EndpointView, endpoint: ListedEndpoint, kind: CallKind
 ) -> None:
+    """Count a call in the metrics if its endpoint limits its rate."""
     if view.limits.is_limited(endpoint.identity):
         telemetry.count('calls_to_limited_endpoints', kind=kind)
 
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -73,7 +73,6 @@
     limit: float | str | None = None
     arrivals: list[Arrival] = field(default_factory=list)
     told_at: dict[str, float] = field(default_factory=dict)
-    limited_at: float | None = None
     # The ids of the reservations that were begun, without renewals.
     reservations: list[str] = field(default_factory=list)
 
@@ -100,10 +99,7 @@
         """Return the headers of an answer, and record what it tells."""
         if self.limit is None:
             return ()
-        now = trio.current_time()
-        self.told_at.setdefault(entry, now)
-        if self.limited_at is None:
-            self.limited_at = now
+        self.told_at.setdefault(entry, trio.current_time())
         return (('server-limit', str(self.limit)),)
 
     def worst_window(self, since: float = 0.0) -> int:
