Count an entry as ready only once it can check keys

Callers of an entry that starts got the same: the directory listed it, and it refused what others could serve.

Cause: an entry that starts polls its peers before it confirms what the store showed (they may know a newer configuration). Until that poll ends, 0.9 s with silent peers, all keys are refused; but it counted as synced, thus as ready, with the first unconfirmed table. A peer that had confirmed nothing either passed on an age that counted as a confirmation.

Change: synced means a confirmed table and a list. An unknown age confirms nothing.

Both new tests failed on the code before: one in the code before the change, one with the unknown age taken as it was.

--- a/src/limpetdrift/coordination/routing_merge.py
+++ b/src/limpetdrift/coordination/routing_merge.py
@@ -12,12 +12,13 @@
 from limpetdrift.logs import note
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import (
+    UNKNOWN_AGE_SECONDS,
     RoutingSyncReply,
     RoutingSyncRequest,
     unpack,
 )
 from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.route_cache import NEVER, RouteTableCache
 from limpetdrift.state.store_era import UNKNOWN_ERA, StoreEra
 
 
@@ -31,7 +32,7 @@
     era: int = UNKNOWN_ERA
     version: int = 0
     digest: int = 0
-    confirmed_at: float = float('-inf')
+    confirmed_at: float = NEVER
 
     @property
     def position(self) -> tuple[int, int]:
@@ -111,6 +112,8 @@
     # The age was computed after the request was sent, so this is a lower
     # bound of the start of the read, and the data never appears fresher.
     routes_at = sent_at - reply.routes_age_seconds
+    if reply.routes_age_seconds >= UNKNOWN_AGE_SECONDS:
+        routes_at = NEVER
     if reply.routes is not None:
         table = unpack(reply.routes, RouteTable)
         if table.is_ok() and routes.accept_newer(table.ok, routes_at, era):
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -29,6 +29,7 @@
 from limpetdrift.logs import note
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.routing_sync import (
+    UNKNOWN_AGE_SECONDS,
     RoutingSyncReply,
     RoutingSyncRequest,
     pack,
@@ -69,8 +70,6 @@
 DIRECT_READ_SECONDS = 4.0
 # Interval at which an entry that doesn't read the store checks if it is to.
 DUTY_CHECK_SECONDS = 1.0
-# The age of data that was never read.
-UNKNOWN_AGE_SECONDS = 1_000_000.0
 # Range of the random pause between two polls of peers.
 _POLL_INTERVAL_SECONDS = (0.05, 0.15)
 
--- a/src/limpetdrift/platform/metrics.py
+++ b/src/limpetdrift/platform/metrics.py
@@ -3,11 +3,11 @@
 import os
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.routing_relay import UNKNOWN_AGE_SECONDS
 from limpetdrift.platform.directory import DirectoryInputs
 from limpetdrift.platform.entry_wiring import EntryComponents
 from limpetdrift.platform.settings import PlatformSettings
 from limpetdrift.programs.serving import add_health_routes
+from limpetdrift.protocol.routing_sync import UNKNOWN_AGE_SECONDS
 from limpetdrift.transport.messages import Address
 from limpetdrift.transport.routing import Routes
 
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -24,7 +24,7 @@
 from limpetdrift.protocol.routing_sync import digest_of
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.route_cache import NEVER, RouteTableCache
 from limpetdrift.state.stored_configuration import StoredConfiguration
 from limpetdrift.transport.messages import Address
 
@@ -122,6 +122,7 @@
             ),
         )
         inputs.routes.on_change.append(lambda table: self._on_change())
+        inputs.routes.on_first_confirmation.append(self._on_change)
         inputs.store.era.on_rise.extend(
             (
                 self._configuration_watcher.restart,
@@ -131,11 +132,14 @@
 
     @property
     def is_synced(self) -> bool:
-        """Whether a route table and an endpoint list have been received."""
+        """Whether a route table and an endpoint list have been received.
+
+        The table must have been confirmed too: until then all keys are refused.
+        """
         return self._synced.is_set()
 
     async def wait_synced(self) -> None:
-        """Wait for the first route table and the first endpoint list."""
+        """Wait for the first confirmed route table and endpoint list."""
         await self._synced.wait()
 
     async def run(self) -> None:
@@ -228,7 +232,7 @@
             )
 
     def _on_change(self) -> None:
-        if self._list_state.version and self._routes.table is not None:
+        if self._list_state.version and self._routes.confirmed_at > NEVER:
             self._synced.set()
         self.relay.notify_waiters()
 
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -14,6 +14,9 @@
 
 Content = TypeVar('Content')
 
+# The age of data that was never read or confirmed.
+UNKNOWN_AGE_SECONDS = 1_000_000.0
+
 # The fastest level of zlib, which already shrinks route tables tenfold.
 _COMPRESSION_LEVEL = 1
 # Limit of unpacked content, far above any route table or endpoint list.
--- a/src/limpetdrift/state/route_cache.py
+++ b/src/limpetdrift/state/route_cache.py
@@ -20,23 +20,27 @@
 
 TableListener = Callable[[RouteTable], None]
 
+# The time of the last confirmation before the first.
+NEVER = float('-inf')
+
 
 class RouteTableCache:
     """The newest route table received, with indexes for look-ups.
 
     ``clock`` returns seconds; the functions in ``on_change`` are called with
-    each new table.
+    each new table, and those in ``on_first_confirmation`` once.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self.on_change: list[TableListener] = []
+        self.on_first_confirmation: list[Callable[[], None]] = []
         self._clock = clock
         self._table: RouteTable | None = None
         self._era = UNKNOWN_ERA
         # Tables of the version in force that another one has replaced. An
         # older copy of the store may show them again.
         self._superseded: list[RouteTable] = []
-        self._confirmed_at = float('-inf')
+        self._confirmed_at = NEVER
         self._routes_by_host: dict[str, list[Route]] = {}
         self._accounts_by_key: dict[str, Account] = {}
         self._services: dict[str, Service] = {}
@@ -63,7 +67,7 @@
 
     @property
     def confirmed_at(self) -> float:
-        """The start of the last read that found no newer table."""
+        """The start of the last read without a newer table, or ``NEVER``."""
         return self._confirmed_at
 
     def age_seconds(self) -> float:
@@ -106,7 +110,11 @@
         """
         if self._table is None or (version, era) != (self.version, self._era):
             return False
-        self._confirmed_at = max(self._confirmed_at, requested_at)
+        before = self._confirmed_at
+        self._confirmed_at = max(before, requested_at)
+        if before == NEVER and self._confirmed_at > NEVER:
+            for listener in self.on_first_confirmation:
+                listener()
         return True
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/src/limpetdrift/state/stored_configuration.py
+++ b/src/limpetdrift/state/stored_configuration.py
@@ -8,11 +8,9 @@
 
 from limpetdrift.logs import warn
 from limpetdrift.protocol.route_table import RouteTable
-from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.route_cache import NEVER, RouteTableCache
 from limpetdrift.state.store_era import UNKNOWN_ERA, StoreEra
 
-_NEVER = float('-inf')
-
 
 class StoredConfiguration:
     """The version that the store showed last.
@@ -28,7 +26,7 @@
         self._version = 0
         self._era = UNKNOWN_ERA
         self._is_behind = False
-        self._unconfirmed_at = _NEVER
+        self._unconfirmed_at = NEVER
         store_era.on_peer_poll.append(self._confirm_deferred_read)
 
     @property
@@ -46,7 +44,7 @@
         if era != self._era:
             self._era = era
             self._version = 0
-            self._unconfirmed_at = _NEVER
+            self._unconfirmed_at = NEVER
 
     def accept(self, table: RouteTable, requested_at: float) -> bool:
         """Put a table that was read in force if newer; return whether it was.
@@ -55,7 +53,7 @@
         """
         self._version = table.version
         is_due = self._store_era.is_peer_poll_due
-        read_at = _NEVER if is_due else requested_at
+        read_at = NEVER if is_due else requested_at
         return self._routes.accept_newer(table, read_at, self._era)
 
     def confirm(self, requested_at: float) -> None:
@@ -81,6 +79,6 @@
             )
 
     def _confirm_deferred_read(self) -> None:
-        if self._unconfirmed_at > _NEVER:
+        if self._unconfirmed_at > NEVER:
             self.confirm(self._unconfirmed_at)
-            self._unconfirmed_at = _NEVER
+            self._unconfirmed_at = NEVER
--- a/tests/test_era_relay.py
+++ b/tests/test_era_relay.py
@@ -22,7 +22,7 @@
     digest_of,
     unpack,
 )
-from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.state.route_cache import NEVER, RouteTableCache
 from virtual_time import in_virtual_time
 
 
@@ -208,3 +208,16 @@
     assert cut.routes.find_account('new')
     assert not cut.routes.find_account('old')
     assert cut.routes.confirmed_at > float('-inf')
+
+
+@in_virtual_time
+async def test_table_that_no_peer_has_confirmed_confirms_nothing():
+    """Entries that start together show each other what they can't check."""
+    starting, peer = make_pair()
+    peer.routes.accept_newer(table(7), NEVER, 2)
+    await starting.relay.poll_peer()
+    assert starting.routes.version == 7
+    assert starting.routes.confirmed_at == NEVER
+    peer.routes.confirm(7, 0.0, 2)
+    await starting.relay.poll_peer()
+    assert starting.routes.age_seconds() < 5.0
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -378,6 +378,27 @@
         assert len(site.entries[0].client.calls) == 4
 
 
+@in_virtual_time
+async def test_entry_that_starts_is_synced_only_once_it_can_check_keys():
+    """It polls peers first, who may be slow or dead."""
+    site = EraSite(2)
+    site.write_configuration(1, 'first')
+    site.write_endpoint('a')
+    site.network.isolate(site.entries[1].node.peer_address)
+    entry = site.entries[0]
+    async with background_tasks(site):
+        ages = []
+        has_both = []
+        for _ in range(2000):
+            await trio.sleep(0.001)
+            has_both.append(entry.routes.table and entry.view.listed)
+            if entry.replica.is_synced:
+                ages.append(entry.routes.age_seconds())
+        assert has_both[100]
+        assert 100 < len(ages) < 1900
+        assert max(ages) < REVOKE_SECONDS
+
+
 def test_content_that_was_replaced_in_one_version_never_comes_back():
     """An older copy may show it again in a later era."""
     routes = RouteTableCache(clock=float)
