Keep rate limits in the store for entries that all start at once

Callers' side: endpoints in need got more calls than they asked for when all entries of a site started together. Cause: limits were known to the entries only, so a limit held only while one of them ran on.

An entry that starts asks its seeds as before, and reads the rows only if none of them has learned more, so a start beside live peers costs the store nothing. Reading all pages of a table is one function now.

--- a/src/limpetdrift/coordination/limit_exchange.py
+++ b/src/limpetdrift/coordination/limit_exchange.py
@@ -1,12 +1,13 @@
 """Spreads the rate limits of endpoints among the entries.
 
 An entry that hears a new limit tells the endpoint's decider, which passes it on
-to all. The gossip of the membership makes up for lost messages, and an entry
-that starts asks its seeds before it serves. An entry also tells the decider of
-calls that it had to send without a permit.
+to all. The gossip of the membership makes up for lost messages. An entry that
+starts asks its seeds before it serves; if they know nothing either, it reads
+what the platform's store keeps. An entry also tells the decider of calls that
+it had to send without a permit.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import trio
@@ -54,6 +55,17 @@
 FindDecider = Callable[[ListedEndpoint], Node | None]
 
 
+@dataclass(frozen=True, kw_only=True)
+class KeptLimits:
+    """Where limits are kept while no entry runs.
+
+    ``read`` returns them, and ``keep`` takes each change.
+    """
+
+    read: Callable[[], Awaitable[tuple[LimitRecord, ...]]]
+    keep: Callable[[LimitRecord], None]
+
+
 @dataclass(frozen=True, kw_only=True)
 class LimitExchangeInputs:
     """What an exchange needs of its entry."""
@@ -64,6 +76,7 @@
     find_decider: FindDecider
     live_entries: Callable[[], tuple[Node, ...]]
     call: PeerCall
+    kept: KeptLimits
 
 
 class LimitExchange:
@@ -76,16 +89,18 @@
     def __init__(self, *, inputs: LimitExchangeInputs) -> None:
         self._inputs = inputs
         self._limits: EndpointLimits = inputs.view.limits
+        self._learned = trio.Event()
         self._replicator = RecordReplicator(
             node=inputs.node,
-            replicated=_describe_records(self._limits, self._merge),
+            replicated=_describe_records(
+                self._limits, self._merge, self._learned.is_set
+            ),
             live_entries=inputs.live_entries,
             call=inputs.call,
         )
         self._changed: dict[tuple[str, int], ListedEndpoint] = {}
         self._spent: list[ListedEndpoint] = []
         self._report_due = trio.Event()
-        self._learned = trio.Event()
         self.wait_learned = self._learned.wait
         self.on_digest = self._replicator.on_digest
 
@@ -103,7 +118,7 @@
     def announce(self, endpoint: ListedEndpoint) -> None:
         """Tell the decider of a changed limit, or all if it is this entry."""
         if self._inputs.find_decider(endpoint) is None:
-            self._replicator.add(self._limits.record_of(endpoint.identity))
+            self._tell_all(self._limits.record_of(endpoint.identity))
         else:
             self._changed[endpoint.identity] = endpoint
             self._report_due.set()
@@ -117,19 +132,28 @@
             self._report_due.set()
 
     async def learn(self, seeds: tuple[Address, ...]) -> None:
-        """Ask some seeds for all limits; return when one has answered.
+        """Ask some seeds for all limits; return when one has told them.
 
         Without it, an entry that has just started would send calls that the
-        endpoints have asked all others not to send.
+        endpoints have asked all others not to send. Seeds that have just
+        started too know nothing: then the limits are read where they are kept.
         """
+        informed = trio.Event()
 
         async def learn_from(address: Address) -> None:
-            if await self._replicator.pull_from(address, LEARN_TIMEOUT_SECONDS):
+            reply = await self._replicator.pull_from(
+                address, LEARN_TIMEOUT_SECONDS
+            )
+            if reply.is_ok() and reply.ok.has_learned:
+                informed.set()
                 nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
             for address in seeds[:_LEARN_SEEDS]:
                 nursery.start_soon(learn_from, address)
+        if not informed.is_set():
+            for record in await self._inputs.kept.read():
+                self._limits.merge(record)
         self._learned.set()
 
     async def run(self) -> None:
@@ -195,7 +219,12 @@
 
     def _broadcast(self, records: tuple[LimitRecord, ...]) -> None:
         for record in records:
+            self._tell_all(record)
+
+    def _tell_all(self, record: LimitRecord | None) -> None:
+        if record is not None:
             self._replicator.add(record)
+            self._inputs.kept.keep(record)
 
     async def _answer_spent(
         self, message: SpentCalls
@@ -217,7 +246,7 @@
             record.endpoint.name, record.endpoint.lifetime
         )
         if endpoint and self._inputs.find_decider(endpoint) is None:
-            self._replicator.add(record)
+            self._tell_all(record)
 
 
 def _group_by(
@@ -230,7 +259,9 @@
 
 
 def _describe_records(
-    limits: EndpointLimits, merge: Callable[[LimitRecords], None]
+    limits: EndpointLimits,
+    merge: Callable[[LimitRecords], None],
+    has_learned: Callable[[], bool],
 ) -> ReplicatedRecords:
     def has_digest(digest: bytes) -> bool:
         decoded = decode(digest, LimitsDigest)
@@ -241,7 +272,9 @@
         pull_path=PULL_PATH,
         message_type=LimitRecords,
         pull=LimitsPull(),
-        compose=lambda records: LimitRecords(records=records),
+        compose=lambda records: LimitRecords(
+            records=records, has_learned=has_learned()
+        ),
         merge=merge,
         all_records=limits.records,
         has_digest=has_digest,
--- a/src/limpetdrift/coordination/record_replication.py
+++ b/src/limpetdrift/coordination/record_replication.py
@@ -17,6 +17,7 @@
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.verdict import Failure
+from limpetdrift.transport.messages import Address
 
 # Timeout of one push or pull.
 CALL_TIMEOUT_SECONDS = 1.0
@@ -113,8 +114,10 @@
                 # A peer that doesn't answer must not delay later pushes.
                 nursery.start_soon(self._synchronize, queued, differing)
 
-    async def pull_from(self, address: Any, timeout_seconds: float) -> bool:
-        """Merge the records of one peer; return whether it answered."""
+    async def pull_from(
+        self, address: Address, timeout_seconds: float
+    ) -> Result[Any, Failure]:
+        """Merge the records of one peer; return its message."""
         pulled = await self._call(
             address,
             self._replicated.pull_path,
@@ -124,7 +127,7 @@
         )
         if pulled.is_ok():
             self._replicated.merge(pulled.ok)
-        return pulled.is_ok()
+        return pulled
 
     async def _synchronize(
         self, queued: tuple[Any, ...], differing: frozenset[str]
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -150,6 +150,7 @@
         routes=RouteTableCache(clock=boot_time),
         view=EndpointView(clock=boot_time),
         membership=membership,
+        store=store,
         entries=cache_usable_entries(membership),
         randomness=randomness,
     )
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -23,6 +23,7 @@
     DIGEST_NAME as LIMITS_DIGEST_NAME,
 )
 from limpetdrift.coordination.limit_exchange import (
+    KeptLimits,
     LimitExchange,
     LimitExchangeInputs,
 )
@@ -42,8 +43,11 @@
 )
 from limpetdrift.logs import note
 from limpetdrift.platform.endpoint_client import is_dead
+from limpetdrift.platform.limit_rows import TABLE as LIMITS_TABLE
+from limpetdrift.platform.limit_rows import LimitRows, LimitRowsInputs
 from limpetdrift.platform.reports import make_report_reader
 from limpetdrift.platform.settings import PlatformSettings
+from limpetdrift.platform.store import StoreClient
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import ListedEndpoint
@@ -65,6 +69,7 @@
     routes: RouteTableCache
     view: EndpointView
     membership: Membership
+    store: StoreClient
     entries: Callable[[], tuple[Node, ...]]
     randomness: random.Random
     clock: Callable[[], float] = boot_time
@@ -78,6 +83,7 @@
     report_poller: EngineReportPoller
     permit_client: PermitClient
     limit_exchange: LimitExchange
+    limit_rows: LimitRows
     gate: EndpointGate
 
     def register(self, peer_routes: PeerRoutes) -> None:
@@ -96,6 +102,7 @@
     planner, plan_placer, deciders = _build_planner(context, call)
     planner_client = plan_placer.planner_client
     permits = planner.permits
+    limit_rows = _build_limit_rows(context)
     limit_exchange = LimitExchange(
         inputs=LimitExchangeInputs(
             node=context.node,
@@ -104,6 +111,7 @@
             find_decider=deciders.find,
             live_entries=context.membership.live_entries,
             call=call,
+            kept=KeptLimits(read=limit_rows.read, keep=limit_rows.keep),
         ),
     )
     gate = make_gate(
@@ -126,14 +134,13 @@
             clock=context.clock,
         ),
     )
-    membership = context.membership
-    membership.on_change += (
+    context.membership.on_change += (
         planner_client.on_members_changed,
         report_poller.on_members_changed,
         deciders.on_members_changed,
         _log_members,
     )
-    membership.register_digest(
+    context.membership.register_digest(
         LIMITS_DIGEST_NAME, limit_exchange.make_digest, limit_exchange.on_digest
     )
     return Planning(
@@ -150,10 +157,22 @@
             ),
         ),
         limit_exchange=limit_exchange,
+        limit_rows=limit_rows,
         gate=gate,
     )
 
 
+def _build_limit_rows(context: EntryContext) -> LimitRows:
+    return LimitRows(
+        inputs=LimitRowsInputs(
+            store=context.store,
+            limits=context.view.limits,
+            is_assigned=lambda: context.membership.is_assigned(LIMITS_TABLE, 1),
+            randomness=context.randomness,
+        ),
+    )
+
+
 def _build_planner(
     context: EntryContext, call: PeerCall
 ) -> tuple[Planner, PlanPlacer, LimitDeciders]:
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -89,7 +89,7 @@
         entry.planning.plan_placer.planner_client.run,
         entry.planning.report_poller.run,
         entry.planning.limit_exchange.run,
-        partial(_learn_limits, entry),
+        partial(_follow_limits, entry),
         entry.crash_guard.run,
         partial(_join_when_synced, entry),
         _check_settings_on_signal,
@@ -125,11 +125,15 @@
     return stop
 
 
-async def _learn_limits(entry: EntryComponents) -> None:
-    """Ask the peers that the settings name for the endpoints' rate limits."""
+async def _follow_limits(entry: EntryComponents) -> None:
+    """Learn the endpoints' rate limits, and keep them in the store.
+
+    The peers that the settings name are asked first.
+    """
     own_address = entry.node.peer_address
     seeds = tuple(each for each in entry.settings.seeds if each != own_address)
     await entry.planning.limit_exchange.learn(seeds)
+    await entry.planning.limit_rows.run()
 
 
 async def _join_when_synced(entry: EntryComponents) -> None:
--- a/src/limpetdrift/platform/store.py
+++ b/src/limpetdrift/platform/store.py
@@ -7,6 +7,7 @@
 
 import base64
 import binascii
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -34,6 +35,8 @@
 # within a few milliseconds, and a slow one takes about fifty times as long. A
 # call that takes longer is given up, to be retried on another connection.
 CALL_TIMEOUT_SECONDS = 1.0
+# Most rows that one call of ``write`` may change.
+MAX_CHANGES = 100
 _CHANGELOG_TRUNCATED = 410
 _TOO_MANY = 429
 _CONDITION_FAILED = 412
@@ -136,20 +139,34 @@
         content: bytes,
     ) -> Result[int, Failure]:
         """Write one row unconditionally; return the store's new version."""
-        row = {
-            'table': table,
-            'part': '',
-            'key': key,
-            'value': base64.b64encode(content).decode('ascii'),
-        }
-        return await self._transact({'puts': [row]})
+        return await self.write(table, {key: content})
 
-    async def delete(self, table: str, key: str) -> Result[int, Failure]:
-        """Delete one row; return the store's new version."""
+    async def write(
+        self,
+        table: str,
+        contents: Mapping[str, bytes],
+        deleted: Iterable[str] = (),
+    ) -> Result[int, Failure]:
+        """Write and delete rows at once; return the store's new version.
+
+        There may be ``MAX_CHANGES`` of both together.
+        """
         return await self._transact(
-            {'delete': [{'table': table, 'part': '', 'key': key}]},
+            {
+                'puts': [
+                    _describe_row(table, key, content)
+                    for key, content in contents.items()
+                ],
+                'delete': [
+                    {'table': table, 'part': '', 'key': key} for key in deleted
+                ],
+            }
         )
 
+    async def delete(self, table: str, key: str) -> Result[int, Failure]:
+        """Delete one row; return the store's new version."""
+        return await self.write(table, {}, (key,))
+
     async def _transact(self, changes: dict) -> Result[int, Failure]:
         result = await self._call(
             Request(
@@ -211,6 +228,43 @@
         return Ok(response)
 
 
+async def read_all(store: StoreClient, table: str) -> Result[RowPage, Failure]:
+    """Return all rows of a table, as of the version of the first page."""
+    pages: list[RowPage] = []
+    start = ''
+    while True:
+        result = await store.read(table, start=start)
+        if result.is_error():
+            return result
+        page = result.ok
+        if pages and page.era != pages[0].era:
+            # The pages read so far are of an earlier era.
+            pages.clear()
+            start = ''
+            continue
+        pages.append(page)
+        if not page.truncated or not page.rows:
+            break
+        last = page.rows[-1].key
+        start = f'{last}\0'
+    return Ok(
+        RowPage(
+            rows=tuple(row for each in pages for row in each.rows),
+            version=pages[0].version,
+            era=pages[0].era,
+        )
+    )
+
+
+def _describe_row(table: str, key: str, content: bytes) -> dict[str, str]:
+    return {
+        'table': table,
+        'part': '',
+        'key': key,
+        'value': base64.b64encode(content).decode('ascii'),
+    }
+
+
 def _check_status(response: Response) -> Result[Response, Failure]:
     status = response.status
     if status == OK:
--- a/src/limpetdrift/platform/table_watcher.py
+++ b/src/limpetdrift/platform/table_watcher.py
@@ -8,7 +8,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.logs import note
-from limpetdrift.platform.store import RowPage, StoreClient
+from limpetdrift.platform.store import RowPage, StoreClient, read_all
 from limpetdrift.protocol.verdict import Failure, Reason
 
 # The retry interval after a failed call doubles with each further failure. The
@@ -131,35 +131,12 @@
         await self._back_off(failure)
 
     async def _read_all(self, requested_at: float) -> Failure | None:
-        pages: list[RowPage] = []
-        start = ''
-        while True:
-            result = await self._store.read(
-                self._subscription.table, start=start
-            )
-            if result.is_error():
-                return result.error
-            page = result.ok
-            if pages and page.era != pages[0].era:
-                # The pages read so far are of an earlier era.
-                pages.clear()
-                start = ''
-                continue
-            pages.append(page)
-            if not page.truncated or not page.rows:
-                break
-            last = page.rows[-1].key
-            start = f'{last}\0'
-        first = pages[0]
-        self._position = (first.era, first.version)
-        self._subscription.on_snapshot(
-            RowPage(
-                rows=tuple(row for page in pages for row in page.rows),
-                version=first.version,
-                era=first.era,
-            ),
-            requested_at,
-        )
+        result = await read_all(self._store, self._subscription.table)
+        if result.is_error():
+            return result.error
+        page = result.ok
+        self._position = (page.era, page.version)
+        self._subscription.on_snapshot(page, requested_at)
         self._subscription.on_confirmed(requested_at)
         return None
 
--- a/src/limpetdrift/protocol/limits.py
+++ b/src/limpetdrift/protocol/limits.py
@@ -29,9 +29,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LimitRecords:
-    """Records that are reported to the decider, or that it passes on."""
+    """Records that are reported to the decider, or that it passes on.
+
+    ``has_learned`` is true if the sender knows what was known at its start.
+    """
 
     records: tuple[LimitRecord, ...] = ()
+    has_learned: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -12,8 +12,10 @@
 import trio
 from expression import Ok
 
+from era_site import STORE_ADDRESS, LocalClient
 from fake_network import FakeNetwork
 from forward_harness import FakeExchange, make_route
+from limpet_standins.platform_store import StandinStore
 from limpetdrift.coordination.discovery import cache_usable_entries
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
 from limpetdrift.coordination.membership import Membership
@@ -25,6 +27,7 @@
     build_planning,
 )
 from limpetdrift.platform.reservations import make_reserver
+from limpetdrift.platform.store import StoreClient
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.route_table import (
     RequestKind,
@@ -218,6 +221,9 @@
             routes=routes,
             view=self.view,
             membership=self.membership,
+            store=StoreClient(
+                client=LocalClient(site.store), address=STORE_ADDRESS
+            ),
             entries=cache_usable_entries(self.membership),
             randomness=randomness,
             clock=trio.current_time,
@@ -259,7 +265,7 @@
             self.plan_placer.planner_client.run,
             self.planning.report_poller.run,
             self.planning.limit_exchange.run,
-            self._learn_limits,
+            self._follow_limits,
         )
 
     async def run(self) -> None:
@@ -282,10 +288,11 @@
         for scope in (self.scope, *self._calls):
             scope.cancel()
 
-    async def _learn_limits(self) -> None:
+    async def _follow_limits(self) -> None:
         own_address = self.node.peer_address
         others = (each for each in self.seeds if each != own_address)
         await self.planning.limit_exchange.learn(tuple(others))
+        await self.planning.limit_rows.run()
 
     async def _place(self, work, excluded):
         await self.planning.limit_exchange.wait_learned()
@@ -308,6 +315,7 @@
         self, *, entries: int, engines: int = 14, plain: int = 3
     ) -> None:
         self.network = FakeNetwork(seed=1)
+        self.store = StandinStore()
         self.endpoints = [
             *(_make_endpoint(ENGINES_SERVICE, each) for each in range(engines)),
             *(_make_endpoint(PLAIN_SERVICE, each) for each in range(plain)),
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -10,6 +10,8 @@
 import trio
 
 from limpetdrift.platform.entry_wiring import DRAIN_GRACE_SHARE
+from limpetdrift.platform.limit_rows import TABLE as LIMITS_TABLE
+from limpetdrift.platform.limit_rows import WRITE_BATCH_SECONDS
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request, Response
@@ -18,6 +20,8 @@
 
 PORTS_SEED = 790
 READY_SECONDS = 30.0
+# Time of the first write of a limit, and a margin for a busy machine.
+LIMIT_WRITTEN_SECONDS = WRITE_BATCH_SECONDS + 3.0
 
 
 async def wait_ready(client: HttpClient, address: Address) -> None:
@@ -433,3 +437,30 @@
 
     trio.run(run_site)
     assert exit_codes == [0]
+
+
+def test_limit_that_was_heard_before_a_restart_holds_after_it(tmp_path):
+    """The entry is the only one, so no peer can tell it."""
+
+    async def body(site: Site) -> None:
+        entry = site.entries[0]
+        name, running = next(iter(site.endpoints.items()))
+        running.endpoint.rate_limit = '0'
+        await send_calls(site, (f'before-{each}' for each in range(10)))
+        await trio.sleep(LIMIT_WRITTEN_SECONDS)
+        assert site.store.rows.read(LIMITS_TABLE)
+        entry.end()
+        site.journal.runs.clear()
+        entry.start()
+        await wait_ready(
+            HttpClient(), Address(host=entry.host, port=entry.port + 1)
+        )
+        answers = await send_calls(
+            site, (f'after-{each}' for each in range(20))
+        )
+        assert {answer.status for answer in answers} == {200}
+        at_limited = [run for run in site.journal.runs if run.endpoint == name]
+        # One may tell whether the limit has ended.
+        assert len(at_limited) <= 1
+
+    run_with_endpoints(tmp_path, body, desks=2)
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -216,6 +216,24 @@
             assert endpoint.worst_window(since=5) <= bound_of(1)
 
 
+@pytest.mark.parametrize('service', SERVICES)
+@in_virtual_time
+async def test_limit_holds_after_all_entries_have_ended_at_once(service):
+    async with open_limit_site(entries=23, engines=4) as site:
+        endpoints = site.of_service(service)
+        for endpoint in endpoints:
+            endpoint.limit = 0.4
+        await site.offer(service, rate=20, seconds=8)
+        for number in tuple(site.entries):
+            site.kill_entry(number)
+        for number in range(23):
+            site.start_entry(number)
+        await site.offer(service, rate=200, seconds=8)
+        for endpoint in endpoints:
+            endpoint.count_all_as_told()
+            assert endpoint.worst_window(since=7) <= bound_of(0.4)
+
+
 @in_virtual_time
 async def test_failed_endpoint_is_used_again_only_after_those_with_a_limit():
     async with open_limit_site(entries=3, plain=3) as site:
--- a/tests/test_retry_reserve.py
+++ b/tests/test_retry_reserve.py
@@ -44,6 +44,7 @@
         routes=None,
         view=None,
         membership=membership,
+        store=None,
         entries=lambda: tuple(known),
         randomness=None,
     )
