Renew reserved memory half as often at engines that limit their rate

Seen in a test: three prompts held memory at an engine that then named a limit of 0.4 a second; their renewals, one a second each, made 15 orders in 4 s, bound 7.4. Renewals must not stop, since a prompt whose memory expires is cut off, so no budget holds them back.

Change: there they go out every 2 s, with a lifetime of 3.7 s, still below the 4 s after which memory must be free; the first one with that lifetime keeps the old interval. A release takes the place of the next renewal.

Memory outlasts a silence of 1.6 s as before (test_reservations).

--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -53,7 +53,8 @@
     ``check_call`` returns why an endpoint must get nothing now, ``check_send``
     why a request must not be sent as placed, and ``check_service`` why one
     must not be placed at all; all return ``None`` if nothing is against it.
-    ``may_poll`` returns whether a report may be polled; it then counts as sent.
+    ``is_limited`` returns whether an endpoint limits its rate. ``may_poll``
+    returns whether a report may be polled; it then counts as sent.
     ``record_order`` is called right before an order is sent, and
     ``record_success`` when a request has succeeded.
     """
@@ -62,6 +63,7 @@
     check_call: Callable[[ListedEndpoint], Failure | None]
     check_send: Callable[[CallerRequest, DispatchPlan], Failure | None]
     check_service: Callable[[str], Failure | None]
+    is_limited: Callable[[ListedEndpoint], bool]
     may_poll: Callable[[ListedEndpoint], bool]
     record_order: Callable[[ListedEndpoint], None]
     record_success: Callable[[CallerRequest, DispatchPlan], None]
@@ -107,6 +109,7 @@
         check_call=partial(check_call, view),
         check_send=partial(check_send, view),
         check_service=partial(check_service, view),
+        is_limited=lambda endpoint: view.limits.is_limited(endpoint.identity),
         may_poll=partial(may_poll, view, announcements.call_spent),
         record_order=partial(record_order, view, announcements.call_spent),
         record_success=partial(record_success, view),
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from itertools import count
 
 import trio
@@ -35,6 +35,9 @@
 # within which unused memory must be free again.
 RESERVATION_TTL_SECONDS = 3.2
 RENEWAL_INTERVAL_SECONDS = 1.0
+# The same at an engine that limits its rate, where each renewal counts.
+LIMITED_TTL_SECONDS = 3.7
+LIMITED_RENEWAL_INTERVAL_SECONDS = 2.0
 # Timeout of an order, which is repeated until the engine answers. It is longer
 # than a pause of an engine that goes on.
 ORDER_TIMEOUT_SECONDS = 2.0
@@ -50,10 +53,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Orders:
-    """The client that sends orders, and the gate that decides on them."""
+    """The client that sends orders, and the gate that decides on them.
+
+    ``reserved_at`` holds when each reservation was last ordered or renewed.
+    """
 
     client: HttpClient
     gate: EndpointGate
+    reserved_at: dict[str, float] = field(default_factory=dict)
 
 
 def make_reserver(
@@ -82,6 +89,10 @@
             )
             for endpoint, tokens in placement.reserved
         )
+        now = trio.current_time()
+        orders.reserved_at.update(
+            (each.identifier, now) for each in reservations
+        )
         try:
             async with _reserved(orders, reservations):
                 yield _with_reservations(placement, reservations)
@@ -123,9 +134,7 @@
     failures: list[Failure] = []
 
     async def reserve(reservation: Reservation) -> None:
-        result = await _repeat_order(
-            orders, reservation.endpoint, _reserve_order(reservation)
-        )
+        result = await _reserve(orders, reservation, RESERVATION_TTL_SECONDS)
         if result.is_error():
             failures.append(result.error)
 
@@ -137,15 +146,41 @@
         raise FailureError(failures[0])
 
 
+async def _reserve(
+    orders: _Orders,
+    reservation: Reservation,
+    ttl_seconds: float,
+    *,
+    passes_gate: bool = False,
+) -> Result[None, Failure]:
+    orders.reserved_at[reservation.identifier] = trio.current_time()
+    return await _repeat_order(
+        orders,
+        reservation.endpoint,
+        _reserve_order(reservation, ttl_seconds),
+        passes_gate=passes_gate,
+    )
+
+
 async def _renew(orders: _Orders, reservation: Reservation) -> None:
+    ttl_seconds = RESERVATION_TTL_SECONDS
     while True:
         await trio.sleep(RENEWAL_INTERVAL_SECONDS)
-        await _repeat_order(
-            orders,
-            reservation.endpoint,
-            _reserve_order(reservation),
-            passes_gate=True,
-        )
+        if orders.gate.is_limited(reservation.endpoint):
+            # The longer interval needs the longer lifetime before it.
+            if ttl_seconds == LIMITED_TTL_SECONDS:
+                await _wait_limited_interval(orders, reservation)
+            ttl_seconds = LIMITED_TTL_SECONDS
+        else:
+            ttl_seconds = RESERVATION_TTL_SECONDS
+        await _reserve(orders, reservation, ttl_seconds, passes_gate=True)
+
+
+async def _wait_limited_interval(
+    orders: _Orders, reservation: Reservation
+) -> None:
+    reserved_at = orders.reserved_at[reservation.identifier]
+    await trio.sleep_until(reserved_at + LIMITED_RENEWAL_INTERVAL_SECONDS)
 
 
 async def _release_all(
@@ -171,6 +206,10 @@
 
 
 async def _release(orders: _Orders, reservation: Reservation) -> None:
+    """Release memory; at an engine with a limit in place of a renewal."""
+    if orders.gate.is_limited(reservation.endpoint):
+        await _wait_limited_interval(orders, reservation)
+    orders.reserved_at.pop(reservation.identifier)
     body = {'operation': 'release', 'id': reservation.identifier}
     result = await _repeat_order(
         orders, reservation.endpoint, body, passes_gate=True
@@ -247,12 +286,14 @@
     return replace(request, headers=(*request.headers, expected))
 
 
-def _reserve_order(reservation: Reservation) -> dict[str, object]:
+def _reserve_order(
+    reservation: Reservation, ttl_seconds: float
+) -> dict[str, object]:
     return {
         'operation': 'reserve',
         'id': reservation.identifier,
         'tokens': reservation.tokens,
-        'holdMs': int(RESERVATION_TTL_SECONDS * _MILLISECONDS),
+        'holdMs': int(ttl_seconds * _MILLISECONDS),
         'wait': False,
     }
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -14,11 +14,13 @@
 from limit_site import (
     ENGINES_SERVICE,
     PLAIN_SERVICE,
+    EndpointClient,
     bound_of,
     open_limit_site,
 )
+from limpetdrift.platform.reservations import make_reserver
 from limpetdrift.protocol.gossip import MemberState
-from limpetdrift.protocol.work import PromptSize
+from limpetdrift.protocol.work import DispatchPlan, PromptSize
 from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS
 from virtual_time import in_virtual_time
 
@@ -345,6 +347,33 @@
         assert limited.worst_window() <= bound_of(limit)
 
 
+@in_virtual_time
+async def test_renewals_of_reserved_memory_leave_a_low_limit_room():
+    """The prompts began before the engine named its limit."""
+    async with open_limit_site(entries=3, engines=4) as site:
+        limited = site.of_service(ENGINES_SERVICE)[0]
+        plan = DispatchPlan(
+            endpoint=limited.listed, reserved=((limited.listed, 1000),)
+        )
+
+        async def hold(entry) -> None:
+            client = EndpointClient(site, entry.node.name)
+            reserve = make_reserver(
+                client, entry.node.name, entry.planning.gate
+            )
+            async with reserve(plan):
+                await trio.sleep(20)
+
+        async with trio.open_nursery() as nursery:
+            for entry in site.entries.values():
+                nursery.start_soon(hold, entry)
+            await trio.sleep(2)
+            limited.limit = 0.4
+            await site.offer(ENGINES_SERVICE, rate=10, seconds=15)
+        assert len(limited.reservations) == 3
+        assert limited.worst_window() <= bound_of(0.4)
+
+
 @pytest.mark.parametrize('service', SERVICES)
 @in_virtual_time
 async def test_refused_callers_return_at_the_rate_of_the_limits(service):
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -11,7 +11,10 @@
 from limpet_standins.local import call_local
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
 from limpetdrift.coordination.endpoint_gate import make_gate
-from limpetdrift.platform.reservations import make_reserver
+from limpetdrift.platform.reservations import (
+    LIMITED_TTL_SECONDS,
+    make_reserver,
+)
 from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
@@ -90,6 +93,23 @@
             assert engine.endpoint.held_tokens() == 1000
 
 
+@pytest.mark.parametrize('silent_at', (0.95, 2.9, 3.0, 4.9))
+@in_virtual_time
+async def test_reservation_at_an_engine_with_a_limit_outlasts_a_silence(
+    silent_at,
+):
+    engine = SilentEngine()
+    engine.endpoint.rate_limit = 0.4
+    async with reserve(engine):
+        await trio.sleep(silent_at)
+        engine.fall_silent(1.6)
+        for _ in range(80):
+            await trio.sleep(0.1)
+            assert engine.endpoint.held_tokens() == 1000
+    await trio.sleep(LIMITED_TTL_SECONDS)
+    assert not engine.endpoint.held_tokens()
+
+
 @pytest.mark.parametrize('accepts', (True, False))
 @in_virtual_time
 async def test_request_does_not_wait_for_a_silent_engine_to_release(accepts):
