Play what the store and servers tell as scenarios on real entries

One scenario each: a server that leaves, one that asks for a time without requests, one that limits its rate while all entries start again, a store that comes back from a copy in which a revoked key is valid, an engine that falls silent for a moment.

--- /dev/null
+++ b/tests/platform_scenarios/test_platform_scenarios.py
@@ -0,0 +1,5 @@
+"""Runs the scripted scenarios of this folder."""
+
+from pytest_bdd import scenarios
+
+scenarios('.')
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 import time
-from contextlib import asynccontextmanager, suppress
+from contextlib import suppress
 
 import trio
 
@@ -14,43 +14,14 @@
 from limpetdrift.platform.limit_rows import WRITE_BATCH_SECONDS
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request, Response
-from soak.run import reserve_ports
+from limpetdrift.transport.messages import Address, Request
+from platform_site import READY_SECONDS, open_site, send_calls, wait_ready
 from soak.site import HOST, STOP_GRACE_SECONDS, EntryProcess, Site
 
-PORTS_SEED = 790
-READY_SECONDS = 30.0
 # Time of the first write of a limit, and a margin for a busy machine.
 LIMIT_WRITTEN_SECONDS = WRITE_BATCH_SECONDS + 3.0
 
 
-async def wait_ready(client: HttpClient, address: Address) -> None:
-    with trio.fail_after(READY_SECONDS):
-        while True:
-            answer = await client.fetch(
-                address,
-                Request(method='GET', path='/-/readiness'),
-                timeout_seconds=1,
-            )
-            if answer.is_ok() and answer.ok.status == 200:
-                return
-            await trio.sleep(0.1)
-
-
-@asynccontextmanager
-async def open_site(folder, **counts: int):
-    """Open a site with one entry, on ports that no other test uses."""
-    with reserve_ports(PORTS_SEED) as port:
-        async with trio.open_nursery() as nursery:
-            site = Site(folder=folder, port=port, nursery=nursery)
-            try:
-                await site.open(1, **counts)
-                yield site
-            finally:
-                site.close()
-            nursery.cancel_scope.cancel()
-
-
 def test_entry_serves_while_no_process_reads_its_log(tmp_path):
     """Guards against blocking on a full pipe, which holds about 250 lines.
 
@@ -100,29 +71,6 @@
     trio.run(run_site)
 
 
-async def send_calls(
-    site: Site, names, path: str = '/twice/x', **changes: str
-) -> list[Response]:
-    """Send one call after the other."""
-    client = HttpClient()
-    answers = []
-    for name in names:
-        headers = {
-            'host': HOST,
-            'attempt-id': name,
-            'authorization': 'Bearer key-0',
-            'deadline-ms': '1500',
-            **changes,
-        }
-        answer = await client.fetch(
-            Address(host=site.entries[0].host, port=site.port),
-            Request(method='GET', path=path, headers=tuple(headers.items())),
-            timeout_seconds=5,
-        )
-        answers.append(answer.ok)
-    return answers
-
-
 def test_desk_that_says_it_leaves_in_an_answer_gets_no_more_calls(tmp_path):
     async def body(site: Site) -> None:
         first = next(iter(site.endpoints.values())).endpoint
