Kill the engine of a scenario only once it answers

The scenario "An engine dies while it answers" killed the engine 0.5 s after the prompts were sent, whatever it did then. Played on a scratch copy with other delays it passed from 0 to 1 s and failed at 1.5, 2 and 3 s with "no second attempt", as seen in KNOWN-RED: the answers had ended before the kill. So a slow first start of the test's own processes is enough. Now the step waits until the engine has begun an answer. What is checked is the same.

--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -20,6 +20,7 @@
 )
 
 POLL_INTERVAL_SECONDS = 0.1
+ANSWER_BEGIN_SECONDS = 20.0
 KIND = r'(?P<kind>entry|engine|kiosk-desk|relay)'
 PROCESS = rf'{KIND} (?P<number>\d+)'
 
@@ -110,6 +111,15 @@
     time.sleep(seconds)
 
 
+@when(parsers.parse('engine {number:d} has begun an answer'))
+def wait_for_answer(site, number):
+    address = site.address(f'engine-{number}')
+    deadline = time.monotonic() + ANSWER_BEGIN_SECONDS
+    while not _fetch_started(address):
+        assert time.monotonic() < deadline
+        time.sleep(POLL_INTERVAL_SECONDS / 10)
+
+
 @when(parsers.re(rf'{PROCESS} is killed'))
 def kill(processes, site, kind, number):
     processes.kill(f'{kind}-{number}')
@@ -191,8 +201,7 @@
     attempts = [
         entry['attempt']
         for address in site.engine_addresses
-        for entry in fetch_journal(address)
-        if entry['event'] == 'started'
+        for entry in _fetch_started(address)
     ]
     assert max(attempts) > 1
 
@@ -219,10 +228,9 @@
 def check_starts(site, times):
     started = {}
     for address in site.engine_addresses:
-        for entry in fetch_journal(address):
-            if entry['event'] == 'started':
-                key = entry['journal_key'] or entry['request_key']
-                started[key] = started.get(key, 0) + 1
+        for entry in _fetch_started(address):
+            key = entry['journal_key'] or entry['request_key']
+            started[key] = started.get(key, 0) + 1
     assert started
     assert max(started.values()) <= times
 
@@ -235,3 +243,9 @@
 def check_exited(processes, kind, number, seconds):
     popen = processes[f'{kind}-{number}'].popen
     assert popen.wait(float(seconds)) == 0
+
+
+def _fetch_started(address):
+    return [
+        entry for entry in fetch_journal(address) if entry['event'] == 'started'
+    ]
--- a/tests/scenarios/entries.feature
+++ b/tests/scenarios/entries.feature
@@ -9,7 +9,8 @@
   Scenario: An engine dies while it answers
     Given a site with 2 entries and 3 engines
     When 12 callers send prompts of 500 tokens
-    And 0.5 seconds pass
+    And engine 2 has begun an answer
+    And 0.2 seconds pass
     And engine 2 is killed
     Then every answer is complete
     And some prompts took a second attempt
