Let the small experiment run long enough to meet cached prefixes

Cause: the experiment sent 14 requests in 1.5 s, and how many of them meet a prefix depends on the timing of the processes. So the test runs for 4 s and now asks for three.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -245,13 +245,16 @@
 
 
 def test_small_experiment_runs_end_to_end(experiment, tmp_path):
+    # In 1.5 s only one to three of 14 requests meet a cached prefix.
+    mix = replace(experiment.mix, duration_seconds=4.0)
+    experiment = replace(experiment, mix=mix)
     save_runs(tmp_path, experiment, run_experiment(experiment, open_site))
     runs = read_runs(records_path(tmp_path, experiment))
     assert len(runs) == 1
     run = runs[0]
     assert len(run.requests) == len(draw_case(experiment, run.case))
     assert all(each.whole for each in run.requests)
-    assert any(each.cached_tokens for each in run.requests)
+    assert sum(each.cached_tokens > 0 for each in run.requests) >= 3
     assert {each.account for each in run.requests} == {'desk', 'owners'}
     assert run.samples
     assert 'slack' in (tmp_path / 'tiny.md').read_text('utf-8')
