Empty the queue of connections before a server closes

What callers saw: at a stop under load, requests whose connections the system had accepted were cut off with a reset.

Cause: a server that closes took connections from the queue for 0.05 s and then closed the listener. A process that doesn't run in this time, on a busy machine, has taken one or none of them.

Change: after that time the queue is read until nothing has come out of it for 0.01 s, and only then is the listener closed; close() waits for it. What remains is a connection that the system accepts right then.

--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -14,6 +14,7 @@
 from absl import logging
 
 from limpetdrift import telemetry
+from limpetdrift.logs import warn
 from limpetdrift.transport.connection import (
     RECEIVE_BYTES,
     BadInputError,
@@ -41,6 +42,8 @@
 # Time in which a server that closes still takes connections from the queues
 # of its listeners.
 LAST_ACCEPT_SECONDS = 0.05
+# A queue is empty if no connection comes out of it within this time.
+_QUEUE_CHECK_SECONDS = 0.01
 # How long the last responses may take when a server closes.
 LAST_WRITE_SECONDS = 0.28
 
@@ -169,6 +172,8 @@
         self._waiting = trio.lowlevel.ParkingLot()
         self._connections: set[Connection] = set()
         self._accept_scopes: list[trio.CancelScope] = []
+        # Number of calls of ``serve`` that may still accept connections.
+        self._open_queues = 0
         self._is_closing = False
 
     @property
@@ -198,17 +203,30 @@
         *,
         task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Accept connections until cancelled, and serve those accepted."""
+        """Accept connections until cancelled, and serve those accepted.
+
+        The listeners are closed at the end.
+        """
         accept_scope = trio.CancelScope()
         self._accept_scopes.append(accept_scope)
-        async with trio.open_nursery() as nursery:
-            with accept_scope:
-                await trio.serve_listeners(
-                    self.handle_stream,
-                    listeners,
-                    handler_nursery=nursery,
-                    task_status=task_status,
-                )
+        self._open_queues += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                with accept_scope:
+                    await trio.serve_listeners(
+                        self.handle_stream,
+                        [_SharedListener(each) for each in listeners],
+                        handler_nursery=nursery,
+                        task_status=task_status,
+                    )
+                for listener in listeners:
+                    await _accept_queued(listener, self.handle_stream, nursery)
+                    await listener.aclose()
+                self._open_queues -= 1
+                self._waiting.unpark_all()
+        finally:
+            for each in listeners:
+                await trio.aclose_forcefully(each)
 
     async def close(self, timeout_seconds: float) -> None:
         """Accept no more connections, and end those that are open.
@@ -220,7 +238,6 @@
         self._is_closing = True
         for connection in self._connections:
             connection.close_when_idle()
-        # The system has accepted connections that are still to be served.
         accept_seconds = min(LAST_ACCEPT_SECONDS, timeout_seconds)
         await trio.sleep(accept_seconds)
         for accept_scope in self._accept_scopes:
@@ -245,7 +262,7 @@
             self._waiting.unpark_all()
 
     async def _wait_unconnected(self) -> None:
-        while self._connections:
+        while self._connections or self._open_queues:
             await self._waiting.park()
 
     async def _serve_connection(self, connection: Connection) -> None:
@@ -364,6 +381,42 @@
     return isinstance(error, trio.Cancelled)
 
 
+class _SharedListener(trio.abc.Listener):
+    """A listener that stays open when a task that accepts from it ends."""
+
+    def __init__(self, listener: trio.abc.Listener) -> None:
+        self._listener = listener
+
+    async def accept(self) -> trio.abc.Stream:
+        """Return the stream of the next connection."""
+        return await self._listener.accept()
+
+    async def aclose(self) -> None:
+        """Leave the listener open."""
+        await trio.lowlevel.checkpoint()
+
+
+async def _accept_queued(
+    listener: trio.abc.Listener,
+    handle_stream: Callable[[trio.abc.Stream], Awaitable[None]],
+    nursery: trio.Nursery,
+) -> None:
+    """Serve connections that the system has accepted for a listener.
+
+    On a busy machine they may be many more than were taken from the queue in
+    ``LAST_ACCEPT_SECONDS``.
+    """
+    scope = trio.CancelScope()
+    while not scope.cancelled_caught:
+        with trio.move_on_after(_QUEUE_CHECK_SECONDS) as scope:
+            try:
+                stream = await listener.accept()
+            except OSError as error:
+                warn('queued connections are lost', detail=str(error))
+                return
+            nursery.start_soon(handle_stream, stream)
+
+
 async def listen(address: Address) -> list[trio.SocketListener]:
     """Open listeners for one IP address and port."""
     return await trio.open_tcp_listeners(address.port, host=address.host)
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -1,12 +1,18 @@
 """A server that closes answers the requests that it has begun to read."""
 
 import socket
+import time
 
 import pytest
 import trio
 
 from limpetdrift.transport.messages import Address, Response
-from limpetdrift.transport.server import Server, bound_address, listen
+from limpetdrift.transport.server import (
+    LAST_ACCEPT_SECONDS,
+    Server,
+    bound_address,
+    listen,
+)
 from server_harness import HEAD, ServerHarness, read_all
 from virtual_time import in_virtual_time
 
@@ -134,3 +140,37 @@
                 assert peer.recv(65_536).endswith(b'draining')
 
     trio.run(run)
+
+
+def test_requests_in_the_queue_of_a_busy_server_are_answered():
+    """The process doesn't run while the time for the queue passes."""
+
+    async def run():
+        server = Server(handler=refuse)
+        async with trio.open_nursery() as nursery:
+            listeners = await listen(Address(host='127.0.0.1', port=0))
+            address = bound_address(listeners)
+            await nursery.start(server.serve, listeners)
+            peers = []
+            for _ in range(60):
+                peer = socket.create_connection((address.host, address.port))
+                peer.sendall(HEAD)
+                peers.append(peer)
+            closed = trio.Event()
+
+            async def close():
+                await server.close(5.0)
+                closed.set()
+
+            nursery.start_soon(close)
+            await trio.lowlevel.checkpoint()
+            await trio.lowlevel.checkpoint()
+            time.sleep(2 * LAST_ACCEPT_SECONDS)  # noqa: ASYNC251
+            with trio.fail_after(10):
+                await closed.wait()
+            nursery.cancel_scope.cancel()
+        for peer in peers:
+            with peer:
+                assert peer.recv(65_536).endswith(b'draining')
+
+    trio.run(run)
