--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -8,6 +8,7 @@
 
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
 
 import h11
 import trio
@@ -172,8 +173,8 @@
         self._waiting = trio.lowlevel.ParkingLot()
         self._connections: set[Connection] = set()
         self._accept_scopes: list[trio.CancelScope] = []
-        # Number of calls of ``serve`` that may still accept connections.
-        self._open_queues = 0
+        # Number of calls of ``serve`` that have not ended.
+        self._serving = 0
         self._is_closing = False
 
     @property
@@ -209,9 +210,14 @@
         """
         accept_scope = trio.CancelScope()
         self._accept_scopes.append(accept_scope)
-        self._open_queues += 1
+        self._serving += 1
         try:
-            async with trio.open_nursery() as nursery:
+            async with (
+                trio.open_nursery() as nursery,
+                AsyncExitStack() as open_listeners,
+            ):
+                for listener in listeners:
+                    await open_listeners.enter_async_context(listener)
                 with accept_scope:
                     await trio.serve_listeners(
                         self.handle_stream,
@@ -219,14 +225,11 @@
                         handler_nursery=nursery,
                         task_status=task_status,
                     )
-                for listener in listeners:
-                    await _accept_queued(listener, self.handle_stream, nursery)
-                    await listener.aclose()
-                self._open_queues -= 1
-                self._waiting.unpark_all()
+                for closing in listeners:
+                    await _accept_queued(closing, self.handle_stream, nursery)
         finally:
-            for each in listeners:
-                await trio.aclose_forcefully(each)
+            self._serving -= 1
+            self._waiting.unpark_all()
 
     async def close(self, timeout_seconds: float) -> None:
         """Accept no more connections, and end those that are open.
@@ -262,7 +265,7 @@
             self._waiting.unpark_all()
 
     async def _wait_unconnected(self) -> None:
-        while self._connections or self._open_queues:
+        while self._connections or self._serving:
             await self._waiting.park()
 
     async def _serve_connection(self, connection: Connection) -> None:
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -174,3 +174,17 @@
                 assert peer.recv(65_536).endswith(b'draining')
 
     trio.run(run)
+
+
+def test_server_that_no_longer_accepts_closes_at_once():
+    async def run():
+        server = Server(handler=refuse)
+        async with trio.open_nursery() as nursery:
+            listeners = await listen(Address(host='127.0.0.1', port=0))
+            await nursery.start(server.serve, listeners)
+            nursery.cancel_scope.cancel()
+        started_at = trio.current_time()
+        await server.close(5.0)
+        assert trio.current_time() - started_at < 1.0
+
+    trio.run(run)
