--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -119,6 +119,18 @@
     trio.run(run)
 
 
+def send_request(address):
+    peer = socket.create_connection((address.host, address.port))
+    peer.sendall(HEAD)
+    return peer
+
+
+def check_answers(peers):
+    for peer in peers:
+        with peer:
+            assert peer.recv(65_536).endswith(b'draining')
+
+
 def test_request_on_a_connection_that_is_not_served_yet_is_answered():
     """The system accepts connections before the server knows of them."""
 
@@ -128,16 +140,10 @@
             listeners = await listen(Address(host='127.0.0.1', port=0))
             address = bound_address(listeners)
             await nursery.start(server.serve, listeners)
-            peers = []
-            for _ in range(30):
-                peer = socket.create_connection((address.host, address.port))
-                peer.sendall(HEAD)
-                peers.append(peer)
+            peers = [send_request(address) for _ in range(30)]
             with trio.fail_after(10):
                 await server.close(5.0)
-        for peer in peers:
-            with peer:
-                assert peer.recv(65_536).endswith(b'draining')
+        check_answers(peers)
 
     trio.run(run)
 
@@ -151,11 +157,7 @@
             listeners = await listen(Address(host='127.0.0.1', port=0))
             address = bound_address(listeners)
             await nursery.start(server.serve, listeners)
-            peers = []
-            for _ in range(60):
-                peer = socket.create_connection((address.host, address.port))
-                peer.sendall(HEAD)
-                peers.append(peer)
+            peers = [send_request(address) for _ in range(60)]
             closed = trio.Event()
 
             async def close():
@@ -169,9 +171,7 @@
             with trio.fail_after(10):
                 await closed.wait()
             nursery.cancel_scope.cancel()
-        for peer in peers:
-            with peer:
-                assert peer.recv(65_536).endswith(b'draining')
+        check_answers(peers)
 
     trio.run(run)
 
