Let the queue of a closing server alone decide when it is closed

Found by reading the diff: the loop that empties the queue was put behind the wait of 0.05 s that had served the same purpose, and it ended only after 0.01 s without a connection. A server to which callers connect more than a hundred times a second kept its listener open until its timeout, and cut off what it had accepted last. A new test with a connection each 4 ms failed: close() took 5.28 s of 5 s.

Now the wait is gone, and the queue is empty after 2 ms without a connection: only more than 500 a second to one entry can hold it up, where the users' aim is 20. The scopes of running serve() calls take the place of a count of them. The test of a busy process holds with the same sleep of 0.1 s. The tests share the start of a server on a port.

--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -40,11 +40,9 @@
 _TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
 _INTERNAL_ERROR = 500
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
-# Time in which a server that closes still takes connections from the queues
-# of its listeners.
-LAST_ACCEPT_SECONDS = 0.05
-# A queue is empty if no connection comes out of it within this time.
-_QUEUE_CHECK_SECONDS = 0.01
+# The queue of a listener is empty if no connection comes out of it within this
+# time. It is below the interval at which callers connect to a busy entry.
+_QUEUE_CHECK_SECONDS = 0.002
 # How long the last responses may take when a server closes.
 LAST_WRITE_SECONDS = 0.28
 
@@ -172,9 +170,8 @@
         # Woken when an exchange or a connection has ended.
         self._waiting = trio.lowlevel.ParkingLot()
         self._connections: set[Connection] = set()
+        # Of the calls of ``serve`` that have not ended.
         self._accept_scopes: list[trio.CancelScope] = []
-        # Number of calls of ``serve`` that have not ended.
-        self._serving = 0
         self._is_closing = False
 
     @property
@@ -210,7 +207,6 @@
         """
         accept_scope = trio.CancelScope()
         self._accept_scopes.append(accept_scope)
-        self._serving += 1
         try:
             async with (
                 trio.open_nursery() as nursery,
@@ -228,24 +224,23 @@
                 for closing in listeners:
                     await _accept_queued(closing, self.handle_stream, nursery)
         finally:
-            self._serving -= 1
+            self._accept_scopes.remove(accept_scope)
             self._waiting.unpark_all()
 
     async def close(self, timeout_seconds: float) -> None:
         """Accept no more connections, and end those that are open.
 
-        Requests that have begun to arrive are still answered. After the
-        timeout the handlers are cancelled, and requests without any part of
-        a response get status 500.
+        Those that the system has accepted already are still served, and
+        requests that have begun to arrive are answered. After the timeout the
+        handlers are cancelled, and requests without any part of a response get
+        status 500.
         """
         self._is_closing = True
         for connection in self._connections:
             connection.close_when_idle()
-        accept_seconds = min(LAST_ACCEPT_SECONDS, timeout_seconds)
-        await trio.sleep(accept_seconds)
         for accept_scope in self._accept_scopes:
             accept_scope.cancel()
-        with trio.move_on_after(timeout_seconds - accept_seconds):
+        with trio.move_on_after(timeout_seconds):
             await self._wait_unconnected()
         for unfinished in self._connections:
             unfinished.handler_scope.cancel()
@@ -265,7 +260,7 @@
             self._waiting.unpark_all()
 
     async def _wait_unconnected(self) -> None:
-        while self._connections or self._serving:
+        while self._connections or self._accept_scopes:
             await self._waiting.park()
 
     async def _serve_connection(self, connection: Connection) -> None:
@@ -404,11 +399,7 @@
     handle_stream: Callable[[trio.abc.Stream], Awaitable[None]],
     nursery: trio.Nursery,
 ) -> None:
-    """Serve connections that the system has accepted for a listener.
-
-    On a busy machine they may be many more than were taken from the queue in
-    ``LAST_ACCEPT_SECONDS``.
-    """
+    """Serve the connections that the system has accepted for a listener."""
     scope = trio.CancelScope()
     while not scope.cancelled_caught:
         with trio.move_on_after(_QUEUE_CHECK_SECONDS) as scope:
--- a/tests/test_server_close.py
+++ b/tests/test_server_close.py
@@ -5,14 +5,10 @@
 
 import pytest
 import trio
+from trio.testing import memory_stream_pair
 
 from limpetdrift.transport.messages import Address, Response
-from limpetdrift.transport.server import (
-    LAST_ACCEPT_SECONDS,
-    Server,
-    bound_address,
-    listen,
-)
+from limpetdrift.transport.server import Server, bound_address, listen
 from server_harness import HEAD, ServerHarness, read_all
 from virtual_time import in_virtual_time
 
@@ -101,13 +97,18 @@
         assert (await read_all(stream)).startswith(start)
 
 
+async def start_server(nursery):
+    """Serve on a free port; return the server and its address."""
+    server = Server(handler=refuse)
+    listeners = await listen(Address(host='127.0.0.1', port=0))
+    await nursery.start(server.serve, listeners)
+    return server, bound_address(listeners)
+
+
 def test_connections_are_refused_once_the_server_has_closed():
     async def run():
-        server = Server(handler=refuse)
         async with trio.open_nursery() as nursery:
-            listeners = await listen(Address(host='127.0.0.1', port=0))
-            address = bound_address(listeners)
-            await nursery.start(server.serve, listeners)
+            server, address = await start_server(nursery)
             stream = await trio.open_tcp_stream(address.host, address.port)
             await stream.send_all(HEAD)
             with trio.fail_after(10):
@@ -135,11 +136,8 @@
     """The system accepts connections before the server knows of them."""
 
     async def run():
-        server = Server(handler=refuse)
         async with trio.open_nursery() as nursery:
-            listeners = await listen(Address(host='127.0.0.1', port=0))
-            address = bound_address(listeners)
-            await nursery.start(server.serve, listeners)
+            server, address = await start_server(nursery)
             peers = [send_request(address) for _ in range(30)]
             with trio.fail_after(10):
                 await server.close(5.0)
@@ -149,14 +147,11 @@
 
 
 def test_requests_in_the_queue_of_a_busy_server_are_answered():
-    """The process doesn't run while the time for the queue passes."""
+    """The process doesn't run for a moment after the close has begun."""
 
     async def run():
-        server = Server(handler=refuse)
         async with trio.open_nursery() as nursery:
-            listeners = await listen(Address(host='127.0.0.1', port=0))
-            address = bound_address(listeners)
-            await nursery.start(server.serve, listeners)
+            server, address = await start_server(nursery)
             peers = [send_request(address) for _ in range(60)]
             closed = trio.Event()
 
@@ -167,7 +162,7 @@
             nursery.start_soon(close)
             await trio.lowlevel.checkpoint()
             await trio.lowlevel.checkpoint()
-            time.sleep(2 * LAST_ACCEPT_SECONDS)  # noqa: ASYNC251
+            time.sleep(0.1)  # noqa: ASYNC251
             with trio.fail_after(10):
                 await closed.wait()
             nursery.cancel_scope.cancel()
@@ -176,12 +171,41 @@
     trio.run(run)
 
 
+class SteadyListener(trio.abc.Listener):
+    """A listener with a new connection at each interval, without an end."""
+
+    def __init__(self, interval_seconds):
+        self.is_closed = False
+        self._interval_seconds = interval_seconds
+        self._peers = []
+
+    async def accept(self):
+        await trio.sleep(self._interval_seconds)
+        peer, stream = memory_stream_pair()
+        self._peers.append(peer)
+        return stream
+
+    async def aclose(self):
+        self.is_closed = True
+
+
+@in_virtual_time
+async def test_server_to_which_callers_go_on_connecting_closes_in_time():
+    server = Server(handler=refuse)
+    listener = SteadyListener(0.004)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.serve, [listener])
+        await trio.sleep(1)
+        started_at = trio.current_time()
+        await server.close(5.0)
+        assert trio.current_time() - started_at < 0.5
+        assert listener.is_closed
+
+
 def test_server_that_no_longer_accepts_closes_at_once():
     async def run():
-        server = Server(handler=refuse)
         async with trio.open_nursery() as nursery:
-            listeners = await listen(Address(host='127.0.0.1', port=0))
-            await nursery.start(server.serve, listeners)
+            server, _ = await start_server(nursery)
             nursery.cancel_scope.cancel()
         started_at = trio.current_time()
         await server.close(5.0)
