Say in place what a new reader had to look up

From reading the diff: what has_learned means for a reply, what reserved_at maps, why a comparison that failed is due again, that a change to no limit deletes a row, and how answer tokens and events of a scenario depend on each other. The fixture of the platform's scenarios returned the first site whichever was started; its wrapper of plain functions gives way to trio's own.

--- a/src/limpetdrift/platform/limit_rows.py
+++ b/src/limpetdrift/platform/limit_rows.py
@@ -107,6 +107,7 @@
     async def _compare(self) -> None:
         rows = await self._read_rows()
         if rows is None:
+            # Tried again after the random delay.
             self._compare_due.set()
             return
         for record in compare_rows(rows, self._inputs.limits.records()):
@@ -167,7 +168,10 @@
 def compare_rows(
     rows: tuple[StoredRow, ...], known: Iterable[LimitRecord]
 ) -> tuple[LimitRecord, ...]:
-    """Return the changes that make the rows show the known limits."""
+    """Return the changes that make the rows show the known limits.
+
+    A change to no limit deletes a row, whatever its lifetime is.
+    """
     # Of two lifetimes of an endpoint the later one counts.
     wanted = {
         each.endpoint.name: each
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -35,7 +35,7 @@
 # within which unused memory must be free again.
 RESERVATION_TTL_SECONDS = 3.2
 RENEWAL_INTERVAL_SECONDS = 1.0
-# The same at an engine that limits its rate, where each renewal counts.
+# The same at an engine that limits its rate, since renewals count towards it.
 LIMITED_TTL_SECONDS = 3.7
 LIMITED_RENEWAL_INTERVAL_SECONDS = 2.0
 # Timeout of an order, which is repeated until the engine answers. It is longer
@@ -55,7 +55,8 @@
 class _Orders:
     """The client that sends orders, and the gate that decides on them.
 
-    ``reserved_at`` holds when each reservation was last ordered or renewed.
+    ``reserved_at`` maps the identifiers of unreleased reservations to the trio
+    time at which each was last ordered or renewed.
     """
 
     client: HttpClient
--- a/src/limpetdrift/protocol/limits.py
+++ b/src/limpetdrift/protocol/limits.py
@@ -31,7 +31,8 @@
 class LimitRecords:
     """Records that are reported to the decider, or that it passes on.
 
-    ``has_learned`` is true if the sender knows what was known at its start.
+    ``has_learned`` is false while the sender, which has just started, is still
+    learning the limits; a reply to a pull may then lack some.
     """
 
     records: tuple[LimitRecord, ...] = ()
--- a/tests/platform_scenarios/conftest.py
+++ b/tests/platform_scenarios/conftest.py
@@ -16,8 +16,9 @@
 from platform_site import open_site, send_calls, wait_ready
 from soak.site import EntryProcess
 
-ANSWER_TOKENS = 2040
+# The stand-in of an engine sends an event for each 51 tokens of an answer.
 EVENTS = 40
+ANSWER_TOKENS = EVENTS * 51
 PROMPT_HEADERS = {
     'token-usage': f'4000,{ANSWER_TOKENS}',
     'deadline-ms': '8000',
@@ -51,9 +52,15 @@
             function, *arguments, trio_token=self._token
         )
 
+    def run_sync(self, function, *arguments):
+        """Run a function in the site's thread, and return its value."""
+        return trio.from_thread.run_sync(
+            function, *arguments, trio_token=self._token
+        )
+
     def close(self) -> None:
         """End the site and its processes."""
-        trio.from_thread.run_sync(self._closing.set, trio_token=self._token)
+        self.run_sync(self._closing.set)
         self._thread.join()
 
     def endpoint(self, service: str, number: int):
@@ -134,32 +141,33 @@
 
 
 @pytest.fixture
-def open_thread(tmp_path):
-    threads = []
+def start_site(tmp_path):
+    sites = []
 
     def start(**counts: int) -> SiteThread:
-        threads.append(SiteThread(tmp_path, **counts))
-        return threads[0]
+        site = SiteThread(tmp_path, **counts)
+        sites.append(site)
+        return site
 
     yield start
-    for thread in threads:
-        thread.close()
+    for each in sites:
+        each.close()
 
 
 @given(
     parsers.parse('a site with {entries:d} entries and {desks:d} desks'),
     target_fixture='site',
 )
-def site_with_desks(open_thread, entries, desks):
-    return open_thread(entries=entries, engines=0, desks=desks)
+def site_with_desks(start_site, entries, desks):
+    return start_site(entries=entries, engines=0, desks=desks)
 
 
 @given(
     parsers.parse('a site with {entries:d} entry and {engines:d} engines'),
     target_fixture='site',
 )
-def site_with_engines(open_thread, entries, engines):
-    return open_thread(entries=entries, engines=engines, desks=0)
+def site_with_engines(start_site, entries, engines):
+    return start_site(entries=entries, engines=engines, desks=0)
 
 
 @when(parsers.re(r'(?P<seconds>[\d.]+) seconds? pass(es)?'))
@@ -222,12 +230,12 @@
 
 @when(parsers.parse('{key} is revoked'))
 def revoke_key(site: SiteThread, key):
-    site.run(_in_loop(site.site.revoke_key), key)
+    site.run_sync(site.site.revoke_key, key)
 
 
 @when('the operator writes its rows again')
 def write_rows_again(site: SiteThread):
-    site.run(_in_loop(site.site.write_rows_again))
+    site.run_sync(site.site.write_rows_again)
 
 
 @then(parsers.parse('each call is answered with status {status:d}'))
@@ -281,10 +289,3 @@
     for answer in site.prompt_answers:
         assert answer.status == 200
         assert answer.body.count(b'id: ') == EVENTS
-
-
-def _in_loop(function):
-    async def run(*arguments):
-        return function(*arguments)
-
-    return run
