Log what the check of a broken connection found, and the prompt's parts

Nothing in the logs told which requests ran on an endpoint that ended, which parts their prompts have, how far their answers had come, or whether the check found a crash. The counter crash_checks tells the last by its outcome.

--- a/src/limpetdrift/coordination/attempt_race.py
+++ b/src/limpetdrift/coordination/attempt_race.py
@@ -33,8 +33,9 @@
     ``is_silent`` is set during a silence, which ends when a part of the answer
     goes to the caller. ``tries_beside`` counts the times in this silence at
     which a try elsewhere was due. ``is_sent`` is set once the request may have
-    reached the endpoint, ``has_written`` once a part of the answer went to the
-    caller.
+    reached the endpoint, and ``sent_at`` is the trio time of that. ``events``
+    counts the events received, ``has_written`` is set once a part of the answer
+    went to the caller.
     ``failed`` lists endpoints that failed the attempt.
     """
 
@@ -45,6 +46,8 @@
     is_silent: bool = False
     tries_beside: int = 0
     is_sent: bool = False
+    sent_at: float = math.inf
+    events: int = 0
     has_written: bool = False
     failed: list[ListedEndpoint] = field(default_factory=list)
 
@@ -53,6 +56,11 @@
         """Whether another attempt, or the end of the request, cancelled it."""
         return self.scope.cancel_called
 
+    def mark_sent(self) -> None:
+        """Record that the request may reach the endpoint from now on."""
+        self.is_sent = True
+        self.sent_at = trio.current_time()
+
     def expect_answer_within(self, timeout_seconds: float) -> None:
         """Count as silent if no part of the answer comes in this time."""
         self.silent_at = trio.current_time() + timeout_seconds
--- a/src/limpetdrift/coordination/crash_guard.py
+++ b/src/limpetdrift/coordination/crash_guard.py
@@ -19,7 +19,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.quarantine_replication import QuarantineReplicator
-from limpetdrift.logs import warn
+from limpetdrift.logs import note, warn
 from limpetdrift.protocol.quarantine import QuarantineState
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
@@ -36,10 +36,16 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _BrokenConnection:
-    fingerprint: str
-    account: str
+class BrokenAttempt:
+    """An attempt whose connection broke ``seconds`` after it was sent.
+
+    ``events`` is the number of events of its answer that had arrived.
+    """
+
+    request: CallerRequest
     endpoint: ListedEndpoint
+    seconds: float
+    events: int
 
 
 class CrashGuard:
@@ -58,9 +64,7 @@
         self.replicator = replicator
         self._suspects = suspects
         self._is_dead = is_dead
-        channel = trio.open_memory_channel[_BrokenConnection](
-            _MAX_QUEUED_CHECKS
-        )
+        channel = trio.open_memory_channel[BrokenAttempt](_MAX_QUEUED_CHECKS)
         self._check_sender = channel[0]
         self._check_receiver = channel[1]
 
@@ -75,18 +79,10 @@
             retry_after_seconds=record.seconds,
         )
 
-    def report_broken_connection(
-        self, request: CallerRequest, endpoint: ListedEndpoint
-    ) -> None:
+    def report_broken_connection(self, broken: BrokenAttempt) -> None:
         """Queue a check whether the endpoint of a broken connection crashed."""
         try:
-            self._check_sender.send_nowait(
-                _BrokenConnection(
-                    fingerprint=fingerprint_of(request),
-                    account=request.account,
-                    endpoint=endpoint,
-                ),
-            )
+            self._check_sender.send_nowait(broken)
         except trio.WouldBlock:
             telemetry.count('crashes_not_looked_into')
 
@@ -108,37 +104,57 @@
             async for broken in self._check_receiver:
                 nursery.start_soon(self._check_for_crash, broken)
 
-    async def _check_for_crash(self, broken: _BrokenConnection) -> None:
-        if not await self._is_dead(broken.endpoint):
-            return
+    async def _check_for_crash(self, broken: BrokenAttempt) -> None:
+        crashed = await self._is_dead(broken.endpoint)
+        _log_check(broken, crashed=crashed)
+        if crashed:
+            self._count_crash(broken)
+
+    def _count_crash(self, broken: BrokenAttempt) -> None:
         # One crash counts once, however many equal requests ran there.
         endpoint_key = '@'.join(map(str, broken.endpoint.identity))
-        record = self._suspects.find(broken.fingerprint)
+        fingerprint = fingerprint_of(broken.request)
+        record = self._suspects.find(fingerprint)
         if record is not None and record.endpoint == endpoint_key:
             return
         suspect = self._suspects.note_crash(
-            broken.fingerprint,
-            broken.account,
+            fingerprint,
+            broken.request.account,
             endpoint_key,
         )
         self.replicator.add(suspect)
         if suspect is None or suspect.crashes < CRASH_LIMIT:
             return
         refused = self._suspects.resolve_suspect(
-            broken.fingerprint,
+            fingerprint,
             QuarantineState.REFUSED,
         )
         self.replicator.add(refused)
         telemetry.count('requests_quarantined')
         warn(
             'request quarantined: endpoints crashed on it',
-            fingerprint=broken.fingerprint,
-            account=broken.account,
+            fingerprint=fingerprint,
+            account=broken.request.account,
             crashes=suspect.crashes,
             endpoint=broken.endpoint.name,
         )
 
 
+def _log_check(broken: BrokenAttempt, *, crashed: bool) -> None:
+    """Log and count what the check of a broken connection found."""
+    outcome = 'crashed' if crashed else 'accepts-connections'
+    telemetry.count('crash_checks', outcome=outcome)
+    note(
+        'connection broken',
+        id=broken.request.request_id,
+        endpoint=broken.endpoint.name,
+        crashed=crashed,
+        prompt_parts=broken.request.prompt_parts,
+        seconds=round(broken.seconds, 3),
+        events=broken.events,
+    )
+
+
 def fingerprint_of(request: CallerRequest) -> str:
     """Return a hash by which a resent request is recognized.
 
--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -202,6 +202,7 @@
     event: StreamEvent,
 ) -> bool:
     """Send an event unless the caller has it; return whether it is new."""
+    attempt.events += not event.is_comment
     last_number = progress.last_event
     is_known = (
         event.number is not None
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -21,6 +21,7 @@
     Outcome,
     RacingAttempt,
 )
+from limpetdrift.coordination.crash_guard import BrokenAttempt
 from limpetdrift.coordination.delivery import (
     EndpointIdentity,
     RequestProgress,
@@ -116,8 +117,8 @@
     ``check`` returns the failure for a request that must not be sent now, else
     ``None``.
     ``render`` turns a failure into the response to the caller.
-    ``report_broken_connection`` is called when a connection breaks while a
-    request runs, and ``report_success`` when a request succeeds.
+    ``report_broken_connection`` is called when a connection breaks while an
+    attempt runs, and ``report_success`` when a request succeeds.
     """
 
     place: PlaceRequest
@@ -126,7 +127,7 @@
     send: SendRequest
     check: Callable[[CallerRequest], Failure | None]
     render: Callable[[Failure], Response]
-    report_broken_connection: Callable[[CallerRequest, ListedEndpoint], None]
+    report_broken_connection: Callable[[BrokenAttempt], None]
     report_success: Callable[[CallerRequest], None]
     view: EndpointView
     budget: RetryBudget
@@ -323,7 +324,12 @@
                 )
             if outcome.error.reason is Reason.CONNECTION_BROKEN:
                 self._inputs.report_broken_connection(
-                    progress.request, placement.endpoint
+                    BrokenAttempt(
+                        request=progress.request,
+                        endpoint=placement.endpoint,
+                        seconds=trio.current_time() - attempt.sent_at,
+                        events=attempt.events,
+                    )
                 )
         return outcome
 
@@ -341,7 +347,7 @@
             return Error(not_run(Reason.ENDPOINT_REFUSED, 'not listed now'))
         if progress.attempts and not self._inputs.budget.spend():
             return Error(not_run(Reason.RETRY_BUDGET, 'no retry is left'))
-        attempt.is_sent = True
+        attempt.mark_sent()
         progress.unproven += 1
         progress.attempts += 1
         if progress.placements == 1:
--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -33,6 +33,7 @@
 REQUEST_URGENCY_HEADER = 'request-urgency'
 EXPECTED_VERSION_HEADER = 'expect-version'
 TOKEN_USAGE_HEADER = 'token-usage'
+PROMPT_PARTS_HEADER = 'prompt-prefix'
 LAST_EVENT_ID_HEADER = 'last-event-id'
 
 # Headers that concern one connection, or the framing of a message on it.
@@ -181,6 +182,9 @@
             key=_bearer_key(request) if account else '',
             priority=min(_LOWEST_PRIORITY, max(0, priority)),
             size=_parse_prompt_size(request.header(TOKEN_USAGE_HEADER)),
+            prompt_parts=parse_prompt_parts(
+                request.header(PROMPT_PARTS_HEADER)
+            ),
             last_event_id=parse_count(request.header(LAST_EVENT_ID_HEADER)),
         ),
     )
@@ -212,6 +216,16 @@
     return PromptSize(prompt_tokens=prompt_tokens, answer_tokens=answer_tokens)
 
 
+def parse_prompt_parts(text: str) -> tuple[str, ...]:
+    """Return the ids in a list of ``ID:TOKENS``, without empty ones.
+
+    >>> parse_prompt_parts('5c1e07a2:800, 91bd3f06:410')
+    ('5c1e07a2', '91bd3f06')
+    """
+    ids = (entry.partition(':')[0].strip().lower() for entry in text.split(','))
+    return tuple(filter(None, ids))
+
+
 def _draw_service(route: Route, randomness: Random) -> str:
     if len(route.shares) == 1:
         return route.shares[0].service
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -32,9 +32,10 @@
     ``clocks.boot_time``. ``account`` and ``key`` are empty if the route needs
     no key. ``version`` is that of the route table by which the request was
     admitted. ``size`` is ``None`` if the caller did not state it.
-    ``last_event_id`` is the id of the last event that the caller received of a
-    stream that it resumes. ``is_begun`` is true if the head of the answer has
-    been sent to the caller.
+    ``prompt_parts`` are the ids of the prompt's parts in order; requests share
+    all but the last. ``last_event_id`` is the id of the last event that the
+    caller received of a stream that it resumes. ``is_begun`` is true if the
+    head of the answer has been sent to the caller.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     key: str = ''
     priority: int = 0
     size: PromptSize | None = None
+    prompt_parts: tuple[str, ...] = ()
     last_event_id: int | None = None
     is_begun: bool = False
 
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -148,7 +148,7 @@
             send=partial(_send, site),
             check=lambda work: None,
             render=partial(_render_failure, randomness),
-            report_broken_connection=lambda work, endpoint: None,
+            report_broken_connection=lambda broken: None,
             report_success=lambda work: None,
             view=view,
             budget=RetryBudget(),
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -8,6 +8,7 @@
 import trio
 from expression import Error, Ok, Result
 
+from limpetdrift.coordination.crash_guard import BrokenAttempt
 from limpetdrift.coordination.endpoint_gate import Announcements
 from limpetdrift.coordination.endpoint_permits import EndpointPermits
 from limpetdrift.coordination.endpoint_response import EndpointResponse
@@ -190,7 +191,7 @@
         self.ended: list[float] = []
         self.released: list[tuple[str, tuple[str, ...]]] = []
         self.refusal: Failure | None = None
-        self.broken: list[tuple[CallerRequest, ListedEndpoint]] = []
+        self.broken: list[BrokenAttempt] = []
         self.delay_seconds = 0.0
         self.endpoints = make_endpoints(endpoint_count)
         self.view = EndpointView(clock=trio.current_time)
@@ -203,11 +204,7 @@
                 send=self._send,
                 check=lambda work: self.refusal,
                 render=_render,
-                report_broken_connection=lambda work, endpoint: (
-                    self.broken.append(
-                        (work, endpoint),
-                    )
-                ),
+                report_broken_connection=self.broken.append,
                 report_success=lambda work: None,
                 view=self.view,
                 budget=RetryBudget(share=0.0, reserve=reserve),
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -248,7 +248,7 @@
                     client, self.plain_placer.apply_load, gate
                 ),
                 check=lambda work: None,
-                report_broken_connection=lambda work, endpoint: None,
+                report_broken_connection=lambda broken: None,
                 report_success=lambda work: None,
                 render=_render,
                 view=self.view,
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -4,12 +4,16 @@
 
 from fake_network import FakeNetwork
 from forward_harness import make_endpoints, make_route
-from limpetdrift.coordination.crash_guard import CRASH_LIMIT, CrashGuard
+from limpetdrift.coordination.crash_guard import (
+    CRASH_LIMIT,
+    BrokenAttempt,
+    CrashGuard,
+)
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.quarantine_replication import QuarantineReplicator
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.verdict import Reason, Verdict
-from limpetdrift.protocol.work import CallerRequest
+from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
 from limpetdrift.state.suspects import CrashSuspects
 from limpetdrift.transport.messages import Address
 from virtual_time import background_tasks, in_virtual_time
@@ -33,6 +37,14 @@
     )
 
 
+def make_broken(
+    request: CallerRequest, endpoint: ListedEndpoint
+) -> BrokenAttempt:
+    return BrokenAttempt(
+        request=request, endpoint=endpoint, seconds=0.1, events=0
+    )
+
+
 class GuardHarness:
     """The crash guards of several entries, and the set of dead endpoints."""
 
@@ -53,7 +65,9 @@
         """Crash an endpoint while it runs a request of an entry."""
         crashed = self.endpoints[endpoint]
         self.dead.add(crashed.name)
-        self.guards[guard].report_broken_connection(make_request(body), crashed)
+        self.guards[guard].report_broken_connection(
+            make_broken(make_request(body), crashed)
+        )
         await trio.sleep(0.1)
 
     def _add_entry(self, number: int, network: FakeNetwork) -> None:
@@ -113,7 +127,7 @@
         for _ in range(2 * CRASH_LIMIT):
             endpoint = harness.endpoints[0]
             harness.guards[0].report_broken_connection(
-                make_request(b'good'), endpoint
+                make_broken(make_request(b'good'), endpoint)
             )
             await trio.sleep(0.1)
         assert harness.guards[0].refusal(make_request(b'good')) is None
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -77,6 +77,8 @@
     assert exchange.finished
     assert harness.sent[1].last_event == 4
     assert harness.sent[0].endpoint != harness.sent[1].endpoint
+    assert [each.events for each in harness.broken] == [4]
+    assert harness.broken[0].seconds == pytest.approx(0.2)
 
 
 def test_stream_past_its_idle_timeout_resumes_elsewhere():
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -10,7 +10,11 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from limpetdrift.platform.admission import AdmissionInputs, admit
+from limpetdrift.platform.admission import (
+    AdmissionInputs,
+    admit,
+    parse_prompt_parts,
+)
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_client import parse_load
 from limpetdrift.platform.endpoint_rows import decode_endpoint
@@ -270,3 +274,12 @@
     response = render(refusal)
     assert response.status == 503
     assert float(response.header('retry-after')) >= seconds
+
+
+def test_ids_of_prompt_parts_are_parsed_without_empty_ones():
+    assert parse_prompt_parts('5C1e:800, 91bd:410,,e4:x') == (
+        '5c1e',
+        '91bd',
+        'e4',
+    )
+    assert parse_prompt_parts('') == ()
