--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from limpetdrift.clocks import boot_time
-from limpetdrift.coordination.crash_guard import CrashGuard
+from limpetdrift.coordination.crash_guard import CrashGuard, IsDead
 from limpetdrift.coordination.endpoint_gate import (
     Announcements,
     EndpointGate,
@@ -224,7 +224,9 @@
         note('peer changed', peer=member.node.name, state=member.state)
 
 
-def build_crash_guard(context: EntryContext, call: PeerCall) -> CrashGuard:
+def build_crash_guard(
+    context: EntryContext, call: PeerCall, check_dead: IsDead = is_dead
+) -> CrashGuard:
     """Return the guard that refuses requests that crash endpoints."""
     suspects = CrashSuspects()
     replicator = QuarantineReplicator(
@@ -236,4 +238,6 @@
     context.membership.register_digest(
         DIGEST_NAME, replicator.make_digest, replicator.on_digest
     )
-    return CrashGuard(suspects=suspects, replicator=replicator, is_dead=is_dead)
+    return CrashGuard(
+        suspects=suspects, replicator=replicator, is_dead=check_dead
+    )
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -24,6 +24,7 @@
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
+    build_crash_guard,
     build_planning,
 )
 from limpetdrift.platform.reservations import make_reserver
@@ -228,7 +229,7 @@
             randomness=randomness,
             clock=trio.current_time,
         )
-        client = EndpointClient(site, node.name)
+        client = site.make_client(node.name)
         self.planning = build_planning(context, call, client)
         self.planning.register(self.peer_routes)
         self.plan_placer = self.planning.plan_placer
@@ -238,6 +239,8 @@
             randomness=randomness,
         )
         self.seeds = site.seeds()
+        self.crash_guard = build_crash_guard(context, call, site.is_dead)
+        self.crash_guard.replicator.register(self.peer_routes)
         gate = self.planning.gate
         self.forwarder = Forwarder(
             inputs=ForwardingInputs(
@@ -247,9 +250,11 @@
                 send=make_send_request(
                     client, self.plain_placer.apply_load, gate
                 ),
-                check=lambda work: None,
-                report_broken_connection=lambda broken: None,
-                report_success=lambda work: None,
+                check=self.crash_guard.refusal,
+                report_broken_connection=(
+                    self.crash_guard.report_broken_connection
+                ),
+                report_success=self.crash_guard.report_success,
                 render=_render,
                 view=self.view,
                 budget=RetryBudget(),
@@ -260,12 +265,16 @@
 
     def tasks(self):
         """Return the background tasks of an entry."""
-        return (
-            self.membership.run,
+        planning = (
             self.plan_placer.planner_client.run,
             self.planning.report_poller.run,
             self.planning.limit_exchange.run,
+        )
+        return (
+            self.membership.run,
+            *planning,
             self._follow_limits,
+            self.crash_guard.run,
         )
 
     async def run(self) -> None:
@@ -366,8 +375,19 @@
         entry.kill()
         self.network.kill(entry.node.peer_address)
 
+    def make_client(self, entry: str) -> 'EndpointClient':
+        """Return the client for an entry's calls to endpoints."""
+        return EndpointClient(self, entry)
+
+    async def is_dead(self, endpoint: ListedEndpoint) -> bool:
+        """Return whether an endpoint has crashed."""
+        return False
+
     def make_work(
-        self, service: str, size: PromptSize = SHORT_PROMPT
+        self,
+        service: str,
+        size: PromptSize = SHORT_PROMPT,
+        **changes: object,
     ) -> CallerRequest:
         """Return a request of a caller that arrives now."""
         self._requests += 1
@@ -378,19 +398,20 @@
             shares=(ServiceShare(service=service),),
             patience_seconds=2.0,
         )
-        return CallerRequest(
-            request_id=f'a{self._requests}',
-            method='POST',
-            target='/x',
-            headers=(),
-            body=b'',
-            route=route,
-            service=service,
-            version=1,
-            arrived_at=now,
-            deadline=now + route.timeout_seconds,
-            size=size if is_engine else None,
-        )
+        values: dict[str, object] = {
+            'request_id': f'a{self._requests}',
+            'method': 'POST',
+            'target': '/x',
+            'headers': (),
+            'body': b'',
+            'route': route,
+            'service': service,
+            'version': 1,
+            'arrived_at': now,
+            'deadline': now + route.timeout_seconds,
+            'size': size if is_engine else None,
+        }
+        return CallerRequest(**(values | changes))
 
     async def call(self, number: int, service: str, **changes) -> None:
         """Send one request of a caller through an entry."""
