Take crashes as evidence against parts of prompts, on all entries

Sound prompts beside them broke off with each server. The class of fault: evidence about something shared, kept by each entry for something that nobody shares.

Now the parts that other requests may share are keys as the fingerprint is. An attempt that a crash cuts off before its answer has gone on for 0.5 s counts against its keys, on all entries; each answer clears its keys again. A suspected key is tried alone, one request at a time for all entries; the key that took part in most crashes explains the others and is refused. Crashes outlast the entries in rows of the platform's store.

--- a/src/limpetdrift/coordination/attempt_race.py
+++ b/src/limpetdrift/coordination/attempt_race.py
@@ -34,8 +34,8 @@
     goes to the caller. ``tries_beside`` counts the times in this silence at
     which a try elsewhere was due. ``is_sent`` is set once the request may have
     reached the endpoint, and ``sent_at`` is the trio time of that. ``events``
-    counts the events received, ``has_written`` is set once a part of the answer
-    went to the caller.
+    counts the events received, the first at ``answered_at``. ``has_written`` is
+    set once a part of the answer went to the caller.
     ``failed`` lists endpoints that failed the attempt.
     """
 
@@ -48,6 +48,7 @@
     is_sent: bool = False
     sent_at: float = math.inf
     events: int = 0
+    answered_at: float = math.inf
     has_written: bool = False
     failed: list[ListedEndpoint] = field(default_factory=list)
 
@@ -61,6 +62,15 @@
         self.is_sent = True
         self.sent_at = trio.current_time()
 
+    def count_event(self) -> None:
+        """Record that an event of the answer has arrived."""
+        self.events += 1
+        self.answered_at = min(self.answered_at, trio.current_time())
+
+    def answer_seconds(self) -> float:
+        """Return the time since the first event, zero before it."""
+        return max(0.0, trio.current_time() - self.answered_at)
+
     def expect_answer_within(self, timeout_seconds: float) -> None:
         """Count as silent if no part of the answer comes in this time."""
         self.silent_at = trio.current_time() + timeout_seconds
--- a/src/limpetdrift/coordination/crash_guard.py
+++ b/src/limpetdrift/coordination/crash_guard.py
@@ -1,36 +1,63 @@
-"""Refuses requests on which one endpoint after another has crashed.
+"""Keeps requests that crash endpoints from reaching more of them.
 
-Protects endpoints from callers that keep resending a request that crashes
-them. It must not refuse harmless requests, as when many callers send the
-same request to an endpoint that dies.
-
-A request is taken to have crashed an endpoint if its connection broke while
-it ran and nothing listens at the endpoint right after. Requests that ran
-beside it become suspects too, but only a request that meets several crashes
-in a row is refused, on all entries. A request that succeeds in between is
-cleared, since one that crashes endpoints never succeeds.
+A request is described by keys: its fingerprint, and the parts of its prompt
+that other requests share. When an endpoint crashes, the keys of the requests
+that it cut off count as evidence, on all entries, and answers clear them again
+(``state.culprits``). A request with a suspected key runs in isolation: one at a
+time for each key, on an endpoint that other prompts avoid. One with a key that
+crashed several endpoints is refused.
 """
 
-from collections.abc import Awaitable, Callable
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import trio
 from xxhash import xxh3_128_hexdigest
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.quarantine_replication import QuarantineReplicator
+from limpetdrift.coordination.crash_exchange import CrashExchange
+from limpetdrift.coordination.isolation_leases import IsolationLeases
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.rendezvous import choose_by_hash
 from limpetdrift.logs import note, warn
-from limpetdrift.protocol.quarantine import QuarantineState
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.protocol.crashes import CutAttempt
+from limpetdrift.protocol.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    not_run,
+)
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
-from limpetdrift.state.suspects import CrashSuspects
+from limpetdrift.state.crash_evidence import CRASH_SECONDS, CrashEvidence
+from limpetdrift.state.culprits import fingerprint_key
+from limpetdrift.state.endpoint_view import EndpointView
 
-# Quarantine threshold: crashes in a row after which a request is refused.
-CRASH_LIMIT = 3
+# Time for which an answer must go on after its first event to show that its
+# request is harmless.
+HARMLESS_ANSWER_SECONDS = 0.5
+# Longest wait of a suspected request for its turn to run in isolation.
+MAX_TURN_SECONDS = 2.0
+# For how long after a crash other prompts avoid the endpoint on which requests
+# with a suspected key are tried.
+SET_ASIDE_SECONDS = 5.0
+# One in this number of a service's endpoints may be set aside.
+ISOLATION_DIVISOR = 4
+# Parts of a prompt that are looked at, and length of the ids that are kept.
+MAX_PARTS = 32
+MAX_ID_CHARACTERS = 64
 # Broken connections that may wait for their crash check; further ones are
 # counted and not checked.
 _MAX_QUEUED_CHECKS = 200
 
+_OTHERS_TRIED = not_run(
+    Reason.OVERLOADED,
+    'similar requests are tried in isolation',
+    retry_after_seconds=MAX_TURN_SECONDS,
+)
+
+EndpointIdentity = tuple[str, int]
 # Returns whether nothing listens at an endpoint, which proves its crash.
 IsDead = Callable[[ListedEndpoint], Awaitable[bool]]
 
@@ -39,13 +66,31 @@
 class BrokenAttempt:
     """An attempt whose connection broke ``seconds`` after it was sent.
 
-    ``events`` is the number of events of its answer that had arrived.
+    ``events`` is the number of events of its answer that had arrived, the first
+    of them ``answer_seconds`` before the connection broke.
     """
 
     request: CallerRequest
     endpoint: ListedEndpoint
     seconds: float
     events: int
+    answer_seconds: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashGuardInputs:
+    """What the guard needs from the rest of the entry.
+
+    ``exchange`` shares the evidence with other entries, and ``leases`` let one
+    request with a suspected key run at a time. ``clock`` returns seconds.
+    """
+
+    exchange: CrashExchange
+    leases: IsolationLeases
+    view: EndpointView
+    is_dead: IsDead
+    clock: Callable[[], float]
+    randomness: random.Random
 
 
 class CrashGuard:
@@ -54,31 +99,60 @@
     ``run`` checks the endpoints of broken connections in the background.
     """
 
-    def __init__(
-        self,
-        *,
-        suspects: CrashSuspects,
-        replicator: QuarantineReplicator,
-        is_dead: IsDead,
-    ) -> None:
-        self.replicator = replicator
-        self._suspects = suspects
-        self._is_dead = is_dead
+    def __init__(self, *, inputs: CrashGuardInputs) -> None:
+        self._inputs = inputs
+        self.learn = inputs.exchange.learn
+        self.wait_learned = inputs.exchange.wait_learned
+        self.exchange = inputs.exchange
+        self._evidence: CrashEvidence = inputs.exchange.evidence
         channel = trio.open_memory_channel[BrokenAttempt](_MAX_QUEUED_CHECKS)
         self._check_sender = channel[0]
         self._check_receiver = channel[1]
 
+    def register(self, peer_routes: PeerRoutes) -> None:
+        """Register the handlers of peers' calls."""
+        self.exchange.register(peer_routes)
+        self._inputs.leases.register(peer_routes)
+
     def refusal(self, request: CallerRequest) -> Failure | None:
-        """Return the failure for a quarantined request, else ``None``."""
-        record = self._suspects.find(fingerprint_of(request))
-        if record is None or record.standing is not QuarantineState.REFUSED:
+        """Return the failure for a request that crashes endpoints."""
+        if self._evidence.is_empty:
             return None
+        culprit = self._evidence.assessment().find_culprit(
+            request.account, keys_of(request)
+        )
+        if culprit is None:
+            return None
+        elapsed = self._inputs.clock() - culprit.last_at
         return not_run(
             Reason.QUARANTINED,
-            'endpoints crashed on this request',
-            retry_after_seconds=record.seconds,
+            'endpoints crashed on such requests',
+            retry_after_seconds=max(1.0, CRASH_SECONDS - elapsed),
         )
 
+    def is_suspected(self, request: CallerRequest) -> bool:
+        """Return whether a request may run in isolation only."""
+        return bool(self._suspected_keys(request))
+
+    @asynccontextmanager
+    async def isolate(
+        self, request: CallerRequest, tried: frozenset[EndpointIdentity]
+    ) -> AsyncIterator[frozenset[EndpointIdentity]]:
+        """Wait until an attempt may run; yield endpoints that it may not use.
+
+        These include the ``tried`` ones. Raises ``FailureError`` if other
+        requests with the same keys are tried for too long.
+        """
+        held: list[str] = []
+        try:
+            if request.prompt_parts:
+                await self.wait_learned()
+            await self._take_turns(request, held)
+            yield tried | self._excluded_endpoints(request, held, tried)
+        finally:
+            for key in held:
+                self._inputs.leases.release_later(key)
+
     def report_broken_connection(self, broken: BrokenAttempt) -> None:
         """Queue a check whether the endpoint of a broken connection crashed."""
         try:
@@ -86,60 +160,167 @@
         except trio.WouldBlock:
             telemetry.count('crashes_not_looked_into')
 
-    def report_success(self, request: CallerRequest) -> None:
-        """Clear a suspect that succeeded."""
-        if self._suspects.is_empty:
-            return
-        fingerprint = fingerprint_of(request)
-        if self._suspects.is_suspect(fingerprint):
-            cleared = self._suspects.resolve_suspect(
-                fingerprint, QuarantineState.CLEARED
+    def report_harmless(self, request: CallerRequest) -> None:
+        """Record that an endpoint answers a request and does not crash."""
+        if request.prompt_parts or not self._evidence.is_empty:
+            keys = (
+                part_keys(request)
+                if self._evidence.is_empty
+                else keys_of(request)
             )
-            self.replicator.add(cleared)
+            self.exchange.add_harmless(keys)
 
     async def run(self) -> None:
         """Check the endpoints of broken connections until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.replicator.run)
+            nursery.start_soon(self.exchange.run)
+            nursery.start_soon(self._inputs.leases.run)
             async for broken in self._check_receiver:
                 nursery.start_soon(self._check_for_crash, broken)
 
+    def _suspected_keys(self, request: CallerRequest) -> tuple[str, ...]:
+        if self._evidence.is_empty:
+            return ()
+        return self._evidence.assessment().suspected_keys(
+            request.account, keys_of(request)
+        )
+
+    async def _take_turns(
+        self, request: CallerRequest, held: list[str]
+    ) -> None:
+        """Acquire the leases of all suspected keys of a request.
+
+        All entries acquire them in the same order, so that none waits for
+        another in a circle.
+        """
+        until = trio.current_time() + MAX_TURN_SECONDS
+        while True:
+            if self.refusal(request) is not None:
+                return
+            missing = [
+                key for key in self._suspected_keys(request) if key not in held
+            ]
+            if not missing:
+                return
+            if trio.current_time() >= until:
+                raise FailureError(_OTHERS_TRIED)
+            seconds = max(0.0, request.deadline - self._inputs.clock())
+            if await self._inputs.leases.try_acquire(missing[0], seconds):
+                held.append(missing[0])
+
+    def _excluded_endpoints(
+        self,
+        request: CallerRequest,
+        held: list[str],
+        tried: frozenset[EndpointIdentity],
+    ) -> frozenset[EndpointIdentity]:
+        """Return the endpoints that a prompt must not use."""
+        if self._evidence.is_empty or not request.prompt_parts:
+            return frozenset()
+        crashed = self._evidence.crashed_endpoints()
+        identities = {
+            each.name: each.identity
+            for each in self._inputs.view.usable(request.service)
+            if each.identity not in tried
+            and _endpoint_key(each.identity) not in crashed
+        }
+        if held:
+            telemetry.count('isolated_attempts')
+            chosen = _isolation_endpoint(identities, held[0])
+            note(
+                'prompt runs in isolation',
+                id=request.request_id,
+                keys=held,
+                endpoint=chosen,
+            )
+            return frozenset(
+                identity
+                for name, identity in identities.items()
+                if name != chosen
+            )
+        since = self._inputs.clock() - SET_ASIDE_SECONDS
+        set_aside = {
+            _isolation_endpoint(identities, each.key)
+            for each in self._evidence.assessment().suspicions
+            if each.last_at > since
+        }
+        return frozenset(
+            identity
+            for name, identity in identities.items()
+            if name in set_aside and len(set_aside) < len(identities)
+        )
+
     async def _check_for_crash(self, broken: BrokenAttempt) -> None:
-        crashed = await self._is_dead(broken.endpoint)
+        crashed = await self._inputs.is_dead(broken.endpoint)
         _log_check(broken, crashed=crashed)
-        if crashed:
-            self._count_crash(broken)
-
-    def _count_crash(self, broken: BrokenAttempt) -> None:
-        # One crash counts once, however many equal requests ran there.
-        endpoint_key = '@'.join(map(str, broken.endpoint.identity))
-        fingerprint = fingerprint_of(broken.request)
-        record = self._suspects.find(fingerprint)
-        if record is not None and record.endpoint == endpoint_key:
+        if not crashed or broken.answer_seconds >= HARMLESS_ANSWER_SECONDS:
             return
-        suspect = self._suspects.note_crash(
-            fingerprint,
-            broken.request.account,
-            endpoint_key,
+        refused_before = self.refusal(broken.request) is not None
+        self.exchange.add_cut(
+            CutAttempt(
+                endpoint=_endpoint_key(broken.endpoint.identity),
+                attempt=broken.request.request_id,
+                account=broken.request.account,
+                keys=keys_of(broken.request),
+                age_seconds=0.0,
+            )
         )
-        self.replicator.add(suspect)
-        if suspect is None or suspect.crashes < CRASH_LIMIT:
-            return
-        refused = self._suspects.resolve_suspect(
-            fingerprint,
-            QuarantineState.REFUSED,
+        if not refused_before and self.refusal(broken.request) is not None:
+            self._log_refused(broken.request)
+
+    def _log_refused(self, request: CallerRequest) -> None:
+        culprit = self._evidence.assessment().find_culprit(
+            request.account, keys_of(request)
         )
-        self.replicator.add(refused)
         telemetry.count('requests_quarantined')
         warn(
-            'request quarantined: endpoints crashed on it',
-            fingerprint=fingerprint,
-            account=broken.request.account,
-            crashes=suspect.crashes,
-            endpoint=broken.endpoint.name,
+            'requests quarantined: endpoints crashed on them',
+            keys=sorted(culprit.keys),
+            accounts=sorted(culprit.accounts),
+            crashes=culprit.crashes,
         )
 
 
+def keys_of(request: CallerRequest) -> tuple[str, ...]:
+    """Return the keys by which evidence about a request is kept.
+
+    The first is a fingerprint of the whole request, by which it is recognized
+    when it is sent again. It covers the client account, method, target and
+    body; the request id differs each time.
+    """
+    identity = '\0'.join(
+        (request.account, request.method, request.target)
+    ).encode()
+    digest = xxh3_128_hexdigest(identity + request.body)
+    return (fingerprint_key(digest), *part_keys(request))
+
+
+def part_keys(request: CallerRequest) -> tuple[str, ...]:
+    """Return the keys of the prompt's parts that other requests share.
+
+    The last part belongs to the request itself.
+    """
+    *shared, _ = request.prompt_parts or ('',)
+    ids = (part[:MAX_ID_CHARACTERS] for part in shared[:MAX_PARTS])
+    return tuple(f'part/{each}' for each in ids)
+
+
+def _endpoint_key(identity: EndpointIdentity) -> str:
+    return '@'.join(map(str, identity))
+
+
+def _isolation_endpoint(names: Iterable[str], key: str) -> str:
+    """Return the endpoint on which requests with a key are tried.
+
+    Entries that know the same endpoints choose the same one, among a fixed
+    share of the endpoints.
+    """
+    names = tuple(names)
+    count = max(1, len(names) // ISOLATION_DIVISOR)
+    candidates = choose_by_hash('isolation', names, count)
+    return next(iter(choose_by_hash(key, candidates, 1)), '')
+
+
 def _log_check(broken: BrokenAttempt, *, crashed: bool) -> None:
     """Log and count what the check of a broken connection found."""
     outcome = 'crashed' if crashed else 'accepts-connections'
@@ -153,15 +334,3 @@
         seconds=round(broken.seconds, 3),
         events=broken.events,
     )
-
-
-def fingerprint_of(request: CallerRequest) -> str:
-    """Return a hash by which a resent request is recognized.
-
-    It covers the client account, method, target and body; the request id
-    differs in each resend.
-    """
-    identity = '\0'.join(
-        (request.account, request.method, request.target)
-    ).encode()
-    return xxh3_128_hexdigest(identity + request.body)
--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -47,13 +47,15 @@
     ``is_answer_final`` is set once part of a body was sent that no other
     attempt can continue.
     ``is_logged`` says that the request is logged even if it succeeds.
-    ``may_retry`` returns whether the retry budget has a retry left.
+    ``may_retry`` returns whether the retry budget has a retry left, and
+    ``on_event`` is called after each event that an attempt receives.
     """
 
     request: CallerRequest
     exchange: Exchange
     clock: Callable[[], float]
     may_retry: Callable[[], bool]
+    on_event: Callable[[RacingAttempt], None]
     placements: int = 0
     attempts: int = 0
     unproven: int = 0
@@ -178,7 +180,9 @@
         raise FailureError(may_have_run(Reason.BAD_ANSWER, 'foreign answer'))
     events = whole_events(answer.chunks(), framed=answer.framed)
     async for event in events:
-        if not await _relay_event(progress, answer, attempt, event):
+        is_progress = await _relay_event(progress, answer, attempt, event)
+        progress.on_event(attempt)
+        if not is_progress:
             # A stream that stalls may go on sending comments.
             continue
         attempt.expect_answer_within(
@@ -202,7 +206,8 @@
     event: StreamEvent,
 ) -> bool:
     """Send an event unless the caller has it; return whether it is new."""
-    attempt.events += not event.is_comment
+    if not event.is_comment:
+        attempt.count_event()
     last_number = progress.last_event
     is_known = (
         event.number is not None
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -7,8 +7,8 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable, Iterable
-from contextlib import AbstractAsyncContextManager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, replace
 
 import trio
@@ -21,7 +21,10 @@
     Outcome,
     RacingAttempt,
 )
-from limpetdrift.coordination.crash_guard import BrokenAttempt
+from limpetdrift.coordination.crash_guard import (
+    HARMLESS_ANSWER_SECONDS,
+    BrokenAttempt,
+)
 from limpetdrift.coordination.delivery import (
     EndpointIdentity,
     RequestProgress,
@@ -108,6 +111,20 @@
 ReserveMemory = Callable[
     [DispatchPlan], AbstractAsyncContextManager[DispatchPlan]
 ]
+# Holds other requests like one back, if that may crash endpoints, while the
+# context is open. The arguments are the request and the endpoints that it has
+# tried; the value adds those that it may not use. Raises ``FailureError``.
+IsolateAttempt = Callable[
+    [CallerRequest, frozenset[EndpointIdentity]],
+    AbstractAsyncContextManager[frozenset[EndpointIdentity]],
+]
+
+
+@asynccontextmanager
+async def _run_at_once(
+    request: CallerRequest, tried: frozenset[EndpointIdentity]
+) -> AsyncIterator[frozenset[EndpointIdentity]]:
+    yield tried
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -118,7 +135,10 @@
     ``None``.
     ``render`` turns a failure into the response to the caller.
     ``report_broken_connection`` is called when a connection breaks while an
-    attempt runs, and ``report_success`` when a request succeeds.
+    attempt runs, and ``report_harmless`` when an endpoint has answered a
+    request, or has done so for a while. ``isolate`` waits until an attempt may
+    be placed, and yields the endpoints that it may not use; ``is_suspected``
+    returns whether a request may crash endpoints.
     """
 
     place: PlaceRequest
@@ -128,11 +148,13 @@
     check: Callable[[CallerRequest], Failure | None]
     render: Callable[[Failure], Response]
     report_broken_connection: Callable[[BrokenAttempt], None]
-    report_success: Callable[[CallerRequest], None]
+    report_harmless: Callable[[CallerRequest], None]
     view: EndpointView
     budget: RetryBudget
     clock: Callable[[], float]
     randomness: random.Random
+    isolate: IsolateAttempt = _run_at_once
+    is_suspected: Callable[[CallerRequest], bool] = lambda request: False
 
 
 class Forwarder:
@@ -149,6 +171,9 @@
             exchange=exchange,
             clock=self._inputs.clock,
             may_retry=lambda: self._inputs.budget.has_retry,
+            on_event=_make_harmless_reporter(
+                self._inputs.report_harmless, request
+            ),
             last_event=request.last_event_id,
             is_logged=is_sampled(request.request_id),
         )
@@ -162,7 +187,7 @@
             log_end(progress, 'caller left', None)
         elif failure is None:
             log_end(progress, 'served', None)
-            self._inputs.report_success(request)
+            self._inputs.report_harmless(request)
         else:
             log_end(progress, 'request failed', failure)
             await self._answer_failure(progress, failure)
@@ -242,6 +267,9 @@
         silent = race.silent_attempt()
         if silent is None:
             return False
+        if self._inputs.is_suspected(progress.request):
+            silent.expect_answer_within(SILENT_RETRY_INTERVAL_SECONDS)
+            return False
         if not silent.is_silent:
             silent.is_silent = True
             telemetry.count('attempts_silent')
@@ -279,12 +307,26 @@
         self, progress: RequestProgress, attempt: RacingAttempt
     ) -> Outcome:
         progress.placements += 1
+        try:
+            async with self._inputs.isolate(
+                progress.request, frozenset(progress.excluded)
+            ) as excluded:
+                return await self._place_and_send(progress, attempt, excluded)
+        except FailureError as error:
+            return Error(error.failure)
+
+    async def _place_and_send(
+        self,
+        progress: RequestProgress,
+        attempt: RacingAttempt,
+        excluded: frozenset[EndpointIdentity],
+    ) -> Outcome:
         refusal = self._check(progress)
         if refusal is not None:
             return Error(refusal)
         placed = await self._inputs.place(
             replace(progress.request, is_begun=progress.is_head_sent),
-            frozenset(progress.excluded),
+            excluded,
         )
         if placed.is_error():
             _forget_refused_try(progress, attempt)
@@ -329,6 +371,7 @@
                         endpoint=placement.endpoint,
                         seconds=trio.current_time() - attempt.sent_at,
                         events=attempt.events,
+                        answer_seconds=attempt.answer_seconds(),
                     )
                 )
         return outcome
@@ -405,6 +448,19 @@
         await progress.exchange.respond(response)
 
 
+def _make_harmless_reporter(
+    report: Callable[[CallerRequest], None], request: CallerRequest
+) -> Callable[[RacingAttempt], None]:
+    """Return the function that reports once that a request is harmless."""
+    pending = [request]
+
+    def on_event(attempt: RacingAttempt) -> None:
+        if pending and attempt.answer_seconds() >= HARMLESS_ANSWER_SECONDS:
+            report(pending.pop())
+
+    return on_event
+
+
 async def _cancel_on_disconnect(
     progress: RequestProgress, race: AttemptRace, scope: trio.CancelScope
 ) -> None:
--- a/src/limpetdrift/coordination/isolation_leases.py
+++ b/src/limpetdrift/coordination/isolation_leases.py
@@ -67,11 +67,14 @@
         """
         if fingerprint not in self._held:
             self._held.add(fingerprint)
-            granted = False
+            granted = None
             try:
                 granted = await self._call_home(fingerprint, seconds)
             finally:
-                if not granted:
+                if granted is None:
+                    # The home may have granted it before the call was given up.
+                    self.release_later(fingerprint)
+                elif not granted:
                     self._held.discard(fingerprint)
             if granted:
                 return True
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -29,6 +29,7 @@
     apply_limits,
     make_caller_handler,
 )
+from limpetdrift.platform.crash_rows import CrashRows
 from limpetdrift.platform.directory import DirectoryInputs
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.failure_responses import (
@@ -102,6 +103,7 @@
     registration: Registration
     planning: Planning
     crash_guard: CrashGuard
+    crash_rows: CrashRows
     drain: Drain
     directory: DirectoryInputs
     callers: Server
@@ -197,7 +199,7 @@
         call,
         HttpClient(limits=ClientLimits(whole_bytes=ENDPOINT_WHOLE_BYTES)),
     )
-    crash_guard = build_crash_guard(context, call)
+    crash_guard, crash_rows = build_crash_guard(context, call)
     callers, drain = _build_caller_server(context, planning, crash_guard)
 
     def is_ready() -> bool:
@@ -219,6 +221,7 @@
         registration=registration,
         planning=planning,
         crash_guard=crash_guard,
+        crash_rows=crash_rows,
         drain=drain,
         directory=DirectoryInputs(
             entries=entries,
@@ -337,7 +340,9 @@
                 crash_guard.refusal(request) or check_key(request, admission)
             ),
             report_broken_connection=crash_guard.report_broken_connection,
-            report_success=crash_guard.report_success,
+            report_harmless=crash_guard.report_harmless,
+            isolate=crash_guard.isolate,
+            is_suspected=crash_guard.is_suspected,
             render=render,
             view=context.view,
             budget=_build_retry_budget(context),
@@ -372,7 +377,7 @@
     crash_guard: CrashGuard,
 ) -> Server:
     peer_routes = PeerRoutes()
-    crash_guard.replicator.register(peer_routes)
+    crash_guard.register(peer_routes)
     replica.relay.register(peer_routes)
     membership.register(peer_routes)
     planning.register(peer_routes)
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -5,7 +5,18 @@
 from dataclasses import dataclass
 
 from limpetdrift.clocks import boot_time
-from limpetdrift.coordination.crash_guard import CrashGuard, IsDead
+from limpetdrift.coordination.crash_exchange import (
+    DIGEST_NAME as CRASHES_DIGEST_NAME,
+)
+from limpetdrift.coordination.crash_exchange import (
+    CrashExchange,
+    CrashExchangeInputs,
+)
+from limpetdrift.coordination.crash_guard import (
+    CrashGuard,
+    CrashGuardInputs,
+    IsDead,
+)
 from limpetdrift.coordination.endpoint_gate import (
     Announcements,
     EndpointGate,
@@ -15,6 +26,7 @@
     EngineReportPoller,
     ReportPollerInputs,
 )
+from limpetdrift.coordination.isolation_leases import IsolationLeases
 from limpetdrift.coordination.limit_deciders import (
     LimitDeciderInputs,
     LimitDeciders,
@@ -37,11 +49,8 @@
 from limpetdrift.coordination.planner import Planner, PlannerInputs
 from limpetdrift.coordination.planner_client import PlannerClientInputs
 from limpetdrift.coordination.planning_groups import PlanningGroups
-from limpetdrift.coordination.quarantine_replication import (
-    DIGEST_NAME,
-    QuarantineReplicator,
-)
 from limpetdrift.logs import note
+from limpetdrift.platform.crash_rows import CrashRows, CrashRowsInputs
 from limpetdrift.platform.endpoint_client import is_dead
 from limpetdrift.platform.limit_rows import TABLE as LIMITS_TABLE
 from limpetdrift.platform.limit_rows import LimitRows, LimitRowsInputs
@@ -51,9 +60,9 @@
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.crash_evidence import CrashEvidence
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
-from limpetdrift.state.suspects import CrashSuspects
 from limpetdrift.transport.client import HttpClient
 
 
@@ -226,18 +235,45 @@
 
 def build_crash_guard(
     context: EntryContext, call: PeerCall, check_dead: IsDead = is_dead
-) -> CrashGuard:
-    """Return the guard that refuses requests that crash endpoints."""
-    suspects = CrashSuspects()
-    replicator = QuarantineReplicator(
-        node=context.node,
-        suspects=suspects,
-        live_entries=context.membership.live_entries,
-        call=call,
+) -> tuple[CrashGuard, CrashRows]:
+    """Return the guard against requests that crash endpoints, and its rows."""
+    membership = context.membership
+    evidence = CrashEvidence(clock=context.clock)
+    rows = CrashRows(
+        inputs=CrashRowsInputs(
+            store=context.store,
+            evidence=evidence,
+            is_assigned=lambda duty: membership.is_assigned(duty, 1),
+            randomness=context.randomness,
+        ),
     )
-    context.membership.register_digest(
-        DIGEST_NAME, replicator.make_digest, replicator.on_digest
+    exchange = CrashExchange(
+        inputs=CrashExchangeInputs(
+            node=context.node,
+            evidence=evidence,
+            live_entries=membership.live_entries,
+            call=call,
+            clock=context.clock,
+            randomness=context.randomness,
+            read_kept=rows.read,
+            on_change=[rows.on_change],
+        ),
     )
-    return CrashGuard(
-        suspects=suspects, replicator=replicator, is_dead=check_dead
+    membership.register_digest(
+        CRASHES_DIGEST_NAME, exchange.make_digest, exchange.on_digest
+    )
+    guard = CrashGuard(
+        inputs=CrashGuardInputs(
+            exchange=exchange,
+            leases=IsolationLeases(
+                node=context.node,
+                live_entries=membership.live_entries,
+                call=call,
+            ),
+            view=context.view,
+            is_dead=check_dead,
+            clock=context.clock,
+            randomness=context.randomness,
+        ),
     )
+    return guard, rows
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -29,6 +29,7 @@
     stop_on_signals,
 )
 from limpetdrift.protocol.codec import encode
+from limpetdrift.transport.messages import Address
 
 
 def run() -> None:
@@ -91,6 +92,7 @@
         entry.planning.limit_exchange.run,
         partial(_follow_limits, entry),
         entry.crash_guard.run,
+        partial(_follow_crashes, entry),
         partial(_join_when_synced, entry),
         _check_settings_on_signal,
     )
@@ -125,17 +127,26 @@
     return stop
 
 
+async def _follow_crashes(entry: EntryComponents) -> None:
+    """Learn what crashes endpoints, and keep it in the store."""
+    await entry.crash_guard.learn(_other_seeds(entry))
+    await entry.crash_rows.run()
+
+
 async def _follow_limits(entry: EntryComponents) -> None:
     """Learn the endpoints' rate limits, and keep them in the store.
 
     The peers that the settings name are asked first.
     """
-    own_address = entry.node.peer_address
-    seeds = tuple(each for each in entry.settings.seeds if each != own_address)
-    await entry.planning.limit_exchange.learn(seeds)
+    await entry.planning.limit_exchange.learn(_other_seeds(entry))
     await entry.planning.limit_rows.run()
 
 
+def _other_seeds(entry: EntryComponents) -> tuple[Address, ...]:
+    own_address = entry.node.peer_address
+    return tuple(each for each in entry.settings.seeds if each != own_address)
+
+
 async def _join_when_synced(entry: EntryComponents) -> None:
     """Join the peers once this entry is synced and can serve callers.
 
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -149,7 +149,7 @@
             check=lambda work: None,
             render=partial(_render_failure, randomness),
             report_broken_connection=lambda broken: None,
-            report_success=lambda work: None,
+            report_harmless=lambda work: None,
             view=view,
             budget=RetryBudget(),
             clock=trio.current_time,
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -205,7 +205,7 @@
                 check=lambda work: self.refusal,
                 render=_render,
                 report_broken_connection=self.broken.append,
-                report_success=lambda work: None,
+                report_harmless=lambda work: None,
                 view=self.view,
                 budget=RetryBudget(share=0.0, reserve=reserve),
                 clock=trio.current_time,
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -239,8 +239,10 @@
             randomness=randomness,
         )
         self.seeds = site.seeds()
-        self.crash_guard = build_crash_guard(context, call, site.is_dead)
-        self.crash_guard.replicator.register(self.peer_routes)
+        guard, rows = build_crash_guard(context, call, site.is_dead)
+        self.crash_guard = guard
+        self.crash_rows = rows
+        self.crash_guard.register(self.peer_routes)
         gate = self.planning.gate
         self.forwarder = Forwarder(
             inputs=ForwardingInputs(
@@ -254,7 +256,9 @@
                 report_broken_connection=(
                     self.crash_guard.report_broken_connection
                 ),
-                report_success=self.crash_guard.report_success,
+                report_harmless=self.crash_guard.report_harmless,
+                isolate=self.crash_guard.isolate,
+                is_suspected=self.crash_guard.is_suspected,
                 render=_render,
                 view=self.view,
                 budget=RetryBudget(),
@@ -274,6 +278,7 @@
             self.membership.run,
             *planning,
             self._follow_limits,
+            self._follow_crashes,
             self.crash_guard.run,
         )
 
@@ -297,12 +302,18 @@
         for scope in (self.scope, *self._calls):
             scope.cancel()
 
-    async def _follow_limits(self) -> None:
+    def _other_seeds(self) -> tuple[Address, ...]:
         own_address = self.node.peer_address
-        others = (each for each in self.seeds if each != own_address)
-        await self.planning.limit_exchange.learn(tuple(others))
+        return tuple(each for each in self.seeds if each != own_address)
+
+    async def _follow_limits(self) -> None:
+        await self.planning.limit_exchange.learn(self._other_seeds())
         await self.planning.limit_rows.run()
 
+    async def _follow_crashes(self) -> None:
+        await self.crash_guard.learn(self._other_seeds())
+        await self.crash_rows.run()
+
     async def _place(self, work, excluded):
         await self.planning.limit_exchange.wait_learned()
         placer = (
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -1,20 +1,28 @@
 """Requests that crash endpoints are refused by all entries, others are not."""
 
+import random
+
 import trio
 
 from fake_network import FakeNetwork
 from forward_harness import make_endpoints, make_route
+from limpetdrift.coordination.crash_exchange import (
+    CrashExchange,
+    CrashExchangeInputs,
+)
 from limpetdrift.coordination.crash_guard import (
-    CRASH_LIMIT,
     BrokenAttempt,
     CrashGuard,
+    CrashGuardInputs,
 )
+from limpetdrift.coordination.isolation_leases import IsolationLeases
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.quarantine_replication import QuarantineReplicator
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
-from limpetdrift.state.suspects import CrashSuspects
+from limpetdrift.state.crash_evidence import CrashEvidence
+from limpetdrift.state.culprits import CRASH_LIMIT
+from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.messages import Address
 from virtual_time import background_tasks, in_virtual_time
 
@@ -83,21 +91,34 @@
         )
         self._nodes.append(node)
         peer_routes = PeerRoutes()
-        suspects = CrashSuspects()
-        replicator = QuarantineReplicator(
-            node=node,
-            suspects=suspects,
-            live_entries=lambda: tuple(self._nodes),
-            call=network.add_peer(address, peer_routes),
-        )
-        replicator.register(peer_routes)
-        self.guards.append(
-            CrashGuard(
-                suspects=suspects,
-                replicator=replicator,
+        call = network.add_peer(address, peer_routes)
+        view = EndpointView(clock=trio.current_time)
+        view.replace(self.endpoints)
+        guard = CrashGuard(
+            inputs=CrashGuardInputs(
+                exchange=CrashExchange(
+                    inputs=CrashExchangeInputs(
+                        node=node,
+                        evidence=CrashEvidence(clock=trio.current_time),
+                        live_entries=lambda: tuple(self._nodes),
+                        call=call,
+                        clock=trio.current_time,
+                        randomness=random.Random(number),
+                    ),
+                ),
+                leases=IsolationLeases(
+                    node=node,
+                    live_entries=lambda: tuple(self._nodes),
+                    call=call,
+                ),
+                view=view,
                 is_dead=self._is_dead,
+                clock=trio.current_time,
+                randomness=random.Random(number),
             ),
         )
+        guard.register(peer_routes)
+        self.guards.append(guard)
 
     async def _is_dead(self, endpoint) -> bool:
         await trio.sleep(0.01)
@@ -167,7 +188,7 @@
     async with background_tasks(harness):
         for number in range(2 * CRASH_LIMIT):
             await harness.crash(0, b'same', number % 6)
-            harness.guards[0].report_success(make_request(b'same'))
+            harness.guards[0].report_harmless(make_request(b'same'))
             await trio.sleep(0.1)
         for guard in harness.guards:
             assert guard.refusal(make_request(b'same')) is None
