--- a/src/limpetdrift/coordination/crash_guard.py
+++ b/src/limpetdrift/coordination/crash_guard.py
@@ -8,7 +8,6 @@
 crashed several endpoints is refused.
 """
 
-import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -82,7 +81,8 @@
     """What the guard needs from the rest of the entry.
 
     ``exchange`` shares the evidence with other entries, and ``leases`` let one
-    request with a suspected key run at a time. ``clock`` returns seconds.
+    request with a suspected key run at a time. ``clock`` and ``time_of_day``
+    return seconds, the latter since 1970.
     """
 
     exchange: CrashExchange
@@ -90,7 +90,7 @@
     view: EndpointView
     is_dead: IsDead
     clock: Callable[[], float]
-    randomness: random.Random
+    time_of_day: Callable[[], float]
 
 
 class CrashGuard:
@@ -263,6 +263,7 @@
                 account=broken.request.account,
                 keys=keys_of(broken.request),
                 age_seconds=0.0,
+                time_of_day=self._inputs.time_of_day(),
             )
         )
         if not refused_before and self.refusal(broken.request) is not None:
--- a/src/limpetdrift/platform/crash_rows.py
+++ b/src/limpetdrift/platform/crash_rows.py
@@ -35,21 +35,21 @@
 COMPARISON_SPREAD_SECONDS = 3.0
 # Longest time for which a starting entry waits for the rows.
 READ_TIMEOUT_SECONDS = 0.5
-# Age of a crash from a row, since rows hold no time.
-READ_AGE_SECONDS = 60.0
 
 
 @dataclass(frozen=True, kw_only=True)
 class CrashRowsInputs:
     """The evidence to keep, and the store.
 
-    ``is_assigned`` returns whether this entry has a duty.
+    ``is_assigned`` returns whether this entry has a duty, and ``time_of_day``
+    the seconds since 1970.
     """
 
     store: StoreClient
     evidence: CrashEvidence
     is_assigned: Callable[[str], bool]
     randomness: random.Random
+    time_of_day: Callable[[], float]
 
 
 class CrashRows:
@@ -68,7 +68,7 @@
             rows = await self._read_rows()
             if rows is not None:
                 note('crashes read from the store', rows=len(rows))
-                return decode_rows(rows)
+                return decode_rows(rows, self._inputs.time_of_day())
         warn('crashes in the store are not known')
         return ()
 
@@ -165,8 +165,13 @@
     }
 
 
-def decode_rows(rows: tuple[StoredRow, ...]) -> tuple[CutAttempt, ...]:
-    """Return the cut attempts in rows, each as an old one."""
+def decode_rows(
+    rows: tuple[StoredRow, ...], time_of_day: float
+) -> tuple[CutAttempt, ...]:
+    """Return the cut attempts in rows, with their ages.
+
+    The clocks of entries may differ by seconds.
+    """
     found: list[CutAttempt] = []
     for row in rows:
         decoded = decode(row.value or b'', CrashNews)
@@ -174,6 +179,7 @@
             warn('row of a crash can not be decoded', key=row.key)
             continue
         found.extend(
-            replace(cut, age_seconds=READ_AGE_SECONDS) for cut in decoded.ok.cut
+            replace(cut, age_seconds=max(0.0, time_of_day - cut.time_of_day))
+            for cut in decoded.ok.cut
         )
     return tuple(found)
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -1,6 +1,7 @@
 """Builds the components that plan engine requests, and the crash guard."""
 
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -70,7 +71,8 @@
 class EntryContext:
     """What most components of an entry are built from.
 
-    ``entries`` returns the entries that callers may use, and ``clock`` seconds.
+    ``entries`` returns the entries that callers may use. ``clock`` and
+    ``time_of_day`` return seconds, the latter since 1970.
     """
 
     settings: PlatformSettings
@@ -82,6 +84,7 @@
     entries: Callable[[], tuple[Node, ...]]
     randomness: random.Random
     clock: Callable[[], float] = boot_time
+    time_of_day: Callable[[], float] = time.time
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -245,6 +248,7 @@
             evidence=evidence,
             is_assigned=lambda duty: membership.is_assigned(duty, 1),
             randomness=context.randomness,
+            time_of_day=context.time_of_day,
         ),
     )
     exchange = CrashExchange(
@@ -273,7 +277,7 @@
             view=context.view,
             is_dead=check_dead,
             clock=context.clock,
-            randomness=context.randomness,
+            time_of_day=context.time_of_day,
         ),
     )
     return guard, rows
--- a/src/limpetdrift/protocol/crashes.py
+++ b/src/limpetdrift/protocol/crashes.py
@@ -16,7 +16,8 @@
 
     ``endpoint`` identifies the process that crashed, and ``attempt`` the
     attempt there. ``keys`` are those of its request, the fingerprint first.
-    ``age_seconds`` is the time since the crash.
+    ``age_seconds`` is the time since the crash, and ``time_of_day`` the Unix
+    time of it by the clock of the entry that noticed it.
     """
 
     endpoint: str
@@ -24,6 +25,7 @@
     account: str
     keys: tuple[str, ...]
     age_seconds: float
+    time_of_day: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -28,6 +28,7 @@
         self.duplication_rate = 0.0
         self.messages = 0
         self.bytes = 0
+        self.paths = set()
         self._routes = {}
         self._cuts = set()
         self._frozen = {}
@@ -74,6 +75,7 @@
 
     async def _deliver(self, source, target, path, message, reply):
         body = encode(message)
+        self.paths.add(path)
         await self._transmit(source, target, len(body))
         routes = self._routes.get(target)
         if routes is None:
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -228,6 +228,7 @@
             entries=cache_usable_entries(self.membership),
             randomness=randomness,
             clock=trio.current_time,
+            time_of_day=trio.current_time,
         )
         client = site.make_client(node.name)
         self.planning = build_planning(context, call, client)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -114,7 +114,7 @@
                 view=view,
                 is_dead=self._is_dead,
                 clock=trio.current_time,
-                randomness=random.Random(number),
+                time_of_day=trio.current_time,
             ),
         )
         guard.register(peer_routes)
