Take an unframed stream that ends before any event as broken off

A response with neither a length nor chunks ends with its connection, which a crash closes in the same way: callers got an empty stream as a whole answer, and the crash was not looked into. The test of it failed before; those of other unframed answers, streams that end inside an event among them, passed.

--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -193,6 +193,12 @@
                 may_retry=progress.may_retry(),
             )
         )
+    is_empty = progress.last_event is None and not attempt.events
+    if is_empty and not answer.framed:
+        # An endpoint that crashes before the first event ends it the same way.
+        raise FailureError(
+            may_have_run(Reason.CONNECTION_BROKEN, 'closed before any event')
+        )
     await attempt.claim_answer()
     await _send_head(progress, answer)
     await progress.exchange.finish()
