Log which endpoints an entry does not reach, and which a plan blames

No line told that an entry had reached no endpoint for seconds, nor why an engine was in a back-off: endpoints that are missed in a row are counted now until another one is reached, and the planner logs the engines that a plan reports as failed.

--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -27,6 +27,7 @@
     stream_worth,
 )
 from limpetdrift.coordination.rendezvous import choose_by_hash
+from limpetdrift.logs import note
 from limpetdrift.protocol.plans import (
     Acknowledgement,
     ActivePlans,
@@ -173,6 +174,7 @@
             ledger.end(each.grant)
             for failed in each.failed:
                 ledger.mark_failing((failed.name, failed.lifetime))
+                note('engine failed', engine=failed.name, plan=each.grant)
 
     async def answer_plan(self, message: PlanRequest) -> Result[Plan, Failure]:
         """Answer a peer's request for a plan."""
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -1,7 +1,7 @@
 """Sends requests to the platform's endpoints, and decodes their responses."""
 
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.endpoint_response import (
@@ -18,13 +18,14 @@
     decode_signals,
 )
 from limpetdrift.protocol.counts import parse_count
-from limpetdrift.protocol.verdict import FailureError
+from limpetdrift.protocol.verdict import FailureError, Reason
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
     EndpointLoad,
     ListedEndpoint,
 )
+from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.transport.client import (
     HttpClient,
     ResponseStream,
@@ -60,18 +61,27 @@
 # refuses connections at once; a timeout does not prove a crash.
 _CRASH_CHECK_TIMEOUT_SECONDS = 0.3
 
+# Failures before any answer that may be the link's fault.
+_MISSED_REASONS = frozenset(
+    (Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT, Reason.CONNECTION_BROKEN)
+)
+
 # Called with the load that an endpoint reports.
 OnLoad = Callable[[ListedEndpoint, EndpointLoad], None]
 
 
 def make_send_request(
-    client: HttpClient, on_load: OnLoad, gate: EndpointGate
+    client: HttpClient,
+    on_load: OnLoad,
+    gate: EndpointGate,
+    reach: EndpointReach,
 ) -> SendRequest:
     """Return the function that sends a request to an endpoint.
 
     ``on_load`` is called with the load that an endpoint of a plain service
     reports in its response. ``gate`` is checked right before a request is
     sent, since its placement may be older than an endpoint's last answer.
+    ``reach`` records which endpoints could be connected to.
     """
 
     @asynccontextmanager
@@ -94,11 +104,15 @@
             body=caller_request.body,
         )
         address = parse_address(placement.endpoint.address)
-        async with client.stream(
-            address,
-            request,
-            idle_timeout_seconds=seconds_left,
-            new_connection=True,
+        async with _recording_reach(
+            reach,
+            placement.endpoint,
+            client.stream(
+                address,
+                request,
+                idle_timeout_seconds=seconds_left,
+                new_connection=True,
+            ),
         ) as stream:
             gate.apply_signals(
                 placement.endpoint,
@@ -117,6 +131,25 @@
     return send
 
 
+@asynccontextmanager
+async def _recording_reach(
+    reach: EndpointReach,
+    endpoint: ListedEndpoint,
+    opening: AbstractAsyncContextManager[ResponseStream],
+) -> AsyncIterator[ResponseStream]:
+    """Open a response, and record whether its endpoint was reached."""
+    is_open = False
+    try:
+        async with opening as stream:
+            is_open = True
+            reach.record_reached()
+            yield stream
+    except FailureError as error:
+        if not is_open and error.failure.reason in _MISSED_REASONS:
+            reach.record_missed(endpoint.identity)
+        raise
+
+
 async def is_dead(endpoint: ListedEndpoint) -> bool:
     """Return whether no process listens at an endpoint's address."""
     return await is_connection_refused(
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -58,6 +58,7 @@
     DispatchPlan,
     ListedEndpoint,
 )
+from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.route_cache import RouteTableCache
@@ -151,6 +152,7 @@
         node=node,
         routes=RouteTableCache(clock=boot_time),
         view=EndpointView(clock=boot_time),
+        reach=EndpointReach(clock=boot_time),
         membership=membership,
         store=store,
         entries=cache_usable_entries(membership),
@@ -334,7 +336,7 @@
                 endpoint_client, context.node.name, gate
             ),
             send=make_send_request(
-                endpoint_client, plain_placer.apply_load, gate
+                endpoint_client, plain_placer.apply_load, gate, context.reach
             ),
             check=lambda request: (
                 crash_guard.refusal(request) or check_key(request, admission)
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -62,6 +62,7 @@
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.crash_evidence import CrashEvidence
+from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.client import HttpClient
@@ -79,6 +80,7 @@
     node: Node
     routes: RouteTableCache
     view: EndpointView
+    reach: EndpointReach
     membership: Membership
     store: StoreClient
     entries: Callable[[], tuple[Node, ...]]
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -37,6 +37,7 @@
     ServiceShare,
 )
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint, PromptSize
+from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.route_cache import RouteTableCache
@@ -221,6 +222,7 @@
             node=node,
             routes=routes,
             view=self.view,
+            reach=EndpointReach(clock=trio.current_time),
             membership=self.membership,
             store=StoreClient(
                 client=LocalClient(site.store), address=STORE_ADDRESS
@@ -251,7 +253,7 @@
                 release=self._release,
                 reserve_memory=make_reserver(client, node.name, gate),
                 send=make_send_request(
-                    client, self.plain_placer.apply_load, gate
+                    client, self.plain_placer.apply_load, gate, context.reach
                 ),
                 check=self.crash_guard.refusal,
                 report_broken_connection=(
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -24,6 +24,7 @@
     ListedEndpoint,
 )
 from limpetdrift.state.endpoint_limits import UNLIMITED
+from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address
@@ -56,7 +57,10 @@
     def __post_init__(self) -> None:
         gate = make_gate(self.view, make_announcements(self.announced.append))
         self._send = make_send_request(
-            self.client, lambda endpoint, load: None, gate
+            self.client,
+            lambda endpoint, load: None,
+            gate,
+            EndpointReach(clock=time.monotonic),
         )
         self._read = make_report_reader(self.client, gate)
         self.reserve_memory = make_reserver(self.client, 'entry-1', gate)
