--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -30,6 +30,7 @@
     make_caller_handler,
 )
 from limpetdrift.platform.crash_rows import CrashRows
+from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.directory import DirectoryInputs
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.failure_responses import (
@@ -39,7 +40,6 @@
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
     Planning,
-    build_crash_guard,
     build_planning,
 )
 from limpetdrift.platform.registration import (
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -1,4 +1,4 @@
-"""Builds the components that plan engine requests, and the crash guard."""
+"""Builds the components that plan engine requests."""
 
 import random
 import time
@@ -6,18 +6,6 @@
 from dataclasses import dataclass
 
 from limpetdrift.clocks import boot_time
-from limpetdrift.coordination.crash_exchange import (
-    DIGEST_NAME as CRASHES_DIGEST_NAME,
-)
-from limpetdrift.coordination.crash_exchange import (
-    CrashExchange,
-    CrashExchangeInputs,
-)
-from limpetdrift.coordination.crash_guard import (
-    CrashGuard,
-    CrashGuardInputs,
-    IsDead,
-)
 from limpetdrift.coordination.endpoint_gate import (
     Announcements,
     EndpointGate,
@@ -27,7 +15,6 @@
     EngineReportPoller,
     ReportPollerInputs,
 )
-from limpetdrift.coordination.isolation_leases import IsolationLeases
 from limpetdrift.coordination.limit_deciders import (
     LimitDeciderInputs,
     LimitDeciders,
@@ -51,8 +38,6 @@
 from limpetdrift.coordination.planner_client import PlannerClientInputs
 from limpetdrift.coordination.planning_groups import PlanningGroups
 from limpetdrift.logs import note
-from limpetdrift.platform.crash_rows import CrashRows, CrashRowsInputs
-from limpetdrift.platform.endpoint_client import is_dead
 from limpetdrift.platform.limit_rows import TABLE as LIMITS_TABLE
 from limpetdrift.platform.limit_rows import LimitRows, LimitRowsInputs
 from limpetdrift.platform.reports import make_report_reader
@@ -61,7 +46,6 @@
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.crash_evidence import CrashEvidence
 from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
@@ -236,50 +220,3 @@
 def _log_members(changed: tuple[Member, ...]) -> None:
     for member in changed:
         note('peer changed', peer=member.node.name, state=member.state)
-
-
-def build_crash_guard(
-    context: EntryContext, call: PeerCall, check_dead: IsDead = is_dead
-) -> tuple[CrashGuard, CrashRows]:
-    """Return the guard against requests that crash endpoints, and its rows."""
-    membership = context.membership
-    evidence = CrashEvidence(clock=context.clock)
-    rows = CrashRows(
-        inputs=CrashRowsInputs(
-            store=context.store,
-            evidence=evidence,
-            is_assigned=lambda duty: membership.is_assigned(duty, 1),
-            randomness=context.randomness,
-            time_of_day=context.time_of_day,
-        ),
-    )
-    exchange = CrashExchange(
-        inputs=CrashExchangeInputs(
-            node=context.node,
-            evidence=evidence,
-            live_entries=membership.live_entries,
-            call=call,
-            clock=context.clock,
-            randomness=context.randomness,
-            read_kept=rows.read,
-            on_change=[rows.on_change],
-        ),
-    )
-    membership.register_digest(
-        CRASHES_DIGEST_NAME, exchange.make_digest, exchange.on_digest
-    )
-    guard = CrashGuard(
-        inputs=CrashGuardInputs(
-            exchange=exchange,
-            leases=IsolationLeases(
-                node=context.node,
-                live_entries=membership.live_entries,
-                call=call,
-            ),
-            view=context.view,
-            is_dead=check_dead,
-            clock=context.clock,
-            time_of_day=context.time_of_day,
-        ),
-    )
-    return guard, rows
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -21,10 +21,10 @@
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.plain_placer import PlainPlacer
+from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
-    build_crash_guard,
     build_planning,
 )
 from limpetdrift.platform.reservations import make_reserver
