--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -121,9 +121,10 @@
 
 
 @asynccontextmanager
-async def _run_at_once(
+async def run_at_once(
     request: CallerRequest, tried: frozenset[EndpointIdentity]
 ) -> AsyncIterator[frozenset[EndpointIdentity]]:
+    """Run an attempt without isolation, at endpoints that it has not tried."""
     yield tried
 
 
@@ -138,7 +139,8 @@
     attempt runs, and ``report_harmless`` when an endpoint has answered a
     request, or has done so for a while. ``isolate`` waits until an attempt may
     be placed, and yields the endpoints that it may not use; ``is_suspected``
-    returns whether a request may crash endpoints.
+    returns whether a request may crash endpoints, and ``is_cut_off`` whether a
+    peer has to pass it on since this entry does not reach its service.
     """
 
     place: PlaceRequest
@@ -153,8 +155,9 @@
     budget: RetryBudget
     clock: Callable[[], float]
     randomness: random.Random
-    isolate: IsolateAttempt = _run_at_once
+    isolate: IsolateAttempt = run_at_once
     is_suspected: Callable[[CallerRequest], bool] = lambda request: False
+    is_cut_off: Callable[[CallerRequest], bool] = lambda request: False
 
 
 class Forwarder:
@@ -296,7 +299,8 @@
         )
         if not is_allowed:
             return False
-        if progress.attempts and not self._inputs.budget.has_retry:
+        is_retry = progress.attempts and not self._inputs.is_cut_off(request)
+        if is_retry and not self._inputs.budget.has_retry:
             telemetry.count('refusals', reason=Reason.RETRY_BUDGET)
             return False
         telemetry.count('retries', reason=failure.reason)
@@ -364,7 +368,8 @@
                 self._inputs.view.mark_leaving(
                     placement.endpoint, ANSWER_SOURCE
                 )
-            if outcome.error.reason is Reason.CONNECTION_BROKEN:
+            is_broken = outcome.error.reason is Reason.CONNECTION_BROKEN
+            if is_broken and not placement.is_carried:
                 self._inputs.report_broken_connection(
                     BrokenAttempt(
                         request=progress.request,
@@ -386,9 +391,11 @@
         refusal = self._check(progress)
         if refusal is not None:
             return Error(refusal)
-        if not self._inputs.view.is_usable(placement.endpoint):
+        is_carried = placement.is_carried
+        if not (is_carried or self._inputs.view.is_usable(placement.endpoint)):
             return Error(not_run(Reason.ENDPOINT_REFUSED, 'not listed now'))
-        if progress.attempts and not self._inputs.budget.spend():
+        is_retry = progress.attempts > 0 and not is_carried
+        if is_retry and not self._inputs.budget.spend():
             return Error(not_run(Reason.RETRY_BUDGET, 'no retry is left'))
         attempt.mark_sent()
         progress.unproven += 1
--- /dev/null
+++ b/src/limpetdrift/coordination/link_monitor.py
@@ -0,0 +1,190 @@
+"""Tells an entry that lost its links from endpoints that have failed.
+
+One request that reaches no endpoint says little: the endpoint may have failed.
+So other endpoints of its service are probed at once. If none of them is reached
+either, the entry is cut off from the service, until a probe reaches one again.
+"""
+
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from limpetdrift import telemetry
+from limpetdrift.logs import note, warn
+from limpetdrift.protocol.verdict import Reason
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_view import EndpointView
+
+# Endpoints that are probed at a time, and the interval of the probes while the
+# entry is cut off.
+PROBED_ENDPOINTS = 3
+PROBE_INTERVAL_SECONDS = 0.3
+# Failures before any answer that may be the link's fault.
+_MISSED_REASONS = frozenset(
+    (Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT, Reason.CONNECTION_BROKEN)
+)
+
+# Returns whether a new connection to an endpoint can be used.
+ProbeEndpoint = Callable[[ListedEndpoint], Awaitable[bool]]
+OnChange = Callable[[frozenset[str]], None]
+
+
+@dataclass(kw_only=True, slots=True)
+class _ServiceLink:
+    """The link to a service's endpoints.
+
+    ``missed`` has the identities of those that were not reached since another
+    one was. ``verdict`` is set unless a check is under way, and ``blamed`` has
+    the functions to call if it finds that the link is well.
+    """
+
+    missed: set[tuple[str, int]] = field(default_factory=set)
+    is_cut: bool = False
+    is_watched: bool = False
+    verdict: trio.Event | None = None
+    blamed: list[Callable[[], None]] = field(default_factory=list)
+
+
+class LinkMonitor:
+    """The links of this entry; ``run`` checks them in the background.
+
+    ``on_change`` hooks get the services that this entry is cut off from.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: EndpointView,
+        probe: ProbeEndpoint,
+        randomness: random.Random,
+    ) -> None:
+        self.on_change: list[OnChange] = []
+        self._view = view
+        self._probe = probe
+        self._randomness = randomness
+        self._links: dict[str, _ServiceLink] = defaultdict(_ServiceLink)
+        self._nursery: trio.Nursery | None = None
+
+    def is_cut(self, service: str) -> bool:
+        """Return whether this entry reaches no endpoint of a service."""
+        return service in self._links and self._links[service].is_cut
+
+    def record_reached(self, endpoint: ListedEndpoint) -> None:
+        """Record that an endpoint answered on a new connection."""
+        link = self._links.get(endpoint.service)
+        if link is not None and link.missed:
+            self._find_well(endpoint.service, link)
+
+    def record_failure(self, endpoint: ListedEndpoint, reason: Reason) -> None:
+        """Record a failure on a new connection, before any answer."""
+        if reason not in _MISSED_REASONS:
+            return
+        link = self._links[endpoint.service]
+        link.missed.add(endpoint.identity)
+        if link.is_watched or self._nursery is None:
+            return
+        link.is_watched = True
+        link.verdict = trio.Event()
+        self._nursery.start_soon(self._watch, endpoint.service, link)
+
+    async def settle(self, service: str) -> None:
+        """Wait until it is known whether a failure was the link's."""
+        link = self._links.get(service)
+        if link is not None and link.verdict is not None:
+            await link.verdict.wait()
+
+    def blame(self, service: str, report: Callable[[], None]) -> None:
+        """Call a function unless the link is at fault, maybe after a check."""
+        link = self._links.get(service)
+        if link is None or not (link.is_cut or link.verdict is not None):
+            report()
+        elif not link.is_cut:
+            link.blamed.append(report)
+
+    async def run(self) -> None:
+        """Check links until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await trio.sleep_forever()
+
+    async def _watch(self, service: str, link: _ServiceLink) -> None:
+        """Probe other endpoints until one is reached."""
+        while link.missed:
+            endpoints = self._choose_endpoints(service, link)
+            if not endpoints:
+                self._find_well(service, link)
+                break
+            if await self._reaches_any(endpoints):
+                self._find_well(service, link)
+                break
+            if link.missed:
+                self._find_cut(service, link)
+                await trio.sleep(PROBE_INTERVAL_SECONDS)
+        link.is_watched = False
+
+    def _choose_endpoints(
+        self, service: str, link: _ServiceLink
+    ) -> list[ListedEndpoint]:
+        """Return endpoints to probe, first those that were not tried.
+
+        The failure of a service's only endpoint says nothing of the link.
+        """
+        usable = list(self._view.usable(service))
+        self._randomness.shuffle(usable)
+        usable.sort(key=lambda each: each.identity in link.missed)
+        return usable[:PROBED_ENDPOINTS] if len(usable) > 1 else []
+
+    async def _reaches_any(self, endpoints: list[ListedEndpoint]) -> bool:
+        reached: list[ListedEndpoint] = []
+
+        async def check(endpoint: ListedEndpoint) -> None:
+            if await self._probe(endpoint):
+                reached.append(endpoint)
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for endpoint in endpoints:
+                nursery.start_soon(check, endpoint)
+        return bool(reached)
+
+    def _find_cut(self, service: str, link: _ServiceLink) -> None:
+        link.blamed.clear()
+        if not link.is_cut:
+            link.is_cut = True
+            telemetry.count('links_cut')
+            warn(
+                'cut off from all endpoints of a service',
+                service=service,
+                missed=sorted(name for name, _ in link.missed),
+            )
+            self._announce()
+        _settle(link)
+
+    def _find_well(self, service: str, link: _ServiceLink) -> None:
+        link.missed.clear()
+        blamed = tuple(link.blamed)
+        link.blamed.clear()
+        if link.is_cut:
+            link.is_cut = False
+            note('endpoints of a service are reached again', service=service)
+            self._announce()
+        _settle(link)
+        for report in blamed:
+            report()
+
+    def _announce(self) -> None:
+        cut = frozenset(
+            service for service, link in self._links.items() if link.is_cut
+        )
+        for hook in self.on_change:
+            hook(cut)
+
+
+def _settle(link: _ServiceLink) -> None:
+    """End the wait for a verdict."""
+    if link.verdict is not None:
+        link.verdict.set()
+        link.verdict = None
--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -1,7 +1,7 @@
 """Handles the requests of callers on the platform."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.drain import Drain
@@ -32,8 +32,13 @@
     drain: Callable[[], Drain]
 
 
-def make_caller_handler(inputs: CallerHandlerInputs) -> Handler:
-    """Return the handler that admits and forwards callers' requests."""
+def make_caller_handler(
+    inputs: CallerHandlerInputs, *, is_carried: bool = False
+) -> Handler:
+    """Return the handler that admits and forwards callers' requests.
+
+    ``is_carried`` says that peers pass them on.
+    """
 
     async def serve(exchange: Exchange) -> None:
         drain = inputs.drain()
@@ -47,7 +52,9 @@
         if caller_request.is_error():
             await refuse(exchange, caller_request.error)
             return
-        await inputs.forwarder.serve(caller_request.ok, exchange)
+        await inputs.forwarder.serve(
+            replace(caller_request.ok, is_carried=is_carried), exchange
+        )
 
     async def refuse(exchange: Exchange, failure: Failure) -> None:
         routes = inputs.admission.routes
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -8,6 +8,7 @@
     EndpointResponse,
     SendRequest,
 )
+from limpetdrift.coordination.link_monitor import LinkMonitor
 from limpetdrift.platform import admission as header_names
 from limpetdrift.platform.endpoint_signals import (
     INSTANCE_HEADER,
@@ -18,17 +19,17 @@
     decode_signals,
 )
 from limpetdrift.protocol.counts import parse_count
-from limpetdrift.protocol.verdict import FailureError, Reason
+from limpetdrift.protocol.verdict import FailureError
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
     EndpointLoad,
     ListedEndpoint,
 )
-from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.transport.client import (
     HttpClient,
     ResponseStream,
+    can_connect,
     is_connection_refused,
 )
 from limpetdrift.transport.messages import (
@@ -60,11 +61,8 @@
 # Connect timeout of the crash check. An address where no process listens
 # refuses connections at once; a timeout does not prove a crash.
 _CRASH_CHECK_TIMEOUT_SECONDS = 0.3
-
-# Failures before any answer that may be the link's fault.
-_MISSED_REASONS = frozenset(
-    (Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT, Reason.CONNECTION_BROKEN)
-)
+# Connect timeout of a probe of the link to the endpoints.
+_PROBE_TIMEOUT_SECONDS = 0.25
 
 # Called with the load that an endpoint reports.
 OnLoad = Callable[[ListedEndpoint, EndpointLoad], None]
@@ -74,14 +72,14 @@
     client: HttpClient,
     on_load: OnLoad,
     gate: EndpointGate,
-    reach: EndpointReach,
+    links: LinkMonitor,
 ) -> SendRequest:
     """Return the function that sends a request to an endpoint.
 
     ``on_load`` is called with the load that an endpoint of a plain service
     reports in its response. ``gate`` is checked right before a request is
     sent, since its placement may be older than an endpoint's last answer.
-    ``reach`` records which endpoints could be connected to.
+    ``links`` records which endpoints could be connected to.
     """
 
     @asynccontextmanager
@@ -104,8 +102,8 @@
             body=caller_request.body,
         )
         address = parse_address(placement.endpoint.address)
-        async with _recording_reach(
-            reach,
+        async with _recording_link(
+            links,
             placement.endpoint,
             client.stream(
                 address,
@@ -132,8 +130,8 @@
 
 
 @asynccontextmanager
-async def _recording_reach(
-    reach: EndpointReach,
+async def _recording_link(
+    links: LinkMonitor,
     endpoint: ListedEndpoint,
     opening: AbstractAsyncContextManager[ResponseStream],
 ) -> AsyncIterator[ResponseStream]:
@@ -142,14 +140,21 @@
     try:
         async with opening as stream:
             is_open = True
-            reach.record_reached()
+            links.record_reached(endpoint)
             yield stream
     except FailureError as error:
-        if not is_open and error.failure.reason in _MISSED_REASONS:
-            reach.record_missed(endpoint.identity)
+        if not is_open:
+            links.record_failure(endpoint, error.failure.reason)
         raise
 
 
+async def probe_connection(endpoint: ListedEndpoint) -> bool:
+    """Return whether a new connection to an endpoint can be used."""
+    return await can_connect(
+        parse_address(endpoint.address), _PROBE_TIMEOUT_SECONDS
+    )
+
+
 async def is_dead(endpoint: ListedEndpoint) -> bool:
     """Return whether no process listens at an endpoint's address."""
     return await is_connection_refused(
@@ -227,18 +232,22 @@
         )
     if placement.helpers:
         added.append((header_names.HELPERS_HEADER, _format_helpers(placement)))
+    return (*last_event_headers(caller_request, last_event_id), *added)
+
+
+def last_event_headers(
+    caller_request: CallerRequest, last_event_id: int | None
+) -> Headers:
+    """Return the headers with the number of the caller's last event."""
     forwarded = caller_request.headers
-    if (
-        last_event_id is not None
-        and last_event_id != caller_request.last_event_id
-    ):
-        forwarded = tuple(
-            pair
-            for pair in forwarded
-            if pair[0] != header_names.LAST_EVENT_ID_HEADER
-        )
-        added.append((header_names.LAST_EVENT_ID_HEADER, str(last_event_id)))
-    return (*forwarded, *added)
+    if last_event_id is None or last_event_id == caller_request.last_event_id:
+        return forwarded
+    others = (
+        pair
+        for pair in forwarded
+        if pair[0] != header_names.LAST_EVENT_ID_HEADER
+    )
+    return (*others, (header_names.LAST_EVENT_ID_HEADER, str(last_event_id)))
 
 
 def _format_helpers(placement: DispatchPlan) -> str:
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -4,38 +4,41 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-
-from expression import Result
+from typing import Protocol
 
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.crash_guard import CrashGuard
 from limpetdrift.coordination.discovery import cache_usable_entries
 from limpetdrift.coordination.drain import Drain, DrainTiming
-from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
+from limpetdrift.coordination.link_monitor import LinkMonitor
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import (
     PeerCall,
     PeerRoutes,
     make_peer_call,
 )
-from limpetdrift.coordination.plain_placer import PlainPlacer
 from limpetdrift.platform.admission import (
     REQUEST_ID_HEADER,
     AdmissionInputs,
-    check_key,
 )
 from limpetdrift.platform.callers import (
     CallerHandlerInputs,
     apply_limits,
     make_caller_handler,
 )
+from limpetdrift.platform.carrying import CARRY_PATH, CarriedRequests
 from limpetdrift.platform.crash_rows import CrashRows
 from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.directory import DirectoryInputs
-from limpetdrift.platform.endpoint_client import make_send_request
-from limpetdrift.platform.failure_responses import (
-    RenderFailure,
-    make_failure_renderer,
+from limpetdrift.platform.endpoint_client import probe_connection
+from limpetdrift.platform.failure_responses import make_failure_renderer
+from limpetdrift.platform.forwarder_wiring import (
+    ENDPOINT_WHOLE_BYTES,
+    build_forwarder,
+)
+from limpetdrift.platform.link_wiring import (
+    CarrierLinks,
+    build_carriers,
 )
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
@@ -47,20 +50,11 @@
     Registration,
     RegistrationInputs,
 )
-from limpetdrift.platform.reservations import make_reserver
 from limpetdrift.platform.settings import PlatformSettings
 from limpetdrift.platform.store import StoreClient
 from limpetdrift.platform.store_replica import ReplicaInputs, StoreReplica
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.verdict import Failure
-from limpetdrift.protocol.work import (
-    CallerRequest,
-    DispatchPlan,
-    ListedEndpoint,
-)
-from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.client import ClientLimits, HttpClient
 from limpetdrift.transport.routing import Routes
@@ -72,23 +66,14 @@
 # How long callers may use a directory answer, well below the longest time that
 # they accept.
 DIRECTORY_TTL_SECONDS = 2.0
-# Safety margin of the retry budget, which all entries share: each entry uses
-# only this part of its even share, since the number of entries varies.
-RETRY_BUDGET_SHARE = 0.5
 # Connect timeouts, after which a new connection is given up.
-ENDPOINT_CONNECT_TIMEOUT_SECONDS = 0.25
 PEER_CONNECT_TIMEOUT_SECONDS = 0.3
 STORE_CONNECT_TIMEOUT_SECONDS = 0.5
-# Longest answer of an endpoint to a report poll or an order.
-ENDPOINT_WHOLE_BYTES = 1_048_576
 # Grace period of a drain, in which requests are still accepted, as a share of
 # the time that the platform allows for a stop; and the safety margin by which
 # the process ends before it would be killed.
 DRAIN_GRACE_SHARE = 0.35
 KILL_MARGIN_SECONDS = 0.8
-# Minimum number of entries that a site is assumed to have when the retry budget
-# is divided among them, since an entry that starts knows no other yet.
-_MIN_ENTRIES = 2
 _MILLISECONDS = 1000
 
 
@@ -107,10 +92,18 @@
     crash_rows: CrashRows
     drain: Drain
     directory: DirectoryInputs
+    links: CarrierLinks
     callers: Server
     peers: Server
 
 
+class PeerComponent(Protocol):
+    """A component that peers call."""
+
+    def register(self, peer_routes: PeerRoutes) -> None:
+        """Register the handlers of peers' calls."""
+
+
 def build_entry(settings: PlatformSettings) -> EntryComponents:
     """Build all components of one entry."""
     randomness = random.Random()
@@ -147,12 +140,15 @@
         seeds=registration.seeds,
         randomness=randomness,
     )
+    view = EndpointView(clock=boot_time)
     context = EntryContext(
         settings=settings,
         node=node,
         routes=RouteTableCache(clock=boot_time),
-        view=EndpointView(clock=boot_time),
-        reach=EndpointReach(clock=boot_time),
+        view=view,
+        links=LinkMonitor(
+            view=view, probe=probe_connection, randomness=randomness
+        ),
         membership=membership,
         store=store,
         entries=cache_usable_entries(membership),
@@ -202,14 +198,27 @@
         HttpClient(limits=ClientLimits(whole_bytes=ENDPOINT_WHOLE_BYTES)),
     )
     crash_guard, crash_rows = build_crash_guard(context, call)
-    callers, drain = _build_caller_server(context, planning, crash_guard)
+    links = CarrierLinks(
+        monitor=context.links,
+        carriers=build_carriers(context, call),
+        client=HttpClient(
+            limits=ClientLimits(
+                connect_seconds=PEER_CONNECT_TIMEOUT_SECONDS,
+                idle_connections=0,
+            ),
+        ),
+    )
+    callers, carried, drain = _build_caller_server(
+        context, planning, crash_guard, links
+    )
 
     def is_ready() -> bool:
         return replica.is_synced and not drain.is_leaving
 
     def entries() -> tuple[Node, ...]:
         # A process lists itself only while it can serve callers.
-        listed = context.entries()
+        # Those that are cut off serve through their peers.
+        listed = links.carriers.prefer_reaching(context.entries())
         if is_ready():
             return listed
         return tuple(each for each in listed if each != context.node)
@@ -234,9 +243,17 @@
                 context.settings.bounds.answer_age_seconds,
             ),
         ),
+        links=links,
         callers=callers,
         peers=_build_peer_server(
-            context.membership, planning, replica, crash_guard
+            (
+                crash_guard,
+                replica.relay,
+                context.membership,
+                planning,
+                links.carriers,
+            ),
+            carried,
         ),
     )
 
@@ -245,7 +262,8 @@
     context: EntryContext,
     planning: Planning,
     crash_guard: CrashGuard,
-) -> tuple[Server, Drain]:
+    links: CarrierLinks,
+) -> tuple[Server, CarriedRequests, Drain]:
     bounds = context.settings.bounds
     admission = AdmissionInputs(
         routes=context.routes,
@@ -257,8 +275,8 @@
     render = make_failure_renderer(context.randomness)
     handler_inputs = CallerHandlerInputs(
         admission=admission,
-        forwarder=_build_forwarder(
-            context, planning, admission, crash_guard, render
+        forwarder=build_forwarder(
+            context, planning, admission, crash_guard, links, render
         ),
         render=render,
         drain=lambda: drain,
@@ -267,10 +285,18 @@
         handler=make_caller_handler(handler_inputs),
         find_request_id=lambda request: request.header(REQUEST_ID_HEADER),
     )
+    carried = CarriedRequests(
+        serve=make_caller_handler(handler_inputs, is_carried=True)
+    )
+
+    async def wait_idle() -> None:
+        await callers.wait_idle()
+        await carried.wait_idle()
+
     drain_grace_seconds = bounds.stop_seconds * DRAIN_GRACE_SHARE
     drain = Drain(
         membership=context.membership,
-        wait_until_idle=callers.wait_idle,
+        wait_until_idle=wait_idle,
         timing=DrainTiming(
             max_deadline_seconds=bounds.stop_seconds
             - drain_grace_seconds
@@ -281,110 +307,18 @@
         randomness=context.randomness,
     )
     context.routes.on_change.append(lambda table: apply_limits(callers, table))
-    return callers, drain
-
-
-def _build_forwarder(
-    context: EntryContext,
-    planning: Planning,
-    admission: AdmissionInputs,
-    crash_guard: CrashGuard,
-    render: RenderFailure,
-) -> Forwarder:
-    plan_placer = planning.plan_placer
-    plain_placer = PlainPlacer(
-        view=context.view,
-        permit_client=planning.permit_client,
-        randomness=context.randomness,
-    )
-    gate = planning.gate
-    endpoint_client = HttpClient(
-        limits=ClientLimits(
-            connect_seconds=ENDPOINT_CONNECT_TIMEOUT_SECONDS,
-            idle_connections=0,
-            whole_bytes=ENDPOINT_WHOLE_BYTES,
-            # An engine may read a prompt for longer than it may hold memory
-            # for one whose engine has died.
-            probes_keep_alive=True,
-        ),
-    )
-
-    async def place(
-        request: CallerRequest,
-        excluded: frozenset[tuple[str, int]],
-    ) -> Result[DispatchPlan, Failure]:
-        await planning.limit_exchange.wait_learned()
-        service = context.routes.find_service(request.service)
-        if service is None or service.engine is None:
-            return await plain_placer.place(request, excluded)
-        return await plan_placer.place(request, excluded)
-
-    def release(
-        request: CallerRequest,
-        placement: DispatchPlan,
-        failed: Iterable[ListedEndpoint],
-    ) -> None:
-        # Only placements by the plan placer have a grant.
-        placer = plan_placer if placement.grant else plain_placer
-        placer.release(request, placement, failed)
-
-    return Forwarder(
-        inputs=ForwardingInputs(
-            place=place,
-            release=release,
-            reserve_memory=make_reserver(
-                endpoint_client, context.node.name, gate
-            ),
-            send=make_send_request(
-                endpoint_client, plain_placer.apply_load, gate, context.reach
-            ),
-            check=lambda request: (
-                crash_guard.refusal(request) or check_key(request, admission)
-            ),
-            report_broken_connection=crash_guard.report_broken_connection,
-            report_harmless=crash_guard.report_harmless,
-            isolate=crash_guard.isolate,
-            is_suspected=crash_guard.is_suspected,
-            render=render,
-            view=context.view,
-            budget=_build_retry_budget(context),
-            clock=boot_time,
-            randomness=context.randomness,
-        ),
-    )
-
-
-def _build_retry_budget(context: EntryContext) -> RetryBudget:
-    """Return this entry's part of the budget that all entries share."""
-    bounds = context.settings.bounds
-    assumed = 2 * len(context.settings.failure_domains)
-
-    def reserve() -> float:
-        entries = max(_MIN_ENTRIES, assumed, len(context.entries()))
-        return max(1.0, bounds.retry_reserve * RETRY_BUDGET_SHARE / entries)
-
-    budget = RetryBudget(
-        share=bounds.retry_share * RETRY_BUDGET_SHARE, reserve=reserve()
-    )
-    context.membership.on_change.append(
-        lambda changed: budget.limit_balance(reserve())
-    )
-    return budget
+    return callers, carried, drain
 
 
 def _build_peer_server(
-    membership: Membership,
-    planning: Planning,
-    replica: StoreReplica,
-    crash_guard: CrashGuard,
+    components: Iterable[PeerComponent], carried: CarriedRequests
 ) -> Server:
     peer_routes = PeerRoutes()
-    crash_guard.register(peer_routes)
-    replica.relay.register(peer_routes)
-    membership.register(peer_routes)
-    planning.register(peer_routes)
+    for component in components:
+        component.register(peer_routes)
     routes = Routes()
     peer_routes.mount(routes, '')
+    routes.add('POST', CARRY_PATH, carried.handle)
     return Server(handler=routes.handle)
 
 
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -27,6 +27,7 @@
     LimitExchange,
     LimitExchangeInputs,
 )
+from limpetdrift.coordination.link_monitor import LinkMonitor
 from limpetdrift.coordination.membership import Member, Membership
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.permit_client import (
@@ -46,7 +47,6 @@
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.client import HttpClient
@@ -64,7 +64,7 @@
     node: Node
     routes: RouteTableCache
     view: EndpointView
-    reach: EndpointReach
+    links: LinkMonitor
     membership: Membership
     store: StoreClient
     entries: Callable[[], tuple[Node, ...]]
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -92,6 +92,8 @@
         entry.planning.limit_exchange.run,
         partial(_follow_limits, entry),
         entry.crash_guard.run,
+        entry.links.monitor.run,
+        entry.links.carriers.replicator.run,
         partial(_follow_crashes, entry),
         partial(_join_when_synced, entry),
         _check_settings_on_signal,
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -12,6 +12,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.forwarding import ReserveMemory
+from limpetdrift.coordination.link_monitor import LinkMonitor
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
 from limpetdrift.platform.endpoint_signals import decode_signals
@@ -61,11 +62,12 @@
 
     client: HttpClient
     gate: EndpointGate
+    links: LinkMonitor
     reserved_at: dict[str, float] = field(default_factory=dict)
 
 
 def make_reserver(
-    client: HttpClient, name: str, gate: EndpointGate
+    client: HttpClient, name: str, gate: EndpointGate, links: LinkMonitor
 ) -> ReserveMemory:
     """Return the function that reserves a placement's memory.
 
@@ -75,7 +77,7 @@
     a prompt that runs would be cut off without its memory.
     """
     counter = count()
-    orders = _Orders(client=client, gate=gate)
+    orders = _Orders(client=client, gate=gate, links=links)
 
     @asynccontextmanager
     async def reserve(placement: DispatchPlan) -> AsyncIterator[DispatchPlan]:
@@ -269,7 +271,9 @@
     )
     telemetry.count('orders', operation=str(body['operation']))
     if result.is_error():
+        orders.links.record_failure(endpoint, result.error.reason)
         return Error(result.error)
+    orders.links.record_reached(endpoint)
     response = result.ok
     orders.gate.apply_signals(
         endpoint,
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -35,7 +35,8 @@
     ``prompt_parts`` are the ids of the prompt's parts in order; requests share
     all but the last. ``last_event_id`` is the id of the last event that the
     caller received of a stream that it resumes. ``is_begun`` is true if the
-    head of the answer has been sent to the caller.
+    head of the answer has been sent to the caller, and ``is_carried`` if a peer
+    that does not reach the endpoints has passed the request on.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     prompt_parts: tuple[str, ...] = ()
     last_event_id: int | None = None
     is_begun: bool = False
+    is_carried: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -138,6 +140,7 @@
     event is expected after ``read_seconds``, delay included. ``urgency`` is
     the priority that is sent along. ``grant`` names the plan; it is empty for
     a request without one, whose placements ``number`` tells apart.
+    With ``is_carried``, ``endpoint`` is a peer that passes the request on.
     ``permitted`` has the identities of those endpoints with a rate limit at
     which the request is counted already.
     """
@@ -151,6 +154,7 @@
     delay_seconds: float = 0.0
     read_seconds: float = 0.0
     permitted: frozenset[tuple[str, int]] = frozenset()
+    is_carried: bool = False
 
     @property
     def endpoints(self) -> tuple[ListedEndpoint, ...]:
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -57,6 +57,7 @@
         self._has_body = True
         self._cut_reason: CutReason | None = None
         self._close_headers: Headers = ()
+        self._added_headers: Headers = ()
         if connection.is_closing:
             self.close_afterwards()
 
@@ -78,6 +79,10 @@
         """Send ``connection: close`` with the response."""
         self._close_headers = (('connection', 'close'),)
 
+    def add_headers(self, headers: Headers) -> None:
+        """Send headers with the response, whatever it is."""
+        self._added_headers = headers
+
     async def respond(self, response: Response) -> None:
         """Send a whole response."""
         self._has_body = self._may_have_body(response.status)
@@ -136,6 +141,7 @@
     async def _send_head(
         self, status: int, headers: Headers, *following: h11.Event
     ) -> None:
+        headers = (*headers, *self._added_headers)
         # Raises an error if the head is invalid, before anything is sent.
         head = h11.Response(status_code=status, headers=encode_headers(headers))
         self._started = True
--- a/tests/cut_site.py
+++ b/tests/cut_site.py
@@ -24,6 +24,8 @@
     may_have_run,
     not_run,
 )
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.transport.messages import parse_address
 from virtual_time import background_tasks
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -69,32 +71,32 @@
 class CutClient(EndpointClient):
     """Takes the calls of one entry, unless it is cut off."""
 
+    async def connect(self, address) -> None:
+        cut = self._cut()
+        service = self._site.by_address[str(address)].listed.service
+        if cut is None or service not in self._site.cut_services:
+            return
+        if cut in _REFUSES:
+            raise FailureError(not_run(Reason.CONNECT_FAILED, str(address)))
+        await trio.sleep(CONNECT_TIMEOUT_SECONDS)
+        raise FailureError(not_run(Reason.CONNECT_TIMEOUT, str(address)))
+
     async def fetch(self, address, request, **options: object):
         try:
-            await self._connect(address)
+            await self.connect(address)
         except FailureError as error:
             return Error(error.failure)
         return await super().fetch(address, request, **options)
 
     @asynccontextmanager
     async def stream(self, address, request, **options: object):
-        await self._connect(address)
+        await self.connect(address)
         async with super().stream(address, request, **options) as opened:
             yield _CutStream(opened, self._cut)
 
     def _cut(self) -> Cut | None:
         return self._site.cuts.get(self._entry.partition('.')[0])
 
-    async def _connect(self, address) -> None:
-        cut = self._cut()
-        service = self._site.by_address[str(address)].listed.service
-        if cut is None or service not in self._site.cut_services:
-            return
-        if cut in _REFUSES:
-            raise FailureError(not_run(Reason.CONNECT_FAILED, str(address)))
-        await trio.sleep(CONNECT_TIMEOUT_SECONDS)
-        raise FailureError(not_run(Reason.CONNECT_TIMEOUT, str(address)))
-
 
 class _CutStream:
     """A stream that hangs or is reset when its entry is cut off."""
@@ -133,6 +135,15 @@
         """Return the client for an entry's calls to endpoints."""
         return CutClient(self, entry)
 
+    async def probe(self, entry: str, endpoint: ListedEndpoint) -> bool:
+        """Return whether an entry can connect to an endpoint."""
+        client = self.make_client(entry)
+        try:
+            await client.connect(parse_address(endpoint.address))
+        except FailureError:
+            return False
+        return True
+
     def cut(self, numbers, how: Cut) -> None:
         """Cut entries off from the endpoints."""
         self.cuts = {f'e{number}': how for number in numbers}
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -13,6 +13,7 @@
 from limpetdrift.coordination.endpoint_permits import EndpointPermits
 from limpetdrift.coordination.endpoint_response import EndpointResponse
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
+from limpetdrift.coordination.link_monitor import LinkMonitor
 from limpetdrift.coordination.permit_client import (
     PermitClient,
     PermitClientInputs,
@@ -67,6 +68,15 @@
     )
 
 
+def make_links(view: EndpointView) -> LinkMonitor:
+    """Return a monitor that checks nothing."""
+
+    async def probe(endpoint: ListedEndpoint) -> bool:
+        return True
+
+    return LinkMonitor(view=view, probe=probe, randomness=random.Random(1))
+
+
 def make_plain_placer(view: EndpointView, seed: int = 1) -> PlainPlacer:
     """Return a placer whose entry decides on all rate limits."""
     permits = EndpointPermits(
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -18,11 +18,18 @@
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.coordination.discovery import cache_usable_entries
 from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
+from limpetdrift.coordination.link_monitor import LinkMonitor
 from limpetdrift.coordination.membership import Membership
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.plain_placer import PlainPlacer
+from limpetdrift.platform.carrying import MARK_HEADER, unpack_request
 from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.endpoint_client import make_send_request
+from limpetdrift.platform.link_wiring import (
+    CarrierLinks,
+    build_carriers,
+    carry_if_cut,
+)
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
     build_planning,
@@ -36,8 +43,13 @@
     Service,
     ServiceShare,
 )
+from limpetdrift.protocol.verdict import (
+    FailureError,
+    Reason,
+    may_have_run,
+    not_run,
+)
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint, PromptSize
-from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.route_cache import RouteTableCache
@@ -186,6 +198,82 @@
         await trio.sleep(STREAM_SECONDS)
 
 
+class PeerClient:
+    """Carries requests from one entry to another."""
+
+    def __init__(self, site: 'LimitSite') -> None:
+        self._site = site
+
+    @asynccontextmanager
+    async def stream(self, address, request, **options: object):
+        """Let the peer serve a request, and open its answer."""
+        peer = self._site.find_peer(address)
+        if peer is None:
+            raise FailureError(not_run(Reason.CONNECT_FAILED, str(address)))
+        exchange = CarriedExchange()
+        original = unpack_request(request)
+        seconds_left = float(original.header('deadline-ms')) / 1000
+        work = replace(
+            self._site.works[original.header('attempt-id')],
+            headers=tuple(
+                pair for pair in original.headers if pair[0] != 'deadline-ms'
+            ),
+            arrived_at=trio.current_time(),
+            deadline=trio.current_time() + seconds_left,
+            is_carried=True,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(peer.serve, work, exchange)
+            await exchange.has_head.wait()
+            yield exchange
+            nursery.cancel_scope.cancel()
+
+
+class CarriedExchange:
+    """The answer of a peer, as the entry that asked it receives it."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = ()
+        self.started = False
+        self.has_head = trio.Event()
+        channel = trio.open_memory_channel(1000)
+        self._sender = channel[0]
+        self._receiver = channel[1]
+
+    async def start(self, status: int, headers=()) -> None:
+        self.started = True
+        self.status = status
+        self.headers = (*headers, (MARK_HEADER, '1'))
+        self.has_head.set()
+
+    async def send(self, payload: bytes) -> None:
+        self._sender.send_nowait(payload)
+
+    async def finish(self) -> None:
+        self._sender.close()
+
+    async def respond(self, response: Response) -> None:
+        headers = (*response.headers, ('content-length', '0'))
+        await self.start(response.status, headers)
+        await self.send(response.body)
+        await self.finish()
+
+    async def abort(self) -> None:
+        self._sender.send_nowait(None)
+
+    async def wait_closed(self) -> None:
+        await trio.sleep_forever()
+
+    async def chunks(self):
+        async for chunk in self._receiver:
+            if chunk is None:
+                raise FailureError(
+                    may_have_run(Reason.CONNECTION_BROKEN, 'aborted')
+                )
+            yield chunk
+
+
 @dataclass(kw_only=True)
 class Outcome:
     """How a request ended at a caller."""
@@ -222,7 +310,11 @@
             node=node,
             routes=routes,
             view=self.view,
-            reach=EndpointReach(clock=trio.current_time),
+            links=LinkMonitor(
+                view=self.view,
+                probe=lambda endpoint: site.probe(node.name, endpoint),
+                randomness=randomness,
+            ),
             membership=self.membership,
             store=StoreClient(
                 client=LocalClient(site.store), address=STORE_ADDRESS
@@ -247,26 +339,40 @@
         self.crash_rows = rows
         self.crash_guard.register(self.peer_routes)
         gate = self.planning.gate
+        self.links = CarrierLinks(
+            monitor=context.links,
+            carriers=build_carriers(context, call),
+            client=PeerClient(site),
+        )
+        self.links.carriers.register(self.peer_routes)
         self.forwarder = Forwarder(
-            inputs=ForwardingInputs(
-                place=self._place,
-                release=self._release,
-                reserve_memory=make_reserver(client, node.name, gate),
-                send=make_send_request(
-                    client, self.plain_placer.apply_load, gate, context.reach
+            inputs=carry_if_cut(
+                ForwardingInputs(
+                    place=self._place,
+                    release=self._release,
+                    reserve_memory=make_reserver(
+                        client, node.name, gate, context.links
+                    ),
+                    send=make_send_request(
+                        client,
+                        self.plain_placer.apply_load,
+                        gate,
+                        context.links,
+                    ),
+                    check=self.crash_guard.refusal,
+                    report_broken_connection=(
+                        self.crash_guard.report_broken_connection
+                    ),
+                    report_harmless=self.crash_guard.report_harmless,
+                    isolate=self.crash_guard.isolate,
+                    is_suspected=self.crash_guard.is_suspected,
+                    render=_render,
+                    view=self.view,
+                    budget=RetryBudget(),
+                    clock=trio.current_time,
+                    randomness=randomness,
                 ),
-                check=self.crash_guard.refusal,
-                report_broken_connection=(
-                    self.crash_guard.report_broken_connection
-                ),
-                report_harmless=self.crash_guard.report_harmless,
-                isolate=self.crash_guard.isolate,
-                is_suspected=self.crash_guard.is_suspected,
-                render=_render,
-                view=self.view,
-                budget=RetryBudget(),
-                clock=trio.current_time,
-                randomness=randomness,
+                self.links,
             ),
         )
 
@@ -276,13 +382,15 @@
             self.plan_placer.planner_client.run,
             self.planning.report_poller.run,
             self.planning.limit_exchange.run,
+            self.crash_guard.run,
+            self.links.carriers.replicator.run,
         )
         return (
             self.membership.run,
             *planning,
             self._follow_limits,
             self._follow_crashes,
-            self.crash_guard.run,
+            self.links.monitor.run,
         )
 
     async def run(self) -> None:
@@ -353,6 +461,7 @@
             ),
         )
         self.outcomes: list[Outcome] = []
+        self.works: dict[str, CallerRequest] = {}
         self.entries: dict[int, LimitEntry] = {}
         self._starts: dict[int, int] = {}
         self._count = entries
@@ -389,10 +498,23 @@
         entry.kill()
         self.network.kill(entry.node.peer_address)
 
+    def find_peer(self, address: Address) -> LimitEntry | None:
+        """Return the running entry at an address, if any."""
+        found = (
+            each
+            for each in self.entries.values()
+            if each.node.peer_address == address
+        )
+        return next(found, None)
+
     def make_client(self, entry: str) -> 'EndpointClient':
         """Return the client for an entry's calls to endpoints."""
         return EndpointClient(self, entry)
 
+    async def probe(self, entry: str, endpoint: ListedEndpoint) -> bool:
+        """Return whether an entry can connect to an endpoint."""
+        return not await self.is_dead(endpoint)
+
     async def is_dead(self, endpoint: ListedEndpoint) -> bool:
         """Return whether an endpoint has crashed."""
         return False
@@ -416,7 +538,7 @@
             'request_id': f'a{self._requests}',
             'method': 'POST',
             'target': '/x',
-            'headers': (),
+            'headers': (('attempt-id', f'a{self._requests}'),),
             'body': b'',
             'route': route,
             'service': service,
@@ -425,7 +547,9 @@
             'deadline': now + route.timeout_seconds,
             'size': size if is_engine else None,
         }
-        return CallerRequest(**(values | changes))
+        work = CallerRequest(**(values | changes))
+        self.works[work.request_id] = work
+        return work
 
     async def call(self, number: int, service: str, **changes) -> None:
         """Send one request of a caller through an entry."""
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -16,6 +16,7 @@
     events_then,
     make_announcements,
     make_endpoints,
+    make_links,
     make_plain_placer,
     make_route,
     whole_response,
@@ -445,7 +446,7 @@
     async def run() -> None:
         view = EndpointView(clock=trio.current_time)
         gate = make_gate(view, make_announcements())
-        reserve = make_reserver(SilentClient(), 'n', gate)
+        reserve = make_reserver(SilentClient(), 'n', gate, make_links(view))
         with pytest.raises(FailureError):
             await reserve(placement).__aenter__()
         seconds.append(trio.current_time())
--- /dev/null
+++ b/tests/test_carrying.py
@@ -0,0 +1,175 @@
+"""Requests that a peer carries, over real connections."""
+
+import trio
+
+from forward_harness import make_route
+from limpetdrift.platform.carrying import (
+    CARRY_PATH,
+    MARK_HEADER,
+    CarriedRequests,
+    pack_request,
+    send_carried,
+    unpack_request,
+)
+from limpetdrift.protocol.work import (
+    CallerRequest,
+    DispatchPlan,
+    ListedEndpoint,
+)
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Response
+from limpetdrift.transport.routing import Routes
+from limpetdrift.transport.server import Server, bound_address, listen
+
+REQUEST = CallerRequest(
+    request_id='a1',
+    method='PUT',
+    target='/x/y?z=%20&z',
+    headers=(('attempt-id', 'a1'), ('last-event-id', '3')),
+    body=b'body',
+    route=make_route(),
+    service='s',
+    version=1,
+    arrived_at=0.0,
+    deadline=10.0,
+    account='acme',
+    key='secret',
+)
+SECONDS_LEFT = 4.0
+
+
+class Peer:
+    """An entry that serves carried requests, and what it was asked."""
+
+    def __init__(self, handle, *, is_old: bool = False) -> None:
+        self.requests = []
+        self.has_lost_caller = False
+        self._handle = handle
+        self.carried = CarriedRequests(serve=self._serve)
+        routes = Routes()
+        if not is_old:
+            routes.add('POST', CARRY_PATH, self.carried.handle)
+        self.server = Server(handler=routes.handle)
+
+    async def _serve(self, exchange) -> None:
+        self.requests.append(exchange.request)
+        await self._handle(self, exchange)
+
+
+def ask(peer: Peer, use_answer, last_event: int | None = None):
+    """Send a request to a peer; return what ``use_answer`` returns."""
+
+    async def run():
+        listeners = await listen(Address(host='127.0.0.1', port=0))
+        async with trio.open_nursery() as nursery:
+            await nursery.start(peer.server.serve, listeners)
+            placement = DispatchPlan(
+                endpoint=ListedEndpoint(
+                    name='e1',
+                    lifetime=1,
+                    service='s',
+                    address=str(bound_address(listeners)),
+                    failure_domain='d',
+                    slots=0,
+                ),
+                is_carried=True,
+            )
+            async with send_carried(
+                HttpClient(), REQUEST, placement, SECONDS_LEFT, last_event
+            ) as answer:
+                found = await use_answer(answer)
+            with trio.move_on_after(1):
+                await peer.carried.wait_idle()
+            nursery.cancel_scope.cancel()
+        return found
+
+    return trio.run(run)
+
+
+async def read(answer):
+    chunks = [chunk async for chunk in answer.chunks()]
+    return answer, b''.join(chunks)
+
+
+def respond(status: int, *headers: tuple[str, str]):
+    async def handle(peer: Peer, exchange) -> None:
+        await exchange.respond(
+            Response(status=status, headers=headers, body=b'answer')
+        )
+
+    return handle
+
+
+def test_carried_request_arrives_as_the_caller_sent_it():
+    peer = Peer(respond(200, ('attempt-id', 'a1'), ('server-seal', 'x')))
+    answer, body = ask(peer, read, last_event=7)
+    carried = peer.requests[0]
+    assert (carried.method, carried.target) == ('PUT', '/x/y?z=%20&z')
+    assert carried.path == '/x/y'
+    assert carried.body == b'body'
+    assert carried.header('authorization') == 'Bearer secret'
+    assert carried.header('last-event-id') == '7'
+    assert int(carried.header('deadline-ms')) == SECONDS_LEFT * 1000
+    assert (answer.status, body, answer.refused) == (200, b'answer', False)
+    names = dict(answer.headers)
+    assert names['server-seal'] == 'x'
+    assert MARK_HEADER not in names
+
+
+def test_packed_request_is_unpacked_without_the_headers_of_the_call():
+    unpacked = unpack_request(pack_request(REQUEST, SECONDS_LEFT, None))
+    assert all('limpet' not in name for name, _ in unpacked.headers)
+
+
+def test_refusal_of_a_peer_proves_that_nothing_ran():
+    answers = [
+        ask(Peer(respond(status)), read) for status in (401, 404, 429, 503)
+    ]
+    assert all(answer.refused for answer, _ in answers)
+
+
+def test_failure_of_a_peer_proves_nothing():
+    answer, _ = ask(Peer(respond(502)), read)
+    assert not answer.refused
+
+
+def test_answer_of_an_endpoint_is_no_refusal_of_the_peer():
+    for status in (404, 500):
+        answer, _ = ask(Peer(respond(status, ('attempt-id', 'a1'))), read)
+        assert answer.status == status
+        assert not answer.refused
+
+
+def test_peer_of_an_earlier_build_refuses_the_call():
+    answer, _ = ask(Peer(respond(200), is_old=True), read)
+    assert answer.refused
+
+
+def test_events_pass_a_peer_without_delay():
+    async def handle(peer: Peer, exchange) -> None:
+        await exchange.start(200, (('attempt-id', 'a1'),))
+        for _ in range(3):
+            await exchange.send(b'id: 1\n\n')
+            await trio.sleep(0.2)
+        await exchange.finish()
+
+    async def measure(answer) -> float:
+        began = trio.current_time()
+        await anext(answer.chunks())
+        return trio.current_time() - began
+
+    assert ask(Peer(handle), measure) < 0.15
+
+
+def test_caller_that_leaves_ends_the_request_at_the_peer():
+    async def handle(peer: Peer, exchange) -> None:
+        await exchange.start(200, (('attempt-id', 'a1'),))
+        await exchange.wait_closed()
+        peer.has_lost_caller = True
+
+    async def leave(answer) -> None:
+        """Return before the answer has ended."""
+
+    peer = Peer(handle)
+    ask(peer, leave)
+    assert peer.has_lost_caller
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -1,5 +1,8 @@
 """Entries that are cut off from the endpoints that other entries reach."""
 
+from dataclasses import replace
+from functools import partial
+
 import pytest
 import trio
 
@@ -10,9 +13,12 @@
     Cut,
     open_cut_site,
 )
+from limit_site import ENGINES_SERVICE, PLAIN_SERVICE
+from limpetdrift.protocol.verdict import Reason
 from virtual_time import in_virtual_time
 
 RATE = 20.0
+AT_ONCE_SECONDS = 0.05
 CUT_SECONDS = 10.0
 ENTRIES = 8
 
@@ -49,3 +55,129 @@
         assert early >= EARLY_SHARE
         after = site.share(is_cut=False, since=until + 1, until=until + 9)
         assert after >= SERVED_SHARE
+
+
+@in_virtual_time
+async def test_entries_that_all_lost_their_links_refuse_at_once():
+    async with open_cut_site(entries=ENTRIES) as site:
+        began = await play_cut(site, range(ENTRIES), Cut.HANG)
+        late = [
+            each.seconds
+            for each in site.tries
+            if began + CONTACT_SECONDS <= each.at < began + CUT_SECONDS
+        ]
+        assert max(late) < AT_ONCE_SECONDS
+        after = began + CUT_SECONDS + 1
+        assert site.share(is_cut=False, since=after, until=after + 9) == 1
+
+
+@pytest.mark.parametrize('service', [ENGINES_SERVICE, PLAIN_SERVICE])
+@in_virtual_time
+async def test_entries_cut_off_from_one_service_serve_the_other(service):
+    async with open_cut_site(entries=ENTRIES) as site:
+        site.cut_services = {service}
+        began = await play_cut(site, range(3), Cut.HANG)
+        bound_at = began + CONTACT_SECONDS
+        share = site.share(
+            is_cut=True, since=bound_at, until=began + CUT_SECONDS
+        )
+        assert share >= SERVED_SHARE
+        cut = {
+            name
+            for number in range(3)
+            for name in (ENGINES_SERVICE, PLAIN_SERVICE)
+            if site.entries[number].links.monitor.is_cut(name)
+        }
+        assert not cut
+
+
+@in_virtual_time
+async def test_cut_that_ends_and_begins_again_is_noticed_each_time():
+    async with open_cut_site(entries=ENTRIES) as site:
+        for _ in range(3):
+            began = await play_cut(site, range(3), Cut.NEW_REFUSED)
+            bound_at = began + CONTACT_SECONDS
+            share = site.share(
+                is_cut=True, since=bound_at, until=began + CUT_SECONDS
+            )
+            assert share >= SERVED_SHARE
+
+
+@in_virtual_time
+async def test_requests_are_carried_once_only():
+    """Peers of a cut entry that are cut off themselves refuse at once."""
+    async with open_cut_site(entries=3) as site:
+        site.cut(range(3), Cut.HANG)
+        entry = site.entries[0]
+        work = replace(site.make_work(ENGINES_SERVICE), is_carried=True)
+        endpoint = site.of_service(ENGINES_SERVICE)[0].listed
+        entry.links.monitor.record_failure(endpoint, Reason.CONNECT_TIMEOUT)
+        await trio.sleep(1)
+        assert entry.links.monitor.is_cut(ENGINES_SERVICE)
+        placed = entry.links.carriers.place(work, frozenset())
+        assert placed.error.reason is Reason.NO_ENDPOINT
+
+
+@in_virtual_time
+async def test_one_endpoint_that_does_not_answer_is_no_cut():
+    async with open_cut_site(entries=3) as site:
+        entry = site.entries[0]
+        endpoint = site.of_service(ENGINES_SERVICE)[0].listed
+        entry.links.monitor.record_failure(endpoint, Reason.CONNECT_FAILED)
+        await trio.sleep(1)
+        assert not entry.links.monitor.is_cut(ENGINES_SERVICE)
+
+
+@in_virtual_time
+async def test_cut_entries_do_not_blame_the_engines():
+    """Guards against engines in a back-off for all since one link is cut."""
+    async with open_cut_site(entries=3) as site:
+        site.cut((0,), Cut.NEW_HANG)
+        blamed = []
+        monitor = site.entries[0].links.monitor
+        for endpoint in site.of_service(ENGINES_SERVICE):
+            monitor.record_failure(endpoint.listed, Reason.CONNECT_TIMEOUT)
+            monitor.blame(
+                ENGINES_SERVICE, partial(blamed.append, endpoint.listed)
+            )
+        await trio.sleep(1)
+        assert not blamed
+        site.cut((), Cut.NEW_HANG)
+        await trio.sleep(1)
+        monitor.blame(ENGINES_SERVICE, partial(blamed.append, 'found well'))
+        assert blamed == ['found well']
+
+
+@in_virtual_time
+async def test_directory_leaves_out_entries_that_are_cut_off():
+    async with open_cut_site(entries=ENTRIES) as site:
+        site.cut((0,), Cut.HANG)
+        endpoint = site.of_service(ENGINES_SERVICE)[0].listed
+        entry = site.entries[0]
+        entry.links.monitor.record_failure(endpoint, Reason.CONNECT_TIMEOUT)
+        await trio.sleep(1)
+        for other in site.entries.values():
+            listed = other.links.carriers.prefer_reaching(
+                other.membership.live_entries()
+            )
+            assert entry.node not in listed
+            assert len(listed) == ENTRIES - 1
+
+
+@in_virtual_time
+async def test_carrying_peer_that_dies_is_replaced():
+    async with open_cut_site(entries=4) as site:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                lambda: site.offer_tries(rate=RATE, seconds=CUT_SECONDS)
+            )
+            await trio.sleep(1)
+            site.cut((0,), Cut.HANG)
+            await trio.sleep(4)
+            site.kill_entry(3)
+            killed_at = trio.current_time()
+        await trio.sleep(2)
+        share = site.share(
+            is_cut=True, since=killed_at, until=killed_at + CUT_SECONDS
+        )
+        assert share >= SERVED_SHARE
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from forward_harness import make_announcements, make_route
+from forward_harness import make_announcements, make_links, make_route
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
 from limpetdrift.coordination.endpoint_gate import make_gate
 from limpetdrift.coordination.endpoint_response import EndpointResponse
@@ -24,7 +24,6 @@
     ListedEndpoint,
 )
 from limpetdrift.state.endpoint_limits import UNLIMITED
-from limpetdrift.state.endpoint_reach import EndpointReach
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address
@@ -56,14 +55,17 @@
 
     def __post_init__(self) -> None:
         gate = make_gate(self.view, make_announcements(self.announced.append))
+        self.links = make_links(self.view)
         self._send = make_send_request(
             self.client,
             lambda endpoint, load: None,
             gate,
-            EndpointReach(clock=time.monotonic),
+            self.links,
         )
         self._read = make_report_reader(self.client, gate)
-        self.reserve_memory = make_reserver(self.client, 'entry-1', gate)
+        self.reserve_memory = make_reserver(
+            self.client, 'entry-1', gate, self.links
+        )
 
     async def send(self, **changes: object) -> EndpointResponse | Failure:
         """Send a request; return its whole answer or why it failed."""
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -12,6 +12,7 @@
 from forward_harness import (
     make_announcements,
     make_endpoints,
+    make_links,
     make_plain_placer,
     make_route,
     whole_response,
@@ -75,7 +76,7 @@
     engine = SilentEngine()
     view = EndpointView(clock=trio.current_time)
     gate = make_gate(view, make_announcements())
-    async with make_reserver(engine, 'entry-1', gate)(PLAN):
+    async with make_reserver(engine, 'entry-1', gate, make_links(view))(PLAN):
         await trio.sleep(0.5)
         # The engine turns another request of this entry away.
         gate.apply_signals(ENGINE, EndpointSignals(back_off_seconds=5.0))
--- a/tests/test_keep_alive.py
+++ b/tests/test_keep_alive.py
@@ -18,6 +18,7 @@
         'idle': socket.TCP_KEEPIDLE,
         'interval': socket.TCP_KEEPINTVL,
         'probes': socket.TCP_KEEPCNT,
+        'user_timeout': socket.TCP_USER_TIMEOUT,
     }
     found = {
         name: stream.getsockopt(socket.IPPROTO_TCP, option)
@@ -59,3 +60,10 @@
 
 def test_connections_are_not_probed_by_default():
     assert not open_options(ClientLimits())['enabled']
+
+
+def test_no_user_timeout_ends_the_probes_early():
+    """Where it is set, it replaces the number of probes."""
+    for probes_keep_alive in (True, False):
+        limits = ClientLimits(probes_keep_alive=probes_keep_alive)
+        assert not open_options(limits)['user_timeout']
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -359,7 +359,10 @@
         async def hold(entry) -> None:
             client = EndpointClient(site, entry.node.name)
             reserve = make_reserver(
-                client, entry.node.name, entry.planning.gate
+                client,
+                entry.node.name,
+                entry.planning.gate,
+                entry.links.monitor,
             )
             async with reserve(plan):
                 await trio.sleep(20)
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -7,7 +7,7 @@
 import trio
 from expression import Error
 
-from forward_harness import make_announcements
+from forward_harness import make_announcements, make_links
 from limpet_standins.local import call_local
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
 from limpetdrift.coordination.endpoint_gate import make_gate
@@ -68,7 +68,7 @@
 async def reserve(engine: SilentEngine):
     view = EndpointView(clock=trio.current_time)
     gate = make_gate(view, make_announcements())
-    async with make_reserver(engine, 'entry-1', gate)(PLAN):
+    async with make_reserver(engine, 'entry-1', gate, make_links(view))(PLAN):
         yield
 
 
--- a/tests/test_retry_reserve.py
+++ b/tests/test_retry_reserve.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from limpetdrift.platform import entry_wiring
+from limpetdrift.platform import forwarder_wiring
 from limpetdrift.platform.planning_wiring import EntryContext
 from limpetdrift.platform.settings import Bounds
 from limpetdrift.protocol.node import Node
@@ -48,7 +48,7 @@
         entries=lambda: tuple(known),
         randomness=None,
     )
-    budget = entry_wiring._build_retry_budget(context)
+    budget = forwarder_wiring.build_retry_budget(context)
     known.extend(entries[1:])
     for hook in membership.on_change:
         hook(())
