--- a/src/limpetdrift/platform/crash_rows.py
+++ b/src/limpetdrift/platform/crash_rows.py
@@ -33,6 +33,8 @@
 # random delay of the comparison after the store came back older.
 COMPARISON_INTERVAL_SECONDS = 300.0
 COMPARISON_SPREAD_SECONDS = 3.0
+# Bound of a row, below what the store takes.
+MAX_ROW_BYTES = 49_152
 # Longest time for which a starting entry waits for the rows.
 READ_TIMEOUT_SECONDS = 0.5
 
@@ -160,11 +162,19 @@
         if cut.keys:
             by_endpoint[cut.endpoint].append(replace(cut, age_seconds=0.0))
     return {
-        endpoint: encode(CrashNews(cut=tuple(found)))
-        for endpoint, found in by_endpoint.items()
+        endpoint: _encode_row(found) for endpoint, found in by_endpoint.items()
     }
 
 
+def _encode_row(found: list[CutAttempt]) -> bytes:
+    """Encode as many attempts as a row can hold."""
+    text = encode(CrashNews(cut=tuple(found)))
+    while len(text) > MAX_ROW_BYTES:
+        found = found[: len(found) // 2]
+        text = encode(CrashNews(cut=tuple(found)))
+    return text
+
+
 def decode_rows(
     rows: tuple[StoredRow, ...], time_of_day: float
 ) -> tuple[CutAttempt, ...]:
--- a/tests/test_retry_reserve.py
+++ b/tests/test_retry_reserve.py
@@ -43,6 +43,7 @@
         node=entries[0],
         routes=None,
         view=None,
+        links=None,
         membership=membership,
         store=None,
         entries=lambda: tuple(known),
