Don't resume a begun stream whose part is refused

A stream that had sent an event before its engine crashed was resumed at another engine, although its part was refused by then: a request whose answer has begun was not checked again, so that a withdrawn key doesn't end it.

Evidence is judged again only when an answer clears a key that a crash has held against it, and endpoints are looked up only while a key is suspected: after many crashes each answer cost a new judgement of all.

--- a/src/limpetdrift/coordination/crash_exchange.py
+++ b/src/limpetdrift/coordination/crash_exchange.py
@@ -114,8 +114,9 @@
         """Add keys that were harmless now; tell others if it matters."""
         keys = tuple(keys)
         self.evidence.add_harmless(keys, self._inputs.clock())
-        if not self.evidence.is_empty:
-            self._note_change(keys)
+        news = [key for key in keys if self._is_news(key)]
+        if news:
+            self._note_change(news)
 
     async def learn(self, seeds: tuple[Address, ...]) -> None:
         """Ask some seeds for all evidence; else read what is kept."""
--- a/src/limpetdrift/coordination/crash_guard.py
+++ b/src/limpetdrift/coordination/crash_guard.py
@@ -30,7 +30,7 @@
 )
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
 from limpetdrift.state.crash_evidence import CRASH_SECONDS, CrashEvidence
-from limpetdrift.state.culprits import fingerprint_key
+from limpetdrift.state.culprits import Suspicion, fingerprint_key
 from limpetdrift.state.endpoint_view import EndpointView
 
 # Time for which an answer must go on after its first event to show that its
@@ -140,8 +140,9 @@
     ) -> AsyncIterator[frozenset[EndpointIdentity]]:
         """Wait until an attempt may run; yield endpoints that it may not use.
 
-        These include the ``tried`` ones. Raises ``FailureError`` if other
-        requests with the same keys are tried for too long.
+        These include the ``tried`` ones. Raises ``FailureError`` if the request
+        is refused, also one whose answer has begun, or if other requests with
+        the same keys are tried for too long.
         """
         held: list[str] = []
         try:
@@ -195,8 +196,9 @@
         """
         until = trio.current_time() + MAX_TURN_SECONDS
         while True:
-            if self.refusal(request) is not None:
-                return
+            refusal = self.refusal(request)
+            if refusal is not None:
+                raise FailureError(refusal)
             missing = [
                 key for key in self._suspected_keys(request) if key not in held
             ]
@@ -215,7 +217,8 @@
         tried: frozenset[EndpointIdentity],
     ) -> frozenset[EndpointIdentity]:
         """Return the endpoints that a prompt must not use."""
-        if self._evidence.is_empty or not request.prompt_parts:
+        suspicions = self._recent_suspicions()
+        if not request.prompt_parts or not (held or suspicions):
             return frozenset()
         crashed = self._evidence.crashed_endpoints()
         identities = {
@@ -238,11 +241,8 @@
                 for name, identity in identities.items()
                 if name != chosen
             )
-        since = self._inputs.clock() - SET_ASIDE_SECONDS
         set_aside = {
-            _isolation_endpoint(identities, each.key)
-            for each in self._evidence.assessment().suspicions
-            if each.last_at > since
+            _isolation_endpoint(identities, each.key) for each in suspicions
         }
         return frozenset(
             identity
@@ -250,6 +250,16 @@
             if name in set_aside and len(set_aside) < len(identities)
         )
 
+    def _recent_suspicions(self) -> tuple[Suspicion, ...]:
+        if self._evidence.is_empty:
+            return ()
+        since = self._inputs.clock() - SET_ASIDE_SECONDS
+        return tuple(
+            each
+            for each in self._evidence.assessment().suspicions
+            if each.last_at > since
+        )
+
     async def _check_for_crash(self, broken: BrokenAttempt) -> None:
         crashed = await self._inputs.is_dead(broken.endpoint)
         _log_check(broken, crashed=crashed)
--- a/src/limpetdrift/state/crash_evidence.py
+++ b/src/limpetdrift/state/crash_evidence.py
@@ -82,7 +82,7 @@
                 continue
             self._harmless_at[key] = at
             self._harmless_at.move_to_end(key)
-            if self._cut:
+            if known_at < self.crashed_at(key):
                 self._assessment = None
         while len(self._harmless_at) > MAX_HARMLESS_KEYS:
             self._harmless_at.popitem(last=False)
--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -8,6 +8,7 @@
 import random
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 import trio
 
@@ -80,10 +81,12 @@
         try:
             with scope:
                 await trio.sleep(_READ_SECONDS)
-                if self._site.bad_parts.intersection(parts[:-1]):
+                is_bad = self._site.bad_parts.intersection(parts[:-1])
+                if is_bad and not self._site.sends_event:
                     self._site.crash(engine)
                     await trio.sleep_forever()
-                yield _EventStream(scope)
+                crash = partial(self._site.crash, engine) if is_bad else None
+                yield _EventStream(crash)
         finally:
             engine.answers.remove(scope)
         if scope.cancelled_caught:
@@ -93,20 +96,24 @@
 class _EventStream:
     """An answer of some events, which breaks off with its engine."""
 
-    def __init__(self, scope: trio.CancelScope) -> None:
+    def __init__(self, crash=None) -> None:
         self.status = 200
         self.headers = (('content-length', '2'),)
-        self._scope = scope
+        self._crash = crash
 
     async def chunks(self):
         for number in range(1, _EVENTS + 1):
             yield f'id: {number}\ndata: x\n\n'.encode()
             await trio.sleep(_EVENT_SECONDS)
+            if self._crash is not None:
+                self._crash()
+                await trio.sleep_forever()
 
 
 class CrashSite(LimitSite):
     """Entries, engines that crash on ``bad_parts``, and their callers.
 
+    With ``sends_event`` an engine sends one event before it crashes.
     ``reached`` has the times at which prompts reached engines, and their
     parts; ``crashes`` the times of crashes by a bad part.
     """
@@ -114,6 +121,7 @@
     def __init__(self, *, entries: int, engines: int = 14) -> None:
         super().__init__(entries=entries, engines=engines, plain=0)
         self.bad_parts: set[str] = set()
+        self.sends_event = False
         self.reached: list[tuple[float, tuple[str, ...]]] = []
         self.crashes: list[float] = []
         self.ended: list[PartOutcome] = []
