End the placement of a failed call once

An endpoint is blamed after its placement has ended, once the link is found well. That ended the placement again, so calls in flight at plain endpoints were counted below zero, and these endpoints got more calls than others. The test failed before: -1 call in flight.

--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/plain_placer.py
@@ -88,6 +88,11 @@
         if tuple(failed):
             usage.mark_failing()
 
+    def blame(self, failed: Iterable[ListedEndpoint]) -> None:
+        """Prefer other endpoints for a while to those that failed."""
+        for endpoint in failed:
+            self._balancer.of(endpoint).mark_failing()
+
     def apply_load(self, endpoint: ListedEndpoint, load: EndpointLoad) -> None:
         """Apply an endpoint's report of its load."""
         self._balancer.of(endpoint).apply_report(
--- a/src/limpetdrift/platform/forwarder_wiring.py
+++ b/src/limpetdrift/platform/forwarder_wiring.py
@@ -103,7 +103,19 @@
         clock=boot_time,
         randomness=context.randomness,
     )
-    return Forwarder(inputs=carry_if_cut(inputs, links))
+
+    def blame(
+        request: CallerRequest,
+        placement: DispatchPlan,
+        failed: Iterable[ListedEndpoint],
+    ) -> None:
+        if placement.grant:
+            # A plan may end again.
+            plan_placer.release(request, placement, failed)
+        else:
+            plain_placer.blame(failed)
+
+    return Forwarder(inputs=carry_if_cut(inputs, links, blame))
 
 
 def build_retry_budget(context: EntryContext) -> RetryBudget:
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -58,13 +58,16 @@
 
 
 def carry_if_cut(
-    inputs: ForwardingInputs, links: CarrierLinks
+    inputs: ForwardingInputs, links: CarrierLinks, blame: ReleasePlacement
 ) -> ForwardingInputs:
-    """Return the inputs of a forwarder that uses peers while links are cut."""
+    """Return the inputs of a forwarder that uses peers while links are cut.
+
+    ``blame`` records the endpoints that failed a placement that has ended.
+    """
     return replace(
         inputs,
         place=_make_place(inputs.place, links),
-        release=_make_release(inputs.release, links.monitor),
+        release=_make_release(inputs.release, blame, links.monitor),
         send=_make_send(inputs.send, links.client),
         isolate=_make_isolate(inputs, links.monitor),
         is_cut_off=lambda request: links.monitor.is_cut(request.service),
@@ -84,7 +87,7 @@
 
 
 def _make_release(
-    release: ReleasePlacement, monitor: LinkMonitor
+    release: ReleasePlacement, blame: ReleasePlacement, monitor: LinkMonitor
 ) -> ReleasePlacement:
     def release_and_blame(
         request: CallerRequest,
@@ -98,7 +101,7 @@
         if blamed:
             monitor.blame(
                 request.service,
-                lambda: release(request, placement, blamed),
+                lambda: blame(request, placement, blamed),
             )
 
     return release_and_blame
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -373,6 +373,7 @@
                     randomness=randomness,
                 ),
                 self.links,
+                self._blame,
             ),
         )
 
@@ -434,6 +435,12 @@
         )
         return await placer.place(work, excluded)
 
+    def _blame(self, work, placement, failed) -> None:
+        if placement.grant:
+            self.plan_placer.release(work, placement, failed)
+        else:
+            self.plain_placer.blame(failed)
+
     def _release(self, work, placement, failed) -> None:
         placer = self.plan_placer if placement.grant else self.plain_placer
         placer.release(work, placement, failed)
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -181,3 +181,17 @@
             is_cut=True, since=killed_at, until=killed_at + CUT_SECONDS
         )
         assert share >= SERVED_SHARE
+
+
+@in_virtual_time
+async def test_placement_of_a_failed_call_ends_once():
+    """Guards against ending a placement again when its endpoint is blamed."""
+    async with open_cut_site(entries=3) as site:
+        entry = site.entries[0]
+        endpoint = site.of_service(PLAIN_SERVICE)[0].listed
+        work = site.make_work(PLAIN_SERVICE)
+        placed = await entry.plain_placer.place(work, frozenset())
+        entry.forwarder._inputs.release(work, placed.ok, (endpoint,))
+        await trio.sleep(1)
+        usage = entry.plain_placer._balancer.of(placed.ok.endpoint)
+        assert usage.in_flight == 0
