--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -369,7 +369,8 @@
                     placement.endpoint, ANSWER_SOURCE
                 )
             is_broken = outcome.error.reason is Reason.CONNECTION_BROKEN
-            if is_broken and not placement.is_carried:
+            # An order that breaks off has not sent the request.
+            if is_broken and attempt.is_sent and not placement.is_carried:
                 self._inputs.report_broken_connection(
                     BrokenAttempt(
                         request=progress.request,
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -20,7 +20,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.event_relay import split_events
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import Reason, not_run
+from limpetdrift.protocol.verdict import FailureError, Reason, not_run
 from virtual_time import in_virtual_time, run_in_virtual_time
 
 IDEMPOTENT = make_route(kind=RequestKind.IDEMPOTENT, timeout_seconds=1.0)
@@ -81,6 +81,20 @@
     assert harness.broken[0].seconds == pytest.approx(0.2)
 
 
+def test_order_that_breaks_off_is_no_evidence_against_the_request():
+    """The request was not sent, so the endpoint can't have crashed on it."""
+    harness = make_harness(events(1, 2))
+
+    def reserve(placement):
+        raise FailureError(BROKEN)
+
+    forwarder = harness.forwarder
+    forwarder._inputs = replace(forwarder._inputs, reserve_memory=reserve)
+    serve(harness, make_route())
+    assert not harness.sent
+    assert not harness.broken
+
+
 def test_stream_past_its_idle_timeout_resumes_elsewhere():
     harness = make_harness(events_then(events(1, 3), 9.0), events(1, 5))
     exchange, seconds = serve(harness, make_route())
