Probe a link by a request, and check it when answers do not begin

An answer of any kind shows a link now, and silence before an answer makes an entry check its own, too.

--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -141,6 +141,8 @@
     be placed, and yields the endpoints that it may not use; ``is_suspected``
     returns whether a request may crash endpoints, and ``is_cut_off`` whether a
     peer has to pass it on since this entry does not reach its service.
+    ``report_silence`` is called when an endpoint has not begun to answer in
+    time.
     """
 
     place: PlaceRequest
@@ -158,6 +160,7 @@
     isolate: IsolateAttempt = run_at_once
     is_suspected: Callable[[CallerRequest], bool] = lambda request: False
     is_cut_off: Callable[[CallerRequest], bool] = lambda request: False
+    report_silence: Callable[[ListedEndpoint], None] = lambda endpoint: None
 
 
 class Forwarder:
@@ -276,6 +279,8 @@
         if not silent.is_silent:
             silent.is_silent = True
             telemetry.count('attempts_silent')
+            if not silent.events:
+                self._inputs.report_silence(silent.endpoint)
         interval = SILENT_RETRY_INTERVAL_SECONDS * 2**silent.tries_beside
         silent.tries_beside += 1
         silent.expect_answer_within(interval)
--- a/src/limpetdrift/coordination/link_monitor.py
+++ b/src/limpetdrift/coordination/link_monitor.py
@@ -5,6 +5,7 @@
 either, the entry is cut off from the service, until a probe reaches one again.
 """
 
+import math
 import random
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
@@ -22,12 +23,16 @@
 # entry is cut off.
 PROBED_ENDPOINTS = 3
 PROBE_INTERVAL_SECONDS = 0.3
+# For how long after an answer silence is taken for the endpoint's own, since it
+# may pause for a second.
+TRUSTED_SECONDS = 2.0
 # Failures before any answer that may be the link's fault.
-_MISSED_REASONS = frozenset(
+_SILENCE_REASONS = frozenset((Reason.IDLE_TIMEOUT, Reason.TIMEOUT))
+_MISSED_REASONS = _SILENCE_REASONS | frozenset(
     (Reason.CONNECT_FAILED, Reason.CONNECT_TIMEOUT, Reason.CONNECTION_BROKEN)
 )
 
-# Returns whether a new connection to an endpoint can be used.
+# Returns whether an endpoint answers on a new connection.
 ProbeEndpoint = Callable[[ListedEndpoint], Awaitable[bool]]
 OnChange = Callable[[frozenset[str]], None]
 
@@ -37,11 +42,12 @@
     """The link to a service's endpoints.
 
     ``missed`` has the identities of those that were not reached since another
-    one was. ``verdict`` is set unless a check is under way, and ``blamed`` has
-    the functions to call if it finds that the link is well.
+    one was, at ``reached_at``. ``verdict`` is set while a check is under way,
+    and ``blamed`` has the functions to call if it finds that the link is well.
     """
 
     missed: set[tuple[str, int]] = field(default_factory=set)
+    reached_at: float = -math.inf
     is_cut: bool = False
     is_watched: bool = False
     verdict: trio.Event | None = None
@@ -74,15 +80,19 @@
 
     def record_reached(self, endpoint: ListedEndpoint) -> None:
         """Record that an endpoint answered on a new connection."""
-        link = self._links.get(endpoint.service)
-        if link is not None and link.missed:
+        link = self._links[endpoint.service]
+        link.reached_at = trio.current_time()
+        if link.missed:
             self._find_well(endpoint.service, link)
 
     def record_failure(self, endpoint: ListedEndpoint, reason: Reason) -> None:
         """Record a failure on a new connection, before any answer."""
-        if reason not in _MISSED_REASONS:
+        if reason not in _MISSED_REASONS or not self._view.is_usable(endpoint):
             return
         link = self._links[endpoint.service]
+        trusted_until = link.reached_at + TRUSTED_SECONDS
+        if reason in _SILENCE_REASONS and trio.current_time() < trusted_until:
+            return
         link.missed.add(endpoint.identity)
         if link.is_watched or self._nursery is None:
             return
@@ -131,8 +141,14 @@
         """Return endpoints to probe, first those that were not tried.
 
         The failure of a service's only endpoint says nothing of the link.
+        Those that asked for fewer calls are not probed.
         """
-        usable = list(self._view.usable(service))
+        view = self._view
+        usable = [
+            each
+            for each in view.back_offs.open_only(view.usable(service))
+            if not view.limits.is_limited(each.identity)
+        ]
         self._randomness.shuffle(usable)
         usable.sort(key=lambda each: each.identity in link.missed)
         return usable[:PROBED_ENDPOINTS] if len(usable) > 1 else []
@@ -165,6 +181,7 @@
 
     def _find_well(self, service: str, link: _ServiceLink) -> None:
         link.missed.clear()
+        link.reached_at = trio.current_time()
         blamed = tuple(link.blamed)
         link.blamed.clear()
         if link.is_cut:
--- a/src/limpetdrift/platform/configuration.py
+++ b/src/limpetdrift/platform/configuration.py
@@ -85,6 +85,7 @@
 class _Service(msgspec.Struct, kw_only=True):
     name: str
     engine: _Engine | None = None
+    health_path: str = msgspec.field(default='/', name='healthPath')
 
 
 class _Account(msgspec.Struct, kw_only=True, rename='camel'):
@@ -126,7 +127,11 @@
         version=document.version,
         routes=tuple(_convert_route(route) for route in document.routes),
         services=tuple(
-            Service(name=each.name, engine=_convert_engine(each.engine))
+            Service(
+                name=each.name,
+                engine=_convert_engine(each.engine),
+                health_path=each.health_path,
+            )
             for each in document.services
         ),
         accounts=tuple(
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -3,12 +3,14 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
+import trio
+
 from limpetdrift.coordination.endpoint_gate import EndpointGate
 from limpetdrift.coordination.endpoint_response import (
     EndpointResponse,
     SendRequest,
 )
-from limpetdrift.coordination.link_monitor import LinkMonitor
+from limpetdrift.coordination.link_monitor import LinkMonitor, ProbeEndpoint
 from limpetdrift.platform import admission as header_names
 from limpetdrift.platform.endpoint_signals import (
     INSTANCE_HEADER,
@@ -19,7 +21,7 @@
     decode_signals,
 )
 from limpetdrift.protocol.counts import parse_count
-from limpetdrift.protocol.verdict import FailureError
+from limpetdrift.protocol.verdict import FailureError, Reason
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -29,7 +31,6 @@
 from limpetdrift.transport.client import (
     HttpClient,
     ResponseStream,
-    can_connect,
     is_connection_refused,
 )
 from limpetdrift.transport.messages import (
@@ -61,8 +62,8 @@
 # Connect timeout of the crash check. An address where no process listens
 # refuses connections at once; a timeout does not prove a crash.
 _CRASH_CHECK_TIMEOUT_SECONDS = 0.3
-# Connect timeout of a probe of the link to the endpoints.
-_PROBE_TIMEOUT_SECONDS = 0.25
+# Timeout of a probe of the link to the endpoints.
+PROBE_TIMEOUT_SECONDS = 0.5
 
 # Called with the load that an endpoint reports.
 OnLoad = Callable[[ListedEndpoint, EndpointLoad], None]
@@ -137,6 +138,7 @@
 ) -> AsyncIterator[ResponseStream]:
     """Open a response, and record whether its endpoint was reached."""
     is_open = False
+    began_at = trio.current_time()
     try:
         async with opening as stream:
             is_open = True
@@ -146,13 +148,32 @@
         if not is_open:
             links.record_failure(endpoint, error.failure.reason)
         raise
+    except trio.Cancelled:
+        waited_seconds = trio.current_time() - began_at
+        if not is_open and waited_seconds >= PROBE_TIMEOUT_SECONDS:
+            links.record_failure(endpoint, Reason.IDLE_TIMEOUT)
+        raise
 
 
-async def probe_connection(endpoint: ListedEndpoint) -> bool:
-    """Return whether a new connection to an endpoint can be used."""
-    return await can_connect(
-        parse_address(endpoint.address), _PROBE_TIMEOUT_SECONDS
-    )
+def make_probe(
+    client: HttpClient, find_path: Callable[[str], str]
+) -> ProbeEndpoint:
+    """Return the function that probes the link to an endpoint.
+
+    ``find_path`` returns the path of a service's reports or health checks.
+    Any answer shows that the link is well, also a refusal.
+    """
+
+    async def probe(endpoint: ListedEndpoint) -> bool:
+        answer = await client.fetch(
+            parse_address(endpoint.address),
+            Request(method='GET', path=find_path(endpoint.service)),
+            timeout_seconds=PROBE_TIMEOUT_SECONDS,
+            new_connection=True,
+        )
+        return answer.is_ok()
+
+    return probe
 
 
 async def is_dead(endpoint: ListedEndpoint) -> bool:
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -30,7 +30,6 @@
 from limpetdrift.platform.crash_rows import CrashRows
 from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.directory import DirectoryInputs
-from limpetdrift.platform.endpoint_client import probe_connection
 from limpetdrift.platform.failure_responses import make_failure_renderer
 from limpetdrift.platform.forwarder_wiring import (
     ENDPOINT_WHOLE_BYTES,
@@ -39,6 +38,7 @@
 from limpetdrift.platform.link_wiring import (
     CarrierLinks,
     build_carriers,
+    build_probe,
 )
 from limpetdrift.platform.planning_wiring import (
     EntryContext,
@@ -141,13 +141,14 @@
         randomness=randomness,
     )
     view = EndpointView(clock=boot_time)
+    routes = RouteTableCache(clock=boot_time)
     context = EntryContext(
         settings=settings,
         node=node,
-        routes=RouteTableCache(clock=boot_time),
+        routes=routes,
         view=view,
         links=LinkMonitor(
-            view=view, probe=probe_connection, randomness=randomness
+            view=view, probe=build_probe(routes), randomness=randomness
         ),
         membership=membership,
         store=store,
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -17,17 +17,23 @@
     ReleasePlacement,
     run_at_once,
 )
-from limpetdrift.coordination.link_monitor import LinkMonitor
+from limpetdrift.coordination.link_monitor import LinkMonitor, ProbeEndpoint
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.platform.carrying import send_carried
+from limpetdrift.platform.endpoint_client import (
+    PROBE_TIMEOUT_SECONDS,
+    make_probe,
+)
 from limpetdrift.platform.planning_wiring import EntryContext
-from limpetdrift.protocol.verdict import Failure
+from limpetdrift.platform.reports import REPORT_PATH
+from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
     ListedEndpoint,
 )
-from limpetdrift.transport.client import HttpClient
+from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.transport.client import ClientLimits, HttpClient
 
 EndpointIdentity = tuple[str, int]
 
@@ -41,6 +47,24 @@
     client: HttpClient
 
 
+def build_probe(routes: RouteTableCache) -> ProbeEndpoint:
+    """Return the function that probes the link to an endpoint."""
+
+    def find_path(name: str) -> str:
+        service = routes.find_service(name)
+        if service is None:
+            return REPORT_PATH
+        # Reports need no free slot.
+        return service.health_path if service.engine is None else REPORT_PATH
+
+    client = HttpClient(
+        limits=ClientLimits(
+            connect_seconds=PROBE_TIMEOUT_SECONDS, idle_connections=0
+        )
+    )
+    return make_probe(client, find_path)
+
+
 def build_carriers(context: EntryContext, call: PeerCall) -> Carriers:
     """Return what peers tell of their links, joined to the membership."""
     membership = context.membership
@@ -71,6 +95,9 @@
         send=_make_send(inputs.send, links.client),
         isolate=_make_isolate(inputs, links.monitor),
         is_cut_off=lambda request: links.monitor.is_cut(request.service),
+        report_silence=lambda endpoint: links.monitor.record_failure(
+            endpoint, Reason.IDLE_TIMEOUT
+        ),
     )
 
 
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -17,7 +17,7 @@
 from limpetdrift.transport.messages import OK, Request, Response, parse_address
 
 REPORT_TIMEOUT_SECONDS = 0.5
-_PATH = '/-/report'
+REPORT_PATH = '/-/report'
 
 
 class _Report(msgspec.Struct, kw_only=True):
@@ -54,7 +54,7 @@
             lifetimes[engine.address] = engine.lifetime
         result = await client.fetch(
             address,
-            Request(method='GET', path=_PATH),
+            Request(method='GET', path=REPORT_PATH),
             timeout_seconds=REPORT_TIMEOUT_SECONDS,
         )
         return result.bind(lambda response: decode_answer(response, engine))
--- a/src/limpetdrift/protocol/route_table.py
+++ b/src/limpetdrift/protocol/route_table.py
@@ -86,10 +86,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """A pool of endpoints; ``engine`` is set if they are model engines."""
+    """A pool of endpoints; ``engine`` is set if they are model engines.
+
+    ``health_path`` is the path of their health checks.
+    """
 
     name: str
     engine: EngineCostModel | None = None
+    health_path: str = '/'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -42,8 +42,6 @@
 # A request of this size fits into the buffers of a new connection. A longer one
 # is written in parts of this size, each of which extends the idle timeout.
 SHORT_REQUEST_BYTES = 65_536
-# Time for which a probed connection must not be reset to count as usable.
-STAYS_OPEN_SECONDS = 0.02
 # Interim responses before a response. A peer may send a few of them.
 MAX_INTERIM_RESPONSES = 16
 _BROKEN_ERRORS = (
@@ -358,30 +356,6 @@
     return False
 
 
-async def can_connect(address: Address, timeout_seconds: float) -> bool:
-    """Return whether an address accepts a connection and keeps it open."""
-    with trio.move_on_after(timeout_seconds):
-        try:
-            stream = await _connect(address)
-        except OSError:
-            return False
-        return await _stays_open(stream)
-    return False
-
-
-async def _stays_open(stream: trio.SocketStream) -> bool:
-    """Return whether a connection is not ended for a moment; close it."""
-    try:
-        with trio.move_on_after(STAYS_OPEN_SECONDS):
-            await stream.receive_some(1)
-            return False
-    except trio.BrokenResourceError:
-        return False
-    finally:
-        await trio.aclose_forcefully(stream)
-    return True
-
-
 def _is_quiet(connection: _PooledConnection) -> bool:
     """Return whether an idle connection is open and has nothing to read.
 
--- a/tests/cut_site.py
+++ b/tests/cut_site.py
@@ -30,6 +30,7 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 JOIN_SECONDS = 3.0
+PROBE_TIMEOUT_SECONDS = 0.5
 CONTACT_SECONDS = 3.0
 # Wanted share of first tries that are served, from the contact time on and
 # before it.
@@ -43,13 +44,16 @@
 class Cut(Enum):
     """What a cut does to connections to endpoints.
 
-    They hang, are reset, or live on while new ones are refused or hang.
+    They hang, are reset, or live on while new ones are refused, hang, are
+    accepted and never answered, or reset once a request was sent.
     """
 
     HANG = auto()
     RESET = auto()
     NEW_REFUSED = auto()
     NEW_HANG = auto()
+    NEW_SILENT = auto()
+    NEW_RESET = auto()
 
 
 _RESET_OPEN = frozenset((Cut.RESET,))
@@ -76,6 +80,11 @@
         service = self._site.by_address[str(address)].listed.service
         if cut is None or service not in self._site.cut_services:
             return
+        if cut is Cut.NEW_SILENT:
+            await trio.sleep_forever()
+        if cut is Cut.NEW_RESET:
+            await trio.sleep(_CHECK_SECONDS)
+            raise FailureError(may_have_run(Reason.CONNECTION_BROKEN, 'reset'))
         if cut in _REFUSES:
             raise FailureError(not_run(Reason.CONNECT_FAILED, str(address)))
         await trio.sleep(CONNECT_TIMEOUT_SECONDS)
@@ -138,11 +147,13 @@
     async def probe(self, entry: str, endpoint: ListedEndpoint) -> bool:
         """Return whether an entry can connect to an endpoint."""
         client = self.make_client(entry)
-        try:
-            await client.connect(parse_address(endpoint.address))
-        except FailureError:
-            return False
-        return True
+        with trio.move_on_after(PROBE_TIMEOUT_SECONDS):
+            try:
+                await client.connect(parse_address(endpoint.address))
+            except FailureError:
+                return False
+            return True
+        return False
 
     def cut(self, numbers, how: Cut) -> None:
         """Cut entries off from the endpoints."""
