--- a/src/limpetdrift/coordination/crash_guard.py
+++ b/src/limpetdrift/coordination/crash_guard.py
@@ -17,6 +17,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.crash_exchange import CrashExchange
+from limpetdrift.coordination.delivery import EndpointIdentity
 from limpetdrift.coordination.isolation_leases import IsolationLeases
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.rendezvous import choose_by_hash
@@ -56,7 +57,6 @@
     retry_after_seconds=MAX_TURN_SECONDS,
 )
 
-EndpointIdentity = tuple[str, int]
 # Returns whether nothing listens at an endpoint, which proves its crash.
 IsDead = Callable[[ListedEndpoint], Awaitable[bool]]
 
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -1,18 +1,20 @@
 """Lets peers carry requests for services that this entry does not reach."""
 
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Iterable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import dataclass, replace
 
 from expression import Result
 
 from limpetdrift.coordination.carriers import DIGEST_NAME, Carriers
+from limpetdrift.coordination.delivery import EndpointIdentity
 from limpetdrift.coordination.endpoint_response import (
     EndpointResponse,
     SendRequest,
 )
 from limpetdrift.coordination.forwarding import (
     ForwardingInputs,
+    IsolateAttempt,
     PlaceRequest,
     ReleasePlacement,
     run_at_once,
@@ -35,8 +37,6 @@
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.client import ClientLimits, HttpClient
 
-EndpointIdentity = tuple[str, int]
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CarrierLinks:
@@ -152,10 +152,7 @@
 
 def _make_isolate(
     inputs: ForwardingInputs, monitor: LinkMonitor
-) -> Callable[
-    [CallerRequest, frozenset[EndpointIdentity]],
-    AbstractAsyncContextManager[frozenset[EndpointIdentity]],
-]:
+) -> IsolateAttempt:
     """Leave the isolation of carried requests to the peer."""
 
     @asynccontextmanager
--- a/src/limpetdrift/state/crash_evidence.py
+++ b/src/limpetdrift/state/crash_evidence.py
@@ -1,8 +1,8 @@
 """The evidence for and against keys of requests, as this entry has it.
 
-For a key speaks each answer to a request that has it; against it each crash
-that cut off such a request before it proved harmless. Evidence that is merged
-in any order, twice or late gives the same result.
+Each answer to a request with a key counts for the key, and against it counts
+each crash that cut off such a request before it had proved harmless. Evidence
+that is merged in any order, twice or late gives the same result.
 """
 
 from collections import OrderedDict, defaultdict
--- a/src/limpetdrift/state/culprits.py
+++ b/src/limpetdrift/state/culprits.py
@@ -1,18 +1,18 @@
 """Decides which keys of requests crash the endpoints that run them.
 
-All requests that ran on an endpoint when it crashed have their keys against
-them, and each key of a request that was answered since then is acquitted. What
-is left are few keys, of which one that took part in most crashes explains the
-others. These functions depend on their arguments only, so that all entries
-come to the same result from the same evidence.
+A crash counts against the keys of all requests that it cut off, and an answer
+since then clears the keys of its request. Few keys are left, of which the one
+that took part in most crashes explains the crashes of those beside it. The
+functions depend on their arguments only, so that all entries come to the same
+result from the same evidence.
 """
 
 from collections import defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-# Crashes that a key must have taken part in to be refused, if at one of them no
-# other request was a suspect, and if there was none of these.
+# Crashes after which a key is refused: where one of them left a single request
+# that may be at fault, and where each left several.
 CRASH_LIMIT = 3
 CRASH_LIMIT_IN_COMPANY = 5
 # Crashes after which a key is suspected although it was harmless before.
