--- a/src/limpetdrift/platform/configuration.py
+++ b/src/limpetdrift/platform/configuration.py
@@ -85,7 +85,7 @@
 class _Service(msgspec.Struct, kw_only=True):
     name: str
     engine: _Engine | None = None
-    health_path: str = msgspec.field(default='/', name='healthPath')
+    health_path: str = msgspec.field(default='', name='healthPath')
 
 
 class _Account(msgspec.Struct, kw_only=True, rename='camel'):
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -52,17 +52,16 @@
 
     def find_path(name: str) -> str:
         service = routes.find_service(name)
-        if service is None:
-            return REPORT_PATH
         # Reports need no free slot.
-        return service.health_path if service.engine is None else REPORT_PATH
+        has_reports = service is None or service.engine is not None
+        return '' if has_reports else service.health_path
 
     client = HttpClient(
         limits=ClientLimits(
             connect_seconds=PROBE_TIMEOUT_SECONDS, idle_connections=0
         )
     )
-    return make_probe(client, find_path)
+    return make_probe(client, lambda name: find_path(name) or REPORT_PATH)
 
 
 def build_carriers(context: EntryContext, call: PeerCall) -> Carriers:
--- a/src/limpetdrift/protocol/route_table.py
+++ b/src/limpetdrift/protocol/route_table.py
@@ -88,12 +88,12 @@
 class Service:
     """A pool of endpoints; ``engine`` is set if they are model engines.
 
-    ``health_path`` is the path of their health checks.
+    ``health_path`` is the path of their health checks, empty if they have none.
     """
 
     name: str
     engine: EngineCostModel | None = None
-    health_path: str = '/'
+    health_path: str = ''
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
