--- a/src/limpetdrift/coordination/crash_exchange.py
+++ b/src/limpetdrift/coordination/crash_exchange.py
@@ -120,20 +120,10 @@
 
     async def learn(self, seeds: tuple[Address, ...]) -> None:
         """Ask some seeds for all evidence; else read what is kept."""
-        informed = trio.Event()
-
-        async def learn_from(address: Address) -> None:
-            reply = await self._replicator.pull_from(
-                address, LEARN_TIMEOUT_SECONDS
-            )
-            if reply.is_ok() and reply.ok.has_learned:
-                informed.set()
-                nursery.cancel_scope.cancel()
-
-        async with trio.open_nursery() as nursery:
-            for address in seeds:
-                nursery.start_soon(learn_from, address)
-        if not informed.is_set():
+        is_informed = await self._replicator.learn_from(
+            seeds, LEARN_TIMEOUT_SECONDS
+        )
+        if not is_informed:
             for cut in await self._inputs.read_kept():
                 self.evidence.add_cut(cut)
         self._learned.set()
--- a/src/limpetdrift/coordination/limit_exchange.py
+++ b/src/limpetdrift/coordination/limit_exchange.py
@@ -138,20 +138,10 @@
         endpoints have asked all others not to send. Seeds that have just
         started too know nothing: then the limits are read where they are kept.
         """
-        informed = trio.Event()
-
-        async def learn_from(address: Address) -> None:
-            reply = await self._replicator.pull_from(
-                address, LEARN_TIMEOUT_SECONDS
-            )
-            if reply.is_ok() and reply.ok.has_learned:
-                informed.set()
-                nursery.cancel_scope.cancel()
-
-        async with trio.open_nursery() as nursery:
-            for address in seeds[:_LEARN_SEEDS]:
-                nursery.start_soon(learn_from, address)
-        if not informed.is_set():
+        is_informed = await self._replicator.learn_from(
+            seeds[:_LEARN_SEEDS], LEARN_TIMEOUT_SECONDS
+        )
+        if not is_informed:
             for record in await self._inputs.kept.read():
                 self._limits.merge(record)
         self._learned.set()
--- a/src/limpetdrift/coordination/record_replication.py
+++ b/src/limpetdrift/coordination/record_replication.py
@@ -129,6 +129,27 @@
             self._replicated.merge(pulled.ok)
         return pulled
 
+    async def learn_from(
+        self, seeds: tuple[Address, ...], timeout_seconds: float
+    ) -> bool:
+        """Merge the records of seeds; return whether one had learned them.
+
+        This ends with the first such reply. Messages of this kind tell by
+        ``has_learned`` whether their sender may know less than what is kept.
+        """
+        informed = trio.Event()
+
+        async def pull(address: Address) -> None:
+            reply = await self.pull_from(address, timeout_seconds)
+            if reply.is_ok() and reply.ok.has_learned:
+                informed.set()
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for address in seeds:
+                nursery.start_soon(pull, address)
+        return informed.is_set()
+
     async def _synchronize(
         self, queued: tuple[Any, ...], differing: frozenset[str]
     ) -> None:
