Send nothing to evacuated failure domains

Cause: nothing read the operators' evacuations.

Change: the readers of the store decode the evacuations with the configuration, and the relay carries them to all entries with the era and version of the store.

--- a/src/limpetdrift/coordination/routing_merge.py
+++ b/src/limpetdrift/coordination/routing_merge.py
@@ -18,6 +18,7 @@
     unpack,
 )
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import NEVER, RouteTableCache
 from limpetdrift.state.store_era import UNKNOWN_ERA, StoreEra
 
@@ -75,35 +76,59 @@
     return list_state.digest != request.list_digest
 
 
+def are_evacuations_outdated(
+    evacuations: Evacuations, request: RoutingSyncRequest
+) -> bool:
+    """Return whether the evacuations of a request are older.
+
+    An entry of a build without evacuations has no use for them.
+    """
+    position = request.evacuations_position
+    return position is not None and evacuations.current.position > position
+
+
 def merge_reply(
     reply: RoutingSyncReply,
     sent_at: float,
     *,
     routes: RouteTableCache,
     list_state: EndpointListState,
+    evacuations: Evacuations,
     store_era: StoreEra,
     replace_endpoints: Callable[[tuple[ListedEndpoint, ...]], None],
     is_reading: bool,
 ) -> bool:
     """Merge a peer's reply to a poll that was sent at ``sent_at``.
 
-    Return whether the endpoint list was replaced. An entry that ``is_reading``
+    Return whether the endpoint list or the evacuations were replaced. An
+    entry that ``is_reading``
     the store itself takes only a first list: a peer's may hold endpoints that
     have no row, and no change of a row would drop them here.
     """
     routes_era = _adopt_era(reply.routes_era, store_era)
     _merge_routes(reply, sent_at, routes, routes_era)
+    is_evacuation_new = _merge_evacuations(reply, evacuations, store_era)
     position = (_adopt_era(reply.list_era, store_era), reply.list_version)
     if is_reading and list_state.version:
-        return False
+        return is_evacuation_new
     if reply.endpoints is None or position < list_state.position:
-        return False
+        return is_evacuation_new
     endpoints = unpack(reply.endpoints, tuple[ListedEndpoint, ...])
     if endpoints.is_ok():
         list_state.move_to(*position)
         list_state.confirmed_at = sent_at - reply.list_age_seconds
         replace_endpoints(endpoints.ok)
-    return endpoints.is_ok()
+    return endpoints.is_ok() or is_evacuation_new
+
+
+def _merge_evacuations(
+    reply: RoutingSyncReply, evacuations: Evacuations, store_era: StoreEra
+) -> bool:
+    evacuated = reply.evacuations
+    if evacuated is None:
+        return False
+    _adopt_era(evacuated.era, store_era)
+    return evacuations.replace(evacuated)
 
 
 def _merge_routes(
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -22,6 +22,7 @@
 from limpetdrift.coordination.rendezvous import choose_by_hash
 from limpetdrift.coordination.routing_merge import (
     EndpointListState,
+    are_evacuations_outdated,
     are_routes_outdated,
     is_list_outdated,
     merge_reply,
@@ -36,6 +37,7 @@
 )
 from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.messages import Address
@@ -92,6 +94,7 @@
     call: PeerCall
     routes: RouteTableCache
     endpoint_list_state: EndpointListState
+    evacuations: Evacuations
     endpoints: Callable[[], tuple[ListedEndpoint, ...]]
     replace_endpoints: Callable[[tuple[ListedEndpoint, ...]], None]
     entries: Callable[[], tuple[Node, ...]]
@@ -248,6 +251,7 @@
                 list_version=self._inputs.endpoint_list_state.version,
                 list_era=self._inputs.endpoint_list_state.era,
                 list_digest=self._inputs.endpoint_list_state.digest,
+                evacuations_position=self._inputs.evacuations.current.position,
                 wait_seconds=wait_seconds,
             ),
             RoutingSyncReply,
@@ -259,6 +263,7 @@
             sent_at,
             routes=self._inputs.routes,
             list_state=self._inputs.endpoint_list_state,
+            evacuations=self._inputs.evacuations,
             store_era=self._inputs.store_era,
             replace_endpoints=self._inputs.replace_endpoints,
             is_reading=self.is_store_reader
@@ -283,6 +288,9 @@
                 UNKNOWN_AGE_SECONDS,
             ),
             is_cut=self._inputs.is_store_unreachable(),
+            evacuations=self._inputs.evacuations.current
+            if are_evacuations_outdated(self._inputs.evacuations, request)
+            else None,
             is_store_behind=self._inputs.is_store_behind(),
             routes=self._routes_packer.pack(
                 (routes.era, routes.version),
@@ -357,6 +365,7 @@
         inputs.is_store_unreachable()
         or are_routes_outdated(inputs.routes, request)
         or is_list_outdated(inputs.endpoint_list_state, request)
+        or are_evacuations_outdated(inputs.evacuations, request)
     )
 
 
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -18,16 +18,19 @@
 from limpetdrift.logs import note, warn
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_sync import EndpointSync
+from limpetdrift.platform.evacuation_rows import decode_evacuations
 from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.routing_sync import digest_of
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import NEVER, RouteTableCache
 from limpetdrift.state.stored_configuration import StoredConfiguration
 from limpetdrift.transport.messages import Address
 
+# The operators' rows: the configuration, and the evacuations.
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 ENDPOINTS_TABLE = 'servers'
@@ -71,6 +74,7 @@
         self._inputs = inputs
         self._routes = inputs.routes
         self._list_state = EndpointListState()
+        self._evacuations = Evacuations(view=inputs.view)
         self._stored = StoredConfiguration(
             routes=inputs.routes, store_era=inputs.store.era
         )
@@ -87,8 +91,8 @@
             inputs,
             TableSubscription(
                 table=CONFIGURATION_TABLE,
-                on_snapshot=self._apply_configuration_rows,
-                on_changes=self._apply_configuration_rows,
+                on_snapshot=self._apply_operator_snapshot,
+                on_changes=self._apply_operator_changes,
                 on_confirmed=self._stored.confirm,
                 on_store_lost=self.relay.notify_waiters,
                 is_enabled=lambda: self.relay.is_store_reader,
@@ -157,6 +161,7 @@
             call=inputs.call,
             routes=inputs.routes,
             endpoint_list_state=self._list_state,
+            evacuations=self._evacuations,
             endpoints=lambda: inputs.view.listed,
             replace_endpoints=self._replace_endpoints,
             entries=inputs.entries,
@@ -208,6 +213,24 @@
             self._list_state.confirmed_at, requested_at
         )
 
+    def _apply_operator_snapshot(
+        self, page: RowPage, requested_at: float
+    ) -> None:
+        domains = decode_evacuations(page.rows)
+        if self._evacuations.read(page.era, page.version, domains):
+            self._on_change()
+        self._apply_configuration_rows(page, requested_at)
+
+    def _apply_operator_changes(
+        self, page: RowPage, requested_at: float
+    ) -> None:
+        changed = decode_evacuations(page.rows)
+        if changed and self._evacuations.change(
+            page.era, page.version, changed
+        ):
+            self._on_change()
+        self._apply_configuration_rows(page, requested_at)
+
     def _apply_configuration_rows(
         self, page: RowPage, requested_at: float
     ) -> None:
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -11,6 +11,7 @@
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.evacuations import EvacuatedDomains
 
 Content = TypeVar('Content')
 
@@ -28,10 +29,12 @@
     """Long poll for routes or an endpoint list newer than these versions.
 
     Each version is of an era of the store; entries of a build without eras
-    send none. The reply is delayed by ``wait_seconds`` at most. ``list_digest``
-    distinguishes endpoint lists of the same version: an entry that reads the
-    store drops endpoints that did not register again after an outage, which
-    gives the list no new version.
+    send none. ``evacuations_position`` is the era and version of the evacuated
+    failure domains; entries of a build without evacuations send none. The reply
+    is delayed by ``wait_seconds`` at most. ``list_digest`` distinguishes
+    endpoint lists of the same version: an entry that reads the store drops
+    endpoints that did not register again after an outage, which gives the list
+    no new version.
     """
 
     routes_version: int
@@ -40,6 +43,7 @@
     list_digest: int = 0
     routes_era: int | None = None
     list_era: int | None = None
+    evacuations_position: tuple[int, int] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,6 +53,7 @@
     Each version is of an era of the store, as in the request.
 
     The ages count from the start of the read that confirmed the versions.
+    ``evacuations`` is ``None`` if the polling entry has them already.
     ``routes`` and ``endpoints`` are packed, and ``None`` if the polling entry
     has them already. ``is_cut`` is true if the replier can't reach the store,
     and ``is_store_behind`` if the store shows an older configuration than the
@@ -65,6 +70,7 @@
     routes_era: int | None = None
     list_era: int | None = None
     is_store_behind: bool = False
+    evacuations: EvacuatedDomains | None = None
 
 
 def digest_of(endpoints: Iterable[ListedEndpoint]) -> int:
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -2,7 +2,9 @@
 
 The platform's list lags behind the endpoints' own signals. A signal that an
 endpoint is leaving is final for that lifetime, which is one run of the
-endpoint under its name, whichever source the signal is from.
+endpoint under its name, whichever source the signal is from. The endpoints of
+evacuated failure domains get no new work either, until the operators take the
+evacuation back.
 """
 
 from collections.abc import Callable, Iterable
@@ -23,7 +25,7 @@
 
 
 class EndpointView:
-    """The listed endpoints, and the lifetimes that are leaving.
+    """The listed endpoints, and which of them may get new work.
 
     ``back_offs`` are those that endpoints asked this entry for. They don't
     change which endpoints are usable, since they don't concern other entries.
@@ -35,6 +37,7 @@
         self._listed: dict[str, ListedEndpoint] = {}
         self._by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._leaving: dict[tuple[str, int], float] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._ahead_of_list: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._version = 0
         self.back_offs = EndpointBackOffs(clock=clock)
@@ -85,9 +88,11 @@
         return self._ahead_of_list.get(service, ())
 
     def is_usable(self, endpoint: ListedEndpoint) -> bool:
-        """Return whether this lifetime is listed and isn't leaving."""
+        """Return whether this lifetime is listed and may get new work."""
         if endpoint.identity in self._leaving:
             return False
+        if endpoint.failure_domain in self._evacuated:
+            return False
         listed = self._listed.get(endpoint.name)
         return listed is not None and listed.identity == endpoint.identity
 
@@ -103,6 +108,14 @@
             return None
         return listed
 
+    def evacuate(self, failure_domains: Iterable[str]) -> None:
+        """Send no new work to the endpoints of these failure domains only.
+
+        It replaces what was evacuated before.
+        """
+        self._evacuated = frozenset(failure_domains)
+        self._rebuild()
+
     def mark_leaving(self, endpoint: ListedEndpoint, source: str) -> bool:
         """Mark a lifetime as leaving; return whether it wasn't before."""
         if endpoint.identity in self._leaving:
@@ -126,10 +139,11 @@
         staying = []
         ahead_of_list = []
         for endpoint in self._listed.values():
-            if endpoint.identity not in self._leaving:
+            if endpoint.identity in self._leaving:
+                if not endpoint.leaving:
+                    ahead_of_list.append(endpoint)
+            elif endpoint.failure_domain not in self._evacuated:
                 staying.append(endpoint)
-            elif not endpoint.leaving:
-                ahead_of_list.append(endpoint)
         self._by_service = _group_by_service(staying)
         self._ahead_of_list = _group_by_service(ahead_of_list)
 
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -19,6 +19,8 @@
 from limpetdrift.protocol.routing_sync import digest_of
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.messages import Address
@@ -108,6 +110,8 @@
         self.store_era = StoreEra()
         self.routes = RouteTableCache(clock=trio.current_time)
         self.endpoint_list_state = EndpointListState()
+        self.view = EndpointView(clock=trio.current_time)
+        self.evacuations = Evacuations(view=self.view)
         self.endpoints: tuple[ListedEndpoint, ...] = ()
         self.peer_routes = PeerRoutes()
         self.relay = RoutingRelay(
@@ -116,6 +120,7 @@
                 call=network.add_peer(address, self.peer_routes),
                 routes=self.routes,
                 endpoint_list_state=self.endpoint_list_state,
+                evacuations=self.evacuations,
                 endpoints=lambda: self.endpoints,
                 replace_endpoints=self._replace_endpoints,
                 entries=entries,
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -41,6 +41,7 @@
 )
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.server import Server
@@ -257,6 +258,7 @@
             call=call,
             routes=RouteTableCache(clock=trio.current_time),
             endpoint_list_state=EndpointListState(),
+            evacuations=Evacuations(view=EndpointView(clock=trio.current_time)),
             endpoints=tuple,
             replace_endpoints=lambda endpoints: None,
             entries=lambda: (node,),
