Tell planners of account, priority and fingerprint

The decision on admission moves from the planner to a package of its own, which the parts of the scheduling under load share. No decision changes.

--- a/src/limpetdrift/coordination/crash_guard.py
+++ b/src/limpetdrift/coordination/crash_guard.py
@@ -13,11 +13,11 @@
 from dataclasses import dataclass
 
 import trio
-from xxhash import xxh3_128_hexdigest
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.crash_exchange import CrashExchange
 from limpetdrift.coordination.delivery import EndpointIdentity
+from limpetdrift.coordination.fingerprints import fingerprint_of
 from limpetdrift.coordination.isolation_leases import IsolationLeases
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.rendezvous import choose_by_hash
@@ -295,15 +295,9 @@
 def keys_of(request: CallerRequest) -> tuple[str, ...]:
     """Return the keys by which evidence about a request is kept.
 
-    The first is a fingerprint of the whole request, by which it is recognized
-    when it is sent again. It covers the client account, method, target and
-    body; the request id differs each time.
+    The first is that of the whole request, the others those of its parts.
     """
-    identity = '\0'.join(
-        (request.account, request.method, request.target)
-    ).encode()
-    digest = xxh3_128_hexdigest(identity + request.body)
-    return (fingerprint_key(digest), *part_keys(request))
+    return (fingerprint_key(fingerprint_of(request)), *part_keys(request))
 
 
 def part_keys(request: CallerRequest) -> tuple[str, ...]:
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -20,6 +20,7 @@
     check_service,
     end_placement,
 )
+from limpetdrift.coordination.fingerprints import fingerprint_of
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.planner import endpoint_id_of
 from limpetdrift.coordination.planner_client import (
@@ -188,6 +189,9 @@
             ended=self.planner_client.pop_ended(work.service, group),
             group=group,
             leaving=self._inputs.planner.leaving(work.service),
+            account=work.account,
+            priority=work.priority,
+            fingerprint=fingerprint_of(work),
         )
 
     async def _place_elsewhere(
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -27,6 +27,10 @@
     stream_worth,
 )
 from limpetdrift.coordination.rendezvous import choose_by_hash
+from limpetdrift.coordination.scheduling.admission import (
+    MIN_RETRY_AFTER_SECONDS,
+    find_refusal,
+)
 from limpetdrift.logs import note
 from limpetdrift.protocol.plans import (
     Acknowledgement,
@@ -46,19 +50,11 @@
 from limpetdrift.state.engine_ledger import (
     Booking,
     EngineLedger,
-    EngineUsage,
     PlanLease,
     StreamUse,
 )
 from limpetdrift.state.rate_budget import LEADING_SHARE
 
-# Admission threshold: a prompt is refused if its first token is expected after
-# more than this share of the time left.
-_LATEST_FIRST_TOKEN_SHARE = 0.9
-# Share of the engines' mean backlog after which refused callers should retry.
-_RETRY_BACKLOG_SHARE = 0.5
-_MIN_RETRY_AFTER_SECONDS = 0.3
-
 FindCostModel = Callable[[str], EngineCostModel | None]
 
 
@@ -119,7 +115,7 @@
                 not_run(
                     Reason.NO_ENDPOINT,
                     request.service,
-                    retry_after_seconds=_MIN_RETRY_AFTER_SECONDS,
+                    retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
                 ),
             )
         permits = self.permits
@@ -134,7 +130,7 @@
             self.ledger(request.service).usages(callable_now)
         )
         split = choose_split(request, usages, cost_model)
-        refusal = _find_refusal(split, usages, request)
+        refusal = find_refusal(split, usages, request)
         if refusal is not None:
             return Error(refusal)
         grant = '.'.join((self._inputs.name, str(next(self._grant_numbers))))
@@ -303,40 +299,6 @@
     return request.memory_tokens - sum(reserved.values())
 
 
-def _find_refusal(
-    split: Split | None,
-    usages: tuple[EngineUsage, ...],
-    request: PlanRequest,
-) -> Failure | None:
-    """Return why a prompt is refused, or ``None`` if it is admitted.
-
-    Sheds load when long prompts arrive faster than they can be prefilled:
-    those that would time out while they wait are refused at once, with the
-    time after which engines should be free. So are those for which no memory
-    is free: it is taken for seconds, so another try at once would fail, too.
-    """
-    if split is None:
-        detail = 'memory of the engines is taken'
-    elif (
-        split.first_token_seconds
-        > request.seconds_left * _LATEST_FIRST_TOKEN_SHARE
-    ):
-        detail = 'would begin too late'
-    elif split.cost > request.cost_limit:
-        detail = 'no better plan than another group has made'
-    else:
-        return None
-    backlog = sum(usage.backlog_seconds for usage in usages) / len(usages)
-    return not_run(
-        Reason.OVERLOADED,
-        detail,
-        retry_after_seconds=max(
-            _MIN_RETRY_AFTER_SECONDS,
-            backlog * _RETRY_BACKLOG_SHARE,
-        ),
-    )
-
-
 def _take_permits(
     permits: EndpointPermits, split: Split
 ) -> tuple[EndpointId, ...]:
--- /dev/null
+++ b/src/limpetdrift/coordination/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which prompts run, wait or are refused under load."""
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -67,7 +67,9 @@
     that it has not reported yet. ``leaving`` lists engines of the service that
     the entry knows to leave although the list doesn't say so. The plan uses
     engines of ``group`` only, and one that costs more than ``cost_limit`` is
-    refused.
+    refused. ``account`` is the client account, which may be empty, and priority
+    0 the highest. ``fingerprint`` is the same for each try of one request by
+    its caller, and empty if unknown.
     """
 
     service: str
@@ -85,6 +87,9 @@
     group: EngineGroup = EngineGroup()
     cost_limit: float = UNLIMITED_COST
     leaving: tuple[EndpointId, ...] = ()
+    account: str = ''
+    priority: int = 0
+    fingerprint: str = ''
 
     @property
     def memory_tokens(self) -> int:
