--- a/src/limpetdrift/platform/evacuation_rows.py
+++ b/src/limpetdrift/platform/evacuation_rows.py
@@ -6,11 +6,23 @@
 
 from collections.abc import Iterable
 
-from limpetdrift.platform.store import StoredRow
+from limpetdrift.platform.store import RowPage, StoredRow
+from limpetdrift.state.evacuations import Evacuations
 
 _KEY_PREFIX = 'evacuate/'
 
 
+def apply_evacuations(
+    evacuations: Evacuations, page: RowPage, *, is_whole: bool
+) -> None:
+    """Apply a page with the whole table, or with its changed rows."""
+    named = decode_evacuations(page.rows)
+    if is_whole:
+        evacuations.read(page.era, page.version, named)
+    elif named:
+        evacuations.change(page.era, page.version, named)
+
+
 def decode_evacuations(rows: Iterable[StoredRow]) -> dict[str, bool]:
     """Return the failure domains that rows name, and if they are evacuated.
 
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -18,7 +18,7 @@
 from limpetdrift.logs import note, warn
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_sync import EndpointSync
-from limpetdrift.platform.evacuation_rows import decode_evacuations
+from limpetdrift.platform.evacuation_rows import apply_evacuations
 from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
 from limpetdrift.protocol.node import Node
@@ -74,7 +74,9 @@
         self._inputs = inputs
         self._routes = inputs.routes
         self._list_state = EndpointListState()
-        self._evacuations = Evacuations(view=inputs.view)
+        self._evacuations = Evacuations(
+            view=inputs.view, on_change=self._on_change
+        )
         self._stored = StoredConfiguration(
             routes=inputs.routes, store_era=inputs.store.era
         )
@@ -91,8 +93,8 @@
             inputs,
             TableSubscription(
                 table=CONFIGURATION_TABLE,
-                on_snapshot=self._apply_operator_snapshot,
-                on_changes=self._apply_operator_changes,
+                on_snapshot=partial(self._apply_operator_rows, is_whole=True),
+                on_changes=self._apply_operator_rows,
                 on_confirmed=self._stored.confirm,
                 on_store_lost=self.relay.notify_waiters,
                 is_enabled=lambda: self.relay.is_store_reader,
@@ -213,27 +215,11 @@
             self._list_state.confirmed_at, requested_at
         )
 
-    def _apply_operator_snapshot(
-        self, page: RowPage, requested_at: float
-    ) -> None:
-        domains = decode_evacuations(page.rows)
-        if self._evacuations.read(page.era, page.version, domains):
-            self._on_change()
-        self._apply_configuration_rows(page, requested_at)
-
-    def _apply_operator_changes(
-        self, page: RowPage, requested_at: float
-    ) -> None:
-        changed = decode_evacuations(page.rows)
-        if changed and self._evacuations.change(
-            page.era, page.version, changed
-        ):
-            self._on_change()
-        self._apply_configuration_rows(page, requested_at)
-
-    def _apply_configuration_rows(
-        self, page: RowPage, requested_at: float
+    def _apply_operator_rows(
+        self, page: RowPage, requested_at: float, *, is_whole: bool = False
     ) -> None:
+        """Apply the whole table of the operators, or its changed rows."""
+        apply_evacuations(self._evacuations, page, is_whole=is_whole)
         self._stored.begin_era(page.era)
         for row in page.rows:
             if row.key == CONFIGURATION_KEY and row.value is not None:
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -55,10 +55,8 @@
 
     def replace(self, endpoints: Iterable[ListedEndpoint]) -> None:
         """Replace the whole list."""
-        self._listed = {endpoint.name: endpoint for endpoint in endpoints}
-        for endpoint in self.listed:
-            self._apply_leaving_flag(endpoint)
-        self._rebuild()
+        self._listed.clear()
+        self.put_all(endpoints)
 
     def put(self, endpoint: ListedEndpoint) -> None:
         """Add an endpoint to the list, or replace it."""
@@ -66,9 +64,11 @@
 
     def put_all(self, endpoints: Iterable[ListedEndpoint]) -> None:
         """Add endpoints to the list, or replace those that are there."""
-        for endpoint in endpoints:
-            self._listed[endpoint.name] = endpoint
-            self._apply_leaving_flag(endpoint)
+        added = {endpoint.name: endpoint for endpoint in endpoints}
+        self._listed.update(added)
+        for endpoint in added.values():
+            if endpoint.leaving:
+                self.mark_leaving(endpoint, LIST_SOURCE)
         self._rebuild()
 
     def drop(self, name: str) -> None:
@@ -125,10 +125,6 @@
         self._rebuild()
         return True
 
-    def _apply_leaving_flag(self, endpoint: ListedEndpoint) -> None:
-        if endpoint.leaving:
-            self.mark_leaving(endpoint, LIST_SOURCE)
-
     def _rebuild(self) -> None:
         self._version += 1
         listed = {endpoint.identity for endpoint in self._listed.values()}
--- a/src/limpetdrift/state/evacuations.py
+++ b/src/limpetdrift/state/evacuations.py
@@ -5,7 +5,7 @@
 some entries from peers that read it, and hold while the store is unreachable.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from limpetdrift.logs import note
@@ -32,10 +32,19 @@
 
 
 class Evacuations:
-    """The newest known evacuations, which the endpoint view follows."""
+    """The newest known evacuations, which the endpoint view follows.
 
-    def __init__(self, *, view: EndpointView) -> None:
+    ``on_change`` is called with each newer version.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: EndpointView,
+        on_change: Callable[[], None],
+    ) -> None:
         self._view = view
+        self._on_change = on_change
         self._current = EvacuatedDomains()
 
     @property
@@ -56,6 +65,7 @@
             note('evacuation taken back', failure_domain=failure_domain)
         if newest != previous:
             self._view.evacuate(newest)
+        self._on_change()
         return True
 
     def change(
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -111,7 +111,7 @@
         self.routes = RouteTableCache(clock=trio.current_time)
         self.endpoint_list_state = EndpointListState()
         self.view = EndpointView(clock=trio.current_time)
-        self.evacuations = Evacuations(view=self.view)
+        self.evacuations = Evacuations(view=self.view, on_change=bool)
         self.endpoints: tuple[ListedEndpoint, ...] = ()
         self.peer_routes = PeerRoutes()
         self.relay = RoutingRelay(
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -47,7 +47,7 @@
     inside = make_endpoint('i-1', 'd1')
     outside = make_endpoint('i-2', 'd2')
     view.put_all((inside, outside))
-    evacuations = Evacuations(view=view)
+    evacuations = Evacuations(view=view, on_change=bool)
     version = view.version
     assert evacuations.change(1, 5, {'d1': True})
     assert view.version > version
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -258,7 +258,9 @@
             call=call,
             routes=RouteTableCache(clock=trio.current_time),
             endpoint_list_state=EndpointListState(),
-            evacuations=Evacuations(view=EndpointView(clock=trio.current_time)),
+            evacuations=Evacuations(
+                view=EndpointView(clock=trio.current_time), on_change=bool
+            ),
             endpoints=tuple,
             replace_endpoints=lambda endpoints: None,
             entries=lambda: (node,),
