Tell planners of engines that turned requests away

Cause: requests of entries that are gone are in no plan, so a planner finds room at engines that are full.

Change: an entry reports an engine that turned a planned request away, with the ended plans; the planner prefers others for half a second, until the next reports.

--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -55,6 +55,7 @@
     must not be placed at all; all return ``None`` if nothing is against it.
     ``is_limited`` returns whether an endpoint limits its rate. ``may_poll``
     returns whether a report may be polled; it then counts as sent.
+    ``record_full`` is called when an engine has turned a planned request away,
     ``record_order`` is called right before an order is sent, and
     ``record_success`` when a request has succeeded.
     """
@@ -64,6 +65,7 @@
     check_send: Callable[[CallerRequest, DispatchPlan], Failure | None]
     check_service: Callable[[str], Failure | None]
     is_limited: Callable[[ListedEndpoint], bool]
+    record_full: Callable[[ListedEndpoint], None]
     may_poll: Callable[[ListedEndpoint], bool]
     record_order: Callable[[ListedEndpoint], None]
     record_success: Callable[[CallerRequest, DispatchPlan], None]
@@ -74,12 +76,14 @@
     """The functions that tell other entries of endpoints.
 
     ``leaving`` tells that an endpoint leaves, and ``limit`` that it changed its
-    rate limit. ``call_spent`` tells of a call to an endpoint with a limit that
-    was sent without a permit.
+    rate limit. ``full`` tells that an engine turned a planned request away.
+    ``call_spent`` tells of a call to an endpoint with a limit that was sent
+    without a permit.
     """
 
     leaving: Callable[[ListedEndpoint], None]
     limit: Callable[[ListedEndpoint], None]
+    full: Callable[[ListedEndpoint], None]
     call_spent: Callable[[ListedEndpoint], None]
 
 
@@ -110,6 +114,7 @@
         check_send=partial(check_send, view),
         check_service=partial(check_service, view),
         is_limited=lambda endpoint: view.limits.is_limited(endpoint.identity),
+        record_full=announcements.full,
         may_poll=partial(may_poll, view, announcements.call_spent),
         record_order=partial(record_order, view, announcements.call_spent),
         record_success=partial(record_success, view),
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -22,7 +22,7 @@
 )
 from limpetdrift.coordination.fingerprints import fingerprint_of
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.planner import endpoint_id_of
+from limpetdrift.coordination.planner import endpoint_id_of, mark_full
 from limpetdrift.coordination.planner_client import (
     ACTIVE_PATH,
     ENDED_PATH,
@@ -133,10 +133,14 @@
             work.service, EndedPlan(grant=placement.grant, failed=failed_ids)
         )
 
-    def announce_leaving(self, engine: ListedEndpoint) -> None:
-        """Report soon to the planners of an engine that it leaves."""
+    def announce(
+        self, engine: ListedEndpoint, *, is_full: bool = False
+    ) -> None:
+        """Report soon to an engine's planner that it leaves or is full."""
+        full = (endpoint_id_of(engine),) if is_full else ()
+        mark_full(self._inputs.planner.ledger(engine.service), full)
         group = self.groups.group_of(engine)
-        self.planner_client.report_soon(engine.service, group)
+        self.planner_client.report_soon(engine.service, group, full=full)
 
     def planned_engines(self, service: str) -> tuple[ListedEndpoint, ...]:
         """Return the engines of a service that this entry plans for."""
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -183,6 +183,7 @@
         """Drop a peer's ended plans."""
         self.end(message.service, message.ended)
         self._mark_leaving(message.leaving)
+        mark_full(self.ledger(message.service), message.full)
         return Ok(Acknowledgement())
 
     async def answer_active(
@@ -276,6 +277,13 @@
     return EndpointId(name=endpoint.name, lifetime=endpoint.lifetime)
 
 
+def mark_full(ledger: EngineLedger, full: tuple[EndpointId, ...]) -> None:
+    """Prefer others for a while to engines that turned requests away."""
+    for each in full:
+        ledger.mark_full((each.name, each.lifetime))
+        note('engine full', engine=each.name)
+
+
 def _part_seconds(
     plan: Plan, request: PlanRequest, cost_model: EngineCostModel
 ) -> float:
--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planner_client.py
@@ -23,6 +23,7 @@
     ActivePlans,
     EndedPlan,
     EndedPlans,
+    EndpointId,
     EngineGroup,
     Plan,
     PlanRequest,
@@ -81,6 +82,7 @@
         self._inputs = inputs
         self._active: dict[str, _PlanInForce] = {}
         self._ended: dict[tuple[str, EngineGroup], list[EndedPlan]] = {}
+        self._full: dict[tuple[str, EngineGroup], set[EndpointId]] = {}
         self._informed_planners: dict[EngineGroup, str] = {}
         self._candidates: dict[EngineGroup, tuple[Node, ...]] = {}
         self._back_offs: dict[str, _BackOff] = {}
@@ -126,10 +128,15 @@
         service: str,
         group: EngineGroup,
         ended: tuple[EndedPlan, ...] = (),
+        full: tuple[EndpointId, ...] = (),
     ) -> None:
-        """Report ended plans, and engines that leave, to a group's planner."""
+        """Report ended plans and engines that leave to a group's planner.
+
+        So are the engines in ``full``, which turned requests away.
+        """
         if self.planner(group) is not None:
             self._ended.setdefault((service, group), []).extend(ended)
+            self._full.setdefault((service, group), set()).update(full)
             self._plan_ended.set()
 
     def pop_ended(
@@ -222,19 +229,23 @@
             await self._plan_ended.wait()
             await trio.sleep(ENDED_BATCH_SECONDS)
             self._plan_ended = trio.Event()
-            for service, group in tuple(self._ended):
+            pending = {*self._ended, *self._full}
+            for service, group in pending:
                 await self._send_ended_plans(service, group)
 
     async def _send_ended_plans(self, service: str, group: EngineGroup) -> None:
         ended = self.pop_ended(service, group)
+        full = tuple(self._full.pop((service, group), ()))
         leaving = self._inputs.planner.leaving(service)
         planner = self.planner(group)
-        if planner is None or not (ended or leaving):
+        if planner is None or not (ended or leaving or full):
             return
         answer = await self._inputs.call(
             planner.peer_address,
             ENDED_PATH,
-            EndedPlans(service=service, ended=ended, leaving=leaving),
+            EndedPlans(
+                service=service, ended=ended, leaving=leaving, full=full
+            ),
             Acknowledgement,
             timeout_seconds=_REPORT_TIMEOUT_SECONDS,
         )
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -122,6 +122,8 @@
             response = decode_response_head(stream, caller_request.request_id)
             if response.load is not None and not placement.grant:
                 on_load(placement.endpoint, response.load)
+            if response.refused and placement.grant:
+                _report_full(gate, placement, response)
             _check_refusal(gate, caller_request, response)
             if response.status < _SERVER_ERROR and not response.refused:
                 gate.record_success(caller_request, placement)
@@ -218,6 +220,18 @@
     return EndpointLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _report_full(
+    gate: EndpointGate, placement: DispatchPlan, response: EndpointResponse
+) -> None:
+    """Report the engine at fault, the writer or a helper of the plan."""
+    if response.is_from_other_process:
+        return
+    address = response.failed_address or placement.endpoint.address
+    for engine in placement.endpoints:
+        if engine.address == address:
+            gate.record_full(engine)
+
+
 def _check_refusal(
     gate: EndpointGate,
     caller_request: CallerRequest,
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from limpetdrift.clocks import boot_time
 from limpetdrift.coordination.endpoint_gate import (
@@ -115,8 +116,9 @@
     gate = make_gate(
         context.view,
         Announcements(
-            leaving=plan_placer.announce_leaving,
+            leaving=plan_placer.announce,
             limit=limit_exchange.announce,
+            full=partial(plan_placer.announce, is_full=True),
             call_spent=limit_exchange.spend,
         ),
     )
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -134,12 +134,14 @@
 class EndedPlans:
     """Reports to the planner which plans of a service have ended.
 
-    ``leaving`` is that of a ``PlanRequest``.
+    ``leaving`` is that of a ``PlanRequest``. ``full`` lists engines that turned
+    requests away, though the plans found room there.
     """
 
     service: str
     ended: tuple[EndedPlan, ...]
     leaving: tuple[EndpointId, ...] = ()
+    full: tuple[EndpointId, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -19,6 +19,9 @@
 MAX_FAILURE_BACKOFF_SECONDS = 6.0
 # A failure later than this after the end of a back-off counts as the first.
 FAILURE_RESET_SECONDS = 10.0
+# Time for which an engine that turned a request away counts as full. Within it
+# the next report shows what the engine does.
+FULL_SECONDS = 0.5
 # Age of a report when it is read, at most. Requests that ended within it may
 # still be counted there.
 REPORT_AGE_SECONDS = 0.5
@@ -62,7 +65,8 @@
     ``gap_seconds`` the time until the next one begins, zero during one.
     ``written`` holds the planned streams that it decodes. ``unplanned`` counts
     its requests that belong to no plan. ``queued`` is the length of its own
-    queue, or 0 while ``unplanned`` is 0. ``pace`` is a slowdown factor: 2.0
+    queue, or 0 while ``unplanned`` is 0, and at least 1 for a while after it
+    turned a request away. ``pace`` is a slowdown factor: 2.0
     means that the engine takes twice its usual time. ``calls_left`` is the
     number of calls that it may get now, infinite if it doesn't limit them.
     """
@@ -100,6 +104,7 @@
     prefills: list[tuple[float, float]] = field(default_factory=list)
     failures: int = 0
     failing_until: float = float('-inf')
+    full_until: float = float('-inf')
     report: EngineReport | None = None
     unplanned: int = 0
     unplanned_tokens: int = 0
@@ -204,6 +209,12 @@
         engine.usage = None
         engine.failing_until = now + backoff_seconds
 
+    def mark_full(self, identity: tuple[str, int]) -> None:
+        """Record that an engine turned a request away for want of room."""
+        engine = self._engines.setdefault(identity, _Engine())
+        engine.usage = None
+        engine.full_until = self._clock() + FULL_SECONDS
+
     def note_report(
         self,
         endpoint: ListedEndpoint,
@@ -294,10 +305,13 @@
         engine.unplanned = 0
         engine.unplanned_tokens = 0
     report = engine.report
+    queued = report.queued if report and engine.unplanned else 0
+    if engine.full_until > now:
+        queued = max(1, queued)
     return EngineUsage(
         endpoint=endpoint,
         unplanned=engine.unplanned,
-        queued=report.queued if report and engine.unplanned else 0,
+        queued=queued,
         pace=report.pace if report else 1.0,
         backlog_seconds=_prefills_end_at(engine, now) - now,
         gap_seconds=_gap_seconds(engine, now),
@@ -318,6 +332,8 @@
     changes_at = [float('inf')]
     if engine.failing_until > now:
         changes_at.append(engine.failing_until)
+    if engine.full_until > now:
+        changes_at.append(engine.full_until)
     if engine.unplanned:
         changes_at.append(engine.reported_at + REPORT_STALENESS_BOUND_SECONDS)
     return min(changes_at)
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -59,11 +59,12 @@
     """Tell nobody of an endpoint."""
 
 
-def make_announcements(leaving=_ignore) -> Announcements:
-    """Return announcements of which only leaving endpoints are told."""
+def make_announcements(leaving=_ignore, full=_ignore) -> Announcements:
+    """Return announcements of leaving endpoints and full engines only."""
     return Announcements(
         leaving=leaving,
         limit=_ignore,
+        full=full,
         call_spent=_ignore,
     )
 
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -36,6 +36,7 @@
 )
 from limpetdrift.state.endpoint_back_offs import RECOVERY_REQUESTS
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
+from limpetdrift.state.engine_ledger import FULL_SECONDS
 from limpetdrift.transport.messages import Address
 from test_splitting import COST_MODEL
 from virtual_time import in_virtual_time
@@ -381,13 +382,39 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(placer.planner_client.run)
         placer._view.mark_leaving(engine, ANSWER_SOURCE)
-        placer.announce_leaving(engine)
+        placer.announce(engine)
         await trio.sleep(0.2)
         nursery.cancel_scope.cancel()
     assert not planner_view.is_usable(engine)
     assert harness.planners['entry-0']._inputs.view.is_usable(engine)
 
 
+@in_virtual_time
+async def test_planner_avoids_an_engine_that_turned_a_request_away():
+    """The planner doesn't know of requests whose entry is gone.
+
+    It went on sending prompts to full engines until their next report, and
+    both attempts of a long prompt were turned away within milliseconds.
+    """
+    harness = GroupHarness()
+    placer, other = harness.placers[5], harness.placers[8]
+    work = make_work()
+    full = (await placer.place(work, frozenset())).ok
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(placer.planner_client.run)
+        placer.announce(full.endpoint, is_full=True)
+        placer.release(work, full, ())
+        await trio.sleep(0.2)
+        nursery.cancel_scope.cancel()
+    assert other.groups.home('s') == placer.groups.home('s')
+    placed = await other.place(work, frozenset())
+    assert placed.ok.endpoint != full.endpoint
+    planner = harness.planners['entry-2']
+    assert planner.ledger('s').usages((full.endpoint,))[0].queued
+    await trio.sleep(FULL_SECONDS)
+    assert not planner.ledger('s').usages((full.endpoint,))[0].queued
+
+
 @in_virtual_time
 async def test_no_plan_names_an_engine_that_asked_its_entry_for_a_back_off():
     """Neither as writer nor as helper, while other entries may use it."""
