Keep usage of plain endpoints by lifetime

Cause: the usage was kept by name. An endpoint that started again under its old name was avoided for a second for the failures of its former lifetime, was excluded for requests that the former one had failed, and seemed loaded by the calls in flight to it.

Change: PlainPlacer identifies endpoints by name and lifetime. Instances of the other service balancer have no lifetime and stay identified by name.

Result: test_endpoint_that_starts_again_is_not_avoided_for_its_former_life passes, and fails with usage by name.

--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/plain_placer.py
@@ -40,7 +40,9 @@
     ) -> None:
         self._view = view
         self._permit_client = permit_client
-        self._balancer = ServiceBalancer(randomness=randomness)
+        self._balancer = ServiceBalancer(
+            randomness=randomness, identify=lambda endpoint: endpoint.identity
+        )
         self._numbers = count()
 
     async def place(
@@ -56,9 +58,8 @@
         rate limits of all are used up.
         """
         usable = self._view.usable(work.service)
-        names = frozenset(name for name, _ in excluded)
         is_open = self._view.back_offs.open_only(usable)
-        chosen = await self._choose(is_open, names)
+        chosen = await self._choose(is_open, excluded)
         if chosen.is_error():
             return Error(
                 check_service(self._view, work.service) or chosen.error
@@ -104,7 +105,9 @@
         )
 
     async def _choose(
-        self, endpoints: tuple[ListedEndpoint, ...], names: frozenset[str]
+        self,
+        endpoints: tuple[ListedEndpoint, ...],
+        excluded: frozenset[tuple[str, int]],
     ) -> Result[ListedEndpoint, Failure]:
         """Choose an endpoint, with a permit for it if it limits its rate.
 
@@ -118,19 +121,19 @@
         worth_asking = tuple(
             each for each in limited if not self._permit_client.is_refused(each)
         )
-        chosen = self._balancer.choose((*unlimited, *worth_asking), names)
+        chosen = self._balancer.choose((*unlimited, *worth_asking), excluded)
         if chosen in worth_asking:
             # An endpoint that failed this request is the last choice.
-            has_other = any(each.name not in names for each in unlimited)
+            has_other = any(each.identity not in excluded for each in unlimited)
             asked = (chosen,) if has_other else (chosen, *worth_asking)
             permitted = await self._permit_client.acquire(asked, is_final=False)
             if permitted.is_ok():
                 return permitted
-            chosen = self._balancer.choose(unlimited, names)
+            chosen = self._balancer.choose(unlimited, excluded)
         if chosen is not None:
             return Ok(chosen)
         if limited:
-            return await self._choose_limited(limited, names)
+            return await self._choose_limited(limited, excluded)
         return Error(
             not_run(
                 Reason.NO_ENDPOINT,
@@ -150,13 +153,15 @@
         )
 
     async def _choose_limited(
-        self, limited: tuple[ListedEndpoint, ...], names: frozenset[str]
+        self,
+        limited: tuple[ListedEndpoint, ...],
+        excluded: frozenset[tuple[str, int]],
     ) -> Result[ListedEndpoint, Failure]:
         """Get a permit for any of the endpoints, or a time to retry."""
         ordered = sorted(
             limited,
             key=lambda each: (
-                each.name in names,
+                each.identity in excluded,
                 self._balancer.of(each).pressure,
             ),
         )
--- a/src/limpetdrift/state/service_balancer.py
+++ b/src/limpetdrift/state/service_balancer.py
@@ -6,12 +6,14 @@
 """
 
 import random
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 
 import trio
 
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.protocol.service import ServiceLoad
+from limpetdrift.protocol.work import ListedEndpoint
 
 # Instances that are compared for a call ("power of two choices").
 SAMPLE_SIZE = 2
@@ -22,6 +24,9 @@
 # How long other instances are preferred to one that failed.
 FAILURE_AVOIDANCE_SECONDS = 1.0
 
+Instance = Endpoint | ListedEndpoint
+Identify = Callable[[Instance], Hashable]
+
 
 @dataclass(kw_only=True, slots=True)
 class InstanceUsage:
@@ -78,25 +83,37 @@
         self.failing_until = trio.current_time() + FAILURE_AVOIDANCE_SECONDS
 
 
+def _name_of(endpoint: Instance) -> str:
+    return endpoint.name
+
+
 class ServiceBalancer:
-    """The use of all instances, by endpoint name."""
+    """The use of all instances.
 
-    def __init__(self, *, randomness: random.Random) -> None:
+    ``identify`` returns what distinguishes instances. Where the lifetime is
+    known it should be a part of it, or else an instance that starts again
+    under its old name is avoided for the failures of its former lifetime.
+    """
+
+    def __init__(
+        self, *, randomness: random.Random, identify: Identify = _name_of
+    ) -> None:
         self._randomness = randomness
-        self._usage: dict[str, InstanceUsage] = {}
+        self._identify = identify
+        self._usage: dict[Hashable, InstanceUsage] = {}
 
-    def of(self, endpoint: Endpoint) -> InstanceUsage:
+    def of(self, endpoint: Instance) -> InstanceUsage:
         """Return the use of an instance, created on first use."""
-        return self._usage.setdefault(endpoint.name, InstanceUsage())
+        return self._usage.setdefault(self._identify(endpoint), InstanceUsage())
 
     def choose(
         self,
-        endpoints: tuple[Endpoint, ...],
-        excluded: frozenset[str],
-    ) -> Endpoint | None:
+        endpoints: tuple[Instance, ...],
+        excluded: frozenset[Hashable],
+    ) -> Instance | None:
         """Return the less loaded of two sampled instances, if there are any.
 
-        Instances that are leaving aren't chosen. ``excluded`` names instances
+        Instances that are leaving aren't chosen. ``excluded`` identifies those
         that failed this request; they are chosen only if no other is left.
         """
         now = trio.current_time()
@@ -105,7 +122,9 @@
             for endpoint in endpoints
             if not endpoint.leaving and self.of(endpoint).leaving_until <= now
         ]
-        not_excluded = [each for each in staying if each.name not in excluded]
+        not_excluded = [
+            each for each in staying if self._identify(each) not in excluded
+        ]
         healthy = [
             each for each in not_excluded if self.of(each).failing_until <= now
         ]
@@ -115,9 +134,9 @@
         sampled = self._randomness.sample(usable, min(SAMPLE_SIZE, len(usable)))
         return min(sampled, key=lambda each: self.of(each).pressure)
 
-    def forget_others(self, endpoints: tuple[Endpoint, ...]) -> None:
+    def forget_others(self, endpoints: tuple[Instance, ...]) -> None:
         """Drop unlisted instances that have no calls in flight."""
-        listed = {endpoint.name for endpoint in endpoints}
-        for name in list(self._usage):
-            if name not in listed and not self._usage[name].in_flight:
-                self._usage.pop(name)
+        listed = set(map(self._identify, endpoints))
+        for key in list(self._usage):
+            if key not in listed and not self._usage[key].in_flight:
+                self._usage.pop(key)
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -195,3 +195,34 @@
         await trio.sleep(1)
         usage = entry.plain_placer._balancer.of(placed.ok.endpoint)
         assert usage.in_flight == 0
+
+
+@in_virtual_time
+async def test_endpoint_that_starts_again_is_not_avoided_for_its_former_life():
+    """It is used at once, also by the request that its former lifetime failed.
+
+    Calls in flight to the former lifetime don't count as its load either.
+    """
+    async with open_cut_site(entries=3) as site:
+        entry = site.entries[0]
+        placer = entry.plain_placer
+        former, *others = site.of_service(PLAIN_SERVICE)
+        for other in others:
+            entry.view.drop(other.listed.name)
+        work = site.make_work(PLAIN_SERVICE)
+        placed = (await placer.place(work, frozenset())).ok
+        placer.blame((former.listed,))
+        entry.view.put(replace(former.listed, lifetime=2))
+        entry.view.put(others[0].listed)
+        tried = frozenset((former.listed.identity,))
+        chosen = []
+        for _ in range(2):
+            again = (await placer.place(work, tried)).ok
+            chosen.append(again.endpoint.identity)
+        assert {name for name, _ in chosen} == {
+            former.listed.name,
+            others[0].listed.name,
+        }
+        placer.release(work, placed, ())
+        usage = placer._balancer.of(entry.view.find(former.listed.name))
+        assert usage.in_flight == 1
