Decode how much longer listed endpoints are cold

Cause: the rows state a remaining cold time that nothing read. The error on a row with an invalid address didn't name the field. Nested values beyond the parser's depth raised, and integers beyond 64 bits passed on to all entries.

Change: ListedEndpoint has cold_seconds, which takes no part in comparisons and in the digest of a list, since it falls all the time. A row that is too deep, or has a number out of range, names no endpoint.

Result: a property test writes any value in any field beside a valid row: the valid one is listed, and one log line names the field of the other.

--- a/src/limpetdrift/platform/endpoint_rows.py
+++ b/src/limpetdrift/platform/endpoint_rows.py
@@ -4,6 +4,8 @@
 invalid one does not affect the others.
 """
 
+import sys
+
 import msgspec
 from expression import Error, Ok, Result
 
@@ -12,6 +14,7 @@
 
 _READY = 'ready'
 _DRAINING = 'draining'
+_MILLISECONDS = 1000
 _STATES = frozenset((_READY, _DRAINING))
 
 
@@ -26,6 +29,9 @@
     # Start time of the process, in Unix milliseconds. A restarted process
     # keeps its name, so only both together identify a lifetime.
     born: int = 0
+    # How much longer the endpoint is cold from when the row was written, in
+    # milliseconds; 0 if it is warm.
+    cold_remaining_ms: int = msgspec.field(default=0, name='coldRemainingMs')
 
 
 def decode_endpoint(name: str, payload: bytes) -> Result[ListedEndpoint, str]:
@@ -36,11 +42,11 @@
     """
     try:
         row = msgspec.json.decode(payload, type=_EndpointRow)
-        parse_address(row.address)
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
         return Error(str(error))
-    if row.state not in _STATES:
-        return Error(f'unknown state {row.state!r}')
+    fault = _find_fault(row)
+    if fault:
+        return Error(fault)
     return Ok(
         ListedEndpoint(
             name=name,
@@ -50,5 +56,24 @@
             failure_domain=row.zone,
             slots=row.slots,
             leaving=row.state == _DRAINING,
+            cold_seconds=max(0, row.cold_remaining_ms) / _MILLISECONDS,
         ),
     )
+
+
+def _find_fault(row: _EndpointRow) -> str:
+    """Return what is wrong with a row whose fields have the right types."""
+    try:
+        parse_address(row.address)
+    except ValueError as error:
+        return f'address: {error}'
+    numbers = {
+        'slots': row.slots,
+        'born': row.born,
+        'coldRemainingMs': row.cold_remaining_ms,
+    }
+    for name, number in numbers.items():
+        # Larger numbers can't be taken for times, nor relayed by all builds.
+        if abs(number) > sys.maxsize:
+            return f'{name} is out of range'
+    return '' if row.state in _STATES else f'unknown state {row.state!r}'
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -5,7 +5,7 @@
 other fields.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from limpetdrift.protocol.route_table import Route
 from limpetdrift.transport.messages import Headers
@@ -65,7 +65,9 @@
 
     ``lifetime`` differs between two starts under the same name, so that
     ``name`` and ``lifetime`` together identify one process. ``slots`` is the
-    number of requests that it runs at a time.
+    number of requests that it runs at a time. ``cold_seconds`` is for how much
+    longer it was cold when the list was read or sent; it falls all the time, so
+    it makes no difference between two lists.
     """
 
     name: str
@@ -75,6 +77,7 @@
     failure_domain: str
     slots: int
     leaving: bool = False
+    cold_seconds: float = field(default=0.0, compare=False)
 
     @property
     def identity(self) -> tuple[str, int]:
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -4,7 +4,9 @@
 """
 
 import json
+import time
 from random import Random
+from unittest import mock
 
 import pytest
 from hypothesis import example, given
@@ -18,10 +20,13 @@
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_client import parse_load
 from limpetdrift.platform.endpoint_rows import decode_endpoint
+from limpetdrift.platform.endpoint_sync import EndpointSync
 from limpetdrift.platform.failure_responses import make_failure_renderer
 from limpetdrift.platform.reports import decode_report
 from limpetdrift.platform.settings import decode_settings
+from limpetdrift.platform.store import StoredRow
 from limpetdrift.protocol.route_table import RequestKind, RouteTable
+from limpetdrift.protocol.routing_sync import digest_of
 from limpetdrift.protocol.verdict import (
     Failure,
     Reason,
@@ -30,6 +35,7 @@
     not_run,
 )
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.messages import Request
 
@@ -48,6 +54,7 @@
     'slots': 8,
     'state': 'ready',
     'born': 1700000000000,
+    'coldRemainingMs': 0,
 }
 ROUTE = {
     'name': 'r',
@@ -136,6 +143,50 @@
         assert isinstance(value, type(ROW[field]))
 
 
+@given(
+    st.sampled_from(sorted(ROW)),
+    JSON_VALUES | st.integers(min_value=2**60) | st.just('no-port:'),
+)
+@example('address', 'no-port:')
+@example('state', 'gone')
+@example('born', 10**308)
+@example('coldRemainingMs', None)
+def test_bad_row_names_no_endpoint_and_the_log_names_the_field(field, value):
+    """Any process may write rows; a bad one must not hide the others."""
+    row = json.dumps(ROW | {field: value}).encode()
+    view = EndpointView(clock=time.monotonic)
+    sync = EndpointSync(
+        view=view, outage_within=lambda seconds: False, on_drop=lambda: None
+    )
+    good = json.dumps(ROW).encode()
+    with mock.patch('limpetdrift.platform.endpoint_sync.warn') as log:
+        for version in (1, 2):
+            sync.replace(
+                (
+                    StoredRow(key='good', value=good, version=1),
+                    StoredRow(key='other', value=row, version=version),
+                    StoredRow(key='unread', value=b'\xff', version=version),
+                )
+            )
+        logged = [each.kwargs for each in log.call_args_list]
+    assert view.find('good')
+    assert not view.find('unread')
+    details = {each['entry']: each['detail'] for each in logged}
+    assert len(details) == len(logged)
+    assert ('other' in details) is (view.find('other') is None)
+    assert field in details.get('other', field)
+
+
+def test_remaining_cold_time_of_a_row_is_in_seconds():
+    for milliseconds, seconds in ((2500, 2.5), (0, 0), (-5, 0)):
+        row = ROW | {'coldRemainingMs': milliseconds}
+        endpoint = decode_endpoint('i-1', json.dumps(row).encode()).ok
+        assert endpoint.cold_seconds == seconds
+        # A falling time makes no difference between two lists.
+        assert endpoint == ENGINE
+        assert digest_of((endpoint,)) == digest_of((ENGINE,))
+
+
 def test_valid_row_is_decoded_to_an_endpoint():
     endpoint = decode_endpoint('i-1', json.dumps(ROW).encode()).ok
     assert endpoint == ENGINE
