Limit the rate of cold endpoints over all entries

Cause: an endpoint that comes back cold looks idle, so it gets the most requests, and crashes above the configuration's bound.

Change: ColdEndpoints keeps until when each lifetime is cold, from rows, the header of answers, peers and a start during traffic, on a clock that doesn't jump. EndpointLimits takes the lower one of the named limit and the cold rate, so permits, shares and budgets apply as to a named limit. Reports of a cold endpoint are polled as usual and count. A relayed list states the times as of sending.

A request that was planned without a permit on a cold endpoint is placed again, and the planner is told of the cold state.

--- a/src/limpetdrift/coordination/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoint_gate.py
@@ -17,7 +17,8 @@
     DispatchPlan,
     ListedEndpoint,
 )
-from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS
+from limpetdrift.state.cold_endpoints import SAME_END_SECONDS
+from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS, is_limited_as_cold
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 
 
@@ -38,11 +39,14 @@
     ``back_off_seconds`` is the time in which it takes nothing from this entry.
     ``rate_limit`` is the number of requests a second that it takes from all
     entries together, ``None`` if the answer tells nothing of it.
+    ``cold_seconds`` is for how much longer it is cold, 0 if it isn't or does
+    not say.
     """
 
     leaving: bool = False
     back_off_seconds: float = 0.0
     rate_limit: float | None = None
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -103,11 +107,14 @@
         rate = signals.rate_limit
         if rate is not None and view.limits.name(endpoint, rate):
             announcements.limit(endpoint)
+        cold_seconds = signals.cold_seconds
+        if cold_seconds > 0 and view.limits.cold.extend(endpoint, cold_seconds):
+            announcements.limit(endpoint)
 
     return EndpointGate(
         apply_signals=apply_signals,
         check_call=partial(check_call, view),
-        check_send=partial(check_send, view),
+        check_send=partial(check_send, view, announcements),
         check_service=partial(check_service, view),
         is_limited=lambda endpoint: view.limits.is_limited(endpoint.identity),
         may_poll=partial(may_poll, view, announcements.call_spent),
@@ -125,14 +132,17 @@
 
 
 def check_send(
-    view: EndpointView, work: CallerRequest, placement: DispatchPlan
+    view: EndpointView,
+    announcements: Announcements,
+    work: CallerRequest,
+    placement: DispatchPlan,
 ) -> Failure | None:
     """Refuse a request one of whose endpoints must get no part of it now."""
     for helper in placement.endpoints[1:]:
         if not view.is_usable(helper):
             detail = f'{helper.name} is leaving or gone'
             return not_run(Reason.ENDPOINT_UNAVAILABLE, detail)
-    refusal = _check_permits(view, placement)
+    refusal = _check_permits(view, announcements, placement)
     if refusal is not None:
         return refusal
     back_offs = view.back_offs
@@ -147,23 +157,54 @@
 
 
 def _check_permits(
-    view: EndpointView, placement: DispatchPlan
+    view: EndpointView, announcements: Announcements, placement: DispatchPlan
 ) -> Failure | None:
     """Refuse a request to an endpoint that named a limit after its placement.
 
-    Another endpoint may take it, or the decider may permit it then.
+    Another endpoint may take it, or the decider may permit it then. The decider
+    may also not know yet that an endpoint is cold, so it is told of that.
     """
     if not view.limits:
         return None
     for endpoint in placement.endpoints:
         is_limited = view.limits.is_limited(endpoint.identity)
-        if is_limited and endpoint.identity not in placement.permitted:
+        if not is_limited or endpoint.identity in placement.permitted:
+            continue
+        if not _may_send_unpermitted(view, announcements, endpoint):
             detail = f'{endpoint.name} limits its rate'
             return not_run(Reason.ENDPOINT_UNAVAILABLE, detail)
     _count_call(view, placement.endpoint, CallKind.REQUEST)
     return None
 
 
+def _may_send_unpermitted(
+    view: EndpointView,
+    announcements: Announcements,
+    endpoint: ListedEndpoint,
+) -> bool:
+    """Return whether a request may be sent without a permit.
+
+    Not to an endpoint that named a lower limit. To a cold one, if it will be
+    warm within the time by which entries differ on that, or if the planner,
+    that doesn't know of it, has no other endpoint left: a request that runs
+    out of placements would fail.
+    """
+    limits = view.limits
+    cold = limits.cold.limit_of(endpoint.identity)
+    if cold is None or cold.rate > limits.rate_of(endpoint.identity):
+        return False
+    if cold.seconds_left < SAME_END_SECONDS:
+        return True
+    announcements.limit(endpoint)
+    others = view.usable(endpoint.service)
+    if not all(limits.is_limited(each.identity) for each in others):
+        return False
+    if not limits.cold.take_unpermitted(endpoint.identity):
+        return False
+    announcements.call_spent(endpoint)
+    return True
+
+
 def check_service(view: EndpointView, service: str) -> Failure | None:
     """Refuse a request while no endpoint of its service may be chosen.
 
@@ -185,14 +226,16 @@
 ) -> bool:
     """Return whether an endpoint's report may be polled now, and count it.
 
-    While an endpoint limits its rate, its answers to requests tell as much.
+    While an endpoint names a limit, its answers to requests tell as much.
     It is polled only if there were none for a while, since an endpoint that
-    gets nothing can't say that its limit has ended.
+    gets nothing can't say that its limit has ended. When a cold state ends is
+    known, so polls of a cold endpoint only count.
     """
     limits = view.limits
     if not limits.is_limited(endpoint.identity):
         return True
-    if limits.seconds_untold(endpoint.identity) < UNTOLD_SECONDS:
+    is_told = limits.seconds_untold(endpoint.identity) < UNTOLD_SECONDS
+    if is_told and not is_limited_as_cold(limits, endpoint.identity):
         return False
     _count_call(view, endpoint, CallKind.REPORT)
     spend(endpoint)
--- a/src/limpetdrift/coordination/endpoint_permits.py
+++ b/src/limpetdrift/coordination/endpoint_permits.py
@@ -12,7 +12,7 @@
 from limpetdrift import telemetry
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS
+from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS, is_limited_as_cold
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.engine_ledger import EngineUsage
 from limpetdrift.state.rate_budget import RateBudgets, RetryTimes
@@ -60,9 +60,13 @@
     def may_try(self, endpoint: ListedEndpoint) -> bool:
         """Return whether a call is due that tells if a limit has ended.
 
-        An endpoint with a limit of zero would else be lost for good.
+        An endpoint with a limit of zero would else be lost for good. When a
+        cold state ends is known.
         """
-        return self._limits.seconds_untold(endpoint.identity) >= UNTOLD_SECONDS
+        limits = self._limits
+        if is_limited_as_cold(limits, endpoint.identity):
+            return False
+        return limits.seconds_untold(endpoint.identity) >= UNTOLD_SECONDS
 
     def open_only(
         self, endpoints: tuple[ListedEndpoint, ...]
--- a/src/limpetdrift/coordination/limit_exchange.py
+++ b/src/limpetdrift/coordination/limit_exchange.py
@@ -25,6 +25,7 @@
     PULL_PATH,
     PUSH_PATH,
     SPENT_PATH,
+    UNNAMED_AGE_SECONDS,
     LimitRecord,
     LimitRecords,
     LimitsDigest,
@@ -214,7 +215,8 @@
     def _tell_all(self, record: LimitRecord | None) -> None:
         if record is not None:
             self._replicator.add(record)
-            self._inputs.kept.keep(record)
+            if record.age_seconds < UNNAMED_AGE_SECONDS:
+                self._inputs.kept.keep(record)
 
     async def _answer_spent(
         self, message: SpentCalls
--- a/src/limpetdrift/coordination/routing_merge.py
+++ b/src/limpetdrift/coordination/routing_merge.py
@@ -40,6 +40,10 @@
         """The era and the version."""
         return self.era, self.version
 
+    def confirm(self, requested_at: float) -> None:
+        """Record that a read that began then found no newer list."""
+        self.confirmed_at = max(self.confirmed_at, requested_at)
+
     def move_to(self, era: int, version: int) -> None:
         """Take another position."""
         self.era = era
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -298,10 +298,7 @@
             )
             if are_routes_newer
             else None,
-            endpoints=self._list_packer.pack(
-                (*list_state.position, list_state.digest),
-                self._inputs.endpoints,
-            )
+            endpoints=_pack_endpoints(self._list_packer, self._inputs)
             if is_list_newer
             else None,
         )
@@ -369,6 +366,17 @@
     )
 
 
+def _pack_endpoints(packer: _Packer, inputs: RoutingRelayInputs) -> bytes:
+    """Return the packed list; it is packed again as cold times fall."""
+    endpoints = inputs.endpoints()
+    list_state = inputs.endpoint_list_state
+    cold = (int(each.cold_seconds) for each in endpoints)
+    return packer.pack(
+        (*list_state.position, list_state.digest, *filter(None, cold)),
+        lambda: endpoints,
+    )
+
+
 def _choose_some(inputs: RoutingRelayInputs) -> list[Address]:
     """Return a few random peers, or seeds before any peer is known."""
     own_address = inputs.node.peer_address
--- a/src/limpetdrift/platform/configuration.py
+++ b/src/limpetdrift/platform/configuration.py
@@ -86,6 +86,10 @@
     name: str
     engine: _Engine | None = None
     health_path: str = msgspec.field(default='', name='healthPath')
+    # Time for which an endpoint is cold after its start, and the requests a
+    # second that it can handle then, 0 without a bound.
+    cold_start_s: float = msgspec.field(default=0, name='coldStartS')
+    cold_per_s: float = msgspec.field(default=0, name='coldPerS')
 
 
 class _Account(msgspec.Struct, kw_only=True, rename='camel'):
@@ -131,6 +135,8 @@
                 name=each.name,
                 engine=_convert_engine(each.engine),
                 health_path=each.health_path,
+                cold_start_seconds=each.cold_start_s,
+                cold_requests_per_second=each.cold_per_s,
             )
             for each in document.services
         ),
--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -13,8 +13,11 @@
 RETRY_AFTER_HEADER = 'retry-after'
 # Set while the endpoint limits the rate of requests from all entries.
 LIMIT_HEADER = 'server-limit'
+# How much longer the endpoint is cold, in milliseconds.
+COLD_HEADER = 'cold-ms'
 INSTANCE_HEADER = 'instance-id'
 _SET = '1'
+_MILLISECONDS = 1000.0
 # A number that is not negative. One beyond the range of floating point is
 # infinite.
 _NUMBER = re.compile(r'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?', flags=re.ASCII)
@@ -35,6 +38,7 @@
         leaving=by_name.get(LEAVING_HEADER, '').strip() == _SET,
         back_off_seconds=_decode_back_off(endpoint, status, by_name),
         rate_limit=_decode_rate_limit(endpoint, headers),
+        cold_seconds=_decode_cold_seconds(endpoint, by_name.get(COLD_HEADER)),
     )
 
 
@@ -65,6 +69,20 @@
     return seconds
 
 
+def _decode_cold_seconds(endpoint: ListedEndpoint, text: str | None) -> float:
+    if text is None:
+        return 0.0
+    milliseconds = parse_decimal(text)
+    if milliseconds is None:
+        warn(
+            'remaining cold time is no number',
+            endpoint=endpoint.name,
+            value=text,
+        )
+        return 0.0
+    return milliseconds / _MILLISECONDS
+
+
 def _decode_rate_limit(
     endpoint: ListedEndpoint, headers: Headers
 ) -> float | None:
--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -7,7 +7,8 @@
 show endpoints that had gone; these stay out until their rows are written anew.
 """
 
-from collections.abc import Callable, Iterable
+import time
+from collections.abc import Callable, Collection, Iterable
 
 import trio
 
@@ -24,6 +25,7 @@
 # come back within two seconds of its end; other endpoints are gone.
 LAPSE_GRACE_SECONDS = 2.0
 _CHECK_INTERVAL_SECONDS = 0.2
+_MILLISECONDS = 1000
 
 # Returns whether the store is unreachable, or was within the given seconds.
 OutageWithin = Callable[[float], bool]
@@ -33,7 +35,8 @@
     """Keeps the endpoint view in line with the endpoint list.
 
     ``on_drop`` is called when endpoints are dropped after the grace period, for
-    which no row of the list changes.
+    which no row of the list changes. ``time_of_day`` returns seconds since
+    1970.
     """
 
     def __init__(
@@ -42,10 +45,12 @@
         view: EndpointView,
         outage_within: OutageWithin,
         on_drop: Callable[[], None],
+        time_of_day: Callable[[], float] = time.time,
     ) -> None:
         self._view = view
         self._outage_within = outage_within
         self._on_drop = on_drop
+        self._time_of_day = time_of_day
         self._lapsed: set[str] = set()
         self._has_lapsed = trio.Event()
         self._logged_errors: dict[str, str] = {}
@@ -74,7 +79,13 @@
             if current.name not in names:
                 self._drop(current.name)
         self._lapsed -= names
-        self._put_all(listed)
+        # A row that was read before states a remaining time of then.
+        seen = {
+            row.key
+            for row in rows
+            if row.version == self._row_versions.get(row.key)
+        }
+        self._put_all(listed, seen)
         self._row_versions = {row.key: row.version for row in rows}
         note('endpoint list read', endpoints=len(listed), rows=len(rows))
 
@@ -136,11 +147,21 @@
         self._lapsed.clear()
         self._on_drop()
 
-    def _put_all(self, endpoints: Iterable[ListedEndpoint]) -> None:
+    def _put_all(
+        self,
+        endpoints: Iterable[ListedEndpoint],
+        seen: Collection[str] = (),
+    ) -> None:
+        """Put endpoints in the view; ``seen`` names those of rows known here.
+
+        A row that is seen again must not begin a cold state anew.
+        """
         changed = []
         for endpoint in endpoints:
             self._gone.discard(endpoint)
             current = self._view.find(endpoint.name)
+            if endpoint.name not in seen:
+                self._apply_cold_time(endpoint, current)
             # The lifetime is the time of the start, so it grows.
             if current is not None and current.lifetime < endpoint.lifetime:
                 self._record_departure(current.name)
@@ -157,6 +178,17 @@
         if changed:
             self._view.put_all(changed)
 
+    def _apply_cold_time(
+        self, endpoint: ListedEndpoint, current: ListedEndpoint | None
+    ) -> None:
+        is_new = current is None or current.lifetime < endpoint.lifetime
+        started_at = endpoint.lifetime / _MILLISECONDS
+        self._view.limits.cold.apply_row(
+            endpoint,
+            is_new=is_new,
+            age_seconds=self._time_of_day() - started_at,
+        )
+
     def _drop(self, name: str) -> None:
         """Drop an endpoint, or only mark it as lapsed in or after an outage."""
         if self._outage_within(LAPSE_GRACE_SECONDS):
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -97,6 +97,7 @@
     report_client: HttpClient,
 ) -> Planning:
     """Return the components; ``report_client`` polls the engines' reports."""
+    _bound_cold_endpoints(context)
     planner, plan_placer, deciders = _build_planner(context, call)
     planner_client = plan_placer.planner_client
     permits = planner.permits
@@ -160,6 +161,14 @@
     )
 
 
+def _bound_cold_endpoints(context: EntryContext) -> None:
+    cold = context.view.limits.cold
+    cold.use_services(context.routes.services)
+    context.routes.on_change.append(
+        lambda table: cold.use_services(table.services)
+    )
+
+
 def _build_limit_rows(context: EntryContext) -> LimitRows:
     return LimitRows(
         inputs=LimitRowsInputs(
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 import trio
@@ -115,7 +115,7 @@
                     self._endpoint_sync.apply,
                     page,
                 ),
-                on_confirmed=self._confirm_list,
+                on_confirmed=self._list_state.confirm,
                 on_store_lost=self.relay.notify_waiters,
                 is_enabled=lambda: self.relay.is_store_reader,
                 wait_enabled=self.relay.wait_store_reader,
@@ -162,7 +162,7 @@
             routes=inputs.routes,
             endpoint_list_state=self._list_state,
             evacuations=self._evacuations,
-            endpoints=lambda: inputs.view.listed,
+            endpoints=lambda: _list_with_cold_times(inputs.view),
             replace_endpoints=self._replace_endpoints,
             entries=inputs.entries,
             seeds=inputs.seeds,
@@ -208,11 +208,6 @@
         self._list_state.digest = digest_of(self._inputs.view.listed)
         self._on_change()
 
-    def _confirm_list(self, requested_at: float) -> None:
-        self._list_state.confirmed_at = max(
-            self._list_state.confirmed_at, requested_at
-        )
-
     def _apply_operator_snapshot(
         self, page: RowPage, requested_at: float
     ) -> None:
@@ -260,6 +255,17 @@
         self.relay.notify_waiters()
 
 
+def _list_with_cold_times(view: EndpointView) -> tuple[ListedEndpoint, ...]:
+    """Return the list with the remaining cold times as of now."""
+    seconds = view.limits.cold.list_now(view.listed)
+    return tuple(
+        replace(each, cold_seconds=seconds.get(each.identity, 0.0))
+        if each.cold_seconds or each.identity in seconds
+        else each
+        for each in view.listed
+    )
+
+
 def _make_watcher(
     inputs: ReplicaInputs, subscription: TableSubscription
 ) -> TableWatcher:
--- a/src/limpetdrift/protocol/limits.py
+++ b/src/limpetdrift/protocol/limits.py
@@ -12,6 +12,8 @@
 PULL_PATH = 'limits-pull'
 SPENT_PATH = 'limits-spent'
 PERMIT_PATH = 'permit'
+# The age of a limit that was never named.
+UNNAMED_AGE_SECONDS = 1_000_000.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -19,12 +21,16 @@
     """A limit that a lifetime of an endpoint named ``age_seconds`` ago.
 
     ``requests_per_second`` is ``None`` if it named none any more. Of two
-    records the younger one holds.
+    records the younger one holds. A limit that was never named has an age of
+    ``UNNAMED_AGE_SECONDS``. The endpoint, of ``service``, is cold for another
+    ``cold_seconds``, which entries of a build without cold endpoints omit.
     """
 
     endpoint: EndpointId
     requests_per_second: float | None
     age_seconds: float
+    service: str = ''
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/route_table.py
+++ b/src/limpetdrift/protocol/route_table.py
@@ -89,11 +89,15 @@
     """A pool of endpoints; ``engine`` is set if they are model engines.
 
     ``health_path`` is the path of their health checks, empty if they have none.
+    An endpoint that starts is cold for ``cold_start_seconds``. A cold one can
+    handle ``cold_requests_per_second``; 0 means that there is no bound.
     """
 
     name: str
     engine: EngineCostModel | None = None
     health_path: str = ''
+    cold_start_seconds: float = 0.0
+    cold_requests_per_second: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/state/endpoint_limits.py
+++ b/src/limpetdrift/state/endpoint_limits.py
@@ -3,7 +3,8 @@
 An endpoint names its limit in each answer, to whichever entry, so the entries
 exchange what they hear. The limit that was named last holds until an answer
 names another one or none: an endpoint that gets nothing says nothing, which is
-no sign that its limit has ended.
+no sign that its limit has ended. An endpoint that is cold has a limit, too,
+without naming it; the lower one holds.
 """
 
 import math
@@ -13,9 +14,10 @@
 from xxhash import xxh64_intdigest
 
 from limpetdrift.logs import note
-from limpetdrift.protocol.limits import LimitRecord
+from limpetdrift.protocol.limits import UNNAMED_AGE_SECONDS, LimitRecord
 from limpetdrift.protocol.plans import EndpointId
 from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.cold_endpoints import ColdEndpoints
 
 # The rate of an endpoint that names no limit, in requests a second.
 UNLIMITED = math.inf
@@ -43,22 +45,27 @@
 
 
 class EndpointLimits:
-    """The rate limits that endpoint lifetimes named in their last answers.
+    """The rate limits of endpoint lifetimes.
 
-    ``clock`` returns seconds and runs on while the machine is suspended.
+    They named them in their last answers, or are ``cold``. ``clock`` returns
+    seconds and runs on while the machine is suspended.
     """
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._limits: dict[Identity, _Limit] = {}
+        self.cold = ColdEndpoints(clock=clock)
 
     def __bool__(self) -> bool:
         """Whether a limit is or was known."""
-        return bool(self._limits)
+        return bool(self._limits or self.cold)
 
     @property
     def digest(self) -> int:
-        """A hash over the limits in force."""
+        """A hash over the named limits in force.
+
+        Cold states are left out, since they end everywhere by themselves.
+        """
         limited = sorted(
             (identity, limit.rate)
             for identity, limit in self._limits.items()
@@ -78,17 +85,24 @@
     def merge(self, record: LimitRecord) -> bool:
         """Apply a peer's record; return whether it changes the limit."""
         identity = (record.endpoint.name, record.endpoint.lifetime)
+        is_colder = self.cold.merge(
+            identity, record.service, record.cold_seconds
+        )
+        if record.age_seconds >= UNNAMED_AGE_SECONDS:
+            return is_colder
         rate = record.requests_per_second
-        return self._apply(
+        has_changed = self._apply(
             identity,
             UNLIMITED if rate is None else rate,
             self._clock() - max(0, record.age_seconds),
         )
+        return has_changed or is_colder
 
     def rate_of(self, identity: Identity) -> float:
         """Return a lifetime's limit, ``UNLIMITED`` if it has none."""
-        limit = self._limits.get(identity)
-        return UNLIMITED if limit is None else limit.rate
+        named = _named_rate(self._limits.get(identity))
+        cold = self.cold.limit_of(identity) if self.cold else None
+        return named if cold is None else min(named, cold.rate)
 
     def is_limited(self, identity: Identity) -> bool:
         """Return whether a lifetime has a limit."""
@@ -97,7 +111,13 @@
     def limited_since(self, identity: Identity) -> float:
         """Return since when this entry knows a lifetime as limited."""
         limit = self._limits.get(identity)
-        return math.inf if limit is None else limit.limited_since
+        cold = self.cold.limit_of(identity)
+        return min(
+            math.inf
+            if limit is None or limit.rate == UNLIMITED
+            else limit.limited_since,
+            math.inf if cold is None else cold.since,
+        )
 
     def record_call(self, identity: Identity) -> None:
         """Record a call whose answer will tell of a lifetime's limit."""
@@ -115,22 +135,29 @@
     def record_of(self, identity: Identity) -> LimitRecord | None:
         """Return what is known of a lifetime's limit, for a peer."""
         limit = self._limits.get(identity)
-        if limit is None:
+        cold = self.cold.limit_of(identity)
+        if limit is None and cold is None:
             return None
         name, lifetime = identity
         return LimitRecord(
             endpoint=EndpointId(name=name, lifetime=lifetime),
-            requests_per_second=_finite(limit.rate),
-            age_seconds=self._clock() - limit.named_at,
+            requests_per_second=_finite(_named_rate(limit)),
+            age_seconds=UNNAMED_AGE_SECONDS
+            if limit is None
+            else self._clock() - limit.named_at,
+            service='' if cold is None else cold.service,
+            cold_seconds=0.0 if cold is None else cold.seconds_left,
         )
 
     def records(self) -> tuple[LimitRecord, ...]:
         """Return all that is known, limits that have ended included."""
-        found = map(self.record_of, tuple(self._limits))
+        identities = dict.fromkeys((*self._limits, *self.cold.identities()))
+        found = map(self.record_of, identities)
         return tuple(each for each in found if each is not None)
 
     def forget_unlisted(self, listed: set[Identity]) -> None:
         """Drop old limits of lifetimes that aren't listed."""
+        self.cold.forget_ended()
         cutoff = self._clock() - UNLISTED_RETENTION_SECONDS
         for identity in self._limits.keys() - listed:
             if self._limits[identity].named_at < cutoff:
@@ -161,6 +188,16 @@
         return True
 
 
+def is_limited_as_cold(limits: EndpointLimits, identity: Identity) -> bool:
+    """Return whether a lifetime is cold and named no lower limit."""
+    cold = limits.cold.limit_of(identity)
+    return cold is not None and cold.rate <= limits.rate_of(identity)
+
+
+def _named_rate(limit: _Limit | None) -> float:
+    return UNLIMITED if limit is None else limit.rate
+
+
 def _finite(rate: float) -> float | None:
     """Return a rate for JSON, which has no infinity."""
     return None if math.isinf(rate) else rate
--- a/tests/era_site.py
+++ b/tests/era_site.py
@@ -130,7 +130,9 @@
             },
         )
 
-    def write_endpoint(self, name: str, born: int = 1, state='ready') -> None:
+    def write_endpoint(
+        self, name: str, born: int = 1, state='ready', **others: object
+    ) -> None:
         self.store.put(
             ENDPOINTS_TABLE,
             name,
@@ -141,6 +143,7 @@
                 'slots': 8,
                 'state': state,
                 'born': born,
+                **others,
             },
         )
 
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -282,6 +282,8 @@
     seconds: float
     status: int
     retry_after_seconds: float | None
+    # Why the entry failed it.
+    reason: str = ''
 
 
 class LimitEntry:
@@ -447,10 +449,13 @@
 
 
 class LimitSite:
-    """Entries, endpoints of an engine and a plain service, and callers."""
+    """Entries, endpoints of an engine and a plain service, and callers.
+
+    ``cold`` has the services' fields on cold endpoints.
+    """
 
     def __init__(
-        self, *, entries: int, engines: int = 14, plain: int = 3
+        self, *, entries: int, engines: int = 14, plain: int = 3, **cold: float
     ) -> None:
         self.network = FakeNetwork(seed=1)
         self.store = StandinStore()
@@ -463,8 +468,8 @@
             version=1,
             routes=(),
             services=(
-                Service(name=ENGINES_SERVICE, engine=COST_MODEL),
-                Service(name=PLAIN_SERVICE),
+                Service(name=ENGINES_SERVICE, engine=COST_MODEL, **cold),
+                Service(name=PLAIN_SERVICE, **cold),
             ),
         )
         self.outcomes: list[Outcome] = []
@@ -575,6 +580,7 @@
                 seconds=trio.current_time() - now,
                 status=status,
                 retry_after_seconds=float(retry_after) if retry_after else None,
+                reason=(exchange.response or _LOST).body.decode(),
             ),
         )
 
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -187,6 +187,17 @@
         assert digest_of((endpoint,)) == digest_of((ENGINE,))
 
 
+def test_services_state_their_bound_on_cold_endpoints():
+    services = [{'name': 's', 'coldStartS': 8, 'coldPerS': 2.5}, {'name': 'd'}]
+    document = {'version': 1, 'services': services}
+    table = decode_route_table(json.dumps(document).encode()).ok
+    bounds = [
+        (each.cold_start_seconds, each.cold_requests_per_second)
+        for each in table.services
+    ]
+    assert bounds == [(8, 2.5), (0, 0)]
+
+
 def test_valid_row_is_decoded_to_an_endpoint():
     endpoint = decode_endpoint('i-1', json.dumps(ROW).encode()).ok
     assert endpoint == ENGINE
