Move engine usage and prefill schedules out of the ledger

Pure move: the value types are now in state/engine_usage, the booked prefills of an engine in state/prefill_schedule. tests/test_splitting and tests/test_planning_groups pass (43).

--- a/src/limpetdrift/coordination/endpoint_permits.py
+++ b/src/limpetdrift/coordination/endpoint_permits.py
@@ -14,7 +14,7 @@
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS
 from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.state.engine_ledger import EngineUsage
+from limpetdrift.state.engine_usage import EngineUsage
 from limpetdrift.state.rate_budget import RateBudgets, RetryTimes
 
 UNLIMITED_CALLS = float('inf')
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -47,12 +47,8 @@
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import PEER_SOURCE, EndpointView
-from limpetdrift.state.engine_ledger import (
-    Booking,
-    EngineLedger,
-    PlanLease,
-    StreamUse,
-)
+from limpetdrift.state.engine_ledger import EngineLedger, PlanLease
+from limpetdrift.state.engine_usage import Booking, StreamUse
 from limpetdrift.state.rate_budget import LEADING_SHARE
 
 FindCostModel = Callable[[str], EngineCostModel | None]
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -18,7 +18,7 @@
 )
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.state.engine_ledger import EngineUsage, StreamUse
+from limpetdrift.state.engine_usage import EngineUsage, StreamUse
 
 # Numbers of parts that are tried; the platform allows 16 helpers.
 PART_COUNTS = (1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 14, 17)
--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -8,7 +8,7 @@
 from limpetdrift.coordination.prompt_splitting import Split
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
-from limpetdrift.state.engine_ledger import EngineUsage
+from limpetdrift.state.engine_usage import EngineUsage
 
 # Admission threshold: a prompt is refused if its first token is expected after
 # more than this share of the time left.
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -9,9 +9,10 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from functools import cached_property
 
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.state.engine_usage import Booking, EngineUsage
+from limpetdrift.state.prefill_schedule import PrefillSchedule
 
 # Back-off after an engine's failure, during which other engines are
 # preferred, and its ceiling. It doubles with each further failure.
@@ -26,78 +27,9 @@
 REPORT_STALENESS_BOUND_SECONDS = 2.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StreamUse:
-    """A stream that an engine decodes, and the pauses that it tolerates.
-
-    It is late after a pause of ``pause_seconds``, and its caller gives up
-    after one of ``patience_seconds``. ``worth`` is its weight among streams.
-    """
-
-    pause_seconds: float
-    patience_seconds: float = float('inf')
-    worth: float = 1.0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Booking:
-    """What one plan uses of one engine.
-
-    The prefill takes ``read_seconds`` and begins after ``delay_seconds`` at
-    the earliest. ``stream`` is set only at the writer.
-    """
-
-    endpoint: ListedEndpoint
-    read_seconds: float
-    delay_seconds: float = 0.0
-    memory_tokens: int = 0
-    stream: StreamUse | None = None
-
-
-@dataclass(frozen=True, kw_only=True)
-class EngineUsage:
-    """The load on one engine, by which placements are decided.
-
-    ``backlog_seconds`` is the time until all booked prefills end, and
-    ``gap_seconds`` the time until the next one begins, zero during one.
-    ``written`` holds the planned streams that it decodes. ``unplanned`` counts
-    its requests that belong to no plan. ``queued`` is the length of its own
-    queue, or 0 while ``unplanned`` is 0. ``pace`` is a slowdown factor: 2.0
-    means that the engine takes twice its usual time. ``calls_left`` is the
-    number of calls that it may get now, infinite if it doesn't limit them.
-    """
-
-    endpoint: ListedEndpoint
-    backlog_seconds: float = 0.0
-    gap_seconds: float = float('inf')
-    memory_tokens: int = 0
-    written: tuple[StreamUse, ...] = ()
-    unplanned: int = 0
-    queued: int = 0
-    pace: float = 1.0
-    failing: bool = False
-    calls_left: float = float('inf')
-
-    @cached_property
-    def streams(self) -> int:
-        """The number of streams that the engine decodes, planned or not."""
-        return len(self.written) + self.unplanned
-
-    @cached_property
-    def pause_seconds(self) -> float:
-        """The shortest pause bound of its streams, infinite without any."""
-        bounds = [stream.pause_seconds for stream in self.written]
-        return min(bounds, default=float('inf'))
-
-    def wait_seconds(self, read_seconds: float) -> float:
-        """Return how long a prefill of this length waits for others."""
-        return 0 if read_seconds < self.gap_seconds else self.backlog_seconds
-
-
 @dataclass(kw_only=True, slots=True)
 class _Engine:
-    # Times at which booked prefills begin and end, in order.
-    prefills: list[tuple[float, float]] = field(default_factory=list)
+    prefills: PrefillSchedule = field(default_factory=PrefillSchedule)
     failures: int = 0
     failing_until: float = float('-inf')
     report: EngineReport | None = None
@@ -165,7 +97,7 @@
             engine = self._engine(booking.endpoint)
             engine.bookings[lease.name] = booking
             engine.usage = None
-            _schedule_prefill(engine, booking, now)
+            engine.prefills.add(booking, now)
 
     def end(self, plan_name: str) -> None:
         """Remove a plan; an unknown one is ignored."""
@@ -283,8 +215,7 @@
 def _compute_usage(
     endpoint: ListedEndpoint, engine: _Engine, now: float
 ) -> EngineUsage:
-    while engine.prefills and engine.prefills[0][1] <= now:
-        engine.prefills.pop(0)
+    engine.prefills.forget_ended(now)
     written = tuple(
         booking.stream
         for booking in engine.bookings.values()
@@ -299,8 +230,8 @@
         unplanned=engine.unplanned,
         queued=report.queued if report and engine.unplanned else 0,
         pace=report.pace if report else 1.0,
-        backlog_seconds=_prefills_end_at(engine, now) - now,
-        gap_seconds=_gap_seconds(engine, now),
+        backlog_seconds=engine.prefills.ends_at(now) - now,
+        gap_seconds=engine.prefills.gap_seconds(now),
         memory_tokens=engine.unplanned_tokens
         + sum(booking.memory_tokens for booking in engine.bookings.values()),
         written=written,
@@ -321,31 +252,3 @@
     if engine.unplanned:
         changes_at.append(engine.reported_at + REPORT_STALENESS_BOUND_SECONDS)
     return min(changes_at)
-
-
-def _schedule_prefill(engine: _Engine, booking: Booking, now: float) -> None:
-    """Book a prefill at an engine.
-
-    It begins after its delay if no prefill is running and it ends before the
-    next one begins; otherwise it also waits for all booked prefills to end.
-    """
-    if booking.read_seconds <= 0:
-        return
-    starts_at = now + booking.delay_seconds
-    ends_after_seconds = booking.delay_seconds + booking.read_seconds
-    if ends_after_seconds > _gap_seconds(engine, now):
-        starts_at = max(starts_at, _prefills_end_at(engine, now))
-    engine.prefills.append((starts_at, starts_at + booking.read_seconds))
-    engine.prefills.sort()
-
-
-def _prefills_end_at(engine: _Engine, now: float) -> float:
-    return max((now, *(ends_at for _, ends_at in engine.prefills)))
-
-
-def _gap_seconds(engine: _Engine, now: float) -> float:
-    """Return the time until the next booked prefill, zero during one."""
-    pending_starts = [
-        start for start, ends_at in engine.prefills if ends_at > now
-    ]
-    return max(0, min(pending_starts) - now) if pending_starts else float('inf')
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -16,13 +16,8 @@
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import EngineReport
-from limpetdrift.state.engine_ledger import (
-    Booking,
-    EngineLedger,
-    EngineUsage,
-    PlanLease,
-    StreamUse,
-)
+from limpetdrift.state.engine_ledger import EngineLedger, PlanLease
+from limpetdrift.state.engine_usage import Booking, EngineUsage, StreamUse
 
 COST_MODEL = EngineCostModel(
     slots=8,
