Confirm the plans of waiting prompts before they are sent

A split prompt with a delay booked its engines for all that came later, so urgent prompts queued behind prompts that only waited, and the delayed plan was sent even if its engines had died, slowed or been joined by others.

A plan with a delay over 0.1 s is now tentative. A prompt that comes before it in the order (priority, latest start, account share, arrival) is planned as if it had booked nothing, at most 3 times or for 2 s. When its delay is over, the entry asks again (path plan-start), and the planner plans it anew under the same grant, lets it wait on, or refuses it. Plans that are reported to a new planner carry their order. Earlier builds get and make no tentative plans; if the planner doesn't answer in 0.08 s or doesn't know path or grant, the prompt is sent as first planned. The engine orders and the bookings of a plan move out of planner.py into modules of their own.

--- a/src/limpetdrift/coordination/attempt_race.py
+++ b/src/limpetdrift/coordination/attempt_race.py
@@ -15,7 +15,7 @@
 from expression import Ok, Result
 
 from limpetdrift.protocol.verdict import Failure
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
 
 # How an attempt ended: ``Ok`` if the caller has the whole answer or has left.
 Outcome = Result[None, Failure]
@@ -36,12 +36,14 @@
     reached the endpoint, and ``sent_at`` is the trio time of that. ``events``
     counts the events received, the first at ``answered_at``. ``has_written`` is
     set once a part of the answer went to the caller.
-    ``failed`` lists endpoints that failed the attempt.
+    ``failed`` lists endpoints that failed the attempt. ``placement`` is the
+    current one, since a placement that waits may be replaced.
     """
 
     race: 'AttemptRace'
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     endpoint: ListedEndpoint | None = None
+    placement: DispatchPlan | None = None
     silent_at: float = math.inf
     is_silent: bool = False
     tries_beside: int = 0
@@ -57,6 +59,11 @@
         """Whether another attempt, or the end of the request, cancelled it."""
         return self.scope.cancel_called
 
+    def use(self, placement: DispatchPlan) -> None:
+        """Set the placement, in place of an earlier one if there is any."""
+        self.placement = placement
+        self.endpoint = placement.endpoint
+
     def mark_sent(self) -> None:
         """Record that the request may reach the endpoint from now on."""
         self.is_sent = True
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding.py
@@ -31,10 +31,7 @@
     relay_events,
     relay_response,
 )
-from limpetdrift.coordination.endpoint_response import (
-    EndpointResponse,
-    SendRequest,
-)
+from limpetdrift.coordination.endpoint_response import SendRequest
 from limpetdrift.coordination.request_logs import (
     log_cut_answer,
     log_end,
@@ -106,6 +103,11 @@
 ReleasePlacement = Callable[
     [CallerRequest, DispatchPlan, Iterable[ListedEndpoint]], None
 ]
+# Returns what to use now in place of a tentative placement whose delay is over;
+# it may have a further delay. The failure refuses the request.
+ConfirmPlacement = Callable[
+    [CallerRequest, DispatchPlan], Awaitable[Result[DispatchPlan, Failure]]
+]
 # Reserves a placement's memory while the context is open; raises
 # ``FailureError`` if the memory is taken.
 ReserveMemory = Callable[
@@ -128,6 +130,14 @@
     yield tried
 
 
+async def keep_placement(
+    request: CallerRequest, placement: DispatchPlan
+) -> Result[DispatchPlan, Failure]:
+    """Use a tentative placement as it is."""
+    await trio.lowlevel.checkpoint()
+    return Ok(placement.as_due())
+
+
 @dataclass(frozen=True, kw_only=True)
 class ForwardingInputs:
     """What the rest of the entry provides to the forwarder.
@@ -142,7 +152,7 @@
     returns whether a request may crash endpoints, and ``is_cut_off`` whether a
     peer has to pass it on since this entry does not reach its service.
     ``report_silence`` is called when an endpoint has not begun to answer in
-    time.
+    time. ``confirm`` is called for tentative placements only.
     """
 
     place: PlaceRequest
@@ -161,6 +171,7 @@
     is_suspected: Callable[[CallerRequest], bool] = lambda request: False
     is_cut_off: Callable[[CallerRequest], bool] = lambda request: False
     report_silence: Callable[[ListedEndpoint], None] = lambda endpoint: None
+    confirm: ConfirmPlacement = keep_placement
 
 
 class Forwarder:
@@ -340,14 +351,41 @@
         if placed.is_error():
             _forget_refused_try(progress, attempt)
             return placed.map(lambda placement: None)
-        placement = placed.ok
-        attempt.endpoint = placement.endpoint
-        log_placement(progress, placement)
+        attempt.use(placed.ok)
+        log_placement(progress, placed.ok)
         try:
-            return await self._reserve_and_send(progress, attempt, placement)
+            return await self._wait_and_send(progress, attempt)
         finally:
             _record_end(progress, attempt)
-            self._inputs.release(progress.request, placement, attempt.failed)
+            self._inputs.release(
+                progress.request, attempt.placement, attempt.failed
+            )
+
+    async def _wait_and_send(
+        self, progress: RequestProgress, attempt: RacingAttempt
+    ) -> Outcome:
+        """Send a request once its engines are expected to be free.
+
+        Engines prefill the newest prompt first, so it must not be sent before.
+        """
+        while True:
+            if attempt.race.is_used_by_other(attempt):
+                _forget_refused_try(progress, attempt)
+                return Error(not_run(Reason.NO_ENDPOINT, 'no other endpoint'))
+            placement = attempt.placement
+            progress.excluded.add(placement.endpoint.identity)
+            await trio.sleep(placement.delay_seconds)
+            if not placement.is_tentative:
+                return await self._reserve_and_send(
+                    progress, attempt, placement
+                )
+            # Nothing was sent to the endpoint, so it may be tried again.
+            progress.excluded.discard(placement.endpoint.identity)
+            confirmed = await self._inputs.confirm(progress.request, placement)
+            if confirmed.is_error():
+                return confirmed.map(lambda unused: None)
+            attempt.use(confirmed.ok)
+            log_placement(progress, confirmed.ok)
 
     async def _reserve_and_send(
         self,
@@ -355,14 +393,7 @@
         attempt: RacingAttempt,
         placement: DispatchPlan,
     ) -> Outcome:
-        if attempt.race.is_used_by_other(attempt):
-            _forget_refused_try(progress, attempt)
-            return Error(not_run(Reason.NO_ENDPOINT, 'no other endpoint'))
-        progress.excluded.add(placement.endpoint.identity)
         try:
-            # Engines prefill the newest prompt first, so the request is sent
-            # only when they are expected to be free.
-            await trio.sleep(placement.delay_seconds)
             async with self._inputs.reserve_memory(placement) as reserved:
                 outcome = await self._send(progress, attempt, reserved)
         except FailureError as error:
@@ -415,7 +446,12 @@
         attempt.expect_answer_within(
             _answer_timeout_seconds(progress, placement)
         )
-        async with self._open_response(progress, placement) as answer:
+        async with self._inputs.send(
+            progress.request,
+            placement,
+            progress.seconds_left(),
+            progress.last_event,
+        ) as answer:
             is_stream = progress.request.route.kind is RequestKind.STREAMING
             if not is_stream or answer.refused or answer.status != OK:
                 return await relay_response(progress, answer, attempt)
@@ -434,18 +470,6 @@
             else self._inputs.check(progress.request)
         )
 
-    def _open_response(
-        self,
-        progress: RequestProgress,
-        placement: DispatchPlan,
-    ) -> AbstractAsyncContextManager[EndpointResponse]:
-        return self._inputs.send(
-            progress.request,
-            placement,
-            progress.seconds_left(),
-            progress.last_event,
-        )
-
     async def _answer_failure(
         self, progress: RequestProgress, failure: Failure
     ) -> None:
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -22,6 +22,10 @@
 )
 from limpetdrift.coordination.fingerprints import fingerprint_of
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.coordination.plan_confirmation import (
+    START_PATH,
+    make_confirmation,
+)
 from limpetdrift.coordination.planner import endpoint_id_of
 from limpetdrift.coordination.planner_client import (
     ACTIVE_PATH,
@@ -42,6 +46,7 @@
     EngineGroup,
     Plan,
     PlanRequest,
+    PlanStart,
 )
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
@@ -72,7 +77,8 @@
 class PlanPlacer:
     """Places this entry's prompts; ``planner_client`` finds the planners.
 
-    ``groups`` are the groups of engines that have a planner each.
+    ``groups`` are the groups of engines that have a planner each. ``confirm``
+    is to be called before a tentative placement is used.
     """
 
     def __init__(
@@ -88,11 +94,15 @@
         self._inputs = inputs
         self._view = view
         self._randomness = randomness
+        self.confirm = make_confirmation(
+            inputs, self.planner_client, view, self._accept_plan
+        )
 
     def register(self, peer_routes: PeerRoutes) -> None:
         """Add the local planner's handlers to the routes for peers."""
         planner = self._inputs.planner
         peer_routes.add(PLAN_PATH, PlanRequest, planner.answer_plan)
+        peer_routes.add(START_PATH, PlanStart, planner.answer_start)
         peer_routes.add(ENDED_PATH, EndedPlans, planner.answer_ended)
         peer_routes.add(ACTIVE_PATH, ActivePlans, planner.answer_active)
 
@@ -192,6 +202,7 @@
             account=work.account,
             priority=work.priority,
             fingerprint=fingerprint_of(work),
+            confirms=True,
         )
 
     async def _place_elsewhere(
@@ -341,6 +352,7 @@
         grant=plan.grant,
         delay_seconds=plan.delay_seconds,
         read_seconds=plan.read_seconds,
+        is_tentative=plan.waiting is not None,
         permitted=frozenset(
             (each.name, each.lifetime) for each in plan.permitted
         ),
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 
 from expression import Error, Ok, Result
@@ -19,18 +19,24 @@
     EndpointPermits,
     ShareOfLimit,
 )
-from limpetdrift.coordination.engine_cost_model import prefill_seconds
+from limpetdrift.coordination.engine_orders import EngineOrders
+from limpetdrift.coordination.plan_bookings import PlanUse, make_bookings
 from limpetdrift.coordination.prompt_splitting import (
     Split,
     choose_split,
-    start_slack,
-    stream_worth,
 )
-from limpetdrift.coordination.rendezvous import choose_by_hash
 from limpetdrift.coordination.scheduling.admission import (
     MIN_RETRY_AFTER_SECONDS,
     find_refusal,
 )
+from limpetdrift.coordination.scheduling.tentative_plans import TentativePlans
+from limpetdrift.coordination.scheduling.waiting import (
+    Identity,
+    WaitingPrompt,
+    describe_order,
+    make_arrival,
+    may_wait,
+)
 from limpetdrift.logs import note
 from limpetdrift.protocol.plans import (
     Acknowledgement,
@@ -38,17 +44,18 @@
     EndedPlan,
     EndedPlans,
     EndpointId,
-    EngineGroup,
     Plan,
     PlanRequest,
+    PlanStart,
     ReservedTokens,
 )
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import PEER_SOURCE, EndpointView
-from limpetdrift.state.engine_ledger import EngineLedger, PlanLease
-from limpetdrift.state.engine_usage import Booking, StreamUse
+from limpetdrift.state.engine_ledger import EngineLedger
+from limpetdrift.state.engine_usage import PlanLease
+from limpetdrift.state.prefill_schedule import NO_PLANS
 from limpetdrift.state.rate_budget import LEADING_SHARE
 
 FindCostModel = Callable[[str], EngineCostModel | None]
@@ -59,7 +66,9 @@
     """The data from which plans are made.
 
     ``name``, the entry's name, is the prefix of its grants. ``clock`` returns
-    seconds. ``share_of`` is that of ``EndpointPermits``.
+    seconds. ``share_of`` is that of ``EndpointPermits``. ``account_share``
+    returns the part of the engine time that a client account has used,
+    relative to its fair share.
     """
 
     name: str
@@ -67,6 +76,7 @@
     find_cost_model: FindCostModel
     clock: Callable[[], float]
     share_of: ShareOfLimit = lambda endpoint: LEADING_SHARE
+    account_share: Callable[[str], float] = lambda account: 0.0
 
 
 class Planner:
@@ -75,11 +85,9 @@
     def __init__(self, *, inputs: PlannerInputs) -> None:
         self._inputs = inputs
         self._ledgers: dict[str, EngineLedger] = {}
-        self._orders: dict[
-            tuple[str, EngineGroup], tuple[ListedEndpoint, ...]
-        ] = {}
-        self._orders_version = -1
+        self._orders = EngineOrders(name=inputs.name, view=inputs.view)
         self._grant_numbers = count()
+        self.tentative = TentativePlans(clock=inputs.clock)
         self.permits = EndpointPermits(
             view=inputs.view, clock=inputs.clock, share_of=inputs.share_of
         )
@@ -93,19 +101,25 @@
         return found
 
     def plan(
-        self, request: PlanRequest, *, is_decider: bool = True
+        self,
+        request: PlanRequest,
+        *,
+        is_decider: bool = True,
+        waited: WaitingPrompt | None = None,
     ) -> Result[Plan, Failure]:
         """Choose engines for a prompt and book them.
 
         Plans that the request reports as ended are dropped first, and engines
         that it reports as leaving are not used again. Those that limit their
         rate are used within it, and not at all unless this entry
-        ``is_decider``. Fails with ``NO_ENDPOINT`` or ``OVERLOADED``.
+        ``is_decider``. A prompt that has ``waited`` keeps its grant, its place
+        in the order and its permits. Fails with ``NO_ENDPOINT`` or
+        ``OVERLOADED``.
         """
         self.end(request.service, request.ended)
-        self._mark_leaving(request.leaving)
+        _mark_leaving(self._inputs.view, request.leaving)
         cost_model = self._inputs.find_cost_model(request.service)
-        endpoints = self._candidates(request)
+        endpoints = self._orders.candidates(request)
         if cost_model is None or not endpoints:
             return Error(
                 not_run(
@@ -114,45 +128,70 @@
                     retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
                 ),
             )
-        permits = self.permits
-        callable_now = (
-            permits.open_only(endpoints)
-            if is_decider
-            else permits.unlimited_only(endpoints)
+        permitted = waited.permitted if waited else frozenset()
+        callable_now = _find_callable(
+            self.permits, endpoints, permitted, is_decider=is_decider
         )
         if not callable_now:
-            return Error(permits.refuse(request.service, endpoints))
-        usages = permits.with_calls_left(
-            self.ledger(request.service).usages(callable_now)
+            return Error(self.permits.refuse(request.service, endpoints))
+        prompt = waited or make_arrival(
+            request,
+            cost_model,
+            self._inputs.clock(),
+            self._inputs.account_share(request.account),
         )
-        split = choose_split(request, usages, cost_model)
-        refusal = find_refusal(split, usages, request)
-        if refusal is not None:
-            return Error(refusal)
-        grant = '.'.join((self._inputs.name, str(next(self._grant_numbers))))
-        plan = _make_plan(grant, split, request, _take_permits(permits, split))
-        self.book_plan(plan, request)
-        return Ok(plan)
+        return self._choose(request, callable_now, prompt, cost_model)
+
+    def start(self, message: PlanStart) -> Result[Plan, Failure]:
+        """Plan a prompt anew whose tentative plan is due.
+
+        Fails with ``NOT_FOUND`` if the plan is not known as tentative, and
+        otherwise as ``plan`` does. Then it has ended.
+        """
+        waited = self.tentative.pop(message.grant)
+        if waited is None:
+            return Error(not_run(Reason.NOT_FOUND, message.grant))
+        self.ledger(message.request.service).withdraw(message.grant)
+        return self.plan(message.request, waited=waited)
+
+    def rebook_plan(
+        self, plan: Plan, request: PlanRequest, age_seconds: float = 0.0
+    ) -> None:
+        """Book a plan in place of the tentative one of the same grant."""
+        if self.tentative.pop(plan.grant) is not None:
+            self.ledger(request.service).withdraw(plan.grant)
+        self.book_plan(plan, request, age_seconds)
 
     def book_plan(
         self,
         plan: Plan,
         request: PlanRequest,
         age_seconds: float = 0.0,
+        passed: frozenset[str] = NO_PLANS,
     ) -> None:
         """Book a plan that was made ``age_seconds`` ago.
 
-        Prefill that must be over by now is left out.
+        Prefill that must be over by now is left out. That of the tentative
+        plans ``passed`` is put off.
         """
         remaining_seconds = plan.hold_seconds - age_seconds
         if remaining_seconds <= 0:
             return
         self.ledger(request.service).book(
             PlanLease(
-                name=plan.grant, holder=request.entry, seconds=remaining_seconds
+                name=plan.grant,
+                holder=request.entry,
+                seconds=remaining_seconds,
+                is_tentative=plan.waiting is not None,
             ),
-            self._bookings(plan, request, age_seconds),
+            make_bookings(
+                PlanUse(plan=plan, request=request, age_seconds=age_seconds),
+                self._inputs.find_cost_model(request.service),
+                self._inputs.view,
+            ),
+            passed,
         )
+        self.tentative.add(plan, request.service, age_seconds)
 
     def forget_entry(self, name: str) -> None:
         """Drop the plans of an entry that died."""
@@ -163,7 +202,10 @@
         """Drop plans, and record the engines that failed them."""
         ledger = self.ledger(service)
         for each in ended:
-            ledger.end(each.grant)
+            if self.tentative.pop(each.grant) is None:
+                ledger.end(each.grant)
+            else:
+                ledger.withdraw(each.grant)
             for failed in each.failed:
                 ledger.mark_failing((failed.name, failed.lifetime))
                 note('engine failed', engine=failed.name, plan=each.grant)
@@ -173,12 +215,16 @@
         telemetry.count('plans', asked_by='peer')
         return self.plan(message)
 
+    async def answer_start(self, message: PlanStart) -> Result[Plan, Failure]:
+        """Answer a peer that asks whether a waiting prompt may start."""
+        return self.start(message)
+
     async def answer_ended(
         self, message: EndedPlans
     ) -> Result[Acknowledgement, Failure]:
         """Drop a peer's ended plans."""
         self.end(message.service, message.ended)
-        self._mark_leaving(message.leaving)
+        _mark_leaving(self._inputs.view, message.leaving)
         return Ok(Acknowledgement())
 
     async def answer_active(
@@ -187,7 +233,7 @@
     ) -> Result[Acknowledgement, Failure]:
         """Book the plans that a peer got from an earlier planner."""
         for each in message.active:
-            self.book_plan(each.plan, each.request, each.age_seconds)
+            self.rebook_plan(each.plan, each.request, each.age_seconds)
         return Ok(Acknowledgement())
 
     def leaving(self, service: str) -> tuple[EndpointId, ...]:
@@ -195,76 +241,36 @@
         ahead_of_list = self._inputs.view.leaving_ahead_of_list(service)
         return tuple(map(endpoint_id_of, ahead_of_list))
 
-    def _mark_leaving(self, leaving: tuple[EndpointId, ...]) -> None:
-        view = self._inputs.view
-        for each in leaving:
-            endpoint = view.find(each.name, each.lifetime)
-            if endpoint is not None:
-                view.mark_leaving(endpoint, PEER_SOURCE)
-
-    def _candidates(self, request: PlanRequest) -> tuple[ListedEndpoint, ...]:
-        """Return the usable engines, in an order specific to this entry."""
-        ordered = self._ordered_engines(request.service, request.group)
-        if not request.excluded:
-            return ordered
-        excluded = {(each.name, each.lifetime) for each in request.excluded}
-        return tuple(each for each in ordered if each.identity not in excluded)
-
-    def _ordered_engines(
-        self, service: str, group: EngineGroup
-    ) -> tuple[ListedEndpoint, ...]:
-        """Return all usable engines of a group.
-
-        With an order common to all entries, those that plan alone would fill
-        the same engines. The order is computed once for each list of engines.
-        """
-        view = self._inputs.view
-        if view.version != self._orders_version:
-            self._orders.clear()
-            self._orders_version = view.version
-        found = self._orders.get((service, group))
-        if found is None:
-            by_name = {
-                each.name: each
-                for each in view.usable(service)
-                if group.contains(each.failure_domain, each.name)
-            }
-            names = choose_by_hash(self._inputs.name, by_name, len(by_name))
-            found = tuple(by_name[name] for name in names)
-            self._orders[(service, group)] = found
-        return found
-
-    def _bookings(
+    def _choose(
         self,
-        plan: Plan,
         request: PlanRequest,
-        age_seconds: float,
-    ) -> list[Booking]:
-        """Return what remains of a plan at each engine in this entry's view."""
-        cost_model = self._inputs.find_cost_model(request.service)
-        part_seconds = (
-            _part_seconds(plan, request, cost_model) if cost_model else 0
+        endpoints: tuple[ListedEndpoint, ...],
+        prompt: WaitingPrompt,
+        cost_model: EngineCostModel,
+    ) -> Result[Plan, Failure]:
+        """Choose engines for a prompt among some, and book them."""
+        passable = self.tentative.find_passable(prompt)
+        usages = self.permits.with_calls_left(
+            self.ledger(request.service).usages(endpoints, passable)
         )
-        part_seconds -= max(0, age_seconds - plan.delay_seconds)
-        stream = StreamUse(
-            pause_seconds=request.pause_seconds,
-            patience_seconds=request.patience_seconds,
-            worth=stream_worth(request.prompt_tokens),
+        split = choose_split(request, usages, cost_model)
+        refusal = find_refusal(split, usages, request)
+        if refusal is not None:
+            return Error(refusal)
+        plan = _make_plan(
+            prompt.grant
+            or '.'.join((self._inputs.name, str(next(self._grant_numbers)))),
+            split,
+            request,
+            _take_permits(self.permits, split, prompt.permitted),
         )
-        bookings = []
-        for engine in (plan.writer, *plan.helpers):
-            endpoint = self._inputs.view.find(engine.name, engine.lifetime)
-            if endpoint is not None:
-                bookings.append(
-                    Booking(
-                        endpoint=endpoint,
-                        read_seconds=max(0, part_seconds),
-                        delay_seconds=max(0, plan.delay_seconds - age_seconds),
-                        memory_tokens=_memory_tokens(plan, request, engine),
-                        stream=stream if engine == plan.writer else None,
-                    ),
-                )
-        return bookings
+        if may_wait(request, 1 + len(plan.helpers), plan.delay_seconds):
+            order = describe_order(prompt, self._inputs.clock())
+            plan = replace(plan, waiting=order)
+        if passable:
+            self.tentative.record_passes(passable, split)
+        self.book_plan(plan, request, passed=passable)
+        return Ok(plan)
 
 
 def endpoint_id_of(endpoint: ListedEndpoint) -> EndpointId:
@@ -272,37 +278,43 @@
     return EndpointId(name=endpoint.name, lifetime=endpoint.lifetime)
 
 
-def _part_seconds(
-    plan: Plan, request: PlanRequest, cost_model: EngineCostModel
-) -> float:
-    parts = 1 + len(plan.helpers)
-    prefill = prefill_seconds(cost_model, request.prompt_tokens, parts)
-    return prefill + start_slack(cost_model, parts)
-
-
-def _memory_tokens(
-    plan: Plan,
-    request: PlanRequest,
-    engine: EndpointId,
-) -> int:
-    """Return the memory that a plan takes at one engine.
-
-    The writer holds whatever is not reserved at helpers.
-    """
-    reserved = {each.endpoint: each.tokens for each in plan.reserved}
-    if engine != plan.writer:
-        return reserved.get(engine, 0)
-    return request.memory_tokens - sum(reserved.values())
+def _mark_leaving(view: EndpointView, leaving: tuple[EndpointId, ...]) -> None:
+    for each in leaving:
+        endpoint = view.find(each.name, each.lifetime)
+        if endpoint is not None:
+            view.mark_leaving(endpoint, PEER_SOURCE)
+
+
+def _find_callable(
+    permits: EndpointPermits,
+    endpoints: tuple[ListedEndpoint, ...],
+    permitted: frozenset[Identity],
+    *,
+    is_decider: bool,
+) -> tuple[ListedEndpoint, ...]:
+    """Return the engines that may get a prompt, with those ``permitted``."""
+    if not is_decider:
+        return permits.unlimited_only(endpoints)
+    if not permitted:
+        return permits.open_only(endpoints)
+    return tuple(
+        each
+        for each in endpoints
+        if each.identity in permitted or permits.may_call(each)
+    )
 
 
 def _take_permits(
-    permits: EndpointPermits, split: Split
+    permits: EndpointPermits, split: Split, permitted: frozenset[Identity]
 ) -> tuple[EndpointId, ...]:
-    """Count a plan's calls; return the engines that limit their rate."""
+    """Count a plan's calls; return the engines that limit their rate.
+
+    Calls to those ``permitted`` are counted already.
+    """
     return tuple(
         endpoint_id_of(usage.endpoint)
         for usage in (split.writer, *split.helpers)
-        if permits.take(usage.endpoint)
+        if usage.endpoint.identity in permitted or permits.take(usage.endpoint)
     )
 
 
--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planner_client.py
@@ -59,7 +59,9 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _PlanInForce:
+class PlanInForce:
+    """A plan of this entry, and when it was put into use."""
+
     plan: Plan
     request: PlanRequest
     begun_at: float
@@ -74,12 +76,13 @@
 class PlannerClient:
     """Finds the planners, and reports this entry's plans to them.
 
-    Ended plans that are yet to be reported are kept by service and group.
+    ``in_force`` holds this entry's plans by grant. Ended plans that are yet to
+    be reported are kept by service and group.
     """
 
     def __init__(self, *, inputs: PlannerClientInputs) -> None:
         self._inputs = inputs
-        self._active: dict[str, _PlanInForce] = {}
+        self.in_force: dict[str, PlanInForce] = {}
         self._ended: dict[tuple[str, EngineGroup], list[EndedPlan]] = {}
         self._informed_planners: dict[EngineGroup, str] = {}
         self._candidates: dict[EngineGroup, tuple[Node, ...]] = {}
@@ -109,7 +112,7 @@
 
     def begin(self, plan: Plan, request: PlanRequest) -> None:
         """Record a plan that is in force from now on."""
-        self._active[plan.grant] = _PlanInForce(
+        self.in_force[plan.grant] = PlanInForce(
             plan=plan,
             request=request,
             begun_at=self._inputs.clock(),
@@ -117,7 +120,7 @@
 
     def end(self, service: str, ended: EndedPlan) -> None:
         """Drop a plan that has ended, and report it to its planner soon."""
-        dropped = self._active.pop(ended.grant, None)
+        dropped = self.in_force.pop(ended.grant, None)
         group = dropped.request.group if dropped else EngineGroup()
         self.report_soon(service, group, (ended,))
 
@@ -188,7 +191,7 @@
                 request=each.request,
                 age_seconds=now - each.begun_at,
             )
-            for each in self._active.values()
+            for each in self.in_force.values()
             if each.request.group == group
         )
         note(
@@ -210,7 +213,7 @@
         while True:
             await self._planner_changed.wait()
             self._planner_changed = trio.Event()
-            groups = {each.request.group for each in self._active.values()}
+            groups = {each.request.group for each in self.in_force.values()}
             for group in groups.union(self._informed_planners):
                 planner = self.planner(group)
                 informed = self._informed_planners.get(group)
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -104,6 +104,12 @@
     first_token_seconds: float
     cost: float
 
+    @property
+    def identities(self) -> frozenset[tuple[str, int]]:
+        """Names and lifetimes of the engines."""
+        engines = (self.writer, *self.helpers)
+        return frozenset(usage.endpoint.identity for usage in engines)
+
 
 def choose_split(
     request: PlanRequest,
--- a/src/limpetdrift/coordination/request_logs.py
+++ b/src/limpetdrift/coordination/request_logs.py
@@ -17,7 +17,7 @@
     if not progress.is_logged:
         return
     note(
-        'placed',
+        'placed, waits' if placement.is_tentative else 'placed',
         id=progress.request.request_id,
         endpoint=placement.endpoint.name,
         helpers=[each.endpoint.name for each in placement.helpers],
@@ -25,6 +25,7 @@
         prompt_tokens=progress.request.size
         and progress.request.size.prompt_tokens,
         read_seconds=round(placement.read_seconds, 3),
+        delay_seconds=round(placement.delay_seconds, 3),
         grant=placement.grant,
         version=progress.request.version,
         seconds=round(progress.seconds_elapsed(), 3),
--- a/src/limpetdrift/platform/forwarder_wiring.py
+++ b/src/limpetdrift/platform/forwarder_wiring.py
@@ -84,6 +84,7 @@
     inputs = ForwardingInputs(
         place=place,
         release=release,
+        confirm=plan_placer.confirm,
         reserve_memory=make_reserver(
             endpoint_client, context.node.name, gate, context.links
         ),
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -69,7 +69,8 @@
     engines of ``group`` only, and one that costs more than ``cost_limit`` is
     refused. ``account`` is the client account, which may be empty, and priority
     0 the highest. ``fingerprint`` is the same for each try of one request by
-    its caller, and empty if unknown.
+    its caller, and empty if unknown. With ``confirms`` the entry asks again,
+    by a ``PlanStart``, when the delay of a tentative plan is over.
     """
 
     service: str
@@ -90,6 +91,7 @@
     account: str = ''
     priority: int = 0
     fingerprint: str = ''
+    confirms: bool = False
 
     @property
     def memory_tokens(self) -> int:
@@ -105,6 +107,25 @@
     tokens: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WaitingOrder:
+    """The place of a waiting prompt among those that wait.
+
+    All times count from when the plan was made. The prompt must start within
+    ``slack_seconds`` to be on time, and has waited ``waited_seconds``. It was
+    passed over ``passes`` times, first ``passed_seconds`` ago.
+    ``account_share`` is the part of the engine time that its client account
+    has used, relative to its fair share.
+    """
+
+    priority: int
+    slack_seconds: float
+    account_share: float = 0.0
+    waited_seconds: float = 0.0
+    passes: int = 0
+    passed_seconds: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Plan:
     """The engines that process one prompt, and the memory to reserve.
@@ -116,7 +137,8 @@
     The plan counts as ended after ``hold_seconds`` in any case. ``cost`` is
     what the planner expects it to lose, in the worth of one short answer.
     ``permitted`` lists those engines that limit their rate and whose part of
-    the plan is counted there.
+    the plan is counted there. A plan with ``waiting`` is tentative: it is to be
+    confirmed when its delay is over.
     """
 
     grant: str
@@ -128,6 +150,20 @@
     hold_seconds: float = 0.0
     cost: float = 0.0
     permitted: tuple[EndpointId, ...] = ()
+    waiting: WaitingOrder | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlanStart:
+    """Asks what to do with a prompt whose delay is over.
+
+    ``grant`` names its tentative plan, and ``request`` is the request as it is
+    now. The answer is a ``Plan`` with the same grant, possibly with other
+    engines or a further delay, or a refusal.
+    """
+
+    grant: str
+    request: PlanRequest
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -5,7 +5,7 @@
 other fields.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from limpetdrift.protocol.route_table import Route
 from limpetdrift.transport.messages import Headers
@@ -142,7 +142,8 @@
     a request without one, whose placements ``number`` tells apart.
     With ``is_carried``, ``endpoint`` is a peer that passes the request on.
     ``permitted`` has the identities of those endpoints with a rate limit at
-    which the request is counted already.
+    which the request is counted already. One that ``is_tentative`` is to be
+    confirmed after its delay.
     """
 
     endpoint: ListedEndpoint
@@ -155,6 +156,7 @@
     read_seconds: float = 0.0
     permitted: frozenset[tuple[str, int]] = frozenset()
     is_carried: bool = False
+    is_tentative: bool = False
 
     @property
     def endpoints(self) -> tuple[ListedEndpoint, ...]:
@@ -165,3 +167,12 @@
     def identities(self) -> tuple[tuple[str, int], ...]:
         """Names and lifetimes of the endpoint and the helpers."""
         return tuple(each.identity for each in self.endpoints)
+
+    def as_due(self) -> 'DispatchPlan':
+        """Return the same placement, to be used now that its delay is over."""
+        return replace(
+            self,
+            delay_seconds=0.0,
+            read_seconds=self.read_seconds - self.delay_seconds,
+            is_tentative=False,
+        )
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -19,7 +19,12 @@
     ReadReport,
     ReportPollerInputs,
 )
-from limpetdrift.coordination.forwarding import PlaceRequest, ReleasePlacement
+from limpetdrift.coordination.forwarding import (
+    ConfirmPlacement,
+    PlaceRequest,
+    ReleasePlacement,
+    keep_placement,
+)
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.plan_placer import PlanPlacer
 from limpetdrift.coordination.planner import Planner, PlannerInputs
@@ -76,6 +81,7 @@
 
     place: PlaceRequest
     release: ReleasePlacement
+    confirm: ConfirmPlacement = keep_placement
     tasks: tuple[Task, ...] = ()
 
 
@@ -102,6 +108,7 @@
     return EntryPlacement(
         place=placer.place,
         release=placer.release,
+        confirm=placer.confirm,
         tasks=(placer.planner_client.run, poller.run),
     )
 
@@ -109,7 +116,9 @@
 def _place_alone(inputs: EntryInputs) -> EntryPlacement:
     """Plan by this entry's own requests only."""
     placer, _ = _make_placer(inputs, (inputs.node,))
-    return EntryPlacement(place=placer.place, release=placer.release)
+    return EntryPlacement(
+        place=placer.place, release=placer.release, confirm=placer.confirm
+    )
 
 
 def _place_by_reports(inputs: EntryInputs) -> EntryPlacement:
@@ -127,6 +136,7 @@
     return EntryPlacement(
         place=placer.place,
         release=placer.release,
+        confirm=placer.confirm,
         tasks=(poller.run, keep_polling_fast),
     )
 
@@ -165,7 +175,10 @@
 
     inputs.peer_routes.add(DIGEST_PATH, EntryLoad, loads.receive)
     return EntryPlacement(
-        place=place, release=release, tasks=(exchange_digests,)
+        place=place,
+        release=release,
+        confirm=placer.confirm,
+        tasks=(exchange_digests,),
     )
 
 
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -144,6 +144,7 @@
         inputs = ForwardingInputs(
             place=placement.place,
             release=placement.release,
+            confirm=placement.confirm,
             reserve_memory=partial(_reserve_memory, site),
             send=partial(_send, site),
             check=lambda work: None,
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field
 
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
-from limpetdrift.state.engine_usage import Booking, EngineUsage
-from limpetdrift.state.prefill_schedule import PrefillSchedule
+from limpetdrift.state.engine_usage import Booking, EngineUsage, PlanLease
+from limpetdrift.state.prefill_schedule import NO_PLANS, PrefillSchedule
 
 # Back-off after an engine's failure, during which other engines are
 # preferred, and its ceiling. It doubles with each further failure.
@@ -37,6 +37,8 @@
     unplanned_tokens: int = 0
     reported_at: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
+    # Bookings of plans that were booked as tentative.
+    tentative: dict[str, Booking] = field(default_factory=dict)
     # Bookings that ended lately, with the time at which each ended.
     ended: deque[tuple[float, Booking]] = field(default_factory=deque)
     # The last computed usage, until when it holds if nothing else changes.
@@ -44,15 +46,6 @@
     usage_until: float = float('-inf')
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlanLease:
-    """A plan's name, the entry that holds it, and its time limit."""
-
-    name: str
-    holder: str
-    seconds: float
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _BookedPlan:
     holder: str
@@ -80,8 +73,16 @@
         """The number of plans in force."""
         return len(self._plans)
 
-    def book(self, lease: PlanLease, bookings: Iterable[Booking]) -> None:
-        """Book a plan; one that is booked already stays unchanged."""
+    def book(
+        self,
+        lease: PlanLease,
+        bookings: Iterable[Booking],
+        passed: frozenset[str] = NO_PLANS,
+    ) -> None:
+        """Book a plan; one that is booked already stays unchanged.
+
+        Its prefills go before those of the plans ``passed``.
+        """
         if lease.name in self._plans:
             return
         now = self._clock()
@@ -95,9 +96,10 @@
         heapq.heappush(self._time_limits, (ends_at, lease.name))
         for booking in booked:
             engine = self._engine(booking.endpoint)
-            engine.bookings[lease.name] = booking
+            found = engine.tentative if lease.is_tentative else engine.bookings
+            found[lease.name] = booking
             engine.usage = None
-            engine.prefills.add(booking, now)
+            engine.prefills.add(lease, booking, now, passed)
 
     def end(self, plan_name: str) -> None:
         """Remove a plan; an unknown one is ignored."""
@@ -108,12 +110,24 @@
         for booking in ended.bookings:
             engine = self._engine(booking.endpoint)
             engine.bookings.pop(plan_name, None)
+            engine.tentative.pop(plan_name, None)
             engine.ended.append((now, booking))
             _forget_ended(engine, now)
             engine.usage = None
-            if not engine.bookings:
+            if not (engine.bookings or engine.tentative):
                 engine.prefills.clear()
 
+    def withdraw(self, plan_name: str) -> None:
+        """Remove a plan whose prefills have not begun, as if never booked."""
+        withdrawn = self._plans.pop(plan_name, None)
+        if withdrawn is None:
+            return
+        for booking in withdrawn.bookings:
+            engine = self._engine(booking.endpoint)
+            engine.tentative.pop(plan_name, None)
+            engine.prefills.remove(plan_name)
+            engine.usage = None
+
     def end_all_of(self, holder: str) -> None:
         """Remove all plans of one holder."""
         names = [
@@ -152,6 +166,7 @@
         _forget_ended(engine, now)
         counted = [
             *engine.bookings.values(),
+            *engine.tentative.values(),
             *(booking for _, booking in engine.ended),
         ]
         streams = sum(booking.stream is not None for booking in counted)
@@ -168,12 +183,32 @@
     def usages(
         self,
         endpoints: Iterable[ListedEndpoint],
+        left_out: frozenset[str] = NO_PLANS,
     ) -> tuple[EngineUsage, ...]:
-        """Return the load on each of the endpoints, in their order."""
+        """Return the load on each of the endpoints, in their order.
+
+        It doesn't include that of the plans ``left_out``.
+        """
         now = self._clock()
         self._end_overdue(now)
+        if left_out:
+            return tuple(
+                self._usage_without(endpoint, now, left_out)
+                for endpoint in endpoints
+            )
         return tuple(self._usage_of(endpoint, now) for endpoint in endpoints)
 
+    def _usage_without(
+        self,
+        endpoint: ListedEndpoint,
+        now: float,
+        left_out: frozenset[str],
+    ) -> EngineUsage:
+        engine = self._engine(endpoint)
+        if left_out.isdisjoint(engine.tentative):
+            return self._usage_of(endpoint, now)
+        return _compute_usage(endpoint, engine, now, left_out)
+
     def _usage_of(self, endpoint: ListedEndpoint, now: float) -> EngineUsage:
         """Return the usage of one engine, computed anew only if it may differ.
 
@@ -213,27 +248,36 @@
 
 
 def _compute_usage(
-    endpoint: ListedEndpoint, engine: _Engine, now: float
+    endpoint: ListedEndpoint,
+    engine: _Engine,
+    now: float,
+    left_out: frozenset[str] = NO_PLANS,
 ) -> EngineUsage:
     engine.prefills.forget_ended(now)
+    counted = list(engine.bookings.values())
+    if not engine.tentative.keys() <= left_out:
+        counted += (
+            booking
+            for name, booking in engine.tentative.items()
+            if name not in left_out
+        )
     written = tuple(
-        booking.stream
-        for booking in engine.bookings.values()
-        if booking.stream is not None
+        booking.stream for booking in counted if booking.stream is not None
     )
     if now - engine.reported_at > REPORT_STALENESS_BOUND_SECONDS:
         engine.unplanned = 0
         engine.unplanned_tokens = 0
     report = engine.report
+    busy_until, gap_seconds = engine.prefills.span(now, left_out)
     return EngineUsage(
         endpoint=endpoint,
         unplanned=engine.unplanned,
         queued=report.queued if report and engine.unplanned else 0,
         pace=report.pace if report else 1.0,
-        backlog_seconds=engine.prefills.ends_at(now) - now,
-        gap_seconds=engine.prefills.gap_seconds(now),
+        backlog_seconds=busy_until - now,
+        gap_seconds=gap_seconds,
         memory_tokens=engine.unplanned_tokens
-        + sum(booking.memory_tokens for booking in engine.bookings.values()),
+        + sum(booking.memory_tokens for booking in counted),
         written=written,
         failing=engine.failing_until > now,
     )
--- a/src/limpetdrift/state/engine_usage.py
+++ b/src/limpetdrift/state/engine_usage.py
@@ -72,3 +72,16 @@
     def wait_seconds(self, read_seconds: float) -> float:
         """Return how long a prefill of this length waits for others."""
         return 0 if read_seconds < self.gap_seconds else self.backlog_seconds
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlanLease:
+    """A plan's name, the entry that holds it, and its time limit.
+
+    A tentative plan may be left out of usages, and withdrawn.
+    """
+
+    name: str
+    holder: str
+    seconds: float
+    is_tentative: bool = False
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -16,8 +16,13 @@
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import EngineReport
-from limpetdrift.state.engine_ledger import EngineLedger, PlanLease
-from limpetdrift.state.engine_usage import Booking, EngineUsage, StreamUse
+from limpetdrift.state.engine_ledger import EngineLedger
+from limpetdrift.state.engine_usage import (
+    Booking,
+    EngineUsage,
+    PlanLease,
+    StreamUse,
+)
 
 COST_MODEL = EngineCostModel(
     slots=8,
