--- a/tests/test_replay_loads.py
+++ b/tests/test_replay_loads.py
@@ -12,7 +12,7 @@
 import pytest
 
 from limpetdrift import telemetry
-from limpetdrift.coordination import prompt_splitting
+from limpetdrift.coordination import planner, prompt_splitting
 from limpetdrift.replays.figures import RunFigures, compute_figures
 from limpetdrift.replays.simulated_site import RunSpec
 from limpetdrift.replays.simulation import simulate_run
@@ -71,6 +71,34 @@
     assert mean(run.longest_on_time for run in runs) >= LONGEST_ON_TIME_SHARE
 
 
+def play_wave_then_burst(seed: int) -> RunFigures:
+    """Replay a wave of long prompts with a burst of short ones right after."""
+    workload = read_site_workload()
+    wave = workload.cases['long-wave'].bursts[0]
+    burst = workload.cases['short-burst'].bursts[0]
+    case = replace(
+        workload.cases['long-wave'],
+        bursts=(
+            replace(wave, at_seconds=4.0, for_seconds=9.0),
+            replace(burst, at_seconds=13.0, for_seconds=5.0),
+        ),
+    )
+    cases = {**workload.cases, 'wave-then-burst': case}
+    changed = replace(workload, cases=cases)
+    spec = RunSpec(case='wave-then-burst', policy='planner', seed=seed)
+    return compute_figures(changed, simulate_run(changed, spec))
+
+
+def test_short_prompts_after_a_long_wave_pass_waiting_ones(monkeypatch):
+    """Guards against short prompts that queue behind long ones that wait."""
+    runs = [play_wave_then_burst(seed) for seed in (1, 4)]
+    assert mean(run.longest_on_time for run in runs) >= LONGEST_ON_TIME_SHARE
+    monkeypatch.setattr(planner, 'may_wait', lambda *unused: False)
+    unconfirmed = [play_wave_then_burst(seed) for seed in (1, 4)]
+    short_on_time = mean(run.kinds[SHORT].on_time for run in runs)
+    assert short_on_time > mean(run.kinds[SHORT].on_time for run in unconfirmed)
+
+
 def test_burst_of_short_prompts_causes_no_refusals():
     for run in figures_of_planner('short-burst'):
         assert not run.kinds[SHORT].refused
