--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -18,7 +18,7 @@
 )
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.state.engine_ledger import EngineUsage, StreamUse
+from limpetdrift.state.engine_usage import EngineUsage, StreamUse
 
 # Numbers of parts that are tried; the platform allows 16 helpers.
 PART_COUNTS = (1, 2, 3, 4, 5, 6, 7, 8, 10, 12, 14, 17)
@@ -104,6 +104,12 @@
     first_token_seconds: float
     cost: float
 
+    @property
+    def identities(self) -> frozenset[tuple[str, int]]:
+        """Names and lifetimes of the engines."""
+        engines = (self.writer, *self.helpers)
+        return frozenset(usage.endpoint.identity for usage in engines)
+
 
 def choose_split(
     request: PlanRequest,
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -9,9 +9,10 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from functools import cached_property
 
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.state.engine_usage import Booking, EngineUsage, PlanLease
+from limpetdrift.state.prefill_schedule import NO_PLANS, PrefillSchedule
 
 # Back-off after an engine's failure, during which other engines are
 # preferred, and its ceiling. It doubles with each further failure.
@@ -29,79 +30,9 @@
 REPORT_STALENESS_BOUND_SECONDS = 2.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StreamUse:
-    """A stream that an engine decodes, and the pauses that it tolerates.
-
-    It is late after a pause of ``pause_seconds``, and its caller gives up
-    after one of ``patience_seconds``. ``worth`` is its weight among streams.
-    """
-
-    pause_seconds: float
-    patience_seconds: float = float('inf')
-    worth: float = 1.0
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Booking:
-    """What one plan uses of one engine.
-
-    The prefill takes ``read_seconds`` and begins after ``delay_seconds`` at
-    the earliest. ``stream`` is set only at the writer.
-    """
-
-    endpoint: ListedEndpoint
-    read_seconds: float
-    delay_seconds: float = 0.0
-    memory_tokens: int = 0
-    stream: StreamUse | None = None
-
-
-@dataclass(frozen=True, kw_only=True)
-class EngineUsage:
-    """The load on one engine, by which placements are decided.
-
-    ``backlog_seconds`` is the time until all booked prefills end, and
-    ``gap_seconds`` the time until the next one begins, zero during one.
-    ``written`` holds the planned streams that it decodes. ``unplanned`` counts
-    its requests that belong to no plan. ``queued`` is the length of its own
-    queue, or 0 while ``unplanned`` is 0, and at least 1 for a while after it
-    turned a request away. ``pace`` is a slowdown factor: 2.0
-    means that the engine takes twice its usual time. ``calls_left`` is the
-    number of calls that it may get now, infinite if it doesn't limit them.
-    """
-
-    endpoint: ListedEndpoint
-    backlog_seconds: float = 0.0
-    gap_seconds: float = float('inf')
-    memory_tokens: int = 0
-    written: tuple[StreamUse, ...] = ()
-    unplanned: int = 0
-    queued: int = 0
-    pace: float = 1.0
-    failing: bool = False
-    calls_left: float = float('inf')
-
-    @cached_property
-    def streams(self) -> int:
-        """The number of streams that the engine decodes, planned or not."""
-        return len(self.written) + self.unplanned
-
-    @cached_property
-    def pause_seconds(self) -> float:
-        """The shortest pause bound of its streams, infinite without any."""
-        bounds = [stream.pause_seconds for stream in self.written]
-        return min(bounds, default=float('inf'))
-
-    def wait_seconds(self, read_seconds: float) -> float:
-        """Return how long a prefill of this length waits for others."""
-        return 0 if read_seconds < self.gap_seconds else self.backlog_seconds
-
-
 @dataclass(kw_only=True, slots=True)
 class _Engine:
-    # Times at which booked prefills begin and end, in order.
-    prefills: list[tuple[float, float]] = field(default_factory=list)
+    prefills: PrefillSchedule = field(default_factory=PrefillSchedule)
     failures: int = 0
     failing_until: float = float('-inf')
     full_until: float = float('-inf')
@@ -110,6 +41,8 @@
     unplanned_tokens: int = 0
     reported_at: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
+    # Bookings of plans that were booked as tentative.
+    tentative: dict[str, Booking] = field(default_factory=dict)
     # Bookings that ended lately, with the time at which each ended.
     ended: deque[tuple[float, Booking]] = field(default_factory=deque)
     # The last computed usage, until when it holds if nothing else changes.
@@ -117,15 +50,6 @@
     usage_until: float = float('-inf')
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PlanLease:
-    """A plan's name, the entry that holds it, and its time limit."""
-
-    name: str
-    holder: str
-    seconds: float
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _BookedPlan:
     holder: str
@@ -153,8 +77,16 @@
         """The number of plans in force."""
         return len(self._plans)
 
-    def book(self, lease: PlanLease, bookings: Iterable[Booking]) -> None:
-        """Book a plan; one that is booked already stays unchanged."""
+    def book(
+        self,
+        lease: PlanLease,
+        bookings: Iterable[Booking],
+        passed: frozenset[str] = NO_PLANS,
+    ) -> None:
+        """Book a plan; one that is booked already stays unchanged.
+
+        Its prefills go before those of the plans ``passed``.
+        """
         if lease.name in self._plans:
             return
         now = self._clock()
@@ -168,9 +100,10 @@
         heapq.heappush(self._time_limits, (ends_at, lease.name))
         for booking in booked:
             engine = self._engine(booking.endpoint)
-            engine.bookings[lease.name] = booking
+            found = engine.tentative if lease.is_tentative else engine.bookings
+            found[lease.name] = booking
             engine.usage = None
-            _schedule_prefill(engine, booking, now)
+            engine.prefills.add(lease, booking, now, passed)
 
     def end(self, plan_name: str) -> None:
         """Remove a plan; an unknown one is ignored."""
@@ -181,12 +114,24 @@
         for booking in ended.bookings:
             engine = self._engine(booking.endpoint)
             engine.bookings.pop(plan_name, None)
+            engine.tentative.pop(plan_name, None)
             engine.ended.append((now, booking))
             _forget_ended(engine, now)
             engine.usage = None
-            if not engine.bookings:
+            if not (engine.bookings or engine.tentative):
                 engine.prefills.clear()
 
+    def withdraw(self, plan_name: str) -> None:
+        """Remove a plan whose prefills have not begun, as if never booked."""
+        withdrawn = self._plans.pop(plan_name, None)
+        if withdrawn is None:
+            return
+        for booking in withdrawn.bookings:
+            engine = self._engine(booking.endpoint)
+            engine.tentative.pop(plan_name, None)
+            engine.prefills.remove(plan_name)
+            engine.usage = None
+
     def end_all_of(self, holder: str) -> None:
         """Remove all plans of one holder."""
         names = [
@@ -231,6 +176,7 @@
         _forget_ended(engine, now)
         counted = [
             *engine.bookings.values(),
+            *engine.tentative.values(),
             *(booking for _, booking in engine.ended),
         ]
         streams = sum(booking.stream is not None for booking in counted)
@@ -247,12 +193,32 @@
     def usages(
         self,
         endpoints: Iterable[ListedEndpoint],
+        left_out: frozenset[str] = NO_PLANS,
     ) -> tuple[EngineUsage, ...]:
-        """Return the load on each of the endpoints, in their order."""
+        """Return the load on each of the endpoints, in their order.
+
+        It doesn't include that of the plans ``left_out``.
+        """
         now = self._clock()
         self._end_overdue(now)
+        if left_out:
+            return tuple(
+                self._usage_without(endpoint, now, left_out)
+                for endpoint in endpoints
+            )
         return tuple(self._usage_of(endpoint, now) for endpoint in endpoints)
 
+    def _usage_without(
+        self,
+        endpoint: ListedEndpoint,
+        now: float,
+        left_out: frozenset[str],
+    ) -> EngineUsage:
+        engine = self._engine(endpoint)
+        if left_out.isdisjoint(engine.tentative):
+            return self._usage_of(endpoint, now)
+        return _compute_usage(endpoint, engine, now, left_out)
+
     def _usage_of(self, endpoint: ListedEndpoint, now: float) -> EngineUsage:
         """Return the usage of one engine, computed anew only if it may differ.
 
@@ -292,14 +258,21 @@
 
 
 def _compute_usage(
-    endpoint: ListedEndpoint, engine: _Engine, now: float
+    endpoint: ListedEndpoint,
+    engine: _Engine,
+    now: float,
+    left_out: frozenset[str] = NO_PLANS,
 ) -> EngineUsage:
-    while engine.prefills and engine.prefills[0][1] <= now:
-        engine.prefills.pop(0)
+    engine.prefills.forget_ended(now)
+    counted = list(engine.bookings.values())
+    if not engine.tentative.keys() <= left_out:
+        counted += (
+            booking
+            for name, booking in engine.tentative.items()
+            if name not in left_out
+        )
     written = tuple(
-        booking.stream
-        for booking in engine.bookings.values()
-        if booking.stream is not None
+        booking.stream for booking in counted if booking.stream is not None
     )
     if now - engine.reported_at > REPORT_STALENESS_BOUND_SECONDS:
         engine.unplanned = 0
@@ -308,15 +281,16 @@
     queued = report.queued if report and engine.unplanned else 0
     if engine.full_until > now:
         queued = max(1, queued)
+    busy_until, gap_seconds = engine.prefills.span(now, left_out)
     return EngineUsage(
         endpoint=endpoint,
         unplanned=engine.unplanned,
         queued=queued,
         pace=report.pace if report else 1.0,
-        backlog_seconds=_prefills_end_at(engine, now) - now,
-        gap_seconds=_gap_seconds(engine, now),
+        backlog_seconds=busy_until - now,
+        gap_seconds=gap_seconds,
         memory_tokens=engine.unplanned_tokens
-        + sum(booking.memory_tokens for booking in engine.bookings.values()),
+        + sum(booking.memory_tokens for booking in counted),
         written=written,
         failing=engine.failing_until > now,
     )
@@ -337,31 +311,3 @@
     if engine.unplanned:
         changes_at.append(engine.reported_at + REPORT_STALENESS_BOUND_SECONDS)
     return min(changes_at)
-
-
-def _schedule_prefill(engine: _Engine, booking: Booking, now: float) -> None:
-    """Book a prefill at an engine.
-
-    It begins after its delay if no prefill is running and it ends before the
-    next one begins; otherwise it also waits for all booked prefills to end.
-    """
-    if booking.read_seconds <= 0:
-        return
-    starts_at = now + booking.delay_seconds
-    ends_after_seconds = booking.delay_seconds + booking.read_seconds
-    if ends_after_seconds > _gap_seconds(engine, now):
-        starts_at = max(starts_at, _prefills_end_at(engine, now))
-    engine.prefills.append((starts_at, starts_at + booking.read_seconds))
-    engine.prefills.sort()
-
-
-def _prefills_end_at(engine: _Engine, now: float) -> float:
-    return max((now, *(ends_at for _, ends_at in engine.prefills)))
-
-
-def _gap_seconds(engine: _Engine, now: float) -> float:
-    """Return the time until the next booked prefill, zero during one."""
-    pending_starts = [
-        start for start, ends_at in engine.prefills if ends_at > now
-    ]
-    return max(0, min(pending_starts) - now) if pending_starts else float('inf')
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -16,9 +16,9 @@
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import EngineReport
-from limpetdrift.state.engine_ledger import (
+from limpetdrift.state.engine_ledger import EngineLedger
+from limpetdrift.state.engine_usage import (
     Booking,
-    EngineLedger,
     EngineUsage,
     PlanLease,
     StreamUse,
