Ask the less loaded group for plans of loaded ones

With twice the demand in one failure domain, or its engines lost, an entry asked a random other group, which may be loaded as well. When all engines of a failure domain went silent at once, prompts were sent to them until each engine had failed one.

Planners of a service's groups now exchange digests while a group refuses prompts, lets them wait or has lost most of its engines, and name another group in their plans by power of two choices. Entries ask the named group, and ask it first while its planner prefers that.

Under normal load no digest is sent.

--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -1,7 +1,9 @@
 """Gets plans for prompts from planner entries, or makes them locally.
 
 The planner of this entry's own group of engines is asked first, and one of
-another group if that plan is refused or expensive.
+another group if that plan is refused or expensive: the group that the planner
+named last, or a random one. While the planner prefers the other group, that one
+is asked first.
 
 >>> placed = await placer.place(work, frozenset())  # doctest: +SKIP
 >>> placer.release(work, placed.ok, ())  # doctest: +SKIP
@@ -33,6 +35,11 @@
     PlanningGroups,
     cost_limit_elsewhere,
 )
+from limpetdrift.coordination.scheduling.group_load_exchange import (
+    GroupLoadExchange,
+    GroupLoadInputs,
+)
+from limpetdrift.coordination.scheduling.named_groups import NamedGroups
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import (
     ActivePlans,
@@ -85,14 +92,27 @@
     ) -> None:
         self.planner_client = PlannerClient(inputs=inputs)
         self.groups = groups
+        self.group_loads = GroupLoadExchange(
+            inputs=GroupLoadInputs(
+                name=inputs.node.name,
+                planner=inputs.planner,
+                groups=groups,
+                find_planner=self.planner_client.planner,
+                call=inputs.call,
+                clock=inputs.clock,
+                randomness=randomness,
+            ),
+        )
         self._inputs = inputs
         self._view = view
         self._randomness = randomness
+        self._named = NamedGroups(clock=inputs.clock)
 
     def register(self, peer_routes: PeerRoutes) -> None:
         """Add the local planner's handlers to the routes for peers."""
         planner = self._inputs.planner
-        peer_routes.add(PLAN_PATH, PlanRequest, planner.answer_plan)
+        self.group_loads.register(peer_routes)
+        peer_routes.add(PLAN_PATH, PlanRequest, self.group_loads.answer_plan)
         peer_routes.add(ENDED_PATH, EndedPlans, planner.answer_ended)
         peer_routes.add(ACTIVE_PATH, ActivePlans, planner.answer_active)
 
@@ -111,11 +131,16 @@
         if refusal is not None:
             return Error(refusal)
         closed = self._view.back_offs.closed(self._view.usable(work.service))
+        home = self.groups.home(work.service)
         request = self._make_request(
-            work, excluded | closed, self.groups.home(work.service)
+            work, excluded | closed, self._named.first(work.service, home)
         )
         planned = await self._plan(request)
-        cost_limit = cost_limit_elsewhere(planned)
+        if planned.is_ok():
+            self._named.record(planned.ok, request)
+        cost_limit = cost_limit_elsewhere(
+            planned, is_home=request.group == home
+        )
         if cost_limit is None:
             return self._accept(planned, request, work)
         return await self._place_elsewhere(planned, request, cost_limit, work)
@@ -201,7 +226,11 @@
         cost_limit: float,
         work: CallerRequest,
     ) -> Result[DispatchPlan, Failure]:
-        """Take the plan of another group if it is better than ``planned``."""
+        """Take the plan of another group if it is better than ``planned``.
+
+        That is the home group if it was not asked first.
+        """
+        home = self.groups.home(request.service)
         others = [
             group
             for group in self.groups.layout(request.service).groups
@@ -209,10 +238,13 @@
         ]
         if not others:
             return self._accept(planned, request, work)
-        group = self._randomness.choice(others)
+        named = home
+        if request.group == home:
+            named = self._named.second(request.service, home)
+        group = named if named in others else self._randomness.choice(others)
         second = replace(request, group=group, cost_limit=cost_limit, ended=())
         try:
-            better = await self._request_plan(second)
+            better = await self._plan(second)
         except trio.Cancelled:
             self._discard(planned, request)
             raise
@@ -220,6 +252,8 @@
             'plans_elsewhere', outcome='taken' if better.is_ok() else 'refused'
         )
         if better.is_error():
+            if group == home and planned.is_error():
+                planned = better
             return self._accept(planned, request, work)
         self._discard(planned, request)
         return self._accept(better, second, work)
@@ -233,10 +267,16 @@
             self._end(request.service, EndedPlan(grant=planned.ok.grant))
 
     async def _plan(self, request: PlanRequest) -> Result[Plan, Failure]:
-        """Get a plan, if need be from this entry's own ledger."""
+        """Get a plan, for the home group if need be from this entry's ledger.
+
+        A plan made here for another group would ignore almost all prompts
+        there.
+        """
         planned = await self._request_plan(request)
         if planned.is_ok() or planned.error.reason in _REFUSAL_REASONS:
             return planned
+        if request.group != self.groups.home(request.service):
+            return planned
         return self._inputs.planner.plan(request, is_decider=False)
 
     async def _request_plan(
@@ -245,7 +285,9 @@
         """Get a plan from the planner of the request's group."""
         planner = self.planner_client.planner(request.group)
         if planner is None:
-            return self._inputs.planner.plan(request)
+            return self.group_loads.name_group(
+                self._inputs.planner.plan(request), request
+            )
         answer = await _call_planner(
             self._inputs.call, self.planner_client, planner, request
         )
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -78,6 +78,7 @@
 
     def __init__(self, *, inputs: PlannerInputs) -> None:
         self._inputs = inputs
+        self.find_cost_model = inputs.find_cost_model
         self._ledgers: dict[str, EngineLedger] = {}
         self._orders: dict[
             tuple[str, EngineGroup], tuple[ListedEndpoint, ...]
--- a/src/limpetdrift/coordination/planning_groups.py
+++ b/src/limpetdrift/coordination/planning_groups.py
@@ -123,18 +123,27 @@
     )
 
 
-def cost_limit_elsewhere(planned: Result[Plan, Failure]) -> float | None:
+def is_expensive(plan: Plan) -> bool:
+    """Return whether a plan makes an answer late or crowds an engine."""
+    return plan.cost >= _EXPENSIVE_PLAN_COST
+
+
+def cost_limit_elsewhere(
+    planned: Result[Plan, Failure], *, is_home: bool = True
+) -> float | None:
     """Return the cost below which another group's plan is preferred.
 
     ``None`` if another group need not be asked. One is asked if this group
     refused the request or its plan is expensive, as when callers move to one
-    failure domain or its engines are lost.
+    failure domain or its engines are lost, or if it is the entry's home group
+    and its planner prefers that: the other group's plan may then cost more.
     """
     if planned.is_error():
         return UNLIMITED_COST
-    if planned.ok.cost < _EXPENSIVE_PLAN_COST:
-        return None
-    return planned.ok.cost * _BETTER_PLAN_SHARE
+    plan = planned.ok
+    if plan.prefers_alternative and is_home:
+        return max(_EXPENSIVE_PLAN_COST, plan.cost * _BETTER_PLAN_SHARE)
+    return plan.cost * _BETTER_PLAN_SHARE if is_expensive(plan) else None
 
 
 class PlanningGroups:
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -88,6 +88,7 @@
     tasks = (
         entry.replica.run,
         entry.planning.plan_placer.planner_client.run,
+        entry.planning.plan_placer.group_loads.run,
         entry.planning.report_poller.run,
         entry.planning.limit_exchange.run,
         partial(_follow_limits, entry),
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -116,7 +116,9 @@
     The plan counts as ended after ``hold_seconds`` in any case. ``cost`` is
     what the planner expects it to lose, in the worth of one short answer.
     ``permitted`` lists those engines that limit their rate and whose part of
-    the plan is counted there.
+    the plan is counted there. ``alternative`` is the other group with the
+    least expected load, ``None`` if its planner knows of none. It is asked
+    before this group while ``prefers_alternative``.
     """
 
     grant: str
@@ -128,6 +130,8 @@
     hold_seconds: float = 0.0
     cost: float = 0.0
     permitted: tuple[EndpointId, ...] = ()
+    alternative: EngineGroup | None = None
+    prefers_alternative: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -161,6 +165,33 @@
     active: tuple[ActivePlan, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GroupLoad:
+    """The load on a group of engines, a digest for other groups' planners.
+
+    ``planner`` made it at ``made_at``, in seconds on its own clock.
+    ``engines`` counts the usable engines, ``failing`` those of them that
+    failed lately. The other figures are those of the rest:
+    ``backlog_seconds`` of booked prefill for each engine on average,
+    ``free_tokens`` of memory, and ``free_slots`` of ``slots``, negative while
+    requests queue at engines. ``waiting`` counts the prompts that wait, by
+    priority from 0 on, and ``refused`` those refused lately.
+    """
+
+    service: str
+    group: EngineGroup
+    planner: str = ''
+    made_at: float = 0.0
+    engines: int = 0
+    failing: int = 0
+    backlog_seconds: float = 0.0
+    free_tokens: int = 0
+    free_slots: int = 0
+    slots: int = 0
+    waiting: tuple[int, ...] = ()
+    refused: int = 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Acknowledgement:
     """Confirms that a report was processed."""
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -102,7 +102,7 @@
     return EntryPlacement(
         place=placer.place,
         release=placer.release,
-        tasks=(placer.planner_client.run, poller.run),
+        tasks=(placer.planner_client.run, placer.group_loads.run, poller.run),
     )
 
 
