--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -138,7 +138,9 @@
     what the planner expects it to lose, in the worth of one short answer.
     ``permitted`` lists those engines that limit their rate and whose part of
     the plan is counted there. A plan with ``waiting`` is tentative: it is to be
-    confirmed when its delay is over.
+    confirmed when its delay is over. ``alternative`` is the other group with the
+    least expected load, ``None`` if its planner knows of none. It is asked
+    before this group while ``prefers_alternative``.
     """
 
     grant: str
@@ -151,6 +153,8 @@
     cost: float = 0.0
     permitted: tuple[EndpointId, ...] = ()
     waiting: WaitingOrder | None = None
+    alternative: EngineGroup | None = None
+    prefers_alternative: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -199,6 +203,33 @@
     active: tuple[ActivePlan, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GroupLoad:
+    """The load on a group of engines, a digest for other groups' planners.
+
+    ``planner`` made it at ``made_at``, in seconds on its own clock.
+    ``engines`` counts the usable engines, ``failing`` those of them that
+    failed lately. The other figures are those of the rest:
+    ``backlog_seconds`` of booked prefill for each engine on average,
+    ``free_tokens`` of memory, and ``free_slots`` of ``slots``, negative while
+    requests queue at engines. ``waiting`` counts the prompts that wait, by
+    priority from 0 on, and ``refused`` those refused lately.
+    """
+
+    service: str
+    group: EngineGroup
+    planner: str = ''
+    made_at: float = 0.0
+    engines: int = 0
+    failing: int = 0
+    backlog_seconds: float = 0.0
+    free_tokens: int = 0
+    free_slots: int = 0
+    slots: int = 0
+    waiting: tuple[int, ...] = ()
+    refused: int = 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Acknowledgement:
     """Confirms that a report was processed."""
