Divide engine time among accounts and schedule retries

Cause: one client account at several times its load made the prompts of all others late, and refused callers got retry times by the mean backlog alone, so that they came back together.

A planner charges accounts the engine seconds of their plans. While prompts are late or refused and accounts ask for over 0.7 of the engines' time, a prompt of an account above its max-min fair share is admitted only if it waits for at most a quarter of the shortest target that is missed. Entries report their charges to a new planner (field usage of ActivePlans). Refused callers get retry times by engine time that becomes free; the render step adds no random factor to these. Callers that keep to them are admitted like accounts below their share, for up to half of the engine time. The field has_begun of PlanRequest keeps answers under way from being refused because of a share. queue_seconds becomes public, and replays give each request a body of its own, since equal bodies of an account are taken for one caller's retries.

--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -192,6 +192,7 @@
             account=work.account,
             priority=work.priority,
             fingerprint=fingerprint_of(work),
+            has_begun=work.is_begun,
         )
 
     async def _place_elsewhere(
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -27,10 +27,8 @@
     stream_worth,
 )
 from limpetdrift.coordination.rendezvous import choose_by_hash
-from limpetdrift.coordination.scheduling.admission import (
-    MIN_RETRY_AFTER_SECONDS,
-    find_refusal,
-)
+from limpetdrift.coordination.scheduling.admission import Admission
+from limpetdrift.coordination.scheduling.returns import MIN_RETRY_AFTER_SECONDS
 from limpetdrift.logs import note
 from limpetdrift.protocol.plans import (
     Acknowledgement,
@@ -87,6 +85,9 @@
         self.permits = EndpointPermits(
             view=inputs.view, clock=inputs.clock, share_of=inputs.share_of
         )
+        self.admission = Admission(
+            clock=inputs.clock, find_cost_model=inputs.find_cost_model
+        )
 
     def ledger(self, service: str) -> EngineLedger:
         """Return the ledger of a service."""
@@ -130,7 +131,7 @@
             self.ledger(request.service).usages(callable_now)
         )
         split = choose_split(request, usages, cost_model)
-        refusal = find_refusal(split, usages, request)
+        refusal = self.admission.find_refusal(split, usages, request)
         if refusal is not None:
             return Error(refusal)
         grant = '.'.join((self._inputs.name, str(next(self._grant_numbers))))
@@ -151,6 +152,7 @@
         remaining_seconds = plan.hold_seconds - age_seconds
         if remaining_seconds <= 0:
             return
+        self.admission.charge(request, age_seconds)
         self.ledger(request.service).book(
             PlanLease(
                 name=plan.grant, holder=request.entry, seconds=remaining_seconds
@@ -192,6 +194,8 @@
         """Book the plans that a peer got from an earlier planner."""
         for each in message.active:
             self.book_plan(each.plan, each.request, each.age_seconds)
+        if message.usage is not None:
+            self.admission.merge_report(message.usage)
         return Ok(Acknowledgement())
 
     def leaving(self, service: str) -> tuple[EndpointId, ...]:
--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planner_client.py
@@ -14,6 +14,7 @@
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.coordination.planner import Planner
 from limpetdrift.coordination.planning_groups import planner_candidates
+from limpetdrift.coordination.scheduling.shares import OwnUsage
 from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import MemberState
 from limpetdrift.protocol.node import Node
@@ -80,6 +81,7 @@
     def __init__(self, *, inputs: PlannerClientInputs) -> None:
         self._inputs = inputs
         self._active: dict[str, _PlanInForce] = {}
+        self._usage = OwnUsage()
         self._ended: dict[tuple[str, EngineGroup], list[EndedPlan]] = {}
         self._informed_planners: dict[EngineGroup, str] = {}
         self._candidates: dict[EngineGroup, tuple[Node, ...]] = {}
@@ -109,11 +111,12 @@
 
     def begin(self, plan: Plan, request: PlanRequest) -> None:
         """Record a plan that is in force from now on."""
+        now = self._inputs.clock()
         self._active[plan.grant] = _PlanInForce(
-            plan=plan,
-            request=request,
-            begun_at=self._inputs.clock(),
+            plan=plan, request=request, begun_at=now
         )
+        seconds = self._inputs.planner.admission.engine_seconds(request)
+        self._usage.charge(request, seconds, now)
 
     def end(self, service: str, ended: EndedPlan) -> None:
         """Drop a plan that has ended, and report it to its planner soon."""
@@ -197,11 +200,12 @@
             failure_domain=group.failure_domain,
             told=len(active),
         )
-        if active:
+        usage = self._usage.report(self._inputs.node.name, group, now)
+        if active or usage:
             await self._inputs.call(
                 planner.peer_address,
                 ACTIVE_PATH,
-                ActivePlans(active=active),
+                ActivePlans(active=active, usage=usage),
                 Acknowledgement,
                 timeout_seconds=_REPORT_TIMEOUT_SECONDS,
             )
@@ -211,6 +215,7 @@
             await self._planner_changed.wait()
             self._planner_changed = trio.Event()
             groups = {each.request.group for each in self._active.values()}
+            groups |= self._usage.groups
             for group in groups.union(self._informed_planners):
                 planner = self.planner(group)
                 informed = self._informed_planners.get(group)
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -174,7 +174,7 @@
     delay_seconds = max(usage.wait_seconds(taken) for usage in engines)
     first_token_seconds = (
         delay_seconds
-        + _queue_seconds(writer, cost_model)
+        + queue_seconds(writer, cost_model)
         + part_seconds
         + _PASSES_TO_FIRST_TOKEN * _decode_pass_seconds(cost_model)
     )
@@ -205,7 +205,7 @@
     return fitting or usages
 
 
-def _queue_seconds(usage: EngineUsage, cost_model: EngineCostModel) -> float:
+def queue_seconds(usage: EngineUsage, cost_model: EngineCostModel) -> float:
     """Return how long a request waits at an engine for a slot.
 
     After a restart of all entries, or when engines are lost in a burst, all
--- a/src/limpetdrift/coordination/retry_policy.py
+++ b/src/limpetdrift/coordination/retry_policy.py
@@ -131,8 +131,11 @@
     """Return the seconds after which a refused caller should retry.
 
     When many callers are refused at once, their retries are spread over time.
+    Scheduled ones are spread already.
     """
     retry_after = failure.retry_after_seconds or FALLBACK_RETRY_AFTER_SECONDS
+    if failure.is_retry_scheduled:
+        return retry_after
     jitter = _RETRY_AFTER_JITTER
     if failure.reason is Reason.SERVICE_BACK_OFF:
         jitter = _LATER_RETRY_JITTER
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -69,7 +69,8 @@
     engines of ``group`` only, and one that costs more than ``cost_limit`` is
     refused. ``account`` is the client account, which may be empty, and priority
     0 the highest. ``fingerprint`` is the same for each try of one request by
-    its caller, and empty if unknown.
+    its caller, and empty if unknown. ``has_begun`` is set if the caller has
+    received a part of the answer.
     """
 
     service: str
@@ -90,6 +91,7 @@
     account: str = ''
     priority: int = 0
     fingerprint: str = ''
+    has_begun: bool = False
 
     @property
     def memory_tokens(self) -> int:
@@ -154,11 +156,36 @@
     age_seconds: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AccountUsage:
+    """Engine seconds charged to a client account for plans of a service.
+
+    They are decayed to the time of the report.
+    """
+
+    service: str
+    account: str
+    engine_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UsageReport:
+    """What accounts were charged for plans of one entry in one group."""
+
+    entry: str
+    group: EngineGroup
+    accounts: tuple[AccountUsage, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ActivePlans:
-    """All plans in force of one entry."""
+    """All plans in force of one entry.
+
+    ``usage`` includes the charges for these plans; earlier builds send none.
+    """
 
     active: tuple[ActivePlan, ...]
+    usage: UsageReport | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/verdict.py
+++ b/src/limpetdrift/protocol/verdict.py
@@ -74,6 +74,8 @@
     ``alternatives`` lists addresses of entries that may serve the request
     instead. ``retry_after_seconds`` is ``None`` if the failure names no time
     to retry here, for instance because that would be useless.
+    ``is_retry_scheduled`` is set if that time was assigned to this caller
+    alone, so that it needs no random factor.
     """
 
     verdict: Verdict
@@ -81,6 +83,7 @@
     detail: str = ''
     retry_after_seconds: float | None = None
     alternatives: tuple[str, ...] = ()
+    is_retry_scheduled: bool = False
 
     def with_verdict(self, verdict: Verdict) -> 'Failure':
         """Return the same failure with another verdict."""
@@ -93,6 +96,7 @@
     *,
     retry_after_seconds: float | None = None,
     alternatives: tuple[str, ...] = (),
+    is_retry_scheduled: bool = False,
 ) -> Failure:
     """Return a failure whose request is proved to have had no effect."""
     return Failure(
@@ -101,6 +105,7 @@
         detail=detail,
         retry_after_seconds=retry_after_seconds,
         alternatives=alternatives,
+        is_retry_scheduled=is_retry_scheduled,
     )
 
 
--- a/src/limpetdrift/replays/simulation.py
+++ b/src/limpetdrift/replays/simulation.py
@@ -166,7 +166,8 @@
         method='POST',
         target='/',
         headers=(),
-        body=b'',
+        # Sets the request apart from others of its account.
+        body=str(arrival.number).encode(),
         route=route,
         service=SERVICE,
         version=1,
--- a/tests/test_replay_loads.py
+++ b/tests/test_replay_loads.py
@@ -107,7 +107,7 @@
     """
     count = sum(map(count_unresponsive, SEEDS))
     monkeypatch.setattr(
-        prompt_splitting, '_queue_seconds', lambda usage, cost_model: 0
+        prompt_splitting, 'queue_seconds', lambda usage, cost_model: 0
     )
     assert count < sum(map(count_unresponsive, SEEDS)) / 2
 
