Merge shares of client accounts and the return of refused callers

A prompt that waited by an earlier plan was admitted and charged then, so its confirmation is neither refused for the share of its account nor charged again (is_admitted).

--- a/src/limpetdrift/coordination/plan_confirmation.py
+++ b/src/limpetdrift/coordination/plan_confirmation.py
@@ -108,6 +108,7 @@
         excluded=tuple(excluded),
         ended=(),
         cost_limit=UNLIMITED_COST,
+        is_admitted=True,
         leaving=inputs.planner.leaving(work.service),
     )
 
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -232,6 +232,7 @@
             priority=work.priority,
             fingerprint=fingerprint_of(work),
             confirms=True,
+            is_admitted=work.is_begun,
         )
 
     async def _place_elsewhere(
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -25,10 +25,8 @@
     Split,
     choose_split,
 )
-from limpetdrift.coordination.scheduling.admission import (
-    MIN_RETRY_AFTER_SECONDS,
-    find_refusal,
-)
+from limpetdrift.coordination.scheduling.admission import Admission
+from limpetdrift.coordination.scheduling.returns import MIN_RETRY_AFTER_SECONDS
 from limpetdrift.coordination.scheduling.tentative_plans import TentativePlans
 from limpetdrift.coordination.scheduling.waiting import (
     Identity,
@@ -92,6 +90,9 @@
         self.permits = EndpointPermits(
             view=inputs.view, clock=inputs.clock, share_of=inputs.share_of
         )
+        self.admission = Admission(
+            clock=inputs.clock, find_cost_model=inputs.find_cost_model
+        )
 
     def ledger(self, service: str) -> EngineLedger:
         """Return the ledger of a service."""
@@ -178,6 +179,8 @@
         remaining_seconds = plan.hold_seconds - age_seconds
         if remaining_seconds <= 0:
             return
+        if not request.is_admitted:
+            self.admission.charge(request, age_seconds)
         self.ledger(request.service).book(
             PlanLease(
                 name=plan.grant,
@@ -236,6 +239,8 @@
         """Book the plans that a peer got from an earlier planner."""
         for each in message.active:
             self.rebook_plan(each.plan, each.request, each.age_seconds)
+        if message.usage is not None:
+            self.admission.merge_report(message.usage)
         return Ok(Acknowledgement())
 
     def leaving(self, service: str) -> tuple[EndpointId, ...]:
@@ -256,7 +261,7 @@
             self.ledger(request.service).usages(endpoints, passable)
         )
         split = choose_split(request, usages, cost_model)
-        refusal = find_refusal(split, usages, request)
+        refusal = self.admission.find_refusal(split, usages, request)
         if refusal is not None:
             return Error(refusal)
         plan = _make_plan(
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -71,6 +71,9 @@
     0 the highest. ``fingerprint`` is the same for each try of one request by
     its caller, and empty if unknown. With ``confirms`` the entry asks again,
     by a ``PlanStart``, when the delay of a tentative plan is over.
+    ``is_admitted`` is set if the prompt has waited by an earlier plan, or its
+    caller has received a part of the answer: it is not refused for the share
+    of its account, and not charged again.
     """
 
     service: str
@@ -92,6 +95,7 @@
     priority: int = 0
     fingerprint: str = ''
     confirms: bool = False
+    is_admitted: bool = False
 
     @property
     def memory_tokens(self) -> int:
@@ -138,8 +142,8 @@
     what the planner expects it to lose, in the worth of one short answer.
     ``permitted`` lists those engines that limit their rate and whose part of
     the plan is counted there. A plan with ``waiting`` is tentative: it is to be
-    confirmed when its delay is over. ``alternative`` is the other group with the
-    least expected load, ``None`` if its planner knows of none. It is asked
+    confirmed when its delay is over. ``alternative`` is the other group with
+    the least expected load, ``None`` if its planner knows of none. It is asked
     before this group while ``prefers_alternative``.
     """
 
@@ -196,11 +200,36 @@
     age_seconds: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AccountUsage:
+    """Engine seconds charged to a client account for plans of a service.
+
+    They are decayed to the time of the report.
+    """
+
+    service: str
+    account: str
+    engine_seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class UsageReport:
+    """What accounts were charged for plans of one entry in one group."""
+
+    entry: str
+    group: EngineGroup
+    accounts: tuple[AccountUsage, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ActivePlans:
-    """All plans in force of one entry."""
+    """All plans in force of one entry.
+
+    ``usage`` includes the charges for these plans; earlier builds send none.
+    """
 
     active: tuple[ActivePlan, ...]
+    usage: UsageReport | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/test_group_loads.py
+++ b/tests/test_group_loads.py
@@ -29,11 +29,8 @@
 from limpetdrift.coordination.scheduling.named_groups import NAME_SECONDS
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.plans import GroupLoad, Plan
-from limpetdrift.state.engine_ledger import (
-    MAX_FAILURE_BACKOFF_SECONDS,
-    EngineUsage,
-    StreamUse,
-)
+from limpetdrift.state.engine_ledger import MAX_FAILURE_BACKOFF_SECONDS
+from limpetdrift.state.engine_usage import EngineUsage, StreamUse
 from limpetdrift.transport.messages import Address
 from test_planning_groups import (
     DOMAINS,
