--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -64,9 +64,7 @@
     """The data from which plans are made.
 
     ``name``, the entry's name, is the prefix of its grants. ``clock`` returns
-    seconds. ``share_of`` is that of ``EndpointPermits``. ``account_share``
-    returns the part of the engine time that a client account has used,
-    relative to its fair share.
+    seconds. ``share_of`` is that of ``EndpointPermits``.
     """
 
     name: str
@@ -74,7 +72,6 @@
     find_cost_model: FindCostModel
     clock: Callable[[], float]
     share_of: ShareOfLimit = lambda endpoint: LEADING_SHARE
-    account_share: Callable[[str], float] = lambda account: 0.0
 
 
 class Planner:
@@ -140,7 +137,7 @@
             request,
             cost_model,
             self._inputs.clock(),
-            self._inputs.account_share(request.account),
+            self.admission.share_used(request),
         )
         return self._choose(request, callable_now, prompt, cost_model)
 
--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -180,6 +180,11 @@
         """Return the decayed engine seconds charged to active accounts."""
         return self._state(pool).used.by_account(self._clock())
 
+    def share_used(self, request: PlanRequest) -> float:
+        """Return the share of the charges that a request's account has."""
+        used = self.used_seconds(_pool_of(request))
+        return used.get(request.account, 0.0) / (sum(used.values()) or 1.0)
+
     def engine_seconds(self, request: PlanRequest) -> float:
         """Return the engine time of a prompt, 0 without a cost model."""
         cost_model = self._find_cost_model(request.service)
--- a/src/limpetdrift/coordination/scheduling/waiting.py
+++ b/src/limpetdrift/coordination/scheduling/waiting.py
@@ -36,10 +36,10 @@
     """A prompt that waits, or one that arrives and has no ``engines`` yet.
 
     Times are the planner's. ``latest_start_at`` is when it must start to be on
-    time. ``account_share`` is the part of the engine time that its client
-    account has used, relative to its fair share. The prompt is due to start
-    at ``starts_at``. It was first passed over at ``passed_since``. Engines in
-    ``permitted`` limit their rate, and its call is counted there already.
+    time. ``account_share`` is its client account's share of the engine time
+    that was used lately. The prompt is due to start at ``starts_at``. It was
+    first passed over at ``passed_since``. Engines in ``permitted`` limit their
+    rate, and its call is counted there already.
     """
 
     grant: str
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -118,8 +118,8 @@
     All times count from when the plan was made. The prompt must start within
     ``slack_seconds`` to be on time, and has waited ``waited_seconds``. It was
     passed over ``passes`` times, first ``passed_seconds`` ago.
-    ``account_share`` is the part of the engine time that its client account
-    has used, relative to its fair share.
+    ``account_share`` is its client account's share of the engine time that was
+    used lately.
     """
 
     priority: int
