Make a replay of one seed give the same outcomes in any process

Cause: trio takes runnable tasks from sets and from a heap ordered by address, so figures of replays depended on what ran before. Retry times of refused prompts came from an unseeded generator.

--- a/src/limpetdrift/coordination/endpoint_permits.py
+++ b/src/limpetdrift/coordination/endpoint_permits.py
@@ -36,11 +36,12 @@
         view: EndpointView,
         clock: Callable[[], float],
         share_of: ShareOfLimit,
+        randomness: Random,
     ) -> None:
         self._limits = view.limits
         self._share_of = share_of
         self._budgets = RateBudgets(clock=clock)
-        self._retry_times = RetryTimes(clock=clock, randomness=Random())
+        self._retry_times = RetryTimes(clock=clock, randomness=randomness)
 
     def calls_left(self, endpoint: ListedEndpoint) -> float:
         """Return the calls that an endpoint may get now."""
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -9,8 +9,9 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from itertools import count
+from random import Random
 
 from expression import Error, Ok, Result
 
@@ -64,7 +65,8 @@
     """The data from which plans are made.
 
     ``name``, the entry's name, is the prefix of its grants. ``clock`` returns
-    seconds. ``share_of`` is that of ``EndpointPermits``.
+    seconds. ``share_of`` is that of ``EndpointPermits``. ``randomness`` spreads
+    the retry times of refused callers.
     """
 
     name: str
@@ -72,6 +74,7 @@
     find_cost_model: FindCostModel
     clock: Callable[[], float]
     share_of: ShareOfLimit = lambda endpoint: LEADING_SHARE
+    randomness: Random = field(default_factory=Random)
 
 
 class Planner:
@@ -85,10 +88,15 @@
         self._grant_numbers = count()
         self.tentative = TentativePlans(clock=inputs.clock)
         self.permits = EndpointPermits(
-            view=inputs.view, clock=inputs.clock, share_of=inputs.share_of
+            view=inputs.view,
+            clock=inputs.clock,
+            share_of=inputs.share_of,
+            randomness=inputs.randomness,
         )
         self.admission = Admission(
-            clock=inputs.clock, find_cost_model=inputs.find_cost_model
+            clock=inputs.clock,
+            find_cost_model=inputs.find_cost_model,
+            randomness=inputs.randomness,
         )
 
     def ledger(self, service: str) -> EngineLedger:
--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -108,7 +108,7 @@
     """Admits or refuses prompts, and charges their accounts.
 
     Usage and retry times are kept for each service and group. ``clock``
-    returns seconds.
+    returns seconds. ``randomness`` spreads the retry times of refused callers.
     """
 
     def __init__(
@@ -116,11 +116,12 @@
         *,
         clock: Callable[[], float],
         find_cost_model: Callable[[str], EngineCostModel | None],
+        randomness: Random,
     ) -> None:
         self._clock = clock
         self._find_cost_model = find_cost_model
         self._states: dict[Pool, _PoolState] = {}
-        self._returns = ReturnSchedule(randomness=Random())
+        self._returns = ReturnSchedule(randomness=randomness)
 
     def find_refusal(
         self,
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -199,6 +199,7 @@
             find_cost_model=find_cost_model,
             clock=context.clock,
             share_of=share_of,
+            randomness=context.randomness,
         ),
     )
     membership = context.membership
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -226,6 +226,7 @@
             view=inputs.view,
             find_cost_model=lambda service: inputs.cost_model,
             clock=trio.current_time,
+            randomness=Random(inputs.node.name),
         ),
     )
     placer = PlanPlacer(
--- a/src/limpetdrift/replays/simulation.py
+++ b/src/limpetdrift/replays/simulation.py
@@ -26,6 +26,7 @@
     make_engines,
     make_entries,
 )
+from limpetdrift.replays.task_order import seed_task_order
 from limpetdrift.replays.workload import Kind, Workload
 
 # Time until a caller gives up a connection to an entry that has no power.
@@ -63,9 +64,7 @@
 def simulate_run(workload: Workload, spec: RunSpec) -> Run:
     """Simulate one run in virtual time."""
     site = SimulatedSite(workload=workload, spec=spec)
-    # Trio shuffles runnable tasks with its own random generator; a replay must
-    # be reproducible.
-    trio._core._run._r.seed(spec.seed)
+    seed_task_order(spec.seed)
     clock = MockClock(autojump_threshold=0)
     trio.run(_simulate, site, clock=clock)
     return Run(
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -84,6 +84,7 @@
         view=view,
         clock=trio.current_time,
         share_of=lambda endpoint: LEADING_SHARE,
+        randomness=random.Random(seed),
     )
     return PlainPlacer(
         view=view,
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -8,6 +8,8 @@
 import trio
 from trio.testing import MockClock
 
+from limpetdrift.replays.task_order import seed_task_order
+
 SEED = 20261203
 
 
@@ -24,8 +26,7 @@
 
 def run_in_virtual_time(body, seed=SEED):
     """Run an async function of no arguments in virtual time."""
-    # Trio shuffles each batch of runnable tasks with its own generator.
-    trio._core._run._r.seed(seed)
+    seed_task_order(seed)
     random.seed(seed)
     clock = MockClock(autojump_threshold=0)
     return trio.run(body, clock=clock)
