Let one entry take the place of a stale reader of the store

Cause: when the reader of a failure domain was stale, cut off or dead, all entries of the domain read the store themselves for 4 s.

Change: entries skip a stale reader, and the next in the order of the hash takes its place; only after two failed polls or four stale readers an entry reads itself. Readers end a long poll as others come to depend on them. No short polls before the first configuration exists.

--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -9,7 +9,6 @@
 it is, over any number of entries.
 """
 
-import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from random import Random
@@ -27,7 +26,10 @@
     is_list_outdated,
     merge_reply,
 )
-from limpetdrift.logs import note
+from limpetdrift.coordination.store_readers import (
+    MAX_DIRECT_ENTRIES,
+    StoreReaders,
+)
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.routing_sync import (
     UNKNOWN_AGE_SECONDS,
@@ -43,12 +45,6 @@
 from limpetdrift.transport.messages import Address
 
 KNOWLEDGE_PATH = 'knowledge'
-# Up to this number of entries, each reads the store.
-MAX_DIRECT_ENTRIES = 12
-# Beyond it, one in this number of entries of a failure domain does, but at
-# least one of each and MIN_READERS in all.
-ENTRIES_PER_READER = 48
-MIN_READERS = 3
 # Long-poll timeout: how long a reader delays its reply if nothing changes.
 LONG_POLL_SECONDS = 1.0
 # Peers that are polled at once for a newer configuration than the store's.
@@ -62,14 +58,10 @@
 # Together with LONG_POLL_SECONDS it stays below the three seconds within which
 # a deployment of many entries must follow a change.
 STALENESS_BOUND_SECONDS = 1.5
-# Number of stale readers after which an entry reads the store itself.
-MAX_STALE_READERS = 2
 # Back-off ceiling of failing reads of the store: its increase for each entry
 # above MAX_DIRECT_ENTRIES, and its value up to there.
 _EXTRA_RETRY_SECONDS_PER_ENTRY = 0.03
 _BASE_MAX_RETRY_SECONDS = 0.6
-# How long an entry reads the store itself after its reader was stale.
-DIRECT_READ_SECONDS = 4.0
 # Interval at which an entry that doesn't read the store checks if it is to.
 DUTY_CHECK_SECONDS = 1.0
 # Range of the random pause between two polls of peers.
@@ -132,11 +124,13 @@
 
     def __init__(self, *, inputs: RoutingRelayInputs) -> None:
         self._inputs = inputs
-        self._direct_read_until = float('-inf')
-        self._stale_readers: set[str] = set()
-        self._readers_among = _cache_readers()
+        self.readers = StoreReaders(
+            node=inputs.node, entries=inputs.entries, clock=inputs.clock
+        )
+        # Called when the deployment becomes so large that not all entries read
+        # the store, so that readers confirm their data more often.
+        self.on_growth: list[Callable[[], None]] = []
         self._changed = trio.Event()
-        self._direct_reading_begun = trio.Event()
         self._routes_packer = _Packer()
         self._list_packer = _Packer()
 
@@ -145,14 +139,9 @@
         """Whether this entry is to read the store itself.
 
         All entries of a small deployment do; in a large one those chosen by
-        rendezvous hashing, and for a time those whose reader was stale.
+        rendezvous hashing, and for a time those that take their place.
         """
-        entries = self._inputs.entries()
-        if len(entries) <= MAX_DIRECT_ENTRIES:
-            return True
-        if self._inputs.clock() < self._direct_read_until:
-            return True
-        return self._inputs.node in self._readers_among(entries)
+        return self.readers.is_reader
 
     @property
     def long_poll_seconds(self) -> float | None:
@@ -160,14 +149,13 @@
 
         ``None`` in a small one, where no other entry depends on the reads.
         """
-        if len(self._inputs.entries()) <= MAX_DIRECT_ENTRIES:
+        if self.readers.are_all:
             return None
         return READER_LONG_POLL_SECONDS
 
     async def wait_store_reader(self) -> None:
         """Wait until this entry may be a reader, for a limited time."""
-        with trio.move_on_after(DUTY_CHECK_SECONDS):
-            await self._direct_reading_begun.wait()
+        await self.readers.wait_duty(DUTY_CHECK_SECONDS)
 
     def register(self, peer_routes: PeerRoutes) -> None:
         """Register the handler of peers' polls."""
@@ -197,7 +185,12 @@
 
     async def run(self) -> None:
         """Poll peers while this entry doesn't or can't read the store."""
+        were_all = self.readers.are_all
         while True:
+            if were_all and not self.readers.are_all:
+                for callback in self.on_growth:
+                    callback()
+            were_all = self.readers.are_all
             if self._inputs.store_era.is_peer_poll_due:
                 era = self._inputs.store_era.known
                 await self._poll_any()
@@ -216,11 +209,17 @@
         name, address = self._choose_peer()
         if address is None:
             return
-        reply = await self._poll(address, wait_seconds=LONG_POLL_SECONDS)
+        # One that takes the place of a stale reader is asked what it has now.
+        wait_seconds = 0.0 if self.readers.is_looking else LONG_POLL_SECONDS
+        reply = await self._poll(address, wait_seconds=wait_seconds)
         if reply.is_ok() and _is_fresh(reply.ok):
-            self._stale_readers.clear()
+            self.readers.record_fresh()
         else:
-            self._record_stale_reader(name, has_failed=reply.is_error())
+            self.readers.record_stale(
+                name,
+                has_failed=reply.is_error(),
+                may_read=not self._inputs.is_store_unreachable(),
+            )
 
     async def _poll_any(self) -> None:
         """Poll some peers at once, until one has replied.
@@ -314,38 +313,10 @@
         peers = [each for each in self._inputs.entries() if each != own]
         if not peers:
             return '', next(iter(_choose_some(self._inputs)), None)
-        candidates = [
-            each
-            for each in self._readers_among(self._inputs.entries())
-            if each != own and each.name not in self._stale_readers
-        ]
-        if not candidates:
-            self._stale_readers.clear()
-            candidates = peers
+        candidates = self.readers.others() or peers
         chosen = _choose_nearest(own, candidates)
         return chosen.name, chosen.peer_address
 
-    def _record_stale_reader(self, name: str, *, has_failed: bool) -> None:
-        """Record a reader whose poll failed or whose routes were stale.
-
-        After ``MAX_STALE_READERS`` this entry reads the store itself for
-        ``DIRECT_READ_SECONDS``, unless the store is unreachable. After a
-        failed poll it does so at once, since the timeout of the poll leaves
-        no time to try another reader.
-        """
-        self._stale_readers.add(name)
-        if not has_failed and len(self._stale_readers) < MAX_STALE_READERS:
-            return
-        now = self._inputs.clock()
-        if (
-            now >= self._direct_read_until
-            and not self._inputs.is_store_unreachable()
-        ):
-            note('reader of the store is stale or unreachable', reader=name)
-            self._direct_read_until = now + DIRECT_READ_SECONDS
-            self._direct_reading_begun.set()
-            self._direct_reading_begun = trio.Event()
-
 
 def max_retry_interval_seconds(entry_count: int) -> float:
     """Return the back-off ceiling of failing reads of the store."""
@@ -389,40 +360,7 @@
     return inputs.randomness.sample(addresses, count)
 
 
-def choose_readers(entries: Iterable[Node]) -> tuple[Node, ...]:
-    """Return the entries that read the store for all others.
-
-    Rendezvous hashing chooses them in each failure domain.
-    """
-    by_domain: dict[str, dict[str, Node]] = {}
-    for entry in entries:
-        by_domain.setdefault(entry.failure_domain, {})[entry.name] = entry
-    least = math.ceil(MIN_READERS / max(1, len(by_domain)))
-    return tuple(
-        members[name]
-        for members in by_domain.values()
-        for name in choose_by_hash(
-            'readers',
-            members,
-            max(least, math.ceil(len(members) / ENTRIES_PER_READER)),
-        )
-    )
-
-
-def _cache_readers() -> Callable[[tuple[Node, ...]], tuple[Node, ...]]:
-    """Return ``choose_readers`` that keeps its result for the same tuple."""
-    last: list[tuple[Node, ...]] = [(), ()]
-
-    def readers_among(entries: tuple[Node, ...]) -> tuple[Node, ...]:
-        if entries is not last[0]:
-            last[0] = entries
-            last[1] = choose_readers(entries)
-        return last[1]
-
-    return readers_among
-
-
-def _choose_nearest(own: Node, candidates: list[Node]) -> Node:
+def _choose_nearest(own: Node, candidates: Iterable[Node]) -> Node:
     """Return one of the candidates, of the own failure domain if possible."""
     local = {
         each.name: each
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -127,6 +127,7 @@
                 ),
             ),
         )
+        self.relay.on_growth.append(self._poll_again_for_others)
         inputs.routes.on_change.append(lambda table: self._on_change())
         inputs.routes.on_first_confirmation.append(self._on_change)
         inputs.store.era.on_rise.extend(
@@ -179,16 +180,28 @@
             randomness=inputs.randomness,
         )
 
+    def _poll_again_for_others(self) -> None:
+        """Confirm the configuration as often as other entries now need it.
+
+        With the data of a longer poll under way this reader would seem stale.
+        """
+        if self.relay.is_store_reader:
+            self._configuration_watcher.poll_again()
+
     def _configuration_long_poll_seconds(self) -> float:
         """Return the long-poll timeout of the configuration.
 
         It is short after the process was paused or partitioned: then the
         configuration is confirmed at once, since all keys are refused until
         it is. There is nothing to hurry for while the store is behind, or a
-        peer is yet to be polled.
+        peer is yet to be polled, nor before the operator's first one.
         """
         interval = self._inputs.revoke_seconds * CONFIRMATION_INTERVAL_SHARE
-        is_overdue = self._routes.age_seconds() > interval * _OVERDUE_INTERVALS
+        age_seconds = self._routes.age_seconds()
+        is_overdue = (
+            self._routes.table is not None
+            and age_seconds > interval * _OVERDUE_INTERVALS
+        )
         if is_overdue and not self._stored.is_confirmation_blocked:
             return _OVERDUE_LONG_POLL_SECONDS
         return self.relay.long_poll_seconds or interval
--- a/src/limpetdrift/platform/table_watcher.py
+++ b/src/limpetdrift/platform/table_watcher.py
@@ -66,6 +66,7 @@
         # The era and version up to which all changes have been applied.
         self._position: tuple[int, int] | None = None
         self._poll = trio.CancelScope()
+        self._is_cut_short = False
         self._in_burst = False
         self._failures = 0
         self._lost_at: float | None = None
@@ -93,6 +94,10 @@
         self._regained_at = self._clock()
         self._poll.cancel()
 
+    def poll_again(self) -> None:
+        """End a poll under way, and poll with the present timeout."""
+        self._poll.cancel()
+
     async def run(self) -> None:
         """Watch the table until cancelled."""
         while True:
@@ -108,12 +113,13 @@
     async def step(self) -> None:
         """Read the table, or poll once for changes; back off on failure."""
         requested_at = self._clock()
+        self._is_cut_short = False
         if self._position is None:
             failure = await self._read_all(requested_at)
         else:
             failure = await self._read_changes(requested_at, *self._position)
-        if failure is None and self._position is None:
-            # Restarted during the call, which says nothing about the store.
+        if failure is None and (self._is_cut_short or self._position is None):
+            # Such a call says nothing about the store.
             return
         if failure is None:
             self._record_success()
@@ -151,6 +157,7 @@
                 self._subscription.long_poll_seconds(),
             )
         if self._poll.cancelled_caught:
+            self._is_cut_short = True
             return None
         if result.is_error():
             return result.error
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -475,3 +475,17 @@
     )
     entry.store.era.on_rise.append(registration.write_again)
     return registration
+
+
+@in_virtual_time
+async def test_few_calls_are_made_before_the_first_configuration_exists():
+    """Guards against short polls for a configuration that nobody has written.
+
+    80 entries made 1,650 calls in 0.7 s when all of them started before it.
+    """
+    site = EraSite(1)
+    async with background_tasks(site):
+        assert await count_calls(site, 2) <= 8
+        site.write_configuration(1, 'first')
+        await trio.sleep(0.1)
+        assert site.entries[0].routes.version == 1
