Let resumed and late requests leave slots to others

Cause: after a loss of all entries in a burst, callers return together and take all slots of the engines; those that arrive wait for one and become late, until the burst is over.

Change: a request whose target has passed, or whose caller resumes a stream, has the lowest priority among waiting prompts and at engines, and leaves a quarter of an engine's slots to others.

--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -43,6 +43,10 @@
     GroupLoadExchange,
     GroupLoadInputs,
 )
+from limpetdrift.coordination.scheduling.lateness import (
+    effective_priority,
+    must_yield,
+)
 from limpetdrift.coordination.scheduling.named_groups import NamedGroups
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import (
@@ -229,10 +233,11 @@
             group=group,
             leaving=self._inputs.planner.leaving(work.service),
             account=work.account,
-            priority=work.priority,
+            priority=effective_priority(work, now),
             fingerprint=fingerprint_of(work),
             confirms=True,
             is_admitted=work.is_begun,
+            yields=must_yield(work, now),
         )
 
     async def _place_elsewhere(
@@ -342,7 +347,7 @@
                 ),
             )
         telemetry.count('placements', parts=str(1 + len(helpers)))
-        placement = _make_dispatch_plan(plan, writer, helpers, work)
+        placement = _make_dispatch_plan(plan, writer, helpers, request.priority)
         begin_placement(self._view, work, placement)
         return Ok(placement)
 
@@ -385,7 +390,7 @@
     plan: Plan,
     writer: ListedEndpoint,
     helpers: list[ListedEndpoint],
-    work: CallerRequest,
+    urgency: int,
 ) -> DispatchPlan:
     by_id = {endpoint_id_of(each): each for each in (writer, *helpers)}
     reserved = tuple(
@@ -395,7 +400,7 @@
         endpoint=writer,
         helpers=tuple(Helper(endpoint=each) for each in helpers),
         reserved=reserved,
-        urgency=min(_LOWEST_PRIORITY, work.priority),
+        urgency=min(_LOWEST_PRIORITY, urgency),
         grant=plan.grant,
         delay_seconds=plan.delay_seconds,
         read_seconds=plan.read_seconds,
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -75,6 +75,8 @@
 # Longest prefill that may precede a short prompt at an engine; after more,
 # the prompt is late.
 _SHORT_WAIT_LIMIT_SECONDS = 0.1
+# The share of an engine's slots up to which requests that yield fill it.
+_YIELDING_SHARE = 0.75
 # Prefill time of a short prompt.
 _SHORT_PREFILL_SECONDS = 0.05
 # Calls to a helper for a reservation: to reserve and release the memory, and
@@ -177,7 +179,10 @@
     if reserved is None:
         return None
     taken = part_seconds + start_slack(cost_model, parts)
-    delay_seconds = max(usage.wait_seconds(taken) for usage in engines)
+    delay_seconds = max(
+        _yielding_seconds(writer, request, cost_model),
+        *(usage.wait_seconds(taken) for usage in engines),
+    )
     first_token_seconds = (
         delay_seconds
         + queue_seconds(writer, cost_model)
@@ -191,7 +196,7 @@
         helpers=tuple(helpers),
         reserved=reserved,
         part_seconds=part_seconds,
-        delay_seconds=delay_seconds if helpers else 0,
+        delay_seconds=delay_seconds if helpers or request.yields else 0,
         first_token_seconds=first_token_seconds,
         cost=cost + _PART_COST * parts,
     )
@@ -222,6 +227,20 @@
     return max(0, waiting) * _SHORT_STREAM_SECONDS / cost_model.slots
 
 
+def _yielding_seconds(
+    usage: EngineUsage, request: PlanRequest, cost_model: EngineCostModel
+) -> float:
+    """Return for how long a request leaves the slots of an engine to others.
+
+    After a loss of all entries in a burst, returning callers would take all
+    slots, and those that arrive would become late as they wait for one.
+    """
+    if not request.yields:
+        return 0
+    waiting = usage.streams + 1 - int(cost_model.slots * _YIELDING_SHARE)
+    return max(0, waiting) * _SHORT_STREAM_SECONDS / cost_model.slots
+
+
 def _choose_engines(
     parts: int,
     request: PlanRequest,
@@ -282,6 +301,7 @@
 ) -> float:
     """Return the additional cost of an engine that decodes the answer."""
     cost = usage.wait_seconds(part_seconds)
+    cost += _yielding_seconds(usage, request, cost_model)
     streams = usage.streams
     if streams >= cost_model.slots:
         cost += _QUEUED_COST * (1 + streams - cost_model.slots)
--- a/src/limpetdrift/coordination/scheduling/waiting.py
+++ b/src/limpetdrift/coordination/scheduling/waiting.py
@@ -80,7 +80,7 @@
     """Return whether a plan is tentative until its prompt is sent."""
     return (
         request.confirms
-        and parts > 1
+        and (parts > 1 or request.yields)
         and delay_seconds > TENTATIVE_DELAY_SECONDS
     )
 
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -73,7 +73,8 @@
     by a ``PlanStart``, when the delay of a tentative plan is over.
     ``is_admitted`` is set if the prompt has waited by an earlier plan, or its
     caller has received a part of the answer: it is not refused for the share
-    of its account, and not charged again.
+    of its account, and not charged again. One that ``yields`` is probably late
+    already, and leaves a part of the slots to others.
     """
 
     service: str
@@ -96,6 +97,7 @@
     fingerprint: str = ''
     confirms: bool = False
     is_admitted: bool = False
+    yields: bool = False
 
     @property
     def memory_tokens(self) -> int:
--- /dev/null
+++ b/tests/test_relay_loads.py
@@ -0,0 +1,44 @@
+"""Replays the worst loads of the relay deployment on simulated engines.
+
+Each test compares the product with itself without the decision that answers
+the load.
+"""
+
+from functools import cache
+from pathlib import Path
+from statistics import mean
+
+from limpetdrift.coordination import plan_placer
+from limpetdrift.replays.figures import RunFigures, compute_figures
+from limpetdrift.replays.simulated_site import RunSpec
+from limpetdrift.replays.simulation import simulate_run
+from limpetdrift.replays.workload import Workload, read_workload
+
+LOAD_FILE = Path(__file__).parent.parent / 'experiments' / 'replay-relay.yaml'
+SEEDS = (1, 2)
+
+
+@cache
+def read_relay_workload() -> Workload:
+    return read_workload(str(LOAD_FILE)).ok
+
+
+def play(case: str, seed: int) -> RunFigures:
+    workload = read_relay_workload()
+    spec = RunSpec(case=case, policy='planner', seed=seed)
+    return compute_figures(workload, simulate_run(workload, spec))
+
+
+def mean_worth(case: str) -> float:
+    return mean(play(case, seed).worth for seed in SEEDS)
+
+
+def test_resumed_streams_leave_slots_to_others_after_a_loss(monkeypatch):
+    """Guards against callers that return together and delay all new ones.
+
+    All entries are lost within a burst of short prompts.
+    """
+    worth = mean_worth('restart-of-all')
+    for name in ('must_yield', 'effective_priority'):
+        monkeypatch.setattr(plan_placer, name, lambda work, now: 0)
+    assert worth > mean_worth('restart-of-all')
