--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -51,6 +51,9 @@
 # Weight of the time to first token and of helpers' queueing times. It decides
 # between splits that are otherwise equal.
 _FIRST_TOKEN_WEIGHT = 0.2
+# Weight of the wait at a writer, in shares of the target time. It makes up for
+# passes that last longer than planned where several prompts are prefilled.
+_WAIT_WEIGHT = 2.0
 # Cost of each part, in the unit of all costs here: the worth of one short
 # stream.
 _PART_COST = 0.02
@@ -300,7 +303,9 @@
     cost_model: EngineCostModel,
 ) -> float:
     """Return the additional cost of an engine that decodes the answer."""
-    cost = usage.wait_seconds(part_seconds)
+    cost = (
+        usage.wait_seconds(part_seconds) * _WAIT_WEIGHT / request.target_seconds
+    )
     cost += _yielding_seconds(usage, request, cost_model)
     streams = usage.streams
     if streams >= cost_model.slots:
--- a/tests/test_relay_loads.py
+++ b/tests/test_relay_loads.py
@@ -8,13 +8,15 @@
 from pathlib import Path
 from statistics import mean
 
-from limpetdrift.coordination import plan_placer
+from limpetdrift.coordination import plan_placer, prompt_splitting
 from limpetdrift.replays.figures import RunFigures, compute_figures
 from limpetdrift.replays.simulated_site import RunSpec
 from limpetdrift.replays.simulation import simulate_run
 from limpetdrift.replays.workload import Workload, read_workload
 
 LOAD_FILE = Path(__file__).parent.parent / 'experiments' / 'replay-relay.yaml'
+SHORT = 'defect-note'
+SHORT_ON_TIME_SHARE = 0.97
 SEEDS = (1, 2)
 
 
@@ -42,3 +44,14 @@
     for name in ('must_yield', 'effective_priority'):
         monkeypatch.setattr(plan_placer, name, lambda work, now: 0)
     assert worth > mean_worth('restart-of-all')
+
+
+def test_short_prompts_in_a_wave_wait_for_few_others(monkeypatch):
+    """Guards against packing that makes short prompts late in one pass."""
+    runs = [play('long-wave', seed) for seed in SEEDS]
+    on_time = mean(run.kinds[SHORT].on_time for run in runs)
+    assert on_time >= SHORT_ON_TIME_SHARE
+    # Less than the cost of another engine for any wait up to the target.
+    monkeypatch.setattr(prompt_splitting, '_WAIT_WEIGHT', 0.1)
+    packed = [play('long-wave', seed) for seed in SEEDS]
+    assert on_time > mean(run.kinds[SHORT].on_time for run in packed)
