--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/flake8 src tests
 
 test: setup
-	PYTHONHASHSEED=0 $(BIN)/python -m pytest -n 6 --dist worksteal $(RED)
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest -n 6 -rs --dist worksteal $(RED)
 
 demo: setup
 	$(BIN)/python -m limpet_standins.demo
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,6 +5,9 @@
 checked. Run it in the folder ``tests``, with ``src`` in ``PYTHONPATH``:
 
     python -m soak.run --first 1 --seeds 50
+
+With ``--production COMMIT`` the entries start on that commit's build, and are
+replaced by the present one as faults restart them.
 """
 
 import argparse
@@ -24,6 +27,7 @@
 import msgspec
 import trio
 
+from soak.builds import export_source
 from soak.callers import Call, Caller
 from soak.checks import ALWAYS, TIMED
 from soak.faults import inject
@@ -47,7 +51,8 @@
 class SoakOptions:
     """The size of one run; ``seconds`` is the time in which faults start.
 
-    The checks of times are left out unless ``is_timed``.
+    The checks of times are left out unless ``is_timed``. ``production`` is the
+    source folder of an earlier build, on which the entries start.
     """
 
     seed: int
@@ -55,6 +60,7 @@
     callers: int = 8
     seconds: float = 15.0
     is_timed: bool = True
+    production: str = ''
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -79,7 +85,12 @@
     randomness = random.Random(options.seed)
     with reserve_ports(options.seed) as port:
         async with trio.open_nursery() as nursery:
-            site = Site(folder=folder, port=port, nursery=nursery)
+            site = Site(
+                folder=folder,
+                port=port,
+                nursery=nursery,
+                production=options.production,
+            )
             try:
                 engines = randomness.choice(_ENGINE_COUNTS)
                 engines *= max(1, options.callers // _CALLERS_PER_ENGINES)
@@ -208,8 +219,13 @@
     parser.add_argument('--callers', type=int, default=8)
     parser.add_argument('--seconds', type=float, default=15.0)
     parser.add_argument('--failed', action='store_true')
+    parser.add_argument('--production', default='')
     arguments = parser.parse_args()
     failed = 0
+    production = ''
+    if arguments.production:
+        folder = Path(tempfile.mkdtemp(prefix='soak-build-'))
+        production = export_source(arguments.production, folder / 'build')
     seeds = range(arguments.first, arguments.first + arguments.seeds)
     for seed in FAILED_SEEDS if arguments.failed else seeds:
         outcome = run_seed(
@@ -218,6 +234,7 @@
                 entries=arguments.entries,
                 callers=arguments.callers,
                 seconds=arguments.seconds,
+                production=production,
             ),
         )
         failed += bool(outcome.violations)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -19,12 +19,12 @@
 
 import trio
 
-import limpetdrift
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
 from limpet_standins.platform_store import StandinStore
 from limpet_standins.relay import Relay, RelayFaults
 from limpetdrift.transport.messages import Address
 from limpetdrift.transport.server import bound_address, listen
+from soak.builds import ChooseSource, choose_present, make_choice
 
 HOST = 'shop.example'
 HEARTBEAT_INTERVAL_SECONDS = 0.4
@@ -48,7 +48,6 @@
 # Each entry has its own loopback address, in 127.0.1.0/24 and the following
 # networks.
 _ENTRIES_PER_SUBNET = 200
-_SOURCE = str(Path(limpetdrift.__file__).parents[1])
 
 
 @dataclass(kw_only=True)
@@ -61,6 +60,7 @@
     relay: Relay
     settings_file: Path
     log: Path
+    choose_source: ChooseSource = choose_present
     popen: subprocess.Popen[bytes] | None = None
     # When the last fault of this entry ended, in seconds of the monotonic
     # clock; infinite while a fault lasts.
@@ -80,7 +80,7 @@
             return
         environment = os.environ | {
             'LIMPETDRIFT_BOOT': str(self.settings_file),
-            'PYTHONPATH': _SOURCE,
+            'PYTHONPATH': self.choose_source(),
         }
         with self.log.open('ab') as log:
             self.popen = subprocess.Popen(
@@ -126,7 +126,8 @@
     ``port`` is the first of the site's range of ports, which lets several
     sites run side by side. ``keys`` maps each valid API key to its client
     account. ``revoked_at`` holds when each revoked key was revoked, by the
-    monotonic clock in seconds.
+    monotonic clock in seconds. Entries start on the sources in ``production``,
+    if it names an earlier build.
     """
 
     folder: Path
@@ -145,6 +146,7 @@
     configuration: dict[str, object] = field(default_factory=dict)
     configuration_version: int = 0
     endpoint_count: int = 0
+    production: str = ''
 
     async def open(self, entries: int, engines: int, desks: int) -> None:
         """Start the store, the endpoints of both services and the entries."""
@@ -287,8 +289,14 @@
             relay=relay,
             settings_file=settings,
             log=self.folder / f'{name}.log',
+            choose_source=self._make_choice(name),
         )
 
+    def _make_choice(self, name: str) -> ChooseSource:
+        if not self.production:
+            return choose_present
+        return make_choice(self.production, random.Random(name))
+
 
 def _settings(name: str, host: str, port: int, store: Address) -> dict:
     def listen_on(offset: int) -> str:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 from limpetdrift.transport.messages import Address, Request
 from limpetdrift.transport.server import bound_address, listen
 from soak import checks
+from soak.builds import export_source, has_commit
 from soak.callers import Call
 from soak.connections import UnansweredError, connect
 from soak.run import SoakOptions, reserve_ports, run_seed
@@ -54,6 +55,9 @@
 CUT = {'is_complete': False}
 LATE = {'ended_at': NOW + 4.0}
 
+# The build in production before this one.
+EARLIER_BUILD = '6afa520'
+
 
 def make_site(*runs: Run, **values: object) -> SimpleNamespace:
     held_tokens = values.pop('held_tokens', 0)
@@ -225,6 +229,24 @@
     assert outcome.served
 
 
+def test_short_soak_run_with_an_earlier_build_has_no_violations(tmp_path):
+    """Guards against messages and rows that another build can't read."""
+    if not has_commit(EARLIER_BUILD):
+        pytest.skip(f'the history has no {EARLIER_BUILD}')
+    outcome = run_seed(
+        SoakOptions(
+            seed=7,
+            entries=3,
+            callers=4,
+            seconds=6.0,
+            is_timed=False,
+            production=export_source(EARLIER_BUILD, tmp_path / 'build'),
+        ),
+    )
+    assert outcome.violations == ()
+    assert outcome.served
+
+
 def test_two_runs_of_one_seed_use_different_ports():
     """Else the callers of each reach the entries of the other."""
     with reserve_ports(7) as first, reserve_ports(7) as second:
