--- a/src/limpetdrift/coordination/store_readers.py
+++ b/src/limpetdrift/coordination/store_readers.py
@@ -84,6 +84,11 @@
         """Whether the last reader polled was stale."""
         return self._stale > 0
 
+    @property
+    def skipped_count(self) -> int:
+        """The number of readers that are skipped, as they were stale."""
+        return len(self._skipped())
+
     def others(self) -> tuple[Node, ...]:
         """Return the other entries that may be polled as readers."""
         found = self._readers_among(self._entries(), self._skipped())
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -513,6 +513,10 @@
         )
         reader.is_store_unreachable = True
         assert await count_readers(cluster, 10) <= READERS + 2
+        skipping = [
+            each.relay.readers.skipped_count for each in cluster.entries
+        ]
+        assert max(skipping) == 1
         cluster.version = 2
         await trio.sleep(APPLY_SECONDS)
         assert {entry.routes.version for entry in cluster.entries} == {2}
