--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planner_client.py
@@ -94,11 +94,6 @@
         self._plan_ended = trio.Event()
         self._planner_changed = trio.Event()
 
-    @property
-    def waiting_prompts(self) -> int:
-        """The prompts of this entry's groups that wait for their engines."""
-        return len(self._inputs.planner.tentative)
-
     def planner(self, group: EngineGroup) -> Node | None:
         """Return the entry that plans for a group, ``None`` if it is this one.
 
--- a/src/limpetdrift/platform/metrics.py
+++ b/src/limpetdrift/platform/metrics.py
@@ -41,8 +41,8 @@
     telemetry.watch('configuration_version', lambda: entry.routes.version)
     telemetry.watch('entries_listed', lambda: len(entry.directory.entries()))
     telemetry.watch('requests_open', lambda: entry.callers.open_exchanges)
-    planner_client = entry.planning.plan_placer.planner_client
-    telemetry.watch('prompts_waiting', lambda: planner_client.waiting_prompts)
+    planner = entry.planning.planner
+    telemetry.watch('prompts_waiting', lambda: len(planner.tentative))
     telemetry.watch(
         'store_readers_skipped',
         lambda: entry.replica.relay.readers.skipped_count,
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -78,6 +78,7 @@
 class Planning:
     """The components that decide which endpoint gets which call, and when."""
 
+    planner: Planner
     plan_placer: PlanPlacer
     report_poller: EngineReportPoller
     permit_client: PermitClient
@@ -145,6 +146,7 @@
         LIMITS_DIGEST_NAME, limit_exchange.make_digest, limit_exchange.on_digest
     )
     return Planning(
+        planner=planner,
         plan_placer=plan_placer,
         report_poller=report_poller,
         permit_client=PermitClient(
