Weigh waits only while engines are left for the longest prompts

Cause: with waits weighed by the target, short prompts open more engines, and the longest prompts find fewer without streams.

Change: the higher weight holds while more engines are idle than the longest prompt may use.

--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -253,12 +253,8 @@
     """Return the engines of least cost, the writer first, and their cost."""
     part_seconds = prefill_seconds(cost_model, request.prompt_tokens, parts)
     prefill_costs = _prefill_costs(usages, part_seconds, cost_model)
-    cost, writer_index = min(
-        (
-            cost + _writer_cost(usage, part_seconds, request, cost_model),
-            writer_index,
-        )
-        for writer_index, (usage, cost) in enumerate(prefill_costs)
+    cost, writer_index = _choose_writer(
+        prefill_costs, part_seconds, request, cost_model
     )
     helpers = sorted(
         (cost + usage.wait_seconds(part_seconds) * _FIRST_TOKEN_WEIGHT, index)
@@ -270,6 +266,39 @@
     return tuple(usages[index] for index in chosen), cost
 
 
+def _choose_writer(
+    prefill_costs: list[tuple[EngineUsage, float]],
+    part_seconds: float,
+    request: PlanRequest,
+    cost_model: EngineCostModel,
+) -> tuple[float, int]:
+    """Return the least cost of a writer, and its index."""
+    wait_weight = _wait_weight(request, prefill_costs)
+    return min(
+        (
+            cost
+            + usage.wait_seconds(part_seconds) * wait_weight
+            + _writer_cost(usage, request, cost_model),
+            index,
+        )
+        for index, (usage, cost) in enumerate(prefill_costs)
+    )
+
+
+def _wait_weight(
+    request: PlanRequest, prefill_costs: list[tuple[EngineUsage, float]]
+) -> float:
+    """Return the cost of a second of wait at a writer.
+
+    A short prompt takes another engine rather than wait, as long as enough
+    engines without streams are left for the longest prompts.
+    """
+    idle = sum(not usage.streams for usage, _ in prefill_costs)
+    if idle <= PART_COUNTS[-1]:
+        return 1
+    return max(1, _WAIT_WEIGHT / request.target_seconds)
+
+
 def _blocking_cost(
     engines: tuple[EngineUsage, ...],
     usages: tuple[EngineUsage, ...],
@@ -297,16 +326,10 @@
 
 
 def _writer_cost(
-    usage: EngineUsage,
-    part_seconds: float,
-    request: PlanRequest,
-    cost_model: EngineCostModel,
+    usage: EngineUsage, request: PlanRequest, cost_model: EngineCostModel
 ) -> float:
     """Return the additional cost of an engine that decodes the answer."""
-    cost = (
-        usage.wait_seconds(part_seconds) * _WAIT_WEIGHT / request.target_seconds
-    )
-    cost += _yielding_seconds(usage, request, cost_model)
+    cost = _yielding_seconds(usage, request, cost_model)
     streams = usage.streams
     if streams >= cost_model.slots:
         cost += _QUEUED_COST * (1 + streams - cost_model.slots)
