--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing_relay.py
@@ -149,7 +149,7 @@
 
         ``None`` in a small one, where no other entry depends on the reads.
         """
-        if self.readers.are_all:
+        if self.readers.is_small_deployment:
             return None
         return READER_LONG_POLL_SECONDS
 
@@ -185,12 +185,12 @@
 
     async def run(self) -> None:
         """Poll peers while this entry doesn't or can't read the store."""
-        were_all = self.readers.are_all
+        was_small = self.readers.is_small_deployment
         while True:
-            if were_all and not self.readers.are_all:
+            if was_small and not self.readers.is_small_deployment:
                 for callback in self.on_growth:
                     callback()
-            were_all = self.readers.are_all
+            was_small = self.readers.is_small_deployment
             if self._inputs.store_era.is_peer_poll_due:
                 era = self._inputs.store_era.known
                 await self._poll_any()
@@ -210,7 +210,9 @@
         if address is None:
             return
         # One that takes the place of a stale reader is asked what it has now.
-        wait_seconds = 0.0 if self.readers.is_looking else LONG_POLL_SECONDS
+        wait_seconds = (
+            0.0 if self.readers.has_stale_reader else LONG_POLL_SECONDS
+        )
         reply = await self._poll(address, wait_seconds=wait_seconds)
         if reply.is_ok() and _is_fresh(reply.ok):
             self.readers.record_fresh()
--- a/src/limpetdrift/coordination/store_readers.py
+++ b/src/limpetdrift/coordination/store_readers.py
@@ -59,7 +59,7 @@
         self._readers_among = _cache_readers()
 
     @property
-    def are_all(self) -> bool:
+    def is_small_deployment(self) -> bool:
         """Whether all entries read the store, since there are few."""
         return len(self._entries()) <= MAX_DIRECT_ENTRIES
 
@@ -69,7 +69,7 @@
 
         One that others skip goes on, since it may reach the store again.
         """
-        if self.are_all or self._clock() < self._direct_read_until:
+        if self.is_small_deployment or self._clock() < self._direct_read_until:
             return True
         entries = self._entries()
         if self._node in self._readers_among(entries, frozenset()):
@@ -80,7 +80,7 @@
         )
 
     @property
-    def is_looking(self) -> bool:
+    def has_stale_reader(self) -> bool:
         """Whether the last reader polled was stale."""
         return self._stale > 0
 
