Reserve the addresses of processes that tests start

Now a bound socket reserves the port until the test process ends; the process that is started binds beside it with SO_REUSEADDR. The range ends below the ports of the soak.

--- a/src/limpet_standins/processes.py
+++ b/src/limpet_standins/processes.py
@@ -29,10 +29,13 @@
 READY_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 20.0
 MAX_PROCESSES = 60
-# Range of listening ports, below the system's ephemeral ports.
+# Range of listening ports, below the system's ephemeral ports and those of the
+# soak.
 LOWEST_PORT = 16_000
-PORT_LIMIT = 32_000
+PORT_LIMIT = 21_000
 _RANDOMNESS = random.SystemRandom()
+# Sockets that reserve the ports of this process's sites until it ends.
+_RESERVATIONS: list[socket.socket] = []
 # Exit status that shells report for SIGTERM: 128 + 15.
 _SIGTERM_EXIT_STATUS = 143
 _SOURCE_FOLDER = Path(limpetdrift.__file__).parents[1]
@@ -176,17 +179,26 @@
 
 
 def free_address() -> str:
-    """Return a loopback address that nothing listens on at the moment.
+    """Reserve a loopback address for a process that is started later.
 
     Its port is below the ports that the system assigns to outgoing
     connections and to listeners on port zero, so that none of them occupies
-    it before the caller listens on it.
+    it before the process listens on it. Other callers, also in other
+    processes, don't get it while this process runs.
     """
     while True:
         port = _RANDOMNESS.randrange(LOWEST_PORT, PORT_LIMIT)
-        with socket.socket() as probe:
-            if probe.connect_ex(('127.0.0.1', port)):
-                return f'127.0.0.1:{port}'
+        reservation = socket.socket()
+        try:
+            reservation.bind(('127.0.0.1', port))
+        except OSError:
+            reservation.close()
+            continue
+        # Allows a listener that sets this option, too, beside this socket,
+        # but none of those that try to reserve the port.
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _RESERVATIONS.append(reservation)
+        return f'127.0.0.1:{port}'
 
 
 def _spawn(command: tuple[str, ...], log_path: Path) -> subprocess.Popen[bytes]:
