Report which worth of a replay was within reach, and how the rest was lost

A loss of all entries makes answers late that no system could have served on time: those that are open, and those asked meanwhile. Until now a replay counted them with the faults of placement. The report has a table more, so the count of rows in test_replays is 6 instead of 5.

--- a/src/limpetdrift/replays/callers.py
+++ b/src/limpetdrift/replays/callers.py
@@ -11,6 +11,8 @@
 from limpetdrift.replays.workload import Kind, RetryBehavior
 from limpetdrift.transport.messages import OK, UNAVAILABLE, Headers, Response
 
+# Time until a caller gives up a connection to an entry that has no power.
+CONNECT_TIMEOUT_SECONDS = 1.0
 _RETRY_AFTER = 'retry-after'
 # Retry interval of callers that ignore ``retry-after``.
 _IMMEDIATE_RETRY_SECONDS = 0.01
@@ -30,7 +32,8 @@
 class RequestOutcome:
     """The result of a request for its caller. Times are in seconds.
 
-    ``at`` is the arrival time. ``first_event_seconds`` counts from the first
+    ``at`` is the arrival time, and ``events`` the number of events of the whole
+    answer. ``first_event_seconds`` counts from the first
     send, also if the request was refused and sent again. The longest time
     between two events of the answer is ``max_pause_seconds``. ``retries`` is
     the number of retries.
@@ -40,6 +43,7 @@
     account: str
     tokens: int
     at: float
+    events: int
     ending: Ending
     first_event_seconds: float = 0.0
     max_pause_seconds: float = 0.0
@@ -190,6 +194,7 @@
         account=arrival.account,
         tokens=arrival.tokens,
         at=arrival.at,
+        events=arrival.events,
         ending=_ending(exchange),
         first_event_seconds=first_event_seconds,
         max_pause_seconds=exchange.max_pause_seconds,
--- a/src/limpetdrift/replays/charts.py
+++ b/src/limpetdrift/replays/charts.py
@@ -10,6 +10,10 @@
 _LABEL_ROTATION_DEGREES = 30
 _CHARTS: dict[str, tuple[str, Callable[[RunFigures], float]]] = {
     'worth': ('worth, share of what could be had', lambda run: run.worth),
+    'reachable': (
+        'worth, share of what was reachable',
+        lambda run: run.worth / run.shares.reachable,
+    ),
     'worst-window': ('worth of the worst window', lambda run: run.worst_window),
 }
 
--- a/src/limpetdrift/replays/figures.py
+++ b/src/limpetdrift/replays/figures.py
@@ -5,6 +5,11 @@
 
 from limpetdrift.loads.grouping import group_by
 from limpetdrift.replays.callers import Ending, RequestOutcome
+from limpetdrift.replays.reachable import (
+    WorthShares,
+    achieved_worth,
+    divide_worth,
+)
 from limpetdrift.replays.simulated_site import RunSpec
 from limpetdrift.replays.simulation import Run
 from limpetdrift.replays.workload import Workload
@@ -31,7 +36,8 @@
     """The figures of one run. ``turn`` is its case, policy and seed.
 
     ``worth`` is the worth of the answers, as a share of the worth that all
-    answers on time would have. ``worst_window`` and ``least_account`` are
+    answers on time would have, and ``shares`` tells where the rest went.
+    ``worst_window`` and ``least_account`` are
     the lowest worth of a time window and of an account.
     ``longest_on_time`` is the share on time of the longest tenth of the
     prompts, of the kind with the greatest mean length.
@@ -39,6 +45,7 @@
 
     turn: RunSpec
     worth: float
+    shares: WorthShares
     worst_window: float
     least_account: float
     longest_on_time: float
@@ -56,6 +63,7 @@
     return RunFigures(
         turn=run.spec,
         worth=_worth(workload, outcomes),
+        shares=divide_worth(workload, workload.cases[run.spec.case], outcomes),
         worst_window=min(_worth(workload, each) for each in by_window.values()),
         least_account=min(
             _worth(workload, each) for each in by_account.values()
@@ -76,10 +84,7 @@
     for outcome in outcomes:
         kind = workload.kinds[outcome.kind]
         possible += kind.worth
-        if outcome.is_on_time(kind):
-            achieved += kind.worth
-        elif outcome.ending is Ending.SERVED:
-            achieved += kind.late_worth
+        achieved += achieved_worth(outcome, kind)
     return achieved / possible if possible else 1.0
 
 
--- a/src/limpetdrift/replays/report.py
+++ b/src/limpetdrift/replays/report.py
@@ -43,9 +43,10 @@
         'the least and the greatest.\n'
     )
     served = f'\n## What callers were served\n\n{_served(groups)}'
+    shares = f'\n## Where worth went\n\n{_worth_shares(groups)}'
     kinds = f'\n## By kind\n\n{_kinds(workload, groups)}'
     message_rates = f'\n## Message rates\n\n{_message_rates(groups)}'
-    return heading + served + kinds + message_rates
+    return heading + served + shares + kinds + message_rates
 
 
 def _served(groups: Iterable[Group]) -> str:
@@ -71,6 +72,32 @@
     return make_table(headings, rows)
 
 
+def _worth_shares(groups: Iterable[Group]) -> str:
+    """Return the reachable worth, and its parts by how requests ended."""
+    headings = (
+        'case',
+        'policy',
+        'reachable worth',
+        'served of it',
+        'lost: late',
+        'lost: refused',
+        'lost: failed',
+    )
+    rows = [
+        [
+            group.case,
+            group.policy,
+            _shares(run.shares.reachable for run in group.runs),
+            _shares(run.worth / run.shares.reachable for run in group.runs),
+            _shares(run.shares.late for run in group.runs),
+            _shares(run.shares.refused for run in group.runs),
+            _shares(run.shares.failed for run in group.runs),
+        ]
+        for group in groups
+    ]
+    return make_table(headings, rows)
+
+
 def _kinds(workload: Workload, groups: Iterable[Group]) -> str:
     headings = (
         'case',
--- a/src/limpetdrift/replays/simulation.py
+++ b/src/limpetdrift/replays/simulation.py
@@ -17,7 +17,12 @@
 from limpetdrift.protocol.route_table import RequestKind, Route, ServiceShare
 from limpetdrift.protocol.work import CallerRequest, PromptSize
 from limpetdrift.replays.arrivals import Arrival, draw_arrivals
-from limpetdrift.replays.callers import RecordingExchange, RequestOutcome, call
+from limpetdrift.replays.callers import (
+    CONNECT_TIMEOUT_SECONDS,
+    RecordingExchange,
+    RequestOutcome,
+    call,
+)
 from limpetdrift.replays.faults import inject_fault
 from limpetdrift.replays.policies import SERVICE
 from limpetdrift.replays.simulated_site import (
@@ -29,8 +34,6 @@
 from limpetdrift.replays.task_order import seed_task_order
 from limpetdrift.replays.workload import Kind, Workload
 
-# Time until a caller gives up a connection to an entry that has no power.
-_CONNECT_TIMEOUT_SECONDS = 1.0
 # Maximum attempts of one request at engines.
 _ATTEMPT_LIMIT = 2
 
@@ -137,7 +140,7 @@
     while not exchange.disconnected.is_set():
         exchange.last_event_at = trio.current_time()
         if site.is_down:
-            await trio.sleep(_CONNECT_TIMEOUT_SECONDS)
+            await trio.sleep(CONNECT_TIMEOUT_SECONDS)
             continue
         work = _make_request(site, route, arrival, deadline, exchange)
         connection = trio.CancelScope()
--- a/tests/test_replays.py
+++ b/tests/test_replays.py
@@ -218,7 +218,8 @@
     ]
     report = format_report(workload, runs)
     for row in ('| quiet | planner |', '| quiet | round-robin |'):
-        assert report.count(row) == 5
+        # Served, worth, three kinds, and messages.
+        assert report.count(row) == 6
 
 
 def test_all_errors_of_a_load_file_are_reported(tmp_path):
