--- a/src/limpetdrift/coordination/carriers.py
+++ b/src/limpetdrift/coordination/carriers.py
@@ -32,6 +32,7 @@
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
+    EndpointIdentity,
     ListedEndpoint,
 )
 
@@ -115,7 +116,7 @@
         return reaching or entries
 
     def place(
-        self, request: CallerRequest, excluded: frozenset[tuple[str, int]]
+        self, request: CallerRequest, excluded: frozenset[EndpointIdentity]
     ) -> Result[DispatchPlan, Failure]:
         """Choose a peer that reaches a request's service.
 
--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/delivery.py
@@ -20,11 +20,10 @@
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import CallerRequest
+from limpetdrift.protocol.work import CallerRequest, EndpointIdentity
 from limpetdrift.transport.messages import Response
 from limpetdrift.transport.server import Exchange
 
-EndpointIdentity = tuple[str, int]
 # Longest body that is kept until it is whole, so that another endpoint can
 # answer if it breaks off.
 MAX_BUFFERED_BYTES = 1_048_576
--- a/src/limpetdrift/coordination/limit_exchange.py
+++ b/src/limpetdrift/coordination/limit_exchange.py
@@ -35,7 +35,7 @@
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import EndpointId
 from limpetdrift.protocol.verdict import Failure
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_limits import EndpointLimits
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.messages import Address
@@ -99,7 +99,7 @@
             live_entries=inputs.live_entries,
             call=inputs.call,
         )
-        self._changed: dict[tuple[str, int], ListedEndpoint] = {}
+        self._changed: dict[EndpointIdentity, ListedEndpoint] = {}
         self._spent: list[ListedEndpoint] = []
         self._report_due = trio.Event()
         self.wait_learned = self._learned.wait
--- a/src/limpetdrift/coordination/link_monitor.py
+++ b/src/limpetdrift/coordination/link_monitor.py
@@ -16,7 +16,7 @@
 from limpetdrift import telemetry
 from limpetdrift.logs import note, warn
 from limpetdrift.protocol.verdict import Reason
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 
 # Endpoints that are probed at a time, and the interval of the probes while the
@@ -46,7 +46,7 @@
     and ``blamed`` has the functions to call if it finds that the link is well.
     """
 
-    missed: set[tuple[str, int]] = field(default_factory=set)
+    missed: set[EndpointIdentity] = field(default_factory=set)
     reached_at: float = -math.inf
     is_cut: bool = False
     is_watched: bool = False
--- a/src/limpetdrift/coordination/permit_client.py
+++ b/src/limpetdrift/coordination/permit_client.py
@@ -15,7 +15,7 @@
 from limpetdrift.protocol.limits import PERMIT_PATH, Permit, PermitRequest
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 
 # Timeout of a request for a permit. A decider answers within a few
@@ -52,7 +52,7 @@
 
     def __init__(self, *, inputs: PermitClientInputs) -> None:
         self._inputs = inputs
-        self._refused_until: dict[tuple[str, int], float] = {}
+        self._refused_until: dict[EndpointIdentity, float] = {}
         self.permits = inputs.permits
 
     def register(self, peer_routes: PeerRoutes) -> None:
--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/plain_placer.py
@@ -17,6 +17,7 @@
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
+    EndpointIdentity,
     EndpointLoad,
     ListedEndpoint,
 )
@@ -48,7 +49,7 @@
     async def place(
         self,
         work: CallerRequest,
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
     ) -> Result[DispatchPlan, Failure]:
         """Choose a usable endpoint and count a call in flight there.
 
@@ -107,7 +108,7 @@
     async def _choose(
         self,
         endpoints: tuple[ListedEndpoint, ...],
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
     ) -> Result[ListedEndpoint, Failure]:
         """Choose an endpoint, with a permit for it if it limits its rate.
 
@@ -155,7 +156,7 @@
     async def _choose_limited(
         self,
         limited: tuple[ListedEndpoint, ...],
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
     ) -> Result[ListedEndpoint, Failure]:
         """Get a permit for any of the endpoints, or a time to retry."""
         ordered = sorted(
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/plan_placer.py
@@ -63,6 +63,7 @@
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
+    EndpointIdentity,
     Helper,
     ListedEndpoint,
 )
@@ -133,7 +134,7 @@
     async def place(
         self,
         work: CallerRequest,
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
     ) -> Result[DispatchPlan, Failure]:
         """Return the engines to which a prompt is sent, or why it is refused.
 
@@ -197,7 +198,7 @@
     def _make_request(
         self,
         work: CallerRequest,
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
         group: EngineGroup,
     ) -> PlanRequest:
         prompt, answer = _DEFAULT_PROMPT_TOKENS, _DEFAULT_ANSWER_TOKENS
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planner.py
@@ -30,7 +30,6 @@
 from limpetdrift.coordination.scheduling.returns import MIN_RETRY_AFTER_SECONDS
 from limpetdrift.coordination.scheduling.tentative_plans import TentativePlans
 from limpetdrift.coordination.scheduling.waiting import (
-    Identity,
     WaitingPrompt,
     describe_order,
     make_arrival,
@@ -50,7 +49,7 @@
 )
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import PEER_SOURCE, EndpointView
 from limpetdrift.state.engine_ledger import EngineLedger
 from limpetdrift.state.engine_usage import PlanLease
@@ -307,7 +306,7 @@
 def _find_callable(
     permits: EndpointPermits,
     endpoints: tuple[ListedEndpoint, ...],
-    permitted: frozenset[Identity],
+    permitted: frozenset[EndpointIdentity],
     *,
     is_decider: bool,
 ) -> tuple[ListedEndpoint, ...]:
@@ -324,7 +323,9 @@
 
 
 def _take_permits(
-    permits: EndpointPermits, split: Split, permitted: frozenset[Identity]
+    permits: EndpointPermits,
+    split: Split,
+    permitted: frozenset[EndpointIdentity],
 ) -> tuple[EndpointId, ...]:
     """Count a plan's calls; return the engines that limit their rate.
 
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/prompt_splitting.py
@@ -18,6 +18,7 @@
 )
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
+from limpetdrift.protocol.work import EndpointIdentity
 from limpetdrift.state.engine_usage import EngineUsage, StreamUse
 
 # Numbers of parts that are tried; the platform allows 16 helpers.
@@ -110,7 +111,7 @@
     cost: float
 
     @property
-    def identities(self) -> frozenset[tuple[str, int]]:
+    def identities(self) -> frozenset[EndpointIdentity]:
         """Names and lifetimes of the engines."""
         engines = (self.writer, *self.helpers)
         return frozenset(usage.endpoint.identity for usage in engines)
--- a/src/limpetdrift/coordination/scheduling/waiting.py
+++ b/src/limpetdrift/coordination/scheduling/waiting.py
@@ -15,6 +15,7 @@
 from limpetdrift.coordination.prompt_splitting import PART_COUNTS
 from limpetdrift.protocol.plans import Plan, PlanRequest, WaitingOrder
 from limpetdrift.protocol.route_table import EngineCostModel
+from limpetdrift.protocol.work import EndpointIdentity
 
 # Plans with a longer delay are tentative. With a shorter one, the message to
 # confirm the plan takes a large part of the delay.
@@ -28,8 +29,6 @@
 # without one and its bookings count for all.
 CONFIRMATION_GRACE_SECONDS = 0.2
 
-Identity = tuple[str, int]
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingPrompt:
@@ -51,8 +50,8 @@
     starts_at: float
     passes: int = 0
     passed_since: float = float('inf')
-    engines: frozenset[Identity] = frozenset()
-    permitted: frozenset[Identity] = frozenset()
+    engines: frozenset[EndpointIdentity] = frozenset()
+    permitted: frozenset[EndpointIdentity] = frozenset()
 
 
 def make_arrival(
@@ -122,7 +121,7 @@
 
 
 def is_passed_over(
-    prompt: WaitingPrompt, engines: frozenset[Identity], until: float
+    prompt: WaitingPrompt, engines: frozenset[EndpointIdentity], until: float
 ) -> bool:
     """Return whether a plan that takes engines until a time delays a prompt."""
     return until > prompt.starts_at and not engines.isdisjoint(prompt.engines)
--- a/src/limpetdrift/platform/forwarder_wiring.py
+++ b/src/limpetdrift/platform/forwarder_wiring.py
@@ -18,6 +18,7 @@
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
+    EndpointIdentity,
     ListedEndpoint,
 )
 from limpetdrift.state.retry_budget import RetryBudget
@@ -64,7 +65,7 @@
 
     async def place(
         request: CallerRequest,
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
     ) -> Result[DispatchPlan, Failure]:
         await planning.limit_exchange.wait_learned()
         service = context.routes.find_service(request.service)
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -59,6 +59,10 @@
     is_carried: bool = False
 
 
+# The name and lifetime of an endpoint, which identify one process.
+EndpointIdentity = tuple[str, int]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ListedEndpoint:
     """An endpoint as the platform's list shows it.
@@ -80,7 +84,7 @@
     cold_seconds: float = field(default=0.0, compare=False)
 
     @property
-    def identity(self) -> tuple[str, int]:
+    def identity(self) -> EndpointIdentity:
         """Name and lifetime, which identify one process."""
         return (self.name, self.lifetime)
 
@@ -157,7 +161,7 @@
     number: int = 0
     delay_seconds: float = 0.0
     read_seconds: float = 0.0
-    permitted: frozenset[tuple[str, int]] = frozenset()
+    permitted: frozenset[EndpointIdentity] = frozenset()
     is_carried: bool = False
     is_tentative: bool = False
 
@@ -167,7 +171,7 @@
         return (self.endpoint, *(each.endpoint for each in self.helpers))
 
     @property
-    def identities(self) -> tuple[tuple[str, int], ...]:
+    def identities(self) -> tuple[EndpointIdentity, ...]:
         """Names and lifetimes of the endpoint and the helpers."""
         return tuple(each.identity for each in self.endpoints)
 
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -40,6 +40,7 @@
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
+    EndpointIdentity,
     ListedEndpoint,
 )
 from limpetdrift.replays.entry_loads import EntryLoad, EntryLoads
@@ -154,7 +155,7 @@
 
     async def place(
         work: CallerRequest,
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
     ) -> Result[DispatchPlan, Failure]:
         placed = await placer.place(work, excluded)
         if placed.is_ok():
@@ -193,7 +194,7 @@
 
     async def place(
         work: CallerRequest,
-        excluded: frozenset[tuple[str, int]],
+        excluded: frozenset[EndpointIdentity],
     ) -> Result[DispatchPlan, Failure]:
         await trio.lowlevel.checkpoint()
         usable = [
--- a/src/limpetdrift/state/cold_endpoints.py
+++ b/src/limpetdrift/state/cold_endpoints.py
@@ -13,7 +13,7 @@
 
 from limpetdrift.logs import note
 from limpetdrift.protocol.route_table import Service
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 
 # Time after the first list in which endpoints are not taken for new ones:
 # entries that start together with the endpoints see all of them as new.
@@ -36,8 +36,6 @@
 # an endpoint for good.
 MAX_COLD_SECONDS = 600.0
 
-Identity = tuple[str, int]
-
 
 @dataclass(kw_only=True, slots=True)
 class _ColdState:
@@ -79,7 +77,7 @@
         self._clock = clock
         self._services: dict[str, Service] = {}
         self._bounded_since: dict[str, float] = {}
-        self._states: dict[Identity, _ColdState] = {}
+        self._states: dict[EndpointIdentity, _ColdState] = {}
         self._first_list_at: float | None = None
 
     def __bool__(self) -> bool:
@@ -133,7 +131,9 @@
             return False
         return self._state(endpoint, seconds) and bool(self)
 
-    def merge(self, identity: Identity, service: str, seconds: float) -> bool:
+    def merge(
+        self, identity: EndpointIdentity, service: str, seconds: float
+    ) -> bool:
         """Apply a peer's statement; return whether it changes anything."""
         now = self._clock()
         seconds = min(seconds, MAX_COLD_SECONDS)
@@ -148,7 +148,7 @@
         self._begin(identity, service, seconds)
         return True
 
-    def limit_of(self, identity: Identity) -> ColdLimit | None:
+    def limit_of(self, identity: EndpointIdentity) -> ColdLimit | None:
         """Return the limit of a lifetime, ``None`` if there is none."""
         state = self._states.get(identity)
         now = self._clock()
@@ -165,7 +165,7 @@
             seconds_left=state.until - now,
         )
 
-    def take_unpermitted(self, identity: Identity) -> bool:
+    def take_unpermitted(self, identity: EndpointIdentity) -> bool:
         """Return whether a request may be sent without a permit; count it."""
         state = self._states.get(identity)
         now = self._clock()
@@ -176,13 +176,13 @@
         state.unpermitted_at = now
         return True
 
-    def identities(self) -> tuple[Identity, ...]:
+    def identities(self) -> tuple[EndpointIdentity, ...]:
         """Return the lifetimes whose rate is limited."""
         return tuple(each for each in self._states if self.limit_of(each))
 
     def list_now(
         self, endpoints: tuple[ListedEndpoint, ...]
-    ) -> dict[Identity, float]:
+    ) -> dict[EndpointIdentity, float]:
         """Return the remaining times of the endpoints that are cold now.
 
         Services without a bound are included, since a peer may know one.
@@ -225,7 +225,9 @@
             state.stated_at = now
         return False
 
-    def _begin(self, identity: Identity, service: str, seconds: float) -> bool:
+    def _begin(
+        self, identity: EndpointIdentity, service: str, seconds: float
+    ) -> bool:
         """Set the end of a state; return whether it becomes cold or longer."""
         now = self._clock()
         until = now + min(seconds, MAX_COLD_SECONDS)
--- a/src/limpetdrift/state/endpoint_back_offs.py
+++ b/src/limpetdrift/state/endpoint_back_offs.py
@@ -11,7 +11,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.logs import note, warn
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 
 # Longest back-off that is accepted; a longer one is cut to it, so that one
 # wrong value does not exclude an endpoint for good.
@@ -22,8 +22,6 @@
 # Retry interval while the recovery limit is reached.
 RECOVERY_RETRY_SECONDS = 0.3
 
-Identity = tuple[str, int]
-
 
 @dataclass(kw_only=True, slots=True)
 class _BackOff:
@@ -41,7 +39,7 @@
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._back_offs: dict[Identity, _BackOff] = {}
+        self._back_offs: dict[EndpointIdentity, _BackOff] = {}
 
     def __bool__(self) -> bool:
         """Whether any lifetime has a back-off or is limited after one."""
@@ -75,12 +73,12 @@
         )
         found.until = max(found.until, until)
 
-    def seconds_left(self, identity: Identity) -> float:
+    def seconds_left(self, identity: EndpointIdentity) -> float:
         """Return the rest of a lifetime's back-off, 0 if it has none."""
         found = self._back_offs.get(identity)
         return 0.0 if found is None else max(0.0, found.until - self._clock())
 
-    def is_open(self, identity: Identity) -> bool:
+    def is_open(self, identity: EndpointIdentity) -> bool:
         """Return whether a lifetime may be chosen for a request now."""
         found = self._back_offs.get(identity)
         return found is None or self._seconds_closed(found) <= 0
@@ -95,7 +93,7 @@
 
     def closed(
         self, endpoints: Iterable[ListedEndpoint]
-    ) -> frozenset[Identity]:
+    ) -> frozenset[EndpointIdentity]:
         """Return the identities of those that may not be chosen now."""
         if not self._back_offs:
             return frozenset()
@@ -121,12 +119,12 @@
         )
         return least if least > 0 else None
 
-    def begin(self, identities: Iterable[Identity], name: str) -> None:
+    def begin(self, identities: Iterable[EndpointIdentity], name: str) -> None:
         """Count a request in flight; ``name`` is unique to its placement."""
         for found in _find_all(self._back_offs, identities):
             found.in_flight.add(name)
 
-    def admit(self, identities: Iterable[Identity], name: str) -> bool:
+    def admit(self, identities: Iterable[EndpointIdentity], name: str) -> bool:
         """Return whether a placed request may be sent, and count it if so.
 
         It may have been placed before a back-off, and not be counted yet.
@@ -141,12 +139,14 @@
             each.in_flight.add(name)
         return True
 
-    def end(self, identities: Iterable[Identity], name: str) -> None:
+    def end(self, identities: Iterable[EndpointIdentity], name: str) -> None:
         """Count a request in flight no longer, if it was counted."""
         for found in _find_all(self._back_offs, identities):
             found.in_flight.discard(name)
 
-    def record_success(self, identities: Iterable[Identity], name: str) -> None:
+    def record_success(
+        self, identities: Iterable[EndpointIdentity], name: str
+    ) -> None:
         """Lift the limit where a request succeeded that began under it."""
         now = self._clock()
         for identity in identities:
@@ -156,7 +156,7 @@
             if name in found.in_flight:
                 self._back_offs.pop(identity)
 
-    def forget_unlisted(self, listed: set[Identity]) -> None:
+    def forget_unlisted(self, listed: set[EndpointIdentity]) -> None:
         """Drop the ended back-offs of lifetimes that aren't listed."""
         for identity in tuple(self._back_offs):
             if identity not in listed and not self.seconds_left(identity):
@@ -171,7 +171,8 @@
 
 
 def _find_all(
-    back_offs: dict[Identity, _BackOff], identities: Iterable[Identity]
+    back_offs: dict[EndpointIdentity, _BackOff],
+    identities: Iterable[EndpointIdentity],
 ) -> list[_BackOff]:
     found = map(back_offs.get, identities)
     return [each for each in found if each is not None]
--- a/src/limpetdrift/state/endpoint_limits.py
+++ b/src/limpetdrift/state/endpoint_limits.py
@@ -16,7 +16,7 @@
 from limpetdrift.logs import note
 from limpetdrift.protocol.limits import UNNAMED_AGE_SECONDS, LimitRecord
 from limpetdrift.protocol.plans import EndpointId
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.cold_endpoints import ColdEndpoints
 
 # The rate of an endpoint that names no limit, in requests a second.
@@ -28,8 +28,6 @@
 # may learn of limits before it has read the list.
 UNLISTED_RETENTION_SECONDS = 120.0
 
-Identity = tuple[str, int]
-
 
 @dataclass(kw_only=True, slots=True)
 class _Limit:
@@ -53,7 +51,7 @@
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._limits: dict[Identity, _Limit] = {}
+        self._limits: dict[EndpointIdentity, _Limit] = {}
         self.cold = ColdEndpoints(clock=clock)
 
     def __bool__(self) -> bool:
@@ -98,17 +96,17 @@
         )
         return has_changed or is_colder
 
-    def rate_of(self, identity: Identity) -> float:
+    def rate_of(self, identity: EndpointIdentity) -> float:
         """Return a lifetime's limit, ``UNLIMITED`` if it has none."""
         named = _named_rate(self._limits.get(identity))
         cold = self.cold.limit_of(identity) if self.cold else None
         return named if cold is None else min(named, cold.rate)
 
-    def is_limited(self, identity: Identity) -> bool:
+    def is_limited(self, identity: EndpointIdentity) -> bool:
         """Return whether a lifetime has a limit."""
         return self.rate_of(identity) < UNLIMITED
 
-    def limited_since(self, identity: Identity) -> float:
+    def limited_since(self, identity: EndpointIdentity) -> float:
         """Return since when this entry knows a lifetime as limited."""
         limit = self._limits.get(identity)
         cold = self.cold.limit_of(identity)
@@ -119,20 +117,20 @@
             math.inf if cold is None else cold.since,
         )
 
-    def record_call(self, identity: Identity) -> None:
+    def record_call(self, identity: EndpointIdentity) -> None:
         """Record a call whose answer will tell of a lifetime's limit."""
         limit = self._limits.get(identity)
         if limit is not None:
             limit.called_at = self._clock()
 
-    def seconds_untold(self, identity: Identity) -> float:
+    def seconds_untold(self, identity: EndpointIdentity) -> float:
         """Return the time since an answer told of a limit or was due to."""
         limit = self._limits.get(identity)
         if limit is None:
             return math.inf
         return self._clock() - max(limit.named_at, limit.called_at)
 
-    def record_of(self, identity: Identity) -> LimitRecord | None:
+    def record_of(self, identity: EndpointIdentity) -> LimitRecord | None:
         """Return what is known of a lifetime's limit, for a peer."""
         limit = self._limits.get(identity)
         cold = self.cold.limit_of(identity)
@@ -155,7 +153,7 @@
         found = map(self.record_of, identities)
         return tuple(each for each in found if each is not None)
 
-    def forget_unlisted(self, listed: set[Identity]) -> None:
+    def forget_unlisted(self, listed: set[EndpointIdentity]) -> None:
         """Drop old limits of lifetimes that aren't listed."""
         self.cold.forget_ended()
         cutoff = self._clock() - UNLISTED_RETENTION_SECONDS
@@ -163,7 +161,9 @@
             if self._limits[identity].named_at < cutoff:
                 self._limits.pop(identity)
 
-    def _apply(self, identity: Identity, rate: float, named_at: float) -> bool:
+    def _apply(
+        self, identity: EndpointIdentity, rate: float, named_at: float
+    ) -> bool:
         limit = self._limits.get(identity)
         if limit is not None and named_at < limit.named_at:
             return False
@@ -188,7 +188,9 @@
         return True
 
 
-def is_limited_as_cold(limits: EndpointLimits, identity: Identity) -> bool:
+def is_limited_as_cold(
+    limits: EndpointLimits, identity: EndpointIdentity
+) -> bool:
     """Return whether a lifetime is cold and named no lower limit."""
     cold = limits.cold.limit_of(identity)
     return cold is not None and cold.rate <= limits.rate_of(identity)
--- a/src/limpetdrift/state/endpoint_view.py
+++ b/src/limpetdrift/state/endpoint_view.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable
 
 from limpetdrift.logs import note
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_back_offs import EndpointBackOffs
 from limpetdrift.state.endpoint_limits import EndpointLimits
 
@@ -36,7 +36,7 @@
         self._clock = clock
         self._listed: dict[str, ListedEndpoint] = {}
         self._by_service: dict[str, tuple[ListedEndpoint, ...]] = {}
-        self._leaving: dict[tuple[str, int], float] = {}
+        self._leaving: dict[EndpointIdentity, float] = {}
         self._evacuated: frozenset[str] = frozenset()
         self._ahead_of_list: dict[str, tuple[ListedEndpoint, ...]] = {}
         self._version = 0
@@ -158,8 +158,8 @@
 
 
 def _expire_leaving(
-    leaving: dict[tuple[str, int], float],
-    listed: set[tuple[str, int]],
+    leaving: dict[EndpointIdentity, float],
+    listed: set[EndpointIdentity],
     cutoff: float,
 ) -> None:
     """Drop the signals before ``cutoff`` of endpoints that aren't listed."""
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -10,7 +10,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.protocol.work import (
+    EndpointIdentity,
+    EngineReport,
+    ListedEndpoint,
+)
 from limpetdrift.state.engine_usage import Booking, EngineUsage, PlanLease
 from limpetdrift.state.prefill_schedule import NO_PLANS, PrefillSchedule
 
@@ -67,7 +71,7 @@
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._engines: dict[tuple[str, int], _Engine] = {}
+        self._engines: dict[EndpointIdentity, _Engine] = {}
         self._plans: dict[str, _BookedPlan] = {}
         # Time limits of plans, the earliest first; a heap.
         self._time_limits: list[tuple[float, str]] = []
@@ -140,7 +144,7 @@
         for name in names:
             self.end(name)
 
-    def mark_failing(self, identity: tuple[str, int]) -> None:
+    def mark_failing(self, identity: EndpointIdentity) -> None:
         """Record a failure, so that other engines are preferred for a while."""
         engine = self._engines.setdefault(identity, _Engine())
         now = self._clock()
@@ -154,7 +158,7 @@
         engine.usage = None
         engine.failing_until = now + backoff_seconds
 
-    def mark_full(self, identity: tuple[str, int]) -> None:
+    def mark_full(self, identity: EndpointIdentity) -> None:
         """Record that an engine turned a request away for want of room."""
         engine = self._engines.setdefault(identity, _Engine())
         engine.usage = None
--- a/src/limpetdrift/state/rate_budget.py
+++ b/src/limpetdrift/state/rate_budget.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from random import Random
 
-Identity = tuple[str, int]
+from limpetdrift.protocol.work import EndpointIdentity
 
 # Share of a limit that the usual decider grants. The rest covers calls that
 # entries send by themselves, and jitter on the way to the endpoint.
@@ -45,10 +45,10 @@
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._buckets: dict[Identity, _Bucket] = {}
+        self._buckets: dict[EndpointIdentity, _Bucket] = {}
 
     def calls_left(
-        self, identity: Identity, rate: float, limited_since: float
+        self, identity: EndpointIdentity, rate: float, limited_since: float
     ) -> float:
         """Return the calls that may be sent now, negative if overdrawn.
 
@@ -66,13 +66,15 @@
         bucket.settled_at = max(now, bucket.settled_at)
         return bucket.calls
 
-    def take(self, identity: Identity) -> None:
+    def take(self, identity: EndpointIdentity) -> None:
         """Count a call."""
         bucket = self._buckets.get(identity)
         if bucket is not None:
             bucket.calls = max(-_MAX_DEBT_CALLS, bucket.calls - 1)
 
-    def forget_unless(self, is_kept: Callable[[Identity], bool]) -> None:
+    def forget_unless(
+        self, is_kept: Callable[[EndpointIdentity], bool]
+    ) -> None:
         """Drop the buckets of lifetimes that need none."""
         for identity in tuple(self._buckets):
             if not is_kept(identity):
