--- a/benchmarks/claims_rate.py
+++ b/benchmarks/claims_rate.py
@@ -17,8 +17,8 @@
 from claim_harness import ENDPOINT, FakeObjects
 from fake_network import FakeNetwork
 from fake_table import FakeTable
-from limpetdrift.coordination.claim_outcomes import ClaimRequest
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claim_outcomes import ClaimRequest
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.state.batching import BATCH_ITEMS, BatchLimits
 from limpetdrift.state.budget import Budget, Priority, StoreRates
--- a/benchmarks/membership_slopes.py
+++ b/benchmarks/membership_slopes.py
@@ -24,7 +24,7 @@
 
 from endpoint_harness import EndpointHarness, make_endpoint
 from fake_network import FakeNetwork
-from limpetdrift.coordination.gossip import Gossip, GossipHooks
+from limpetdrift.coordination.membership.gossip import Gossip, GossipHooks
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.gossip import (
--- a/benchmarks/placement_slopes.py
+++ b/benchmarks/placement_slopes.py
@@ -15,7 +15,7 @@
 
 import trio
 
-from limpetdrift.coordination.home_assignment import HomeTable
+from limpetdrift.coordination.homes.home_assignment import HomeTable
 from limpetdrift.protocol.placement import AttemptOutcome
 from placement_site import Site, make_request
 from virtual_time import run_in_virtual_time
--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -9,7 +9,7 @@
 import time
 
 from limpetdrift import logs, telemetry
-from limpetdrift.coordination.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
 from limpetdrift.protocol.plans import EndedPlan, PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import ListedEndpoint
--- a/benchmarks/waiting_prompts.py
+++ b/benchmarks/waiting_prompts.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from statistics import median
 
-from limpetdrift.coordination.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
 from limpetdrift.coordination.scheduling.waiting import make_arrival
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.work import ListedEndpoint
--- a/src/limpetdrift/callers/chat.py
+++ b/src/limpetdrift/callers/chat.py
@@ -26,7 +26,7 @@
     read_key,
     read_repeatable,
 )
-from limpetdrift.coordination.run_registry import RunRegistry
+from limpetdrift.coordination.runs.run_registry import RunRegistry
 from limpetdrift.protocol.codec import decode, json_response
 from limpetdrift.protocol.openai import (
     DEFAULT_MAX_TOKENS,
--- a/src/limpetdrift/callers/services.py
+++ b/src/limpetdrift/callers/services.py
@@ -24,8 +24,8 @@
     read_key,
     read_repeatable,
 )
-from limpetdrift.coordination.service_caller import ServiceCaller
-from limpetdrift.coordination.service_messages import ServiceRequest
+from limpetdrift.coordination.services.service_caller import ServiceCaller
+from limpetdrift.coordination.services.service_messages import ServiceRequest
 from limpetdrift.protocol.codec import encode
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.site import ServiceConfig
--- a/src/limpetdrift/callers/streams.py
+++ b/src/limpetdrift/callers/streams.py
@@ -13,7 +13,7 @@
 from limpetdrift.callers.answers import respond_failure
 from limpetdrift.callers.chat import ReadSite, send_stream
 from limpetdrift.coordination.peers import PEER_SECRET_HEADER, is_peer
-from limpetdrift.coordination.run_registry import RunRegistry
+from limpetdrift.coordination.runs.run_registry import RunRegistry
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.verdict import (
     Failure,
--- a/src/limpetdrift/coordination/config_routes.py
+++ b/src/limpetdrift/coordination/administration/config_routes.py
@@ -5,7 +5,9 @@
 from typing import Any
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.configuration import ConfigurationManager
+from limpetdrift.coordination.configuration.configuration import (
+    ConfigurationManager,
+)
 from limpetdrift.protocol.codec import decode, json_response
 from limpetdrift.protocol.configuration import Change
 from limpetdrift.protocol.operator import (
--- a/src/limpetdrift/coordination/quarantine_routes.py
+++ b/src/limpetdrift/coordination/administration/quarantine_routes.py
@@ -1,8 +1,8 @@
 """The operator API for refused fingerprints; it is served by every entry."""
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.config_routes import operator_only
-from limpetdrift.coordination.quarantine import Quarantine
+from limpetdrift.coordination.administration.config_routes import operator_only
+from limpetdrift.coordination.crashes.quarantine import Quarantine
 from limpetdrift.protocol.codec import decode, json_response
 from limpetdrift.protocol.operator import (
     QUARANTINE_PATH,
--- a/src/limpetdrift/coordination/status_routes.py
+++ b/src/limpetdrift/coordination/administration/status_routes.py
@@ -4,17 +4,21 @@
 from dataclasses import dataclass, replace
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.config_routes import operator_only
-from limpetdrift.coordination.configuration import ConfigurationManager
-from limpetdrift.coordination.endpoint_directory import (
+from limpetdrift.coordination.administration.config_routes import operator_only
+from limpetdrift.coordination.administration.quarantine_routes import (
+    make_report,
+)
+from limpetdrift.coordination.configuration.configuration import (
+    ConfigurationManager,
+)
+from limpetdrift.coordination.crashes.quarantine import Quarantine
+from limpetdrift.coordination.homes.endpoint_directory import (
     EndpointDirectory,
     LeavingSource,
 )
-from limpetdrift.coordination.home import HomeServer
-from limpetdrift.coordination.home_assignment import home_of
-from limpetdrift.coordination.membership import Member, Membership
-from limpetdrift.coordination.quarantine import Quarantine
-from limpetdrift.coordination.quarantine_routes import make_report
+from limpetdrift.coordination.homes.home import HomeServer
+from limpetdrift.coordination.homes.home_assignment import home_of
+from limpetdrift.coordination.membership.membership import Member, Membership
 from limpetdrift.protocol.codec import decode, json_response
 from limpetdrift.protocol.gossip import MemberState
 from limpetdrift.protocol.node import Endpoint, Node, Role
--- a/src/limpetdrift/coordination/claims.py
+++ b/src/limpetdrift/coordination/claims/claims.py
@@ -19,7 +19,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.claim_outcomes import (
+from limpetdrift.coordination.claims.claim_outcomes import (
     ClaimedElsewhere,
     ClaimFinished,
     ClaimGranted,
@@ -27,14 +27,14 @@
     ClaimRequest,
     ClaimUncertain,
 )
-from limpetdrift.coordination.claim_status import (
+from limpetdrift.coordination.claims.claim_status import (
     CLAIM_STATUS_PATH,
     ClaimStatusReply,
     ClaimStatusRequest,
     ClaimStatusService,
     ReportedClaimState,
 )
-from limpetdrift.coordination.claim_writer import ClaimWriter
+from limpetdrift.coordination.claims.claim_writer import ClaimWriter
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.table import ABSENT
--- a/src/limpetdrift/coordination/config_broadcast.py
+++ b/src/limpetdrift/coordination/configuration/config_broadcast.py
@@ -5,8 +5,10 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.config_confirmation import ConfigurationTiming
-from limpetdrift.coordination.config_sync import ConfigurationSync
+from limpetdrift.coordination.configuration.config_confirmation import (
+    ConfigurationTiming,
+)
+from limpetdrift.coordination.configuration.config_sync import ConfigurationSync
 from limpetdrift.protocol.configuration import StoredDocument
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.verdict import Failure, Reason
--- a/src/limpetdrift/coordination/config_refresh.py
+++ b/src/limpetdrift/coordination/configuration/config_refresh.py
@@ -4,17 +4,19 @@
 
 import trio
 
-from limpetdrift.coordination.config_broadcast import ConfigurationBroadcaster
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.configuration.config_broadcast import (
+    ConfigurationBroadcaster,
+)
+from limpetdrift.coordination.configuration.config_confirmation import (
     ClusterView,
     ConfigurationTiming,
     ConfirmationState,
 )
-from limpetdrift.coordination.config_store import (
+from limpetdrift.coordination.configuration.config_store import (
     ConfigurationStore,
     StoreComparison,
 )
-from limpetdrift.coordination.config_sync import (
+from limpetdrift.coordination.configuration.config_sync import (
     ConfigurationSync,
     ExchangeResult,
 )
--- a/src/limpetdrift/coordination/config_store.py
+++ b/src/limpetdrift/coordination/configuration/config_store.py
@@ -11,7 +11,7 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.configuration.config_confirmation import (
     ConfigurationTiming,
     ConfirmationState,
 )
--- a/src/limpetdrift/coordination/config_sync.py
+++ b/src/limpetdrift/coordination/configuration/config_sync.py
@@ -10,7 +10,7 @@
 from expression import Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.configuration.config_confirmation import (
     ConfigurationTiming,
     ConfirmationState,
 )
--- a/src/limpetdrift/coordination/configuration.py
+++ b/src/limpetdrift/coordination/configuration/configuration.py
@@ -18,15 +18,21 @@
 from expression import Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.config_broadcast import ConfigurationBroadcaster
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.configuration.config_broadcast import (
+    ConfigurationBroadcaster,
+)
+from limpetdrift.coordination.configuration.config_confirmation import (
     ClusterView,
     ConfigurationTiming,
     ConfirmationState,
 )
-from limpetdrift.coordination.config_refresh import ConfigurationRefresher
-from limpetdrift.coordination.config_store import ConfigurationStore
-from limpetdrift.coordination.config_sync import ConfigurationSync
+from limpetdrift.coordination.configuration.config_refresh import (
+    ConfigurationRefresher,
+)
+from limpetdrift.coordination.configuration.config_store import (
+    ConfigurationStore,
+)
+from limpetdrift.coordination.configuration.config_sync import ConfigurationSync
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.configuration import (
     Accepted,
--- a/src/limpetdrift/coordination/crash_guard.py
+++ b/src/limpetdrift/coordination/crashes/crash_guard.py
@@ -15,10 +15,9 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.crash_exchange import CrashExchange
-from limpetdrift.coordination.delivery import EndpointIdentity
+from limpetdrift.coordination.crashes.crash_exchange import CrashExchange
+from limpetdrift.coordination.crashes.isolation_leases import IsolationLeases
 from limpetdrift.coordination.fingerprints import fingerprint_of
-from limpetdrift.coordination.isolation_leases import IsolationLeases
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.rendezvous import choose_by_hash
 from limpetdrift.logs import note, warn
@@ -29,7 +28,11 @@
     Reason,
     not_run,
 )
-from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
+from limpetdrift.protocol.work import (
+    CallerRequest,
+    EndpointIdentity,
+    ListedEndpoint,
+)
 from limpetdrift.state.crash_evidence import CRASH_SECONDS, CrashEvidence
 from limpetdrift.state.culprits import Suspicion, fingerprint_key
 from limpetdrift.state.endpoint_view import EndpointView
--- a/src/limpetdrift/coordination/engine_probe.py
+++ b/src/limpetdrift/coordination/crashes/engine_probe.py
@@ -3,7 +3,7 @@
 import trio
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.guarded_attempt import (
+from limpetdrift.coordination.crashes.guarded_attempt import (
     EndpointProbe,
     ProbeEndpoint,
 )
--- a/src/limpetdrift/coordination/quarantine.py
+++ b/src/limpetdrift/coordination/crashes/quarantine.py
@@ -19,14 +19,16 @@
 from expression import Error, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.guarded_attempt import (
+from limpetdrift.coordination.crashes.guarded_attempt import (
     GuardedAttempt,
     ProbeEndpoint,
     RunAttempt,
 )
-from limpetdrift.coordination.isolation_leases import IsolationLeases
+from limpetdrift.coordination.crashes.isolation_leases import IsolationLeases
+from limpetdrift.coordination.crashes.quarantine_replication import (
+    QuarantineReplicator,
+)
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.quarantine_replication import QuarantineReplicator
 from limpetdrift.coordination.rendezvous import choose_by_hash
 from limpetdrift.protocol.node import Endpoint, Node
 from limpetdrift.protocol.quarantine import QuarantineRecord, QuarantineState
--- a/src/limpetdrift/coordination/limit_exchange.py
+++ b/src/limpetdrift/coordination/endpoints/limit_exchange.py
@@ -14,7 +14,7 @@
 from expression import Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.endpoint_permits import EndpointPermits
+from limpetdrift.coordination.endpoints.endpoint_permits import EndpointPermits
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.record_replication import (
     RecordReplicator,
--- a/src/limpetdrift/coordination/plan_bookings.py
+++ b/src/limpetdrift/coordination/engines/plan_bookings.py
@@ -2,8 +2,11 @@
 
 from dataclasses import dataclass
 
-from limpetdrift.coordination.engine_cost_model import prefill_seconds
-from limpetdrift.coordination.prompt_splitting import start_slack, stream_worth
+from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
+from limpetdrift.coordination.engines.prompt_splitting import (
+    start_slack,
+    stream_worth,
+)
 from limpetdrift.protocol.plans import EndpointId, Plan, PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.state.endpoint_view import EndpointView
--- a/src/limpetdrift/coordination/prompt_splitting.py
+++ b/src/limpetdrift/coordination/engines/prompt_splitting.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from limpetdrift.coordination.engine_cost_model import (
+from limpetdrift.coordination.engines.engine_cost_model import (
     decode_step_seconds,
     prefill_seconds,
 )
--- a/src/limpetdrift/coordination/delivery.py
+++ b/src/limpetdrift/coordination/forwarding/delivery.py
@@ -5,10 +5,18 @@
 
 from expression import Error, Ok
 
-from limpetdrift.coordination.attempt_race import Outcome, RacingAttempt
-from limpetdrift.coordination.endpoint_response import EndpointResponse
-from limpetdrift.coordination.event_relay import StreamEvent, whole_events
-from limpetdrift.coordination.retry_policy import (
+from limpetdrift.coordination.forwarding.attempt_race import (
+    Outcome,
+    RacingAttempt,
+)
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
+from limpetdrift.coordination.forwarding.event_relay import (
+    StreamEvent,
+    whole_events,
+)
+from limpetdrift.coordination.forwarding.retry_policy import (
     is_failure_of_endpoint,
     stream_idle_timeout_seconds,
 )
--- a/src/limpetdrift/coordination/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding.py
@@ -16,29 +16,29 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.attempt_race import (
+from limpetdrift.coordination.crashes.crash_guard import (
+    HARMLESS_ANSWER_SECONDS,
+    BrokenAttempt,
+)
+from limpetdrift.coordination.forwarding.attempt_race import (
     AttemptRace,
     Outcome,
     RacingAttempt,
 )
-from limpetdrift.coordination.crash_guard import (
-    HARMLESS_ANSWER_SECONDS,
-    BrokenAttempt,
-)
-from limpetdrift.coordination.delivery import (
+from limpetdrift.coordination.forwarding.delivery import (
     EndpointIdentity,
     RequestProgress,
     relay_events,
     relay_response,
 )
-from limpetdrift.coordination.endpoint_response import SendRequest
-from limpetdrift.coordination.request_logs import (
+from limpetdrift.coordination.forwarding.endpoint_response import SendRequest
+from limpetdrift.coordination.forwarding.request_logs import (
     log_cut_answer,
     log_end,
     log_placement,
     log_retry,
 )
-from limpetdrift.coordination.retry_policy import (
+from limpetdrift.coordination.forwarding.retry_policy import (
     attempt_timeout_seconds,
     first_event_timeout_seconds,
     may_repeat,
--- a/src/limpetdrift/coordination/request_logs.py
+++ b/src/limpetdrift/coordination/forwarding/request_logs.py
@@ -1,7 +1,7 @@
 """Logs and counts how requests are placed, retried and ended."""
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.delivery import RequestProgress
+from limpetdrift.coordination.forwarding.delivery import RequestProgress
 from limpetdrift.logs import note, warn
 from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan
--- a/src/limpetdrift/coordination/candidate_selection.py
+++ b/src/limpetdrift/coordination/homes/candidate_selection.py
@@ -5,7 +5,7 @@
 from heapq import nlargest
 from random import Random
 
-from limpetdrift.coordination.home_assignment import rendezvous_weight
+from limpetdrift.coordination.homes.home_assignment import rendezvous_weight
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.protocol.placement import PlacementRequest
 from limpetdrift.state.prefixes import PrefixEndpoints
--- a/src/limpetdrift/coordination/endpoint_directory.py
+++ b/src/limpetdrift/coordination/homes/endpoint_directory.py
@@ -17,9 +17,9 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.instance_list_poller import ListPoller
-from limpetdrift.coordination.membership import Membership
-from limpetdrift.coordination.report_poller import ReportPoller
+from limpetdrift.coordination.homes.report_poller import ReportPoller
+from limpetdrift.coordination.membership.instance_list_poller import ListPoller
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import EndpointRecord, ListingState
 from limpetdrift.protocol.instances import InstanceList, ReadList
--- a/src/limpetdrift/coordination/expiry.py
+++ b/src/limpetdrift/coordination/homes/expiry.py
@@ -3,7 +3,7 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.home_reports import UNUSED_GRANT_SECONDS
+from limpetdrift.coordination.homes.home_reports import UNUSED_GRANT_SECONDS
 from limpetdrift.state.queue import EndpointQueue
 
 # Upper bound of the long-poll timeout that a poller may ask for.
--- a/src/limpetdrift/coordination/home.py
+++ b/src/limpetdrift/coordination/homes/home.py
@@ -13,22 +13,22 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.estimates import (
+from limpetdrift.coordination.homes.estimates import (
     expected_first_token_seconds,
     may_earmark,
     tokens_to_earmark,
 )
-from limpetdrift.coordination.expiry import (
+from limpetdrift.coordination.homes.expiry import (
     MAX_LONG_POLL_SECONDS,
     drop_abandoned_tickets,
     drop_overdue_grants,
 )
-from limpetdrift.coordination.home_reports import (
+from limpetdrift.coordination.homes.home_reports import (
     HomedEndpoint,
     read_engine_reports,
 )
+from limpetdrift.coordination.homes.policies import Policy
 from limpetdrift.coordination.peers import PeerHandler, PeerRoutes
-from limpetdrift.coordination.policies import Policy
 from limpetdrift.protocol.engine_management import EngineManagementCalls
 from limpetdrift.protocol.grants import (
     Bid,
--- a/src/limpetdrift/coordination/home_client.py
+++ b/src/limpetdrift/coordination/homes/home_client.py
@@ -8,8 +8,8 @@
 from expression import Error, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.home import HomeServer, grant_id_of
-from limpetdrift.coordination.home_assignment import HomeTable
+from limpetdrift.coordination.homes.home import HomeServer, grant_id_of
+from limpetdrift.coordination.homes.home_assignment import HomeTable
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.protocol.grants import (
     Bid,
--- a/src/limpetdrift/coordination/placer.py
+++ b/src/limpetdrift/coordination/homes/placer.py
@@ -13,10 +13,13 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.candidate_selection import ProbeState
-from limpetdrift.coordination.engine_groups import EngineGroups, GroupInputs
-from limpetdrift.coordination.home import HomeServer
-from limpetdrift.coordination.home_client import (
+from limpetdrift.coordination.homes.candidate_selection import ProbeState
+from limpetdrift.coordination.homes.engine_groups import (
+    EngineGroups,
+    GroupInputs,
+)
+from limpetdrift.coordination.homes.home import HomeServer
+from limpetdrift.coordination.homes.home_client import (
     UNREACHABLE,
     HomeClient,
     PlacerInputs,
--- a/src/limpetdrift/coordination/policies.py
+++ b/src/limpetdrift/coordination/homes/policies.py
@@ -13,7 +13,7 @@
 
 import trio
 
-from limpetdrift.coordination.candidate_selection import (
+from limpetdrift.coordination.homes.candidate_selection import (
     SelectCandidates,
     affinity_and_random,
     random_two,
--- a/src/limpetdrift/coordination/reclaim.py
+++ b/src/limpetdrift/coordination/homes/reclaim.py
@@ -22,7 +22,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.home_assignment import home_of
+from limpetdrift.coordination.homes.home_assignment import home_of
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.engine_management import (
     Allocation,
--- a/src/limpetdrift/coordination/report_poller.py
+++ b/src/limpetdrift/coordination/homes/report_poller.py
@@ -9,8 +9,8 @@
 
 import trio
 
-from limpetdrift.coordination.home_assignment import endpoints_homed_at
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.homes.home_assignment import endpoints_homed_at
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.protocol.lifecycle_reports import LifecycleReport, ReadReport
 from limpetdrift.protocol.node import Endpoint, Node
 
--- a/src/limpetdrift/coordination/discovery.py
+++ b/src/limpetdrift/coordination/membership/discovery.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.protocol.codec import json_response
 from limpetdrift.protocol.discovery import (
     DISCOVERY_PATH,
--- a/src/limpetdrift/coordination/drain.py
+++ b/src/limpetdrift/coordination/membership/drain.py
@@ -19,12 +19,12 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.discovery import (
+from limpetdrift.coordination.membership.discovery import (
     MAX_AGE_SECONDS,
     sample_entries,
     usable_entries,
 )
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 
 # The grace period covers the lifetime of a discovery answer, which may come
--- a/src/limpetdrift/coordination/failure_detector.py
+++ b/src/limpetdrift/coordination/membership/failure_detector.py
@@ -12,10 +12,10 @@
 from expression import Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.evidence import Evidence
-from limpetdrift.coordination.gossip import Gossip
+from limpetdrift.coordination.membership.evidence import Evidence
+from limpetdrift.coordination.membership.gossip import Gossip
+from limpetdrift.coordination.membership.sampling import Sampler
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.sampling import Sampler
 from limpetdrift.protocol.gossip import (
     GossipMessage,
     MemberRecord,
--- a/src/limpetdrift/coordination/gossip.py
+++ b/src/limpetdrift/coordination/membership/gossip.py
@@ -18,7 +18,7 @@
 from msgspec import Raw
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.gossip_sync import GossipSync
+from limpetdrift.coordination.membership.gossip_sync import GossipSync
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.gossip import (
     EndpointRecord,
--- a/src/limpetdrift/coordination/gossip_rounds.py
+++ b/src/limpetdrift/coordination/membership/gossip_rounds.py
@@ -9,9 +9,9 @@
 
 import trio
 
-from limpetdrift.coordination.failure_detector import FailureDetector
-from limpetdrift.coordination.gossip import Gossip
-from limpetdrift.coordination.sampling import Sampler
+from limpetdrift.coordination.membership.failure_detector import FailureDetector
+from limpetdrift.coordination.membership.gossip import Gossip
+from limpetdrift.coordination.membership.sampling import Sampler
 
 ROUND_SECONDS = 1.0
 # A round that starts later than planned by more than this means that this
--- a/src/limpetdrift/coordination/instance_list_poller.py
+++ b/src/limpetdrift/coordination/membership/instance_list_poller.py
@@ -10,7 +10,7 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.instances import InstanceList, ReadList
 from limpetdrift.transport.messages import Address
--- a/src/limpetdrift/coordination/membership.py
+++ b/src/limpetdrift/coordination/membership/membership.py
@@ -16,14 +16,17 @@
 
 import trio
 
-from limpetdrift.coordination.evidence import EvidenceCounts
-from limpetdrift.coordination.failure_detector import FailureDetector
-from limpetdrift.coordination.gossip import Gossip, GossipHooks
-from limpetdrift.coordination.gossip_rounds import GossipRounds
-from limpetdrift.coordination.own_record import OwnRecord
+from limpetdrift.coordination.membership.evidence import EvidenceCounts
+from limpetdrift.coordination.membership.failure_detector import FailureDetector
+from limpetdrift.coordination.membership.gossip import Gossip, GossipHooks
+from limpetdrift.coordination.membership.gossip_rounds import GossipRounds
+from limpetdrift.coordination.membership.own_record import OwnRecord
+from limpetdrift.coordination.membership.sampling import (
+    MAX_SMALL_CLUSTER,
+    Sampler,
+)
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.rendezvous import choose_by_hash
-from limpetdrift.coordination.sampling import MAX_SMALL_CLUSTER, Sampler
 from limpetdrift.protocol.gossip import (
     EndpointRecord,
     MemberRecord,
--- a/src/limpetdrift/coordination/engine_report_poller.py
+++ b/src/limpetdrift/coordination/planning/engine_report_poller.py
@@ -13,8 +13,8 @@
 from expression import Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.membership import Member
-from limpetdrift.coordination.planner import Planner
+from limpetdrift.coordination.membership.membership import Member
+from limpetdrift.coordination.planning.planner import Planner
 from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import MemberState
 from limpetdrift.protocol.verdict import Failure
--- a/src/limpetdrift/coordination/scheduling/group_load_exchange.py
+++ b/src/limpetdrift/coordination/planning/group_load_exchange.py
@@ -15,12 +15,12 @@
 from expression import Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.planner import Planner
-from limpetdrift.coordination.planning_groups import (
+from limpetdrift.coordination.engines.planning_groups import (
     PlanningGroups,
     is_expensive,
 )
+from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.coordination.planning.planner import Planner
 from limpetdrift.coordination.scheduling.group_loads import (
     SEND_INTERVAL_SECONDS,
     GroupLoads,
--- a/src/limpetdrift/coordination/limit_deciders.py
+++ b/src/limpetdrift/coordination/planning/limit_deciders.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from limpetdrift.coordination.membership import Member
-from limpetdrift.coordination.planner_client import PlannerClient
-from limpetdrift.coordination.planning_groups import (
+from limpetdrift.coordination.engines.planning_groups import (
     PlanningGroups,
     planner_candidates,
 )
+from limpetdrift.coordination.membership.membership import Member
+from limpetdrift.coordination.planning.planner_client import PlannerClient
 from limpetdrift.protocol.gossip import MemberState
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import EngineGroup
--- a/src/limpetdrift/coordination/plain_placer.py
+++ b/src/limpetdrift/coordination/planning/plain_placer.py
@@ -6,12 +6,12 @@
 
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.endpoint_gate import (
+from limpetdrift.coordination.endpoints.endpoint_gate import (
     begin_placement,
     check_service,
     end_placement,
 )
-from limpetdrift.coordination.permit_client import PermitClient
+from limpetdrift.coordination.planning.permit_client import PermitClient
 from limpetdrift.protocol.service import ServiceLoad
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
--- a/src/limpetdrift/coordination/plan_confirmation.py
+++ b/src/limpetdrift/coordination/planning/plan_confirmation.py
@@ -11,8 +11,8 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.endpoint_gate import end_placement
-from limpetdrift.coordination.planner_client import (
+from limpetdrift.coordination.endpoints.endpoint_gate import end_placement
+from limpetdrift.coordination.planning.planner_client import (
     PlanInForce,
     PlannerClient,
     PlannerClientInputs,
--- a/src/limpetdrift/coordination/plan_placer.py
+++ b/src/limpetdrift/coordination/planning/plan_placer.py
@@ -17,32 +17,32 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.endpoint_gate import (
+from limpetdrift.coordination.endpoints.endpoint_gate import (
     begin_placement,
     check_service,
     end_placement,
 )
+from limpetdrift.coordination.engines.planning_groups import (
+    PlanningGroups,
+    cost_limit_elsewhere,
+)
 from limpetdrift.coordination.fingerprints import fingerprint_of
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.plan_confirmation import (
+from limpetdrift.coordination.planning.group_load_exchange import (
+    GroupLoadExchange,
+    GroupLoadInputs,
+)
+from limpetdrift.coordination.planning.plan_confirmation import (
     START_PATH,
     make_confirmation,
 )
-from limpetdrift.coordination.planner import endpoint_id_of, mark_full
-from limpetdrift.coordination.planner_client import (
+from limpetdrift.coordination.planning.planner import endpoint_id_of, mark_full
+from limpetdrift.coordination.planning.planner_client import (
     ACTIVE_PATH,
     ENDED_PATH,
     PlannerClient,
     PlannerClientInputs,
 )
-from limpetdrift.coordination.planning_groups import (
-    PlanningGroups,
-    cost_limit_elsewhere,
-)
-from limpetdrift.coordination.scheduling.group_load_exchange import (
-    GroupLoadExchange,
-    GroupLoadInputs,
-)
 from limpetdrift.coordination.scheduling.lateness import (
     effective_priority,
     must_yield,
--- a/src/limpetdrift/coordination/planner.py
+++ b/src/limpetdrift/coordination/planning/planner.py
@@ -16,13 +16,16 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.endpoint_permits import (
+from limpetdrift.coordination.endpoints.endpoint_permits import (
     EndpointPermits,
     ShareOfLimit,
 )
-from limpetdrift.coordination.engine_orders import EngineOrders
-from limpetdrift.coordination.plan_bookings import PlanUse, make_bookings
-from limpetdrift.coordination.prompt_splitting import (
+from limpetdrift.coordination.engines.engine_orders import EngineOrders
+from limpetdrift.coordination.engines.plan_bookings import (
+    PlanUse,
+    make_bookings,
+)
+from limpetdrift.coordination.engines.prompt_splitting import (
     Split,
     choose_split,
 )
--- a/src/limpetdrift/coordination/planner_client.py
+++ b/src/limpetdrift/coordination/planning/planner_client.py
@@ -10,10 +10,10 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.membership import Member
+from limpetdrift.coordination.engines.planning_groups import planner_candidates
+from limpetdrift.coordination.membership.membership import Member
 from limpetdrift.coordination.peers import PeerCall
-from limpetdrift.coordination.planner import Planner
-from limpetdrift.coordination.planning_groups import planner_candidates
+from limpetdrift.coordination.planning.planner import Planner
 from limpetdrift.coordination.scheduling.shares import OwnUsage
 from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import MemberState
--- a/src/limpetdrift/coordination/orders.py
+++ b/src/limpetdrift/coordination/reconciliation/orders.py
@@ -15,7 +15,7 @@
 from absl import logging
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.order_planning import (
+from limpetdrift.coordination.reconciliation.order_planning import (
     ObservedEngine,
     PlannedOrder,
     plan_orders,
--- a/src/limpetdrift/coordination/routing_relay.py
+++ b/src/limpetdrift/coordination/routing/routing_relay.py
@@ -19,14 +19,14 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.coordination.rendezvous import choose_by_hash
-from limpetdrift.coordination.routing_merge import (
+from limpetdrift.coordination.routing.routing_merge import (
     EndpointListState,
     are_evacuations_outdated,
     are_routes_outdated,
     is_list_outdated,
     merge_reply,
 )
-from limpetdrift.coordination.store_readers import (
+from limpetdrift.coordination.routing.store_readers import (
     MAX_DIRECT_ENTRIES,
     StoreReaders,
 )
--- a/src/limpetdrift/coordination/at_most_once_runs.py
+++ b/src/limpetdrift/coordination/runs/at_most_once_runs.py
@@ -13,8 +13,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.attempt import Attempt, resume_attempt
-from limpetdrift.coordination.claim_outcomes import (
+from limpetdrift.coordination.claims.claim_outcomes import (
     ClaimedElsewhere,
     ClaimFinished,
     ClaimGranted,
@@ -22,7 +21,8 @@
     ClaimRequest,
     ClaimUncertain,
 )
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
+from limpetdrift.coordination.runs.attempt import Attempt, resume_attempt
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.engine import EngineCalls
 from limpetdrift.protocol.placement import Placement
--- a/src/limpetdrift/coordination/run_execution.py
+++ b/src/limpetdrift/coordination/runs/run_execution.py
@@ -15,13 +15,13 @@
 from expression import Error, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.at_most_once_runs import Dispatch
-from limpetdrift.coordination.attempt import Attempt, follow_attempt
-from limpetdrift.coordination.guarded_attempt import (
+from limpetdrift.coordination.crashes.guarded_attempt import (
     Guard,
     GuardedAttempt,
     run_unguarded,
 )
+from limpetdrift.coordination.runs.at_most_once_runs import Dispatch
+from limpetdrift.coordination.runs.attempt import Attempt, follow_attempt
 from limpetdrift.protocol.engine import (
     EngineCalls,
     EngineReservation,
--- a/src/limpetdrift/coordination/run_streams.py
+++ b/src/limpetdrift/coordination/runs/run_streams.py
@@ -7,7 +7,7 @@
 from contextlib import aclosing
 
 from limpetdrift.coordination.peers import is_peer
-from limpetdrift.coordination.run_registry import RunRegistry
+from limpetdrift.coordination.runs.run_registry import RunRegistry
 from limpetdrift.protocol.codec import (
     LINES_HEADERS,
     encode_line,
--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -12,7 +12,10 @@
 from random import Random
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.prompt_splitting import Split, queue_seconds
+from limpetdrift.coordination.engines.prompt_splitting import (
+    Split,
+    queue_seconds,
+)
 from limpetdrift.coordination.scheduling.returns import (
     MIN_RETRY_AFTER_SECONDS,
     Pool,
--- a/src/limpetdrift/coordination/scheduling/planned_group.py
+++ b/src/limpetdrift/coordination/scheduling/planned_group.py
@@ -9,7 +9,7 @@
 
 from expression import Result
 
-from limpetdrift.coordination.planning_groups import is_expensive
+from limpetdrift.coordination.engines.planning_groups import is_expensive
 from limpetdrift.coordination.scheduling.group_loads import (
     Preference,
     SentLoad,
--- a/src/limpetdrift/coordination/scheduling/shares.py
+++ b/src/limpetdrift/coordination/scheduling/shares.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from limpetdrift.coordination.engine_cost_model import prefill_seconds
+from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
 from limpetdrift.protocol.plans import (
     AccountUsage,
     EngineGroup,
--- a/src/limpetdrift/coordination/at_most_once_calls.py
+++ b/src/limpetdrift/coordination/services/at_most_once_calls.py
@@ -13,7 +13,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.claim_outcomes import (
+from limpetdrift.coordination.claims.claim_outcomes import (
     ClaimedElsewhere,
     ClaimFinished,
     ClaimGranted,
@@ -21,14 +21,14 @@
     ClaimRequest,
     ClaimUncertain,
 )
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.service_caller import (
+from limpetdrift.coordination.services.service_caller import (
     CallOutcome,
     CallProgress,
     Dispatch,
 )
-from limpetdrift.coordination.service_messages import (
+from limpetdrift.coordination.services.service_messages import (
     FOLLOW_PATH,
     FollowReply,
     FollowRequest,
--- a/src/limpetdrift/coordination/service_caller.py
+++ b/src/limpetdrift/coordination/services/service_caller.py
@@ -14,7 +14,7 @@
 from expression import Error, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.service_messages import ServiceRequest
+from limpetdrift.coordination.services.service_messages import ServiceRequest
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.service import ServiceCall, ServiceCalls
 from limpetdrift.protocol.verdict import (
--- a/src/limpetdrift/loads/experiment.py
+++ b/src/limpetdrift/loads/experiment.py
@@ -14,7 +14,7 @@
 
 from expression import Result
 
-from limpetdrift.coordination.policies import DEFAULT_POLICY, POLICIES
+from limpetdrift.coordination.homes.policies import DEFAULT_POLICY, POLICIES
 from limpetdrift.protocol.configuration import Complaint, Complaints
 from limpetdrift.settings import Secret
 from limpetdrift.state.checked_yaml import load_document
--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, replace
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.drain import Drain
-from limpetdrift.coordination.forwarding import Forwarder
+from limpetdrift.coordination.forwarding.forwarding import Forwarder
+from limpetdrift.coordination.membership.drain import Drain
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import (
     REQUEST_ID_HEADER,
--- a/src/limpetdrift/platform/carrying.py
+++ b/src/limpetdrift/platform/carrying.py
@@ -10,7 +10,9 @@
 
 import trio
 
-from limpetdrift.coordination.endpoint_response import EndpointResponse
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
 from limpetdrift.platform import admission as header_names
 from limpetdrift.platform.endpoint_client import (
     decode_response_head,
--- a/src/limpetdrift/platform/crash_wiring.py
+++ b/src/limpetdrift/platform/crash_wiring.py
@@ -1,16 +1,16 @@
 """Builds the guard against requests that crash endpoints."""
 
-from limpetdrift.coordination.crash_exchange import (
+from limpetdrift.coordination.crashes.crash_exchange import (
     DIGEST_NAME,
     CrashExchange,
     CrashExchangeInputs,
 )
-from limpetdrift.coordination.crash_guard import (
+from limpetdrift.coordination.crashes.crash_guard import (
     CrashGuard,
     CrashGuardInputs,
     IsDead,
 )
-from limpetdrift.coordination.isolation_leases import IsolationLeases
+from limpetdrift.coordination.crashes.isolation_leases import IsolationLeases
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.platform.crash_rows import CrashRows, CrashRowsInputs
 from limpetdrift.platform.endpoint_client import is_dead
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -5,12 +5,15 @@
 
 import trio
 
-from limpetdrift.coordination.endpoint_gate import EndpointGate
-from limpetdrift.coordination.endpoint_response import (
+from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
+from limpetdrift.coordination.forwarding.endpoint_response import (
     EndpointResponse,
     SendRequest,
 )
-from limpetdrift.coordination.link_monitor import LinkMonitor, ProbeEndpoint
+from limpetdrift.coordination.membership.link_monitor import (
+    LinkMonitor,
+    ProbeEndpoint,
+)
 from limpetdrift.platform import admission as header_names
 from limpetdrift.platform.endpoint_signals import (
     INSTANCE_HEADER,
--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -2,7 +2,7 @@
 
 import re
 
-from limpetdrift.coordination.endpoint_gate import EndpointSignals
+from limpetdrift.coordination.endpoints.endpoint_gate import EndpointSignals
 from limpetdrift.logs import warn
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_limits import UNLIMITED
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -7,11 +7,11 @@
 from typing import Protocol
 
 from limpetdrift.clocks import boot_time
-from limpetdrift.coordination.crash_guard import CrashGuard
-from limpetdrift.coordination.discovery import cache_usable_entries
-from limpetdrift.coordination.drain import Drain, DrainTiming
-from limpetdrift.coordination.link_monitor import LinkMonitor
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.crashes.crash_guard import CrashGuard
+from limpetdrift.coordination.membership.discovery import cache_usable_entries
+from limpetdrift.coordination.membership.drain import Drain, DrainTiming
+from limpetdrift.coordination.membership.link_monitor import LinkMonitor
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.coordination.peers import (
     PeerCall,
     PeerRoutes,
--- a/src/limpetdrift/platform/failure_responses.py
+++ b/src/limpetdrift/platform/failure_responses.py
@@ -8,7 +8,9 @@
 from math import ceil
 from random import Random
 
-from limpetdrift.coordination.retry_policy import jittered_retry_after_seconds
+from limpetdrift.coordination.forwarding.retry_policy import (
+    jittered_retry_after_seconds,
+)
 from limpetdrift.protocol.verdict import Failure, Reason, Verdict
 from limpetdrift.transport.messages import Response
 
--- a/src/limpetdrift/platform/forwarder_wiring.py
+++ b/src/limpetdrift/platform/forwarder_wiring.py
@@ -5,9 +5,12 @@
 from expression import Result
 
 from limpetdrift.clocks import boot_time
-from limpetdrift.coordination.crash_guard import CrashGuard
-from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
-from limpetdrift.coordination.plain_placer import PlainPlacer
+from limpetdrift.coordination.crashes.crash_guard import CrashGuard
+from limpetdrift.coordination.forwarding.forwarding import (
+    Forwarder,
+    ForwardingInputs,
+)
+from limpetdrift.coordination.planning.plain_placer import PlainPlacer
 from limpetdrift.platform.admission import AdmissionInputs, check_key
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.failure_responses import RenderFailure
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -6,20 +6,22 @@
 
 from expression import Result
 
-from limpetdrift.coordination.carriers import DIGEST_NAME, Carriers
-from limpetdrift.coordination.delivery import EndpointIdentity
-from limpetdrift.coordination.endpoint_response import (
+from limpetdrift.coordination.forwarding.endpoint_response import (
     EndpointResponse,
     SendRequest,
 )
-from limpetdrift.coordination.forwarding import (
+from limpetdrift.coordination.forwarding.forwarding import (
     ForwardingInputs,
     IsolateAttempt,
     PlaceRequest,
     ReleasePlacement,
     run_at_once,
 )
-from limpetdrift.coordination.link_monitor import LinkMonitor, ProbeEndpoint
+from limpetdrift.coordination.membership.carriers import DIGEST_NAME, Carriers
+from limpetdrift.coordination.membership.link_monitor import (
+    LinkMonitor,
+    ProbeEndpoint,
+)
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.platform.carrying import send_carried
 from limpetdrift.platform.endpoint_client import (
@@ -32,6 +34,7 @@
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
+    EndpointIdentity,
     ListedEndpoint,
 )
 from limpetdrift.state.route_cache import RouteTableCache
--- a/src/limpetdrift/platform/planning_wiring.py
+++ b/src/limpetdrift/platform/planning_wiring.py
@@ -7,38 +7,38 @@
 from functools import partial
 
 from limpetdrift.clocks import boot_time
-from limpetdrift.coordination.endpoint_gate import (
+from limpetdrift.coordination.endpoints.endpoint_gate import (
     Announcements,
     EndpointGate,
     make_gate,
 )
-from limpetdrift.coordination.engine_report_poller import (
-    EngineReportPoller,
-    ReportPollerInputs,
-)
-from limpetdrift.coordination.limit_deciders import (
-    LimitDeciderInputs,
-    LimitDeciders,
-)
-from limpetdrift.coordination.limit_exchange import (
+from limpetdrift.coordination.endpoints.limit_exchange import (
     DIGEST_NAME as LIMITS_DIGEST_NAME,
 )
-from limpetdrift.coordination.limit_exchange import (
+from limpetdrift.coordination.endpoints.limit_exchange import (
     KeptLimits,
     LimitExchange,
     LimitExchangeInputs,
 )
-from limpetdrift.coordination.link_monitor import LinkMonitor
-from limpetdrift.coordination.membership import Member, Membership
+from limpetdrift.coordination.engines.planning_groups import PlanningGroups
+from limpetdrift.coordination.membership.link_monitor import LinkMonitor
+from limpetdrift.coordination.membership.membership import Member, Membership
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.permit_client import (
+from limpetdrift.coordination.planning.engine_report_poller import (
+    EngineReportPoller,
+    ReportPollerInputs,
+)
+from limpetdrift.coordination.planning.limit_deciders import (
+    LimitDeciderInputs,
+    LimitDeciders,
+)
+from limpetdrift.coordination.planning.permit_client import (
     PermitClient,
     PermitClientInputs,
 )
-from limpetdrift.coordination.plan_placer import PlanPlacer
-from limpetdrift.coordination.planner import Planner, PlannerInputs
-from limpetdrift.coordination.planner_client import PlannerClientInputs
-from limpetdrift.coordination.planning_groups import PlanningGroups
+from limpetdrift.coordination.planning.plan_placer import PlanPlacer
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planning.planner_client import PlannerClientInputs
 from limpetdrift.logs import note
 from limpetdrift.platform.limit_rows import TABLE as LIMITS_TABLE
 from limpetdrift.platform.limit_rows import LimitRows, LimitRowsInputs
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -3,8 +3,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.endpoint_gate import EndpointGate
-from limpetdrift.coordination.engine_report_poller import ReadReport
+from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
+from limpetdrift.coordination.planning.engine_report_poller import ReadReport
 from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.verdict import (
     Failure,
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -10,9 +10,9 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.endpoint_gate import EndpointGate
-from limpetdrift.coordination.forwarding import ReserveMemory
-from limpetdrift.coordination.link_monitor import LinkMonitor
+from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
+from limpetdrift.coordination.forwarding.forwarding import ReserveMemory
+from limpetdrift.coordination.membership.link_monitor import LinkMonitor
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
 from limpetdrift.platform.endpoint_signals import decode_signals
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -9,7 +9,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerCall
-from limpetdrift.coordination.routing_relay import (
+from limpetdrift.coordination.routing.routing_relay import (
     EndpointListState,
     RoutingRelay,
     RoutingRelayInputs,
--- a/src/limpetdrift/programs/entry_wiring.py
+++ b/src/limpetdrift/programs/entry_wiring.py
@@ -19,17 +19,21 @@
     add_peer_stream_routes,
     add_stream_routes,
 )
-from limpetdrift.coordination.config_routes import add_configuration_routes
-from limpetdrift.coordination.discovery import add_discovery_routes
-from limpetdrift.coordination.drain import Drain, DrainTiming
-from limpetdrift.coordination.peers import PeerRoutes, make_peer_call
-from limpetdrift.coordination.quarantine import Quarantine
-from limpetdrift.coordination.quarantine_routes import add_quarantine_routes
-from limpetdrift.coordination.run_streams import add_owner_stream_routes
-from limpetdrift.coordination.status_routes import (
+from limpetdrift.coordination.administration.config_routes import (
+    add_configuration_routes,
+)
+from limpetdrift.coordination.administration.quarantine_routes import (
+    add_quarantine_routes,
+)
+from limpetdrift.coordination.administration.status_routes import (
     StatusInputs,
     add_status_routes,
 )
+from limpetdrift.coordination.crashes.quarantine import Quarantine
+from limpetdrift.coordination.membership.discovery import add_discovery_routes
+from limpetdrift.coordination.membership.drain import Drain, DrainTiming
+from limpetdrift.coordination.peers import PeerRoutes, make_peer_call
+from limpetdrift.coordination.runs.run_streams import add_owner_stream_routes
 from limpetdrift.programs.run_wiring import RequestInputs, Wiring, build_runs
 from limpetdrift.programs.serving import Task, add_health_routes
 from limpetdrift.programs.site_wiring import (
--- a/src/limpetdrift/programs/run_wiring.py
+++ b/src/limpetdrift/programs/run_wiring.py
@@ -6,33 +6,36 @@
 
 import trio
 
-from limpetdrift.coordination.at_most_once_calls import AtMostOnceCalls
-from limpetdrift.coordination.at_most_once_runs import AtMostOnceRuns
-from limpetdrift.coordination.candidate_selection import ProbeState
-from limpetdrift.coordination.endpoint_directory import (
+from limpetdrift.coordination.crashes.engine_probe import make_probe
+from limpetdrift.coordination.crashes.quarantine import (
+    Quarantine,
+    QuarantineInputs,
+)
+from limpetdrift.coordination.crashes.quarantine_replication import DIGEST_NAME
+from limpetdrift.coordination.homes.candidate_selection import ProbeState
+from limpetdrift.coordination.homes.endpoint_directory import (
     EndpointDirectory,
     LeavingSource,
 )
-from limpetdrift.coordination.engine_probe import make_probe
-from limpetdrift.coordination.home import HomeServer
+from limpetdrift.coordination.homes.home import HomeServer
+from limpetdrift.coordination.homes.placer import Placer, PlacerInputs
+from limpetdrift.coordination.homes.policies import POLICIES
+from limpetdrift.coordination.homes.reclaim import Reclaimer, ReclaimInputs
 from limpetdrift.coordination.peers import (
     PEER_SECRET_HEADER,
     PeerCall,
     PeerRoutes,
 )
-from limpetdrift.coordination.placer import Placer, PlacerInputs
-from limpetdrift.coordination.policies import POLICIES
-from limpetdrift.coordination.quarantine import Quarantine, QuarantineInputs
-from limpetdrift.coordination.quarantine_replication import DIGEST_NAME
-from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
-from limpetdrift.coordination.run_execution import (
+from limpetdrift.coordination.runs.at_most_once_runs import AtMostOnceRuns
+from limpetdrift.coordination.runs.run_execution import (
     AtMostOnceRunner,
     RunInputs,
     execute_run,
     refuse_non_idempotent,
 )
-from limpetdrift.coordination.run_registry import RunRegistry
-from limpetdrift.coordination.service_caller import (
+from limpetdrift.coordination.runs.run_registry import RunRegistry
+from limpetdrift.coordination.services.at_most_once_calls import AtMostOnceCalls
+from limpetdrift.coordination.services.service_caller import (
     CallOnce,
     ServiceCaller,
     refuse_call,
--- a/src/limpetdrift/programs/site_wiring.py
+++ b/src/limpetdrift/programs/site_wiring.py
@@ -10,19 +10,19 @@
 from expression import Error, Ok, Result
 
 from limpetdrift.callers.chat import ReadSite
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.configuration.config_confirmation import (
     ClusterView,
     PeerReachability,
 )
-from limpetdrift.coordination.configuration import (
+from limpetdrift.coordination.configuration.configuration import (
     POLLERS,
     ConfigurationManager,
 )
-from limpetdrift.coordination.endpoint_directory import (
+from limpetdrift.coordination.homes.endpoint_directory import (
     EndpointDirectory,
     EndpointInputs,
 )
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.programs.serving import Task
 from limpetdrift.programs.settings_file import load_settings_or_exit
--- a/src/limpetdrift/programs/steward.py
+++ b/src/limpetdrift/programs/steward.py
@@ -14,14 +14,17 @@
 import trio
 
 from limpetdrift import logs
-from limpetdrift.coordination.groups import (
+from limpetdrift.coordination.reconciliation.groups import (
     ORDERS_GROUP,
     SWEEP_GROUP,
     keep_leases,
     release_leases,
     sweep_under_lease,
 )
-from limpetdrift.coordination.orders import DesiredState, Reconciler
+from limpetdrift.coordination.reconciliation.orders import (
+    DesiredState,
+    Reconciler,
+)
 from limpetdrift.programs.serving import (
     add_health_routes,
     announce,
--- a/src/limpetdrift/programs/store_wiring.py
+++ b/src/limpetdrift/programs/store_wiring.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.programs.serving import Task
 from limpetdrift.protocol.node import Node
--- a/src/limpetdrift/replays/engines.py
+++ b/src/limpetdrift/replays/engines.py
@@ -12,8 +12,12 @@
 
 import trio
 
-from limpetdrift.coordination.endpoint_response import EndpointResponse
-from limpetdrift.coordination.engine_cost_model import decode_step_seconds
+from limpetdrift.coordination.engines.engine_cost_model import (
+    decode_step_seconds,
+)
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.verdict import (
     FailureError,
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -14,25 +14,25 @@
 import trio
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.engine_report_poller import (
-    EngineReportPoller,
-    ReadReport,
-    ReportPollerInputs,
+from limpetdrift.coordination.engines.planning_groups import (
+    MIN_GROUP_ENGINES,
+    PlanningGroups,
 )
-from limpetdrift.coordination.forwarding import (
+from limpetdrift.coordination.forwarding.forwarding import (
     ConfirmPlacement,
     PlaceRequest,
     ReleasePlacement,
     keep_placement,
 )
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.plan_placer import PlanPlacer
-from limpetdrift.coordination.planner import Planner, PlannerInputs
-from limpetdrift.coordination.planner_client import PlannerClientInputs
-from limpetdrift.coordination.planning_groups import (
-    MIN_GROUP_ENGINES,
-    PlanningGroups,
+from limpetdrift.coordination.planning.engine_report_poller import (
+    EngineReportPoller,
+    ReadReport,
+    ReportPollerInputs,
 )
+from limpetdrift.coordination.planning.plan_placer import PlanPlacer
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planning.planner_client import PlannerClientInputs
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import Acknowledgement
 from limpetdrift.protocol.route_table import EngineCostModel
--- a/src/limpetdrift/replays/prefill_queue.py
+++ b/src/limpetdrift/replays/prefill_queue.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from limpetdrift.coordination.engine_cost_model import prefill_seconds
+from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
 from limpetdrift.protocol.route_table import EngineCostModel
 
 
--- a/src/limpetdrift/replays/reachable.py
+++ b/src/limpetdrift/replays/reachable.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from limpetdrift.coordination.engine_cost_model import (
+from limpetdrift.coordination.engines.engine_cost_model import (
     decode_step_seconds,
     prefill_seconds,
 )
-from limpetdrift.coordination.prompt_splitting import PART_COUNTS
+from limpetdrift.coordination.engines.prompt_splitting import PART_COUNTS
 from limpetdrift.replays.callers import (
     CONNECT_TIMEOUT_SECONDS,
     Ending,
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -9,10 +9,17 @@
 import trio
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.endpoint_response import EndpointResponse
-from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
+from limpetdrift.coordination.forwarding.forwarding import (
+    Forwarder,
+    ForwardingInputs,
+)
+from limpetdrift.coordination.forwarding.retry_policy import (
+    jittered_retry_after_seconds,
+)
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.retry_policy import jittered_retry_after_seconds
 from limpetdrift.protocol.codec import encode
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.verdict import (
--- a/src/limpetdrift/settings.py
+++ b/src/limpetdrift/settings.py
@@ -12,7 +12,7 @@
 
 from expression import Result
 
-from limpetdrift.coordination.policies import DEFAULT_POLICY, POLICIES
+from limpetdrift.coordination.homes.policies import DEFAULT_POLICY, POLICIES
 from limpetdrift.protocol.configuration import Complaint, Complaints
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.state.checked_yaml import load_document
--- a/tests/claim_harness.py
+++ b/tests/claim_harness.py
@@ -12,13 +12,13 @@
 
 from fake_network import FakeNetwork
 from fake_table import FakeTable
-from limpetdrift.coordination.claim_outcomes import (
+from limpetdrift.coordination.claims.claim_outcomes import (
     ClaimedElsewhere,
     ClaimFinished,
     ClaimGranted,
     ClaimRequest,
 )
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.protocol.node import Endpoint, Node, Role
 from limpetdrift.protocol.objects import ObjectCalls
--- a/tests/config_cluster.py
+++ b/tests/config_cluster.py
@@ -12,11 +12,13 @@
 
 from fake_network import FakeNetwork
 from fake_table import FakeTable
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.configuration.config_confirmation import (
     ClusterView,
     PeerReachability,
 )
-from limpetdrift.coordination.configuration import ConfigurationManager
+from limpetdrift.coordination.configuration.configuration import (
+    ConfigurationManager,
+)
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.protocol.configuration import Refusal
 from limpetdrift.protocol.node import Node, Role
--- a/tests/endpoint_harness.py
+++ b/tests/endpoint_harness.py
@@ -5,7 +5,7 @@
 import trio
 from expression import Error, Ok
 
-from limpetdrift.coordination.endpoint_directory import (
+from limpetdrift.coordination.homes.endpoint_directory import (
     EndpointDirectory,
     EndpointInputs,
     LeavingSource,
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -8,17 +8,22 @@
 import trio
 from expression import Error, Ok, Result
 
-from limpetdrift.coordination.crash_guard import BrokenAttempt
-from limpetdrift.coordination.endpoint_gate import Announcements
-from limpetdrift.coordination.endpoint_permits import EndpointPermits
-from limpetdrift.coordination.endpoint_response import EndpointResponse
-from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
-from limpetdrift.coordination.link_monitor import LinkMonitor
-from limpetdrift.coordination.permit_client import (
+from limpetdrift.coordination.crashes.crash_guard import BrokenAttempt
+from limpetdrift.coordination.endpoints.endpoint_gate import Announcements
+from limpetdrift.coordination.endpoints.endpoint_permits import EndpointPermits
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
+from limpetdrift.coordination.forwarding.forwarding import (
+    Forwarder,
+    ForwardingInputs,
+)
+from limpetdrift.coordination.membership.link_monitor import LinkMonitor
+from limpetdrift.coordination.planning.permit_client import (
     PermitClient,
     PermitClientInputs,
 )
-from limpetdrift.coordination.plain_placer import PlainPlacer
+from limpetdrift.coordination.planning.plain_placer import PlainPlacer
 from limpetdrift.protocol.route_table import RequestKind, Route, ServiceShare
 from limpetdrift.protocol.verdict import (
     Failure,
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -8,7 +8,7 @@
 
 from fake_network import FakeNetwork
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.routing_relay import (
+from limpetdrift.coordination.routing.routing_relay import (
     EndpointListState,
     RoutingRelay,
     RoutingRelayInputs,
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -16,12 +16,15 @@
 from fake_network import FakeNetwork
 from forward_harness import FakeExchange, make_route
 from limpet_standins.platform_store import StandinStore
-from limpetdrift.coordination.discovery import cache_usable_entries
-from limpetdrift.coordination.forwarding import Forwarder, ForwardingInputs
-from limpetdrift.coordination.link_monitor import LinkMonitor
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.forwarding.forwarding import (
+    Forwarder,
+    ForwardingInputs,
+)
+from limpetdrift.coordination.membership.discovery import cache_usable_entries
+from limpetdrift.coordination.membership.link_monitor import LinkMonitor
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.plain_placer import PlainPlacer
+from limpetdrift.coordination.planning.plain_placer import PlainPlacer
 from limpetdrift.platform.carrying import MARK_HEADER, unpack_request
 from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.endpoint_client import make_send_request
--- a/tests/member_cluster.py
+++ b/tests/member_cluster.py
@@ -5,7 +5,7 @@
 import trio
 
 from fake_network import FakeNetwork
-from limpetdrift.coordination.membership import Membership
+from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.protocol.gossip import MemberState
 from limpetdrift.protocol.node import Node, Role
--- a/tests/placement_site.py
+++ b/tests/placement_site.py
@@ -4,11 +4,11 @@
 
 from engine_model import EngineModel, make_management_calls
 from fake_network import FakeNetwork
-from limpetdrift.coordination.candidate_selection import ProbeState
-from limpetdrift.coordination.home import HomeServer
+from limpetdrift.coordination.homes.candidate_selection import ProbeState
+from limpetdrift.coordination.homes.home import HomeServer
+from limpetdrift.coordination.homes.placer import Placer, PlacerInputs
+from limpetdrift.coordination.homes.policies import POLICIES
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.placer import Placer, PlacerInputs
-from limpetdrift.coordination.policies import POLICIES
 from limpetdrift.protocol.node import Endpoint, Node, Role
 from limpetdrift.protocol.placement import PlacementRequest
 from limpetdrift.state.prefixes import PrefixEndpoints
--- a/tests/planner_load.py
+++ b/tests/planner_load.py
@@ -9,8 +9,10 @@
 from dataclasses import dataclass, replace
 
 from forward_harness import make_endpoints
-from limpetdrift.coordination.engine_cost_model import decode_step_seconds
-from limpetdrift.coordination.planner import Planner, PlannerInputs
+from limpetdrift.coordination.engines.engine_cost_model import (
+    decode_step_seconds,
+)
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
 from limpetdrift.protocol.plans import EndedPlan, EngineGroup, PlanRequest
 from limpetdrift.state.endpoint_view import EndpointView
 from test_splitting import COST_MODEL, make_request
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,7 +15,7 @@
 import msgspec
 import trio
 
-from limpetdrift.coordination.event_relay import split_events
+from limpetdrift.coordination.forwarding.event_relay import split_events
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request, parse_address
 from soak.connections import Connection, UnansweredError, connect
--- a/tests/test_account_shares.py
+++ b/tests/test_account_shares.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limpetdrift.coordination.planner_client import (
+from limpetdrift.coordination.planning.planner_client import (
     ACTIVE_PATH,
     PlannerClient,
     PlannerClientInputs,
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -21,9 +21,9 @@
     make_route,
     whole_response,
 )
-from limpetdrift.coordination.attempt_race import AttemptRace
-from limpetdrift.coordination.endpoint_gate import make_gate
-from limpetdrift.coordination.event_relay import split_events
+from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
+from limpetdrift.coordination.forwarding.attempt_race import AttemptRace
+from limpetdrift.coordination.forwarding.event_relay import split_events
 from limpetdrift.platform.reservations import (
     ORDER_TIMEOUT_SECONDS,
     RELEASE_WAIT_SECONDS,
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -17,12 +17,12 @@
 )
 
 from claim_harness import DEADLINE_SECONDS, EPOCH_SECONDS, OWNERS, ClaimHarness
-from limpetdrift.coordination.claim_status import (
+from limpetdrift.coordination.claims.claim_status import (
     ClaimStatusReply,
     ClaimStatusService,
     ReportedClaimState,
 )
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.protocol.verdict import Verdict
 from limpetdrift.state import claim_ledger
 from limpetdrift.state.claims import VersionedClaim
--- a/tests/test_claims_processes.py
+++ b/tests/test_claims_processes.py
@@ -7,12 +7,12 @@
 from claim_harness import ENDPOINT
 from limpet_standins.processes import Processes
 from limpet_standins.remote import call, set_faults
-from limpetdrift.coordination.claim_outcomes import (
+from limpetdrift.coordination.claims.claim_outcomes import (
     ClaimFinished,
     ClaimGranted,
     ClaimRequest,
 )
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.coordination.peers import PeerRoutes, make_peer_call
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.objects import make_object_calls
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -1,6 +1,6 @@
 """Tests when an entry may rely on its configuration, with a fake clock."""
 
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.configuration.config_confirmation import (
     ConfigurationTiming,
     ConfirmationState,
     PeerReachability,
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -6,16 +6,16 @@
 
 from fake_network import FakeNetwork
 from forward_harness import make_endpoints, make_route
-from limpetdrift.coordination.crash_exchange import (
+from limpetdrift.coordination.crashes.crash_exchange import (
     CrashExchange,
     CrashExchangeInputs,
 )
-from limpetdrift.coordination.crash_guard import (
+from limpetdrift.coordination.crashes.crash_guard import (
     BrokenAttempt,
     CrashGuard,
     CrashGuardInputs,
 )
-from limpetdrift.coordination.isolation_leases import IsolationLeases
+from limpetdrift.coordination.crashes.isolation_leases import IsolationLeases
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.verdict import Reason, Verdict
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,7 @@
 import trio
 
 from limpetdrift.client import _Discovery
-from limpetdrift.coordination.discovery import (
+from limpetdrift.coordination.membership.discovery import (
     ENTRIES_LISTED,
     make_answer,
     sample_entries,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -7,8 +7,8 @@
 import trio
 from trio.lowlevel import checkpoint
 
-from limpetdrift.coordination.discovery import make_answer
-from limpetdrift.coordination.drain import Drain, DrainTiming
+from limpetdrift.coordination.membership.discovery import make_answer
+from limpetdrift.coordination.membership.drain import Drain, DrainTiming
 from limpetdrift.protocol.verdict import Reason, Verdict
 from member_cluster import Cluster, wait_for
 from virtual_time import run_in_virtual_time
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -19,12 +19,14 @@
     make_route,
     whole_response,
 )
-from limpetdrift.coordination.delivery import (
+from limpetdrift.coordination.forwarding.delivery import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BYTES,
 )
-from limpetdrift.coordination.endpoint_response import EndpointResponse
-from limpetdrift.coordination.event_relay import MAX_EVENT_BYTES
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
+from limpetdrift.coordination.forwarding.event_relay import MAX_EVENT_BYTES
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.verdict import FailureError, Reason, Verdict
 from limpetdrift.transport.client import ClientLimits, HttpClient
--- a/tests/test_endpoint_back_offs.py
+++ b/tests/test_endpoint_back_offs.py
@@ -12,7 +12,7 @@
     make_plain_placer,
     make_route,
 )
-from limpetdrift.coordination.endpoint_gate import make_gate
+from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
 from limpetdrift.protocol.verdict import Reason
 from limpetdrift.protocol.work import CallerRequest
 from limpetdrift.state.endpoint_back_offs import (
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -10,8 +10,10 @@
 
 from forward_harness import make_announcements, make_links, make_route
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
-from limpetdrift.coordination.endpoint_gate import make_gate
-from limpetdrift.coordination.endpoint_response import EndpointResponse
+from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.endpoint_signals import decode_signals, parse_decimal
 from limpetdrift.platform.reports import make_report_reader
--- a/tests/test_endpoint_sources.py
+++ b/tests/test_endpoint_sources.py
@@ -10,7 +10,7 @@
 from limpet_standins.local import LocalExchange, call_local
 from limpet_standins.service import make_service
 from limpetdrift.client import _Discovery
-from limpetdrift.coordination.discovery import add_discovery_routes
+from limpetdrift.coordination.membership.discovery import add_discovery_routes
 from limpetdrift.protocol.codec import decode, json_request
 from limpetdrift.protocol.gossip import ListingState
 from limpetdrift.protocol.instances import make_list_call
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -7,10 +7,18 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from endpoint_harness import LIST_LAG_SECONDS, EndpointHarness, make_endpoint
-from limpetdrift.coordination import endpoint_directory as directory_module
-from limpetdrift.coordination.endpoint_directory import LeavingSource
-from limpetdrift.coordination.gossip_rounds import ROUND_SECONDS, GossipRounds
-from limpetdrift.coordination.home_assignment import endpoints_homed_at, home_of
+from limpetdrift.coordination.homes import (
+    endpoint_directory as directory_module,
+)
+from limpetdrift.coordination.homes.endpoint_directory import LeavingSource
+from limpetdrift.coordination.homes.home_assignment import (
+    endpoints_homed_at,
+    home_of,
+)
+from limpetdrift.coordination.membership.gossip_rounds import (
+    ROUND_SECONDS,
+    GossipRounds,
+)
 from limpetdrift.protocol.gossip import ListingState
 from limpetdrift.protocol.instances import _read_response
 from limpetdrift.protocol.lifecycle_reports import LifecycleReport
--- a/tests/test_engine_report_poller.py
+++ b/tests/test_engine_report_poller.py
@@ -4,14 +4,14 @@
 from expression import Ok
 
 from forward_harness import make_endpoints
-from limpetdrift.coordination.engine_report_poller import (
+from limpetdrift.coordination.planning.engine_report_poller import (
     FAST_POLL_INTERVAL_SECONDS,
     FAST_POLLING_SECONDS,
     POLL_INTERVAL_SECONDS,
     EngineReportPoller,
     ReportPollerInputs,
 )
-from limpetdrift.coordination.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
 from limpetdrift.protocol.work import EngineReport
 from limpetdrift.state.endpoint_view import EndpointView
 from virtual_time import background_tasks, in_virtual_time
--- a/tests/test_engine_reports.py
+++ b/tests/test_engine_reports.py
@@ -5,8 +5,8 @@
 from limpet_standins.engine import make_engine
 from limpet_standins.engine_messages import EngineSettings, StreamStart
 from limpet_standins.local import make_local_fetch
+from limpetdrift.coordination.homes.reclaim import Reclaimer, ReclaimInputs
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.reclaim import Reclaimer, ReclaimInputs
 from limpetdrift.protocol.codec import json_request
 from limpetdrift.protocol.engine_management import make_engine_management_calls
 from limpetdrift.protocol.placement import AttemptOutcome
--- a/tests/test_era_relay.py
+++ b/tests/test_era_relay.py
@@ -8,12 +8,12 @@
 from fake_network import FakeNetwork
 from forward_harness import make_endpoints
 from knowledge_fakes import RelayEntry
-from limpetdrift.coordination.routing_merge import (
+from limpetdrift.coordination.routing.routing_merge import (
     EndpointListState,
     are_routes_outdated,
     is_list_outdated,
 )
-from limpetdrift.coordination.routing_relay import KNOWLEDGE_PATH
+from limpetdrift.coordination.routing.routing_relay import KNOWLEDGE_PATH
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.route_table import Account, RouteTable
 from limpetdrift.protocol.routing_sync import (
--- a/tests/test_group_loads.py
+++ b/tests/test_group_loads.py
@@ -8,11 +8,13 @@
 import trio
 from expression import Ok
 
-from limpetdrift.coordination.plan_placer import PLAN_PATH
-from limpetdrift.coordination.planning_groups import cost_limit_elsewhere
-from limpetdrift.coordination.scheduling.group_load_exchange import (
+from limpetdrift.coordination.engines.planning_groups import (
+    cost_limit_elsewhere,
+)
+from limpetdrift.coordination.planning.group_load_exchange import (
     GROUP_LOADS_PATH,
 )
+from limpetdrift.coordination.planning.plan_placer import PLAN_PATH
 from limpetdrift.coordination.scheduling.group_loads import (
     GroupLoads,
     KnownLoad,
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -17,9 +17,12 @@
     make_route,
     whole_response,
 )
-from limpetdrift.coordination.attempt_race import AttemptRace
-from limpetdrift.coordination.endpoint_gate import EndpointSignals, make_gate
-from limpetdrift.coordination.routing_relay import (
+from limpetdrift.coordination.endpoints.endpoint_gate import (
+    EndpointSignals,
+    make_gate,
+)
+from limpetdrift.coordination.forwarding.attempt_race import AttemptRace
+from limpetdrift.coordination.routing.routing_relay import (
     EndpointListState,
     RoutingRelay,
     RoutingRelayInputs,
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limpetdrift.coordination import policies
+from limpetdrift.coordination.homes import policies
 from limpetdrift.protocol.grants import GrantRelease, GrantRequest
 from limpetdrift.protocol.placement import AttemptOutcome
 from placement_site import Site, make_endpoint, make_request
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -12,14 +12,14 @@
 from fake_network import FakeNetwork
 from forward_harness import make_endpoints
 from knowledge_fakes import FakeStore, RelayEntry
-from limpetdrift.coordination.routing_relay import (
+from limpetdrift.coordination.routing.routing_relay import (
     DUTY_CHECK_SECONDS,
     LONG_POLL_SECONDS,
     READER_LONG_POLL_SECONDS,
     STALENESS_BOUND_SECONDS,
     RoutingRelay,
 )
-from limpetdrift.coordination.store_readers import DIRECT_READ_SECONDS
+from limpetdrift.coordination.routing.store_readers import DIRECT_READ_SECONDS
 from limpetdrift.platform.endpoint_sync import LAPSE_GRACE_SECONDS, EndpointSync
 from limpetdrift.platform.table_watcher import (
     BURST_SECONDS,
--- a/tests/test_limpetctl.py
+++ b/tests/test_limpetctl.py
@@ -11,12 +11,16 @@
 from config_cluster import make_node
 from fake_network import FakeNetwork
 from fake_table import FakeTable
-from limpetdrift.coordination.config_confirmation import (
+from limpetdrift.coordination.administration.config_routes import (
+    add_configuration_routes,
+)
+from limpetdrift.coordination.configuration.config_confirmation import (
     ClusterView,
     PeerReachability,
 )
-from limpetdrift.coordination.config_routes import add_configuration_routes
-from limpetdrift.coordination.configuration import ConfigurationManager
+from limpetdrift.coordination.configuration.configuration import (
+    ConfigurationManager,
+)
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.operators.configuration import count_in_force
 from limpetdrift.operators.exits import ExitCode
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,15 +17,15 @@
     rule,
 )
 
-from limpetdrift.coordination import (
+from limpetdrift.coordination.membership import (
     evidence,
     failure_detector,
     gossip_rounds,
 )
-from limpetdrift.coordination import membership as membership_module
-from limpetdrift.coordination.gossip import Gossip
-from limpetdrift.coordination.membership import Membership
-from limpetdrift.coordination.own_record import OwnRecord
+from limpetdrift.coordination.membership import membership as membership_module
+from limpetdrift.coordination.membership.gossip import Gossip
+from limpetdrift.coordination.membership.membership import Membership
+from limpetdrift.coordination.membership.own_record import OwnRecord
 from limpetdrift.protocol.gossip import MemberRecord, MemberState, ProbeOutcome
 from limpetdrift.state.members import FORGET_SECONDS, MemberTable
 from member_cluster import Cluster, held_live, make_node, wait_for
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -18,8 +18,11 @@
 )
 
 from fake_table import FakeTable
-from limpetdrift.coordination import order_planning
-from limpetdrift.coordination.orders import DesiredState, Reconciler
+from limpetdrift.coordination.reconciliation import order_planning
+from limpetdrift.coordination.reconciliation.orders import (
+    DesiredState,
+    Reconciler,
+)
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.orders import Action, EngineState, OrderCalls
 from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -25,14 +25,14 @@
 from fake_engine import FakeEngineCalls, whole_text
 from fake_network import FakeNetwork
 from fake_table import FakeTable
-from limpetdrift.coordination import attempt as attempt_module
-from limpetdrift.coordination import run_execution as run_execution_module
-from limpetdrift.coordination.at_most_once_runs import AtMostOnceRuns
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.run_execution import RunInputs, execute_run
-from limpetdrift.coordination.run_registry import RunRegistry
-from limpetdrift.coordination.run_streams import last_line
+from limpetdrift.coordination.runs import attempt as attempt_module
+from limpetdrift.coordination.runs import run_execution as run_execution_module
+from limpetdrift.coordination.runs.at_most_once_runs import AtMostOnceRuns
+from limpetdrift.coordination.runs.run_execution import RunInputs, execute_run
+from limpetdrift.coordination.runs.run_registry import RunRegistry
+from limpetdrift.coordination.runs.run_streams import last_line
 from limpetdrift.protocol.engine import StreamLine
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.verdict import (
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,9 +4,9 @@
 
 import trio
 
-from limpetdrift.coordination import home_reports
-from limpetdrift.coordination.home_assignment import HomeTable, home_of
-from limpetdrift.coordination.policies import POLICIES
+from limpetdrift.coordination.homes import home_reports
+from limpetdrift.coordination.homes.home_assignment import HomeTable, home_of
+from limpetdrift.coordination.homes.policies import POLICIES
 from limpetdrift.protocol.grants import GrantRequest
 from limpetdrift.protocol.placement import AttemptOutcome
 from limpetdrift.protocol.verdict import Reason, Verdict
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -12,11 +12,7 @@
 from hypothesis import strategies as st
 
 from forward_harness import make_route
-from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.plan_placer import PlanPlacer
-from limpetdrift.coordination.planner import Planner, PlannerInputs
-from limpetdrift.coordination.planner_client import PlannerClientInputs
-from limpetdrift.coordination.planning_groups import (
+from limpetdrift.coordination.engines.planning_groups import (
     MAX_GROUP_ENGINES,
     MIN_GROUP_ENGINES,
     GroupLayout,
@@ -25,6 +21,10 @@
     make_layout,
     planner_candidates,
 )
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.planning.plan_placer import PlanPlacer
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planning.planner_client import PlannerClientInputs
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.plans import EngineGroup, Plan, PlanRequest
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 
-from limpetdrift.coordination.policies import POLICIES
+from limpetdrift.coordination.homes.policies import POLICIES
 from limpetdrift.protocol.placement import AttemptOutcome
 from placement_site import Site, make_request
 from virtual_time import in_virtual_time
--- a/tests/test_promptgroups.py
+++ b/tests/test_promptgroups.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from limpetdrift.coordination import engine_groups
+from limpetdrift.coordination.homes import engine_groups
 from limpetdrift.protocol.placement import AttemptOutcome
 from placement_site import Site, make_request
 from virtual_time import in_virtual_time, run_in_virtual_time
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -27,18 +27,25 @@
     whole_text,
 )
 from fake_network import FakeNetwork
-from limpetdrift.coordination.guarded_attempt import EndpointProbe
-from limpetdrift.coordination.isolation_leases import IsolationLeases
+from limpetdrift.coordination.administration.quarantine_routes import (
+    add_quarantine_routes,
+)
+from limpetdrift.coordination.crashes.guarded_attempt import EndpointProbe
+from limpetdrift.coordination.crashes.isolation_leases import IsolationLeases
+from limpetdrift.coordination.crashes.quarantine import (
+    Quarantine,
+    QuarantineInputs,
+)
+from limpetdrift.coordination.crashes.quarantine_replication import (
+    QuarantineReplicator,
+)
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.quarantine import Quarantine, QuarantineInputs
-from limpetdrift.coordination.quarantine_replication import QuarantineReplicator
-from limpetdrift.coordination.quarantine_routes import add_quarantine_routes
-from limpetdrift.coordination.run_execution import (
+from limpetdrift.coordination.runs.run_execution import (
     RunInputs,
     execute_run,
     refuse_non_idempotent,
 )
-from limpetdrift.coordination.run_registry import RunRegistry
+from limpetdrift.coordination.runs.run_registry import RunRegistry
 from limpetdrift.protocol.codec import encode
 from limpetdrift.protocol.operator import (
     OPERATOR_SECRET_HEADER,
--- a/tests/test_reclaim.py
+++ b/tests/test_reclaim.py
@@ -8,14 +8,14 @@
 from hypothesis import strategies as st
 
 from engine_model import Run
-from limpetdrift.coordination.home_assignment import home_of
-from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.reclaim import (
+from limpetdrift.coordination.homes.home_assignment import home_of
+from limpetdrift.coordination.homes.reclaim import (
     RECLAIM_WITHIN_SECONDS,
     RECONCILE_INTERVAL_SECONDS,
     Reclaimer,
     ReclaimInputs,
 )
+from limpetdrift.coordination.peers import PeerRoutes
 from placement_site import Site
 from virtual_time import in_virtual_time, run_in_virtual_time
 
--- a/tests/test_relay_loads.py
+++ b/tests/test_relay_loads.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from statistics import mean
 
-from limpetdrift.coordination import plan_placer, prompt_splitting
+from limpetdrift.coordination.engines import prompt_splitting
+from limpetdrift.coordination.planning import plan_placer
 from limpetdrift.replays.figures import RunFigures, compute_figures
 from limpetdrift.replays.simulated_site import RunSpec
 from limpetdrift.replays.simulation import simulate_run
--- a/tests/test_replay_loads.py
+++ b/tests/test_replay_loads.py
@@ -12,7 +12,8 @@
 import pytest
 
 from limpetdrift import telemetry
-from limpetdrift.coordination import planner, prompt_splitting
+from limpetdrift.coordination.engines import prompt_splitting
+from limpetdrift.coordination.planning import planner
 from limpetdrift.replays.figures import RunFigures, compute_figures
 from limpetdrift.replays.simulated_site import RunSpec
 from limpetdrift.replays.simulation import simulate_run
--- a/tests/test_replays.py
+++ b/tests/test_replays.py
@@ -7,7 +7,7 @@
 import trio
 
 from forward_harness import make_endpoints
-from limpetdrift.coordination.engine_cost_model import (
+from limpetdrift.coordination.engines.engine_cost_model import (
     decode_step_seconds,
     prefill_seconds,
 )
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -10,7 +10,7 @@
 from forward_harness import make_announcements, make_links
 from limpet_standins.local import call_local
 from limpet_standins.platform_endpoints import Journal, StandinEndpoint
-from limpetdrift.coordination.endpoint_gate import make_gate
+from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
 from limpetdrift.platform.reservations import (
     LIMITED_TTL_SECONDS,
     make_reserver,
--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -7,7 +7,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limpetdrift.coordination.retry_policy import jittered_retry_after_seconds
+from limpetdrift.coordination.forwarding.retry_policy import (
+    jittered_retry_after_seconds,
+)
 from limpetdrift.coordination.scheduling.admission import latest_first_token
 from limpetdrift.coordination.scheduling.returns import (
     MAX_REMEMBERED,
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -28,12 +28,12 @@
 from limpet_standins.service import make_service
 from limpetdrift.callers.access import hash_key
 from limpetdrift.callers.services import ServiceInputs, add_service_routes
-from limpetdrift.coordination import service_caller as services_module
-from limpetdrift.coordination.at_most_once_calls import AtMostOnceCalls
-from limpetdrift.coordination.claims import Claims
+from limpetdrift.coordination.claims.claims import Claims
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.service_caller import ServiceCaller
-from limpetdrift.coordination.service_messages import ServiceRequest
+from limpetdrift.coordination.services import service_caller as services_module
+from limpetdrift.coordination.services.at_most_once_calls import AtMostOnceCalls
+from limpetdrift.coordination.services.service_caller import ServiceCaller
+from limpetdrift.coordination.services.service_messages import ServiceRequest
 from limpetdrift.protocol import service as service_module
 from limpetdrift.protocol.node import Endpoint, Node, Role
 from limpetdrift.protocol.service import ServiceCalls, ServiceLoad
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 
 from forward_harness import make_endpoints
-from limpetdrift.coordination.engine_cost_model import prefill_seconds
-from limpetdrift.coordination.prompt_splitting import (
+from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
+from limpetdrift.coordination.engines.prompt_splitting import (
     choose_split,
     free_tokens,
 )
--- a/tests/test_store_at_rest.py
+++ b/tests/test_store_at_rest.py
@@ -7,7 +7,7 @@
 
 from claim_harness import FakeObjects
 from fake_table import FakeTable
-from limpetdrift.coordination.groups import (
+from limpetdrift.coordination.reconciliation.groups import (
     ORDERS_GROUP,
     SWEEP_GROUP,
     keep_leases,
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -6,7 +6,9 @@
 import trio
 
 from forward_harness import FakeExchange, ForwardHarness, events, make_route
-from limpetdrift.coordination.endpoint_response import EndpointResponse
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.transport.client import HttpClient
--- a/tests/test_waiting_prompts.py
+++ b/tests/test_waiting_prompts.py
@@ -8,12 +8,12 @@
 from expression import Error, Ok
 
 from forward_harness import FakeExchange, ForwardHarness, events, make_route
+from limpetdrift.coordination.engines.planning_groups import PlanningGroups
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.plan_confirmation import START_PATH
-from limpetdrift.coordination.plan_placer import PlanPlacer
-from limpetdrift.coordination.planner import Planner, PlannerInputs
-from limpetdrift.coordination.planner_client import PlannerClientInputs
-from limpetdrift.coordination.planning_groups import PlanningGroups
+from limpetdrift.coordination.planning.plan_confirmation import START_PATH
+from limpetdrift.coordination.planning.plan_placer import PlanPlacer
+from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
+from limpetdrift.coordination.planning.planner_client import PlannerClientInputs
 from limpetdrift.coordination.scheduling import waiting
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.plans import Plan, PlanRequest, PlanStart
