Avoid engines that may still prefill the prompts of entries that are gone

Reports show such requests as memory of no plan, which counted as a stream without prefill, so the new planner placed twelve short prompts and parts of four long ones there within a second; the short ones were silent for 1.1 s and were sent again. Ruled out: late reports (the first came before the first plan), a failing engine.

Change: a request of no plan costs as much as a queue if its memory is that of a prompt with a second of prefill, and less in proportion.

--- a/src/limpetdrift/coordination/engines/prompt_splitting.py
+++ b/src/limpetdrift/coordination/engines/prompt_splitting.py
@@ -359,7 +359,26 @@
     cost_model: EngineCostModel,
 ) -> list[tuple[EngineUsage, float]]:
     pause_seconds = part_seconds + _decode_pass_seconds(cost_model)
-    return [(usage, _prefill_cost(usage, pause_seconds)) for usage in usages]
+    return [
+        (
+            usage,
+            _prefill_cost(usage, pause_seconds)
+            + _unplanned_cost(usage, cost_model),
+        )
+        for usage in usages
+    ]
+
+
+def _unplanned_cost(usage: EngineUsage, cost_model: EngineCostModel) -> float:
+    """Return the cost of requests of no plan, which may still be prefilled.
+
+    Engines go on with the requests of entries that are gone. A report tells
+    the memory of these, but not whether their prefill has ended.
+    """
+    if not usage.unplanned:
+        return 0
+    tokens = usage.unplanned_tokens // usage.unplanned
+    return _QUEUED_COST * min(1, prefill_seconds(cost_model, tokens))
 
 
 def _prefill_cost(usage: EngineUsage, pause_seconds: float) -> float:
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -289,6 +289,7 @@
     return EngineUsage(
         endpoint=endpoint,
         unplanned=engine.unplanned,
+        unplanned_tokens=engine.unplanned_tokens,
         queued=queued,
         pace=report.pace if report else 1.0,
         backlog_seconds=busy_until - now,
--- a/src/limpetdrift/state/engine_usage.py
+++ b/src/limpetdrift/state/engine_usage.py
@@ -41,9 +41,9 @@
     ``backlog_seconds`` is the time until all booked prefills end, and
     ``gap_seconds`` the time until the next one begins, zero during one.
     ``written`` holds the planned streams that it decodes. ``unplanned`` counts
-    its requests that belong to no plan. ``queued`` is the length of its own
-    queue, or 0 while ``unplanned`` is 0, and at least 1 for a while after it
-    turned a request away. ``pace`` is a slowdown factor: 2.0
+    its requests that belong to no plan, which hold ``unplanned_tokens`` of its
+    memory. ``queued`` is the length of its own queue, or 0 while ``unplanned``
+    is 0, and at least 1 for a while after it turned a request away. ``pace`` is a slowdown factor: 2.0
     means that the engine takes twice its usual time. ``calls_left`` is the
     number of calls that it may get now, infinite if it doesn't limit them.
     """
@@ -54,6 +54,7 @@
     memory_tokens: int = 0
     written: tuple[StreamUse, ...] = ()
     unplanned: int = 0
+    unplanned_tokens: int = 0
     queued: int = 0
     pace: float = 1.0
     failing: bool = False
--- a/tests/test_relay_loads.py
+++ b/tests/test_relay_loads.py
@@ -56,3 +56,16 @@
     monkeypatch.setattr(prompt_splitting, '_WAIT_WEIGHT', 0.1)
     packed = [play('long-wave', seed) for seed in SEEDS]
     assert on_time > mean(run.kinds[SHORT].on_time for run in packed)
+
+
+def test_engines_that_read_prompts_of_lost_entries_are_avoided(monkeypatch):
+    """Guards against prompts queued behind those of entries that are gone.
+
+    All entries are lost in a wave of the longest prompts, and the engines go
+    on with these.
+    """
+    worth = mean_worth('restart-in-a-wave')
+    monkeypatch.setattr(
+        prompt_splitting, '_unplanned_cost', lambda usage, cost_model: 0
+    )
+    assert worth > mean_worth('restart-in-a-wave')
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -333,6 +333,23 @@
     assert ledger.plan_count == 0
 
 
+# A prompt of 255,745 tokens that an entry had sent before it lost power held up
+# twelve short ones on the bench.
+def test_short_prompt_avoids_an_engine_that_reads_a_long_one_of_no_plan():
+    ledger = EngineLedger(clock=lambda: 0.0)
+    engines = ENGINES[:2]
+    reports = ((255_745, engines[0]), (5000, engines[1]))
+    for tokens, engine in reports:
+        ledger.note_report(
+            engine, EngineReport(active=1, queued=0, memory_tokens=tokens)
+        )
+    request = make_request(
+        5000, target_seconds=0.3, pause_seconds=SHORT_PAUSE_SECONDS
+    )
+    split = choose_split(request, ledger.usages(engines), COST_MODEL)
+    assert split.writer.endpoint is engines[1]
+
+
 def test_unplanned_requests_take_slots_until_their_report_is_stale():
     clock = Clock()
     ledger = EngineLedger(clock=clock)
