--- a/src/limpetdrift/coordination/engines/prompt_splitting.py
+++ b/src/limpetdrift/coordination/engines/prompt_splitting.py
@@ -42,6 +42,8 @@
 _TOKENS_PER_STREAM_WORTH = 7500.0
 # Share of its worth that a late answer loses.
 _LATE_LOSS = 0.75
+# Further share that it loses by when its caller's time is over.
+_DELAY_LOSS = 0.15
 # Loss of a stream whose caller leaves, in multiples of its worth. It is so
 # high because no prompt is worth ending an answer that has been admitted and
 # has begun.
@@ -412,6 +414,11 @@
 
 
 def _lateness_cost(first_token_seconds: float, request: PlanRequest) -> float:
+    """Return what an answer loses if it begins after its target.
+
+    It goes on losing after that. Otherwise a long prompt that is late anyway
+    would be prefilled by one engine, and take several times as long.
+    """
     target = request.target_seconds
     lateness = (first_token_seconds - _TARGET_SHARE * target) / (
         _LATENESS_RAMP_SHARE * target
@@ -419,6 +426,9 @@
     lost = _LATE_LOSS * min(1.0, max(0, lateness))
     if first_token_seconds > request.seconds_left:
         lost = 1
+    elif first_token_seconds > target:
+        late_share = (first_token_seconds - target) / request.seconds_left
+        lost += _DELAY_LOSS * late_share
     return (
         stream_worth(request.prompt_tokens) * lost
         + _FIRST_TOKEN_WEIGHT * first_token_seconds / target
--- a/src/limpetdrift/state/engine_usage.py
+++ b/src/limpetdrift/state/engine_usage.py
@@ -43,9 +43,10 @@
     ``written`` holds the planned streams that it decodes. ``unplanned`` counts
     its requests that belong to no plan, which hold ``unplanned_tokens`` of its
     memory. ``queued`` is the length of its own queue, or 0 while ``unplanned``
-    is 0, and at least 1 for a while after it turned a request away. ``pace`` is a slowdown factor: 2.0
-    means that the engine takes twice its usual time. ``calls_left`` is the
-    number of calls that it may get now, infinite if it doesn't limit them.
+    is 0, and at least 1 for a while after it turned a request away. ``pace`` is
+    a slowdown factor: 2.0 means that the engine takes twice its usual time.
+    ``calls_left`` is the number of calls that it may get now, infinite if it
+    doesn't limit them.
     """
 
     endpoint: ListedEndpoint
--- a/tests/test_relay_loads.py
+++ b/tests/test_relay_loads.py
@@ -69,3 +69,13 @@
         prompt_splitting, '_unplanned_cost', lambda usage, cost_model: 0
     )
     assert worth > mean_worth('restart-in-a-wave')
+
+
+def test_late_prompts_lose_by_each_further_second(monkeypatch):
+    """Guards against long prompts that block one engine as they are late.
+
+    A burst of short prompts leaves few engines for the longest.
+    """
+    worth = mean_worth('short-burst')
+    monkeypatch.setattr(prompt_splitting, '_DELAY_LOSS', 0)
+    assert worth > mean_worth('short-burst')
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -335,7 +335,7 @@
 
 # A prompt of 255,745 tokens that an entry had sent before it lost power held up
 # twelve short ones on the bench.
-def test_short_prompt_avoids_an_engine_that_reads_a_long_one_of_no_plan():
+def test_engine_that_may_read_a_long_prompt_of_no_plan_is_avoided():
     ledger = EngineLedger(clock=lambda: 0.0)
     engines = ENGINES[:2]
     reports = ((255_745, engines[0]), (5000, engines[1]))
@@ -350,6 +350,21 @@
     assert split.writer.endpoint is engines[1]
 
 
+def test_late_long_prompt_is_still_split():
+    """Guards against a prompt that one engine prefills as it is late anyway.
+
+    Of two engines one has a queue of requests of no plan.
+    """
+    ledger = EngineLedger(clock=lambda: 0.0)
+    ledger.note_report(
+        ENGINES[0], EngineReport(active=1, queued=1, memory_tokens=5000)
+    )
+    request = make_request(280_000)
+    split = choose_split(request, ledger.usages(ENGINES[:2]), COST_MODEL)
+    assert split.first_token_seconds > request.target_seconds
+    assert split.helpers
+
+
 def test_unplanned_requests_take_slots_until_their_report_is_stale():
     clock = Clock()
     ledger = EngineLedger(clock=clock)
