Refuse prompts whose answers can't be whole before their deadline

Only the first token's time counted.

Change: what follows the first token must end before the deadline, at least half of the stated tokens on an engine without other streams. Streams that are resumed are exempt, as an unknown part of them is left. What decides on time limits stands apart, in scheduling/time_limits.py.

--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -34,15 +34,13 @@
     engine_seconds,
     is_capacity_enough,
 )
+from limpetdrift.coordination.scheduling.time_limits import latest_first_token
 from limpetdrift.logs import note
 from limpetdrift.protocol.plans import PlanRequest, UsageReport
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.engine_usage import EngineUsage
 
-# Admission threshold: a prompt is refused if its first token is expected after
-# more than this share of the time left.
-_LATEST_FIRST_TOKEN_SHARE = 0.9
 # Longest wait of a prompt of an account above its share, as a share of the
 # shortest target of the prompts that are late. Longer waits of such prompts
 # make short prompts of the other accounts late.
@@ -202,7 +200,9 @@
             asked.prompt, asked.load, asked.now
         )
         due = 0 if goes_first else self._due_seconds(asked)
-        if split.first_token_seconds > latest_first_token(request, due):
+        cost_model = self._find_cost_model(request.service)
+        latest = latest_first_token(request, due, cost_model)
+        if split.first_token_seconds > latest:
             return Refusal.TOO_LATE
         if split.cost > request.cost_limit:
             return Refusal.COST
@@ -276,16 +276,6 @@
         return self._states.setdefault(pool, _PoolState())
 
 
-def latest_first_token(request: PlanRequest, due_seconds: float) -> float:
-    """Return after how many seconds a first token is too late.
-
-    Room for ``due_seconds`` is left to callers that are due to return, but not
-    at the expense of a prompt that is on time.
-    """
-    latest = request.seconds_left * _LATEST_FIRST_TOKEN_SHARE
-    return min(latest, max(request.target_seconds, latest - due_seconds))
-
-
 def is_late(split: Split | None, request: PlanRequest) -> bool:
     """Return whether a plan's first token is expected after its target."""
     if split is None:
--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -10,7 +10,6 @@
 from limpetdrift.coordination.forwarding.retry_policy import (
     jittered_retry_after_seconds,
 )
-from limpetdrift.coordination.scheduling.admission import latest_first_token
 from limpetdrift.coordination.scheduling.returns import (
     MAX_REMEMBERED,
     PoolLoad,
@@ -19,8 +18,9 @@
     Standing,
     standing_at,
 )
+from limpetdrift.coordination.scheduling.time_limits import latest_first_token
 from limpetdrift.protocol.verdict import Reason, not_run
-from planner_load import POOL, SHORT, PlannerLoad
+from planner_load import COST_MODEL, POOL, SHORT, PlannerLoad
 
 NOW = 100.0
 ENGINES = 20
@@ -154,9 +154,27 @@
 
 def test_new_prompt_leaves_room_for_callers_that_are_due():
     """Otherwise new prompts take the time for which callers waited."""
-    assert latest_first_token(SHORT, 0.5) == pytest.approx(8.5)
+    assert latest_first_token(SHORT, 0.5, COST_MODEL) == pytest.approx(8.5)
     urgent = replace(SHORT, target_seconds=8.8)
-    assert latest_first_token(urgent, 0.5) == pytest.approx(8.8)
+    assert latest_first_token(urgent, 0.5, COST_MODEL) == pytest.approx(8.8)
+
+
+def test_answer_that_can_not_be_whole_in_time_is_too_late():
+    """Guards against retries shortly before a deadline that run in vain.
+
+    On the bench a prompt was sent with 0.8 s left, and its answer was cut off.
+    """
+    retried = replace(
+        SHORT,
+        prompt_tokens=102_000,
+        answer_tokens=1600,
+        target_seconds=3.0,
+        seconds_left=0.6,
+        hold_seconds=0.6,
+    )
+    assert latest_first_token(retried, 0, COST_MODEL) < 0.1
+    resumed = replace(retried, yields=True)
+    assert latest_first_token(resumed, 0, COST_MODEL) == pytest.approx(0.54)
 
 
 def test_scheduled_retry_time_gets_no_random_factor():
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -336,7 +336,7 @@
 # A prompt of 255,745 tokens that an entry had sent before it lost power held up
 # twelve short ones on the bench.
 def test_engine_that_may_read_a_long_prompt_of_no_plan_is_avoided():
-    ledger = EngineLedger(clock=lambda: 0.0)
+    ledger = EngineLedger(clock=Clock())
     engines = ENGINES[:2]
     reports = ((255_745, engines[0]), (5000, engines[1]))
     for tokens, engine in reports:
@@ -355,7 +355,7 @@
 
     Of two engines one has a queue of requests of no plan.
     """
-    ledger = EngineLedger(clock=lambda: 0.0)
+    ledger = EngineLedger(clock=Clock())
     ledger.note_report(
         ENGINES[0], EngineReport(active=1, queued=1, memory_tokens=5000)
     )
