--- a/benchmarks/load_ablation.py
+++ b/benchmarks/load_ablation.py
@@ -25,11 +25,15 @@
         'short-burst',
         'long-wave',
         'restart-of-all',
+        'restart-after-a-burst',
+        'restart-in-a-wave',
     ),
     'experiments/replay-simu-kona.yaml': ('overload', 'one-account'),
 }
 _CORE = 'limpetdrift.coordination'
-_SPLITTING = f'{_CORE}.prompt_splitting'
+_SPLITTING = f'{_CORE}.engines.prompt_splitting'
+_COSTS = f'{_CORE}.engines.split_costs'
+_PLANNING = f'{_CORE}.planning'
 _SCHEDULING = f'{_CORE}.scheduling'
 
 
@@ -41,20 +45,20 @@
 SWITCHES: dict[str, dict[str, object]] = {
     'none': {},
     'waiting and confirmation': {
-        f'{_CORE}.planner.may_wait': _returning(False)
+        f'{_PLANNING}.planner.may_wait': _returning(False)
     },
     'passing over waiting prompts': {
         f'{_SCHEDULING}.tentative_plans.find_passable': _returning(frozenset())
     },
     'late requests yield': {
-        f'{_CORE}.plan_placer.must_yield': _returning(False)
+        f'{_PLANNING}.plan_placer.must_yield': _returning(False)
     },
-    'waits weighed by targets': {f'{_SPLITTING}._WAIT_WEIGHT': 0.3},
+    'waits weighed by targets': {f'{_COSTS}._WAIT_WEIGHT': 0.3},
     'engines kept for short prompts': {
-        f'{_SPLITTING}._blocking_cost': _returning(0)
+        f'{_SPLITTING}.blocking_cost': _returning(0)
     },
-    'packing of short prompts': {f'{_SPLITTING}._OPENING_COST': 0.0},
-    'pauses of streams': {f'{_SPLITTING}._pause_cost': _returning(0)},
+    'packing of short prompts': {f'{_COSTS}._OPENING_COST': 0.0},
+    'pauses of streams': {f'{_COSTS}._pause_cost': _returning(0)},
     'wait for a slot': {f'{_SPLITTING}.queue_seconds': _returning(0)},
     'shares of accounts': {
         f'{_SCHEDULING}.admission._is_above_share': _returning(False)
@@ -62,6 +66,8 @@
     'returning callers first': {
         f'{_SCHEDULING}.returns.ReturnSchedule.may_go_first': _returning(False)
     },
+    'unplanned requests avoided': {f'{_COSTS}._unplanned_cost': _returning(0)},
+    'late answers lose with time': {f'{_COSTS}._DELAY_LOSS': 0.0},
     'split over engines': {f'{_SPLITTING}.PART_COUNTS': (1,)},
 }
 
--- a/benchmarks/waiting_prompts.py
+++ b/benchmarks/waiting_prompts.py
@@ -10,12 +10,13 @@
 from dataclasses import replace
 from statistics import median
 
+from planning import COST_MODEL, make_request
+
 from limpetdrift.coordination.planning.planner import Planner, PlannerInputs
 from limpetdrift.coordination.scheduling.waiting import make_arrival
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
-from planning import COST_MODEL, make_request
 
 ENGINES = tuple(
     ListedEndpoint(
--- a/src/limpetdrift/coordination/engines/plan_bookings.py
+++ b/src/limpetdrift/coordination/engines/plan_bookings.py
@@ -5,6 +5,8 @@
 from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
 from limpetdrift.coordination.engines.prompt_splitting import (
     start_slack,
+)
+from limpetdrift.coordination.engines.split_costs import (
     stream_worth,
 )
 from limpetdrift.protocol.plans import EndpointId, Plan, PlanRequest
--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -14,6 +14,8 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.engines.prompt_splitting import (
     Split,
+)
+from limpetdrift.coordination.engines.split_costs import (
     queue_seconds,
 )
 from limpetdrift.coordination.scheduling.returns import (
--- a/src/limpetdrift/coordination/scheduling/group_loads.py
+++ b/src/limpetdrift/coordination/scheduling/group_loads.py
@@ -18,7 +18,9 @@
 from random import Random
 
 from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
-from limpetdrift.coordination.engines.prompt_splitting import free_tokens
+from limpetdrift.coordination.engines.split_costs import (
+    free_tokens,
+)
 from limpetdrift.protocol.plans import EngineGroup, GroupLoad, PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.state.engine_ledger import EngineUsage
--- a/src/limpetdrift/coordination/scheduling/tentative_plans.py
+++ b/src/limpetdrift/coordination/scheduling/tentative_plans.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.engines.prompt_splitting import Split
+from limpetdrift.coordination.engines.prompt_splitting import (
+    Split,
+)
 from limpetdrift.coordination.scheduling.waiting import (
     WaitingPrompt,
     find_passable,
--- a/src/limpetdrift/coordination/scheduling/waiting.py
+++ b/src/limpetdrift/coordination/scheduling/waiting.py
@@ -12,7 +12,9 @@
 from dataclasses import dataclass, replace
 
 from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
-from limpetdrift.coordination.engines.prompt_splitting import PART_COUNTS
+from limpetdrift.coordination.engines.split_costs import (
+    PART_COUNTS,
+)
 from limpetdrift.protocol.plans import Plan, PlanRequest, WaitingOrder
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import EndpointIdentity
--- a/src/limpetdrift/replays/reachable.py
+++ b/src/limpetdrift/replays/reachable.py
@@ -14,7 +14,9 @@
     decode_step_seconds,
     prefill_seconds,
 )
-from limpetdrift.coordination.engines.prompt_splitting import PART_COUNTS
+from limpetdrift.coordination.engines.split_costs import (
+    PART_COUNTS,
+)
 from limpetdrift.replays.callers import (
     CONNECT_TIMEOUT_SECONDS,
     Ending,
--- a/tests/test_relay_loads.py
+++ b/tests/test_relay_loads.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from statistics import mean
 
-from limpetdrift.coordination.engines import prompt_splitting
+from limpetdrift.coordination.engines import split_costs
 from limpetdrift.coordination.planning import plan_placer
 from limpetdrift.replays.figures import RunFigures, compute_figures
 from limpetdrift.replays.simulated_site import RunSpec
@@ -53,7 +53,7 @@
     on_time = mean(run.kinds[SHORT].on_time for run in runs)
     assert on_time >= SHORT_ON_TIME_SHARE
     # Less than the cost of another engine for any wait up to the target.
-    monkeypatch.setattr(prompt_splitting, '_WAIT_WEIGHT', 0.1)
+    monkeypatch.setattr(split_costs, '_WAIT_WEIGHT', 0.1)
     packed = [play('long-wave', seed) for seed in SEEDS]
     assert on_time > mean(run.kinds[SHORT].on_time for run in packed)
 
@@ -66,7 +66,7 @@
     """
     worth = mean_worth('restart-in-a-wave')
     monkeypatch.setattr(
-        prompt_splitting, '_unplanned_cost', lambda usage, cost_model: 0
+        split_costs, '_unplanned_cost', lambda usage, cost_model: 0
     )
     assert worth > mean_worth('restart-in-a-wave')
 
@@ -77,5 +77,5 @@
     A burst of short prompts leaves few engines for the longest.
     """
     worth = mean_worth('short-burst')
-    monkeypatch.setattr(prompt_splitting, '_DELAY_LOSS', 0)
+    monkeypatch.setattr(split_costs, '_DELAY_LOSS', 0)
     assert worth > mean_worth('short-burst')
--- a/tests/test_splitting.py
+++ b/tests/test_splitting.py
@@ -11,6 +11,8 @@
 from limpetdrift.coordination.engines.engine_cost_model import prefill_seconds
 from limpetdrift.coordination.engines.prompt_splitting import (
     choose_split,
+)
+from limpetdrift.coordination.engines.split_costs import (
     free_tokens,
 )
 from limpetdrift.protocol.plans import PlanRequest
