Log and count the build that an entry runs

During an upgrade nothing told operators which entries ran which build. Not told to peers: a record of an entry that earlier builds pass on without a new field would be refuted by its owner, again and again.

--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -7,6 +7,7 @@
 import trio
 
 from limpetdrift import logs
+from limpetdrift.build_version import report_build_version
 from limpetdrift.platform.directory import (
     add_directory_routes,
     add_readiness_routes,
@@ -110,6 +111,7 @@
             if address is not None:
                 await listen_and_serve(address, server, nursery)
         logs.note('started', instance=settings.instance, node=entry.node.name)
+        report_build_version(settings.instance)
     cut = entry.callers.cut_at_end
     logs.note(
         'stopped',
