--- a/benchmarks/load_ablation.py
+++ b/benchmarks/load_ablation.py
@@ -51,7 +51,7 @@
         f'{_SCHEDULING}.tentative_plans.find_passable': _returning(frozenset())
     },
     'late requests yield': {
-        f'{_PLANNING}.plan_placer.must_yield': _returning(False)
+        f'{_PLANNING}.plan_requests.must_yield': _returning(False)
     },
     'waits weighed by targets': {f'{_COSTS}._WAIT_WEIGHT': 0.3},
     'engines kept for short prompts': {
--- a/src/limpetdrift/coordination/planning/permit_client.py
+++ b/src/limpetdrift/coordination/planning/permit_client.py
@@ -11,7 +11,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.endpoints.endpoint_permits import EndpointPermits
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.planning.planner import endpoint_id_of
+from limpetdrift.coordination.planning.plan_making import endpoint_id_of
 from limpetdrift.protocol.limits import PERMIT_PATH, Permit, PermitRequest
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
--- a/src/limpetdrift/coordination/planning/plan_placer.py
+++ b/src/limpetdrift/coordination/planning/plan_placer.py
@@ -26,8 +26,7 @@
     PlanningGroups,
     cost_limit_elsewhere,
 )
-from limpetdrift.coordination.fingerprints import fingerprint_of
-from limpetdrift.coordination.peers import PeerCall, PeerRoutes
+from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.planning.group_load_exchange import (
     GroupLoadExchange,
     GroupLoadInputs,
@@ -36,25 +35,30 @@
     START_PATH,
     make_confirmation,
 )
-from limpetdrift.coordination.planning.planner import endpoint_id_of, mark_full
+from limpetdrift.coordination.planning.plan_making import (
+    endpoint_id_of,
+    mark_full,
+)
+from limpetdrift.coordination.planning.plan_requests import (
+    PlanQuestion,
+    find_usable,
+    make_dispatch_plan,
+    make_plan_request,
+)
 from limpetdrift.coordination.planning.planner_client import (
     ACTIVE_PATH,
     ENDED_PATH,
+    PLAN_PATH,
+    REFUSAL_REASONS,
     PlannerClient,
     PlannerClientInputs,
-)
-from limpetdrift.coordination.scheduling.lateness import (
-    effective_priority,
-    must_yield,
+    call_planner,
 )
 from limpetdrift.coordination.scheduling.named_groups import NamedGroups
-from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import (
     ActivePlans,
     EndedPlan,
     EndedPlans,
-    EndpointId,
-    EngineGroup,
     Plan,
     PlanRequest,
     PlanStart,
@@ -64,27 +68,10 @@
     CallerRequest,
     DispatchPlan,
     EndpointIdentity,
-    Helper,
     ListedEndpoint,
 )
 from limpetdrift.state.endpoint_view import EndpointView
 
-PLAN_PATH = 'plan'
-# Timeout of a plan request. A planner answers within a few milliseconds; one
-# that doesn't delays each prompt by this time at most.
-PLAN_TIMEOUT_SECONDS = 0.08
-# Sizes assumed for a prompt of unknown size: those of a usual one.
-_DEFAULT_PROMPT_TOKENS = 5000
-_DEFAULT_ANSWER_TOKENS = 1500
-_MIN_TARGET_SECONDS = 0.1
-# Largest priority number on the wire; 0 is the highest priority.
-_LOWEST_PRIORITY = 9
-# Reasons with which a planner refuses a prompt; ``NO_MEMORY`` comes from those
-# of earlier builds. After any other failure the plan is made locally.
-_REFUSAL_REASONS = frozenset(
-    (Reason.NO_ENDPOINT, Reason.NO_MEMORY, Reason.OVERLOADED),
-)
-
 
 class PlanPlacer:
     """Places this entry's prompts; ``planner_client`` finds the planners.
@@ -147,8 +134,17 @@
             return Error(refusal)
         closed = self._view.back_offs.closed(self._view.usable(work.service))
         home = self.groups.home(work.service)
-        request = self._make_request(
-            work, excluded | closed, self._named.first(work.service, home)
+        group = self._named.first(work.service, home)
+        request = make_plan_request(
+            work,
+            PlanQuestion(
+                node=self._inputs.node,
+                group=group,
+                excluded=excluded | closed,
+                ended=self.planner_client.pop_ended(work.service, group),
+                leaving=self._inputs.planner.leaving(work.service),
+            ),
+            self._inputs.clock(),
         )
         planned = await self._plan(request)
         if planned.is_ok():
@@ -195,52 +191,6 @@
         self._inputs.planner.end(service, (ended,))
         self.planner_client.end(service, ended)
 
-    def _make_request(
-        self,
-        work: CallerRequest,
-        excluded: frozenset[EndpointIdentity],
-        group: EngineGroup,
-    ) -> PlanRequest:
-        prompt, answer = _DEFAULT_PROMPT_TOKENS, _DEFAULT_ANSWER_TOKENS
-        if work.size is not None:
-            prompt, answer = work.size.prompt_tokens, work.size.answer_tokens
-        now = self._inputs.clock()
-        route = work.route
-        elapsed = now - work.arrived_at
-        remaining = min(work.deadline - now, route.patience_seconds - elapsed)
-        if work.is_begun:
-            # The caller has received events already: a late continuation is
-            # better than a stream that ends midway.
-            elapsed, remaining = 0, work.deadline - now
-        return PlanRequest(
-            service=work.service,
-            entry=self._inputs.node.name,
-            prompt_tokens=prompt,
-            answer_tokens=answer,
-            pause_seconds=route.pause_seconds,
-            patience_seconds=route.patience_seconds,
-            target_seconds=max(
-                _MIN_TARGET_SECONDS,
-                route.target_seconds - elapsed,
-            ),
-            seconds_left=remaining,
-            hold_seconds=work.deadline - now,
-            failure_domain=self._inputs.node.failure_domain,
-            excluded=tuple(
-                EndpointId(name=name, lifetime=lifetime)
-                for name, lifetime in excluded
-            ),
-            ended=self.planner_client.pop_ended(work.service, group),
-            group=group,
-            leaving=self._inputs.planner.leaving(work.service),
-            account=work.account,
-            priority=effective_priority(work, now),
-            fingerprint=fingerprint_of(work),
-            confirms=True,
-            is_admitted=work.is_begun,
-            yields=must_yield(work, now),
-        )
-
     async def _place_elsewhere(
         self,
         planned: Result[Plan, Failure],
@@ -295,7 +245,7 @@
         there.
         """
         planned = await self._request_plan(request)
-        if planned.is_ok() or planned.error.reason in _REFUSAL_REASONS:
+        if planned.is_ok() or planned.error.reason in REFUSAL_REASONS:
             return planned
         if request.group != self.groups.home(request.service):
             return planned
@@ -310,13 +260,13 @@
             return self.group_loads.name_group(
                 self._inputs.planner.plan(request), request
             )
-        answer = await _call_planner(
+        answer = await call_planner(
             self._inputs.call, self.planner_client, planner, request
         )
         if answer.is_ok():
             # ``Planner.plan`` books only the plans that it makes itself.
             self._inputs.planner.book_plan(answer.ok, request)
-        if answer.is_ok() or answer.error.reason in _REFUSAL_REASONS:
+        if answer.is_ok() or answer.error.reason in REFUSAL_REASONS:
             self.planner_client.record_answer(planner, request.group)
         else:
             self.planner_client.record_unreachable(planner, answer.error)
@@ -337,8 +287,8 @@
         work: CallerRequest,
     ) -> Result[DispatchPlan, Failure]:
         self.planner_client.begin(plan, request)
-        writer = _find_usable(self._view, plan.writer)
-        helpers = [_find_usable(self._view, each) for each in plan.helpers]
+        writer = find_usable(self._view, plan.writer)
+        helpers = [find_usable(self._view, each) for each in plan.helpers]
         if writer is None or None in helpers:
             self._end(work.service, EndedPlan(grant=plan.grant))
             return Error(
@@ -348,65 +298,6 @@
                 ),
             )
         telemetry.count('placements', parts=str(1 + len(helpers)))
-        placement = _make_dispatch_plan(plan, writer, helpers, request.priority)
+        placement = make_dispatch_plan(plan, writer, helpers, request.priority)
         begin_placement(self._view, work, placement)
         return Ok(placement)
-
-
-async def _call_planner(
-    call: PeerCall,
-    planner_client: PlannerClient,
-    planner: Node,
-    request: PlanRequest,
-) -> Result[Plan, Failure]:
-    """Ask a planner; ended plans that it may not know of are kept."""
-    has_answered = False
-    try:
-        answer = await call(
-            planner.peer_address,
-            PLAN_PATH,
-            request,
-            Plan,
-            timeout_seconds=PLAN_TIMEOUT_SECONDS,
-        )
-        has_answered = answer.is_ok() or answer.error.reason in _REFUSAL_REASONS
-    finally:
-        if request.ended and not has_answered:
-            planner_client.report_soon(
-                request.service, request.group, request.ended
-            )
-    return answer
-
-
-def _find_usable(
-    view: EndpointView, engine_id: EndpointId
-) -> ListedEndpoint | None:
-    found = view.find(engine_id.name, engine_id.lifetime)
-    if found is None or not view.is_usable(found):
-        return None
-    return found if view.back_offs.is_open(found.identity) else None
-
-
-def _make_dispatch_plan(
-    plan: Plan,
-    writer: ListedEndpoint,
-    helpers: list[ListedEndpoint],
-    urgency: int,
-) -> DispatchPlan:
-    by_id = {endpoint_id_of(each): each for each in (writer, *helpers)}
-    reserved = tuple(
-        (by_id[each.endpoint], each.tokens) for each in plan.reserved
-    )
-    return DispatchPlan(
-        endpoint=writer,
-        helpers=tuple(Helper(endpoint=each) for each in helpers),
-        reserved=reserved,
-        urgency=min(_LOWEST_PRIORITY, urgency),
-        grant=plan.grant,
-        delay_seconds=plan.delay_seconds,
-        read_seconds=plan.read_seconds,
-        is_tentative=plan.waiting is not None,
-        permitted=frozenset(
-            (each.name, each.lifetime) for each in plan.permitted
-        ),
-    )
--- a/src/limpetdrift/coordination/planning/planner.py
+++ b/src/limpetdrift/coordination/planning/planner.py
@@ -26,9 +26,16 @@
     make_bookings,
 )
 from limpetdrift.coordination.engines.prompt_splitting import (
-    Split,
     choose_split,
 )
+from limpetdrift.coordination.planning.plan_making import (
+    endpoint_id_of,
+    find_callable,
+    make_plan,
+    mark_full,
+    mark_leaving,
+    take_permits,
+)
 from limpetdrift.coordination.scheduling.admission import Admission
 from limpetdrift.coordination.scheduling.returns import MIN_RETRY_AFTER_SECONDS
 from limpetdrift.coordination.scheduling.tentative_plans import TentativePlans
@@ -48,12 +55,11 @@
     Plan,
     PlanRequest,
     PlanStart,
-    ReservedTokens,
 )
 from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.verdict import Failure, Reason, not_run
-from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
-from limpetdrift.state.endpoint_view import PEER_SOURCE, EndpointView
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.engine_ledger import EngineLedger
 from limpetdrift.state.engine_usage import PlanLease
 from limpetdrift.state.prefill_schedule import NO_PLANS
@@ -126,7 +132,7 @@
         ``OVERLOADED``.
         """
         self.end(request.service, request.ended)
-        _mark_leaving(self._inputs.view, request.leaving)
+        mark_leaving(self._inputs.view, request.leaving)
         cost_model = self._inputs.find_cost_model(request.service)
         endpoints = self._orders.candidates(request)
         if cost_model is None or not endpoints:
@@ -138,7 +144,7 @@
                 ),
             )
         permitted = waited.permitted if waited else frozenset()
-        callable_now = _find_callable(
+        callable_now = find_callable(
             self.permits, endpoints, permitted, is_decider=is_decider
         )
         if not callable_now:
@@ -235,7 +241,7 @@
     ) -> Result[Acknowledgement, Failure]:
         """Drop a peer's ended plans."""
         self.end(message.service, message.ended)
-        _mark_leaving(self._inputs.view, message.leaving)
+        mark_leaving(self._inputs.view, message.leaving)
         mark_full(self.ledger(message.service), message.full)
         return Ok(Acknowledgement())
 
@@ -271,12 +277,12 @@
         refusal = self.admission.find_refusal(split, usages, request)
         if refusal is not None:
             return Error(refusal)
-        plan = _make_plan(
+        plan = make_plan(
             prompt.grant
             or '.'.join((self._inputs.name, str(next(self._grant_numbers)))),
             split,
             request,
-            _take_permits(self.permits, split, prompt.permitted),
+            take_permits(self.permits, split, prompt.permitted),
         )
         if may_wait(request, 1 + len(plan.helpers), plan.delay_seconds):
             order = describe_order(prompt, self._inputs.clock())
@@ -285,81 +291,3 @@
             self.tentative.record_passes(passable, split)
         self.book_plan(plan, request, passed=passable)
         return Ok(plan)
-
-
-def endpoint_id_of(endpoint: ListedEndpoint) -> EndpointId:
-    """Return the identifier of an endpoint in messages."""
-    return EndpointId(name=endpoint.name, lifetime=endpoint.lifetime)
-
-
-def mark_full(ledger: EngineLedger, full: tuple[EndpointId, ...]) -> None:
-    """Prefer others for a while to engines that turned requests away."""
-    for each in full:
-        ledger.mark_full((each.name, each.lifetime))
-        note('engine full', engine=each.name)
-
-
-def _mark_leaving(view: EndpointView, leaving: tuple[EndpointId, ...]) -> None:
-    for each in leaving:
-        endpoint = view.find(each.name, each.lifetime)
-        if endpoint is not None:
-            view.mark_leaving(endpoint, PEER_SOURCE)
-
-
-def _find_callable(
-    permits: EndpointPermits,
-    endpoints: tuple[ListedEndpoint, ...],
-    permitted: frozenset[EndpointIdentity],
-    *,
-    is_decider: bool,
-) -> tuple[ListedEndpoint, ...]:
-    """Return the engines that may get a prompt, with those ``permitted``."""
-    if not is_decider:
-        return permits.unlimited_only(endpoints)
-    if not permitted:
-        return permits.open_only(endpoints)
-    return tuple(
-        each
-        for each in endpoints
-        if each.identity in permitted or permits.may_call(each)
-    )
-
-
-def _take_permits(
-    permits: EndpointPermits,
-    split: Split,
-    permitted: frozenset[EndpointIdentity],
-) -> tuple[EndpointId, ...]:
-    """Count a plan's calls; return the engines that limit their rate.
-
-    Calls to those ``permitted`` are counted already.
-    """
-    return tuple(
-        endpoint_id_of(usage.endpoint)
-        for usage in (split.writer, *split.helpers)
-        if usage.endpoint.identity in permitted or permits.take(usage.endpoint)
-    )
-
-
-def _make_plan(
-    grant: str,
-    split: Split,
-    request: PlanRequest,
-    permitted: tuple[EndpointId, ...],
-) -> Plan:
-    return Plan(
-        grant=grant,
-        writer=endpoint_id_of(split.writer.endpoint),
-        helpers=tuple(endpoint_id_of(each.endpoint) for each in split.helpers),
-        reserved=tuple(
-            ReservedTokens(
-                endpoint=endpoint_id_of(usage.endpoint), tokens=tokens
-            )
-            for usage, tokens in split.reserved
-        ),
-        delay_seconds=split.delay_seconds,
-        read_seconds=split.first_token_seconds,
-        hold_seconds=request.hold_seconds,
-        cost=split.cost,
-        permitted=permitted,
-    )
--- a/tests/test_relay_loads.py
+++ b/tests/test_relay_loads.py
@@ -9,7 +9,7 @@
 from statistics import mean
 
 from limpetdrift.coordination.engines import split_costs
-from limpetdrift.coordination.planning import plan_placer
+from limpetdrift.coordination.planning import plan_requests
 from limpetdrift.replays.figures import RunFigures, compute_figures
 from limpetdrift.replays.simulated_site import RunSpec
 from limpetdrift.replays.simulation import simulate_run
@@ -43,7 +43,7 @@
     """
     worth = mean_worth('restart-of-all')
     for name in ('must_yield', 'effective_priority'):
-        monkeypatch.setattr(plan_placer, name, lambda work, now: 0)
+        monkeypatch.setattr(plan_requests, name, lambda work, now: 0)
     assert worth > mean_worth('restart-of-all')
 
 
