--- a/src/limpetdrift/platform/registration.py
+++ b/src/limpetdrift/platform/registration.py
@@ -23,8 +23,6 @@
 # none, the long one otherwise. The rows are read only if there is none.
 NO_PEER_INTERVAL_SECONDS = 1.0
 CHECK_INTERVAL_SECONDS = 10.0
-# Time within which a seed that runs has answered the first contact.
-SEED_ANSWER_SECONDS = 0.03
 # Processes that write a row, of all that are live.
 REGISTERED_PROCESSES = 12
 # Rows of processes that started this much earlier than this one are deleted,
@@ -76,9 +74,7 @@
 
     async def run(self) -> None:
         """Write the row, and look for peers until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._inputs.join)
-            await self._join_by_rows()
+        await self._inputs.join()
         while True:
             is_due = self._is_row_lost or (
                 not self._has_row and self._inputs.is_assigned()
@@ -114,18 +110,6 @@
             self._is_row_lost = False
             await self._inputs.store.delete(TABLE, self._inputs.node.name)
 
-    async def _join_by_rows(self) -> None:
-        """Look for peers in the rows if no seed has answered at once.
-
-        After a loss of all processes, those that the settings name may be the
-        last to start, and each of the others would plan alone until then. The
-        rows of the processes before name the addresses of all.
-        """
-        await trio.sleep(SEED_ANSWER_SECONDS)
-        if self._inputs.count_peers() == 0:
-            await self._read_rows()
-            await self._inputs.join()
-
     async def _wait_until_due(self, seconds: float) -> None:
         """Wait, or until the row was lost and a random delay has passed."""
         with trio.move_on_after(seconds):
