--- a/src/limpetdrift/coordination/scheduling/time_limits.py
+++ b/src/limpetdrift/coordination/scheduling/time_limits.py
@@ -14,8 +14,8 @@
 # Admission threshold: a prompt is refused if its first token is expected after
 # more than this share of the time left.
 _LATEST_FIRST_TOKEN_SHARE = 0.9
-# Safety margin: the share of an answer's stated tokens that is counted, since
-# the statement is often too high.
+# Safety margin: the share of an answer's tokens that is counted. Callers state
+# the most that it may have, and many answers are shorter than the usual one.
 _LEAST_ANSWER_SHARE = 0.5
 
 
