--- a/src/limpetdrift/coordination/forwarding/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding.py
@@ -6,20 +6,24 @@
 beside one elsewhere. When the caller disconnects, all attempts end at once.
 """
 
-import random
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import replace
 
 import trio
-from absl import logging
-from expression import Error, Ok, Result
+from expression import Error, Ok
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.crashes.crash_guard import (
-    HARMLESS_ANSWER_SECONDS,
     BrokenAttempt,
 )
+from limpetdrift.coordination.forwarding.attempt_outcomes import (
+    answer_timeout_seconds,
+    forget_refused_try,
+    make_harmless_reporter,
+    outcome_of_error,
+    record_end,
+    record_failure,
+)
 from limpetdrift.coordination.forwarding.attempt_race import (
     AttemptRace,
     Outcome,
@@ -31,17 +35,17 @@
     relay_events,
     relay_response,
 )
-from limpetdrift.coordination.forwarding.endpoint_response import SendRequest
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
+    ForwardingInputs,
+)
 from limpetdrift.coordination.forwarding.request_logs import (
     log_cut_answer,
     log_end,
     log_placement,
-    log_retry,
 )
-from limpetdrift.coordination.forwarding.retry_policy import (
-    attempt_timeout_seconds,
-    first_event_timeout_seconds,
-    may_repeat,
+from limpetdrift.coordination.forwarding.retry_decisions import (
+    may_retry,
+    schedule_try_beside,
 )
 from limpetdrift.logs import is_sampled
 from limpetdrift.protocol.route_table import RequestKind
@@ -49,129 +53,19 @@
     Failure,
     FailureError,
     Reason,
-    Verdict,
-    may_have_run,
     not_run,
 )
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
-    ListedEndpoint,
 )
-from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
-from limpetdrift.state.retry_budget import RetryBudget
-from limpetdrift.transport.messages import OK, Response
+from limpetdrift.state.endpoint_view import ANSWER_SOURCE
+from limpetdrift.transport.messages import OK
 from limpetdrift.transport.server import Exchange
 
-# Placements per request. This bounds the search when endpoints refuse
-# connections, which does not count against the route's attempt limit.
-PLACEMENT_LIMIT = 6
 RETRY_INTERVAL_SECONDS = 0.01
-# First interval between tries elsewhere while an attempt stays silent.
-SILENT_RETRY_INTERVAL_SECONDS = 0.5
 # Bounds of the random factor of each retry interval.
 _RETRY_JITTER = (0.5, 1.5)
-# Errors of a write to a caller that has disconnected.
-_DISCONNECT_ERRORS = (
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
-_ENDPOINT_FAILURE_REASONS = frozenset(
-    (
-        Reason.CONNECT_FAILED,
-        Reason.CONNECT_TIMEOUT,
-        Reason.CONNECTION_BROKEN,
-        Reason.IDLE_TIMEOUT,
-        Reason.BAD_ANSWER,
-        Reason.ENDPOINT_FAILED,
-    ),
-)
-# Failures that prove that no endpoint received the request.
-_UNREACHED_REASONS = frozenset(
-    (
-        Reason.CONNECT_FAILED,
-        Reason.CONNECT_TIMEOUT,
-        Reason.ENDPOINT_UNAVAILABLE,
-    ),
-)
-
-PlaceRequest = Callable[
-    [CallerRequest, frozenset[EndpointIdentity]],
-    Awaitable[Result[DispatchPlan, Failure]],
-]
-# Ends a placement; the last argument lists the endpoints that failed it.
-ReleasePlacement = Callable[
-    [CallerRequest, DispatchPlan, Iterable[ListedEndpoint]], None
-]
-# Returns what to use now in place of a tentative placement whose delay is over;
-# it may have a further delay. The failure refuses the request.
-ConfirmPlacement = Callable[
-    [CallerRequest, DispatchPlan], Awaitable[Result[DispatchPlan, Failure]]
-]
-# Reserves a placement's memory while the context is open; raises
-# ``FailureError`` if the memory is taken.
-ReserveMemory = Callable[
-    [DispatchPlan], AbstractAsyncContextManager[DispatchPlan]
-]
-# Holds other requests like one back, if that may crash endpoints, while the
-# context is open. The arguments are the request and the endpoints that it has
-# tried; the value adds those that it may not use. Raises ``FailureError``.
-IsolateAttempt = Callable[
-    [CallerRequest, frozenset[EndpointIdentity]],
-    AbstractAsyncContextManager[frozenset[EndpointIdentity]],
-]
-
-
-@asynccontextmanager
-async def run_at_once(
-    request: CallerRequest, tried: frozenset[EndpointIdentity]
-) -> AsyncIterator[frozenset[EndpointIdentity]]:
-    """Run an attempt without isolation, at endpoints that it has not tried."""
-    yield tried
-
-
-async def keep_placement(
-    request: CallerRequest, placement: DispatchPlan
-) -> Result[DispatchPlan, Failure]:
-    """Use a tentative placement as it is."""
-    await trio.lowlevel.checkpoint()
-    return Ok(placement.as_due())
-
-
-@dataclass(frozen=True, kw_only=True)
-class ForwardingInputs:
-    """What the rest of the entry provides to the forwarder.
-
-    ``check`` returns the failure for a request that must not be sent now, else
-    ``None``.
-    ``render`` turns a failure into the response to the caller.
-    ``report_broken_connection`` is called when a connection breaks while an
-    attempt runs, and ``report_harmless`` when an endpoint has answered a
-    request, or has done so for a while. ``isolate`` waits until an attempt may
-    be placed, and yields the endpoints that it may not use; ``is_suspected``
-    returns whether a request may crash endpoints, and ``is_cut_off`` whether a
-    peer has to pass it on since this entry does not reach its service.
-    ``report_silence`` is called when an endpoint has not begun to answer in
-    time. ``confirm`` is called for tentative placements only.
-    """
-
-    place: PlaceRequest
-    release: ReleasePlacement
-    reserve_memory: ReserveMemory
-    send: SendRequest
-    check: Callable[[CallerRequest], Failure | None]
-    render: Callable[[Failure], Response]
-    report_broken_connection: Callable[[BrokenAttempt], None]
-    report_harmless: Callable[[CallerRequest], None]
-    view: EndpointView
-    budget: RetryBudget
-    clock: Callable[[], float]
-    randomness: random.Random
-    isolate: IsolateAttempt = run_at_once
-    is_suspected: Callable[[CallerRequest], bool] = lambda request: False
-    is_cut_off: Callable[[CallerRequest], bool] = lambda request: False
-    report_silence: Callable[[ListedEndpoint], None] = lambda endpoint: None
-    confirm: ConfirmPlacement = keep_placement
 
 
 class Forwarder:
@@ -188,7 +82,7 @@
             exchange=exchange,
             clock=self._inputs.clock,
             may_retry=lambda: self._inputs.budget.has_retry,
-            on_event=_make_harmless_reporter(
+            on_event=make_harmless_reporter(
                 self._inputs.report_harmless, request
             ),
             last_event=request.last_event_id,
@@ -248,7 +142,7 @@
         while True:
             outcome = await race.wait()
             if outcome is None:
-                if self._schedule_try_beside(progress, race):
+                if schedule_try_beside(self._inputs, progress, race):
                     start_attempt()
                 continue
             if outcome.is_ok():
@@ -256,7 +150,7 @@
             if race.has_contender:
                 continue
             failure = replace(outcome.error, verdict=progress.verdict)
-            if not self._may_retry(progress, failure):
+            if not may_retry(self._inputs, progress, failure):
                 return failure
             jitter = self._inputs.randomness.uniform(*_RETRY_JITTER)
             await trio.sleep(RETRY_INTERVAL_SECONDS * jitter)
@@ -270,59 +164,10 @@
             with attempt.scope:
                 outcome = await self._attempt(progress, attempt)
         except Exception as error:
-            outcome = _outcome_of_error(progress, attempt, error)
+            outcome = outcome_of_error(progress, attempt, error)
         finally:
             attempt.race.end(attempt, outcome)
 
-    def _schedule_try_beside(
-        self, progress: RequestProgress, race: AttemptRace
-    ) -> bool:
-        """Return whether to try another endpoint now, beside a silent attempt.
-
-        Sets the time of the next such try; its interval doubles each time.
-        """
-        silent = race.silent_attempt()
-        if silent is None:
-            return False
-        if self._inputs.is_suspected(progress.request):
-            silent.expect_answer_within(SILENT_RETRY_INTERVAL_SECONDS)
-            return False
-        if not silent.is_silent:
-            silent.is_silent = True
-            telemetry.count('attempts_silent')
-            if not silent.events:
-                self._inputs.report_silence(silent.endpoint)
-        interval = SILENT_RETRY_INTERVAL_SECONDS * 2**silent.tries_beside
-        silent.tries_beside += 1
-        silent.expect_answer_within(interval)
-        return self._may_retry(
-            progress, may_have_run(Reason.IDLE_TIMEOUT, 'no answer in time')
-        )
-
-    def _may_retry(self, progress: RequestProgress, failure: Failure) -> bool:
-        """Return whether the route and the retry budget allow a retry.
-
-        A retry after attempts that reached no endpoint is free of charge.
-        """
-        request = progress.request
-        if progress.placements >= PLACEMENT_LIMIT or progress.is_answer_final:
-            return False
-        is_allowed = may_repeat(
-            request.route,
-            failure,
-            attempts=progress.attempts,
-            seconds_left=progress.seconds_left(),
-        )
-        if not is_allowed:
-            return False
-        is_retry = progress.attempts and not self._inputs.is_cut_off(request)
-        if is_retry and not self._inputs.budget.has_retry:
-            telemetry.count('refusals', reason=Reason.RETRY_BUDGET)
-            return False
-        telemetry.count('retries', reason=failure.reason)
-        log_retry(progress, failure)
-        return True
-
     async def _attempt(
         self, progress: RequestProgress, attempt: RacingAttempt
     ) -> Outcome:
@@ -349,14 +194,14 @@
             excluded,
         )
         if placed.is_error():
-            _forget_refused_try(progress, attempt)
+            forget_refused_try(progress, attempt)
             return placed.map(lambda placement: None)
         attempt.use(placed.ok)
         log_placement(progress, placed.ok)
         try:
             return await self._wait_and_send(progress, attempt)
         finally:
-            _record_end(progress, attempt)
+            record_end(progress, attempt)
             self._inputs.release(
                 progress.request, attempt.placement, attempt.failed
             )
@@ -370,7 +215,7 @@
         """
         while True:
             if attempt.race.is_used_by_other(attempt):
-                _forget_refused_try(progress, attempt)
+                forget_refused_try(progress, attempt)
                 return Error(not_run(Reason.NO_ENDPOINT, 'no other endpoint'))
             placement = attempt.placement
             progress.excluded.add(placement.endpoint.identity)
@@ -399,7 +244,7 @@
         except FailureError as error:
             outcome = Error(error.failure)
         if outcome.is_error():
-            _record_failure(progress, attempt, outcome.error)
+            record_failure(progress, attempt, outcome.error)
             if outcome.error.reason is Reason.ENDPOINT_LEAVING:
                 self._inputs.view.mark_leaving(
                     placement.endpoint, ANSWER_SOURCE
@@ -444,7 +289,7 @@
                 kind=progress.request.route.kind,
             )
         attempt.expect_answer_within(
-            _answer_timeout_seconds(progress, placement)
+            answer_timeout_seconds(progress, placement)
         )
         async with self._inputs.send(
             progress.request,
@@ -485,96 +330,9 @@
         await progress.exchange.respond(response)
 
 
-def _make_harmless_reporter(
-    report: Callable[[CallerRequest], None], request: CallerRequest
-) -> Callable[[RacingAttempt], None]:
-    """Return the function that reports once that a request is harmless."""
-    pending = [request]
-
-    def on_event(attempt: RacingAttempt) -> None:
-        if pending and attempt.answer_seconds() >= HARMLESS_ANSWER_SECONDS:
-            report(pending.pop())
-
-    return on_event
-
-
 async def _cancel_on_disconnect(
     progress: RequestProgress, race: AttemptRace, scope: trio.CancelScope
 ) -> None:
     await progress.exchange.wait_closed()
     progress.has_caller_left = not race.is_answered
     scope.cancel()
-
-
-def _outcome_of_error(
-    progress: RequestProgress, attempt: RacingAttempt, error: Exception
-) -> Outcome:
-    """Return how an attempt ended that raised an error.
-
-    Once it writes to the caller, a broken stream means that the caller has
-    left; any other error is raised again.
-    """
-    if not attempt.has_written:
-        # Another attempt may still answer.
-        logging.exception('attempt failed')
-        return Error(may_have_run(Reason.INTERNAL, 'attempt failed'))
-    if isinstance(error, _DISCONNECT_ERRORS):
-        progress.has_caller_left = True
-        return Ok(None)
-    raise error
-
-
-def _answer_timeout_seconds(
-    progress: RequestProgress, placement: DispatchPlan
-) -> float:
-    """Return the time after which an attempt without an answer is silent."""
-    request = progress.request
-    if request.route.kind is RequestKind.STREAMING:
-        return first_event_timeout_seconds(
-            request.route,
-            attempts=progress.attempts - 1,
-            expected_seconds=placement.read_seconds - placement.delay_seconds,
-            seconds_left=progress.seconds_left(),
-        )
-    return attempt_timeout_seconds(
-        request.route,
-        attempts=progress.attempts - 1,
-        seconds_left=progress.seconds_left(),
-    )
-
-
-def _forget_refused_try(
-    progress: RequestProgress, attempt: RacingAttempt
-) -> None:
-    """Take a refused try off the count if another attempt is under way.
-
-    Tries during a silence would leave none for a failure after it.
-    """
-    if attempt.race.has_other_contender(attempt):
-        progress.placements -= 1
-
-
-def _record_failure(
-    progress: RequestProgress,
-    attempt: RacingAttempt,
-    failure: Failure,
-) -> None:
-    telemetry.count('attempt_failures', reason=failure.reason)
-    if attempt.is_sent and failure.verdict is Verdict.NOT_RUN:
-        progress.unproven -= 1
-    if attempt.is_sent and failure.reason in _UNREACHED_REASONS:
-        progress.attempts -= 1
-    if failure.reason in _ENDPOINT_FAILURE_REASONS:
-        attempt.failed.append(attempt.endpoint)
-
-
-def _record_end(progress: RequestProgress, attempt: RacingAttempt) -> None:
-    """Record an endpoint that is silent to the end as failed.
-
-    One that was only slower than another may be used again.
-    """
-    if attempt.is_silent and attempt.endpoint not in attempt.failed:
-        telemetry.count('attempt_failures', reason=Reason.IDLE_TIMEOUT)
-        attempt.failed.append(attempt.endpoint)
-    elif attempt.is_cancelled and not attempt.is_silent:
-        progress.excluded.discard(attempt.endpoint.identity)
--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, replace
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.forwarding.forwarding import Forwarder
+from limpetdrift.coordination.forwarding.forwarding import (
+    Forwarder,
+)
 from limpetdrift.coordination.membership.drain import Drain
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import (
--- a/src/limpetdrift/platform/forwarder_wiring.py
+++ b/src/limpetdrift/platform/forwarder_wiring.py
@@ -8,6 +8,8 @@
 from limpetdrift.coordination.crashes.crash_guard import CrashGuard
 from limpetdrift.coordination.forwarding.forwarding import (
     Forwarder,
+)
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
     ForwardingInputs,
 )
 from limpetdrift.coordination.planning.plain_placer import PlainPlacer
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -10,7 +10,7 @@
     EndpointResponse,
     SendRequest,
 )
-from limpetdrift.coordination.forwarding.forwarding import (
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
     ForwardingInputs,
     IsolateAttempt,
     PlaceRequest,
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -11,7 +11,9 @@
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
-from limpetdrift.coordination.forwarding.forwarding import ReserveMemory
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
+    ReserveMemory,
+)
 from limpetdrift.coordination.membership.link_monitor import LinkMonitor
 from limpetdrift.logs import note
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -18,7 +18,7 @@
     MIN_GROUP_ENGINES,
     PlanningGroups,
 )
-from limpetdrift.coordination.forwarding.forwarding import (
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
     ConfirmPlacement,
     PlaceRequest,
     ReleasePlacement,
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -14,6 +14,8 @@
 )
 from limpetdrift.coordination.forwarding.forwarding import (
     Forwarder,
+)
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
     ForwardingInputs,
 )
 from limpetdrift.coordination.forwarding.retry_policy import (
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -16,6 +16,8 @@
 )
 from limpetdrift.coordination.forwarding.forwarding import (
     Forwarder,
+)
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
     ForwardingInputs,
 )
 from limpetdrift.coordination.membership.link_monitor import LinkMonitor
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -18,6 +18,8 @@
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.coordination.forwarding.forwarding import (
     Forwarder,
+)
+from limpetdrift.coordination.forwarding.forwarding_inputs import (
     ForwardingInputs,
 )
 from limpetdrift.coordination.membership.discovery import cache_usable_entries
