--- a/benchmarks/load_ablation.py
+++ b/benchmarks/load_ablation.py
@@ -61,7 +61,7 @@
     'pauses of streams': {f'{_COSTS}._pause_cost': _returning(0)},
     'wait for a slot': {f'{_SPLITTING}.queue_seconds': _returning(0)},
     'shares of accounts': {
-        f'{_SCHEDULING}.admission._is_above_share': _returning(False)
+        f'{_SCHEDULING}.admission.is_above_share': _returning(False)
     },
     'returning callers first': {
         f'{_SCHEDULING}.returns.ReturnSchedule.may_go_first': _returning(False)
