--- a/src/limpet_standins/engine.py
+++ b/src/limpet_standins/engine.py
@@ -33,11 +33,11 @@
 )
 from limpet_standins.stream_handlers import StreamHandlers
 from limpetdrift.protocol.codec import json_response
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request, Response
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import Failure
 
 # Timeouts of calls to the weight store and to other engines.
 WEIGHTS_TIMEOUT_SECONDS = 600.0
--- a/src/limpet_standins/engine_core.py
+++ b/src/limpet_standins/engine_core.py
@@ -12,8 +12,8 @@
 from limpet_standins.engine_messages import EngineSettings
 from limpet_standins.kv_memory import KvMemory
 from limpet_standins.scheduler import Scheduler
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.messages import Address, Request, Response
+from limpetdrift.verdict import Failure
 
 Fetch = Callable[[Address, Request], Awaitable[Result[Response, Failure]]]
 
--- a/src/limpet_standins/local.py
+++ b/src/limpet_standins/local.py
@@ -10,18 +10,18 @@
 from expression import Error, Ok, Result
 
 from limpet_standins.serving import StandIn
-from limpetdrift.protocol.verdict import (
-    Failure,
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.transport.messages import (
     Address,
     Headers,
     Request,
     Response,
 )
+from limpetdrift.verdict import (
+    Failure,
+    Reason,
+    may_have_run,
+    not_run,
+)
 
 
 class LocalExchange:
--- a/src/limpetdrift/callers/access.py
+++ b/src/limpetdrift/callers/access.py
@@ -5,9 +5,9 @@
 
 from expression import Error, Ok, Result
 
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.site import AccountConfig, SiteConfig
 from limpetdrift.transport.messages import Request
+from limpetdrift.verdict import Failure, Reason, not_run
 
 _SCHEME = 'Bearer '
 
--- a/src/limpetdrift/callers/answers.py
+++ b/src/limpetdrift/callers/answers.py
@@ -16,10 +16,10 @@
     error_answer,
     status_of,
 )
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.state.run import RunEnd
 from limpetdrift.transport.messages import Headers, Response
 from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import Failure
 
 SSE_HEADERS: Headers = (
     ('content-type', 'text/event-stream; charset=utf-8'),
--- a/src/limpetdrift/callers/chat.py
+++ b/src/limpetdrift/callers/chat.py
@@ -38,12 +38,12 @@
     prompt_text,
 )
 from limpetdrift.protocol.prompts import count_tokens
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.run import Run, RunRequest
 from limpetdrift.state.site import SiteConfig, UrgencyConfig
 from limpetdrift.transport.messages import OK, Request
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import Failure, Reason, not_run
 
 # Interval of keep-alive comments on a stream without new tokens.
 KEEPALIVE_SECONDS = 1.0
--- a/src/limpetdrift/callers/headers.py
+++ b/src/limpetdrift/callers/headers.py
@@ -10,8 +10,8 @@
     KEY_HEADER,
     REPEATABLE_HEADER,
 )
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.transport.messages import Request
+from limpetdrift.verdict import Failure, Reason, not_run
 
 LONGEST_DEADLINE_SECONDS = 3600.0
 LONGEST_KEY_CHARACTERS = 200
--- a/src/limpetdrift/callers/services.py
+++ b/src/limpetdrift/callers/services.py
@@ -27,11 +27,11 @@
 from limpetdrift.coordination.services.service_caller import ServiceCaller
 from limpetdrift.coordination.services.service_messages import ServiceRequest
 from limpetdrift.protocol.codec import encode
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.site import ServiceConfig
 from limpetdrift.transport.messages import Request
 from limpetdrift.transport.routing import ANY_METHOD, Parameters, Routes
 from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import Failure, Reason, not_run
 
 SERVICES_PATTERN = '/services/{name}/{path...}'
 
--- a/src/limpetdrift/callers/streams.py
+++ b/src/limpetdrift/callers/streams.py
@@ -15,17 +15,17 @@
 from limpetdrift.coordination.peers import PEER_SECRET_HEADER, is_peer
 from limpetdrift.coordination.runs.run_registry import RunRegistry
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request
+from limpetdrift.transport.routing import Parameters, Routes
+from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import (
     Failure,
     FailureError,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request
-from limpetdrift.transport.routing import Parameters, Routes
-from limpetdrift.transport.server import Exchange
 
 # Idle timeout of a forwarded stream; the owner sends a keep-alive on it
 # each second.
--- a/src/limpetdrift/client.py
+++ b/src/limpetdrift/client.py
@@ -31,14 +31,6 @@
     Resumption,
     StreamOptions,
 )
-from limpetdrift.protocol.verdict import (
-    Failure,
-    FailureError,
-    Reason,
-    Verdict,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.transport.client import HttpClient, ResponseStream
 from limpetdrift.transport.messages import (
     OK,
@@ -47,6 +39,14 @@
     Request,
     parse_address,
 )
+from limpetdrift.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 
 IDLE_TIMEOUT_SECONDS = 5.0
 DISCOVERY_TIMEOUT_SECONDS = 2.0
--- a/src/limpetdrift/coordination/administration/config_routes.py
+++ b/src/limpetdrift/coordination/administration/config_routes.py
@@ -23,10 +23,10 @@
     StoredConfiguration,
     VersionsReport,
 )
-from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.transport.messages import Request, Response
 from limpetdrift.transport.routing import Parameters, RouteHandler, Routes
 from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import Reason, not_run
 
 OperatorHandler = Callable[[Request, Parameters], Awaitable[Response]]
 
--- a/src/limpetdrift/coordination/administration/quarantine_routes.py
+++ b/src/limpetdrift/coordination/administration/quarantine_routes.py
@@ -11,9 +11,9 @@
     QuarantineRequest,
 )
 from limpetdrift.protocol.quarantine import QuarantineState
-from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.transport.messages import Request, Response
 from limpetdrift.transport.routing import Parameters, Routes
+from limpetdrift.verdict import Reason, not_run
 
 _BAD_REQUEST = 400
 _REFUSED = frozenset((QuarantineState.REFUSED,))
--- a/src/limpetdrift/coordination/administration/status_routes.py
+++ b/src/limpetdrift/coordination/administration/status_routes.py
@@ -31,9 +31,9 @@
     EntryStatus,
     StatusReport,
 )
-from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.transport.messages import NOT_FOUND, Request, Response
 from limpetdrift.transport.routing import Parameters, Routes
+from limpetdrift.verdict import Reason, not_run
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/limpetdrift/coordination/claims/claim_status.py
+++ b/src/limpetdrift/coordination/claims/claim_status.py
@@ -13,7 +13,6 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerCall
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.state.claim_ledger import (
     ClaimLedger,
     LocalClaim,
@@ -21,6 +20,7 @@
     in_time,
 )
 from limpetdrift.state.claims import ClaimRow, StoredResult
+from limpetdrift.verdict import Failure, Reason
 
 CLAIM_STATUS_PATH = 'claims/ask'
 # Timeout of one query to the owner of a claim.
--- a/src/limpetdrift/coordination/claims/claim_writer.py
+++ b/src/limpetdrift/coordination/claims/claim_writer.py
@@ -13,7 +13,6 @@
 
 from limpetdrift import telemetry
 from limpetdrift.protocol.table import Outcome
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.state.claim_ledger import (
     ClaimLedger,
     LocalClaim,
@@ -26,6 +25,7 @@
     VersionedClaim,
     read_claim,
 )
+from limpetdrift.verdict import Failure, Reason
 
 # Range of the retry interval, drawn anew for each pass of background writes.
 RETRY_INTERVAL_SECONDS = (0.5, 1.5)
--- a/src/limpetdrift/coordination/claims/claims.py
+++ b/src/limpetdrift/coordination/claims/claims.py
@@ -38,12 +38,6 @@
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.table import ABSENT
-from limpetdrift.protocol.verdict import (
-    Failure,
-    Reason,
-    Verdict,
-    not_run,
-)
 from limpetdrift.state.claim_ledger import (
     ClaimLedger,
     LocalClaim,
@@ -58,6 +52,12 @@
     claim_key,
     read_claim,
 )
+from limpetdrift.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    not_run,
+)
 
 # Timeout for acquiring a claim; the request's deadline may end it earlier.
 ACQUIRE_TIMEOUT_SECONDS = 5.0
--- a/src/limpetdrift/coordination/configuration/config_broadcast.py
+++ b/src/limpetdrift/coordination/configuration/config_broadcast.py
@@ -11,8 +11,8 @@
 from limpetdrift.coordination.configuration.config_sync import ConfigurationSync
 from limpetdrift.protocol.configuration import StoredDocument
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure, Reason
 
 _RETRY_INTERVAL_SECONDS = 0.25
 
--- a/src/limpetdrift/coordination/configuration/config_confirmation.py
+++ b/src/limpetdrift/coordination/configuration/config_confirmation.py
@@ -11,7 +11,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Reason
+from limpetdrift.verdict import Reason
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/coordination/configuration/config_store.py
+++ b/src/limpetdrift/coordination/configuration/config_store.py
@@ -17,13 +17,13 @@
 )
 from limpetdrift.protocol.configuration import StoredDocument
 from limpetdrift.protocol.table import ABSENT, TableCalls
-from limpetdrift.protocol.verdict import Reason
 from limpetdrift.state.configuration import (
     confirm_stamp,
     read_snapshot,
     read_stamp,
 )
 from limpetdrift.state.configuration_replica import ConfigurationReplica
+from limpetdrift.verdict import Reason
 
 Documents = tuple[StoredDocument, ...]
 
--- a/src/limpetdrift/coordination/configuration/config_sync.py
+++ b/src/limpetdrift/coordination/configuration/config_sync.py
@@ -26,12 +26,12 @@
     VersionsRequest,
 )
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.state.configuration_replica import (
     ConfigurationReplica,
     newer_names,
 )
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure, Reason
 
 EXCHANGE_PATH = 'configuration/exchange'
 FETCH_PATH = 'configuration/fetch'
--- a/src/limpetdrift/coordination/configuration/configuration.py
+++ b/src/limpetdrift/coordination/configuration/configuration.py
@@ -42,12 +42,12 @@
 )
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.table import TableCalls
-from limpetdrift.protocol.verdict import Failure, not_run
 from limpetdrift.state.applying import apply_change, check_change
 from limpetdrift.state.configuration_replica import ConfigurationReplica
 from limpetdrift.state.configuration_snapshot import ConfigurationSnapshot
 from limpetdrift.state.site import SiteConfig
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure, not_run
 
 # Number of entries that poll the store.
 POLLERS = 2
--- a/src/limpetdrift/coordination/crashes/crash_guard.py
+++ b/src/limpetdrift/coordination/crashes/crash_guard.py
@@ -22,12 +22,6 @@
 from limpetdrift.coordination.rendezvous import choose_by_hash
 from limpetdrift.logs import note, warn
 from limpetdrift.protocol.crashes import CutAttempt
-from limpetdrift.protocol.verdict import (
-    Failure,
-    FailureError,
-    Reason,
-    not_run,
-)
 from limpetdrift.protocol.work import (
     CallerRequest,
     EndpointIdentity,
@@ -36,6 +30,12 @@
 from limpetdrift.state.crash_evidence import CRASH_SECONDS, CrashEvidence
 from limpetdrift.state.culprits import Suspicion, fingerprint_key
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    not_run,
+)
 
 # Time for which an answer must go on after its first event to show that its
 # request is harmless.
--- a/src/limpetdrift/coordination/crashes/engine_probe.py
+++ b/src/limpetdrift/coordination/crashes/engine_probe.py
@@ -9,7 +9,7 @@
 )
 from limpetdrift.protocol.engine_management import EngineManagementCalls
 from limpetdrift.protocol.node import Endpoint
-from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
+from limpetdrift.verdict import Failure, Reason, may_have_run
 
 # Probe timeout. It is shorter than the HTTP client's connect timeout, so that
 # a connection that fails within it was refused, and did not just time out.
--- a/src/limpetdrift/coordination/crashes/guarded_attempt.py
+++ b/src/limpetdrift/coordination/crashes/guarded_attempt.py
@@ -7,8 +7,8 @@
 from expression import Result
 
 from limpetdrift.protocol.node import Endpoint
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.state.run import RunEnd, RunRequest
+from limpetdrift.verdict import Failure
 
 ExtendExcluded = Callable[[tuple[str, ...]], tuple[str, ...]]
 
--- a/src/limpetdrift/coordination/crashes/isolation_leases.py
+++ b/src/limpetdrift/coordination/crashes/isolation_leases.py
@@ -20,7 +20,7 @@
     IsolationReply,
     IsolationRequest,
 )
-from limpetdrift.protocol.verdict import Failure
+from limpetdrift.verdict import Failure
 
 # Timeout of one call to a home.
 LEASE_CALL_TIMEOUT_SECONDS = 0.5
--- a/src/limpetdrift/coordination/crashes/quarantine.py
+++ b/src/limpetdrift/coordination/crashes/quarantine.py
@@ -32,14 +32,14 @@
 from limpetdrift.coordination.rendezvous import choose_by_hash
 from limpetdrift.protocol.node import Endpoint, Node
 from limpetdrift.protocol.quarantine import QuarantineRecord, QuarantineState
-from limpetdrift.protocol.verdict import (
+from limpetdrift.state.run import RunEnd, RunRequest
+from limpetdrift.state.suspects import CrashSuspects
+from limpetdrift.verdict import (
     Failure,
     Reason,
     Verdict,
     not_run,
 )
-from limpetdrift.state.run import RunEnd, RunRequest
-from limpetdrift.state.suspects import CrashSuspects
 
 # One in this number of a model's endpoints may run isolated attempts.
 ISOLATION_DIVISOR = 4
--- a/src/limpetdrift/coordination/endpoints/endpoint_gate.py
+++ b/src/limpetdrift/coordination/endpoints/endpoint_gate.py
@@ -11,7 +11,6 @@
 from functools import partial
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -20,6 +19,7 @@
 from limpetdrift.state.cold_endpoints import SAME_END_SECONDS
 from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS, is_limited_as_cold
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
+from limpetdrift.verdict import Failure, Reason, not_run
 
 
 @unique
--- a/src/limpetdrift/coordination/endpoints/endpoint_permits.py
+++ b/src/limpetdrift/coordination/endpoints/endpoint_permits.py
@@ -10,12 +10,12 @@
 from random import Random
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_limits import UNTOLD_SECONDS, is_limited_as_cold
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.engine_usage import EngineUsage
 from limpetdrift.state.rate_budget import RateBudgets, RetryTimes
+from limpetdrift.verdict import Failure, Reason, not_run
 
 UNLIMITED_CALLS = float('inf')
 
--- a/src/limpetdrift/coordination/endpoints/limit_exchange.py
+++ b/src/limpetdrift/coordination/endpoints/limit_exchange.py
@@ -34,11 +34,11 @@
 )
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import EndpointId
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_limits import EndpointLimits
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure
 
 DIGEST_NAME = 'limits'
 # Batching interval of reports to deciders.
--- a/src/limpetdrift/coordination/engines/planning_groups.py
+++ b/src/limpetdrift/coordination/engines/planning_groups.py
@@ -27,9 +27,9 @@
     Plan,
     bucket_of,
 )
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Failure
 
 # A service is divided if its failure domains have this number of engines on
 # average. The longest prompts need up to 17 engines that are nearly idle.
--- a/src/limpetdrift/coordination/forwarding/attempt_outcomes.py
+++ b/src/limpetdrift/coordination/forwarding/attempt_outcomes.py
@@ -20,13 +20,13 @@
     first_event_timeout_seconds,
 )
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import (
+from limpetdrift.protocol.work import CallerRequest, DispatchPlan
+from limpetdrift.verdict import (
     Failure,
     Reason,
     Verdict,
     may_have_run,
 )
-from limpetdrift.protocol.work import CallerRequest, DispatchPlan
 
 # Errors of a write to a caller that has disconnected.
 _DISCONNECT_ERRORS = (
--- a/src/limpetdrift/coordination/forwarding/attempt_race.py
+++ b/src/limpetdrift/coordination/forwarding/attempt_race.py
@@ -14,8 +14,8 @@
 import trio
 from expression import Ok, Result
 
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
+from limpetdrift.verdict import Failure
 
 # How an attempt ended: ``Ok`` if the caller has the whole answer or has left.
 Outcome = Result[None, Failure]
--- a/src/limpetdrift/coordination/forwarding/delivery.py
+++ b/src/limpetdrift/coordination/forwarding/delivery.py
@@ -20,7 +20,10 @@
     is_failure_of_endpoint,
     stream_idle_timeout_seconds,
 )
-from limpetdrift.protocol.verdict import (
+from limpetdrift.protocol.work import CallerRequest, EndpointIdentity
+from limpetdrift.transport.messages import Response
+from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import (
     Failure,
     FailureError,
     Reason,
@@ -28,9 +31,6 @@
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import CallerRequest, EndpointIdentity
-from limpetdrift.transport.messages import Response
-from limpetdrift.transport.server import Exchange
 
 # Longest body that is kept until it is whole, so that another endpoint can
 # answer if it breaks off.
--- a/src/limpetdrift/coordination/forwarding/event_relay.py
+++ b/src/limpetdrift/coordination/forwarding/event_relay.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from limpetdrift.protocol.counts import parse_count
-from limpetdrift.protocol.verdict import (
+from limpetdrift.verdict import (
     FailureError,
     Reason,
     may_have_run,
--- a/src/limpetdrift/coordination/forwarding/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding.py
@@ -49,12 +49,6 @@
 )
 from limpetdrift.logs import is_sampled
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import (
-    Failure,
-    FailureError,
-    Reason,
-    not_run,
-)
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -62,6 +56,12 @@
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE
 from limpetdrift.transport.messages import OK
 from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    not_run,
+)
 
 RETRY_INTERVAL_SECONDS = 0.01
 # Bounds of the random factor of each retry interval.
--- a/src/limpetdrift/coordination/forwarding/forwarding_inputs.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding_inputs.py
@@ -10,7 +10,6 @@
 
 from limpetdrift.coordination.crashes.crash_guard import BrokenAttempt
 from limpetdrift.coordination.forwarding.endpoint_response import SendRequest
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -20,6 +19,7 @@
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.transport.messages import Response
+from limpetdrift.verdict import Failure
 
 PlaceRequest = Callable[
     [CallerRequest, frozenset[EndpointIdentity]],
--- a/src/limpetdrift/coordination/forwarding/request_logs.py
+++ b/src/limpetdrift/coordination/forwarding/request_logs.py
@@ -3,8 +3,8 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.forwarding.delivery import RequestProgress
 from limpetdrift.logs import note, warn
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan
+from limpetdrift.verdict import Failure, Reason
 
 # Prompts under 2^12 tokens are one class in metrics.
 _MIN_SIZE_EXPONENT = 12
--- a/src/limpetdrift/coordination/forwarding/retry_decisions.py
+++ b/src/limpetdrift/coordination/forwarding/retry_decisions.py
@@ -12,7 +12,7 @@
 )
 from limpetdrift.coordination.forwarding.request_logs import log_retry
 from limpetdrift.coordination.forwarding.retry_policy import may_repeat
-from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
+from limpetdrift.verdict import Failure, Reason, may_have_run
 
 # Placements per request. This bounds the search when endpoints refuse
 # connections, which does not count against the route's attempt limit.
--- a/src/limpetdrift/coordination/forwarding/retry_policy.py
+++ b/src/limpetdrift/coordination/forwarding/retry_policy.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from limpetdrift.protocol.route_table import RequestKind, Route
-from limpetdrift.protocol.verdict import Failure, Reason, Verdict
+from limpetdrift.verdict import Failure, Reason, Verdict
 
 # Minimum time left for another attempt; with less, it cannot end before the
 # deadline.
--- a/src/limpetdrift/coordination/homes/engine_groups.py
+++ b/src/limpetdrift/coordination/homes/engine_groups.py
@@ -36,7 +36,7 @@
     Placement,
     PlacementRequest,
 )
-from limpetdrift.protocol.verdict import (
+from limpetdrift.verdict import (
     Failure,
     Reason,
     not_run,
--- a/src/limpetdrift/coordination/homes/home.py
+++ b/src/limpetdrift/coordination/homes/home.py
@@ -42,9 +42,9 @@
 )
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.protocol.placement import PlacementRequest
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.queue import EndpointQueue
 from limpetdrift.state.waiting import Ticket
+from limpetdrift.verdict import Failure, Reason, not_run
 
 # Interval at which waiting tickets are checked, as the estimates advance.
 GRANT_INTERVAL_SECONDS = 0.02
--- a/src/limpetdrift/coordination/homes/home_client.py
+++ b/src/limpetdrift/coordination/homes/home_client.py
@@ -24,8 +24,8 @@
 )
 from limpetdrift.protocol.node import Endpoint, Node
 from limpetdrift.protocol.placement import AttemptOutcome, PlacementRequest
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.prefixes import sample_depths
+from limpetdrift.verdict import Failure, Reason, not_run
 
 Reply = TypeVar('Reply')
 
--- a/src/limpetdrift/coordination/homes/home_reports.py
+++ b/src/limpetdrift/coordination/homes/home_reports.py
@@ -11,10 +11,10 @@
     EngineManagementCalls,
 )
 from limpetdrift.protocol.node import Endpoint
-from limpetdrift.protocol.verdict import Reason
 from limpetdrift.state.concurrency_limit import EngineConcurrencyLimit
 from limpetdrift.state.prefixes import BLOCK_TOKENS
 from limpetdrift.state.queue import EndpointQueue
+from limpetdrift.verdict import Reason
 
 # Grace period after which a grant that the engine does not list expires.
 UNUSED_GRANT_SECONDS = 5.0
--- a/src/limpetdrift/coordination/homes/reclaim.py
+++ b/src/limpetdrift/coordination/homes/reclaim.py
@@ -35,7 +35,7 @@
     PlacementPath,
 )
 from limpetdrift.protocol.node import Endpoint, Node, Role
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.verdict import Failure, Reason, not_run
 
 RECONCILE_INTERVAL_SECONDS = 3.0
 # Upper bound of the time until memory without a live owner is freed, counted
--- a/src/limpetdrift/coordination/membership/carriers.py
+++ b/src/limpetdrift/coordination/membership/carriers.py
@@ -28,13 +28,13 @@
     LinkRecord,
 )
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
     EndpointIdentity,
     ListedEndpoint,
 )
+from limpetdrift.verdict import Failure, Reason, not_run
 
 DIGEST_NAME = 'links'
 # Retry interval of callers while no entry reaches the service.
--- a/src/limpetdrift/coordination/membership/drain.py
+++ b/src/limpetdrift/coordination/membership/drain.py
@@ -25,7 +25,7 @@
     usable_entries,
 )
 from limpetdrift.coordination.membership.membership import Membership
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
+from limpetdrift.verdict import Failure, Reason, not_run
 
 # The grace period covers the lifetime of a discovery answer, which may come
 # from the last entry that the gossip reaches, and may take as long to arrive
--- a/src/limpetdrift/coordination/membership/failure_detector.py
+++ b/src/limpetdrift/coordination/membership/failure_detector.py
@@ -24,8 +24,8 @@
     ProbeReply,
     ProbeRequest,
 )
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure, Reason
 
 SUSPICION_TIMEOUT_SECONDS = 3.0
 # Interval between a refused connection and the retry that confirms it.
--- a/src/limpetdrift/coordination/membership/gossip.py
+++ b/src/limpetdrift/coordination/membership/gossip.py
@@ -29,12 +29,12 @@
     MemberVersion,
 )
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.state.contacts import Contacts
 from limpetdrift.state.endpoint_records import join_endpoints
 from limpetdrift.state.members import MemberTable
 from limpetdrift.state.records import RecordTable
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure
 
 EXCHANGE_PATH = 'gossip'
 EXCHANGE_TIMEOUT_SECONDS = 0.5
--- a/src/limpetdrift/coordination/membership/gossip_sync.py
+++ b/src/limpetdrift/coordination/membership/gossip_sync.py
@@ -19,9 +19,9 @@
     SyncReply,
     SyncRequest,
 )
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.state.records import RecordTable
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure
 
 SYNC_PATH = 'gossip-sync'
 SYNC_TIMEOUT_SECONDS = 0.8
--- a/src/limpetdrift/coordination/membership/link_monitor.py
+++ b/src/limpetdrift/coordination/membership/link_monitor.py
@@ -15,9 +15,9 @@
 
 from limpetdrift import telemetry
 from limpetdrift.logs import note, warn
-from limpetdrift.protocol.verdict import Reason
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Reason
 
 # Endpoints that are probed at a time, and the interval of the probes while the
 # entry is cut off.
--- a/src/limpetdrift/coordination/peers.py
+++ b/src/limpetdrift/coordination/peers.py
@@ -20,16 +20,16 @@
     encode,
     json_response,
 )
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request, Response
+from limpetdrift.transport.routing import Parameters, Routes
+from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import (
     Failure,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request, Response
-from limpetdrift.transport.routing import Parameters, Routes
-from limpetdrift.transport.server import Exchange
 
 Reply = TypeVar('Reply')
 PeerHandler = Callable[[Any], Awaitable[Result[Any, Failure]]]
--- a/src/limpetdrift/coordination/planning/engine_report_poller.py
+++ b/src/limpetdrift/coordination/planning/engine_report_poller.py
@@ -17,8 +17,8 @@
 from limpetdrift.coordination.planning.planner import Planner
 from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import MemberState
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.verdict import Failure
 
 # Time for which plans may be incomplete after a start or the death of an
 # entry: most requests of callers that are gone reach their deadlines in it.
--- a/src/limpetdrift/coordination/planning/group_load_exchange.py
+++ b/src/limpetdrift/coordination/planning/group_load_exchange.py
@@ -52,7 +52,7 @@
     Plan,
     PlanRequest,
 )
-from limpetdrift.protocol.verdict import Failure
+from limpetdrift.verdict import Failure
 
 GROUP_LOADS_PATH = 'group-loads'
 # Age of this entry's own digest at which it is made anew for the next plan.
--- a/src/limpetdrift/coordination/planning/permit_client.py
+++ b/src/limpetdrift/coordination/planning/permit_client.py
@@ -14,9 +14,9 @@
 from limpetdrift.coordination.planning.plan_making import endpoint_id_of
 from limpetdrift.protocol.limits import PERMIT_PATH, Permit, PermitRequest
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Failure, Reason, not_run
 
 # Timeout of a request for a permit. A decider answers within a few
 # milliseconds; one that doesn't delays a call by this time at most.
--- a/src/limpetdrift/coordination/planning/plain_placer.py
+++ b/src/limpetdrift/coordination/planning/plain_placer.py
@@ -13,7 +13,6 @@
 )
 from limpetdrift.coordination.planning.permit_client import PermitClient
 from limpetdrift.protocol.service import ServiceLoad
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -23,6 +22,7 @@
 )
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.service_balancer import ServiceBalancer
+from limpetdrift.verdict import Failure, Reason, not_run
 
 # Retry interval sent to callers while no endpoint is usable. A starting server
 # is ready within about a second.
--- a/src/limpetdrift/coordination/planning/plan_confirmation.py
+++ b/src/limpetdrift/coordination/planning/plan_confirmation.py
@@ -24,9 +24,9 @@
     PlanRequest,
     PlanStart,
 )
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Failure, Reason, not_run
 
 START_PATH = 'plan-start'
 # Timeout of a confirmation, after which the prompt is sent as first planned.
--- a/src/limpetdrift/coordination/planning/plan_placer.py
+++ b/src/limpetdrift/coordination/planning/plan_placer.py
@@ -63,7 +63,6 @@
     PlanRequest,
     PlanStart,
 )
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -71,6 +70,7 @@
     ListedEndpoint,
 )
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Failure, Reason, not_run
 
 
 class PlanPlacer:
--- a/src/limpetdrift/coordination/planning/planner.py
+++ b/src/limpetdrift/coordination/planning/planner.py
@@ -57,13 +57,13 @@
     PlanStart,
 )
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.engine_ledger import EngineLedger
 from limpetdrift.state.engine_usage import PlanLease
 from limpetdrift.state.prefill_schedule import NO_PLANS
 from limpetdrift.state.rate_budget import LEADING_SHARE
+from limpetdrift.verdict import Failure, Reason, not_run
 
 FindCostModel = Callable[[str], EngineCostModel | None]
 
--- a/src/limpetdrift/coordination/planning/planner_client.py
+++ b/src/limpetdrift/coordination/planning/planner_client.py
@@ -30,7 +30,7 @@
     Plan,
     PlanRequest,
 )
-from limpetdrift.protocol.verdict import Failure, Reason
+from limpetdrift.verdict import Failure, Reason
 
 ENDED_PATH = 'plans-ended'
 ACTIVE_PATH = 'plans-active'
--- a/src/limpetdrift/coordination/reconciliation/orders.py
+++ b/src/limpetdrift/coordination/reconciliation/orders.py
@@ -28,10 +28,10 @@
     EngineState,
     OrderCalls,
 )
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.protocol.weights import WeightRateCall
 from limpetdrift.state.leases import Lease
 from limpetdrift.state.site import ModelConfig
+from limpetdrift.verdict import Reason, Verdict
 
 ROUND_SECONDS = 2.0
 # Wait of a new holder before its first order: longer than an order of the
--- a/src/limpetdrift/coordination/record_replication.py
+++ b/src/limpetdrift/coordination/record_replication.py
@@ -16,8 +16,8 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.node import Node
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure
 
 # Timeout of one push or pull.
 CALL_TIMEOUT_SECONDS = 1.0
--- a/src/limpetdrift/coordination/routing/routing_merge.py
+++ b/src/limpetdrift/coordination/routing/routing_merge.py
@@ -13,6 +13,7 @@
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import (
     UNKNOWN_AGE_SECONDS,
+    UNKNOWN_ERA,
     RoutingSyncReply,
     RoutingSyncRequest,
     unpack,
@@ -20,7 +21,7 @@
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import NEVER, RouteTableCache
-from limpetdrift.state.store_era import UNKNOWN_ERA, StoreEra
+from limpetdrift.state.store_era import StoreEra
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/limpetdrift/coordination/routing/routing_relay.py
+++ b/src/limpetdrift/coordination/routing/routing_relay.py
@@ -37,12 +37,12 @@
     RoutingSyncRequest,
     pack,
 )
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure
 
 KNOWLEDGE_PATH = 'knowledge'
 # Long-poll timeout: how long a reader delays its reply if nothing changes.
--- a/src/limpetdrift/coordination/runs/at_most_once_runs.py
+++ b/src/limpetdrift/coordination/runs/at_most_once_runs.py
@@ -26,16 +26,16 @@
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.engine import EngineCalls
 from limpetdrift.protocol.placement import Placement
-from limpetdrift.protocol.verdict import (
+from limpetdrift.state.claims import StoredResult, VersionedClaim
+from limpetdrift.state.run import Run, RunEnd
+from limpetdrift.transport.messages import OK, Address
+from limpetdrift.verdict import (
     Failure,
     Reason,
     Verdict,
     may_have_run,
     not_run,
 )
-from limpetdrift.state.claims import StoredResult, VersionedClaim
-from limpetdrift.state.run import Run, RunEnd
-from limpetdrift.transport.messages import OK, Address
 
 Dispatch = Callable[[], Awaitable[Result[RunEnd, Failure]]]
 
--- a/src/limpetdrift/coordination/runs/attempt.py
+++ b/src/limpetdrift/coordination/runs/attempt.py
@@ -14,15 +14,15 @@
 
 from limpetdrift import telemetry
 from limpetdrift.protocol.engine import EngineCalls, StreamLine, StreamStart
-from limpetdrift.protocol.verdict import (
+from limpetdrift.state.run import Run, RunEnd
+from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import (
     Failure,
     FailureError,
     Reason,
     Verdict,
     may_have_run,
 )
-from limpetdrift.state.run import Run, RunEnd
-from limpetdrift.transport.messages import Address
 
 # The first reconnect is immediate; each further one without a new token waits
 # this much longer than the last.
--- a/src/limpetdrift/coordination/runs/run_execution.py
+++ b/src/limpetdrift/coordination/runs/run_execution.py
@@ -34,9 +34,9 @@
     PlacementRequest,
 )
 from limpetdrift.protocol.prompts import prefix_blocks
-from limpetdrift.protocol.verdict import Failure, Reason, Verdict, not_run
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.run import Run, RunEnd
+from limpetdrift.verdict import Failure, Reason, Verdict, not_run
 
 # Attempts per run; an attempt that got no placement counts too.
 ATTEMPT_LIMIT = 5
--- a/src/limpetdrift/coordination/runs/run_registry.py
+++ b/src/limpetdrift/coordination/runs/run_registry.py
@@ -11,8 +11,8 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.verdict import Failure, Reason, Verdict, not_run
 from limpetdrift.state.run import Run, RunRequest
+from limpetdrift.verdict import Failure, Reason, Verdict, not_run
 
 # Time after which an ended run is removed.
 RETENTION_SECONDS = 60.0
--- a/src/limpetdrift/coordination/runs/run_streams.py
+++ b/src/limpetdrift/coordination/runs/run_streams.py
@@ -14,11 +14,11 @@
     json_response,
 )
 from limpetdrift.protocol.engine import EngineRefusal, StreamLine
-from limpetdrift.protocol.verdict import Reason
 from limpetdrift.state.run import Run
 from limpetdrift.transport.messages import NOT_FOUND, OK, Response
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import Exchange
+from limpetdrift.verdict import Reason
 
 _FORBIDDEN = 403
 
--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -40,8 +40,8 @@
 from limpetdrift.coordination.scheduling.time_limits import latest_first_token
 from limpetdrift.protocol.plans import PlanRequest, UsageReport
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.engine_usage import EngineUsage
+from limpetdrift.verdict import Failure, Reason, not_run
 
 # Longest wait of a prompt of an account above its share, as a share of the
 # shortest target of the prompts that are late. Longer waits of such prompts
--- a/src/limpetdrift/coordination/scheduling/planned_group.py
+++ b/src/limpetdrift/coordination/scheduling/planned_group.py
@@ -26,7 +26,7 @@
     Plan,
     PlanRequest,
 )
-from limpetdrift.protocol.verdict import Failure
+from limpetdrift.verdict import Failure
 
 # A prompt with a longer delay counts as waiting.
 _MIN_WAIT_SECONDS = 0.1
--- a/src/limpetdrift/coordination/services/at_most_once_calls.py
+++ b/src/limpetdrift/coordination/services/at_most_once_calls.py
@@ -34,15 +34,15 @@
     FollowRequest,
 )
 from limpetdrift.protocol.node import Endpoint, Node
-from limpetdrift.protocol.verdict import (
+from limpetdrift.state.claims import StoredResult, VersionedClaim
+from limpetdrift.transport.messages import Response
+from limpetdrift.verdict import (
     Failure,
     Reason,
     Verdict,
     may_have_run,
     not_run,
 )
-from limpetdrift.state.claims import StoredResult, VersionedClaim
-from limpetdrift.transport.messages import Response
 
 # Longest time that an owner holds back its answer to a follow request.
 LONG_POLL_SECONDS = 2.0
--- a/src/limpetdrift/coordination/services/service_caller.py
+++ b/src/limpetdrift/coordination/services/service_caller.py
@@ -17,15 +17,15 @@
 from limpetdrift.coordination.services.service_messages import ServiceRequest
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.service import ServiceCall, ServiceCalls
-from limpetdrift.protocol.verdict import (
+from limpetdrift.state.retry_budget import RetryBudget
+from limpetdrift.state.service_balancer import ServiceBalancer
+from limpetdrift.transport.messages import Response
+from limpetdrift.verdict import (
     Failure,
     Reason,
     Verdict,
     not_run,
 )
-from limpetdrift.state.retry_budget import RetryBudget
-from limpetdrift.state.service_balancer import ServiceBalancer
-from limpetdrift.transport.messages import Response
 
 # Attempts per call.
 ATTEMPT_LIMIT = 4
--- a/src/limpetdrift/loads/running.py
+++ b/src/limpetdrift/loads/running.py
@@ -14,7 +14,7 @@
 from limpetdrift.loads.sampling import Sampler
 from limpetdrift.loads.site import OpenSite, Site
 from limpetdrift.protocol.openai import prompt_text
-from limpetdrift.protocol.verdict import Failure
+from limpetdrift.verdict import Failure
 
 
 def run_experiment(
--- a/src/limpetdrift/operators/client.py
+++ b/src/limpetdrift/operators/client.py
@@ -9,15 +9,15 @@
 
 from limpetdrift.protocol.codec import JSON_HEADERS, decode, encode
 from limpetdrift.protocol.operator import OPERATOR_SECRET_HEADER
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request, Response
+from limpetdrift.verdict import (
     Failure,
     Reason,
     Verdict,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request, Response
 
 Reply = TypeVar('Reply')
 
--- a/src/limpetdrift/operators/output.py
+++ b/src/limpetdrift/operators/output.py
@@ -12,7 +12,7 @@
     Refusal,
     Rejection,
 )
-from limpetdrift.protocol.verdict import Failure, Verdict
+from limpetdrift.verdict import Failure, Verdict
 
 _GAP = '  '
 
--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -12,10 +12,10 @@
 
 from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.route_table import Account, Route
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import CallerRequest, PromptSize
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.messages import Headers, Request
+from limpetdrift.verdict import Failure, Reason, not_run
 
 _MILLISECONDS = 1000.0
 # Timeout of a request that names none; the route's timeout still applies.
--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -16,9 +16,9 @@
 )
 from limpetdrift.platform.failure_responses import RenderFailure
 from limpetdrift.protocol.route_table import RouteTable
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.connection import ServerLimits
 from limpetdrift.transport.server import Exchange, Handler, Server
+from limpetdrift.verdict import Failure
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -24,7 +24,6 @@
     decode_signals,
 )
 from limpetdrift.protocol.counts import parse_count
-from limpetdrift.protocol.verdict import FailureError, Reason
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -42,6 +41,7 @@
     Request,
     parse_address,
 )
+from limpetdrift.verdict import FailureError, Reason
 
 _MILLISECONDS = 1000.0
 # Set on responses to requests that the endpoint has not begun to run.
--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -16,10 +16,10 @@
 from limpetdrift.logs import note, warn
 from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.platform.store import StoredRow
+from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.gone_lifetimes import Departure, GoneLifetimes
-from limpetdrift.state.store_era import UNKNOWN_ERA
 
 # Grace period after an outage of the store. Rows that lapsed during the outage
 # come back within two seconds of its end; other endpoints are gone.
--- a/src/limpetdrift/platform/failure_responses.py
+++ b/src/limpetdrift/platform/failure_responses.py
@@ -11,8 +11,8 @@
 from limpetdrift.coordination.forwarding.retry_policy import (
     jittered_retry_after_seconds,
 )
-from limpetdrift.protocol.verdict import Failure, Reason, Verdict
 from limpetdrift.transport.messages import Response
+from limpetdrift.verdict import Failure, Reason, Verdict
 
 _NOT_RUN_STATUSES = {
     Reason.BAD_REQUEST: 400,
--- a/src/limpetdrift/platform/forwarder_wiring.py
+++ b/src/limpetdrift/platform/forwarder_wiring.py
@@ -19,7 +19,6 @@
 from limpetdrift.platform.link_wiring import CarrierLinks, carry_if_cut
 from limpetdrift.platform.planning_wiring import EntryContext, Planning
 from limpetdrift.platform.reservations import make_reserver
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -28,6 +27,7 @@
 )
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.transport.client import ClientLimits, HttpClient
+from limpetdrift.verdict import Failure
 
 # Safety margin of the retry budget, which all entries share: each entry uses
 # only this part of its even share, since the number of entries varies.
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -30,7 +30,6 @@
 )
 from limpetdrift.platform.planning_wiring import EntryContext
 from limpetdrift.platform.reports import REPORT_PATH
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -39,6 +38,7 @@
 )
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.client import ClientLimits, HttpClient
+from limpetdrift.verdict import Failure, Reason
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -6,15 +6,15 @@
 from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
 from limpetdrift.coordination.planning.engine_report_poller import ReadReport
 from limpetdrift.platform.endpoint_signals import decode_signals
-from limpetdrift.protocol.verdict import (
+from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import OK, Request, Response, parse_address
+from limpetdrift.verdict import (
     Failure,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import EngineReport, ListedEndpoint
-from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import OK, Request, Response, parse_address
 
 REPORT_TIMEOUT_SECONDS = 0.5
 REPORT_PATH = '/-/report'
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -19,12 +19,6 @@
 from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
 from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.codec import json_request
-from limpetdrift.protocol.verdict import (
-    Failure,
-    FailureError,
-    Reason,
-    not_run,
-)
 from limpetdrift.protocol.work import (
     DispatchPlan,
     Helper,
@@ -33,6 +27,12 @@
 )
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import OK, Request, parse_address
+from limpetdrift.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    not_run,
+)
 
 # Lifetime of a reservation that is not renewed. It is shorter than the time
 # within which unused memory must be free again.
--- a/src/limpetdrift/platform/store.py
+++ b/src/limpetdrift/platform/store.py
@@ -15,13 +15,8 @@
 
 from limpetdrift import telemetry
 from limpetdrift.protocol.codec import decode, encode
-from limpetdrift.protocol.verdict import (
-    Failure,
-    Reason,
-    may_have_run,
-    not_run,
-)
-from limpetdrift.state.store_era import UNKNOWN_ERA, EraOrder, StoreEra
+from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
+from limpetdrift.state.store_era import EraOrder, StoreEra
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import (
     OK,
@@ -30,6 +25,12 @@
     Request,
     Response,
 )
+from limpetdrift.verdict import (
+    Failure,
+    Reason,
+    may_have_run,
+    not_run,
+)
 
 # Timeout of a call, in addition to the long-poll timeout. The store responds
 # within a few milliseconds, and a slow one takes about fifty times as long. A
--- a/src/limpetdrift/platform/table_watcher.py
+++ b/src/limpetdrift/platform/table_watcher.py
@@ -9,7 +9,7 @@
 from limpetdrift import telemetry
 from limpetdrift.logs import note
 from limpetdrift.platform.store import RowPage, StoreClient, read_all
-from limpetdrift.protocol.verdict import Failure, Reason
+from limpetdrift.verdict import Failure, Reason
 
 # The retry interval after a failed call doubles with each further failure. The
 # first is short, since most failures affect one connection only.
--- a/src/limpetdrift/programs/entry_wiring.py
+++ b/src/limpetdrift/programs/entry_wiring.py
@@ -42,12 +42,12 @@
     build_site_view,
 )
 from limpetdrift.programs.store_wiring import StoreAccess, build_store
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.settings import EntrySettings
 from limpetdrift.state.run import RunRequest
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server
+from limpetdrift.verdict import Failure
 
 # Bounds how long a drain waits until the peer listener is idle. It may never
 # be, since peers go on sending requests to a draining entry.
--- a/src/limpetdrift/programs/run_wiring.py
+++ b/src/limpetdrift/programs/run_wiring.py
@@ -50,11 +50,11 @@
 )
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.protocol.service import ServiceCalls
-from limpetdrift.protocol.verdict import Failure, Reason
 from limpetdrift.settings import EntrySettings
 from limpetdrift.state.prefixes import PrefixEndpoints
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.transport.client import HttpClient
+from limpetdrift.verdict import Failure, Reason
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/limpetdrift/programs/site_wiring.py
+++ b/src/limpetdrift/programs/site_wiring.py
@@ -35,11 +35,11 @@
 )
 from limpetdrift.protocol.lifecycle_reports import make_report_call
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.settings import EntrySettings
 from limpetdrift.state.site import SiteConfig
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure, Reason, not_run
 
 # Retry-after of requests that are refused because no configuration of the site
 # is in force yet.
--- a/src/limpetdrift/protocol/codec.py
+++ b/src/limpetdrift/protocol/codec.py
@@ -5,8 +5,8 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.transport.messages import Headers, Request, Response
+from limpetdrift.verdict import Failure, Reason, not_run
 
 Message = TypeVar('Message')
 
--- a/src/limpetdrift/protocol/compatibility.py
+++ b/src/limpetdrift/protocol/compatibility.py
@@ -54,7 +54,7 @@
     RoutingSyncReply,
     RoutingSyncRequest,
 )
-from limpetdrift.protocol.verdict import Failure
+from limpetdrift.verdict import Failure
 
 # Sent between entries; ``RouteTable`` is packed in a ``RoutingSyncReply``.
 MESSAGES: tuple[type, ...] = (
--- a/src/limpetdrift/protocol/configuration.py
+++ b/src/limpetdrift/protocol/configuration.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/engine.py
+++ b/src/limpetdrift/protocol/engine.py
@@ -11,15 +11,15 @@
 import msgspec
 
 from limpetdrift.protocol.codec import decode, json_request
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.client import HttpClient, ResponseStream
+from limpetdrift.transport.messages import Address, Headers, Request
+from limpetdrift.verdict import (
     Failure,
     FailureError,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.client import HttpClient, ResponseStream
-from limpetdrift.transport.messages import Address, Headers, Request
 
 CANCEL_TIMEOUT_SECONDS = 2.0
 _STREAMS = '/v1/streams'
--- a/src/limpetdrift/protocol/engine_management.py
+++ b/src/limpetdrift/protocol/engine_management.py
@@ -12,14 +12,14 @@
 from expression import Result
 
 from limpetdrift.protocol.codec import decode, json_request
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request, Response
+from limpetdrift.verdict import (
     Failure,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request, Response
 
 Reply = TypeVar('Reply')
 
--- a/src/limpetdrift/protocol/instances.py
+++ b/src/limpetdrift/protocol/instances.py
@@ -14,7 +14,6 @@
 from limpetdrift.protocol.gossip import ListingState
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.table_client import read_refusal
-from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import (
     OK,
@@ -22,6 +21,7 @@
     Response,
     parse_address,
 )
+from limpetdrift.verdict import Failure, Reason, may_have_run
 
 CALL_TIMEOUT_SECONDS = 1.0
 _LISTING_STATES = MappingProxyType(
--- a/src/limpetdrift/protocol/lifecycle_reports.py
+++ b/src/limpetdrift/protocol/lifecycle_reports.py
@@ -12,9 +12,9 @@
 from limpetdrift.protocol.codec import decode, json_request
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.table_client import read_refusal
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import OK, Response
+from limpetdrift.verdict import Failure
 
 REPORT_TIMEOUT_SECONDS = 1.0
 _ENGINE_PATH = '/v1/load'
--- a/src/limpetdrift/protocol/objects.py
+++ b/src/limpetdrift/protocol/objects.py
@@ -10,9 +10,9 @@
 from expression import Error, Ok, Result
 
 from limpetdrift.protocol.table_client import read_refusal
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request
+from limpetdrift.verdict import Failure, Reason, not_run
 
 CALL_TIMEOUT_SECONDS = 5.0
 _OK = 200
--- a/src/limpetdrift/protocol/openai.py
+++ b/src/limpetdrift/protocol/openai.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from limpetdrift.protocol.verdict import Failure, Reason
+from limpetdrift.verdict import Failure, Reason
 
 KEY_HEADER = 'idempotency-key'
 REPEATABLE_HEADER = 'x-limpet-repeatable'
--- a/src/limpetdrift/protocol/orders.py
+++ b/src/limpetdrift/protocol/orders.py
@@ -11,14 +11,14 @@
 from expression import Error, Ok, Result
 
 from limpetdrift.protocol.codec import decode, json_request
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Response
+from limpetdrift.verdict import (
     Failure,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Response
 
 ORDER_TIMEOUT_SECONDS = 5.0
 STATE_TIMEOUT_SECONDS = 2.0
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -9,12 +9,13 @@
 from xxhash import xxh32_intdigest
 
 from limpetdrift.protocol.codec import decode, encode
-from limpetdrift.protocol.verdict import Failure, Reason, may_have_run
 from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.evacuations import EvacuatedDomains
+from limpetdrift.verdict import Failure, Reason, may_have_run
 
 Content = TypeVar('Content')
 
+# The era before any was seen.
+UNKNOWN_ERA = 0
 # The age of data that was never read or confirmed.
 UNKNOWN_AGE_SECONDS = 1_000_000.0
 
@@ -24,6 +25,24 @@
 _MAX_CONTENT_BYTES = 64_000_000
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvacuatedDomains:
+    """The evacuated failure domains as of a version of the store.
+
+    Versions are ordered within one ``era`` of the store. Version 0 means that
+    nothing has been read.
+    """
+
+    era: int = UNKNOWN_ERA
+    version: int = 0
+    failure_domains: tuple[str, ...] = ()
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """The era and the version."""
+        return self.era, self.version
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingSyncRequest:
     """Long poll for routes or an endpoint list newer than these versions.
--- a/src/limpetdrift/protocol/service.py
+++ b/src/limpetdrift/protocol/service.py
@@ -13,12 +13,6 @@
 from expression import Error, Ok, Result
 
 from limpetdrift.protocol.codec import decode
-from limpetdrift.protocol.verdict import (
-    Failure,
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import (
     OK,
@@ -28,6 +22,12 @@
     Request,
     Response,
 )
+from limpetdrift.verdict import (
+    Failure,
+    Reason,
+    may_have_run,
+    not_run,
+)
 
 REQUEST_KEY_HEADER = 'x-request-key'
 ATTEMPT_HEADER = 'x-attempt'
--- a/src/limpetdrift/protocol/table.py
+++ b/src/limpetdrift/protocol/table.py
@@ -10,7 +10,7 @@
 
 from expression import Result
 
-from limpetdrift.protocol.verdict import Failure
+from limpetdrift.verdict import Failure
 
 # The version of a row that does not exist.
 ABSENT = 0
--- a/src/limpetdrift/protocol/table_client.py
+++ b/src/limpetdrift/protocol/table_client.py
@@ -23,14 +23,14 @@
     TableCalls,
     Transaction,
 )
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Response
+from limpetdrift.verdict import (
     Failure,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Response
 
 Reply = TypeVar('Reply')
 
--- a/src/limpetdrift/protocol/weights.py
+++ b/src/limpetdrift/protocol/weights.py
@@ -7,9 +7,9 @@
 
 from limpetdrift.protocol.codec import decode, json_request
 from limpetdrift.protocol.table_client import read_refusal
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Response
+from limpetdrift.verdict import Failure
 
 CALL_TIMEOUT_SECONDS = 2.0
 _OK = 200
--- a/src/limpetdrift/replays/admission_queue.py
+++ b/src/limpetdrift/replays/admission_queue.py
@@ -7,7 +7,7 @@
 import trio
 
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.protocol.verdict import FailureError, Reason, not_run
+from limpetdrift.verdict import FailureError, Reason, not_run
 
 
 @dataclass(kw_only=True, eq=False)
--- a/src/limpetdrift/replays/engines.py
+++ b/src/limpetdrift/replays/engines.py
@@ -19,17 +19,17 @@
     EndpointResponse,
 )
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.protocol.verdict import (
-    FailureError,
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.replays.admission_queue import AdmissionQueue, Job
 from limpetdrift.replays.orphans import Orphans, end_decoded
 from limpetdrift.replays.prefill_queue import PrefillQueue, PrefillTask
 from limpetdrift.transport.messages import OK, UNAVAILABLE
+from limpetdrift.verdict import (
+    FailureError,
+    Reason,
+    may_have_run,
+    not_run,
+)
 
 # Time until prefill at a dead helper fails.
 HELPER_FAILURE_SECONDS = 1.5
--- a/src/limpetdrift/replays/entry_loads.py
+++ b/src/limpetdrift/replays/entry_loads.py
@@ -10,8 +10,8 @@
 
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import Acknowledgement
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan, EngineReport
+from limpetdrift.verdict import Failure
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/replays/policies.py
+++ b/src/limpetdrift/replays/policies.py
@@ -36,7 +36,6 @@
 from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.plans import Acknowledgement
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -45,6 +44,7 @@
 )
 from limpetdrift.replays.entry_loads import EntryLoad, EntryLoads
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Failure, Reason, not_run
 
 SERVICE = 'models'
 DIGEST_PATH = 'digest'
--- a/src/limpetdrift/replays/simulated_site.py
+++ b/src/limpetdrift/replays/simulated_site.py
@@ -24,12 +24,6 @@
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.codec import encode
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.verdict import (
-    Failure,
-    Reason,
-    Verdict,
-    may_have_run,
-)
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -49,6 +43,12 @@
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.transport.messages import UNAVAILABLE, Address, Response
+from limpetdrift.verdict import (
+    Failure,
+    Reason,
+    Verdict,
+    may_have_run,
+)
 
 # Age of an engine's report when an entry receives it.
 REPORT_LAG_SECONDS = 0.3
--- a/src/limpetdrift/state/applying.py
+++ b/src/limpetdrift/state/applying.py
@@ -23,7 +23,6 @@
     Rejection,
 )
 from limpetdrift.protocol.table import TableCalls
-from limpetdrift.protocol.verdict import Failure, Reason, Verdict
 from limpetdrift.state.configuration import (
     CommitOutcome,
     CommitState,
@@ -38,6 +37,7 @@
     check_documents,
     classify_document,
 )
+from limpetdrift.verdict import Failure, Reason, Verdict
 
 # Retry timeout of a commit that fails or whose outcome is unknown.
 COMMIT_TIMEOUT_SECONDS = 6.0
--- a/src/limpetdrift/state/batching.py
+++ b/src/limpetdrift/state/batching.py
@@ -15,7 +15,7 @@
 from expression import Error, Result
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.verdict import (
+from limpetdrift.verdict import (
     Failure,
     Reason,
     may_have_run,
--- a/src/limpetdrift/state/budget.py
+++ b/src/limpetdrift/state/budget.py
@@ -29,9 +29,9 @@
     TableCalls,
     Transaction,
 )
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.state.batching import Batcher, BatchLimits
 from limpetdrift.state.pacing import Outage, Pacer
+from limpetdrift.verdict import Failure, Reason, not_run
 
 Answer = TypeVar('Answer')
 
--- a/src/limpetdrift/state/claim_sweep.py
+++ b/src/limpetdrift/state/claim_sweep.py
@@ -22,8 +22,8 @@
     TableCalls,
     Transaction,
 )
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.state.claims import CLAIMS_TABLE, VersionedClaim, read_claim
+from limpetdrift.verdict import Failure
 
 EPOCH_TABLE = 'claim-epoch'
 EPOCH_KEY = 'current'
--- a/src/limpetdrift/state/claims.py
+++ b/src/limpetdrift/state/claims.py
@@ -26,8 +26,8 @@
     TableCalls,
     Transaction,
 )
-from limpetdrift.protocol.verdict import Failure
 from limpetdrift.transport.messages import Address, Headers
+from limpetdrift.verdict import Failure
 
 CLAIMS_TABLE = 'claims'
 INLINE_RESULT_BYTES = 8_192
--- a/src/limpetdrift/state/configuration.py
+++ b/src/limpetdrift/state/configuration.py
@@ -29,12 +29,6 @@
     TableCalls,
     Transaction,
 )
-from limpetdrift.protocol.verdict import (
-    Failure,
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.state.changes import change_transaction, next_document
 from limpetdrift.state.configuration_rows import (
     SITES_KEY,
@@ -47,6 +41,12 @@
 )
 from limpetdrift.state.configuration_snapshot import ConfigurationSnapshot
 from limpetdrift.state.documents import BASE_NAME
+from limpetdrift.verdict import (
+    Failure,
+    Reason,
+    may_have_run,
+    not_run,
+)
 
 # The table service refuses a transaction with more checks and puts.
 MAX_TRANSACTION_ROWS = 100
--- a/src/limpetdrift/state/evacuations.py
+++ b/src/limpetdrift/state/evacuations.py
@@ -6,29 +6,10 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 
 from limpetdrift.logs import note
+from limpetdrift.protocol.routing_sync import EvacuatedDomains
 from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.state.store_era import UNKNOWN_ERA
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class EvacuatedDomains:
-    """The evacuated failure domains as of a version of the store.
-
-    Versions are ordered within one ``era`` of the store. Version 0 means that
-    nothing has been read.
-    """
-
-    era: int = UNKNOWN_ERA
-    version: int = 0
-    failure_domains: tuple[str, ...] = ()
-
-    @property
-    def position(self) -> tuple[int, int]:
-        """The era and the version."""
-        return self.era, self.version
 
 
 class Evacuations:
--- a/src/limpetdrift/state/pacing.py
+++ b/src/limpetdrift/state/pacing.py
@@ -12,7 +12,7 @@
 from expression import Result
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.verdict import Failure, Reason
+from limpetdrift.verdict import Failure, Reason
 
 # Base of the exponential back-off (the first is twice that), and its ceiling.
 BACKOFF_BASE_SECONDS = 0.2
--- a/src/limpetdrift/state/route_cache.py
+++ b/src/limpetdrift/state/route_cache.py
@@ -16,7 +16,7 @@
     RouteTable,
     Service,
 )
-from limpetdrift.state.store_era import UNKNOWN_ERA
+from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
 
 TableListener = Callable[[RouteTable], None]
 
--- a/src/limpetdrift/state/run.py
+++ b/src/limpetdrift/state/run.py
@@ -11,7 +11,7 @@
 import trio
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.verdict import Failure, Verdict
+from limpetdrift.verdict import Failure, Verdict
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/state/store_era.py
+++ b/src/limpetdrift/state/store_era.py
@@ -8,9 +8,8 @@
 from enum import StrEnum, unique
 
 from limpetdrift.logs import note, warn
+from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
 
-# The era before any was seen.
-UNKNOWN_ERA = 0
 # Limit of the digits of an era. A larger number is malformed: once accepted,
 # it would make every later answer one from the past.
 _MAX_DIGITS = 12
--- a/src/limpetdrift/state/stored_configuration.py
+++ b/src/limpetdrift/state/stored_configuration.py
@@ -8,8 +8,9 @@
 
 from limpetdrift.logs import warn
 from limpetdrift.protocol.route_table import RouteTable
+from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
 from limpetdrift.state.route_cache import NEVER, RouteTableCache
-from limpetdrift.state.store_era import UNKNOWN_ERA, StoreEra
+from limpetdrift.state.store_era import StoreEra
 
 
 class StoredConfiguration:
--- a/src/limpetdrift/telemetry.py
+++ b/src/limpetdrift/telemetry.py
@@ -16,19 +16,16 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from limpetdrift.telemetry_export import Exporter
+    from limpetdrift.telemetry_export import (
+        CounterSums,
+        Durations,
+        Exporter,
+        Gauges,
+    )
 
-Labels = tuple[tuple[str, str], ...]
-# Sums of all counters, by name and labels.
-CounterSums = dict[str, Counter[Labels]]
-# Numbers of the durations recorded since the last read, by name and labels.
-Durations = dict[str, dict[Labels, Counter[float]]]
-# Functions that return the values of gauges, by name.
-Gauges = dict[str, Callable[[], float]]
-
-_counter_sums: CounterSums = {}
-_durations: Durations = {}
-_gauges: Gauges = {}
+_counter_sums: 'CounterSums' = {}
+_durations: 'Durations' = {}
+_gauges: 'Gauges' = {}
 
 
 def count(name: str, amount: int = 1, **labels: str) -> None:
--- a/src/limpetdrift/telemetry_export.py
+++ b/src/limpetdrift/telemetry_export.py
@@ -1,5 +1,6 @@
 """Exposes recorded metrics to Prometheus with OpenTelemetry."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -11,7 +12,13 @@
 )
 from prometheus_client import REGISTRY, generate_latest
 
-from limpetdrift.telemetry import CounterSums, Durations, Gauges
+Labels = tuple[tuple[str, str], ...]
+# Sums of all counters, by name and labels.
+CounterSums = dict[str, Counter[Labels]]
+# Numbers of the durations recorded since the last read, by name and labels.
+Durations = dict[str, dict[Labels, Counter[float]]]
+# Functions that return the values of gauges, by name.
+Gauges = dict[str, Callable[[], float]]
 
 # Upper bounds of the buckets of all histograms named ``*_seconds``. 0.39 is
 # the target for the time to first token.
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -19,13 +19,6 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.protocol.verdict import (
-    Failure,
-    FailureError,
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.transport.messages import (
     Address,
     Headers,
@@ -33,6 +26,13 @@
     Response,
     encode_headers,
 )
+from limpetdrift.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    may_have_run,
+    not_run,
+)
 
 RECEIVE_BYTES = 262_144
 # Time without an acknowledgement after which a connection breaks, and interval
--- a/tests/claim_harness.py
+++ b/tests/claim_harness.py
@@ -22,7 +22,6 @@
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.protocol.node import Endpoint, Node, Role
 from limpetdrift.protocol.objects import ObjectCalls
-from limpetdrift.protocol.verdict import Reason, Verdict, may_have_run, not_run
 from limpetdrift.state.claim_sweep import ClaimSweep
 from limpetdrift.state.claims import (
     INLINE_RESULT_BYTES,
@@ -30,6 +29,7 @@
     StoredResult,
 )
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, Verdict, may_have_run, not_run
 
 OWNERS = 3
 DEADLINE_SECONDS = 8.0
--- a/tests/config_cluster.py
+++ b/tests/config_cluster.py
@@ -23,8 +23,8 @@
 from limpetdrift.protocol.configuration import Refusal
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.table import TableCalls
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, may_have_run, not_run
 
 IN_FORCE_SECONDS = 5.0
 UNRESPONSIVE_AFTER_SECONDS = 1.0
--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -18,13 +18,13 @@
     LimitedEndpoint,
     LimitSite,
 )
-from limpetdrift.protocol.verdict import (
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.verdict import (
     FailureError,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import ListedEndpoint
 from virtual_time import background_tasks
 
 CONTACT_SECONDS = 3.0
--- a/tests/cut_site.py
+++ b/tests/cut_site.py
@@ -18,14 +18,14 @@
     EndpointClient,
     LimitSite,
 )
-from limpetdrift.protocol.verdict import (
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.transport.messages import parse_address
+from limpetdrift.verdict import (
     FailureError,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.transport.messages import parse_address
 from virtual_time import background_tasks
 
 CONNECT_TIMEOUT_SECONDS = 0.25
--- a/tests/endpoint_harness.py
+++ b/tests/endpoint_harness.py
@@ -14,8 +14,8 @@
 from limpetdrift.protocol.instances import InstanceList, InstanceListItem
 from limpetdrift.protocol.lifecycle_reports import LifecycleReport
 from limpetdrift.protocol.node import Endpoint, Role
-from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, not_run
 from member_cluster import Cluster
 
 # Time after the first leaving signal by which no entry may route to the
--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -20,8 +20,8 @@
     EngineLoad,
     EngineManagementCalls,
 )
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.state.prefixes import BLOCK_TOKENS, RecentPrefixes
+from limpetdrift.verdict import Reason, may_have_run, not_run
 
 CHUNK_TOKENS = 2048
 MAX_RUNNING = 32
--- a/tests/era_site.py
+++ b/tests/era_site.py
@@ -20,10 +20,10 @@
     StoreReplica,
 )
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, may_have_run, not_run
 
 STORE_ADDRESS = Address(host='10.1.0.1', port=1)
 STORE_LATENCY_SECONDS = 0.004
--- a/tests/fake_engine.py
+++ b/tests/fake_engine.py
@@ -13,13 +13,13 @@
 from limpetdrift.protocol.engine import StreamLine
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.placement import Placement
-from limpetdrift.protocol.verdict import (
+from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import (
     FailureError,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.transport.messages import Address
 
 TOKEN_SECONDS = 0.01
 PREFILL_SECONDS = 0.05
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -13,7 +13,7 @@
 from expression import Result
 
 from limpetdrift.protocol.codec import decode, encode
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
+from limpetdrift.verdict import Reason, may_have_run, not_run
 
 LATENCY_SECONDS = 0.0015
 
--- a/tests/fake_table.py
+++ b/tests/fake_table.py
@@ -17,7 +17,7 @@
     Row,
     TableCalls,
 )
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
+from limpetdrift.verdict import Reason, may_have_run, not_run
 
 
 class FakeTable:
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -27,13 +27,6 @@
 )
 from limpetdrift.coordination.planning.plain_placer import PlainPlacer
 from limpetdrift.protocol.route_table import RequestKind, Route, ServiceShare
-from limpetdrift.protocol.verdict import (
-    Failure,
-    FailureError,
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -43,6 +36,13 @@
 from limpetdrift.state.rate_budget import LEADING_SHARE
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.transport.messages import Response
+from limpetdrift.verdict import (
+    Failure,
+    FailureError,
+    Reason,
+    may_have_run,
+    not_run,
+)
 
 
 def make_route(**changes: object) -> Route:
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -17,13 +17,13 @@
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import digest_of
-from limpetdrift.protocol.verdict import Failure, Reason, not_run
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Failure, Reason, not_run
 
 
 class FakeStore:
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -48,17 +48,17 @@
     Service,
     ServiceShare,
 )
-from limpetdrift.protocol.verdict import (
-    FailureError,
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint, PromptSize
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.messages import Address, Response
+from limpetdrift.verdict import (
+    FailureError,
+    Reason,
+    may_have_run,
+    not_run,
+)
 from test_splitting import COST_MODEL
 from virtual_time import background_tasks
 
--- a/tests/scenarios/scenario_callers.py
+++ b/tests/scenarios/scenario_callers.py
@@ -10,9 +10,9 @@
 from limpetdrift.client import Call, Client
 from limpetdrift.protocol.engine import EngineCalls, StreamStart
 from limpetdrift.protocol.openai import ChatMessage, prompt_text
-from limpetdrift.protocol.verdict import FailureError
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import parse_address
+from limpetdrift.verdict import FailureError
 
 BYTES_PER_TOKEN = 4
 # Time without data after which a stream is resumed on a new connection.
--- a/tests/test_account_shares.py
+++ b/tests/test_account_shares.py
@@ -22,7 +22,7 @@
 )
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.plans import ActivePlans, EngineGroup
-from limpetdrift.protocol.verdict import Verdict
+from limpetdrift.verdict import Verdict
 from planner_load import (
     ENGINES,
     LONG,
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -30,15 +30,15 @@
     make_reserver,
 )
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import (
+from limpetdrift.protocol.work import DispatchPlan
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.transport.server import Server
+from limpetdrift.verdict import (
     FailureError,
     Reason,
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import DispatchPlan
-from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.transport.server import Server
 from virtual_time import run_in_virtual_time
 
 IDEMPOTENT = make_route(kind=RequestKind.IDEMPOTENT, timeout_seconds=1.0)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -8,9 +8,9 @@
 
 from fake_table import FakeTable
 from limpetdrift.protocol.table import Put, RowKey, Transaction
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.state import pacing
 from limpetdrift.state.budget import Budget, Priority, StoreRates
+from limpetdrift.verdict import Reason, Verdict
 from virtual_time import in_virtual_time, run_in_virtual_time
 
 PROCESSES = 9
--- a/tests/test_chat_stream.py
+++ b/tests/test_chat_stream.py
@@ -5,9 +5,9 @@
 
 from limpet_standins.local import LocalExchange
 from limpetdrift.callers.chat import KEEPALIVE_SECONDS, send_stream
-from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.state.run import Run, RunEnd, RunRequest
 from limpetdrift.transport.messages import Request
+from limpetdrift.verdict import Reason, not_run
 from virtual_time import in_virtual_time
 
 END = RunEnd(
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -23,9 +23,9 @@
     ReportedClaimState,
 )
 from limpetdrift.coordination.claims.claims import Claims
-from limpetdrift.protocol.verdict import Verdict
 from limpetdrift.state import claim_ledger
 from limpetdrift.state.claims import VersionedClaim
+from limpetdrift.verdict import Verdict
 from virtual_time import run_in_virtual_time
 
 owners = st.integers(0, OWNERS - 1)
--- a/tests/test_claims_processes.py
+++ b/tests/test_claims_processes.py
@@ -17,7 +17,6 @@
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.objects import make_object_calls
 from limpetdrift.protocol.table_client import make_table_calls
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.state.budget import Budget, Priority, StoreRates
 from limpetdrift.state.claim_sweep import RETENTION_EPOCHS, ClaimSweep
 from limpetdrift.state.claims import (
@@ -29,6 +28,7 @@
 from limpetdrift.transport.messages import Address, parse_address
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server, bound_address, listen
+from limpetdrift.verdict import Reason, Verdict
 
 EPOCH = 1
 SECRET = 'known to peers'
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -6,8 +6,8 @@
 
 from limpetdrift.client import Client
 from limpetdrift.protocol.codec import json_response
-from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.transport.messages import parse_address
+from limpetdrift.verdict import Reason, not_run
 from virtual_time import in_virtual_time
 
 SEEDS = tuple(parse_address(f'127.0.0.1:{port}') for port in (1, 2, 3))
--- a/tests/test_client_failures.py
+++ b/tests/test_client_failures.py
@@ -7,8 +7,8 @@
 from limpetdrift.callers.answers import KEEPALIVE_EVENT, failure_event
 from limpetdrift.client import Call, Client
 from limpetdrift.protocol.openai import ChatMessage
-from limpetdrift.protocol.verdict import Reason, Verdict, not_run
 from limpetdrift.transport.messages import OK, parse_address
+from limpetdrift.verdict import Reason, Verdict, not_run
 from virtual_time import in_virtual_time
 
 CALL = Call(
--- a/tests/test_cold_endpoints.py
+++ b/tests/test_cold_endpoints.py
@@ -21,7 +21,6 @@
     LimitRecord,
 )
 from limpetdrift.protocol.route_table import Service
-from limpetdrift.protocol.verdict import Reason
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.cold_endpoints import (
     FIRST_LIST_SECONDS,
@@ -30,6 +29,7 @@
     START_CREDIT_SECONDS,
 )
 from limpetdrift.state.endpoint_limits import UNLIMITED, EndpointLimits
+from limpetdrift.verdict import Reason
 from test_rate_limits import break_entry, decider_of
 from virtual_time import in_virtual_time
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,7 +4,7 @@
 
 from config_cluster import run_cluster
 from config_texts import base, change, overlay
-from limpetdrift.protocol.verdict import Reason, Verdict
+from limpetdrift.verdict import Reason, Verdict
 from virtual_time import in_virtual_time
 
 
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -5,7 +5,7 @@
     ConfirmationState,
     PeerReachability,
 )
-from limpetdrift.protocol.verdict import Reason
+from limpetdrift.verdict import Reason
 
 REACHABLE = PeerReachability(answering=4, silent=0)
 UNREACHABLE = PeerReachability(answering=1, silent=3)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -18,12 +18,12 @@
 from limpetdrift.coordination.crashes.isolation_leases import IsolationLeases
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.protocol.work import CallerRequest, ListedEndpoint
 from limpetdrift.state.crash_evidence import CrashEvidence
 from limpetdrift.state.culprits import CRASH_LIMIT
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, Verdict
 from virtual_time import background_tasks, in_virtual_time
 
 ENTRIES = 4
--- a/tests/test_cut_entries.py
+++ b/tests/test_cut_entries.py
@@ -14,7 +14,7 @@
     open_cut_site,
 )
 from limit_site import ENGINES_SERVICE, PLAIN_SERVICE
-from limpetdrift.protocol.verdict import Reason
+from limpetdrift.verdict import Reason
 from virtual_time import in_virtual_time
 
 RATE = 20.0
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -9,7 +9,7 @@
 
 from limpetdrift.coordination.membership.discovery import make_answer
 from limpetdrift.coordination.membership.drain import Drain, DrainTiming
-from limpetdrift.protocol.verdict import Reason, Verdict
+from limpetdrift.verdict import Reason, Verdict
 from member_cluster import Cluster, wait_for
 from virtual_time import run_in_virtual_time
 
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -3,10 +3,10 @@
 import pytest
 import trio
 
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request
 from limpetdrift.transport.server import bound_address, listen
+from limpetdrift.verdict import Reason, Verdict
 
 BODY = b'x' * 32_000_000
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly'
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -28,9 +28,9 @@
 )
 from limpetdrift.coordination.forwarding.event_relay import MAX_EVENT_BYTES
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import FailureError, Reason, Verdict
 from limpetdrift.transport.client import ClientLimits, HttpClient
 from limpetdrift.transport.messages import Address, Request
+from limpetdrift.verdict import FailureError, Reason, Verdict
 from virtual_time import in_virtual_time
 
 WHOLE_BYTES = 1_000_000
--- a/tests/test_endpoint_back_offs.py
+++ b/tests/test_endpoint_back_offs.py
@@ -13,7 +13,6 @@
     make_route,
 )
 from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
-from limpetdrift.protocol.verdict import Reason
 from limpetdrift.protocol.work import CallerRequest
 from limpetdrift.state.endpoint_back_offs import (
     MAX_BACK_OFF_SECONDS,
@@ -21,6 +20,7 @@
     EndpointBackOffs,
 )
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Reason
 from virtual_time import in_virtual_time
 
 FIRST, SECOND, THIRD = make_endpoints(3)
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -18,7 +18,6 @@
 from limpetdrift.platform.endpoint_signals import decode_signals, parse_decimal
 from limpetdrift.platform.reports import make_report_reader
 from limpetdrift.platform.reservations import make_reserver
-from limpetdrift.protocol.verdict import Failure, FailureError, Reason, Verdict
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -30,6 +29,7 @@
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address
 from limpetdrift.transport.server import bound_address, listen
+from limpetdrift.verdict import Failure, FailureError, Reason, Verdict
 
 SECONDS_LEFT = 5.0
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -20,7 +20,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.forwarding.event_relay import split_events
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import FailureError, Reason, not_run
+from limpetdrift.verdict import FailureError, Reason, not_run
 from virtual_time import in_virtual_time, run_in_virtual_time
 
 IDEMPOTENT = make_route(kind=RequestKind.IDEMPOTENT, timeout_seconds=1.0)
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -37,17 +37,17 @@
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
 from limpetdrift.programs.serving import CLOSE_SECONDS
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import (
-    Reason,
-    may_have_run,
-    not_run,
-)
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.server import Server
+from limpetdrift.verdict import (
+    Reason,
+    may_have_run,
+    not_run,
+)
 from member_cluster import make_node
 from test_attempt_race import make_harness, serve, use
 from test_forwarding import silent_then
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -28,8 +28,8 @@
 )
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import digest_of, pack
-from limpetdrift.protocol.verdict import Reason, not_run
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Reason, not_run
 from virtual_time import background_tasks, in_virtual_time
 
 READ_SECONDS = 0.5
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -15,7 +15,7 @@
 from corpus.make import make
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.compatibility import EXCHANGED
-from limpetdrift.protocol.verdict import Reason, Verdict
+from limpetdrift.verdict import Reason, Verdict
 
 CORPUS = {
     path.stem: json.loads(path.read_text('utf-8'))
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -25,11 +25,11 @@
 )
 from limpetdrift.protocol.node import Endpoint, Role
 from limpetdrift.protocol.orders import Action, EngineState, OrderCalls
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.protocol.weights import WeightRate
 from limpetdrift.state.leases import LEASE_TABLE, Lease
 from limpetdrift.state.site import ModelConfig
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, may_have_run, not_run
 from virtual_time import run_in_virtual_time
 
 ENGINES = 5
--- a/tests/test_owner_faults.py
+++ b/tests/test_owner_faults.py
@@ -35,17 +35,17 @@
 from limpetdrift.coordination.runs.run_streams import last_line
 from limpetdrift.protocol.engine import StreamLine
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.protocol.verdict import (
+from limpetdrift.state.claims import ClaimStore
+from limpetdrift.state.retry_budget import RetryBudget
+from limpetdrift.state.run import Run, RunRequest
+from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import (
     FailureError,
     Reason,
     Verdict,
     may_have_run,
     not_run,
 )
-from limpetdrift.state.claims import ClaimStore
-from limpetdrift.state.retry_budget import RetryBudget
-from limpetdrift.state.run import Run, RunRequest
-from limpetdrift.transport.messages import Address
 from virtual_time import run_in_virtual_time
 
 ENGINES = 3
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,8 +6,8 @@
 
 from fake_network import FakeNetwork
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, Verdict
 from virtual_time import in_virtual_time
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -9,7 +9,7 @@
 from limpetdrift.coordination.homes.policies import POLICIES
 from limpetdrift.protocol.grants import GrantRequest
 from limpetdrift.protocol.placement import AttemptOutcome
-from limpetdrift.protocol.verdict import Reason, Verdict
+from limpetdrift.verdict import Reason, Verdict
 from placement_site import Site, make_node, make_request
 from virtual_time import in_virtual_time
 
--- a/tests/test_planning_groups.py
+++ b/tests/test_planning_groups.py
@@ -28,7 +28,6 @@
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.plans import EngineGroup, Plan, PlanRequest
-from limpetdrift.protocol.verdict import Reason, may_have_run
 from limpetdrift.protocol.work import (
     CallerRequest,
     ListedEndpoint,
@@ -38,6 +37,7 @@
 from limpetdrift.state.endpoint_view import ANSWER_SOURCE, EndpointView
 from limpetdrift.state.engine_ledger import FULL_SECONDS
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, may_have_run
 from test_splitting import COST_MODEL
 from virtual_time import in_virtual_time
 
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -27,17 +27,17 @@
 from limpetdrift.platform.store import StoredRow
 from limpetdrift.protocol.route_table import RequestKind, RouteTable
 from limpetdrift.protocol.routing_sync import digest_of
-from limpetdrift.protocol.verdict import (
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.transport.messages import Request
+from limpetdrift.verdict import (
     Failure,
     Reason,
     Verdict,
     may_have_run,
     not_run,
 )
-from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.state.route_cache import RouteTableCache
-from limpetdrift.transport.messages import Request
 
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -54,12 +54,12 @@
 )
 from limpetdrift.protocol.placement import Placement
 from limpetdrift.protocol.quarantine import QuarantineState
-from limpetdrift.protocol.verdict import Reason, Verdict, not_run
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.run import RunRequest
 from limpetdrift.state.suspects import CrashSuspects
 from limpetdrift.transport.messages import Request
 from limpetdrift.transport.routing import Routes
+from limpetdrift.verdict import Reason, Verdict, not_run
 from placement_site import make_node
 from virtual_time import run_in_virtual_time
 
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -13,7 +13,7 @@
     RegistrationInputs,
 )
 from limpetdrift.platform.store import RowPage
-from limpetdrift.protocol.verdict import Reason, not_run
+from limpetdrift.verdict import Reason, not_run
 from member_cluster import make_node
 from virtual_time import background_tasks, in_virtual_time
 
--- a/tests/test_replays.py
+++ b/tests/test_replays.py
@@ -13,7 +13,6 @@
 )
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
 from limpetdrift.programs.replay import Arguments, choose
-from limpetdrift.protocol.verdict import FailureError, Reason
 from limpetdrift.replays.admission_queue import Job
 from limpetdrift.replays.arrivals import draw_arrivals
 from limpetdrift.replays.engines import Engine
@@ -23,6 +22,7 @@
 from limpetdrift.replays.simulated_site import RunSpec
 from limpetdrift.replays.simulation import list_runs, simulate_run
 from limpetdrift.replays.workload import Workload, read_workload
+from limpetdrift.verdict import FailureError, Reason
 from virtual_time import background_tasks, run_in_virtual_time
 
 EXPERIMENTS = Path(__file__).parent.parent / 'experiments'
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -15,10 +15,10 @@
     LIMITED_TTL_SECONDS,
     make_reserver,
 )
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.transport.messages import Address
+from limpetdrift.verdict import Reason, may_have_run, not_run
 from virtual_time import in_virtual_time
 
 ENGINE = ListedEndpoint(
--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -19,7 +19,7 @@
     standing_at,
 )
 from limpetdrift.coordination.scheduling.time_limits import latest_first_token
-from limpetdrift.protocol.verdict import Reason, not_run
+from limpetdrift.verdict import Reason, not_run
 from planner_load import COST_MODEL, POOL, SHORT, PlannerLoad
 
 NOW = 100.0
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -37,7 +37,6 @@
 from limpetdrift.protocol import service as service_module
 from limpetdrift.protocol.node import Endpoint, Node, Role
 from limpetdrift.protocol.service import ServiceCalls, ServiceLoad
-from limpetdrift.protocol.verdict import Reason, Verdict, may_have_run, not_run
 from limpetdrift.state.claims import ClaimStore
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.service_balancer import LEAVING_SECONDS
@@ -46,6 +45,7 @@
 from limpetdrift.transport.messages import Address, Request, Response
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server, bound_address, listen
+from limpetdrift.verdict import Reason, Verdict, may_have_run, not_run
 from virtual_time import run_in_virtual_time
 
 INSTANCES = 3
--- a/tests/test_tableclient.py
+++ b/tests/test_tableclient.py
@@ -5,10 +5,10 @@
 
 from limpetdrift.protocol.table import Check, Put, RowKey, Transaction
 from limpetdrift.protocol.table_client import make_table_calls
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Response
 from limpetdrift.transport.server import Server, bound_address, listen
+from limpetdrift.verdict import Reason, Verdict
 
 INSERT = Transaction(
     checks=(Check(table='t', key='k', version=0),),
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -10,10 +10,10 @@
     EndpointResponse,
 )
 from limpetdrift.protocol.route_table import RequestKind
-from limpetdrift.protocol.verdict import Reason, Verdict
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request
 from limpetdrift.transport.server import bound_address, listen
+from limpetdrift.verdict import Reason, Verdict
 from virtual_time import in_virtual_time
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n'
--- a/tests/test_verdict.py
+++ b/tests/test_verdict.py
@@ -1,6 +1,6 @@
 """Tests of verdicts and failures."""
 
-from limpetdrift.protocol.verdict import Reason, Verdict, not_run
+from limpetdrift.verdict import Reason, Verdict, not_run
 
 
 def test_not_run_failure_keeps_its_retry_time_with_another_verdict():
--- a/tests/test_waiting_prompts.py
+++ b/tests/test_waiting_prompts.py
@@ -17,9 +17,9 @@
 from limpetdrift.coordination.scheduling import waiting
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.plans import Plan, PlanRequest, PlanStart
-from limpetdrift.protocol.verdict import Reason, may_have_run, not_run
 from limpetdrift.protocol.work import EngineReport
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.verdict import Reason, may_have_run, not_run
 from test_planning_groups import make_engine, make_entry, make_work
 from test_splitting import COST_MODEL
 from virtual_time import in_virtual_time, run_in_virtual_time
