Count prompts of lost entries only while they may still be prefilled

After a loss of all in an overload most engines have such requests, most of them short or read already, and all were avoided.

Now only the prefill beyond a second counts, less the time for which the engine has reported them.

--- a/src/limpetdrift/coordination/engines/split_costs.py
+++ b/src/limpetdrift/coordination/engines/split_costs.py
@@ -70,6 +70,9 @@
 _YIELDING_SHARE = 0.75
 # Prefill time of a short prompt.
 _SHORT_PREFILL_SECONDS = 0.05
+# Prefill of requests of no plan up to which an engine counts as free. After a
+# loss of all entries most engines have some, and are needed.
+_SHORT_UNPLANNED_SECONDS = 1.0
 # Duration of a short stream, from which the number of streams gives the
 # arrival rate of short prompts.
 _SHORT_STREAM_SECONDS = 1.5
@@ -205,12 +208,14 @@
     """Return the cost of requests of no plan, which may still be prefilled.
 
     Engines go on with the requests of entries that are gone. A report tells
-    the memory of these, but not whether their prefill has ended.
+    the memory of these, but not whether their prefill has ended, so it counts
+    as under way for as long as it may last.
     """
     if not usage.unplanned:
         return 0
     tokens = usage.unplanned_tokens // usage.unplanned
-    return _QUEUED_COST * min(1, prefill_seconds(cost_model, tokens))
+    left = prefill_seconds(cost_model, tokens) - usage.unplanned_seconds
+    return _QUEUED_COST * min(1, max(0, left - _SHORT_UNPLANNED_SECONDS))
 
 
 def _prefill_cost(usage: EngineUsage, pause_seconds: float) -> float:
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -43,6 +43,7 @@
     report: EngineReport | None = None
     unplanned: int = 0
     unplanned_tokens: int = 0
+    unplanned_since: float = float('-inf')
     reported_at: float = float('-inf')
     bookings: dict[str, Booking] = field(default_factory=dict)
     # Bookings of plans that were booked as tentative.
@@ -188,7 +189,10 @@
         engine.usage = None
         engine.report = report
         engine.reported_at = now
-        engine.unplanned = max(0, report.active + report.queued - streams)
+        unplanned = max(0, report.active + report.queued - streams)
+        if unplanned and not engine.unplanned:
+            engine.unplanned_since = now
+        engine.unplanned = unplanned
         engine.unplanned_tokens = max(0, report.memory_tokens - planned)
         if not engine.unplanned:
             engine.unplanned_tokens = 0
@@ -290,6 +294,9 @@
         endpoint=endpoint,
         unplanned=engine.unplanned,
         unplanned_tokens=engine.unplanned_tokens,
+        unplanned_seconds=(
+            now - engine.unplanned_since if engine.unplanned else 0.0
+        ),
         queued=queued,
         pace=report.pace if report else 1.0,
         backlog_seconds=busy_until - now,
--- a/src/limpetdrift/state/engine_usage.py
+++ b/src/limpetdrift/state/engine_usage.py
@@ -42,11 +42,11 @@
     ``gap_seconds`` the time until the next one begins, zero during one.
     ``written`` holds the planned streams that it decodes. ``unplanned`` counts
     its requests that belong to no plan, which hold ``unplanned_tokens`` of its
-    memory. ``queued`` is the length of its own queue, or 0 while ``unplanned``
-    is 0, and at least 1 for a while after it turned a request away. ``pace`` is
-    a slowdown factor: 2.0 means that the engine takes twice its usual time.
-    ``calls_left`` is the number of calls that it may get now, infinite if it
-    doesn't limit them.
+    memory and have been seen for ``unplanned_seconds``. ``queued`` is the
+    length of its own queue, or 0 while ``unplanned`` is 0, and at least 1 for a
+    while after it turned a request away. ``pace`` is a slowdown factor: 2.0
+    means that the engine takes twice its usual time. ``calls_left`` is the
+    number of calls that it may get now, infinite if it doesn't limit them.
     """
 
     endpoint: ListedEndpoint
@@ -56,6 +56,7 @@
     written: tuple[StreamUse, ...] = ()
     unplanned: int = 0
     unplanned_tokens: int = 0
+    unplanned_seconds: float = 0.0
     queued: int = 0
     pace: float = 1.0
     failing: bool = False
