Keep the row of a rate limit from news of an earlier lifetime

Cause: rows of limits are keyed by the endpoint's name. An entry that heard late that the limit of a former lifetime had ended deleted the row of the present one, and one that heard late of a former limit replaced it. Entries that started while no other ran did not know the limit then, for up to the 600 s between two comparisons.

Change: news of a lifetime is not written while a later one has a limit.

--- a/src/limpetdrift/platform/limit_rows.py
+++ b/src/limpetdrift/platform/limit_rows.py
@@ -72,7 +72,13 @@
         return ()
 
     def keep(self, record: LimitRecord) -> None:
-        """Write a changed limit soon, or delete its row if it has ended."""
+        """Write a changed limit soon, or delete its row if it has ended.
+
+        A row belongs to the latest lifetime that has a limit, so what is heard
+        late of an earlier one is not written.
+        """
+        if has_later_limit(record.endpoint, self._inputs.limits.records()):
+            return
         self._changed[record.endpoint.name] = record
         self._work_added.set()
 
@@ -165,6 +171,26 @@
     return records
 
 
+def has_later_limit(endpoint: EndpointId, known: Iterable[LimitRecord]) -> bool:
+    """Return whether a later lifetime of the endpoint has a known limit.
+
+    >>> later = EndpointId(name='a', lifetime=2)
+    >>> known = LimitRecord(
+    ...     endpoint=later, requests_per_second=0.5, age_seconds=0.0
+    ... )
+    >>> has_later_limit(EndpointId(name='a', lifetime=1), [known])
+    True
+    >>> has_later_limit(later, [known])
+    False
+    """
+    return any(
+        each.endpoint.name == endpoint.name
+        and each.endpoint.lifetime > endpoint.lifetime
+        and each.requests_per_second is not None
+        for each in known
+    )
+
+
 def compare_rows(
     rows: tuple[StoredRow, ...], known: Iterable[LimitRecord]
 ) -> tuple[LimitRecord, ...]:
--- a/tests/test_limit_rows.py
+++ b/tests/test_limit_rows.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 import trio
 
 from era_site import STORE_ADDRESS, LocalClient
@@ -100,6 +101,28 @@
         assert site.keys() == ['b']
 
 
+@pytest.mark.parametrize('pause', [0.0, WRITTEN_SECONDS])
+@pytest.mark.parametrize('rate', [None, 3.0])
+@in_virtual_time
+async def test_news_of_an_earlier_lifetime_leaves_the_row_of_a_later_one(
+    pause, rate
+):
+    """Guards against a limit that starting entries can't know.
+
+    The row was missing until the next comparison, for up to ten minutes.
+    """
+    site = RowsSite()
+    async with background_tasks(site):
+        site.hear('a', 0.4, lifetime=2)
+        await trio.sleep(pause)
+        site.hear('a', rate, lifetime=1)
+        await trio.sleep(WRITTEN_SECONDS)
+        read = await site.rows.read()
+    assert [(each.endpoint, each.requests_per_second) for each in read] == [
+        (EndpointId(name='a', lifetime=2), 0.4)
+    ]
+
+
 @in_virtual_time
 async def test_changes_are_written_in_batches_that_the_store_takes():
     site = RowsSite()
