Confirm the first configuration without peers if the store names no era

Cause: a start polls up to three seeds before it confirms what the store shows, since they may know what a store that came back from an older copy lacks. The seeds were the last machines to get power, so the poll waited for the connect timeout. Ruled out: slow reads of the store (10 to 20 ms).

Change: a store whose answers carry no Store-Era header does not come back from copies, so nothing waits for peers then. Once it names an era, also a malformed one, peers are polled as before.

The new tests fail without the change.

--- a/src/limpetdrift/state/store_era.py
+++ b/src/limpetdrift/state/store_era.py
@@ -45,7 +45,8 @@
     The functions in ``on_rise`` are called with each rise from a known era.
     One peer is polled after a start and after each such rise, since peers may
     know what an older copy of the store lacks; the functions in
-    ``on_peer_poll`` are called after it.
+    ``on_peer_poll`` are called after it. A store whose answers name no era at
+    all does not come back from copies, so nothing waits for peers then.
     """
 
     def __init__(self) -> None:
@@ -55,11 +56,12 @@
         self._first = UNKNOWN_ERA
         self._is_unreadable_logged = False
         self._is_peer_poll_due = True
+        self._is_without_eras = False
 
     @property
     def is_peer_poll_due(self) -> bool:
         """Whether a peer is yet to be polled in this era."""
-        return self._is_peer_poll_due
+        return self._is_peer_poll_due and not self._is_without_eras
 
     @property
     def known(self) -> int:
@@ -91,14 +93,9 @@
                 known=self._known,
                 call=call,
             )
-        elif order is EraOrder.UNREADABLE and not self._is_unreadable_logged:
-            self._is_unreadable_logged = True
-            warn(
-                'answer of the store names no valid era',
-                text=text[:_MAX_DIGITS],
-                known=self._known,
-                call=call,
-            )
+        elif order is EraOrder.UNREADABLE:
+            self._is_without_eras = not text and self._known == UNKNOWN_ERA
+            self._log_unreadable(text, call)
         return order
 
     def learn(self, era: int, call: str) -> None:
@@ -111,6 +108,7 @@
             return
         before = self._known
         self._known = era
+        self._is_without_eras = False
         note('era of the store has risen', before=before, era=era, call=call)
         if before == UNKNOWN_ERA:
             self._first = era
@@ -126,3 +124,13 @@
         self._is_peer_poll_due = False
         for listener in self.on_peer_poll:
             listener()
+
+    def _log_unreadable(self, text: str, call: str) -> None:
+        if not self._is_unreadable_logged:
+            self._is_unreadable_logged = True
+            warn(
+                'answer of the store names no valid era',
+                text=text[:_MAX_DIGITS],
+                known=self._known,
+                call=call,
+            )
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -7,6 +7,7 @@
 import json
 import random
 
+import pytest
 import trio
 from expression import Ok
 
@@ -399,6 +400,31 @@
         assert max(ages) < REVOKE_SECONDS
 
 
+@in_virtual_time
+async def test_start_waits_for_no_peer_if_the_store_names_no_era():
+    """Guards against keys refused for the timeout of a poll of dead peers.
+
+    After a loss of all entries the seeds may be the last ones to start.
+    """
+    site = EraSite(2)
+    site.store.era_text = ''
+    site.write_configuration(1, 'first')
+    site.write_endpoint('a')
+    site.network.isolate(site.entries[1].node.peer_address)
+    async with background_tasks(site):
+        await trio.sleep(0.05)
+        assert site.entries[0].replica.is_synced
+
+
+@pytest.mark.parametrize('text', ['x', '7'])
+def test_peers_are_polled_once_a_store_names_an_era_or_a_malformed_one(text):
+    era = StoreEra()
+    era.observe('', 'rows-get')
+    assert not era.is_peer_poll_due
+    era.observe(text, 'rows-get')
+    assert era.is_peer_poll_due
+
+
 def test_content_that_was_replaced_in_one_version_never_comes_back():
     """An older copy may show it again in a later era."""
     routes = RouteTableCache(clock=float)
