Keep replies to polls and the choice of peers apart from the routing relay

The relay decided whom to poll, when a reply is due and what is in it, between its sends and waits. These are now modules of their own; the choice of peers and the freshness of a reply are functions of their arguments. No behaviour changed; one test names the module in which a reply is packed.

--- a/src/limpetdrift/coordination/routing/routing_relay.py
+++ b/src/limpetdrift/coordination/routing/routing_relay.py
@@ -9,55 +9,43 @@
 it is, over any number of entries.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
-from random import Random
+from collections.abc import Callable
 
 import trio
 from expression import Ok, Result
 
 from limpetdrift import telemetry
-from limpetdrift.coordination.peers import PeerCall, PeerRoutes
-from limpetdrift.coordination.rendezvous import choose_by_hash
-from limpetdrift.coordination.routing.routing_merge import (
-    EndpointListState,
-    are_evacuations_outdated,
-    are_routes_outdated,
-    is_list_outdated,
-    merge_reply,
+from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.routing.poll_replies import (
+    PollReplies,
+    is_reply_due,
 )
+from limpetdrift.coordination.routing.poll_targets import (
+    choose_nearest,
+    choose_some,
+    is_fresh,
+)
+from limpetdrift.coordination.routing.relay_inputs import RoutingRelayInputs
+from limpetdrift.coordination.routing.routing_merge import merge_reply
 from limpetdrift.coordination.routing.store_readers import (
     MAX_DIRECT_ENTRIES,
     StoreReaders,
 )
-from limpetdrift.protocol.node import Node
 from limpetdrift.protocol.routing_sync import (
-    UNKNOWN_AGE_SECONDS,
     RoutingSyncReply,
     RoutingSyncRequest,
-    pack,
 )
-from limpetdrift.protocol.work import ListedEndpoint
-from limpetdrift.state.evacuations import Evacuations
-from limpetdrift.state.route_cache import RouteTableCache
-from limpetdrift.state.store_era import StoreEra
 from limpetdrift.transport.messages import Address
 from limpetdrift.verdict import Failure
 
 KNOWLEDGE_PATH = 'knowledge'
 # Long-poll timeout: how long a reader delays its reply if nothing changes.
 LONG_POLL_SECONDS = 1.0
-# Peers that are polled at once for a newer configuration than the store's.
-MAX_PARALLEL_POLLS = 3
 # Margin of the caller's timeout over the long-poll timeout.
 REPLY_MARGIN_SECONDS = 0.4
 # Long-poll timeout of a reader's own reads of the store while it serves other
 # entries. This is how often it confirms its data.
 READER_LONG_POLL_SECONDS = 0.5
-# Staleness bound: above this age of the routes another reader is polled.
-# Together with LONG_POLL_SECONDS it stays below the three seconds within which
-# a deployment of many entries must follow a change.
-STALENESS_BOUND_SECONDS = 1.5
 # Back-off ceiling of failing reads of the store: its increase for each entry
 # above MAX_DIRECT_ENTRIES, and its value up to there.
 _EXTRA_RETRY_SECONDS_PER_ENTRY = 0.03
@@ -68,54 +56,6 @@
 _POLL_INTERVAL_SECONDS = (0.05, 0.15)
 
 
-@dataclass(frozen=True, kw_only=True)
-class RoutingRelayInputs:
-    """The data that is relayed, and the entries that take part.
-
-    ``store_era`` follows the eras that the store and the peers name.
-
-    ``is_store_unreachable`` returns whether this entry can't reach the store,
-    and ``is_store_behind`` whether the store shows an older configuration than
-    the one in force.
-    ``endpoints`` returns the endpoint list, and ``replace_endpoints`` replaces
-    it. ``entries`` returns all live entries, including this one. ``seeds``
-    returns addresses of peers to poll before any peer is known.
-    """
-
-    node: Node
-    call: PeerCall
-    routes: RouteTableCache
-    endpoint_list_state: EndpointListState
-    evacuations: Evacuations
-    endpoints: Callable[[], tuple[ListedEndpoint, ...]]
-    replace_endpoints: Callable[[tuple[ListedEndpoint, ...]], None]
-    entries: Callable[[], tuple[Node, ...]]
-    seeds: Callable[[], tuple[Address, ...]]
-    is_store_unreachable: Callable[[], bool]
-    is_store_behind: Callable[[], bool]
-    store_era: StoreEra
-    clock: Callable[[], float]
-    randomness: Random
-
-
-class _Packer:
-    """Packs each version once, for any number of requests."""
-
-    def __init__(self) -> None:
-        self._key: tuple[int, ...] = ()
-        self._packed = b''
-
-    def pack(
-        self,
-        key: tuple[int, ...],
-        read: Callable[[], object],
-    ) -> bytes:
-        if key != self._key:
-            self._packed = pack(read())
-            self._key = key
-        return self._packed
-
-
 class RoutingRelay:
     """Decides whether this entry reads the store, and polls peers otherwise.
 
@@ -131,8 +71,7 @@
         # the store, so that readers confirm their data more often.
         self.on_growth: list[Callable[[], None]] = []
         self._changed = trio.Event()
-        self._routes_packer = _Packer()
-        self._list_packer = _Packer()
+        self._replies = PollReplies(inputs=inputs)
 
     @property
     def is_store_reader(self) -> bool:
@@ -179,9 +118,9 @@
         and at the latest after the long-poll timeout.
         """
         with trio.move_on_after(min(request.wait_seconds, LONG_POLL_SECONDS)):
-            while not _is_reply_due(self._inputs, request):
+            while not is_reply_due(self._inputs, request):
                 await self._changed.wait()
-        return Ok(self._reply(request))
+        return Ok(self._replies.make(request))
 
     async def run(self) -> None:
         """Poll peers while this entry doesn't or can't read the store."""
@@ -214,7 +153,7 @@
             0.0 if self.readers.has_stale_reader else LONG_POLL_SECONDS
         )
         reply = await self._poll(address, wait_seconds=wait_seconds)
-        if reply.is_ok() and _is_fresh(reply.ok):
+        if reply.is_ok() and is_fresh(reply.ok):
             self.readers.record_fresh()
         else:
             self.readers.record_stale(
@@ -235,7 +174,7 @@
                 if reply.is_ok():
                     nursery.cancel_scope.cancel()
 
-            for address in _choose_some(self._inputs):
+            for address in self._choose_some():
                 nursery.start_soon(poll, address)
 
     async def _poll(
@@ -273,37 +212,6 @@
             self.notify_waiters()
         return reply
 
-    def _reply(self, request: RoutingSyncRequest) -> RoutingSyncReply:
-        routes = self._inputs.routes
-        list_state = self._inputs.endpoint_list_state
-        are_routes_newer = are_routes_outdated(routes, request)
-        is_list_newer = is_list_outdated(list_state, request)
-        return RoutingSyncReply(
-            routes_version=routes.version,
-            routes_era=routes.era,
-            routes_age_seconds=min(routes.age_seconds(), UNKNOWN_AGE_SECONDS),
-            list_version=list_state.version,
-            list_era=list_state.era,
-            list_age_seconds=min(
-                self._inputs.clock() - list_state.confirmed_at,
-                UNKNOWN_AGE_SECONDS,
-            ),
-            is_cut=self._inputs.is_store_unreachable(),
-            evacuations=self._inputs.evacuations.current
-            if are_evacuations_outdated(self._inputs.evacuations, request)
-            else None,
-            is_store_behind=self._inputs.is_store_behind(),
-            routes=self._routes_packer.pack(
-                (routes.era, routes.version),
-                lambda: routes.table,
-            )
-            if are_routes_newer
-            else None,
-            endpoints=_pack_endpoints(self._list_packer, self._inputs)
-            if is_list_newer
-            else None,
-        )
-
     def _choose_peer(self) -> tuple[str, Address | None]:
         """Return the name and address of the peer to poll.
 
@@ -314,11 +222,19 @@
         own = self._inputs.node
         peers = [each for each in self._inputs.entries() if each != own]
         if not peers:
-            return '', next(iter(_choose_some(self._inputs)), None)
+            return '', next(iter(self._choose_some()), None)
         candidates = self.readers.others() or peers
-        chosen = _choose_nearest(own, candidates)
+        chosen = choose_nearest(own, candidates)
         return chosen.name, chosen.peer_address
 
+    def _choose_some(self) -> list[Address]:
+        return choose_some(
+            self._inputs.node,
+            self._inputs.entries(),
+            self._inputs.seeds(),
+            self._inputs.randomness,
+        )
+
 
 def max_retry_interval_seconds(entry_count: int) -> float:
     """Return the back-off ceiling of failing reads of the store."""
@@ -328,59 +244,5 @@
     )
 
 
-def _is_reply_due(
-    inputs: RoutingRelayInputs, request: RoutingSyncRequest
-) -> bool:
-    return (
-        inputs.is_store_unreachable()
-        or are_routes_outdated(inputs.routes, request)
-        or is_list_outdated(inputs.endpoint_list_state, request)
-        or are_evacuations_outdated(inputs.evacuations, request)
-    )
-
-
-def _pack_endpoints(packer: _Packer, inputs: RoutingRelayInputs) -> bytes:
-    """Return the packed list; it is packed again as cold times fall."""
-    endpoints = inputs.endpoints()
-    list_state = inputs.endpoint_list_state
-    cold = (int(each.cold_seconds) for each in endpoints)
-    return packer.pack(
-        (*list_state.position, list_state.digest, *filter(None, cold)),
-        lambda: endpoints,
-    )
-
-
-def _choose_some(inputs: RoutingRelayInputs) -> list[Address]:
-    """Return a few random peers, or seeds before any peer is known."""
-    own_address = inputs.node.peer_address
-    peers = [each.peer_address for each in inputs.entries()]
-    addresses = [each for each in peers if each != own_address]
-    if not addresses:
-        seeds = inputs.seeds()
-        addresses = [each for each in seeds if each != own_address]
-    count = min(MAX_PARALLEL_POLLS, len(addresses))
-    return inputs.randomness.sample(addresses, count)
-
-
-def _choose_nearest(own: Node, candidates: Iterable[Node]) -> Node:
-    """Return one of the candidates, of the own failure domain if possible."""
-    local = {
-        each.name: each
-        for each in candidates
-        if each.failure_domain == own.failure_domain
-    }
-    choices = local or {each.name: each for each in candidates}
-    name = choose_by_hash(f'reader-of/{own.name}', choices, 1)[0]
-    return choices[name]
-
-
-def _is_fresh(reply: RoutingSyncReply) -> bool:
-    """Return whether reading the store would show nothing newer."""
-    return not reply.is_cut and (
-        reply.is_store_behind
-        or reply.routes_age_seconds <= STALENESS_BOUND_SECONDS
-    )
-
-
 def _outcome(reply: Result[RoutingSyncReply, Failure]) -> str:
     return 'answered' if reply.is_ok() else str(reply.error.reason)
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -9,10 +9,10 @@
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerCall
+from limpetdrift.coordination.routing.relay_inputs import RoutingRelayInputs
+from limpetdrift.coordination.routing.routing_merge import EndpointListState
 from limpetdrift.coordination.routing.routing_relay import (
-    EndpointListState,
     RoutingRelay,
-    RoutingRelayInputs,
     max_retry_interval_seconds,
 )
 from limpetdrift.logs import note, warn
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -8,11 +8,9 @@
 
 from fake_network import FakeNetwork
 from limpetdrift.coordination.peers import PeerRoutes
-from limpetdrift.coordination.routing.routing_relay import (
-    EndpointListState,
-    RoutingRelay,
-    RoutingRelayInputs,
-)
+from limpetdrift.coordination.routing.relay_inputs import RoutingRelayInputs
+from limpetdrift.coordination.routing.routing_merge import EndpointListState
+from limpetdrift.coordination.routing.routing_relay import RoutingRelay
 from limpetdrift.platform.store import RowPage, StoredRow
 from limpetdrift.protocol.node import Node, Role
 from limpetdrift.protocol.route_table import RouteTable
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -22,11 +22,9 @@
     make_gate,
 )
 from limpetdrift.coordination.forwarding.attempt_race import AttemptRace
-from limpetdrift.coordination.routing.routing_relay import (
-    EndpointListState,
-    RoutingRelay,
-    RoutingRelayInputs,
-)
+from limpetdrift.coordination.routing.relay_inputs import RoutingRelayInputs
+from limpetdrift.coordination.routing.routing_merge import EndpointListState
+from limpetdrift.coordination.routing.routing_relay import RoutingRelay
 from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.platform.endpoint_sync import EndpointSync
 from limpetdrift.platform.reservations import (
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -12,12 +12,14 @@
 from fake_network import FakeNetwork
 from forward_harness import make_endpoints
 from knowledge_fakes import FakeStore, RelayEntry
+from limpetdrift.coordination.routing.poll_replies import PollReplies
+from limpetdrift.coordination.routing.poll_targets import (
+    STALENESS_BOUND_SECONDS,
+)
 from limpetdrift.coordination.routing.routing_relay import (
     DUTY_CHECK_SECONDS,
     LONG_POLL_SECONDS,
     READER_LONG_POLL_SECONDS,
-    STALENESS_BOUND_SECONDS,
-    RoutingRelay,
 )
 from limpetdrift.coordination.routing.store_readers import DIRECT_READ_SECONDS
 from limpetdrift.platform.endpoint_sync import LAPSE_GRACE_SECONDS, EndpointSync
@@ -273,7 +275,7 @@
         pack_counts[type(content)] += 1
         return pack(content)
 
-    monkeypatch.setattr(f'{RoutingRelay.__module__}.pack', count_pack)
+    monkeypatch.setattr(f'{PollReplies.__module__}.pack', count_pack)
     cluster = Cluster(40)
     async with background_tasks(cluster):
         await trio.sleep(5)
