Keep the request for a plan apart from the choice of its group

Only moved: who asks a planner, for how long, and what follows from its silence is planner_calls; plan_placer decides which group is asked. No behaviour changed.

--- a/src/limpetdrift/coordination/planning/plan_placer.py
+++ b/src/limpetdrift/coordination/planning/plan_placer.py
@@ -45,14 +45,16 @@
     make_dispatch_plan,
     make_plan_request,
 )
+from limpetdrift.coordination.planning.planner_calls import (
+    PLAN_PATH,
+    REFUSAL_REASONS,
+    request_plan,
+)
 from limpetdrift.coordination.planning.planner_client import (
     ACTIVE_PATH,
     ENDED_PATH,
-    PLAN_PATH,
-    REFUSAL_REASONS,
     PlannerClient,
     PlannerClientInputs,
-    call_planner,
 )
 from limpetdrift.coordination.scheduling.named_groups import NamedGroups
 from limpetdrift.protocol.plans import (
@@ -244,34 +246,15 @@
         A plan made here for another group would ignore almost all prompts
         there.
         """
-        planned = await self._request_plan(request)
+        planned = await request_plan(
+            request, self._inputs, self.planner_client, self.group_loads
+        )
         if planned.is_ok() or planned.error.reason in REFUSAL_REASONS:
             return planned
         if request.group != self.groups.home(request.service):
             return planned
         return self._inputs.planner.plan(request, is_decider=False)
 
-    async def _request_plan(
-        self, request: PlanRequest
-    ) -> Result[Plan, Failure]:
-        """Get a plan from the planner of the request's group."""
-        planner = self.planner_client.planner(request.group)
-        if planner is None:
-            return self.group_loads.name_group(
-                self._inputs.planner.plan(request), request
-            )
-        answer = await call_planner(
-            self._inputs.call, self.planner_client, planner, request
-        )
-        if answer.is_ok():
-            # ``Planner.plan`` books only the plans that it makes itself.
-            self._inputs.planner.book_plan(answer.ok, request)
-        if answer.is_ok() or answer.error.reason in REFUSAL_REASONS:
-            self.planner_client.record_answer(planner, request.group)
-        else:
-            self.planner_client.record_unreachable(planner, answer.error)
-        return answer
-
     def _accept(
         self,
         planned: Result[Plan, Failure],
--- a/src/limpetdrift/coordination/planning/planner_client.py
+++ b/src/limpetdrift/coordination/planning/planner_client.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 
 import trio
-from expression import Result
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.engines.planning_groups import planner_candidates
@@ -43,15 +42,6 @@
 # Batching interval: plans that end within it are reported in one message.
 ENDED_BATCH_SECONDS = 0.05
 _REPORT_TIMEOUT_SECONDS = 0.3
-PLAN_PATH = 'plan'
-# Timeout of a plan request. A planner answers within a few milliseconds; one
-# that doesn't delays each prompt by this time at most.
-PLAN_TIMEOUT_SECONDS = 0.08
-# Reasons with which a planner refuses a prompt; ``NO_MEMORY`` comes from those
-# of earlier builds. After any other failure the plan is made locally.
-REFUSAL_REASONS = frozenset(
-    (Reason.NO_ENDPOINT, Reason.NO_MEMORY, Reason.OVERLOADED),
-)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -275,28 +265,3 @@
 
 def _is_backed_off(back_off: _BackOff | None, now: float) -> bool:
     return back_off is not None and back_off.until > now
-
-
-async def call_planner(
-    call: PeerCall,
-    planner_client: PlannerClient,
-    planner: Node,
-    request: PlanRequest,
-) -> Result[Plan, Failure]:
-    """Ask a planner; ended plans that it may not know of are kept."""
-    has_answered = False
-    try:
-        answer = await call(
-            planner.peer_address,
-            PLAN_PATH,
-            request,
-            Plan,
-            timeout_seconds=PLAN_TIMEOUT_SECONDS,
-        )
-        has_answered = answer.is_ok() or answer.error.reason in REFUSAL_REASONS
-    finally:
-        if request.ended and not has_answered:
-            planner_client.report_soon(
-                request.service, request.group, request.ended
-            )
-    return answer
--- a/tests/test_group_loads.py
+++ b/tests/test_group_loads.py
@@ -14,7 +14,7 @@
 from limpetdrift.coordination.planning.group_load_exchange import (
     GROUP_LOADS_PATH,
 )
-from limpetdrift.coordination.planning.planner_client import PLAN_PATH
+from limpetdrift.coordination.planning.planner_calls import PLAN_PATH
 from limpetdrift.coordination.scheduling.group_loads import (
     GroupLoads,
     KnownLoad,
