--- a/src/limpetdrift/coordination/scheduling/group_loads.py
+++ b/src/limpetdrift/coordination/scheduling/group_loads.py
@@ -23,7 +23,7 @@
 )
 from limpetdrift.protocol.plans import EngineGroup, GroupLoad, PlanRequest
 from limpetdrift.protocol.route_table import EngineCostModel
-from limpetdrift.state.engine_ledger import EngineUsage
+from limpetdrift.state.engine_usage import EngineUsage
 
 # A digest that is older doesn't count.
 STALE_SECONDS = 3.0
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -6,17 +6,22 @@
 """
 
 import heapq
-from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from limpetdrift.protocol.work import (
     EndpointIdentity,
     EngineReport,
     ListedEndpoint,
 )
+from limpetdrift.state.booked_engine import (
+    BookedEngine,
+    compute_usage,
+    forget_ended,
+    usage_holds_until,
+)
 from limpetdrift.state.engine_usage import Booking, EngineUsage, PlanLease
-from limpetdrift.state.prefill_schedule import NO_PLANS, PrefillSchedule
+from limpetdrift.state.prefill_schedule import NO_PLANS
 
 # Back-off after an engine's failure, during which other engines are
 # preferred, and its ceiling. It doubles with each further failure.
@@ -27,32 +32,6 @@
 # Time for which an engine that turned a request away counts as full. Within it
 # the next report shows what the engine does.
 FULL_SECONDS = 0.5
-# Age of a report when it is read, at most. Requests that ended within it may
-# still be counted there.
-REPORT_AGE_SECONDS = 0.5
-# Staleness bound of a report's count of requests that belong to no plan.
-REPORT_STALENESS_BOUND_SECONDS = 2.0
-
-
-@dataclass(kw_only=True, slots=True)
-class _Engine:
-    prefills: PrefillSchedule = field(default_factory=PrefillSchedule)
-    failures: int = 0
-    failing_until: float = float('-inf')
-    full_until: float = float('-inf')
-    report: EngineReport | None = None
-    unplanned: int = 0
-    unplanned_tokens: int = 0
-    unplanned_since: float = float('-inf')
-    reported_at: float = float('-inf')
-    bookings: dict[str, Booking] = field(default_factory=dict)
-    # Bookings of plans that were booked as tentative.
-    tentative: dict[str, Booking] = field(default_factory=dict)
-    # Bookings that ended lately, with the time at which each ended.
-    ended: deque[tuple[float, Booking]] = field(default_factory=deque)
-    # The last computed usage, until when it holds if nothing else changes.
-    usage: EngineUsage | None = None
-    usage_until: float = float('-inf')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,7 +51,7 @@
 
     def __init__(self, *, clock: Callable[[], float]) -> None:
         self._clock = clock
-        self._engines: dict[EndpointIdentity, _Engine] = {}
+        self._engines: dict[EndpointIdentity, BookedEngine] = {}
         self._plans: dict[str, _BookedPlan] = {}
         # Time limits of plans, the earliest first; a heap.
         self._time_limits: list[tuple[float, str]] = []
@@ -121,7 +100,7 @@
             engine.bookings.pop(plan_name, None)
             engine.tentative.pop(plan_name, None)
             engine.ended.append((now, booking))
-            _forget_ended(engine, now)
+            forget_ended(engine, now)
             engine.usage = None
             if not (engine.bookings or engine.tentative):
                 engine.prefills.clear()
@@ -147,7 +126,7 @@
 
     def mark_failing(self, identity: EndpointIdentity) -> None:
         """Record a failure, so that other engines are preferred for a while."""
-        engine = self._engines.setdefault(identity, _Engine())
+        engine = self._engines.setdefault(identity, BookedEngine())
         now = self._clock()
         if now - engine.failing_until > FAILURE_RESET_SECONDS:
             engine.failures = 0
@@ -161,7 +140,7 @@
 
     def mark_full(self, identity: EndpointIdentity) -> None:
         """Record that an engine turned a request away for want of room."""
-        engine = self._engines.setdefault(identity, _Engine())
+        engine = self._engines.setdefault(identity, BookedEngine())
         engine.usage = None
         engine.full_until = self._clock() + FULL_SECONDS
 
@@ -178,7 +157,7 @@
         """
         now = self._clock()
         engine = self._engine(endpoint)
-        _forget_ended(engine, now)
+        forget_ended(engine, now)
         counted = [
             *engine.bookings.values(),
             *engine.tentative.values(),
@@ -225,7 +204,7 @@
         engine = self._engine(endpoint)
         if left_out.isdisjoint(engine.tentative):
             return self._usage_of(endpoint, now)
-        return _compute_usage(endpoint, engine, now, left_out)
+        return compute_usage(endpoint, engine, now, left_out)
 
     def _usage_of(self, endpoint: ListedEndpoint, now: float) -> EngineUsage:
         """Return the usage of one engine, computed anew only if it may differ.
@@ -240,15 +219,15 @@
             or usage.endpoint is not endpoint
             or now >= engine.usage_until
         ):
-            usage = _compute_usage(endpoint, engine, now)
+            usage = compute_usage(endpoint, engine, now)
             engine.usage = usage
-            engine.usage_until = _usage_holds_until(engine, now)
+            engine.usage_until = usage_holds_until(engine, now)
         return usage
 
-    def _engine(self, endpoint: ListedEndpoint) -> _Engine:
+    def _engine(self, endpoint: ListedEndpoint) -> BookedEngine:
         engine = self._engines.get(endpoint.identity)
         if engine is None:
-            engine = _Engine()
+            engine = BookedEngine()
             self._engines[endpoint.identity] = engine
         return engine
 
@@ -258,68 +237,3 @@
             plan = self._plans.get(name)
             if plan is not None and plan.ends_at <= now:
                 self.end(name)
-
-
-def _forget_ended(engine: _Engine, now: float) -> None:
-    while engine.ended and engine.ended[0][0] < now - REPORT_AGE_SECONDS:
-        engine.ended.popleft()
-
-
-def _compute_usage(
-    endpoint: ListedEndpoint,
-    engine: _Engine,
-    now: float,
-    left_out: frozenset[str] = NO_PLANS,
-) -> EngineUsage:
-    engine.prefills.forget_ended(now)
-    counted = list(engine.bookings.values())
-    if not engine.tentative.keys() <= left_out:
-        counted += (
-            booking
-            for name, booking in engine.tentative.items()
-            if name not in left_out
-        )
-    written = tuple(
-        booking.stream for booking in counted if booking.stream is not None
-    )
-    if now - engine.reported_at > REPORT_STALENESS_BOUND_SECONDS:
-        engine.unplanned = 0
-        engine.unplanned_tokens = 0
-    report = engine.report
-    queued = report.queued if report and engine.unplanned else 0
-    if engine.full_until > now:
-        queued = max(1, queued)
-    busy_until, gap_seconds = engine.prefills.span(now, left_out)
-    return EngineUsage(
-        endpoint=endpoint,
-        unplanned=engine.unplanned,
-        unplanned_tokens=engine.unplanned_tokens,
-        unplanned_seconds=(
-            now - engine.unplanned_since if engine.unplanned else 0.0
-        ),
-        queued=queued,
-        pace=report.pace if report else 1.0,
-        backlog_seconds=busy_until - now,
-        gap_seconds=gap_seconds,
-        memory_tokens=engine.unplanned_tokens
-        + sum(booking.memory_tokens for booking in counted),
-        written=written,
-        failing=engine.failing_until > now,
-    )
-
-
-def _usage_holds_until(engine: _Engine, now: float) -> float:
-    """Return until when a usage holds if no booking or report changes it.
-
-    Booked prefills are counted from now, so with any it holds no time at all.
-    """
-    if engine.prefills:
-        return now
-    changes_at = [float('inf')]
-    if engine.failing_until > now:
-        changes_at.append(engine.failing_until)
-    if engine.full_until > now:
-        changes_at.append(engine.full_until)
-    if engine.unplanned:
-        changes_at.append(engine.reported_at + REPORT_STALENESS_BOUND_SECONDS)
-    return min(changes_at)
