Add up the bookings of an engine only when they have changed

Cause: with prefills booked, the load on each engine was computed from all of its bookings for each plan, since it depends on the time.

--- a/src/limpetdrift/state/booked_engine.py
+++ b/src/limpetdrift/state/booked_engine.py
@@ -2,10 +2,15 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
-from limpetdrift.state.engine_usage import Booking, EngineUsage
-from limpetdrift.state.prefill_schedule import NO_PLANS, PrefillSchedule
+from limpetdrift.state.engine_usage import Booking, EngineUsage, StreamUse
+from limpetdrift.state.prefill_schedule import (
+    NO_PLANS,
+    PrefillSchedule,
+    select_kept,
+)
 
 # Age of a report when it is read, at most. Requests that ended within it may
 # still be counted there.
@@ -14,6 +19,13 @@
 REPORT_STALENESS_BOUND_SECONDS = 2.0
 
 
+class BookedLoad(NamedTuple):
+    """The streams and the memory that bookings use together."""
+
+    written: tuple[StreamUse, ...]
+    memory_tokens: int
+
+
 @dataclass(kw_only=True, slots=True)
 class BookedEngine:
     """An engine's bookings, failures and last report."""
@@ -35,6 +47,13 @@
     # The last computed usage, until when it holds if nothing else changes.
     usage: EngineUsage | None = None
     usage_until: float = float('-inf')
+    # What all bookings use together, until they change.
+    booked: BookedLoad | None = None
+
+    def forget_load(self) -> None:
+        """Let the load be computed anew after a change of the bookings."""
+        self.usage = None
+        self.booked = None
 
 
 def forget_ended(engine: BookedEngine, now: float) -> None:
@@ -51,16 +70,7 @@
 ) -> EngineUsage:
     """Return the load on an engine, without that of the plans ``left_out``."""
     engine.prefills.forget_ended(now)
-    counted = list(engine.bookings.values())
-    if not engine.tentative.keys() <= left_out:
-        counted += (
-            booking
-            for name, booking in engine.tentative.items()
-            if name not in left_out
-        )
-    written = tuple(
-        booking.stream for booking in counted if booking.stream is not None
-    )
+    booked = _booked_load(engine, left_out)
     if now - engine.reported_at > REPORT_STALENESS_BOUND_SECONDS:
         engine.unplanned = 0
         engine.unplanned_tokens = 0
@@ -80,13 +90,33 @@
         pace=report.pace if report else 1.0,
         backlog_seconds=busy_until - now,
         gap_seconds=gap_seconds,
-        memory_tokens=engine.unplanned_tokens
-        + sum(booking.memory_tokens for booking in counted),
-        written=written,
+        memory_tokens=engine.unplanned_tokens + booked.memory_tokens,
+        written=booked.written,
         failing=engine.failing_until > now,
     )
 
 
+def _booked_load(engine: BookedEngine, left_out: frozenset[str]) -> BookedLoad:
+    """Return what the bookings use together, computed once for all plans."""
+    if left_out:
+        kept = select_kept(engine.tentative, left_out)
+        return _add_up((*engine.bookings.values(), *kept))
+    if engine.booked is None:
+        engine.booked = _add_up(
+            (*engine.bookings.values(), *engine.tentative.values())
+        )
+    return engine.booked
+
+
+def _add_up(bookings: tuple[Booking, ...]) -> BookedLoad:
+    return BookedLoad(
+        written=tuple(
+            booking.stream for booking in bookings if booking.stream is not None
+        ),
+        memory_tokens=sum(booking.memory_tokens for booking in bookings),
+    )
+
+
 def usage_holds_until(engine: BookedEngine, now: float) -> float:
     """Return until when a usage holds if no booking or report changes it.
 
--- a/src/limpetdrift/state/engine_ledger.py
+++ b/src/limpetdrift/state/engine_ledger.py
@@ -86,7 +86,7 @@
             engine = self._engine(booking.endpoint)
             found = engine.tentative if lease.is_tentative else engine.bookings
             found[lease.name] = booking
-            engine.usage = None
+            engine.forget_load()
             engine.prefills.add(lease, booking, now, passed)
 
     def end(self, plan_name: str) -> None:
@@ -101,7 +101,7 @@
             engine.tentative.pop(plan_name, None)
             engine.ended.append((now, booking))
             forget_ended(engine, now)
-            engine.usage = None
+            engine.forget_load()
             if not (engine.bookings or engine.tentative):
                 engine.prefills.clear()
 
@@ -114,7 +114,7 @@
             engine = self._engine(booking.endpoint)
             engine.tentative.pop(plan_name, None)
             engine.prefills.remove(plan_name)
-            engine.usage = None
+            engine.forget_load()
 
     def end_all_of(self, holder: str) -> None:
         """Remove all plans of one holder."""
