Note a leaving header of the stand-in as told only when it is sent

Ruled out: a signal that the entry lost (no answer of the endpoint arrived whole after it left).

Change: the headers are made, and noted, only for an answer that is sent. The check is as strict as before for each answer that told something.

Measured: the new test failed before.

--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from functools import partial
 from math import inf
 
 import msgspec
@@ -252,7 +253,9 @@
             return
         await trio.sleep(EVENT_INTERVAL_SECONDS)
         await self._wait_silence()
-        await _send_answer(exchange, self._run_headers(request_id), breaks_off)
+        await _send_answer(
+            exchange, partial(self._run_headers, request_id), breaks_off
+        )
 
     async def _stream_events(
         self,
@@ -356,10 +359,13 @@
 
 
 async def _send_answer(
-    exchange: Exchange, headers: Headers, breaks_off: bool
+    exchange: Exchange, make_headers: Callable[[], Headers], breaks_off: bool
 ) -> None:
     if breaks_off:
+        # Nothing is sent, so the caller is told nothing by headers either.
         await exchange.abort()
         return
     body = exchange.request.header('attempt-id').encode()
-    await exchange.respond(Response(status=_OK, headers=headers, body=body))
+    await exchange.respond(
+        Response(status=_OK, headers=make_headers(), body=body)
+    )
--- a/tests/soak/seeds.py
+++ b/tests/soak/seeds.py
@@ -10,4 +10,5 @@
     2023: 'a second SIGTERM cut off the answers that were under way',
     2201: 'a stream ended in a silence of its engine, as no other took it',
     2202: 'a stream ended in a silence of its engine, as no other took it',
+    8004: 'the stand-in noted a header as sent that it had not sent',
 }
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -120,6 +120,35 @@
     ).is_error()
 
 
+@in_virtual_time
+async def test_endpoint_that_breaks_off_has_told_nobody_that_it_leaves():
+    """Guards against a find of the soak that is none (seed 8004).
+
+    The entry was held to have read a header that was never sent.
+    """
+    endpoint = StandinEndpoint(
+        name='i-1',
+        service='s',
+        address=Address(host='h', port=1),
+        journal=Journal(),
+        clock=trio.current_time,
+    )
+    endpoint.leaving = True
+    endpoint.fail_next = 1
+    for request_id in ('broken', 'whole'):
+        headers = (('attempt-id', request_id), ('token-usage', ''))
+        request = Request(method='POST', path='/', headers=headers)
+        exchange = LocalExchange(request=request)
+        exchange.wait_closed = trio.sleep_forever
+        exchange.abort = trio.lowlevel.checkpoint
+        await endpoint.handle(exchange)
+    assert [run.request_id for run in endpoint.journal.runs] == [
+        'broken',
+        'whole',
+    ]
+    assert endpoint.journal.told_leaving == [('whole', 'i-1')]
+
+
 @in_virtual_time
 async def test_silent_endpoint_pauses_its_streams_and_goes_on():
     endpoint = StandinEndpoint(
