Keep a reserve of free slots from accounts above their share

Cause, from the plans of test_account_shares at 0.8 of the engines' time: all but a few of the 78 late prompts of the other accounts waited 0.2 to 0.4 s for a slot. An account at ten times its load got every slot that was free, also the last ones, so the others were late whenever some more of them came than usual. Ruled out: refusals of the others (none), and the time until the burst is noticed (26 late).

Change: while accounts contend, a prompt of one above its share is refused unless more slots are free than the square root of their number, by which the number of streams fluctuates.

--- a/src/limpetdrift/coordination/scheduling/admission.py
+++ b/src/limpetdrift/coordination/scheduling/admission.py
@@ -2,10 +2,11 @@
 
 Answers demand beyond what the engines can prefill: prompts that would time out
 while they wait are refused at once, with a time to retry. While prompts are
-late or refused, accounts above their fair share get only what is on time, so
-that the others don't queue behind them.
+late or refused, accounts above their fair share get only what is on time and
+leaves some slots free, so that the others don't queue behind them.
 """
 
+import math
 from collections.abc import Callable
 from random import Random
 
@@ -163,14 +164,15 @@
     def _has_room(self, split: Split, asked: AskedPrompt) -> bool:
         """Return whether a plan fits into what accounts below theirs leave.
 
-        Engines that are idle may be used by any prompt.
+        Slots that are free beyond those kept for these accounts may be used by
+        any prompt.
         """
         cost_model = self._find_cost_model(asked.request.service)
         if cost_model is None:
             return True
         wait = wait_seconds(split, cost_model)
         if wait <= 0:
-            return True
+            return asked.load.spare_slots > 0
         most = asked.target_seconds * _REMAINING_WAIT_SHARE
         return wait <= most and not is_late(split, asked.request)
 
@@ -198,6 +200,7 @@
         self, usages: tuple[EngineUsage, ...], request: PlanRequest
     ) -> AskedPrompt:
         now = self._clock()
+        cost_model = self._find_cost_model(request.service)
         prompt = RefusedPrompt(
             pool=_pool_of(request),
             fingerprint=request.fingerprint,
@@ -211,9 +214,8 @@
             state=self._state(prompt.pool),
             load=PoolLoad(
                 engines=sum(1 / max(1, usage.pace) for usage in usages),
-                backlog_seconds=_mean_wait(
-                    usages, self._find_cost_model(request.service)
-                ),
+                backlog_seconds=_mean_wait(usages, cost_model),
+                spare_slots=_spare_slots(usages, cost_model),
             ),
             now=now,
         )
@@ -251,5 +253,21 @@
     return sum(waits) / len(usages)
 
 
+def _spare_slots(
+    usages: tuple[EngineUsage, ...], cost_model: EngineCostModel | None
+) -> float:
+    """Return how many slots are free beyond those kept as a reserve.
+
+    The number of streams fluctuates by about the square root of its mean. If an
+    account above its share took the last free slots, prompts of the others
+    would wait for one whenever some more than usual come.
+    """
+    if cost_model is None:
+        return math.inf
+    slots = cost_model.slots * len(usages)
+    taken = sum(min(usage.streams, cost_model.slots) for usage in usages)
+    return slots - taken - math.sqrt(slots)
+
+
 def _pool_of(request: PlanRequest) -> Pool:
     return request.service, request.group
--- a/src/limpetdrift/coordination/scheduling/returns.py
+++ b/src/limpetdrift/coordination/scheduling/returns.py
@@ -65,10 +65,13 @@
     """What a pool's engines can do, and their mean backlog in seconds.
 
     ``engines`` is their number, in which a slow one counts as a part.
+    ``spare_slots`` are free beyond those that are kept for accounts below their
+    share; without a cost model they are unlimited.
     """
 
     engines: float
     backlog_seconds: float
+    spare_slots: float = float('inf')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
