--- a/src/limpetdrift/state/booked_engine.py
+++ b/src/limpetdrift/state/booked_engine.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.state.engine_usage import Booking, EngineUsage, StreamUse
@@ -19,7 +18,8 @@
 REPORT_STALENESS_BOUND_SECONDS = 2.0
 
 
-class BookedLoad(NamedTuple):
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BookedLoad:
     """The streams and the memory that bookings use together."""
 
     written: tuple[StreamUse, ...]
--- a/src/limpetdrift/state/prefill_schedule.py
+++ b/src/limpetdrift/state/prefill_schedule.py
@@ -1,7 +1,8 @@
 """Keeps the times at which the prefills booked at one engine begin and end."""
 
 from collections.abc import Iterable
-from typing import NamedTuple, TypeVar
+from dataclasses import dataclass
+from typing import TypeVar
 
 from limpetdrift.state.engine_usage import Booking, PlanLease
 
@@ -22,7 +23,8 @@
     return [kept for name, kept in by_plan.items() if name not in left_out]
 
 
-class _Span(NamedTuple):
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Span:
     """When the first prefill begins and the last one ends.
 
     The times hold until the next prefill ends, if none is added or removed.
@@ -33,7 +35,11 @@
     holds_until: float
 
 
-_IDLE = _Span(float('inf'), float('-inf'), float('inf'))
+_IDLE = _Span(
+    next_start=float('inf'),
+    busy_until=float('-inf'),
+    holds_until=float('inf'),
+)
 
 
 class PrefillSchedule:
@@ -123,7 +129,11 @@
             return _IDLE
         next_start, _ = min(pending)
         ends = [end for _, end in pending]
-        return _Span(next_start, max(ends), min(ends))
+        return _Span(
+            next_start=next_start,
+            busy_until=max(ends),
+            holds_until=min(ends),
+        )
 
     def _put_off(self, passed: frozenset[str], until: float) -> None:
         """Let prefills of the plans ``passed`` begin at a time or later."""
