--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -65,7 +65,7 @@
         _mark_recovered(entry)
 
 
-async def _stop_and_restart(
+async def stop_and_restart(
     entry: EntryProcess, randomness: random.Random
 ) -> None:
     """Send SIGTERM, then random signals, and restart once it has exited.
@@ -101,13 +101,13 @@
 
 async def roll(site: Site, randomness: random.Random) -> None:
     """Stop an entry with SIGTERM, and restart it after it has exited."""
-    await _stop_and_restart(_choose_entry(site, randomness), randomness)
+    await stop_and_restart(_choose_entry(site, randomness), randomness)
 
 
 async def roll_in_turn(site: Site, randomness: random.Random) -> None:
     """Stop and restart two entries in turn."""
     for entry in randomness.sample(site.entries, 2):
-        await _stop_and_restart(entry, randomness)
+        await stop_and_restart(entry, randomness)
 
 
 async def freeze(site: Site, randomness: random.Random) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -129,7 +129,7 @@
         Caller(site=site, number=number, seed=options.seed)
         for number in range(options.callers)
     ]
-    await _wait_ready(callers)
+    await wait_ready(callers)
     until = time.monotonic() + options.seconds
     faults: list[str] = []
     # Unknown until the last fault has ended.
@@ -152,7 +152,8 @@
     return _check_records(options, site, calls, recovery_due, faults)
 
 
-async def _wait_ready(callers: list[Caller]) -> None:
+async def wait_ready(callers: list[Caller]) -> None:
+    """Send requests of the first caller until one has ended."""
     with trio.fail_after(READY_TIMEOUT_SECONDS):
         while not any(caller.calls for caller in callers):
             end = time.monotonic() + 0.5
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,6 +22,7 @@
 from soak.callers import Call
 from soak.connections import UnansweredError, connect
 from soak.run import SoakOptions, reserve_ports, run_seed
+from soak.upgrade import Replacement
 
 NOW = 1000.0
 CALL = Call(
@@ -253,6 +254,15 @@
         assert first != second
 
 
+def test_replacement_of_entries_counts_whole_answers_as_served():
+    """Guards against a cut or refused answer that counts as served."""
+    cut = dataclasses.replace(CALL, is_complete=False)
+    refused = dataclasses.replace(CALL, status=503, ended_at=NOW + 2)
+    found = Replacement(calls=(CALL, CALL, cut, refused), seconds=9.0)
+    assert found.served_share == 0.5
+    assert found.slowest_seconds > 1
+
+
 def test_soak_has_less_than_a_tenth_of_the_lines_of_src():
     tests = Path(__file__).parent
     source = tests.parent / 'src'
