--- a/tests/test_engine_ledger.py
+++ b/tests/test_engine_ledger.py
@@ -5,21 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limpetdrift.protocol.work import ListedEndpoint
+from forward_harness import make_endpoints
 from limpetdrift.state.engine_ledger import EngineLedger
 from limpetdrift.state.engine_usage import Booking, PlanLease, StreamUse
 
-ENGINES = tuple(
-    ListedEndpoint(
-        name=f'i-{number}',
-        lifetime=1,
-        service='s',
-        address='10.0.0.1:80',
-        failure_domain='d',
-        slots=8,
-    )
-    for number in range(2)
-)
+ENGINES = make_endpoints(2)
 NAMES = ('a', 'b', 'c', 'd')
 
 
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -25,6 +25,16 @@
     return (await call_local(stand_in, request)).ok
 
 
+def make_endpoint() -> StandinEndpoint:
+    return StandinEndpoint(
+        name='i-1',
+        service='s',
+        address=Address(host='h', port=1),
+        journal=Journal(),
+        clock=trio.current_time,
+    )
+
+
 @in_virtual_time
 async def test_service_journal_contains_only_calls_that_ran():
     service = make_service(capacity=1, work_seconds=1)
@@ -126,13 +136,7 @@
 
     The entry was held to have read a header that was never sent.
     """
-    endpoint = StandinEndpoint(
-        name='i-1',
-        service='s',
-        address=Address(host='h', port=1),
-        journal=Journal(),
-        clock=trio.current_time,
-    )
+    endpoint = make_endpoint()
     endpoint.leaving = True
     endpoint.fail_next = 1
     for request_id in ('broken', 'whole'):
@@ -151,13 +155,7 @@
 
 @in_virtual_time
 async def test_silent_endpoint_pauses_its_streams_and_goes_on():
-    endpoint = StandinEndpoint(
-        name='i-1',
-        service='s',
-        address=Address(host='h', port=1),
-        journal=Journal(),
-        clock=trio.current_time,
-    )
+    endpoint = make_endpoint()
     headers = (('attempt-id', 'a'), ('token-usage', '400,510'))
     request = Request(method='POST', path='/', headers=headers)
     exchange = LocalExchange(request=request)
