--- a/review/1/play.py
+++ b/review/1/play.py
@@ -88,8 +88,8 @@
     closed = [each for caller in callers for each in caller.closed]
     passed_on = [each for each in closed if site.runs.get(each)]
     for attempt in passed_on:
-        server = site.runs[attempt][0][0]
-        site.record.note('no answer', attempt=attempt, server=server)
+        name = site.runs[attempt][0][0]
+        site.record.note('no answer', attempt=attempt, server=name)
     site.record.note(
         'kept channels closed without an answer',
         count=len(passed_on),
--- a/review/standins/loopback_site.py
+++ b/review/standins/loopback_site.py
@@ -2,7 +2,8 @@
 
 It has a store, servers, an operator and clients in this process, and entries
 as processes of their own, started with the command of the deploy file. The
-stand-ins follow the users' pages and use the standard library only.
+stand-ins follow the users' pages and use the standard library only. Each entry
+reaches the servers at ports of its own, so that a case can cut one off.
 """
 
 import asyncio
@@ -16,8 +17,10 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections import defaultdict
 from collections.abc import Awaitable, Callable
+from contextlib import ExitStack
 from functools import partial
 from pathlib import Path
 
@@ -477,10 +480,9 @@
         self.zone = ZONES[number % 3]
         self.name = f'edge-{self.zone}-{number}'
         self.host = site.host(10 + number)
-        self.ports = {
-            name: free_port(self.host)
-            for name in ('front', 'ready', 'control', 'directory')
-        }
+        names = ('front', 'ready', 'control', 'directory')
+        ports = free_ports(self.host, len(names))
+        self.ports = dict(zip(names, ports, strict=True))
         self.store = ''
         self.process: asyncio.subprocess.Process | None = None
         self.ends: list[float] = []
@@ -884,11 +886,13 @@
     return f'{host}:{port}'
 
 
-def free_port(host: str) -> int:
-    """Return a port that is free at an address."""
-    with socket.socket() as found:
-        found.bind((host, 0))
-        return found.getsockname()[1]
+def free_ports(host: str, count: int) -> list[int]:
+    """Return ports that are free at an address, each another one."""
+    with ExitStack() as stack:
+        found = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for each in found:
+            each.bind((host, 0))
+        return [each.getsockname()[1] for each in found]
 
 
 def free_network() -> str:
@@ -927,8 +931,8 @@
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
-        record.note('could not run', reason=repr(error))
+    except Exception:
+        record.note('could not run', reason=traceback.format_exc())
         sys.exit(CANNOT_RUN_EXIT)
     record.note('result', rule='held' if held else 'broken')
     sys.exit(0 if held else BROKEN_EXIT)
