Log which task and error ended a process or failed an attempt

What callers saw: nothing by this commit; it is for operators.

Cause: an entry that ends by an error printed its traceback over many lines, none of them JSON, with no time; a collector that takes lines apart keeps a few. Nothing named the task. "attempt failed" named neither the request, nor the endpoint, nor its address. At the end the queue counted a line as gone before it was written, so the last lines could be lost.

Change: each leaf of the error that ends a process has one line with the tasks it went through, its type, text and traceback; the queue is flushed until the lines are written, and the status is 1. "attempt failed" has the same fields with request, endpoint and address, and is counted by type in limpet_attempt_errors_total. No other behaviour changes.

--- a/src/limpetdrift/coordination/forwarding/attempt_outcomes.py
+++ b/src/limpetdrift/coordination/forwarding/attempt_outcomes.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 
 import trio
-from absl import logging
 from expression import Error, Ok
 
 from limpetdrift import telemetry
@@ -19,6 +18,7 @@
     attempt_timeout_seconds,
     first_event_timeout_seconds,
 )
+from limpetdrift.error_logs import leaf_type, log_leaves
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan
 from limpetdrift.verdict import (
@@ -63,14 +63,29 @@
     """
     if not attempt.has_written:
         # Another attempt may still answer.
-        logging.exception('attempt failed')
+        _log_error(progress, attempt, error)
         return Error(may_have_run(Reason.INTERNAL, 'attempt failed'))
     if isinstance(error, _DISCONNECT_ERRORS):
         progress.has_caller_left = True
         return Ok(None)
+    _log_error(progress, attempt, error)
     raise error
 
 
+def _log_error(
+    progress: RequestProgress, attempt: RacingAttempt, error: Exception
+) -> None:
+    telemetry.count('attempt_errors', type=leaf_type(error))
+    endpoint = attempt.endpoint
+    log_leaves(
+        'attempt failed',
+        error,
+        id=progress.request.request_id,
+        endpoint=endpoint.name if endpoint else None,
+        address=endpoint.address if endpoint else None,
+    )
+
+
 def answer_timeout_seconds(
     progress: RequestProgress, placement: DispatchPlan
 ) -> float:
--- a/src/limpetdrift/logs.py
+++ b/src/limpetdrift/logs.py
@@ -44,6 +44,13 @@
     logging.get_absl_logger().warning(message, extra={_FIELDS: fields})
 
 
+def fail(message: str, error: BaseException, **fields: object) -> None:
+    """Log an unexpected error with its traceback, all in one line."""
+    logging.get_absl_logger().error(
+        message, exc_info=error, extra={_FIELDS: fields}
+    )
+
+
 def is_sampled(request: str) -> bool:
     """Return whether a request is logged even if it succeeds.
 
@@ -89,6 +96,7 @@
         self._lines: deque[str] = deque()
         self._dropped = 0
         self._ready = threading.Event()
+        self._is_writing = False
 
     @property
     def dropped(self) -> int:
@@ -114,13 +122,23 @@
             self._ready.clear()
 
     def flush(self, timeout_seconds: float = 0.2) -> None:
-        """Wait until the thread has emptied the queue, or for the timeout."""
+        """Wait until the thread has written all lines, or for the timeout."""
         never_set = threading.Event()
-        while self._lines and timeout_seconds > 0:
+        while self._has_unwritten() and timeout_seconds > 0:
             never_set.wait(_FLUSH_POLL_SECONDS)
             timeout_seconds -= _FLUSH_POLL_SECONDS
 
+    def _has_unwritten(self) -> bool:
+        return bool(self._lines) or self._is_writing
+
     def _write_some(self) -> bool:
+        self._is_writing = True
+        try:
+            return self._write_queued()
+        finally:
+            self._is_writing = False
+
+    def _write_queued(self) -> bool:
         while self._lines:
             count = min(len(self._lines), _BATCH_LINES)
             lines = [self._lines.popleft() for _ in range(count)]
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -8,6 +8,7 @@
 
 from limpetdrift import logs
 from limpetdrift.build_version import report_build_version
+from limpetdrift.error_logs import log_leaves
 from limpetdrift.platform.directory import (
     add_directory_routes,
     add_readiness_routes,
@@ -23,7 +24,7 @@
     register_gauges,
 )
 from limpetdrift.platform.settings import PlatformSettings, read_settings
-from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
+from limpetdrift.programs.exits import BAD_SETTINGS_EXIT, FAILED_EXIT
 from limpetdrift.programs.serving import (
     CLOSE_SECONDS,
     listen_and_serve,
@@ -32,11 +33,15 @@
 from limpetdrift.protocol.codec import encode
 from limpetdrift.transport.messages import Address
 
+# A full queue is written within it, if anyone reads the log.
+FLUSH_SECONDS = 1.0
+
 
 def run() -> None:
     """Serve until stopped; with ``--check``, only check the settings.
 
-    Invalid settings end the process with status 2.
+    Invalid settings end the process with status 2. An error that ends it has
+    a log line for each of its parts, and status 1.
     """
     path, is_check_only = _read_command_line()
     settings = read_settings(path or None)
@@ -47,8 +52,13 @@
         sys.stdout.buffer.write(encode(settings.ok) + b'\n')
         return
     log_queue = logs.set_up_queue('limpet-platform-entry')
-    trio.run(serve, settings.ok)
-    log_queue.flush()
+    try:
+        trio.run(serve, settings.ok)
+    except Exception as error:
+        log_leaves('ended by an error', error)
+        sys.exit(FAILED_EXIT)
+    finally:
+        log_queue.flush(FLUSH_SECONDS)
 
 
 def _read_command_line() -> tuple[str, bool]:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,7 +16,16 @@
 # Each layer may import those before it. Modules at the top level of the package
 # that several layers use come first.
 LAYERS = (
-    frozenset(('clocks', 'logs', 'telemetry', 'telemetry_export', 'verdict')),
+    frozenset(
+        (
+            'clocks',
+            'error_logs',
+            'logs',
+            'telemetry',
+            'telemetry_export',
+            'verdict',
+        )
+    ),
     frozenset(('transport',)),
     frozenset(('protocol',)),
     frozenset(('state',)),
