Refuse addresses that no socket takes where they come in

Cause: parse_address took any digits for a port and any text for a host, so a row of another writer became an endpoint whose address no socket takes. The socket then raised OverflowError or UnicodeError, which nothing between it and the main nursery turns into a failure: the poller of engine reports, the link monitor's probes and a service's calls connect to listed addresses, and one such error ended the process and everything that it had accepted.

Change: an Address is an IP address and a port up to 65535, or can't be made; parse_address needs a port from 1 on, parse_listen_address takes port 0 too. ListedEndpoint checks its address, so a list of a peer is held to the same. The client skips what it can't connect to. A host name is no address: resolving one would wait for a resolver within a request.

--- a/src/limpet_standins/relay.py
+++ b/src/limpet_standins/relay.py
@@ -15,7 +15,11 @@
 
 from limpet_standins.controls import read_faults
 from limpetdrift.protocol.codec import encode_line, json_response
-from limpetdrift.transport.messages import Address, parse_address
+from limpetdrift.transport.messages import (
+    Address,
+    parse_address,
+    parse_listen_address,
+)
 from limpetdrift.transport.routing import Parameters, Routes
 from limpetdrift.transport.server import (
     Exchange,
@@ -182,8 +186,8 @@
     relay = Relay(target=parse_address(command.target))
     routes = Routes()
     routes.add('POST', '/control/faults', relay.replace_faults)
-    data_side = await listen(parse_address(command.listen))
-    control_side = await listen(parse_address(command.control))
+    data_side = await listen(parse_listen_address(command.listen))
+    control_side = await listen(parse_listen_address(command.control))
     server = Server(handler=routes.handle)
     async with trio.open_nursery() as nursery:
         await nursery.start(trio.serve_listeners, relay.serve, data_side)
--- a/src/limpet_standins/serving.py
+++ b/src/limpet_standins/serving.py
@@ -11,7 +11,7 @@
 from limpetdrift import logs
 from limpetdrift.protocol.codec import decode, encode_line, json_response
 from limpetdrift.transport.connection import ServerLimits
-from limpetdrift.transport.messages import parse_address
+from limpetdrift.transport.messages import parse_listen_address
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import (
     Exchange,
@@ -117,7 +117,7 @@
 
 async def _run(factory: Callable[[str], StandIn], listen_address: str) -> None:
     async with trio.open_nursery() as nursery:
-        listeners = await listen(parse_address(listen_address))
+        listeners = await listen(parse_listen_address(listen_address))
         address = str(bound_address(listeners))
         stand_in = factory(address)
         logs.set_up(stand_in.name, 'warning')
@@ -140,7 +140,7 @@
     task_status: trio.TaskStatus,
 ) -> None:
     """Run one stand-in until a fault ends it and closes its connections."""
-    listeners = await listen(parse_address('127.0.0.1:0'))
+    listeners = await listen(parse_listen_address('127.0.0.1:0'))
     address = str(bound_address(listeners))
     with trio.CancelScope() as scope:
         stand_in = factory(address, scope.cancel)
--- a/src/limpetdrift/client.py
+++ b/src/limpetdrift/client.py
@@ -10,13 +10,14 @@
 """
 
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass, field, replace
 
 import msgspec
 import trio
 from expression import Error, Ok, Result
 
+from limpetdrift.logs import warn
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.openai import (
     DEADLINE_HEADER,
@@ -232,9 +233,9 @@
         discovery = decode(answer.ok.body, _Discovery)
         if discovery.is_error() or not discovery.ok.entries:
             return False
-        found = tuple(
-            parse_address(each.address) for each in discovery.ok.entries
-        )
+        found = _parse_usable(each.address for each in discovery.ok.entries)
+        if not found:
+            return False
         self._entries = found
         self._entries_expire_at = (
             trio.current_time() + discovery.ok.max_age_seconds
@@ -317,8 +318,7 @@
         return self._randomness.sample(addresses, len(addresses))
 
     def _add_alternatives(self, failure: Failure) -> None:
-        for text in failure.alternatives:
-            address = parse_address(text)
+        for address in _parse_usable(failure.alternatives):
             if address not in self._entries:
                 self._entries = (*self._entries, address)
 
@@ -384,6 +384,17 @@
     return failure.reason in {Reason.CONNECTION_BROKEN, Reason.IDLE_TIMEOUT}
 
 
+def _parse_usable(texts: Iterable[str]) -> tuple[Address, ...]:
+    """Return the addresses of entries that can be connected to."""
+    addresses = []
+    for text in texts:
+        try:
+            addresses.append(parse_address(text))
+        except ValueError as error:
+            warn('address of an entry is not usable', detail=str(error))
+    return tuple(addresses)
+
+
 async def _read_stream(
     response: ResponseStream,
     progress: _Progress,
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field, replace
 
 from limpetdrift.protocol.route_table import Route
-from limpetdrift.transport.messages import Headers
+from limpetdrift.transport.messages import Headers, parse_address
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,7 +71,8 @@
     ``name`` and ``lifetime`` together identify one process. ``slots`` is the
     number of requests that it runs at a time. ``cold_seconds`` is for how much
     longer it was cold when the list was read or sent; it falls all the time, so
-    it makes no difference between two lists.
+    it makes no difference between two lists. ``address`` is one that can be
+    connected to; any other raises ``ValueError``.
     """
 
     name: str
@@ -83,6 +84,9 @@
     leaving: bool = False
     cold_seconds: float = field(default=0.0, compare=False)
 
+    def __post_init__(self) -> None:
+        parse_address(self.address)
+
     @property
     def identity(self) -> EndpointIdentity:
         """Name and lifetime, which identify one process."""
--- a/src/limpetdrift/state/yaml_scalars.py
+++ b/src/limpetdrift/state/yaml_scalars.py
@@ -16,7 +16,7 @@
     YamlNode,
     join_key,
 )
-from limpetdrift.transport.messages import Address, parse_address
+from limpetdrift.transport.messages import Address, parse_listen_address
 
 _WHOLE_NUMBER = re.compile('-?(0|[1-9][0-9]*)', re.ASCII)
 _NUMBER = re.compile(r'-?(0|[1-9][0-9]*)(\.[0-9]+)?', re.ASCII)
@@ -121,7 +121,7 @@
 
 def _parse_address(text: str) -> Address:
     try:
-        return parse_address(text)
+        return parse_listen_address(text)
     except ValueError as error:
         raise InvalidScalarError(_EXPECTED[Address]) from error
 
--- a/src/limpetdrift/transport/messages.py
+++ b/src/limpetdrift/transport/messages.py
@@ -1,5 +1,6 @@
 """Immutable HTTP messages, and the default limits on their size."""
 
+import socket
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -13,28 +14,76 @@
 DEFAULT_BODY_LIMIT_BYTES = 16_777_216
 DEFAULT_HEADER_LIMIT_BYTES = 32_768
 
+MAX_PORT = 65_535
+# Length of the longest text of an IPv6 address.
+_MAX_HOST_CHARACTERS = 45
+_MAX_PORT_CHARACTERS = len(str(MAX_PORT))
+# Characters of a wrong text that an error message shows.
+_MAX_SHOWN_CHARACTERS = 80
+
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class Address:
-    """An IP address and TCP port, such as ``127.0.0.1:8100``."""
+    """An IP address and TCP port, such as ``127.0.0.1:8100``.
+
+    Port 0 is any free port, and only to listen on. Raises ``ValueError`` for
+    what a socket would not take, such as a name that has to be resolved.
+    """
 
     host: str
     port: int
 
+    def __post_init__(self) -> None:
+        if not is_ip_address(self.host):
+            raise ValueError(f'expected an IP address, got {_cut(self.host)}')
+        if not 0 <= self.port <= MAX_PORT:
+            raise ValueError(f'expected a port up to {MAX_PORT}')
+
     def __str__(self) -> str:
         return f'{self.host}:{self.port}'
 
 
+def is_ip_address(text: str) -> bool:
+    """Return whether a text is an IPv4 or IPv6 address.
+
+    >>> is_ip_address('::1'), is_ip_address('10.1..9')
+    (True, False)
+    """
+    if len(text) > _MAX_HOST_CHARACTERS:
+        return False
+    family = socket.AF_INET6 if ':' in text else socket.AF_INET
+    try:
+        socket.inet_pton(family, text)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
+def parse_listen_address(text: str) -> Address:
+    """Parse ``host:port``, where port 0 is any free port.
+
+    Raises ``ValueError`` for any other text.
+    """
+    host, _, port = text.rpartition(':')
+    # Some digits outside of ASCII are no digits for ``int``.
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or len(port) > _MAX_PORT_CHARACTERS:
+        raise ValueError(f'expected host:port, got {_cut(text)}')
+    return Address(host=host, port=int(port))
+
+
 def parse_address(text: str) -> Address:
-    """Parse ``host:port``; raise ``ValueError`` for any other text.
+    """Parse ``host:port`` of a process that can be connected to.
+
+    Raises ``ValueError`` for any other text.
 
     >>> parse_address('127.0.0.1:8100').port
     8100
     """
-    host, separator, port = text.rpartition(':')
-    if not (host and separator and port.isdigit()):
-        raise ValueError(f'expected host:port, got {text!r}')
-    return Address(host=host, port=int(port))
+    address = parse_listen_address(text)
+    if not address.port:
+        raise ValueError(f'expected a port, got {_cut(text)}')
+    return address
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,5 +133,10 @@
     ]
 
 
+def _cut(text: str) -> str:
+    """Return the begin of a text for an error message."""
+    return repr(text[:_MAX_SHOWN_CHARACTERS])
+
+
 def _header_values(headers: Headers, wanted_name: str) -> Iterator[str]:
     return (text for name, text in headers if name == wanted_name)
