Keep a spoiled report from ending the process that reads it

What callers saw: each report that nests too deeply ended the process that asked for it, with "RecursionError: maximum recursion depth exceeded while deserializing an object".

Cause: msgspec raises more than its own errors, RecursionError for one, also in a field that is not read. Each place listed the exceptions that it had thought of; only the endpoint rows listed this one. The same cause acted on the configuration, the settings, the lines of engines and on the messages of peers and the store's answers, which `codec.decode` reads.

Change: `codec.decode_json` is the one function that decodes JSON from outside, and returns a value or what is wrong. Reports, rows, configuration, settings, engine lines and `codec.decode` use it. The kind of a route is checked by its type, so that no KeyError is left to be caught.

--- a/src/limpetdrift/platform/configuration.py
+++ b/src/limpetdrift/platform/configuration.py
@@ -3,9 +3,12 @@
 Fields of the document that the program does not use are ignored.
 """
 
+from typing import Literal
+
 import msgspec
-from expression import Error, Ok, Result
+from expression import Result
 
+from limpetdrift.protocol.codec import decode_json
 from limpetdrift.protocol.route_table import (
     Account,
     CallerLimits,
@@ -42,7 +45,7 @@
     name: str
     host: str
     path_prefix: str
-    kind: str
+    kind: Literal['idempotent', 'non_idempotent', 'streaming']
     timeout_ms: float = 10000
     target_latency_ms: float = 1000
     priority: int = 0
@@ -120,10 +123,11 @@
     >>> decode_route_table(b'{"version": 3}').ok.version
     3
     """
-    try:
-        return Ok(_convert(msgspec.json.decode(payload, type=_Document)))
-    except (msgspec.DecodeError, KeyError) as error:
-        return Error(f'configuration: {error}')
+    return (
+        decode_json(payload, _Document)
+        .map(_convert)
+        .map_error(lambda detail: f'configuration: {detail}')
+    )
 
 
 def _convert(document: _Document) -> RouteTable:
--- a/src/limpetdrift/platform/endpoint_rows.py
+++ b/src/limpetdrift/platform/endpoint_rows.py
@@ -9,6 +9,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from limpetdrift.protocol.codec import decode_json
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.transport.messages import parse_address
 
@@ -40,10 +41,10 @@
     >>> decode_endpoint('i-1', b'nonsense').is_error()
     True
     """
-    try:
-        row = msgspec.json.decode(payload, type=_EndpointRow)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        return Error(str(error))
+    decoded = decode_json(payload, _EndpointRow)
+    if decoded.is_error():
+        return Error(decoded.error)
+    row = decoded.ok
     fault = _find_fault(row)
     if fault:
         return Error(fault)
--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -6,6 +6,7 @@
 from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
 from limpetdrift.coordination.planning.engine_report_poller import ReadReport
 from limpetdrift.platform.endpoint_signals import decode_signals
+from limpetdrift.protocol.codec import decode_json
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import OK, Request, Response, parse_address
@@ -88,10 +89,10 @@
     >>> decode_report(b'{"active": 2}', engine).ok.active
     2
     """
-    try:
-        report = msgspec.json.decode(payload, type=_Report)
-    except msgspec.DecodeError as error:
-        return Error(_bad_report(str(error)))
+    decoded = decode_json(payload, _Report)
+    if decoded.is_error():
+        return Error(_bad_report(decoded.error))
+    report = decoded.ok
     if report.born is not None and report.born != engine.lifetime:
         return Error(_bad_report('report of another lifetime'))
     return Ok(
--- a/src/limpetdrift/platform/settings.py
+++ b/src/limpetdrift/platform/settings.py
@@ -10,6 +10,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from limpetdrift.protocol.codec import decode_json
 from limpetdrift.transport.messages import Address, parse_address
 
 SETTINGS_VARIABLE = 'LIMPETDRIFT_BOOT'
@@ -150,9 +151,13 @@
     >>> decode_settings(b'{}').is_error()
     True
     """
+    return decode_json(payload, _SettingsFile).bind(_convert_checked)
+
+
+def _convert_checked(file: _SettingsFile) -> Result[PlatformSettings, str]:
     try:
-        return Ok(_convert(msgspec.json.decode(payload, type=_SettingsFile)))
-    except (msgspec.DecodeError, ValueError) as error:
+        return Ok(_convert(file))
+    except ValueError as error:
         return Error(str(error))
 
 
--- a/src/limpetdrift/protocol/codec.py
+++ b/src/limpetdrift/protocol/codec.py
@@ -27,13 +27,27 @@
 def decode(payload: bytes, kind: type[Message]) -> Result[Message, Failure]:
     """Decode a message of the given class.
 
-    Unknown keys are ignored. Malformed JSON, a missing key or a value of a
-    wrong type fails with ``BAD_REQUEST``, whose detail names the error.
+    Unknown keys are ignored. Anything that is no such message, such as
+    malformed JSON, a missing key or a value of a wrong type, fails with
+    ``BAD_REQUEST``, whose detail names the error.
+    """
+    return decode_json(payload, kind).map_error(
+        lambda detail: not_run(Reason.BAD_REQUEST, detail)
+    )
+
+
+def decode_json(payload: bytes, kind: type[Message]) -> Result[Message, str]:
+    """Decode JSON from outside the process, or return what is wrong with it.
+
+    >>> decode_json(b'{"a":' + b'[' * 9000, dict).is_error()
+    True
     """
     try:
         return Ok(msgspec.json.decode(payload, type=kind))
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        return Error(not_run(Reason.BAD_REQUEST, str(error)))
+    except Exception as error:
+        # The decoder raises more than its own errors: RecursionError on deep
+        # nesting, and whatever a message class raises about its fields.
+        return Error(str(error))
 
 
 def json_request(method: str, path: str, message: object = None) -> Request:
--- a/src/limpetdrift/protocol/engine.py
+++ b/src/limpetdrift/protocol/engine.py
@@ -8,9 +8,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-import msgspec
-
-from limpetdrift.protocol.codec import decode, json_request
+from limpetdrift.protocol.codec import decode, decode_json, json_request
 from limpetdrift.transport.client import HttpClient, ResponseStream
 from limpetdrift.transport.messages import Address, Headers, Request
 from limpetdrift.verdict import (
@@ -103,7 +101,6 @@
     code: str = ''
 
 
-_line_decoder = msgspec.json.Decoder(StreamLine)
 # Yields the lines that arrive together as one tuple.
 Lines = AsyncIterator[tuple[StreamLine, ...]]
 
@@ -212,9 +209,7 @@
 
 
 def _decode_line(line: bytes) -> StreamLine:
-    try:
-        return _line_decoder.decode(line)
-    except msgspec.MsgspecError as error:
-        raise FailureError(
-            may_have_run(Reason.BAD_ANSWER, str(error)),
-        ) from error
+    decoded = decode_json(line, StreamLine)
+    if decoded.is_error():
+        raise FailureError(may_have_run(Reason.BAD_ANSWER, decoded.error))
+    return decoded.ok
