Reject numbers in reports that no engine can have

Cause: JSON has integers of any length. The count came in as it was, and the cost of a split multiplies it by a float, which raises OverflowError. The memory and the pace had no bound either.

Change: counts, memory and pace have types with bounds (protocol/bounded.py), which the decoder of the report checks. A report beyond them is an error, as any other that can't be read.

--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -6,6 +6,7 @@
 from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
 from limpetdrift.coordination.planning.engine_report_poller import ReadReport
 from limpetdrift.platform.endpoint_signals import decode_signals
+from limpetdrift.protocol.bounded import Pace, RequestCount, TokenCount
 from limpetdrift.protocol.codec import decode_json
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
 from limpetdrift.transport.client import HttpClient
@@ -23,12 +24,12 @@
 
 class _Report(msgspec.Struct, kw_only=True):
     # Requests that run, and requests that wait.
-    active: int = 0
-    queued: int = 0
+    active: RequestCount = 0
+    queued: RequestCount = 0
     # Memory that can't be evicted, in tokens.
-    used: int = msgspec.field(default=0, name='kvUsed')
+    used: TokenCount = msgspec.field(default=0, name='kvUsed')
     # Factor by which the engine is slower than usual.
-    pace: float = 1.0
+    pace: Pace = 1.0
     # Start time of the process, in Unix milliseconds.
     born: int | None = None
 
--- /dev/null
+++ b/src/limpetdrift/protocol/bounded.py
@@ -0,0 +1,21 @@
+"""Types of the numbers in data from outside the process, with their bounds.
+
+JSON has integers of any length and the largest floats. Sums and products of
+such numbers overflow far from where they came in, so the decoder of a message
+rejects them.
+"""
+
+from typing import Annotated
+
+from msgspec import Meta
+
+# Requests at one endpoint: more connections than a machine has ports for them.
+MAX_REQUESTS = 1_000_000
+# Tokens in one endpoint's memory: sums over a fleet stay exact as floats.
+MAX_TOKENS = 1_000_000_000_000
+# Slowdown of an endpoint. One that is as slow serves nothing.
+MAX_PACE = 1_000_000.0
+
+RequestCount = Annotated[int, Meta(ge=0, le=MAX_REQUESTS)]
+TokenCount = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
+Pace = Annotated[float, Meta(ge=0, le=MAX_PACE)]
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -4,15 +4,24 @@
 its error, and within a bounded time.
 """
 
+import json
+import math
+
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
+from limpetdrift.coordination.engines.prompt_splitting import choose_split
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.platform.reports import decode_report
 from limpetdrift.platform.settings import decode_settings
+from limpetdrift.protocol.bounded import MAX_PACE, MAX_REQUESTS, MAX_TOKENS
 from limpetdrift.protocol.codec import decode
 from limpetdrift.protocol.gossip import GossipMessage
+from limpetdrift.state.engine_ledger import EngineLedger
 from test_platform_decoders import ENGINE
+from test_splitting import COST_MODEL, ENGINES, make_request
 
 DECODERS = {
     'report': lambda payload: decode_report(payload, ENGINE),
@@ -33,6 +42,11 @@
 }
 
 
+def power_of_ten(exponent: int) -> int:
+    """Return an integer that is larger than most floats."""
+    return 10**exponent
+
+
 # Guards against a report of an engine that ended each process that read it.
 @pytest.mark.parametrize('decoder', sorted(DECODERS))
 @pytest.mark.parametrize('spoiled', sorted(SPOILED))
@@ -43,3 +57,31 @@
 @pytest.mark.parametrize('spoiled', ['nested', 'nested whole', 'objects'])
 def test_a_report_that_is_nested_too_deeply_is_an_error(spoiled):
     assert decode_report(SPOILED[spoiled], ENGINE).is_error()
+
+
+# Guards against a count of 310 digits that made each plan fail.
+@given(
+    st.sampled_from(('active', 'queued', 'kvUsed', 'pace')),
+    st.integers() | st.integers(min_value=300, max_value=320).map(power_of_ten),
+)
+@example('active', 10**310)
+@example('kvUsed', 10**310)
+@example('kvUsed', MAX_TOKENS)
+@example('pace', int(MAX_PACE))
+def test_prompts_are_planned_beside_any_report(field, number):
+    numbers = {'active': MAX_REQUESTS, 'queued': MAX_REQUESTS} | {field: number}
+    engine = ENGINES[0]
+    report = decode_report(json.dumps(numbers).encode(), engine)
+    ledger = EngineLedger(clock=float)
+    if report.is_ok():
+        ledger.note_report(engine, report.ok)
+    usages = ledger.usages(ENGINES)
+    split = choose_split(make_request(60_000), usages, COST_MODEL)
+    assert math.isfinite(split.cost)
+
+
+@pytest.mark.parametrize('number', ['-1', '1' + 310 * '0', '1' + 20 * '0'])
+@pytest.mark.parametrize('field', ['active', 'queued', 'kvUsed', 'pace'])
+def test_report_with_a_number_out_of_range_is_an_error(field, number):
+    payload = f'{{"{field}": {number}}}'.encode()
+    assert decode_report(payload, ENGINE).is_error()
