Read long numbers in heads of endpoints at once

What callers saw: an answer of one endpoint whose Server-Limit, Retry-After or Cold-Ms is a long row of digits with something else behind halts the entry that reads it, with all its requests, for seconds.

Cause: the pattern of a number, `\d+\.?\d*`, splits a row of digits in two in as many ways as it has digits, and tries them all before it gives up. The time grows with the square of the length.

Change: the pattern has one way to read a number, and a text of over 64 characters is none. The log line of a bad number has as many characters.

--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -20,7 +20,10 @@
 _MILLISECONDS = 1000.0
 # A number that is not negative. One beyond the range of floating point is
 # infinite.
-_NUMBER = re.compile(r'(\d+\.?\d*|\.\d+)([eE][+-]?\d+)?', flags=re.ASCII)
+_NUMBER = re.compile(r'(\d+(\.\d*)?|\.\d+)([eE][+-]?\d+)?', flags=re.ASCII)
+# Characters of the longest number that is parsed. Each digit of a longer one
+# costs time, and a head may be nothing but digits.
+_MAX_LENGTH = 64
 
 
 def decode_signals(
@@ -48,8 +51,10 @@
     >>> parse_decimal(' 0.25 '), parse_decimal('-1'), parse_decimal('nan')
     (0.25, None, None)
     """
-    found = _NUMBER.fullmatch(text.strip())
-    return float(found.group()) if found else None
+    number = text.strip()
+    if len(number) > _MAX_LENGTH or not _NUMBER.fullmatch(number):
+        return None
+    return float(number)
 
 
 def _decode_back_off(
@@ -63,7 +68,7 @@
         warn(
             'back-off is no number of seconds',
             endpoint=endpoint.name,
-            value=text,
+            value=text[:_MAX_LENGTH],
         )
         return 0.0
     return seconds
@@ -77,7 +82,7 @@
         warn(
             'remaining cold time is no number',
             endpoint=endpoint.name,
-            value=text,
+            value=text[:_MAX_LENGTH],
         )
         return 0.0
     return milliseconds / _MILLISECONDS
@@ -99,6 +104,6 @@
         warn(
             'rate limit is no single number',
             endpoint=endpoint.name,
-            value=', '.join(texts),
+            value=', '.join(texts)[:_MAX_LENGTH],
         )
     return min(valid, default=None)
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -6,6 +6,7 @@
 
 import json
 import math
+import time
 
 import pytest
 from hypothesis import example, given
@@ -14,15 +15,20 @@
 from limpetdrift.coordination.engines.prompt_splitting import choose_split
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_rows import decode_endpoint
+from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.platform.reports import decode_report
 from limpetdrift.platform.settings import decode_settings
 from limpetdrift.protocol.bounded import MAX_PACE, MAX_REQUESTS, MAX_TOKENS
 from limpetdrift.protocol.codec import decode
 from limpetdrift.protocol.gossip import GossipMessage
+from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.state.engine_ledger import EngineLedger
 from test_platform_decoders import ENGINE
 from test_splitting import COST_MODEL, ENGINES, make_request
 
+# Length of a head that is read, and the processor time to decode one.
+HEAD_BYTES = 8000
+MAX_DECODE_SECONDS = 0.25
 DECODERS = {
     'report': lambda payload: decode_report(payload, ENGINE),
     'endpoint': lambda payload: decode_endpoint('i-1', payload),
@@ -85,3 +91,19 @@
 def test_report_with_a_number_out_of_range_is_an_error(field, number):
     payload = f'{{"{field}": {number}}}'.encode()
     assert decode_report(payload, ENGINE).is_error()
+
+
+# Guards against a head of an endpoint that halted the entry for seconds.
+@given(
+    st.sampled_from(('server-limit', 'retry-after', 'cold-ms')),
+    st.sampled_from(('1', '0', '.1', '1.', '1e', ' ', '²')),
+    st.sampled_from(('', 'x', 'e', '.', ' x')),
+)
+@example('server-limit', '1', 'x')
+def test_long_numbers_in_heads_are_read_at_once(name, repeated, ending):
+    text = repeated * HEAD_BYTES + ending
+    began_at = time.process_time()
+    signals = decode_signals(ENGINE, 503, ((name, text),))
+    assert time.process_time() - began_at < MAX_DECODE_SECONDS
+    assert signals.rate_limit in {None, UNLIMITED}
+    assert (signals.back_off_seconds, signals.cold_seconds) == (0, 0)
