Read a table whose rows have values outside of ASCII

A sound store gives out base64.

Cause: `b64decode` raises ValueError for such text, and `_decode_row` caught its subclass binascii.Error only. Versions had no bound, though a version too high is never passed again, and the position stays there.

Change: such a value is passed on as received, as any other that is no base64, and the row's decoder rejects it. Versions have a type with bounds.

Evidence: on the code before, three values failed with "ValueError: string argument should contain only ASCII characters", and pages with the versions -1, 10**20 and 10**400 were taken.

--- a/src/limpetdrift/platform/store.py
+++ b/src/limpetdrift/platform/store.py
@@ -6,7 +6,6 @@
 """
 
 import base64
-import binascii
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -14,6 +13,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.protocol.bounded import Version
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
 from limpetdrift.state.store_era import EraOrder, StoreEra
@@ -71,7 +71,7 @@
 class _WireRow(msgspec.Struct, kw_only=True):
     key: str
     # Counts the transactions of the whole store; not the version of a schema.
-    version: int = msgspec.field(default=0, name='schemaVersion')
+    version: Version = msgspec.field(default=0, name='schemaVersion')
     # In base64.
     text: str = msgspec.field(default='', name='value')
     tombstone: bool = False
@@ -80,7 +80,7 @@
 class _WirePage(msgspec.Struct, kw_only=True):
     rows: list[_WireRow] = []
     # The newest version of the whole store, counted as in the rows.
-    version: int = msgspec.field(name='schemaVersion')
+    version: Version = msgspec.field(name='schemaVersion')
     truncated: bool = False
 
 
@@ -295,7 +295,7 @@
     if not row.tombstone:
         try:
             content = base64.b64decode(row.text, validate=True)
-        except binascii.Error:
+        except ValueError:
             # An invalid value is passed on as received; its decoder rejects it.
             content = row.text.encode()
     return StoredRow(key=row.key, version=row.version, value=content)
--- a/src/limpetdrift/protocol/bounded.py
+++ b/src/limpetdrift/protocol/bounded.py
@@ -5,6 +5,7 @@
 rejects them.
 """
 
+import sys
 from typing import Annotated
 
 from msgspec import Meta
@@ -15,7 +16,10 @@
 MAX_TOKENS = 1_000_000_000_000
 # Slowdown of an endpoint. One that is as slow serves nothing.
 MAX_PACE = 1_000_000.0
+# Versions, eras and lifetimes: what other builds and stores take as well.
+MAX_VERSION = sys.maxsize
 
 RequestCount = Annotated[int, Meta(ge=0, le=MAX_REQUESTS)]
 TokenCount = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
+Version = Annotated[int, Meta(ge=0, le=MAX_VERSION)]
 Pace = Annotated[float, Meta(ge=0, le=MAX_PACE)]
--- /dev/null
+++ b/tests/test_outside_tables.py
@@ -0,0 +1,86 @@
+"""Tests that answers of the store are read or are one failure."""
+
+import json
+import time
+
+import pytest
+import trio
+from expression import Ok
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from limpetdrift.platform.store import RowPage, StoreClient
+from limpetdrift.transport.messages import Address, Response
+from limpetdrift.verdict import Failure
+from test_platform_decoders import JSON_VALUES
+
+STORE = Address(host='127.0.0.1', port=1)
+ROW = {'key': 'a', 'schemaVersion': 3, 'value': 'bg==', 'tombstone': False}
+PAGE = {'rows': [ROW], 'schemaVersion': 3, 'truncated': False}
+
+
+class AnsweringClient:
+    """Fake of an HTTP client that answers all calls alike."""
+
+    def __init__(self, body: bytes, era: str = '1') -> None:
+        self._response = Response(
+            status=200, headers=(('store-era', era),), body=body
+        )
+
+    async def fetch(self, address, request, *, timeout_seconds):
+        return Ok(self._response)
+
+
+def read_page(body: bytes, era: str = '1') -> RowPage | Failure:
+    """Return the page of the store's answer, or the failure."""
+
+    async def read():
+        store = StoreClient(client=AnsweringClient(body, era), address=STORE)
+        return await store.read('servers')
+
+    result = trio.run(read)
+    return result.ok if result.is_ok() else result.error
+
+
+# Guards against a value outside of ASCII that ended the reader of a table.
+@pytest.mark.parametrize('text', ['é', '²', '%', 'a', 'bg=', '\U0001f600'])
+def test_a_value_that_is_no_base64_leaves_the_other_rows_readable(text):
+    rows = [ROW | {'key': 'spoiled', 'value': text}, ROW]
+    page = read_page(json.dumps(PAGE | {'rows': rows}).encode())
+    assert [row.key for row in page.rows] == ['spoiled', 'a']
+    assert [row.value for row in page.rows] == [text.encode(), b'n']
+
+
+@pytest.mark.parametrize('version', ['-1', '1' + 20 * '0', '1' + 400 * '0'])
+def test_a_version_out_of_range_is_a_failure(version):
+    body = json.dumps(PAGE).replace('"schemaVersion": 3', '"schemaVersion": %s')
+    assert isinstance(
+        read_page((body % (version, 3)).encode()), Failure
+    ) and isinstance(read_page((body % (3, version)).encode()), Failure)
+
+
+@given(
+    st.binary(max_size=60)
+    | JSON_VALUES.map(lambda content: json.dumps(content).encode())
+    | st.builds(
+        lambda field, content: json.dumps(PAGE | {field: content}).encode(),
+        st.sampled_from(sorted(PAGE)),
+        JSON_VALUES,
+    )
+    | st.builds(
+        lambda field, content: json.dumps(
+            PAGE | {'rows': [ROW | {field: content}]}
+        ).encode(),
+        st.sampled_from(sorted(ROW)),
+        JSON_VALUES,
+    ),
+    st.text(max_size=20),
+)
+@example(b'[' * 9000, '1')
+@example(b'{"rows":' + b'[' * 9000, '²')
+def test_any_answer_of_the_store_is_a_page_or_a_failure(body, era):
+    began_at = time.process_time()
+    read = read_page(body, era)
+    assert time.process_time() - began_at < 0.5
+    if isinstance(read, RowPage):
+        assert all(row.version >= 0 for row in read.rows)
