Keep what entries tell each other from callers and endpoints

Cause: method and target of a carried request are in headers behind the caller's own, the peer read the first of a name, and admission dropped only the names that go to endpoints, listed from memory.

Change: platform/header_names.py lists every name that an entry reads or writes, by who may write it. `drop_foreign` removes the names that only entries write, and all that begin with `limpet-` or `x-limpet-` (a later build's, too), from callers' requests in admission and from endpoints' and peers' answers. A peer refuses a carried request (400 without an id, so "not run" for the entry that sent it) in which method, target or deadline is missing, or one of these or the key comes twice. A test goes through the list, and another fails for a name in a module that the entry loads and that no group lists.

Read as well: the callers' listener has no route to /peer/ (a test with a process keeps that); the peers' listener asks for no secret on the platform, so whoever reaches its port may call it, as before.

An earlier entry still passes on a forged name; a present peer refuses that request, the caller gets a true 503, and requests without such a name are served. Two earlier entries keep the fault until they are replaced.

--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -10,6 +10,17 @@
 
 from expression import Error, Ok, Result
 
+from limpetdrift.platform.header_names import (
+    AUTHORIZATION_HEADER,
+    CONNECTION_HEADERS,
+    DEADLINE_MS_HEADER,
+    ENTRY_HEADERS,
+    LAST_EVENT_ID_HEADER,
+    PROMPT_PARTS_HEADER,
+    REQUEST_ID_HEADER,
+    TOKEN_USAGE_HEADER,
+    drop_foreign,
+)
 from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.route_table import Account, Route
 from limpetdrift.protocol.work import CallerRequest, PromptSize
@@ -24,47 +35,6 @@
 # Priority 0 is the highest.
 _LOWEST_PRIORITY = 9
 
-REQUEST_ID_HEADER = 'attempt-id'
-DEADLINE_MS_HEADER = 'deadline-ms'
-AUTHORIZATION_HEADER = 'authorization'
-CLIENT_ACCOUNT_HEADER = 'tenant'
-EXPECTED_INSTANCE_HEADER = 'expect-instance'
-HELPERS_HEADER = 'helpers'
-REQUEST_URGENCY_HEADER = 'request-urgency'
-EXPECTED_VERSION_HEADER = 'expect-version'
-TOKEN_USAGE_HEADER = 'token-usage'
-PROMPT_PARTS_HEADER = 'prompt-prefix'
-LAST_EVENT_ID_HEADER = 'last-event-id'
-
-# Headers that concern one connection, or the framing of a message on it.
-CONNECTION_HEADERS = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-connection',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        'expect',
-        'content-length',
-    ),
-)
-# Headers that the entry consumes, or that only it may send to an endpoint.
-_STRIPPED_HEADERS = frozenset(
-    (
-        AUTHORIZATION_HEADER,
-        CLIENT_ACCOUNT_HEADER,
-        EXPECTED_INSTANCE_HEADER,
-        HELPERS_HEADER,
-        REQUEST_URGENCY_HEADER,
-        EXPECTED_VERSION_HEADER,
-        DEADLINE_MS_HEADER,
-    ),
-)
-
 
 @dataclass(frozen=True, kw_only=True)
 class AdmissionInputs:
@@ -242,5 +212,6 @@
         if key == 'connection'
         for name in text.split(',')
     }
-    dropped = CONNECTION_HEADERS | _STRIPPED_HEADERS | connection_names
-    return tuple(pair for pair in headers if pair[0] not in dropped)
+    return drop_foreign(
+        headers, CONNECTION_HEADERS | ENTRY_HEADERS | connection_names
+    )
--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -9,12 +9,9 @@
 )
 from limpetdrift.coordination.membership.drain import Drain
 from limpetdrift.logs import note
-from limpetdrift.platform.admission import (
-    REQUEST_ID_HEADER,
-    AdmissionInputs,
-    admit,
-)
+from limpetdrift.platform.admission import AdmissionInputs, admit
 from limpetdrift.platform.failure_responses import RenderFailure
+from limpetdrift.platform.header_names import REQUEST_ID_HEADER
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.transport.connection import ServerLimits
 from limpetdrift.transport.server import Exchange, Handler, Server
--- a/src/limpetdrift/platform/carrying.py
+++ b/src/limpetdrift/platform/carrying.py
@@ -3,17 +3,22 @@
 The peer gets the caller's request with its key, and admits it as one of its
 own callers'. Method and target are in headers, so that a peer of an earlier
 build, which doesn't know the path, can't take the request for another call.
+Entries drop such headers from what callers send; a peer refuses a request that
+has one of them twice, since an earlier build doesn't drop the caller's.
 """
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
 import trio
+from expression import Error, Ok, Result
 
+from limpetdrift import telemetry
 from limpetdrift.coordination.forwarding.endpoint_response import (
     EndpointResponse,
 )
-from limpetdrift.platform import admission as header_names
+from limpetdrift.logs import warn
+from limpetdrift.platform import header_names
 from limpetdrift.platform.endpoint_client import (
     decode_response_head,
     last_event_headers,
@@ -24,17 +29,23 @@
     UNAVAILABLE,
     Headers,
     Request,
+    Response,
     parse_address,
 )
 from limpetdrift.transport.routing import Parameters
 from limpetdrift.transport.server import Exchange, Handler
+from limpetdrift.verdict import Failure, Reason, not_run
 
 CARRY_PATH = '/peer/carry'
-METHOD_HEADER = 'limpet-carried-method'
-TARGET_HEADER = 'limpet-carried-target'
-# Set on all answers of a peer that knows the call.
-MARK_HEADER = 'limpet-carried'
+# Each is in a carried request once, and the others at most once.
+_REQUIRED_HEADERS = (
+    header_names.CARRIED_METHOD_HEADER,
+    header_names.CARRIED_TARGET_HEADER,
+    header_names.DEADLINE_MS_HEADER,
+)
+_SINGLE_HEADERS = (*_REQUIRED_HEADERS, header_names.AUTHORIZATION_HEADER)
 _MILLISECONDS = 1000
+_BAD_REQUEST = 400
 _CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 
@@ -55,8 +66,14 @@
 
     async def handle(self, exchange: Exchange, parameters: Parameters) -> None:
         """Serve one carried request."""
-        exchange.request = unpack_request(exchange.request)
-        exchange.add_headers(((MARK_HEADER, '1'),))
+        exchange.add_headers(((header_names.CARRIED_MARK_HEADER, '1'),))
+        unpacked = unpack_request(exchange.request)
+        if unpacked.is_error():
+            telemetry.count('refusals', reason=unpacked.error.reason)
+            warn('carried request refused', detail=unpacked.error.detail)
+            await exchange.respond(Response(status=_BAD_REQUEST))
+            return
+        exchange.request = unpacked.ok
         self._open += 1
         try:
             await self._serve(exchange)
@@ -95,8 +112,8 @@
     """Return the request to a peer that has a caller's request in it."""
     deadline_ms = max(1, int(seconds_left * _MILLISECONDS))
     added = [
-        (METHOD_HEADER, caller_request.method),
-        (TARGET_HEADER, caller_request.target),
+        (header_names.CARRIED_METHOD_HEADER, caller_request.method),
+        (header_names.CARRIED_TARGET_HEADER, caller_request.target),
         (header_names.DEADLINE_MS_HEADER, str(deadline_ms)),
     ]
     if caller_request.key:
@@ -114,19 +131,29 @@
     )
 
 
-def unpack_request(request: Request) -> Request:
-    """Return the caller's request in one from a peer."""
-    target = request.header(TARGET_HEADER)
-    return Request(
-        method=request.header(METHOD_HEADER),
-        path=target.partition('?')[0],
-        target=target,
-        headers=tuple(
-            pair
-            for pair in request.headers
-            if pair[0] not in {METHOD_HEADER, TARGET_HEADER}
-        ),
-        body=request.body,
+def unpack_request(request: Request) -> Result[Request, Failure]:
+    """Return the caller's request in one from a peer.
+
+    Fails with ``BAD_REQUEST`` if a header that only entries write is missing or
+    comes twice: one of the two may be the caller's.
+    """
+    counts = {
+        name: sum(found == name for found, _ in request.headers)
+        for name in _SINGLE_HEADERS
+    }
+    for name, count in counts.items():
+        if count > 1 or (name in _REQUIRED_HEADERS and not count):
+            detail = f'{name} comes {count} times'
+            return Error(not_run(Reason.BAD_REQUEST, detail))
+    target = request.header(header_names.CARRIED_TARGET_HEADER)
+    return Ok(
+        Request(
+            method=request.header(header_names.CARRIED_METHOD_HEADER),
+            path=target.partition('?')[0],
+            target=target,
+            headers=header_names.drop_foreign(request.headers, frozenset()),
+            body=request.body,
+        )
     )
 
 
@@ -144,12 +171,10 @@
         _CLIENT_ERROR <= answer.status < _SERVER_ERROR
         or answer.status == UNAVAILABLE
     )
-    is_unknown_call = MARK_HEADER not in names
+    is_unknown_call = header_names.CARRIED_MARK_HEADER not in names
     return EndpointResponse(
         status=answer.status,
-        headers=tuple(
-            pair for pair in answer.headers if pair[0] != MARK_HEADER
-        ),
+        headers=answer.headers,
         refused=is_unknown_call or (is_own and is_promise),
         is_for_other_request=answer.is_for_other_request,
         chunks=answer.chunks,
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -14,15 +14,8 @@
     LinkMonitor,
     ProbeEndpoint,
 )
-from limpetdrift.platform import admission as header_names
-from limpetdrift.platform.endpoint_signals import (
-    INSTANCE_HEADER,
-    LEAVING_HEADER,
-    LIMIT_HEADER,
-    MISDIRECTED,
-    RETRY_AFTER_HEADER,
-    decode_signals,
-)
+from limpetdrift.platform import header_names
+from limpetdrift.platform.endpoint_signals import MISDIRECTED, decode_signals
 from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.work import (
     CallerRequest,
@@ -44,22 +37,6 @@
 from limpetdrift.verdict import FailureError, Reason
 
 _MILLISECONDS = 1000.0
-# Set on responses to requests that the endpoint has not begun to run.
-_NOT_RUN_HEADER = 'not-executed'
-_LOAD_HEADER = 'server-load'
-# Address of another endpoint that caused a refusal.
-_FAILED_ADDRESS_HEADER = 'at-server'
-# Not forwarded to callers.
-_INTERNAL_HEADERS = frozenset(
-    (
-        _NOT_RUN_HEADER,
-        _LOAD_HEADER,
-        INSTANCE_HEADER,
-        LEAVING_HEADER,
-        LIMIT_HEADER,
-        _FAILED_ADDRESS_HEADER,
-    )
-)
 _LOAD_FIELDS = 3
 _SERVER_ERROR = 500
 # Connect timeout of the crash check. An address where no process listens
@@ -201,11 +178,12 @@
     return EndpointResponse(
         status=stream.status,
         headers=_forwarded_headers(stream.status, stream.headers),
-        refused=_NOT_RUN_HEADER in headers or stream.status == MISDIRECTED,
+        refused=header_names.NOT_RUN_HEADER in headers
+        or stream.status == MISDIRECTED,
         is_from_other_process=stream.status == MISDIRECTED,
         is_for_other_request=echoed_id != request_id,
-        failed_address=headers.get(_FAILED_ADDRESS_HEADER, ''),
-        load=parse_load(headers.get(_LOAD_HEADER, '')),
+        failed_address=headers.get(header_names.FAILED_ADDRESS_HEADER, ''),
+        load=parse_load(headers.get(header_names.LOAD_HEADER, '')),
         chunks=stream.chunks,
         framed='content-length' in headers or 'transfer-encoding' in headers,
     )
@@ -296,9 +274,9 @@
 
 
 def _forwarded_headers(status: int, headers: Headers) -> Headers:
-    dropped = header_names.CONNECTION_HEADERS | _INTERNAL_HEADERS
+    dropped = header_names.CONNECTION_HEADERS | header_names.ENDPOINT_HEADERS
     if status == UNAVAILABLE:
         # The endpoint's retry time is meant for this entry, not for the caller,
         # whom another endpoint may serve.
-        dropped |= {RETRY_AFTER_HEADER}
-    return tuple(pair for pair in headers if pair[0] not in dropped)
+        dropped |= {header_names.RETRY_AFTER_HEADER}
+    return header_names.drop_foreign(headers, dropped)
--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -4,18 +4,18 @@
 
 from limpetdrift.coordination.endpoints.endpoint_gate import EndpointSignals
 from limpetdrift.logs import warn
+from limpetdrift.platform.header_names import (
+    COLD_HEADER,
+    INSTANCE_HEADER,
+    LEAVING_HEADER,
+    LIMIT_HEADER,
+    RETRY_AFTER_HEADER,
+)
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.transport.messages import UNAVAILABLE, Headers
 
 MISDIRECTED = 421
-LEAVING_HEADER = 'server-leaving'
-RETRY_AFTER_HEADER = 'retry-after'
-# Set while the endpoint limits the rate of requests from all entries.
-LIMIT_HEADER = 'server-limit'
-# How much longer the endpoint is cold, in milliseconds.
-COLD_HEADER = 'cold-ms'
-INSTANCE_HEADER = 'instance-id'
 _SET = '1'
 _MILLISECONDS = 1000.0
 # A number that is not negative. One beyond the range of floating point is
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -17,10 +17,7 @@
     PeerRoutes,
     make_peer_call,
 )
-from limpetdrift.platform.admission import (
-    REQUEST_ID_HEADER,
-    AdmissionInputs,
-)
+from limpetdrift.platform.admission import AdmissionInputs
 from limpetdrift.platform.callers import (
     CallerHandlerInputs,
     apply_limits,
@@ -35,6 +32,7 @@
     ENDPOINT_WHOLE_BYTES,
     build_forwarder,
 )
+from limpetdrift.platform.header_names import REQUEST_ID_HEADER
 from limpetdrift.platform.link_wiring import (
     CarrierLinks,
     build_carriers,
--- /dev/null
+++ b/src/limpetdrift/platform/header_names.py
@@ -0,0 +1,140 @@
+"""The names of all headers that an entry on the platform reads or writes.
+
+They are grouped by who may write them. What entries tell each other is never
+taken from a caller or an endpoint: ``drop_foreign`` removes it where their
+messages come in.
+"""
+
+from limpetdrift.coordination.peers import PEER_SECRET_HEADER
+from limpetdrift.protocol.service import ATTEMPT_HEADER, REQUEST_KEY_HEADER
+from limpetdrift.transport.messages import Headers
+
+REQUEST_ID_HEADER = 'attempt-id'
+HOST_HEADER = 'host'
+TOKEN_USAGE_HEADER = 'token-usage'
+PROMPT_PARTS_HEADER = 'prompt-prefix'
+LAST_EVENT_ID_HEADER = 'last-event-id'
+# Written by callers, and forwarded.
+CALLER_HEADERS = frozenset(
+    (
+        REQUEST_ID_HEADER,
+        HOST_HEADER,
+        TOKEN_USAGE_HEADER,
+        PROMPT_PARTS_HEADER,
+        LAST_EVENT_ID_HEADER,
+    )
+)
+
+DEADLINE_MS_HEADER = 'deadline-ms'
+AUTHORIZATION_HEADER = 'authorization'
+CLIENT_ACCOUNT_HEADER = 'tenant'
+EXPECTED_INSTANCE_HEADER = 'expect-instance'
+HELPERS_HEADER = 'helpers'
+REQUEST_URGENCY_HEADER = 'request-urgency'
+EXPECTED_VERSION_HEADER = 'expect-version'
+# Consumed by the entry, or sent to endpoints by it alone.
+ENTRY_HEADERS = frozenset(
+    (
+        DEADLINE_MS_HEADER,
+        AUTHORIZATION_HEADER,
+        CLIENT_ACCOUNT_HEADER,
+        EXPECTED_INSTANCE_HEADER,
+        HELPERS_HEADER,
+        REQUEST_URGENCY_HEADER,
+        EXPECTED_VERSION_HEADER,
+    )
+)
+
+CARRIED_METHOD_HEADER = 'limpet-carried-method'
+CARRIED_TARGET_HEADER = 'limpet-carried-target'
+# Set on all answers of a peer that knows the call.
+CARRIED_MARK_HEADER = 'limpet-carried'
+# Written by entries, and read by entries alone.
+PEER_HEADERS = frozenset(
+    (
+        CARRIED_METHOD_HEADER,
+        CARRIED_TARGET_HEADER,
+        CARRIED_MARK_HEADER,
+        PEER_SECRET_HEADER,
+    )
+)
+# The names of a later build also begin so.
+_PEER_PREFIXES = ('limpet-', 'x-limpet-')
+
+# Set on responses to requests that the endpoint has not begun to run.
+NOT_RUN_HEADER = 'not-executed'
+LOAD_HEADER = 'server-load'
+# Address of another endpoint that caused a refusal.
+FAILED_ADDRESS_HEADER = 'at-server'
+INSTANCE_HEADER = 'instance-id'
+LEAVING_HEADER = 'server-leaving'
+# Set while the endpoint limits the rate of requests from all entries.
+LIMIT_HEADER = 'server-limit'
+# Written by endpoints for entries, and not forwarded to callers.
+ENDPOINT_HEADERS = frozenset(
+    (
+        NOT_RUN_HEADER,
+        LOAD_HEADER,
+        FAILED_ADDRESS_HEADER,
+        INSTANCE_HEADER,
+        LEAVING_HEADER,
+        LIMIT_HEADER,
+    )
+)
+
+RETRY_AFTER_HEADER = 'retry-after'
+# How much longer the endpoint is cold, in milliseconds.
+COLD_HEADER = 'cold-ms'
+CONTENT_TYPE_HEADER = 'content-type'
+# Written by endpoints, and forwarded to callers.
+ANSWER_HEADERS = frozenset(
+    (RETRY_AFTER_HEADER, COLD_HEADER, CONTENT_TYPE_HEADER)
+)
+
+STORE_ERA_HEADER = 'store-era'
+STORE_HEADERS = frozenset((STORE_ERA_HEADER,))
+
+# Headers that concern one connection, or the framing of a message on it.
+CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'content-length',
+    )
+)
+
+# Sent to the services of deployments other than the platform's.
+SERVICE_HEADERS = frozenset((ATTEMPT_HEADER, REQUEST_KEY_HEADER))
+
+ALL_HEADERS = (
+    CALLER_HEADERS
+    | ENTRY_HEADERS
+    | PEER_HEADERS
+    | ENDPOINT_HEADERS
+    | ANSWER_HEADERS
+    | STORE_HEADERS
+    | SERVICE_HEADERS
+    | CONNECTION_HEADERS
+)
+
+
+def drop_foreign(headers: Headers, names: frozenset[str]) -> Headers:
+    """Return headers without ``names`` and those that only entries write.
+
+    >>> drop_foreign((('limpet-carried', '1'), ('x', '2')), frozenset())
+    (('x', '2'),)
+    """
+    dropped = names | PEER_HEADERS
+    return tuple(
+        (name, text)
+        for name, text in headers
+        if not (name in dropped or name.startswith(_PEER_PREFIXES))
+    )
--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -16,8 +16,8 @@
 )
 from limpetdrift.coordination.membership.link_monitor import LinkMonitor
 from limpetdrift.logs import note
-from limpetdrift.platform.admission import EXPECTED_INSTANCE_HEADER
 from limpetdrift.platform.endpoint_signals import decode_signals
+from limpetdrift.platform.header_names import EXPECTED_INSTANCE_HEADER
 from limpetdrift.protocol.codec import json_request
 from limpetdrift.protocol.work import (
     DispatchPlan,
--- a/src/limpetdrift/platform/store.py
+++ b/src/limpetdrift/platform/store.py
@@ -13,6 +13,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.platform.header_names import STORE_ERA_HEADER
 from limpetdrift.protocol.bounded import Version
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
@@ -42,7 +43,6 @@
 _TOO_MANY = 429
 _CONDITION_FAILED = 412
 _JSON = (('content-type', 'application/json'),)
-_ERA_HEADER = 'store-era'
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -221,7 +221,7 @@
     def _check_era(
         self, path: str, response: Response
     ) -> Result[Response, Failure]:
-        order = self.era.observe(response.header(_ERA_HEADER), path)
+        order = self.era.observe(response.header(STORE_ERA_HEADER), path)
         if order is EraOrder.OLDER:
             return Error(
                 may_have_run(Reason.BAD_ANSWER, 'answer from an earlier era')
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -27,9 +27,10 @@
 from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.planning.plain_placer import PlainPlacer
-from limpetdrift.platform.carrying import MARK_HEADER, unpack_request
+from limpetdrift.platform.carrying import unpack_request
 from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.endpoint_client import make_send_request
+from limpetdrift.platform.header_names import CARRIED_MARK_HEADER
 from limpetdrift.platform.link_wiring import (
     CarrierLinks,
     build_carriers,
@@ -216,7 +217,7 @@
         if peer is None:
             raise FailureError(not_run(Reason.CONNECT_FAILED, str(address)))
         exchange = CarriedExchange()
-        original = unpack_request(request)
+        original = unpack_request(request).ok
         seconds_left = float(original.header('deadline-ms')) / 1000
         work = replace(
             self._site.works[original.header('attempt-id')],
@@ -249,7 +250,7 @@
     async def start(self, status: int, headers=()) -> None:
         self.started = True
         self.status = status
-        self.headers = (*headers, (MARK_HEADER, '1'))
+        self.headers = (*headers, (CARRIED_MARK_HEADER, '1'))
         self.has_head.set()
 
     async def send(self, payload: bytes) -> None:
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -1,16 +1,25 @@
 """Requests that a peer carries, over real connections."""
 
+from dataclasses import replace
+
+import pytest
 import trio
 
 from forward_harness import make_route
 from limpetdrift.platform.carrying import (
     CARRY_PATH,
-    MARK_HEADER,
     CarriedRequests,
     pack_request,
     send_carried,
     unpack_request,
 )
+from limpetdrift.platform.header_names import (
+    AUTHORIZATION_HEADER,
+    CARRIED_MARK_HEADER,
+    CARRIED_METHOD_HEADER,
+    CARRIED_TARGET_HEADER,
+    DEADLINE_MS_HEADER,
+)
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -56,7 +65,12 @@
         await self._handle(self, exchange)
 
 
-def ask(peer: Peer, use_answer, last_event: int | None = None):
+def ask(
+    peer: Peer,
+    use_answer,
+    last_event: int | None = None,
+    request: CallerRequest = REQUEST,
+):
     """Send a request to a peer; return what ``use_answer`` returns."""
 
     async def run():
@@ -75,7 +89,7 @@
                 is_carried=True,
             )
             async with send_carried(
-                HttpClient(), REQUEST, placement, SECONDS_LEFT, last_event
+                HttpClient(), request, placement, SECONDS_LEFT, last_event
             ) as answer:
                 found = await use_answer(answer)
             with trio.move_on_after(1):
@@ -113,11 +127,11 @@
     assert (answer.status, body, answer.refused) == (200, b'answer', False)
     names = dict(answer.headers)
     assert names['server-seal'] == 'x'
-    assert MARK_HEADER not in names
+    assert CARRIED_MARK_HEADER not in names
 
 
 def test_packed_request_is_unpacked_without_the_headers_of_the_call():
-    unpacked = unpack_request(pack_request(REQUEST, SECONDS_LEFT, None))
+    unpacked = unpack_request(pack_request(REQUEST, SECONDS_LEFT, None)).ok
     assert all('limpet' not in name for name, _ in unpacked.headers)
 
 
@@ -173,3 +187,30 @@
     peer = Peer(handle)
     ask(peer, leave)
     assert peer.has_lost_caller
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        CARRIED_METHOD_HEADER,
+        CARRIED_TARGET_HEADER,
+        DEADLINE_MS_HEADER,
+        AUTHORIZATION_HEADER,
+    ],
+)
+def test_peer_refuses_a_request_that_has_a_header_of_entries_twice(name):
+    """An entry of e947821 passes on the caller's before its own."""
+    forged = replace(REQUEST, headers=((name, '/other'), *REQUEST.headers))
+    peer = Peer(respond(200, ('attempt-id', 'a1')))
+    answer, _ = ask(peer, read, request=forged)
+    assert not peer.requests
+    assert answer.refused
+
+
+@pytest.mark.parametrize(
+    'name', [CARRIED_METHOD_HEADER, CARRIED_TARGET_HEADER, DEADLINE_MS_HEADER]
+)
+def test_peer_refuses_a_request_without_a_header_of_entries(name):
+    packed = pack_request(REQUEST, SECONDS_LEFT, None)
+    without = tuple(pair for pair in packed.headers if pair[0] != name)
+    assert unpack_request(replace(packed, headers=without)).is_error()
--- /dev/null
+++ b/tests/test_header_names.py
@@ -0,0 +1,226 @@
+"""Headers that one kind of writer sets are taken from no other."""
+
+import ast
+import subprocess
+import sys
+from contextlib import asynccontextmanager
+from importlib.util import find_spec
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+import trio
+
+from forward_harness import make_announcements, make_links
+from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
+from limpetdrift.platform.admission import admit
+from limpetdrift.platform.carrying import pack_request
+from limpetdrift.platform.endpoint_client import make_send_request
+from limpetdrift.platform.header_names import (
+    ALL_HEADERS,
+    AUTHORIZATION_HEADER,
+    CALLER_HEADERS,
+    CARRIED_METHOD_HEADER,
+    CARRIED_TARGET_HEADER,
+    CONNECTION_HEADERS,
+    DEADLINE_MS_HEADER,
+    ENDPOINT_HEADERS,
+    ENTRY_HEADERS,
+    PEER_HEADERS,
+    REQUEST_ID_HEADER,
+)
+from limpetdrift.protocol.work import DispatchPlan
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.transport.messages import Request
+from test_platform_decoders import ENGINE, make_admission, make_request
+
+FORGED = 'forged'
+# A name that a later build may use among entries.
+LATER_HEADER = 'limpet-carried-later'
+NOT_CALLERS = sorted(ENTRY_HEADERS | PEER_HEADERS | {LATER_HEADER})
+SECONDS_LEFT = 4.0
+_PRINT_MODULES = """
+import sys
+import limpetdrift.platform.program
+print(*(name for name in sys.modules if name.startswith('limpetdrift.')))
+"""
+
+
+def admit_forged(name: str):
+    """Return an admitted request with a header that the caller may not set.
+
+    The entry reads the first of two keys or deadlines, so these come last.
+    """
+    request = make_request()
+    forged = Request(
+        method=request.method,
+        path=request.path,
+        target=request.target,
+        headers=(*request.headers, (name, FORGED)),
+    )
+    return admit(forged, make_admission()).ok
+
+
+def send_to_endpoint(caller_request, answer_headers=()):
+    """Return the request that an endpoint gets, and the answer as decoded."""
+    received = []
+
+    @asynccontextmanager
+    async def stream(address, request, **options: object):
+        received.append(request)
+        yield SimpleNamespace(status=200, headers=answer_headers, chunks=None)
+
+    async def run():
+        view = EndpointView(clock=trio.current_time)
+        view.put(ENGINE)
+        send = make_send_request(
+            SimpleNamespace(stream=stream),
+            lambda endpoint, load: None,
+            make_gate(view, make_announcements()),
+            make_links(view),
+        )
+        plan = DispatchPlan(endpoint=ENGINE)
+        async with send(caller_request, plan, SECONDS_LEFT, None) as answer:
+            received.append(answer)
+
+    trio.run(run)
+    return received
+
+
+@pytest.mark.parametrize('name', NOT_CALLERS)
+def test_caller_sets_no_header_that_an_endpoint_takes_from_the_entry(name):
+    sent, _ = send_to_endpoint(admit_forged(name))
+    assert (name, FORGED) not in sent.headers
+
+
+@pytest.mark.parametrize('name', NOT_CALLERS)
+def test_caller_sets_no_header_that_a_peer_takes_from_the_entry(name):
+    """Guards against a caller's method and target that a peer runs."""
+    packed = pack_request(admit_forged(name), SECONDS_LEFT, None)
+    assert (name, FORGED) not in packed.headers
+    names = [found for found, _ in packed.headers]
+    for own in (
+        CARRIED_METHOD_HEADER,
+        CARRIED_TARGET_HEADER,
+        DEADLINE_MS_HEADER,
+        AUTHORIZATION_HEADER,
+    ):
+        assert names.count(own) == 1
+
+
+@pytest.mark.parametrize('name', sorted(CALLER_HEADERS - {REQUEST_ID_HEADER}))
+def test_header_of_a_caller_is_forwarded(name):
+    assert (name, FORGED) in admit_forged(name).headers
+
+
+@pytest.mark.parametrize(
+    'name', sorted(ENDPOINT_HEADERS | PEER_HEADERS | {LATER_HEADER})
+)
+def test_endpoint_sets_no_header_that_callers_or_peers_take_from_the_entry(
+    name,
+):
+    _, answer = send_to_endpoint(
+        admit_forged(LATER_HEADER), ((name, FORGED), ('server-seal', 'x'))
+    )
+    assert dict(answer.headers) == {'server-seal': 'x'}
+
+
+def test_groups_of_names_share_none():
+    groups = (
+        CALLER_HEADERS,
+        ENTRY_HEADERS,
+        PEER_HEADERS,
+        ENDPOINT_HEADERS,
+        CONNECTION_HEADERS,
+    )
+    assert sum(map(len, groups)) == len(frozenset().union(*groups))
+
+
+def platform_modules() -> list[str]:
+    """Return the modules that an entry on the platform loads."""
+    ran = subprocess.run(
+        [sys.executable, '-c', _PRINT_MODULES],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    return ran.stdout.split()
+
+
+def texts(node: ast.AST) -> list[str]:
+    """Return the text constants of an expression's own elements."""
+    elements = getattr(node, 'elts', [node])
+    return [
+        each.value
+        for each in elements
+        if isinstance(each, ast.Constant) and isinstance(each.value, str)
+    ]
+
+
+def pair_names(node: ast.AST) -> list[str]:
+    """Return the first texts of all pairs within an expression."""
+    return [
+        each.elts[0].value
+        for each in ast.walk(node)
+        if isinstance(each, ast.Tuple)
+        and len(each.elts) == 2
+        and isinstance(each.elts[0], ast.Constant)
+        and isinstance(each.elts[0].value, str)
+    ]
+
+
+def header_names_in(tree: ast.AST) -> set[str]:
+    """Return the names of headers that a module defines, sets or reads."""
+    found: list[str] = []
+    for node in ast.walk(tree):
+        match node:
+            case ast.Assign(targets=[ast.Name(id=name)], value=value):
+                if name.upper().endswith('_HEADER'):
+                    found += texts(value)
+                if 'HEADERS' in name.upper():
+                    found += pair_names(value)
+            case ast.AnnAssign(target=ast.Name(id=name), value=value) if value:
+                if 'HEADERS' in name.upper():
+                    found += pair_names(value)
+            case ast.Call(func=ast.Attribute(attr='header'), args=[name, *_]):
+                found += texts(name)
+            case ast.Call(
+                func=ast.Attribute(attr='get', value=ast.Name(id='headers')),
+                args=[name, *_],
+            ):
+                found += texts(name)
+            case ast.Compare(
+                left=left, ops=[ast.In()], comparators=[ast.Name(id='headers')]
+            ):
+                found += texts(left)
+            case ast.keyword(arg='headers', value=value):
+                found += pair_names(value)
+    return set(found)
+
+
+@pytest.mark.parametrize(
+    'code',
+    [
+        "_NEW_HEADER = 'new'",
+        "request.header('new')",
+        "headers.get('new', '')",
+        "x = 'new' in headers",
+        "Response(headers=(('new', text),))",
+        "_JSON_HEADERS: Headers = (('new', '1'),)",
+    ],
+)
+def test_name_of_a_header_is_found_in_code(code):
+    assert header_names_in(ast.parse(code)) == {'new'}
+
+
+def test_each_header_of_a_module_of_the_entry_is_in_a_list():
+    """Guards against a name that is not considered where messages come in."""
+    unlisted = {}
+    modules = platform_modules()
+    assert 'limpetdrift.platform.carrying' in modules
+    for module in modules:
+        path = Path(find_spec(module).origin)
+        names = header_names_in(ast.parse(path.read_text('utf-8')))
+        if names - ALL_HEADERS:
+            unlisted[module] = sorted(names - ALL_HEADERS)
+    assert not unlisted
--- a/tests/test_platform_entry.py
+++ b/tests/test_platform_entry.py
@@ -9,7 +9,12 @@
 
 import trio
 
+from limpetdrift.platform.carrying import CARRY_PATH
 from limpetdrift.platform.entry_wiring import DRAIN_GRACE_SHARE
+from limpetdrift.platform.header_names import (
+    CARRIED_METHOD_HEADER,
+    CARRIED_TARGET_HEADER,
+)
 from limpetdrift.platform.limit_rows import TABLE as LIMITS_TABLE
 from limpetdrift.platform.limit_rows import WRITE_BATCH_SECONDS
 from limpetdrift.programs.exits import BAD_SETTINGS_EXIT
@@ -71,6 +76,19 @@
     trio.run(run_site)
 
 
+def test_callers_reach_no_path_of_peers(tmp_path):
+    forged = {CARRIED_METHOD_HEADER: 'GET', CARRIED_TARGET_HEADER: '/twice/x'}
+
+    async def body(site: Site) -> None:
+        await send_calls(site, ['known'])
+        for path in (CARRY_PATH, f'/{CARRY_PATH}', '/peer/gossip'):
+            answers = await send_calls(site, [f'to-{path}'], path, **forged)
+            assert [answer.status for answer in answers] == [404]
+        assert {run.request_id for run in site.journal.runs} == {'known'}
+
+    run_with_endpoints(tmp_path, body, desks=1)
+
+
 def test_desk_that_says_it_leaves_in_an_answer_gets_no_more_calls(tmp_path):
     async def body(site: Site) -> None:
         first = next(iter(site.endpoints.values())).endpoint
