Take no endpoint from a row whose key or fields are out of range

What callers saw: a row of another writer whose key isn't ASCII, or has a control character, names an endpoint like any other. Each request that is sent there fails with UnicodeEncodeError or h11's LocalProtocolError, since the name is the value of Expect-Instance.

Cause: the key of a row wasn't looked at. Slots and the start time could be negative or 2**62, and names of any length went on to logs, metrics and peers.

Change: a key must be a text that a header can hold, of at most 256 characters. The fields have types with bounds, which the decoder checks, so that the error names the field.

--- a/src/limpetdrift/platform/endpoint_rows.py
+++ b/src/limpetdrift/platform/endpoint_rows.py
@@ -4,11 +4,16 @@
 invalid one does not affect the others.
 """
 
-import sys
-
 import msgspec
 from expression import Error, Ok, Result
 
+from limpetdrift.protocol.bounded import (
+    BoundedInt,
+    Name,
+    RequestCount,
+    Version,
+    is_header_text,
+)
 from limpetdrift.protocol.codec import decode_json
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.transport.messages import parse_address
@@ -20,19 +25,21 @@
 
 
 class _EndpointRow(msgspec.Struct, kw_only=True):
-    service: str
+    service: Name
     address: str
     # The failure domain.
-    zone: str
+    zone: Name
     # Requests that may run at the same time.
-    slots: int
+    slots: RequestCount
     state: str
     # Start time of the process, in Unix milliseconds. A restarted process
     # keeps its name, so only both together identify a lifetime.
-    born: int = 0
+    born: Version = 0
     # How much longer the endpoint is cold from when the row was written, in
     # milliseconds; 0 if it is warm.
-    cold_remaining_ms: int = msgspec.field(default=0, name='coldRemainingMs')
+    cold_remaining_ms: BoundedInt = msgspec.field(
+        default=0, name='coldRemainingMs'
+    )
 
 
 def decode_endpoint(name: str, payload: bytes) -> Result[ListedEndpoint, str]:
@@ -41,6 +48,8 @@
     >>> decode_endpoint('i-1', b'nonsense').is_error()
     True
     """
+    if not is_header_text(name):
+        return Error('key is no name of an endpoint')
     decoded = decode_json(payload, _EndpointRow)
     if decoded.is_error():
         return Error(decoded.error)
@@ -68,13 +77,4 @@
         parse_address(row.address)
     except ValueError as error:
         return f'address: {error}'
-    numbers = {
-        'slots': row.slots,
-        'born': row.born,
-        'coldRemainingMs': row.cold_remaining_ms,
-    }
-    for name, number in numbers.items():
-        # Larger numbers can't be taken for times, nor relayed by all builds.
-        if abs(number) > sys.maxsize:
-            return f'{name} is out of range'
-    return '' if row.state in _STATES else f'unknown state {row.state!r}'
+    return '' if row.state in _STATES else 'state is unknown'
--- a/src/limpetdrift/protocol/bounded.py
+++ b/src/limpetdrift/protocol/bounded.py
@@ -1,4 +1,4 @@
-"""Types of the numbers in data from outside the process, with their bounds.
+"""Types of numbers and texts from outside the process, with their bounds.
 
 JSON has integers of any length and the largest floats. Sums and products of
 such numbers overflow far from where they came in, so the decoder of a message
@@ -18,8 +18,26 @@
 MAX_PACE = 1_000_000.0
 # Versions, eras and lifetimes: what other builds and stores take as well.
 MAX_VERSION = sys.maxsize
+# Characters of a name: names are labels of metrics and parts of heads.
+MAX_NAME_LENGTH = 256
 
 RequestCount = Annotated[int, Meta(ge=0, le=MAX_REQUESTS)]
 TokenCount = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
 Version = Annotated[int, Meta(ge=0, le=MAX_VERSION)]
+BoundedInt = Annotated[int, Meta(ge=-MAX_VERSION, le=MAX_VERSION)]
+Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
 Pace = Annotated[float, Meta(ge=0, le=MAX_PACE)]
+
+
+def is_header_text(name: str) -> bool:
+    r"""Return whether a name can be sent as the value of a header.
+
+    >>> [is_header_text(name) for name in ('i-1', '', 'i\n1', ' i', 'i\u0142')]
+    [True, False, False, False, False]
+    """
+    return (
+        0 < len(name) <= MAX_NAME_LENGTH
+        and name.isascii()
+        and name.isprintable()
+        and name == name.strip()
+    )
--- a/tests/test_outside_tables.py
+++ b/tests/test_outside_tables.py
@@ -9,10 +9,12 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.platform.store import RowPage, StoreClient
 from limpetdrift.transport.messages import Address, Response
 from limpetdrift.verdict import Failure
 from test_platform_decoders import JSON_VALUES
+from test_platform_decoders import ROW as ENDPOINT_ROW
 
 STORE = Address(host='127.0.0.1', port=1)
 ROW = {'key': 'a', 'schemaVersion': 3, 'value': 'bg==', 'tombstone': False}
@@ -84,3 +86,35 @@
     assert time.process_time() - began_at < 0.5
     if isinstance(read, RowPage):
         assert all(row.version >= 0 for row in read.rows)
+
+
+def encode_row(**changes: object) -> bytes:
+    return json.dumps(ENDPOINT_ROW | changes).encode()
+
+
+# Guards against a row whose key can't be sent as a header of a request there.
+@pytest.mark.parametrize(
+    'key', ['i-\u0142', 'i\n1', 'i\r\nX: y', 'i\0', ' i', '', 'i' * 300]
+)
+def test_a_row_whose_key_can_not_be_sent_names_no_endpoint(key):
+    decoded = decode_endpoint(key, encode_row())
+    assert decoded.is_error()
+    assert 'key' in decoded.error
+
+
+@pytest.mark.parametrize(
+    ('field', 'content'),
+    [
+        ('slots', -1),
+        ('slots', 2**62),
+        ('born', -1),
+        ('born', 2**64),
+        ('coldRemainingMs', 10**310),
+        ('service', 's' * 300),
+        ('zone', 'z' * 300),
+    ],
+)
+def test_a_row_with_a_field_out_of_range_names_no_endpoint(field, content):
+    decoded = decode_endpoint('i-1', encode_row(**{field: content}))
+    assert decoded.is_error()
+    assert field in decoded.error
