Log a row that names no endpoint once, however often it changes

What callers saw: nothing; each change of such a row cost two log lines, "row ... can not be decoded" where its error quotes the row, and "endpoint gone from the list" of an endpoint that never was. In an outage of the store its key counted as one of a lapsed endpoint. With some hundred such rows, each written again with every status report, that is most of the log.

Cause: the logged error was compared with the text that quotes the value, and kept for each key for good. `apply` dropped the key of each row that could not be read, whether an endpoint of that name was listed or not.

A key that isn't listed is not dropped.

--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -20,6 +20,7 @@
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.gone_lifetimes import Departure, GoneLifetimes
+from limpetdrift.state.seen_faults import MAX_REASON_LENGTH, SeenFaults
 
 # Grace period after an outage of the store. Rows that lapsed during the outage
 # come back within two seconds of its end; other endpoints are gone.
@@ -53,7 +54,7 @@
         self._time_of_day = time_of_day
         self._lapsed: set[str] = set()
         self._has_lapsed = trio.Event()
-        self._logged_errors: dict[str, str] = {}
+        self._faults = SeenFaults()
         self._gone = GoneLifetimes()
         self._era = UNKNOWN_ERA
         # The versions of the rows by name, where they were read here.
@@ -119,7 +120,9 @@
             endpoint = self._decode(row)
             if endpoint is None:
                 self._record_departure(row.key)
-                self._drop(row.key)
+                # Most rows that name no endpoint never named one.
+                if self._view.find(row.key) is not None:
+                    self._drop(row.key)
             else:
                 self._lapsed.discard(endpoint.name)
                 self._put_all((endpoint,))
@@ -236,16 +239,17 @@
 
     def _decode(self, row: StoredRow) -> ListedEndpoint | None:
         if row.value is None:
+            self._faults.forget(row.key)
             return None
         decoded = decode_endpoint(row.key, row.value)
         if decoded.is_ok():
+            self._faults.forget(row.key)
             return decoded.ok
-        if self._logged_errors.get(row.key) != decoded.error:
-            self._logged_errors[row.key] = decoded.error
+        if self._faults.is_new(row.key, decoded.error):
             telemetry.count('endpoint_entries_unread')
             warn(
                 'row of the endpoint list can not be decoded',
-                entry=row.key,
-                detail=decoded.error,
+                entry=row.key[:MAX_REASON_LENGTH],
+                detail=decoded.error[:MAX_REASON_LENGTH],
             )
         return None
--- a/tests/test_outside_tables.py
+++ b/tests/test_outside_tables.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from unittest import mock
 
 import pytest
 import trio
@@ -10,7 +11,10 @@
 from hypothesis import strategies as st
 
 from limpetdrift.platform.endpoint_rows import decode_endpoint
-from limpetdrift.platform.store import RowPage, StoreClient
+from limpetdrift.platform.endpoint_sync import EndpointSync
+from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
+from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.state.seen_faults import MAX_KEYS, SeenFaults
 from limpetdrift.transport.messages import Address, Response
 from limpetdrift.verdict import Failure
 from test_platform_decoders import JSON_VALUES
@@ -118,3 +122,69 @@
     decoded = decode_endpoint('i-1', encode_row(**{field: content}))
     assert decoded.is_error()
     assert field in decoded.error
+
+
+class RowsHarness:
+    """A view of the endpoint list, and what is logged of its rows."""
+
+    def __init__(self) -> None:
+        self.view = EndpointView(clock=time.monotonic)
+        self.has_outage = False
+        self.sync = EndpointSync(
+            view=self.view,
+            outage_within=lambda seconds: self.has_outage,
+            on_drop=lambda: None,
+        )
+
+    def apply(self, spoiled: int, version: int) -> list[str]:
+        """Apply changes of spoiled rows; return what was logged."""
+        rows = tuple(
+            StoredRow(
+                key=f'spoiled-{number}',
+                version=version,
+                value=encode_row(state=f'state {version}'),
+            )
+            for number in range(spoiled)
+        )
+        log = mock.Mock()
+        module = 'limpetdrift.platform.endpoint_sync'
+        with (
+            mock.patch(f'{module}.warn', log),
+            mock.patch(f'{module}.note', log),
+        ):
+            self.sync.apply(rows)
+        return [call.args[0] for call in log.mock_calls]
+
+
+@pytest.mark.parametrize('has_outage', [False, True])
+def test_rows_of_no_endpoint_cost_nothing_as_they_change(has_outage):
+    rows = RowsHarness()
+    good = StoredRow(key='good', version=1, value=encode_row())
+    rows.sync.replace((good,))
+    rows.has_outage = has_outage
+    view_version = rows.view.version
+    assert len(rows.apply(300, 2)) == 300
+    for version in range(3, 8):
+        assert not rows.apply(300, version)
+    rows.sync.drop_lapsed()
+    assert rows.view.version == view_version
+    assert [each.name for each in rows.view.listed] == ['good']
+
+
+def test_a_row_that_names_an_endpoint_no_more_drops_it():
+    rows = RowsHarness()
+    rows.sync.replace(
+        (StoredRow(key='spoiled-0', version=1, value=encode_row()),)
+    )
+    assert len(rows.apply(1, 2)) == 2
+    assert not rows.view.listed
+
+
+def test_faults_of_gone_rows_are_forgotten_and_the_rest_is_bounded():
+    seen = SeenFaults()
+    for number in range(MAX_KEYS + 10):
+        assert seen.is_new(str(number), 'state is unknown')
+    assert len(seen) == MAX_KEYS
+    seen.forget(str(MAX_KEYS))
+    assert len(seen) == MAX_KEYS - 1
+    assert seen.is_new(str(MAX_KEYS), 'state is unknown')
