Tell an endpoint's answer without an id from a peer's refusal

If an endpoint answers a carried request 404, 429 or 503 without `Attempt-Id` and without `Not-Executed`, the entry that is cut off takes the answer for the peer's own refusal: it answers 503 or sends the request to another peer, though the request may have run (REFUSED, TWICE).

Cause: `decode_carried` knows a peer's own answer by the missing id, and the peer passed on an endpoint's answer as it was, so that an endpoint could forge a refusal by leaving out the id.

Change: what a peer passes on for another entry always has the request's id. An answer with several ids is one to another request if any of them differs; before, only the last counted.

Mixed builds: an earlier entry decodes a present peer's answer rightly too, since it looks at the same id. An earlier peer still passes on an answer without an id, and either build takes that for a refusal.

Result: test_carrying, test_cut_entries, test_header_names, test_second_copies and test_endpoint_heads pass.

--- a/src/limpetdrift/platform/carrying.py
+++ b/src/limpetdrift/platform/carrying.py
@@ -9,6 +9,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import trio
 from expression import Error, Ok, Result
@@ -16,6 +17,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.forwarding.endpoint_response import (
     EndpointResponse,
+    SendRequest,
 )
 from limpetdrift.logs import warn
 from limpetdrift.platform import header_names
@@ -104,6 +106,28 @@
         )
 
 
+@asynccontextmanager
+async def send_for_peer(
+    send: SendRequest,
+    caller_request: CallerRequest,
+    placement: DispatchPlan,
+    seconds_left: float,
+    last_event_id: int | None,
+) -> AsyncIterator[EndpointResponse]:
+    """Send a carried request to an endpoint, and open its answer.
+
+    The answer has the request's id, also if the endpoint doesn't echo it: the
+    peer that asked takes one without it for this entry's own.
+    """
+    async with send(
+        caller_request, placement, seconds_left, last_event_id
+    ) as answer:
+        if header_names.REQUEST_ID_HEADER not in dict(answer.headers):
+            added = (header_names.REQUEST_ID_HEADER, caller_request.request_id)
+            answer = replace(answer, headers=(*answer.headers, added))
+        yield answer
+
+
 def pack_request(
     caller_request: CallerRequest,
     seconds_left: float,
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -170,18 +170,22 @@
 ) -> EndpointResponse:
     """Decode the status and the headers of an endpoint's response.
 
-    A response that echoes an id other than ``request_id`` is marked as one to
-    another request.
+    A response with any id other than ``request_id`` is marked as one to another
+    request.
     """
     headers = dict(stream.headers)
-    echoed_id = headers.get(header_names.REQUEST_ID_HEADER, request_id)
+    echoed_ids = {
+        text
+        for name, text in stream.headers
+        if name == header_names.REQUEST_ID_HEADER
+    }
     return EndpointResponse(
         status=stream.status,
         headers=_forwarded_headers(stream.status, stream.headers),
         refused=header_names.NOT_RUN_HEADER in headers
         or stream.status == MISDIRECTED,
         is_from_other_process=stream.status == MISDIRECTED,
-        is_for_other_request=echoed_id != request_id,
+        is_for_other_request=not echoed_ids <= {request_id},
         failed_address=headers.get(header_names.FAILED_ADDRESS_HEADER, ''),
         load=parse_load(headers.get(header_names.LOAD_HEADER, '')),
         chunks=stream.chunks,
--- a/src/limpetdrift/platform/link_wiring.py
+++ b/src/limpetdrift/platform/link_wiring.py
@@ -23,7 +23,7 @@
     ProbeEndpoint,
 )
 from limpetdrift.coordination.peers import PeerCall
-from limpetdrift.platform.carrying import send_carried
+from limpetdrift.platform.carrying import send_carried, send_for_peer
 from limpetdrift.platform.endpoint_client import (
     PROBE_TIMEOUT_SECONDS,
     make_probe,
@@ -147,6 +147,10 @@
             return send_carried(
                 client, request, placement, seconds_left, last_event_id
             )
+        if request.is_carried:
+            return send_for_peer(
+                send, request, placement, seconds_left, last_event_id
+            )
         return send(request, placement, seconds_left, last_event_id)
 
     return send_or_carry
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -1,11 +1,21 @@
 """Requests that a peer carries, over real connections."""
 
+from contextlib import asynccontextmanager
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 import trio
 
-from forward_harness import make_route
+from forward_harness import (
+    ForwardHarness,
+    make_endpoints,
+    make_links,
+    make_route,
+)
+from limpetdrift.coordination.forwarding.endpoint_response import (
+    EndpointResponse,
+)
 from limpetdrift.platform.carrying import (
     CARRY_PATH,
     CarriedRequests,
@@ -20,6 +30,7 @@
     CARRIED_TARGET_HEADER,
     DEADLINE_MS_HEADER,
 )
+from limpetdrift.platform.link_wiring import carry_if_cut
 from limpetdrift.protocol.work import (
     CallerRequest,
     DispatchPlan,
@@ -214,3 +225,29 @@
     packed = pack_request(REQUEST, SECONDS_LEFT, None)
     without = tuple(pair for pair in packed.headers if pair[0] != name)
     assert unpack_request(replace(packed, headers=without)).is_error()
+
+
+@pytest.mark.parametrize('status', [404, 429, 503])
+def test_endpoint_that_echoes_no_id_forges_no_refusal_of_the_peer(status):
+    """Guards against a second run of a request that an endpoint has failed."""
+
+    @asynccontextmanager
+    async def send(*unused: object):
+        yield EndpointResponse(status=status, headers=(), chunks=None)
+
+    async def pass_on(peer: Peer, exchange) -> None:
+        inputs = carry_if_cut(
+            replace(ForwardHarness().forwarder._inputs, send=send),
+            SimpleNamespace(monitor=make_links(None), client=None),
+            blame=None,
+        )
+        work = replace(REQUEST, is_carried=True)
+        plan = DispatchPlan(endpoint=make_endpoints(1)[0])
+        async with inputs.send(work, plan, SECONDS_LEFT, None) as answer:
+            await exchange.respond(
+                Response(status=answer.status, headers=answer.headers)
+            )
+
+    answer, _ = ask(Peer(pass_on), read)
+    assert answer.status == status
+    assert not answer.refused
