Send the name of a client account in any language to endpoints

What callers saw: nothing in the record; found while the same cause was sought elsewhere.

Cause: the name goes to the endpoint in Tenant, and headers are encoded as Latin-1, which is right only for those that came in as bytes.

Change: the name is sent as UTF-8.

Evidence: the new test fails with UnicodeEncodeError before, and passes.

--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -32,6 +32,7 @@
     UNAVAILABLE,
     Headers,
     Request,
+    encode_header_text,
     parse_address,
 )
 from limpetdrift.verdict import FailureError, Reason
@@ -244,7 +245,10 @@
     ]
     if caller_request.account:
         added.append(
-            (header_names.CLIENT_ACCOUNT_HEADER, caller_request.account)
+            (
+                header_names.CLIENT_ACCOUNT_HEADER,
+                encode_header_text(caller_request.account),
+            )
         )
     if caller_request.size is not None:
         added.append(
--- a/src/limpetdrift/transport/messages.py
+++ b/src/limpetdrift/transport/messages.py
@@ -133,6 +133,17 @@
     ]
 
 
+def encode_header_text(text: str) -> str:
+    r"""Return a text of any language as a header's value, sent as UTF-8.
+
+    Values of headers are kept as their bytes in Latin-1.
+
+    >>> encode_headers((('x', encode_header_text('\u015f')),))
+    [(b'x', b'\xc5\x9f')]
+    """
+    return text.encode().decode('latin-1')
+
+
 def _cut(text: str) -> str:
     """Return the begin of a text for an error message."""
     return repr(text[:_MAX_SHOWN_CHARACTERS])
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -23,6 +23,7 @@
     send_carried,
     unpack_request,
 )
+from limpetdrift.platform.endpoint_client import _request_headers
 from limpetdrift.platform.header_names import (
     AUTHORIZATION_HEADER,
     CARRIED_MARK_HEADER,
@@ -37,7 +38,11 @@
     ListedEndpoint,
 )
 from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Response
+from limpetdrift.transport.messages import (
+    Address,
+    Response,
+    encode_headers,
+)
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server, bound_address, listen
 
@@ -251,3 +256,23 @@
     answer, _ = ask(Peer(pass_on), read)
     assert answer.status == status
     assert not answer.refused
+
+
+# Guards against requests that failed since the account's name is not Latin-1.
+def test_account_of_any_language_reaches_the_endpoint():
+    endpoint = ListedEndpoint(
+        name='i-1',
+        lifetime=1,
+        service='s',
+        address='127.0.0.1:1',
+        failure_domain='d',
+        slots=1,
+    )
+    headers = _request_headers(
+        replace(REQUEST, account='Emekdaş'),
+        DispatchPlan(endpoint=endpoint),
+        SECONDS_LEFT,
+        None,
+    )
+    sent = dict(encode_headers(headers))
+    assert sent[b'tenant'].decode() == 'Emekdaş'
