Bound each number in the messages of peers and in the configuration

A spoiled message of a peer, or one of another build, can have an age in the future, with which withdrawn keys stay confirmed for good; an era after which no answer of the store is new; a time to wait below zero, which trio refuses; a bucket count of zero; or a number that overflows where it is used. A time to retry of 1e308 s in a peer's refusal cost the caller its 503 ("OverflowError: cannot convert float infinity to integer"). A slot count, prefill rate or target latency of 0 in the configuration fails each prompt's plan by a division.

Cause: messages had the types int and float, which take any number of JSON, and the handlers and those who merge replies used them as they came.

Change: all numbers of messages, rows and of the configuration have types with bounds (protocol/bounded.py); a message beyond them is a BAD_REQUEST and changes nothing. Ages and times to wait are not negative, eras are those that the store's header may have. An entry sends nothing that others reject: a caller's size above the bound is no size, a server's limit above it is none. Hashes of 64 bits stay as they are, since they are only compared. Figures of an engine that costs are divided by, and the target latency, are at least 1.

--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -21,6 +21,7 @@
     TOKEN_USAGE_HEADER,
     drop_foreign,
 )
+from limpetdrift.protocol.bounded import MAX_TOKENS
 from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.route_table import Account, Route
 from limpetdrift.protocol.work import CallerRequest, PromptSize
@@ -183,6 +184,8 @@
     prompt_tokens, answer_tokens = parse_count(prompt), parse_count(answer)
     if prompt_tokens is None or answer_tokens is None:
         return None
+    if max(prompt_tokens, answer_tokens) > MAX_TOKENS:
+        return None
     return PromptSize(prompt_tokens=prompt_tokens, answer_tokens=answer_tokens)
 
 
--- a/src/limpetdrift/platform/configuration.py
+++ b/src/limpetdrift/platform/configuration.py
@@ -8,6 +8,7 @@
 import msgspec
 from expression import Result
 
+from limpetdrift.protocol.bounded import BoundedFloat, BoundedInt
 from limpetdrift.protocol.codec import decode_json
 from limpetdrift.protocol.route_table import (
     Account,
@@ -23,6 +24,9 @@
 _MILLISECONDS = 1000.0
 _PAIRS_PER_MILLION = 1_000_000.0
 _THOUSAND_TOKENS = 1000.0
+# Costs are divided by the target latency, and by the figures of an engine.
+_MIN_TARGET_MILLISECONDS = 1.0
+_MIN_ENGINE_FIGURE = 1
 # Callers disconnect from a stream after this time without an event, or after
 # these multiples of the route's target latency and longest pause, whichever is
 # longest.
@@ -38,7 +42,7 @@
 
 class _Share(msgspec.Struct, kw_only=True):
     service: str
-    weight: float = 1.0
+    weight: BoundedFloat = 1.0
 
 
 class _Route(msgspec.Struct, kw_only=True, rename='camel'):
@@ -46,42 +50,42 @@
     host: str
     path_prefix: str
     kind: Literal['idempotent', 'non_idempotent', 'streaming']
-    timeout_ms: float = 10000
-    target_latency_ms: float = 1000
-    priority: int = 0
+    timeout_ms: BoundedFloat = 10000
+    target_latency_ms: BoundedFloat = 1000
+    priority: BoundedInt = 0
     # A route has one service, or several with weights in ``traffic_split``.
     service: str = ''
     traffic_split: list[_Share] = []
-    max_attempts: int = 1
+    max_attempts: BoundedInt = 1
     public: bool = False
     resumable: bool = False
     # The longest pause between two events of a stream that is on time.
-    gap_target_ms: float = 1000
+    gap_target_ms: BoundedFloat = 1000
 
 
 class _UsualRequest(msgspec.Struct, kw_only=True):
     # Tokens of a typical answer.
-    answer: float = 0
+    answer: BoundedFloat = 0
 
 
 class _Engine(msgspec.Struct, kw_only=True):
     # On the wire some of these names are in snake case and some in camel case.
-    slots: int = 8
+    slots: BoundedInt = 8
     # Size of the key-value cache, in tokens.
-    kv_capacity: int = msgspec.field(default=0, name='kvCapacity')
+    kv_capacity: BoundedInt = msgspec.field(default=0, name='kvCapacity')
     # Decode steps in one pass.
-    stride: int = 1
+    stride: BoundedInt = 1
     # Time of a decode step, and what each stream adds to it.
-    step_ms: float = 1
-    per_seq_ms: float = 0
+    step_ms: BoundedFloat = 1
+    per_seq_ms: BoundedFloat = 0
     # Milliseconds that each thousand tokens of context add to a decode step.
-    context_per_k: float = 0
+    context_per_k: BoundedFloat = 0
     # Prefill rate, in tokens per second.
-    read_per_s: float = 100000
+    read_per_s: BoundedFloat = 100000
     # Milliseconds of prefill for each million pairs of tokens.
-    pairs_per_m: float = 0
+    pairs_per_m: BoundedFloat = 0
     # Prefill tokens that a decode step may process as well.
-    chunk: int = 2048
+    chunk: BoundedInt = 2048
     usual: _UsualRequest = msgspec.field(default_factory=_UsualRequest)
 
 
@@ -91,25 +95,25 @@
     health_path: str = msgspec.field(default='', name='healthPath')
     # Time for which an endpoint is cold after its start, and the requests a
     # second that it can handle then, 0 without a bound.
-    cold_start_s: float = msgspec.field(default=0, name='coldStartS')
-    cold_per_s: float = msgspec.field(default=0, name='coldPerS')
+    cold_start_s: BoundedFloat = msgspec.field(default=0, name='coldStartS')
+    cold_per_s: BoundedFloat = msgspec.field(default=0, name='coldPerS')
 
 
 class _Account(msgspec.Struct, kw_only=True, rename='camel'):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: BoundedInt | None = None
 
 
 class _Limits(msgspec.Struct, kw_only=True, rename='camel'):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
+    max_header_bytes: BoundedInt = 16384
+    max_body_bytes: BoundedInt = 4194304
+    header_timeout_ms: BoundedFloat = 3000
+    idle_timeout_ms: BoundedFloat = 15000
 
 
 class _Document(msgspec.Struct, kw_only=True):
-    version: int
+    version: BoundedInt
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -168,7 +172,8 @@
         prefix=route.path_prefix,
         kind=_KINDS[route.kind],
         timeout_seconds=route.timeout_ms / _MILLISECONDS,
-        target_seconds=route.target_latency_ms / _MILLISECONDS,
+        target_seconds=max(_MIN_TARGET_MILLISECONDS, route.target_latency_ms)
+        / _MILLISECONDS,
         shares=shares or (ServiceShare(service=route.service),),
         priority=route.priority,
         attempt_limit=route.max_attempts,
@@ -189,15 +194,15 @@
     if engine is None:
         return None
     return EngineCostModel(
-        slots=engine.slots,
+        slots=max(_MIN_ENGINE_FIGURE, engine.slots),
         memory_tokens=engine.kv_capacity,
         step_seconds=engine.step_ms / _MILLISECONDS,
         stream_seconds=engine.per_seq_ms / _MILLISECONDS,
         context_seconds=engine.context_per_k / _MILLISECONDS / _THOUSAND_TOKENS,
-        read_tokens_per_second=engine.read_per_s,
+        read_tokens_per_second=max(_MIN_ENGINE_FIGURE, engine.read_per_s),
         pair_seconds=engine.pairs_per_m / _MILLISECONDS / _PAIRS_PER_MILLION,
-        chunk_tokens=engine.chunk,
-        stride=engine.stride,
+        chunk_tokens=max(_MIN_ENGINE_FIGURE, engine.chunk),
+        stride=max(_MIN_ENGINE_FIGURE, engine.stride),
         usual_answer_tokens=int(engine.usual.answer),
     )
 
--- a/src/limpetdrift/platform/endpoint_signals.py
+++ b/src/limpetdrift/platform/endpoint_signals.py
@@ -11,6 +11,7 @@
     LIMIT_HEADER,
     RETRY_AFTER_HEADER,
 )
+from limpetdrift.protocol.bounded import MAX_RATE
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.transport.messages import UNAVAILABLE, Headers
@@ -106,4 +107,5 @@
             endpoint=endpoint.name,
             value=', '.join(texts)[:_MAX_LENGTH],
         )
-    return min(valid, default=None)
+    lowest = min(valid, default=None)
+    return UNLIMITED if lowest is not None and lowest > MAX_RATE else lowest
--- a/src/limpetdrift/protocol/bounded.py
+++ b/src/limpetdrift/protocol/bounded.py
@@ -18,12 +18,26 @@
 MAX_PACE = 1_000_000.0
 # Versions, eras and lifetimes: what other builds and stores take as well.
 MAX_VERSION = sys.maxsize
+# Eras of the store: once a larger one is taken, no answer is new.
+MAX_ERA = 999_999_999_999
+# Requests a second of one endpoint. A higher limit is none.
+MAX_RATE = 1_000_000_000.0
+# Seconds, costs and other measures, and counts: their products stay finite.
+MAX_MEASURE = 1_000_000_000_000.0
+MAX_COUNT = 1_000_000_000
 # Characters of a name: names are labels of metrics and parts of heads.
 MAX_NAME_LENGTH = 256
 
 RequestCount = Annotated[int, Meta(ge=0, le=MAX_REQUESTS)]
 TokenCount = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
 Version = Annotated[int, Meta(ge=0, le=MAX_VERSION)]
+Era = Annotated[int, Meta(ge=0, le=MAX_ERA)]
+Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
+PositiveCount = Annotated[int, Meta(gt=0, le=MAX_COUNT)]
+Seconds = Annotated[float, Meta(ge=0, le=MAX_MEASURE)]
+PositiveSeconds = Annotated[float, Meta(gt=0, le=MAX_MEASURE)]
+Rate = Annotated[float, Meta(ge=0, le=MAX_RATE)]
+BoundedFloat = Annotated[float, Meta(ge=-MAX_MEASURE, le=MAX_MEASURE)]
 BoundedInt = Annotated[int, Meta(ge=-MAX_VERSION, le=MAX_VERSION)]
 Name = Annotated[str, Meta(max_length=MAX_NAME_LENGTH)]
 Pace = Annotated[float, Meta(ge=0, le=MAX_PACE)]
--- a/src/limpetdrift/protocol/crashes.py
+++ b/src/limpetdrift/protocol/crashes.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from limpetdrift.protocol.bounded import BoundedFloat, Seconds
+
 PUSH_PATH = 'crashes/news'
 PULL_PATH = 'crashes/pull'
 
@@ -24,8 +26,8 @@
     attempt: str
     account: str
     keys: tuple[str, ...]
-    age_seconds: float
-    time_of_day: float = 0.0
+    age_seconds: Seconds
+    time_of_day: BoundedFloat = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -33,7 +35,7 @@
     """A key of a request that an endpoint answered without a crash."""
 
     key: str
-    age_seconds: float
+    age_seconds: Seconds
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/gossip.py
+++ b/src/limpetdrift/protocol/gossip.py
@@ -9,6 +9,7 @@
 
 from msgspec import Raw
 
+from limpetdrift.protocol.bounded import BoundedInt
 from limpetdrift.protocol.node import Endpoint, Node
 from limpetdrift.transport.messages import Address
 
@@ -47,7 +48,7 @@
     node: Node
     state: MemberState = MemberState.LIVE
     leaving: bool = False
-    version: int = 0
+    version: BoundedInt = 0
 
     @property
     def name(self) -> str:
@@ -66,10 +67,10 @@
     """
 
     name: str
-    incarnation: int = 0
+    incarnation: BoundedInt = 0
     leaving: bool = False
     listed: ListingState = ListingState.ABSENT
-    list_version: int = 0
+    list_version: BoundedInt = 0
     endpoint: Endpoint | None = None
 
 
@@ -78,8 +79,8 @@
     """The incarnation and version of a member's record, without its content."""
 
     name: str
-    incarnation: int
-    version: int
+    incarnation: BoundedInt
+    version: BoundedInt
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/limits.py
+++ b/src/limpetdrift/protocol/limits.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 
+from limpetdrift.protocol.bounded import BoundedFloat, Rate
 from limpetdrift.protocol.plans import EndpointId
 
 PUSH_PATH = 'limits'
@@ -27,10 +28,10 @@
     """
 
     endpoint: EndpointId
-    requests_per_second: float | None
-    age_seconds: float
+    requests_per_second: Rate | None
+    age_seconds: BoundedFloat
     service: str = ''
-    cold_seconds: float = 0.0
+    cold_seconds: BoundedFloat = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/links.py
+++ b/src/limpetdrift/protocol/links.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from limpetdrift.protocol.bounded import BoundedInt
+
 PUSH_PATH = 'links/news'
 PULL_PATH = 'links/pull'
 
@@ -14,7 +16,7 @@
     """
 
     entry: str
-    version: int
+    version: BoundedInt
     cut_services: tuple[str, ...] = ()
 
 
--- a/src/limpetdrift/protocol/node.py
+++ b/src/limpetdrift/protocol/node.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
+from limpetdrift.protocol.bounded import BoundedInt
 from limpetdrift.transport.messages import Address
 
 
@@ -30,7 +31,7 @@
     """
 
     name: str
-    incarnation: int
+    incarnation: BoundedInt
     role: Role
     region: str
     failure_domain: str
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -8,6 +8,16 @@
 
 from xxhash import xxh64_intdigest
 
+from limpetdrift.protocol.bounded import (
+    BoundedFloat,
+    BoundedInt,
+    Count,
+    PositiveCount,
+    PositiveSeconds,
+    Seconds,
+    TokenCount,
+)
+
 # Cost limit of a request that accepts any plan.
 UNLIMITED_COST = 1_000_000_000.0
 
@@ -23,8 +33,8 @@
     """
 
     failure_domain: str = ''
-    bucket: int = 0
-    bucket_count: int = 1
+    bucket: Count = 0
+    bucket_count: PositiveCount = 1
 
     def contains(self, failure_domain: str, name: str) -> bool:
         """Return whether an engine or entry belongs to the group."""
@@ -38,7 +48,7 @@
     """An endpoint's name, and the lifetime that identifies its process."""
 
     name: str
-    lifetime: int
+    lifetime: BoundedInt
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -79,21 +89,21 @@
 
     service: str
     entry: str
-    prompt_tokens: int
-    answer_tokens: int
-    pause_seconds: float
-    patience_seconds: float
-    target_seconds: float
-    seconds_left: float
-    hold_seconds: float
+    prompt_tokens: TokenCount
+    answer_tokens: TokenCount
+    pause_seconds: BoundedFloat
+    patience_seconds: BoundedFloat
+    target_seconds: PositiveSeconds
+    seconds_left: BoundedFloat
+    hold_seconds: BoundedFloat
     failure_domain: str
     excluded: tuple[EndpointId, ...] = ()
     ended: tuple[EndedPlan, ...] = ()
     group: EngineGroup = EngineGroup()
-    cost_limit: float = UNLIMITED_COST
+    cost_limit: BoundedFloat = UNLIMITED_COST
     leaving: tuple[EndpointId, ...] = ()
     account: str = ''
-    priority: int = 0
+    priority: BoundedInt = 0
     fingerprint: str = ''
     confirms: bool = False
     is_admitted: bool = False
@@ -110,7 +120,7 @@
     """Memory to reserve at a helper before the request is sent."""
 
     endpoint: EndpointId
-    tokens: int
+    tokens: TokenCount
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,12 +134,12 @@
     used lately.
     """
 
-    priority: int
-    slack_seconds: float
-    account_share: float = 0.0
-    waited_seconds: float = 0.0
-    passes: int = 0
-    passed_seconds: float = 0.0
+    priority: BoundedInt
+    slack_seconds: BoundedFloat
+    account_share: BoundedFloat = 0.0
+    waited_seconds: BoundedFloat = 0.0
+    passes: BoundedInt = 0
+    passed_seconds: BoundedFloat = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -153,10 +163,10 @@
     writer: EndpointId
     helpers: tuple[EndpointId, ...] = ()
     reserved: tuple[ReservedTokens, ...] = ()
-    delay_seconds: float = 0.0
-    read_seconds: float = 0.0
-    hold_seconds: float = 0.0
-    cost: float = 0.0
+    delay_seconds: Seconds = 0.0
+    read_seconds: BoundedFloat = 0.0
+    hold_seconds: BoundedFloat = 0.0
+    cost: BoundedFloat = 0.0
     permitted: tuple[EndpointId, ...] = ()
     waiting: WaitingOrder | None = None
     alternative: EngineGroup | None = None
@@ -199,7 +209,7 @@
 
     plan: Plan
     request: PlanRequest
-    age_seconds: float
+    age_seconds: Seconds
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -211,7 +221,7 @@
 
     service: str
     account: str
-    engine_seconds: float
+    engine_seconds: BoundedFloat
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -250,15 +260,15 @@
     service: str
     group: EngineGroup
     planner: str = ''
-    made_at: float = 0.0
-    engines: int = 0
-    failing: int = 0
-    backlog_seconds: float = 0.0
-    free_tokens: int = 0
-    free_slots: int = 0
-    slots: int = 0
-    waiting: tuple[int, ...] = ()
-    refused: int = 0
+    made_at: BoundedFloat = 0.0
+    engines: Count = 0
+    failing: Count = 0
+    backlog_seconds: BoundedFloat = 0.0
+    free_tokens: BoundedInt = 0
+    free_slots: BoundedInt = 0
+    slots: Count = 0
+    waiting: tuple[BoundedInt, ...] = ()
+    refused: Count = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/quarantine.py
+++ b/src/limpetdrift/protocol/quarantine.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from enum import IntEnum, unique
 
+from limpetdrift.protocol.bounded import BoundedFloat, BoundedInt, Seconds
+
 PUSH_PATH = 'quarantine/news'
 PULL_PATH = 'quarantine/pull'
 ISOLATION_PATH = 'quarantine/turn'
@@ -41,10 +43,10 @@
     fingerprint: str
     account: str
     standing: QuarantineState
-    version: int
-    seconds: float
+    version: BoundedInt
+    seconds: BoundedFloat
     endpoint: str = ''
-    crashes: int = 0
+    crashes: BoundedInt = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,7 +78,7 @@
 
     fingerprint: str
     holder: str
-    seconds: float
+    seconds: Seconds
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/limpetdrift/protocol/route_table.py
+++ b/src/limpetdrift/protocol/route_table.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum, unique
 
+from limpetdrift.protocol.bounded import BoundedFloat, BoundedInt
+
 
 @unique
 class RequestKind(StrEnum):
@@ -22,7 +24,7 @@
     """A service and the relative weight with which a route chooses it."""
 
     service: str
-    weight: float = 1.0
+    weight: BoundedFloat = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -41,15 +43,15 @@
     host: str
     prefix: str
     kind: RequestKind
-    timeout_seconds: float
-    target_seconds: float
+    timeout_seconds: BoundedFloat
+    target_seconds: BoundedFloat
     shares: tuple[ServiceShare, ...]
-    priority: int = 0
-    attempt_limit: int = 1
+    priority: BoundedInt = 0
+    attempt_limit: BoundedInt = 1
     public: bool = False
     resumable: bool = False
-    pause_seconds: float = 1.0
-    patience_seconds: float = float('inf')
+    pause_seconds: BoundedFloat = 1.0
+    patience_seconds: BoundedFloat = float('inf')
 
     @property
     def repeatable(self) -> bool:
@@ -72,16 +74,16 @@
     ``usual_answer_tokens`` is the usual length of an answer.
     """
 
-    slots: int
-    memory_tokens: int
-    step_seconds: float
-    stream_seconds: float
-    context_seconds: float
-    read_tokens_per_second: float
-    pair_seconds: float
-    chunk_tokens: int
-    stride: int
-    usual_answer_tokens: int = 0
+    slots: BoundedInt
+    memory_tokens: BoundedInt
+    step_seconds: BoundedFloat
+    stream_seconds: BoundedFloat
+    context_seconds: BoundedFloat
+    read_tokens_per_second: BoundedFloat
+    pair_seconds: BoundedFloat
+    chunk_tokens: BoundedInt
+    stride: BoundedInt
+    usual_answer_tokens: BoundedInt = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,8 +98,8 @@
     name: str
     engine: EngineCostModel | None = None
     health_path: str = ''
-    cold_start_seconds: float = 0.0
-    cold_requests_per_second: float = 0.0
+    cold_start_seconds: BoundedFloat = 0.0
+    cold_requests_per_second: BoundedFloat = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -106,7 +108,7 @@
 
     name: str
     keys: tuple[str, ...]
-    priority: int | None = None
+    priority: BoundedInt | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -117,10 +119,10 @@
     to its end; ``idle_seconds`` is the idle timeout between requests.
     """
 
-    header_bytes: int = 16_384
-    body_bytes: int = 4_194_304
-    head_seconds: float = 3.0
-    idle_seconds: float = 15.0
+    header_bytes: BoundedInt = 16_384
+    body_bytes: BoundedInt = 4_194_304
+    head_seconds: BoundedFloat = 3.0
+    idle_seconds: BoundedFloat = 15.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -131,7 +133,7 @@
     public.
     """
 
-    version: int
+    version: BoundedInt
     routes: tuple[Route, ...]
     services: tuple[Service, ...] = ()
     accounts: tuple[Account, ...] = ()
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -8,6 +8,7 @@
 from expression import Error, Result
 from xxhash import xxh32_intdigest
 
+from limpetdrift.protocol.bounded import BoundedInt, Era, Seconds
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.verdict import Failure, Reason, may_have_run
@@ -33,8 +34,8 @@
     nothing has been read.
     """
 
-    era: int = UNKNOWN_ERA
-    version: int = 0
+    era: Era = UNKNOWN_ERA
+    version: BoundedInt = 0
     failure_domains: tuple[str, ...] = ()
 
     @property
@@ -56,13 +57,13 @@
     no new version.
     """
 
-    routes_version: int
-    list_version: int
-    wait_seconds: float
+    routes_version: BoundedInt
+    list_version: BoundedInt
+    wait_seconds: Seconds
     list_digest: int = 0
-    routes_era: int | None = None
-    list_era: int | None = None
-    evacuations_position: tuple[int, int] | None = None
+    routes_era: Era | None = None
+    list_era: Era | None = None
+    evacuations_position: tuple[BoundedInt, BoundedInt] | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -79,15 +80,15 @@
     one in force.
     """
 
-    routes_version: int
-    routes_age_seconds: float
-    list_version: int
-    list_age_seconds: float
+    routes_version: BoundedInt
+    routes_age_seconds: Seconds
+    list_version: BoundedInt
+    list_age_seconds: Seconds
     is_cut: bool
     routes: bytes | None = None
     endpoints: bytes | None = None
-    routes_era: int | None = None
-    list_era: int | None = None
+    routes_era: Era | None = None
+    list_era: Era | None = None
     is_store_behind: bool = False
     evacuations: EvacuatedDomains | None = None
 
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field, replace
 
+from limpetdrift.protocol.bounded import BoundedFloat, BoundedInt
 from limpetdrift.protocol.route_table import Route
 from limpetdrift.transport.messages import Headers, parse_address
 
@@ -76,13 +77,13 @@
     """
 
     name: str
-    lifetime: int
+    lifetime: BoundedInt
     service: str
     address: str
     failure_domain: str
-    slots: int
+    slots: BoundedInt
     leaving: bool = False
-    cold_seconds: float = field(default=0.0, compare=False)
+    cold_seconds: BoundedFloat = field(default=0.0, compare=False)
 
     def __post_init__(self) -> None:
         parse_address(self.address)
--- a/src/limpetdrift/verdict.py
+++ b/src/limpetdrift/verdict.py
@@ -7,8 +7,15 @@
 
 from dataclasses import dataclass, replace
 from enum import StrEnum, unique
+from typing import Annotated
+
+from msgspec import Meta
 
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
+# Longest time to retry after that a peer may name.
+MAX_RETRY_AFTER_SECONDS = 86_400.0
+
+RetryAfter = Annotated[float, Meta(ge=0, le=MAX_RETRY_AFTER_SECONDS)]
 
 
 @unique
@@ -81,7 +88,7 @@
     verdict: Verdict
     reason: Reason
     detail: str = ''
-    retry_after_seconds: float | None = None
+    retry_after_seconds: RetryAfter | None = None
     alternatives: tuple[str, ...] = ()
     is_retry_scheduled: bool = False
 
