Answer a peer whose table has another number of buckets

A sync of a peer with more than 32 bucket hashes fails with IndexError in the handler.

Cause: `RecordTable.differing` took each hash to have a bucket of its own here.

Change: the buckets that both have are compared.

Evidence: on the code before, 33 hashes raised IndexError (read in the code and shown by the new test with BUCKETS + 1).

Result: tests/test_outside_messages.py passes.

--- a/src/limpetdrift/state/records.py
+++ b/src/limpetdrift/state/records.py
@@ -142,8 +142,10 @@
         """
         bucket_indexes: list[int] = []
         differing_records: list[Record] = []
-        for index, digest in enumerate(buckets):
-            if digest == self._buckets[index]:
+        # Another build may have another number of buckets.
+        pairs = zip(buckets, self._buckets, strict=False)
+        for index, (digest, own_digest) in enumerate(pairs):
+            if digest == own_digest:
                 continue
             in_this_bucket = self.in_bucket(index)
             limit_bytes -= sum(
--- a/tests/test_outside_messages.py
+++ b/tests/test_outside_messages.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Iterator
 from copy import deepcopy
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -22,12 +23,14 @@
 from limpetdrift.platform.failure_responses import make_failure_renderer
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.compatibility import EXCHANGED
+from limpetdrift.protocol.gossip import MemberRecord
 from limpetdrift.protocol.plans import PlanRequest
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import pack, unpack
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.state.engine_ledger import EngineLedger
+from limpetdrift.state.records import BUCKETS, RecordTable
 from limpetdrift.verdict import Failure, Reason
 from test_platform_decoders import (
     DOCUMENT,
@@ -95,6 +98,11 @@
     return kind.le is not None and {kind.ge, kind.gt} != {None}
 
 
+def make_member(number: int) -> MemberRecord:
+    sample = make(MemberRecord, is_whole=True)
+    return replace(sample, node=replace(sample.node, name=f'e{number}'))
+
+
 def replace_number(body: object, choose: random.Random, number: object) -> None:
     """Replace one number somewhere in a body."""
     places = list(find_numbers(body))
@@ -220,6 +228,19 @@
     assert decode_signals(ENGINE, 200, headers).rate_limit == UNLIMITED
 
 
+# Guards against a peer of a build with more buckets, whose call failed.
+@pytest.mark.parametrize('count', [0, BUCKETS - 1, BUCKETS + 1])
+def test_peer_with_another_number_of_buckets_gets_those_that_both_have(count):
+    table = RecordTable(
+        join=lambda one, other: other, hashed=lambda record: True
+    )
+    for record in map(make_member, range(100)):
+        table.merge(record)
+    buckets, records = table.differing((1,) * count, limit_bytes=10**6)
+    assert buckets == tuple(range(min(count, BUCKETS)))
+    assert bool(records) is bool(count)
+
+
 @pytest.mark.parametrize(
     ('name', 'field'),
     [
