Send no order with a timeout below zero after a pause

After a pause of the process an order for memory has a negative timeout, trio raises ValueError, and the prompt's attempt fails, or the release is given up.

Cause: `_repeat_order` computes the time that is left from the clock, and a pause may outlast the order's timeout between two steps.

Change: the time that is left is at least 0. Such an order times out at once, as one that the engine doesn't answer, and is not repeated.

Evidence: on the code before, the new test failed with "ValueError: `seconds` must be non-negative".

Result: tests/test_reservations.py passes.

--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -245,7 +245,8 @@
         refusal = orders.gate.check_call(endpoint)
         if refusal is not None and not passes_gate:
             return Error(not_run(Reason.NO_MEMORY, refusal.detail))
-        seconds_left = deadline - trio.current_time()
+        # A pause of the process may outlast the timeout.
+        seconds_left = max(0, deadline - trio.current_time())
         result = await _send_order(orders, endpoint, body, seconds_left)
         retry_at = trio.current_time() + _ORDER_RETRY_SECONDS
         is_silent = (
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -2,10 +2,12 @@
 
 import math
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 import trio
 from expression import Error
+from trio.testing import MockClock
 
 from forward_harness import make_announcements, make_links
 from limpet_standins.local import call_local
@@ -13,12 +15,14 @@
 from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
 from limpetdrift.platform.reservations import (
     LIMITED_TTL_SECONDS,
+    ORDER_TIMEOUT_SECONDS,
     make_reserver,
 )
 from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address
-from limpetdrift.verdict import Reason, may_have_run, not_run
+from limpetdrift.verdict import FailureError, Reason, may_have_run, not_run
 from virtual_time import in_virtual_time
 
 ENGINE = ListedEndpoint(
@@ -134,3 +138,43 @@
     with pytest.raises(ExceptionGroup):
         await reserve(FailingClient()).__aenter__()
     await trio.sleep(1)
+
+
+class RecordingClient(HttpClient):
+    """An HTTP client that records the timeouts of its calls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.timeouts = []
+
+    async def fetch(self, address, request, **options):
+        self.timeouts.append(options['timeout_seconds'])
+        return await super().fetch(address, request, **options)
+
+
+# Guards against a timeout below zero, which trio refuses.
+def test_order_after_a_pause_of_the_process_times_out():
+    clock = MockClock()
+    client = RecordingClient()
+    view = EndpointView(clock=trio.current_time)
+    gate = make_gate(view, make_announcements())
+    check_call = gate.check_call
+
+    def check_and_pause(endpoint):
+        clock.jump(ORDER_TIMEOUT_SECONDS + 1)
+        return check_call(endpoint)
+
+    async def body():
+        reserve = make_reserver(
+            client,
+            'entry-1',
+            replace(gate, check_call=check_and_pause),
+            make_links(view),
+        )
+        with pytest.raises(FailureError):
+            async with reserve(PLAN):
+                pytest.fail('reserved')
+
+    trio.run(body, clock=clock)
+    assert client.timeouts
+    assert not any(client.timeouts)
