Fail a request that can't be written as one that has not run

What callers saw: a tenant whose name isn't Latin-1, or a name with a control character, fails each of its requests as one that may have run. The path of a service's health checks with a space or beyond ASCII raises the same errors in the task that probes links, in the main nursery, which ends the process (read in the code, not played).

Cause: the client raised UnicodeEncodeError and h11's LocalProtocolError, which nobody who calls `fetch` expects: all its failures are returned.

Change: such a request is a failure with the verdict NOT_RUN, since no byte of it was sent.

Evidence: on the code before, the four requests of the new test raised LocalProtocolError and UnicodeEncodeError.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -475,11 +475,15 @@
     own_headers = [('content-length', str(len(request.body)))]
     if not request.header('host'):
         own_headers.append(('host', str(address)))
-    head = h11.Request(
-        method=request.method,
-        target=_request_target(request),
-        headers=encode_headers((*own_headers, *request.headers)),
-    )
+    try:
+        head = h11.Request(
+            method=request.method,
+            target=_request_target(request),
+            headers=encode_headers((*own_headers, *request.headers)),
+        )
+    except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+        # A name or path from outside that no request can hold.
+        raise FailureError(not_run(Reason.INTERNAL, str(error))) from error
     payload = protocol.send(head) or b''
     if request.body:
         payload += protocol.send(h11.Data(data=request.body)) or b''
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -9,6 +9,7 @@
 import time
 
 import pytest
+import trio
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -23,6 +24,9 @@
 from limpetdrift.protocol.gossip import GossipMessage
 from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.state.engine_ledger import EngineLedger
+from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.messages import Address, Request
+from limpetdrift.verdict import Verdict
 from test_platform_decoders import ENGINE
 from test_splitting import COST_MODEL, ENGINES, make_request
 
@@ -107,3 +111,27 @@
     assert time.process_time() - began_at < MAX_DECODE_SECONDS
     assert signals.rate_limit in {None, UNLIMITED}
     assert (signals.back_off_seconds, signals.cold_seconds) == (0, 0)
+
+
+# Guards against a path of health checks that ended the task of the probes.
+@pytest.mark.parametrize(
+    'unsendable',
+    [
+        Request(method='GET', path='/a b'),
+        Request(method='GET', path='/\u0142'),
+        Request(method='GET', path='/', headers=(('tenant', '\u0142'),)),
+        Request(method='GET', path='/', headers=(('tenant', 'a\nb'),)),
+    ],
+)
+def test_unsendablethat_can_not_be_written_fails_as_not_run(unsendable):
+    async def fetch():
+        listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        async with listeners[0]:
+            port = listeners[0].socket.getsockname()[1]
+            return await HttpClient().fetch(
+                Address(host='127.0.0.1', port=port),
+                unsendable,
+                timeout_seconds=1.0,
+            )
+
+    assert trio.run(fetch).error.verdict is Verdict.NOT_RUN
