Count the attempts of a carried request at the entry that owns it

Cause: a peer counted the attempts of a carried request from zero and made as many as the route allows, and the entry that had asked took the peer's 502 for an endpoint's failure and asked the next peer, which did the same.

Change: a carried request is one attempt. The entry that owns it sends the count of attempts before it (`Limpet-Carried-Attempts`); the peer sends it to one endpoint, charges a second attempt to its retry budget, and answers. The owner decides on the next attempt, as it does for its own, so silence, a peer that dies and a failed answer count alike. An own 5xx of a peer other than 503 is `peer-failed`: it may have run, and it is not passed on as an endpoint's answer. A peer that was used before is used again if no other reaches the service, also beside a silent attempt.

An earlier entry sends no count; a present peer takes that as none and makes one attempt, so the earlier entry's own count bounds the request. Through an earlier entry a caller could still write the header: that charges a retry to the peer's budget, and allows no attempt more.

--- a/src/limpetdrift/coordination/forwarding/delivery.py
+++ b/src/limpetdrift/coordination/forwarding/delivery.py
@@ -102,6 +102,9 @@
     """
     if answer.refused:
         return Error(_refusal(answer))
+    if answer.is_failure_of_peer:
+        detail = f'status {answer.status} of a peer'
+        return Error(may_have_run(Reason.PEER_FAILED, detail))
     if answer.is_for_other_request or progress.is_head_sent:
         return Error(may_have_run(Reason.BAD_ANSWER, 'not what was asked'))
     chunks = answer.chunks()
--- a/src/limpetdrift/coordination/forwarding/endpoint_response.py
+++ b/src/limpetdrift/coordination/forwarding/endpoint_response.py
@@ -21,7 +21,9 @@
     ``is_for_other_request`` that the response answers another request.
     ``failed_address`` is the address of another endpoint that caused the
     refusal. A body that is not ``framed`` ends with its connection. ``load`` is
-    the load that the endpoint reports in the response, if any.
+    the load that the endpoint reports in the response, if any. With
+    ``is_failure_of_peer``, no endpoint has answered: the peer that was to pass
+    the request on got no answer.
     """
 
     status: int
@@ -30,6 +32,7 @@
     refused: bool = False
     is_from_other_process: bool = False
     is_for_other_request: bool = False
+    is_failure_of_peer: bool = False
     framed: bool = True
     failed_address: str = ''
     load: EndpointLoad | None = None
--- a/src/limpetdrift/coordination/forwarding/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding.py
@@ -85,6 +85,7 @@
             on_event=make_harmless_reporter(
                 self._inputs.report_harmless, request
             ),
+            attempts=request.prior_attempts,
             last_event=request.last_event_id,
             is_logged=is_sampled(request.request_id),
         )
@@ -291,8 +292,9 @@
         attempt.expect_answer_within(
             answer_timeout_seconds(progress, placement)
         )
+        prior_attempts = progress.attempts - 1
         async with self._inputs.send(
-            progress.request,
+            replace(progress.request, prior_attempts=prior_attempts),
             placement,
             progress.seconds_left(),
             progress.last_event,
--- a/src/limpetdrift/coordination/membership/carriers.py
+++ b/src/limpetdrift/coordination/membership/carriers.py
@@ -120,14 +120,14 @@
     ) -> Result[DispatchPlan, Failure]:
         """Choose a peer that reaches a request's service.
 
-        One in this entry's failure domain is preferred. Fails with
+        One that is not in ``excluded`` is preferred, and one in this entry's
+        failure domain; the same peer may find another endpoint. Fails with
         ``NO_ENDPOINT`` if there is none, or the request was carried here.
         """
         peers = [
             each
             for each in self._live_entries()
             if each.name != self._node.name
-            and (each.name, each.incarnation) not in excluded
             and request.service not in self._cut_services(each.name)
         ]
         if request.is_carried or not peers:
@@ -139,9 +139,14 @@
                     retry_after_seconds=RETRY_AFTER_SECONDS,
                 )
             )
+        others = [
+            each
+            for each in peers
+            if (each.name, each.incarnation) not in excluded
+        ]
         domain = self._node.failure_domain
-        near = [each for each in peers if each.failure_domain == domain]
-        chosen = self._randomness.choice(near or peers)
+        near = [each for each in others if each.failure_domain == domain]
+        chosen = self._randomness.choice(near or others or peers)
         telemetry.count('requests_carried')
         return Ok(
             DispatchPlan(
--- a/src/limpetdrift/platform/carrying.py
+++ b/src/limpetdrift/platform/carrying.py
@@ -7,7 +7,7 @@
 has one of them twice, since an earlier build doesn't drop the caller's.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
@@ -25,6 +25,7 @@
     decode_response_head,
     last_event_headers,
 )
+from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.work import CallerRequest, DispatchPlan
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import (
@@ -35,27 +36,35 @@
     parse_address,
 )
 from limpetdrift.transport.routing import Parameters
-from limpetdrift.transport.server import Exchange, Handler
+from limpetdrift.transport.server import Exchange
 from limpetdrift.verdict import Failure, Reason, not_run
 
 CARRY_PATH = '/peer/carry'
-# Each is in a carried request once, and the others at most once.
+# Each is in a carried request once, and the others at most once. An earlier
+# build sends no attempts.
 _REQUIRED_HEADERS = (
     header_names.CARRIED_METHOD_HEADER,
     header_names.CARRIED_TARGET_HEADER,
     header_names.DEADLINE_MS_HEADER,
 )
-_SINGLE_HEADERS = (*_REQUIRED_HEADERS, header_names.AUTHORIZATION_HEADER)
+_SINGLE_HEADERS = (
+    *_REQUIRED_HEADERS,
+    header_names.CARRIED_ATTEMPTS_HEADER,
+    header_names.AUTHORIZATION_HEADER,
+)
 _MILLISECONDS = 1000
 _BAD_REQUEST = 400
 _CLIENT_ERROR = 400
 _SERVER_ERROR = 500
 
+# Serves a carried request; the count is that of the attempts before.
+ServeCarried = Callable[[Exchange, int], Awaitable[None]]
+
 
 class CarriedRequests:
     """Serves the requests that peers pass on, and counts those under way."""
 
-    def __init__(self, *, serve: Handler) -> None:
+    def __init__(self, *, serve: ServeCarried) -> None:
         self._serve = serve
         self._open = 0
         self._ended = trio.Event()
@@ -75,10 +84,11 @@
             warn('carried request refused', detail=unpacked.error.detail)
             await exchange.respond(Response(status=_BAD_REQUEST))
             return
-        exchange.request = unpacked.ok
+        request, attempts = unpacked.ok
+        exchange.request = request
         self._open += 1
         try:
-            await self._serve(exchange)
+            await self._serve(exchange, attempts)
         finally:
             self._open -= 1
             self._ended.set()
@@ -138,6 +148,10 @@
     added = [
         (header_names.CARRIED_METHOD_HEADER, caller_request.method),
         (header_names.CARRIED_TARGET_HEADER, caller_request.target),
+        (
+            header_names.CARRIED_ATTEMPTS_HEADER,
+            str(caller_request.prior_attempts),
+        ),
         (header_names.DEADLINE_MS_HEADER, str(deadline_ms)),
     ]
     if caller_request.key:
@@ -155,11 +169,11 @@
     )
 
 
-def unpack_request(request: Request) -> Result[Request, Failure]:
-    """Return the caller's request in one from a peer.
+def unpack_request(request: Request) -> Result[tuple[Request, int], Failure]:
+    """Return the caller's request in one from a peer, and its attempts before.
 
     Fails with ``BAD_REQUEST`` if a header that only entries write is missing or
-    comes twice: one of the two may be the caller's.
+    comes twice, since one of the two may be the caller's, or is no number.
     """
     counts = {
         name: sum(found == name for found, _ in request.headers)
@@ -169,15 +183,31 @@
         if count > 1 or (name in _REQUIRED_HEADERS and not count):
             detail = f'{name} comes {count} times'
             return Error(not_run(Reason.BAD_REQUEST, detail))
+    attempts = parse_count(
+        request.header(header_names.CARRIED_ATTEMPTS_HEADER, '0')
+    )
+    if attempts is None:
+        return Error(not_run(Reason.BAD_REQUEST, 'attempts are no number'))
     target = request.header(header_names.CARRIED_TARGET_HEADER)
-    return Ok(
-        Request(
-            method=request.header(header_names.CARRIED_METHOD_HEADER),
-            path=target.partition('?')[0],
-            target=target,
-            headers=header_names.drop_foreign(request.headers, frozenset()),
-            body=request.body,
-        )
+    unpacked = Request(
+        method=request.header(header_names.CARRIED_METHOD_HEADER),
+        path=target.partition('?')[0],
+        target=target,
+        headers=header_names.drop_foreign(request.headers, frozenset()),
+        body=request.body,
+    )
+    return Ok((unpacked, attempts))
+
+
+def mark_carried(caller_request: CallerRequest, attempts: int) -> CallerRequest:
+    """Return an admitted request as one that a peer has passed on.
+
+    It is sent to one endpoint here. The peer owns the request: it decides on
+    the next attempt, and counts them all.
+    """
+    route = replace(caller_request.route, attempt_limit=attempts + 1)
+    return replace(
+        caller_request, route=route, is_carried=True, prior_attempts=attempts
     )
 
 
@@ -195,12 +225,14 @@
         _CLIENT_ERROR <= answer.status < _SERVER_ERROR
         or answer.status == UNAVAILABLE
     )
+    is_refusal = is_own and is_promise
     is_unknown_call = header_names.CARRIED_MARK_HEADER not in names
     return EndpointResponse(
         status=answer.status,
         headers=answer.headers,
-        refused=is_unknown_call or (is_own and is_promise),
+        refused=is_unknown_call or is_refusal,
         is_for_other_request=answer.is_for_other_request,
+        is_failure_of_peer=is_own and answer.status >= _SERVER_ERROR,
         chunks=answer.chunks,
         framed=answer.framed,
     )
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -22,6 +22,7 @@
     CallerHandlerInputs,
     apply_limits,
     make_caller_handler,
+    make_carried_handler,
 )
 from limpetdrift.platform.carrying import CARRY_PATH, CarriedRequests
 from limpetdrift.platform.crash_rows import CrashRows
@@ -284,9 +285,7 @@
         handler=make_caller_handler(handler_inputs),
         find_request_id=lambda request: request.header(REQUEST_ID_HEADER),
     )
-    carried = CarriedRequests(
-        serve=make_caller_handler(handler_inputs, is_carried=True)
-    )
+    carried = CarriedRequests(serve=make_carried_handler(handler_inputs))
 
     async def wait_idle() -> None:
         await callers.wait_idle()
--- a/src/limpetdrift/platform/header_names.py
+++ b/src/limpetdrift/platform/header_names.py
@@ -47,6 +47,8 @@
 
 CARRIED_METHOD_HEADER = 'limpet-carried-method'
 CARRIED_TARGET_HEADER = 'limpet-carried-target'
+# The attempts that the entries before have made.
+CARRIED_ATTEMPTS_HEADER = 'limpet-carried-attempts'
 # Set on all answers of a peer that knows the call.
 CARRIED_MARK_HEADER = 'limpet-carried'
 # Written by entries, and read by entries alone.
@@ -54,6 +56,7 @@
     (
         CARRIED_METHOD_HEADER,
         CARRIED_TARGET_HEADER,
+        CARRIED_ATTEMPTS_HEADER,
         CARRIED_MARK_HEADER,
         PEER_SECRET_HEADER,
     )
--- a/src/limpetdrift/protocol/work.py
+++ b/src/limpetdrift/protocol/work.py
@@ -37,7 +37,8 @@
     all but the last. ``last_event_id`` is the id of the last event that the
     caller received of a stream that it resumes. ``is_begun`` is true if the
     head of the answer has been sent to the caller, and ``is_carried`` if a peer
-    that does not reach the endpoints has passed the request on.
+    that does not reach the endpoints has passed the request on, after
+    ``prior_attempts`` attempts of its own.
     """
 
     request_id: str
@@ -58,6 +59,7 @@
     last_event_id: int | None = None
     is_begun: bool = False
     is_carried: bool = False
+    prior_attempts: int = 0
 
 
 # The name and lifetime of an endpoint, which identify one process.
--- a/src/limpetdrift/verdict.py
+++ b/src/limpetdrift/verdict.py
@@ -56,6 +56,7 @@
     ENDPOINT_FAILED = 'endpoint-failed'
     ENDPOINT_UNAVAILABLE = 'endpoint-unavailable'
     SERVICE_BACK_OFF = 'service-back-off'
+    PEER_FAILED = 'peer-failed'
     CONNECT_FAILED = 'connect-failed'
     CONNECT_TIMEOUT = 'connect-timeout'
     CONNECTION_BROKEN = 'connection-broken'
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -27,7 +27,7 @@
 from limpetdrift.coordination.membership.membership import Membership
 from limpetdrift.coordination.peers import PeerRoutes
 from limpetdrift.coordination.planning.plain_placer import PlainPlacer
-from limpetdrift.platform.carrying import unpack_request
+from limpetdrift.platform.carrying import mark_carried, unpack_request
 from limpetdrift.platform.crash_wiring import build_crash_guard
 from limpetdrift.platform.endpoint_client import make_send_request
 from limpetdrift.platform.header_names import CARRIED_MARK_HEADER
@@ -217,7 +217,7 @@
         if peer is None:
             raise FailureError(not_run(Reason.CONNECT_FAILED, str(address)))
         exchange = CarriedExchange()
-        original = unpack_request(request).ok
+        original, attempts = unpack_request(request).ok
         seconds_left = float(original.header('deadline-ms')) / 1000
         work = replace(
             self._site.works[original.header('attempt-id')],
@@ -226,10 +226,11 @@
             ),
             arrived_at=trio.current_time(),
             deadline=trio.current_time() + seconds_left,
-            is_carried=True,
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(peer.serve, work, exchange)
+            nursery.start_soon(
+                peer.serve, mark_carried(work, attempts), exchange
+            )
             await exchange.has_head.wait()
             yield exchange
             nursery.cancel_scope.cancel()
--- a/tests/test_carrying.py
+++ b/tests/test_carrying.py
@@ -26,6 +26,7 @@
 from limpetdrift.platform.endpoint_client import _request_headers
 from limpetdrift.platform.header_names import (
     AUTHORIZATION_HEADER,
+    CARRIED_ATTEMPTS_HEADER,
     CARRIED_MARK_HEADER,
     CARRIED_METHOD_HEADER,
     CARRIED_TARGET_HEADER,
@@ -68,6 +69,7 @@
 
     def __init__(self, handle, *, is_old: bool = False) -> None:
         self.requests = []
+        self.attempts = []
         self.has_lost_caller = False
         self._handle = handle
         self.carried = CarriedRequests(serve=self._serve)
@@ -76,8 +78,9 @@
             routes.add('POST', CARRY_PATH, self.carried.handle)
         self.server = Server(handler=routes.handle)
 
-    async def _serve(self, exchange) -> None:
+    async def _serve(self, exchange, attempts: int) -> None:
         self.requests.append(exchange.request)
+        self.attempts.append(attempts)
         await self._handle(self, exchange)
 
 
@@ -147,7 +150,7 @@
 
 
 def test_packed_request_is_unpacked_without_the_headers_of_the_call():
-    unpacked = unpack_request(pack_request(REQUEST, SECONDS_LEFT, None)).ok
+    unpacked, _ = unpack_request(pack_request(REQUEST, SECONDS_LEFT, None)).ok
     assert all('limpet' not in name for name, _ in unpacked.headers)
 
 
@@ -158,9 +161,36 @@
     assert all(answer.refused for answer, _ in answers)
 
 
-def test_failure_of_a_peer_proves_nothing():
-    answer, _ = ask(Peer(respond(502)), read)
-    assert not answer.refused
+def test_failure_of_a_peer_proves_nothing_and_is_not_an_endpoints():
+    for status in (500, 502, 504):
+        answer, _ = ask(Peer(respond(status)), read)
+        assert not answer.refused
+        assert answer.is_failure_of_peer
+
+
+def test_attempts_go_with_the_request():
+    peer = Peer(respond(200, ('attempt-id', 'a1')))
+    ask(peer, read, request=replace(REQUEST, prior_attempts=2))
+    assert peer.attempts == [2]
+
+
+@pytest.mark.parametrize(('text', 'attempts'), [(None, 0), ('3', 3)])
+def test_attempts_that_an_earlier_build_does_not_send_are_none(text, attempts):
+    packed = pack_request(REQUEST, SECONDS_LEFT, None)
+    headers = dict(packed.headers)
+    headers.pop(CARRIED_ATTEMPTS_HEADER)
+    if text is not None:
+        headers[CARRIED_ATTEMPTS_HEADER] = text
+    again = replace(packed, headers=tuple(headers.items()))
+    assert unpack_request(again).ok[1] == attempts
+
+
+@pytest.mark.parametrize('text', ['', '-1', 'x', '9' * 5000])
+def test_attempts_that_are_no_number_are_refused(text):
+    packed = pack_request(REQUEST, SECONDS_LEFT, None)
+    headers = dict(packed.headers) | {CARRIED_ATTEMPTS_HEADER: text}
+    again = replace(packed, headers=tuple(headers.items()))
+    assert unpack_request(again).is_error()
 
 
 def test_answer_of_an_endpoint_is_no_refusal_of_the_peer():
@@ -168,6 +198,7 @@
         answer, _ = ask(Peer(respond(status, ('attempt-id', 'a1'))), read)
         assert answer.status == status
         assert not answer.refused
+        assert not answer.is_failure_of_peer
 
 
 def test_peer_of_an_earlier_build_refuses_the_call():
@@ -210,6 +241,7 @@
     [
         CARRIED_METHOD_HEADER,
         CARRIED_TARGET_HEADER,
+        CARRIED_ATTEMPTS_HEADER,
         DEADLINE_MS_HEADER,
         AUTHORIZATION_HEADER,
     ],
