--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from dataclasses import replace
 
 import trio
 
@@ -100,7 +101,10 @@
                     placement.endpoint, stream.status, stream.headers
                 ),
             )
-            response = decode_response_head(stream, caller_request.request_id)
+            response = _name_culprit(
+                decode_response_head(stream, caller_request.request_id),
+                placement,
+            )
             if response.load is not None and not placement.grant:
                 on_load(placement.endpoint, response.load)
             if response.refused and placement.grant:
@@ -206,6 +210,16 @@
     return EndpointLoad(running=running, waiting=waiting, slots=slots)
 
 
+def _name_culprit(
+    response: EndpointResponse, placement: DispatchPlan
+) -> EndpointResponse:
+    """Tell a refusal for a helper's sake from one of another process there."""
+    helpers = {each.endpoint.address for each in placement.helpers}
+    if response.failed_address in helpers:
+        return replace(response, is_from_other_process=False)
+    return response
+
+
 def _report_full(
     gate: EndpointGate, placement: DispatchPlan, response: EndpointResponse
 ) -> None:
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -1,7 +1,9 @@
 """Tests of what an entry does with the signals in endpoints' answers."""
 
 import time
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -45,6 +47,22 @@
     )
 
 
+def make_work() -> CallerRequest:
+    now = time.monotonic()
+    return CallerRequest(
+        request_id='a1',
+        method='POST',
+        target='/x',
+        headers=(('attempt-id', 'a1'),),
+        body=b'',
+        route=make_route(),
+        service='s',
+        version=1,
+        arrived_at=now,
+        deadline=now + SECONDS_LEFT,
+    )
+
+
 @dataclass(kw_only=True)
 class Calls:
     """One stand-in endpoint on loopback, and an entry's calls to it."""
@@ -71,23 +89,10 @@
 
     async def send(self, **changes: object) -> EndpointResponse | Failure:
         """Send a request; return its whole answer or why it failed."""
-        now = time.monotonic()
-        work = CallerRequest(
-            request_id='a1',
-            method='POST',
-            target='/x',
-            headers=(('attempt-id', 'a1'),),
-            body=b'',
-            route=make_route(),
-            service='s',
-            version=1,
-            arrived_at=now,
-            deadline=now + SECONDS_LEFT,
-        )
         placement = DispatchPlan(endpoint=self.endpoint, **changes)
         try:
             async with self._send(
-                work, placement, SECONDS_LEFT, None
+                make_work(), placement, SECONDS_LEFT, None
             ) as answer:
                 async for _ in answer.chunks():
                     await trio.lowlevel.checkpoint()
@@ -163,6 +168,48 @@
     run_calls(body)
 
 
+@pytest.mark.parametrize(
+    ('at_fault', 'is_writer_gone'),
+    [('10.0.0.2:80', False), ('10.0.0.1:80', True), ('', True), ('?', True)],
+)
+def test_refusal_that_names_a_helper_does_not_mark_the_writer_as_leaving(
+    at_fault, is_writer_gone
+):
+    writer, helper = (
+        make_endpoint(Address(host=f'10.0.0.{number}', port=80), 1)
+        for number in (1, 2)
+    )
+    headers = (('at-server', at_fault),) if at_fault else ()
+    full = []
+
+    @asynccontextmanager
+    async def stream(address, request, **options: object):
+        yield SimpleNamespace(status=421, headers=headers, chunks=None)
+
+    async def run() -> EndpointResponse:
+        view = EndpointView(clock=time.monotonic)
+        view.replace((writer, replace(helper, name='i-2')))
+        send = make_send_request(
+            SimpleNamespace(stream=stream),
+            lambda endpoint, load: None,
+            make_gate(view, make_announcements(full=full.append)),
+            make_links(view),
+        )
+        plan = DispatchPlan(
+            endpoint=writer,
+            helpers=(Helper(endpoint=replace(helper, name='i-2')),),
+            grant='g',
+        )
+        async with send(make_work(), plan, SECONDS_LEFT, None) as answer:
+            return answer
+
+    answer = trio.run(run)
+    assert answer.refused
+    assert answer.is_from_other_process is is_writer_gone
+    expected = [] if is_writer_gone else ['i-2']
+    assert [each.name for each in full] == expected
+
+
 def test_report_of_another_lifetime_does_not_mark_the_listed_one():
     async def body(calls: Calls) -> None:
         calls.standin.leaving = True
