Honour a back-off that endpoints name for its whole time

What callers saw: nothing so far; seen by the review in the code. An endpoint that answers 503 with a `Retry-After` above 60 s got requests again after 60 s, while BUDGET holds to the end of the time that it named.

Cause: longer back-offs were cut to 60 s, so that one spoiled value would not exclude an endpoint for good.

The rule knows none, but "no number" has to end somewhere: callers are told the time, and it may come as infinity.

Evidence: test_back_off_of_minutes_holds_to_its_end failed before for 61 s and for 3,600 s ("assert not True ... is_open(('i-0', 1))").

Result: test_endpoint_back_offs passes. Not played on a site.

--- a/src/limpetdrift/state/endpoint_back_offs.py
+++ b/src/limpetdrift/state/endpoint_back_offs.py
@@ -13,9 +13,9 @@
 from limpetdrift.logs import note, warn
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 
-# Longest back-off that is accepted; a longer one is cut to it, so that one
-# wrong value does not exclude an endpoint for good.
-MAX_BACK_OFF_SECONDS = 60.0
+# Longest back-off that is accepted, a day; a longer one is cut to it, so that
+# no value excludes a lifetime for good. A new lifetime has no back-off.
+MAX_BACK_OFF_SECONDS = 86_400.0
 # Requests in flight to an endpoint after its back-off, until one of them has
 # succeeded.
 RECOVERY_REQUESTS = 2
--- a/tests/test_endpoint_back_offs.py
+++ b/tests/test_endpoint_back_offs.py
@@ -1,7 +1,9 @@
 """Tests that nothing is sent to an endpoint in the time that it named."""
 
+import random
 from dataclasses import replace
 
+import pytest
 import trio
 from hypothesis import example, given
 from hypothesis import strategies as st
@@ -13,6 +15,7 @@
     make_route,
 )
 from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
+from limpetdrift.platform.failure_responses import make_failure_renderer
 from limpetdrift.protocol.work import CallerRequest
 from limpetdrift.state.endpoint_back_offs import (
     MAX_BACK_OFF_SECONDS,
@@ -20,7 +23,7 @@
     EndpointBackOffs,
 )
 from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.verdict import Reason
+from limpetdrift.verdict import Reason, not_run
 from virtual_time import in_virtual_time
 
 FIRST, SECOND, THIRD = make_endpoints(3)
@@ -208,6 +211,36 @@
     assert caller.back_offs.seconds_left(FIRST.identity) == 5.0
 
 
+@pytest.mark.parametrize('seconds', [61.0, 3600.0])
+def test_back_off_of_minutes_holds_to_its_end(seconds):
+    caller = Caller()
+    caller.back_offs.extend(FIRST, seconds)
+    caller.clock.now = seconds - 0.1
+    assert not caller.back_offs.is_open(FIRST.identity)
+    assert not caller.back_offs.admit((FIRST.identity,), 'a')
+    caller.clock.now = seconds
+    assert caller.back_offs.is_open(FIRST.identity)
+
+
+def test_new_lifetime_is_open_during_a_long_back_off_of_the_one_before():
+    caller = Caller()
+    caller.back_offs.extend(FIRST, MAX_BACK_OFF_SECONDS)
+    again = replace(FIRST, lifetime=FIRST.lifetime + 1)
+    assert caller.back_offs.is_open(again.identity)
+
+
+def test_callers_are_told_a_finite_time_whatever_an_endpoint_names():
+    """Guards against a number without a limit in a refusal's header."""
+    caller = Caller()
+    caller.back_offs.extend(FIRST, float('inf'))
+    seconds = caller.back_offs.seconds_until_open((FIRST,))
+    render = make_failure_renderer(random.Random(1))
+    response = render(
+        not_run(Reason.SERVICE_BACK_OFF, 's', retry_after_seconds=seconds)
+    )
+    assert float(response.header('retry-after')) >= MAX_BACK_OFF_SECONDS
+
+
 def test_back_off_above_the_limit_is_cut_and_logged(monkeypatch):
     lines = []
     monkeypatch.setattr(
