Begin a background task again after an error, and that task only

Cause: all background tasks of an entry were in nurseries whose error ends the process. One report, row or address that raised in one of them cut off every request.

Change: limpetdrift/supervision.py. keep_running logs an error with its traceback, counts it in limpet_task_failures_total and begins the task again, after 0.1 to 5 s with jitter, at first again after 10 s without an error. run_contained does so for work that is not repeated. Cancellation, KeyboardInterrupt and SystemExit pass through, also out of a group. The entry's tasks, and the children of pollers, watchers, monitors, gossip, replication and batches use them; a listener that fails is accepted from again, with its open connections kept. Restarts are safe: a watcher reads the whole table again and counts as without its store meanwhile, events are set where work is left, a link's verdict is set, what seeds know counts as learned after an error. An entry that can serve nobody, since its caller server has failed for 5 s or its configuration for 60 s, drains as at SIGTERM and ends with status 1. No work is added per request.

--- a/src/limpetdrift/coordination/crashes/crash_exchange.py
+++ b/src/limpetdrift/coordination/crashes/crash_exchange.py
@@ -30,6 +30,7 @@
 )
 from limpetdrift.protocol.node import Node
 from limpetdrift.state.crash_evidence import CrashEvidence
+from limpetdrift.supervision import keep_running
 from limpetdrift.transport.messages import Address
 
 DIGEST_NAME = 'crashes'
@@ -120,18 +121,24 @@
 
     async def learn(self, seeds: tuple[Address, ...]) -> None:
         """Ask some seeds for all evidence; else read what is kept."""
-        is_informed = await self._replicator.learn_from(
-            seeds, LEARN_TIMEOUT_SECONDS
-        )
-        if not is_informed:
-            for cut in await self._inputs.read_kept():
-                self.evidence.add_cut(cut)
-        self._learned.set()
+        try:
+            if not await self._replicator.learn_from(
+                seeds, LEARN_TIMEOUT_SECONDS
+            ):
+                for cut in await self._inputs.read_kept():
+                    self.evidence.add_cut(cut)
+        finally:
+            # Prompts wait for it, and go on without evidence after an error.
+            self._learned.set()
 
     async def run(self) -> None:
         """Spread evidence until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._replicator.run)
+            nursery.start_soon(
+                keep_running, 'crash-replication', self._replicator.run
+            )
+            if self._untold:
+                self._untold_added.set()
             while True:
                 await self._untold_added.wait()
                 await trio.sleep(
--- a/src/limpetdrift/coordination/crashes/crash_guard.py
+++ b/src/limpetdrift/coordination/crashes/crash_guard.py
@@ -30,6 +30,7 @@
 from limpetdrift.state.crash_evidence import CRASH_SECONDS, CrashEvidence
 from limpetdrift.state.culprits import Suspicion, fingerprint_key
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.verdict import (
     Failure,
     FailureError,
@@ -177,10 +178,16 @@
     async def run(self) -> None:
         """Check the endpoints of broken connections until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.exchange.run)
-            nursery.start_soon(self._inputs.leases.run)
+            nursery.start_soon(
+                keep_running, 'crash-exchange', self.exchange.run
+            )
+            nursery.start_soon(
+                keep_running, 'isolation-leases', self._inputs.leases.run
+            )
             async for broken in self._check_receiver:
-                nursery.start_soon(self._check_for_crash, broken)
+                nursery.start_soon(
+                    run_contained, 'crash-check', self._check_for_crash, broken
+                )
 
     def _suspected_keys(self, request: CallerRequest) -> tuple[str, ...]:
         if self._evidence.is_empty:
--- a/src/limpetdrift/coordination/crashes/isolation_leases.py
+++ b/src/limpetdrift/coordination/crashes/isolation_leases.py
@@ -20,6 +20,7 @@
     IsolationReply,
     IsolationRequest,
 )
+from limpetdrift.supervision import run_contained
 from limpetdrift.verdict import Failure
 
 # Timeout of one call to a home.
@@ -92,7 +93,10 @@
     async def run(self) -> None:
         """Notify homes of released leases until cancelled."""
         async for fingerprint in self._release_receiver:
-            await self._call_home(fingerprint, 0)
+            # One that fails is left to expire, and delays no other.
+            await run_contained(
+                'lease-release', self._call_home, fingerprint, 0
+            )
 
     async def handle(
         self,
--- a/src/limpetdrift/coordination/endpoints/limit_exchange.py
+++ b/src/limpetdrift/coordination/endpoints/limit_exchange.py
@@ -37,6 +37,7 @@
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_limits import EndpointLimits
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.transport.messages import Address
 from limpetdrift.verdict import Failure
 
@@ -139,18 +140,24 @@
         endpoints have asked all others not to send. Seeds that have just
         started too know nothing: then the limits are read where they are kept.
         """
-        is_informed = await self._replicator.learn_from(
-            seeds[:_LEARN_SEEDS], LEARN_TIMEOUT_SECONDS
-        )
-        if not is_informed:
-            for record in await self._inputs.kept.read():
-                self._limits.merge(record)
-        self._learned.set()
+        try:
+            if not await self._replicator.learn_from(
+                seeds[:_LEARN_SEEDS], LEARN_TIMEOUT_SECONDS
+            ):
+                for record in await self._inputs.kept.read():
+                    self._limits.merge(record)
+        finally:
+            # Calls wait for it, and go on without limits after an error.
+            self._learned.set()
 
     async def run(self) -> None:
         """Spread limits and report calls until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._replicator.run)
+            nursery.start_soon(
+                keep_running, 'limit-replication', self._replicator.run
+            )
+            if self._changed or self._spent:
+                self._report_due.set()
             while True:
                 await self._report_due.wait()
                 await trio.sleep(REPORT_BATCH_SECONDS)
@@ -160,8 +167,11 @@
                 self._changed.clear()
                 self._spent.clear()
                 # A decider that doesn't answer must not delay later reports.
-                nursery.start_soon(self._report_changes, changed)
-                nursery.start_soon(self._report_spent, spent)
+                for name, report, endpoints in (
+                    ('changed-limits', self._report_changes, changed),
+                    ('spent-calls', self._report_spent, spent),
+                ):
+                    nursery.start_soon(run_contained, name, report, endpoints)
 
     async def _report_changes(
         self, changed: tuple[ListedEndpoint, ...]
--- a/src/limpetdrift/coordination/membership/drain.py
+++ b/src/limpetdrift/coordination/membership/drain.py
@@ -25,6 +25,7 @@
     usable_entries,
 )
 from limpetdrift.coordination.membership.membership import Membership
+from limpetdrift.supervision import record_error
 from limpetdrift.verdict import Failure, Reason, not_run
 
 # The grace period covers the lifetime of a discovery answer, which may come
@@ -111,7 +112,7 @@
             'drain started; accepting requests during the grace period'
         )
         self._step = _DrainStep.GRACE_PERIOD
-        self._membership.leave()
+        self._announce()
         await trio.sleep(self._timing.drain_grace_seconds)
         with trio.move_on_after(self._timing.successor_wait_seconds):
             await self._wait_for_successor()
@@ -125,6 +126,13 @@
             'drain overdue: streams still run after the longest deadline'
         )
 
+    def _announce(self) -> None:
+        try:
+            self._membership.leave()
+        except Exception as error:
+            # The peers hear of it later; what was accepted is still answered.
+            record_error('drain', error)
+
     async def _wait_for_successor(self) -> None:
         while not self._has_successor():
             await self._changed.wait()
--- a/src/limpetdrift/coordination/membership/failure_detector.py
+++ b/src/limpetdrift/coordination/membership/failure_detector.py
@@ -24,6 +24,7 @@
     ProbeReply,
     ProbeRequest,
 )
+from limpetdrift.supervision import run_contained
 from limpetdrift.transport.messages import Address
 from limpetdrift.verdict import Failure, Reason
 
@@ -143,7 +144,14 @@
         ]
         async with trio.open_nursery() as nursery:
             for helper in helpers[:INDIRECT_PROBE_PEERS]:
-                nursery.start_soon(self._request_probe, helper, record, results)
+                nursery.start_soon(
+                    run_contained,
+                    'gossip-probe',
+                    self._request_probe,
+                    helper,
+                    record,
+                    results,
+                )
         return any(results)
 
     async def _request_probe(
--- a/src/limpetdrift/coordination/membership/gossip_rounds.py
+++ b/src/limpetdrift/coordination/membership/gossip_rounds.py
@@ -12,6 +12,8 @@
 from limpetdrift.coordination.membership.failure_detector import FailureDetector
 from limpetdrift.coordination.membership.gossip import Gossip
 from limpetdrift.coordination.membership.sampling import Sampler
+from limpetdrift.protocol.gossip import MemberRecord
+from limpetdrift.supervision import keep_running, run_contained
 
 ROUND_SECONDS = 1.0
 # A round that starts later than planned by more than this means that this
@@ -48,8 +50,8 @@
         """Run rounds and pushes until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._push_loop)
-            await self._round_loop()
+            nursery.start_soon(keep_running, 'gossip-pushes', self._push_loop)
+            await keep_running('gossip-rounds', self._round_loop)
 
     def push(self) -> None:
         """Request an immediate exchange with ``PEERS_IN_PUSH`` peers."""
@@ -59,11 +61,11 @@
         """Check a member outside the rounds."""
         record = self._gossip.members.table.find(name)
         if record and self._nursery:
-            self._nursery.start_soon(self._detector.check, record)
+            self._check_soon(self._nursery, record)
 
     async def _round_loop(self) -> None:
         while True:
-            self._nursery.start_soon(self._round)
+            self._nursery.start_soon(run_contained, 'gossip-round', self._round)
             jitter = self._randomness.uniform(
                 1 - _JITTER_SHARE, 1 + _JITTER_SHARE
             )
@@ -78,18 +80,31 @@
         self._gossip.members.forget_dead(trio.current_time())
         async with trio.open_nursery() as nursery:
             for record in self._sampler.peers(PEERS_IN_ROUND):
-                nursery.start_soon(self._detector.check, record)
+                self._check_soon(nursery, record)
             for address in self._sampler.unknown_addresses():
                 nursery.start_soon(
-                    self._detector.contact_unknown_address, address
+                    run_contained,
+                    'gossip-contact',
+                    self._detector.contact_unknown_address,
+                    address,
                 )
             for contact in self._sampler.contacts(self._live_names()):
-                nursery.start_soon(self._gossip.exchange_across, contact)
+                nursery.start_soon(
+                    run_contained,
+                    'gossip-across-regions',
+                    self._gossip.exchange_across,
+                    contact,
+                )
 
     async def _push_loop(self) -> None:
         while True:
             await self._push_requested.wait()
             self._push_requested = trio.Event()
             for record in self._sampler.peers(PEERS_IN_PUSH):
-                self._nursery.start_soon(self._detector.check, record)
+                self._check_soon(self._nursery, record)
             await trio.sleep(PUSH_INTERVAL_SECONDS)
+
+    def _check_soon(self, nursery: trio.Nursery, record: MemberRecord) -> None:
+        nursery.start_soon(
+            run_contained, 'gossip-check', self._detector.check, record
+        )
--- a/src/limpetdrift/coordination/membership/link_monitor.py
+++ b/src/limpetdrift/coordination/membership/link_monitor.py
@@ -17,6 +17,7 @@
 from limpetdrift.logs import note, warn
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
+from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.verdict import Reason
 
 # Endpoints that are probed at a time, and the interval of the probes while the
@@ -98,7 +99,9 @@
             return
         link.is_watched = True
         link.verdict = trio.Event()
-        self._nursery.start_soon(self._watch, endpoint.service, link)
+        self._nursery.start_soon(
+            keep_running, 'link-watch', self._watch, endpoint.service, link
+        )
 
     async def settle(self, service: str) -> None:
         """Wait until it is known whether a failure was the link's."""
@@ -122,6 +125,17 @@
 
     async def _watch(self, service: str, link: _ServiceLink) -> None:
         """Probe other endpoints until one is reached."""
+        try:
+            await self._probe_until_reached(service, link)
+        except Exception:
+            # Requests that wait for the verdict go on without it.
+            _settle(link)
+            raise
+        link.is_watched = False
+
+    async def _probe_until_reached(
+        self, service: str, link: _ServiceLink
+    ) -> None:
         while link.missed:
             endpoints = self._choose_endpoints(service, link)
             if not endpoints:
@@ -133,7 +147,6 @@
             if link.missed:
                 self._find_cut(service, link)
                 await trio.sleep(PROBE_INTERVAL_SECONDS)
-        link.is_watched = False
 
     def _choose_endpoints(
         self, service: str, link: _ServiceLink
@@ -163,7 +176,7 @@
 
         async with trio.open_nursery() as nursery:
             for endpoint in endpoints:
-                nursery.start_soon(check, endpoint)
+                nursery.start_soon(run_contained, 'link-probe', check, endpoint)
         return bool(reached)
 
     def _find_cut(self, service: str, link: _ServiceLink) -> None:
--- a/src/limpetdrift/coordination/membership/membership.py
+++ b/src/limpetdrift/coordination/membership/membership.py
@@ -34,6 +34,7 @@
     ProbeOutcome,
 )
 from limpetdrift.protocol.node import Node, Role
+from limpetdrift.supervision import run_contained
 from limpetdrift.transport.messages import Address
 
 _URGENT_STATES = frozenset((MemberState.LEAVING, MemberState.DEAD))
@@ -173,7 +174,10 @@
                     seeds, min(MAX_JOIN_SEEDS, len(seeds))
                 ):
                     nursery.start_soon(
-                        self._detector.contact_unknown_address, address
+                        run_contained,
+                        'gossip-join',
+                        self._detector.contact_unknown_address,
+                        address,
                     )
             if not seeds or len(self.gossip.members) > 1:
                 return
--- a/src/limpetdrift/coordination/planning/engine_report_poller.py
+++ b/src/limpetdrift/coordination/planning/engine_report_poller.py
@@ -18,6 +18,7 @@
 from limpetdrift.logs import note
 from limpetdrift.protocol.gossip import MemberState
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.supervision import run_contained
 from limpetdrift.verdict import Failure
 
 # Time for which plans may be incomplete after a start or the death of an
@@ -108,7 +109,13 @@
         async with trio.open_nursery() as nursery:
             for service, engines in engines_by_service.items():
                 for engine in engines:
-                    nursery.start_soon(self._poll_engine, service, engine)
+                    nursery.start_soon(
+                        run_contained,
+                        'engine-poll',
+                        self._poll_engine,
+                        service,
+                        engine,
+                    )
 
     async def _poll_engine(self, service: str, engine: ListedEndpoint) -> None:
         report = await self._inputs.read(engine)
--- a/src/limpetdrift/coordination/planning/group_load_exchange.py
+++ b/src/limpetdrift/coordination/planning/group_load_exchange.py
@@ -52,6 +52,7 @@
     Plan,
     PlanRequest,
 )
+from limpetdrift.supervision import run_contained
 from limpetdrift.verdict import Failure
 
 GROUP_LOADS_PATH = 'group-loads'
@@ -130,9 +131,13 @@
         while True:
             await self._pressed.wait()
             self._pressed = trio.Event()
-            async with trio.open_nursery() as nursery:
-                for own in tuple(self._planned.values()):
-                    self._send_if_due(own, nursery)
+            try:
+                async with trio.open_nursery() as nursery:
+                    self._send_due(nursery)
+            except Exception:
+                # Sent again after the restart.
+                self._pressed.set()
+                raise
             await trio.sleep(SEND_INTERVAL_SECONDS)
             self._check_pressure()
 
@@ -223,20 +228,23 @@
             if any(is_pressed(each.digest) for each in others):
                 self._pressed.set()
 
-    def _send_if_due(self, own: PlannedGroup, nursery: trio.Nursery) -> None:
-        service, group = own.digest.service, own.digest.group
-        groups = self._inputs.groups.layout(service).groups
-        is_planner = self._inputs.find_planner(group) is None
-        if not is_planner or group not in groups:
-            self._planned.pop((service, group))
-            return
-        now = self._inputs.clock()
-        self._update_digest(own, now)
-        others = [other for other in groups if other != group]
-        load = load_of(own.digest)
-        for target in due_groups(load, own.sent, others, now):
-            own.sent[target] = SentLoad(load=load, sent_at=now)
-            nursery.start_soon(self._send, own.digest, target)
+    def _send_due(self, nursery: trio.Nursery) -> None:
+        """Send the digest of each group that this entry plans for, if due."""
+        for (service, group), own in tuple(self._planned.items()):
+            groups = self._inputs.groups.layout(service).groups
+            is_planner = self._inputs.find_planner(group) is None
+            if not is_planner or group not in groups:
+                self._planned.pop((service, group))
+                continue
+            now = self._inputs.clock()
+            self._update_digest(own, now)
+            others = [other for other in groups if other != group]
+            load = load_of(own.digest)
+            for target in due_groups(load, own.sent, others, now):
+                own.sent[target] = SentLoad(load=load, sent_at=now)
+                nursery.start_soon(
+                    run_contained, 'group-load', self._send, own.digest, target
+                )
 
     async def _send(self, digest: GroupLoad, target: EngineGroup) -> None:
         planner = self._inputs.find_planner(target)
--- a/src/limpetdrift/coordination/planning/planner_client.py
+++ b/src/limpetdrift/coordination/planning/planner_client.py
@@ -29,6 +29,7 @@
     Plan,
     PlanRequest,
 )
+from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.verdict import Failure, Reason
 
 ENDED_PATH = 'plans-ended'
@@ -187,8 +188,12 @@
     async def run(self) -> None:
         """Report plans in force and ended to planners until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._report_ended_plans)
-            nursery.start_soon(self._inform_new_planners)
+            nursery.start_soon(
+                keep_running, 'ended-plans', self._report_ended_plans
+            )
+            nursery.start_soon(
+                keep_running, 'active-plans', self._inform_new_planners
+            )
 
     async def _send_active_plans(
         self, planner: Node, group: EngineGroup
@@ -222,6 +227,8 @@
             )
 
     async def _inform_new_planners(self) -> None:
+        if self._informed_planners:
+            self._planner_changed.set()
         while True:
             await self._planner_changed.wait()
             self._planner_changed = trio.Event()
@@ -231,16 +238,22 @@
                 planner = self.planner(group)
                 informed = self._informed_planners.get(group)
                 if planner is not None and planner.name != informed:
-                    await self._send_active_plans(planner, group)
+                    await run_contained(
+                        'active-plans', self._send_active_plans, planner, group
+                    )
 
     async def _report_ended_plans(self) -> None:
+        if self._ended or self._full:
+            self._plan_ended.set()
         while True:
             await self._plan_ended.wait()
             await trio.sleep(ENDED_BATCH_SECONDS)
             self._plan_ended = trio.Event()
             pending = {*self._ended, *self._full}
             for service, group in pending:
-                await self._send_ended_plans(service, group)
+                await run_contained(
+                    'ended-plans', self._send_ended_plans, service, group
+                )
 
     async def _send_ended_plans(self, service: str, group: EngineGroup) -> None:
         ended = self.pop_ended(service, group)
--- a/src/limpetdrift/coordination/record_replication.py
+++ b/src/limpetdrift/coordination/record_replication.py
@@ -16,6 +16,7 @@
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerCall, PeerRoutes
 from limpetdrift.protocol.node import Node
+from limpetdrift.supervision import run_contained
 from limpetdrift.transport.messages import Address
 from limpetdrift.verdict import Failure
 
@@ -102,6 +103,8 @@
 
     async def run(self) -> None:
         """Push changes and pull from differing peers until cancelled."""
+        if self._queued or self._differing_peers:
+            self._work_added.set()
         async with trio.open_nursery() as nursery:
             while True:
                 await self._work_added.wait()
@@ -112,7 +115,13 @@
                 differing = frozenset(self._differing_peers)
                 self._differing_peers.clear()
                 # A peer that doesn't answer must not delay later pushes.
-                nursery.start_soon(self._synchronize, queued, differing)
+                nursery.start_soon(
+                    run_contained,
+                    'record-replication',
+                    self._synchronize,
+                    queued,
+                    differing,
+                )
 
     async def pull_from(
         self, address: Address, timeout_seconds: float
@@ -147,7 +156,7 @@
 
         async with trio.open_nursery() as nursery:
             for address in seeds:
-                nursery.start_soon(pull, address)
+                nursery.start_soon(run_contained, 'record-pull', pull, address)
         return informed.is_set()
 
     async def _synchronize(
@@ -158,7 +167,7 @@
 
         async def limited(call, entry: Node, *more: object) -> None:
             async with limiter:
-                await call(entry, *more)
+                await run_contained('record-exchange', call, entry, *more)
 
         async with trio.open_nursery() as nursery:
             for entry in self._live_entries():
--- a/src/limpetdrift/coordination/routing/routing_relay.py
+++ b/src/limpetdrift/coordination/routing/routing_relay.py
@@ -35,6 +35,7 @@
     RoutingSyncReply,
     RoutingSyncRequest,
 )
+from limpetdrift.supervision import run_contained
 from limpetdrift.transport.messages import Address
 from limpetdrift.verdict import Failure
 
@@ -152,15 +153,23 @@
         wait_seconds = (
             0.0 if self.readers.has_stale_reader else LONG_POLL_SECONDS
         )
-        reply = await self._poll(address, wait_seconds=wait_seconds)
+        try:
+            reply = await self._poll(address, wait_seconds=wait_seconds)
+        except Exception:
+            # Another peer is polled next.
+            self._record_stale(name, has_failed=True)
+            raise
         if reply.is_ok() and is_fresh(reply.ok):
             self.readers.record_fresh()
         else:
-            self.readers.record_stale(
-                name,
-                has_failed=reply.is_error(),
-                may_read=not self._inputs.is_store_unreachable(),
-            )
+            self._record_stale(name, has_failed=reply.is_error())
+
+    def _record_stale(self, name: str, *, has_failed: bool) -> None:
+        self.readers.record_stale(
+            name,
+            has_failed=has_failed,
+            may_read=not self._inputs.is_store_unreachable(),
+        )
 
     async def _poll_any(self) -> None:
         """Poll some peers at once, until one has replied.
@@ -175,7 +184,7 @@
                     nursery.cancel_scope.cancel()
 
             for address in self._choose_some():
-                nursery.start_soon(poll, address)
+                nursery.start_soon(run_contained, 'peer-poll', poll, address)
 
     async def _poll(
         self, address: Address, *, wait_seconds: float
--- a/src/limpetdrift/coordination/services/service_caller.py
+++ b/src/limpetdrift/coordination/services/service_caller.py
@@ -19,6 +19,7 @@
 from limpetdrift.protocol.service import ServiceCall, ServiceCalls
 from limpetdrift.state.retry_budget import RetryBudget
 from limpetdrift.state.service_balancer import ServiceBalancer
+from limpetdrift.supervision import run_contained
 from limpetdrift.transport.messages import Response
 from limpetdrift.verdict import (
     Failure,
@@ -253,7 +254,9 @@
         if usage.report_is_due:
             usage.read_started_at = trio.current_time()
             self._balancer.forget_others(self._endpoints())
-            self._nursery.start_soon(self._read_load, endpoint)
+            self._nursery.start_soon(
+                run_contained, 'load-read', self._read_load, endpoint
+            )
 
     async def _read_load(self, endpoint: Endpoint) -> None:
         load = await self._calls.load(endpoint.address)
--- a/src/limpetdrift/platform/crash_rows.py
+++ b/src/limpetdrift/platform/crash_rows.py
@@ -23,6 +23,7 @@
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.crashes import CrashNews, CutAttempt
 from limpetdrift.state.crash_evidence import CrashEvidence
+from limpetdrift.supervision import keep_running, run_contained
 
 TABLE = 'limpetdrift-crashes'
 # Delay of a write, in which answers clear most of the keys, and the shortest
@@ -81,21 +82,27 @@
     async def run(self) -> None:
         """Write changes, and compare the rows when assigned."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._compare_repeatedly)
+            nursery.start_soon(
+                keep_running, 'crash-rows-comparison', self._compare_repeatedly
+            )
             while True:
                 await self._changed.wait()
                 await trio.sleep(WRITE_DELAY_SECONDS)
                 self._changed = trio.Event()
-                wanted = make_rows(self._inputs.evidence)
-                assigned = {
-                    key: text
-                    for key, text in wanted.items()
-                    if self._inputs.is_assigned(f'{TABLE}/{key}')
-                }
-                gone = self._shown.keys() - wanted.keys()
-                await self._write(assigned, tuple(gone))
+                if not await run_contained('crash-rows', self._write_assigned):
+                    self._changed.set()
                 await trio.sleep(WRITE_INTERVAL_SECONDS)
 
+    async def _write_assigned(self) -> None:
+        wanted = make_rows(self._inputs.evidence)
+        assigned = {
+            key: text
+            for key, text in wanted.items()
+            if self._inputs.is_assigned(f'{TABLE}/{key}')
+        }
+        gone = self._shown.keys() - wanted.keys()
+        await self._write(assigned, tuple(gone))
+
     async def _compare_repeatedly(self) -> None:
         while True:
             with trio.move_on_after(COMPARISON_INTERVAL_SECONDS):
--- a/src/limpetdrift/platform/endpoint_sync.py
+++ b/src/limpetdrift/platform/endpoint_sync.py
@@ -130,6 +130,8 @@
 
     async def run(self) -> None:
         """Drop lapsed endpoints after the grace period, until cancelled."""
+        if self._lapsed:
+            self._has_lapsed.set()
         while True:
             await self._has_lapsed.wait()
             self._has_lapsed = trio.Event()
--- a/src/limpetdrift/platform/limit_rows.py
+++ b/src/limpetdrift/platform/limit_rows.py
@@ -22,6 +22,7 @@
 from limpetdrift.protocol.limits import LimitRecord
 from limpetdrift.protocol.plans import EndpointId
 from limpetdrift.state.endpoint_limits import EndpointLimits
+from limpetdrift.supervision import keep_running, run_contained
 
 TABLE = 'limpetdrift-limits'
 # Batching interval of changes, and shortest interval of two writes.
@@ -85,18 +86,23 @@
     async def run(self) -> None:
         """Write changes, and compare the rows when assigned."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._compare_repeatedly)
+            nursery.start_soon(
+                keep_running, 'limit-rows-comparison', self._compare_repeatedly
+            )
             while True:
                 await self._work_added.wait()
                 await trio.sleep(WRITE_BATCH_SECONDS)
                 self._work_added = trio.Event()
-                changed = tuple(self._changed.values())
-                self._changed.clear()
-                for record in await self._write(changed):
-                    self._changed.setdefault(record.endpoint.name, record)
-                    self._work_added.set()
+                await run_contained('limit-rows', self._write_changed)
                 await trio.sleep(WRITE_INTERVAL_SECONDS)
 
+    async def _write_changed(self) -> None:
+        changed = tuple(self._changed.values())
+        self._changed.clear()
+        for record in await self._write(changed):
+            self._changed.setdefault(record.endpoint.name, record)
+            self._work_added.set()
+
     async def _compare_repeatedly(self) -> None:
         while True:
             with trio.move_on_after(COMPARISON_INTERVAL_SECONDS):
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -1,14 +1,18 @@
 """Reads the settings of an entry on the platform, and serves until stopped."""
 
-import signal
 import sys
-from functools import partial
 
 import trio
 
 from limpetdrift import logs
 from limpetdrift.build_version import report_build_version
 from limpetdrift.error_logs import log_leaves
+from limpetdrift.platform.background_tasks import (
+    CALLER_SERVER,
+    TaskFailingError,
+    make_failure_hook,
+    start_tasks,
+)
 from limpetdrift.platform.directory import (
     add_directory_routes,
     add_readiness_routes,
@@ -31,7 +35,7 @@
     stop_on_signals,
 )
 from limpetdrift.protocol.codec import encode
-from limpetdrift.transport.messages import Address
+from limpetdrift.supervision import failure_hook, run_contained
 
 # A full queue is written within it, if anyone reads the log.
 FLUSH_SECONDS = 1.0
@@ -77,49 +81,42 @@
 
 
 async def serve(settings: PlatformSettings) -> None:
-    """Run one entry until it has drained, or SIGINT ends the drain."""
+    """Run one entry until it has drained, or SIGINT ends the drain.
+
+    Raises ``TaskFailingError`` if it drained because it could serve nobody.
+    """
     entry = build_entry(settings)
     listeners = settings.listeners
     servers = (
-        (listeners.callers, entry.callers),
-        (listeners.peers, entry.peers),
+        (CALLER_SERVER, listeners.callers, entry.callers),
+        ('peer-server', listeners.peers, entry.peers),
         (
+            'directory-server',
             listeners.directory,
             serve_routes(add_directory_routes, entry.directory),
         ),
         (
+            'readiness-server',
             listeners.readiness,
             serve_routes(add_readiness_routes, entry.directory),
         ),
         (
+            'metrics-server',
             metrics_address(settings),
             serve_routes(add_metrics_routes, entry.directory),
         ),
     )
-    tasks = (
-        entry.replica.run,
-        entry.planning.plan_placer.planner_client.run,
-        entry.planning.plan_placer.group_loads.run,
-        entry.planning.report_poller.run,
-        entry.planning.limit_exchange.run,
-        partial(_follow_limits, entry),
-        entry.crash_guard.run,
-        entry.links.monitor.run,
-        entry.links.carriers.replicator.run,
-        partial(_follow_crashes, entry),
-        partial(_join_when_synced, entry),
-        _check_settings_on_signal,
-    )
     register_gauges(entry)
+    failing: list[str] = []
+    failure_hook.set(make_failure_hook(entry, failing))
     async with trio.open_nursery() as nursery:
         await nursery.start(
             stop_on_signals, _make_stop(entry), nursery.cancel_scope
         )
-        for task in tasks:
-            nursery.start_soon(task)
-        for address, server in servers:
+        start_tasks(entry, nursery)
+        for name, address, server in servers:
             if address is not None:
-                await listen_and_serve(address, server, nursery)
+                await listen_and_serve(address, server, nursery, name)
         logs.note('started', instance=settings.instance, node=entry.node.name)
         report_build_version(settings.instance)
     cut = entry.callers.cut_at_end
@@ -129,65 +126,18 @@
         cut=cut.count,
         longest_cut_seconds=round(cut.longest_seconds, 3),
     )
+    if failing:
+        raise TaskFailingError(*failing)
 
 
 def _make_stop(entry: EntryComponents):
     async def stop() -> None:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(entry.registration.leave)
-            await entry.drain.run()
-            await entry.callers.close(CLOSE_SECONDS)
+            nursery.start_soon(
+                run_contained, 'registration', entry.registration.leave
+            )
+            await run_contained('drain', entry.drain.run)
+            await run_contained('drain', entry.callers.close, CLOSE_SECONDS)
             nursery.cancel_scope.cancel()
 
     return stop
-
-
-async def _follow_crashes(entry: EntryComponents) -> None:
-    """Learn what crashes endpoints, and keep it in the store."""
-    await entry.crash_guard.learn(_other_seeds(entry))
-    await entry.crash_rows.run()
-
-
-async def _follow_limits(entry: EntryComponents) -> None:
-    """Learn the endpoints' rate limits, and keep them in the store.
-
-    The peers that the settings name are asked first.
-    """
-    await entry.planning.limit_exchange.learn(_other_seeds(entry))
-    await entry.planning.limit_rows.run()
-
-
-def _other_seeds(entry: EntryComponents) -> tuple[Address, ...]:
-    own_address = entry.node.peer_address
-    return tuple(each for each in entry.settings.seeds if each != own_address)
-
-
-async def _join_when_synced(entry: EntryComponents) -> None:
-    """Join the peers once this entry is synced and can serve callers.
-
-    From then on the peers list it in their directory answers.
-    """
-    await entry.replica.wait_synced()
-    logs.note('ready', node=entry.node.name)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(entry.membership.run)
-        nursery.start_soon(entry.registration.run)
-
-
-async def _check_settings_on_signal() -> None:
-    """Log on each SIGHUP whether the settings file is valid.
-
-    The file is the one that the environment names. No setting can change
-    while the process runs, so none is applied.
-    """
-    with trio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            settings = read_settings()
-            if settings.is_error():
-                logs.warn(
-                    'settings file can not be read', detail=settings.error
-                )
-            else:
-                logs.note(
-                    'settings file is valid', instance=settings.ok.instance
-                )
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -28,12 +28,16 @@
 from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import NEVER, RouteTableCache
 from limpetdrift.state.stored_configuration import StoredConfiguration
+from limpetdrift.supervision import keep_running
 from limpetdrift.transport.messages import Address
 
 # The operators' rows: the configuration, and the evacuations.
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
 ENDPOINTS_TABLE = 'servers'
+# The names of the tasks that read the configuration, from the store and peers.
+CONFIGURATION_WATCHER = 'configuration-watcher'
+ROUTING_RELAY = 'routing-relay'
 # Interval at which the configuration is confirmed, as a share of the time
 # within which a revoked key must be refused.
 CONFIRMATION_INTERVAL_SHARE = 0.25
@@ -152,10 +156,13 @@
     async def run(self) -> None:
         """Keep the replicas up to date until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._configuration_watcher.run)
-            nursery.start_soon(self._endpoints_watcher.run)
-            nursery.start_soon(self._endpoint_sync.run)
-            nursery.start_soon(self.relay.run)
+            for name, run in (
+                (CONFIGURATION_WATCHER, self._configuration_watcher.run),
+                ('endpoint-list-watcher', self._endpoints_watcher.run),
+                ('lapsed-endpoints', self._endpoint_sync.run),
+                (ROUTING_RELAY, self.relay.run),
+            ):
+                nursery.start_soon(keep_running, name, run)
 
     def _relay_inputs(self) -> RoutingRelayInputs:
         inputs = self._inputs
--- a/src/limpetdrift/platform/table_watcher.py
+++ b/src/limpetdrift/platform/table_watcher.py
@@ -99,10 +99,16 @@
         self._poll.cancel()
 
     async def run(self) -> None:
-        """Watch the table until cancelled."""
+        """Watch the table until cancelled.
+
+        After an error the whole table is read again: what was read last may
+        be applied in part only.
+        """
+        self._position = None
+        self._in_burst = False
         while True:
             if self._subscription.is_enabled():
-                await self.step()
+                await self._step_or_lose_store()
             else:
                 # Peers provide newer data than this position meanwhile, so the
                 # whole table is read when the watcher is enabled again.
@@ -136,6 +142,14 @@
             return
         await self._back_off(failure)
 
+    async def _step_or_lose_store(self) -> None:
+        """Take a step; an error is as if the store could not be read."""
+        try:
+            await self.step()
+        except Exception as error:
+            self._record_lost(type(error).__name__, str(error))
+            raise
+
     async def _read_all(self, requested_at: float) -> Failure | None:
         result = await read_all(self._store, self._subscription.table)
         if result.is_error():
@@ -175,21 +189,24 @@
 
     async def _back_off(self, failure: Failure) -> None:
         self._failures += 1
+        self._record_lost(failure.reason, failure.detail)
+        ceiling = min(
+            INITIAL_RETRY_SECONDS
+            * 2 ** min(self._failures - 1, _MAX_DOUBLINGS),
+            self._subscription.max_retry_interval_seconds(),
+        )
+        await trio.sleep(ceiling * self._randomness.uniform(*_JITTER))
+
+    def _record_lost(self, reason: str, detail: str) -> None:
         if self._lost_at is None:
             self._lost_at = self._clock()
             self._subscription.on_store_lost()
             note(
                 'store lost',
                 table=self._subscription.table,
-                reason=failure.reason,
-                detail=failure.detail,
+                reason=reason,
+                detail=detail,
             )
-        ceiling = min(
-            INITIAL_RETRY_SECONDS
-            * 2 ** min(self._failures - 1, _MAX_DOUBLINGS),
-            self._subscription.max_retry_interval_seconds(),
-        )
-        await trio.sleep(ceiling * self._randomness.uniform(*_JITTER))
 
     def _record_success(self) -> None:
         self._failures = 0
--- a/src/limpetdrift/programs/serving.py
+++ b/src/limpetdrift/programs/serving.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 
 import trio
 from absl import logging
@@ -55,13 +56,15 @@
     address: Address,
     server: Server,
     nursery: trio.Nursery,
+    name: str = 'server',
 ) -> Address:
     """Start to accept connections, and return the bound address.
 
-    It differs from ``address`` if that has port 0.
+    It differs from ``address`` if that has port 0. ``name`` is that of the
+    task that accepts them.
     """
     listeners = await listen(address)
-    await nursery.start(server.serve, listeners)
+    await nursery.start(partial(server.serve, listeners, name=name))
     return bound_address(listeners)
 
 
--- a/src/limpetdrift/state/batching.py
+++ b/src/limpetdrift/state/batching.py
@@ -15,6 +15,7 @@
 from expression import Error, Result
 
 from limpetdrift import telemetry
+from limpetdrift.supervision import run_contained
 from limpetdrift.verdict import (
     Failure,
     Reason,
@@ -143,7 +144,9 @@
                 await self._admit()
                 batch = self._take_batch()
                 if batch:
-                    nursery.start_soon(self._send_batch, batch)
+                    nursery.start_soon(
+                        run_contained, 'store-batch', self._send_batch, batch
+                    )
 
     async def _wait_for_items(self) -> None:
         while not self._queue:
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
+from functools import partial
 
 import h11
 import trio
@@ -16,6 +17,7 @@
 
 from limpetdrift import telemetry
 from limpetdrift.logs import warn
+from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.transport.connection import (
     RECEIVE_BYTES,
     BadInputError,
@@ -205,12 +207,15 @@
         self,
         listeners: list[trio.abc.Listener],
         *,
+        name: str = 'server',
         task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Accept connections until cancelled, and serve those accepted.
 
-        The listeners are closed at the end.
+        The listeners are closed at the end. An error of a listener, reported
+        under ``name``, ends no connection, and connections are accepted again.
         """
+        shared = [_SharedListener(each) for each in listeners]
         accept_scope = trio.CancelScope()
         self._accept_scopes.append(accept_scope)
         try:
@@ -220,15 +225,25 @@
             ):
                 for listener in listeners:
                     await open_listeners.enter_async_context(listener)
+                task_status.started(listeners)
                 with accept_scope:
-                    await trio.serve_listeners(
-                        self.handle_stream,
-                        [_SharedListener(each) for each in listeners],
-                        handler_nursery=nursery,
-                        task_status=task_status,
+                    await keep_running(
+                        name,
+                        partial(
+                            trio.serve_listeners,
+                            self.handle_stream,
+                            shared,
+                            handler_nursery=nursery,
+                        ),
                     )
                 for closing in listeners:
-                    await _accept_queued(closing, self.handle_stream, nursery)
+                    await run_contained(
+                        name,
+                        _accept_queued,
+                        closing,
+                        self.handle_stream,
+                        nursery,
+                    )
         finally:
             self._accept_scopes.remove(accept_scope)
             self._waiting.unpark_all()
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,6 +21,7 @@
             'clocks',
             'error_logs',
             'logs',
+            'supervision',
             'telemetry',
             'telemetry_export',
             'verdict',
