Log texts that are no Unicode instead of raising

What callers saw: nothing yet; found while reading the log of errors.

Cause: a line whose text holds a surrogate, as decoded from undecodable bytes, can't be encoded, and the error was raised where the line is logged. In the log line on an error, that would end the task that reports it.

Change: such a line is written by json, which escapes the text.

Evidence: the test failed before with "UnicodeEncodeError: 'utf-8' codec can't encode character '\udc80' in position 5: surrogates not allowed".

Result: tests/test_error_logs.py and tests/test_story.py pass.

--- a/src/limpetdrift/logs.py
+++ b/src/limpetdrift/logs.py
@@ -10,6 +10,7 @@
 fit are dropped, and a line reports their number as soon as there is room.
 """
 
+import json
 import logging as standard_logging
 import os
 import sys
@@ -78,7 +79,11 @@
         }
         if record.exc_info:
             line['error'] = self.formatException(record.exc_info)
-        return msgspec.json.encode(line, enc_hook=str).decode()
+        try:
+            return msgspec.json.encode(line, enc_hook=str).decode()
+        except UnicodeEncodeError:
+            # An undecodable text from outside, which json escapes.
+            return json.dumps(line, default=str)
 
 
 class LineQueue:
--- a/tests/test_error_logs.py
+++ b/tests/test_error_logs.py
@@ -15,6 +15,7 @@
 )
 from limpetdrift import telemetry
 from limpetdrift.error_logs import log_leaves
+from limpetdrift.logs import JsonFormatter
 from limpetdrift.programs.exits import FAILED_EXIT
 from virtual_time import in_virtual_time
 
@@ -122,3 +123,13 @@
     assert fields['detail'] == 'label too long'
     assert record.exc_info[1].args == ('label too long',)
     assert attempt_errors() == counted + 1
+
+
+def test_text_that_is_no_unicode_raises_where_it_is_logged():
+    """An error with such a text would end the task that logs it."""
+    formatter = JsonFormatter(program='p')
+    record = logging.LogRecord('absl', logging.ERROR, '', 0, 'x', (), None)
+    record.limpet_fields = {'detail': 'host \udc80', 'kind': trio.Event}
+    line = formatter.format(record)
+    assert json.loads(line)['detail'] == 'host \udc80'
+    line.encode('ascii')
