Deliver answers that come as their request is cancelled

Cause: an exchange counted as begun before the first byte of its response was written. An attempt that had read its answer in the moment in which the deadline passed was cancelled at the first checkpoint of the write. `_answer_failure` took the exchange for a begun one and aborted it, in place of the 504. A whole answer that a slow reader had in part was cut in the same way.

Change: an exchange counts as begun once its bytes go to the connection, with no yield before the socket has been tried. Until then a cancelled handler can respond otherwise. A connection keeps what is left to write when a write is cancelled, and the server writes the rest of a response that was handed over to its end, whatever ended the handler, within the limits on writes and on the close. The forwarder counts such a response as the answer. Other cut responses are reset as before. The tasks that accept connections move to a module of their own, unchanged.

The harness's exchange follows: a cancelled response that was not begun may be replaced, its end is completed by the server, and any write after the end fails the test.

--- a/src/limpetdrift/coordination/forwarding/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding.py
@@ -121,8 +121,9 @@
             with deadline_scope:
                 failure = await self._supervise(progress, race, start_attempt)
             nursery.cancel_scope.cancel()
-        if race.is_answered:
-            # The deadline may pass while the attempts clean up.
+        if race.is_answered or progress.exchange.is_whole:
+            # The deadline may pass while the attempts clean up, or while an
+            # answer is written to a caller that reads slowly.
             return None
         if deadline_scope.cancelled_caught:
             return Failure(
--- a/src/limpetdrift/replays/callers.py
+++ b/src/limpetdrift/replays/callers.py
@@ -78,6 +78,11 @@
     finished: bool = False
     disconnected: trio.Event = field(default_factory=trio.Event)
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the response has its end."""
+        return self.response is not None or self.finished
+
     async def respond(self, response: Response) -> None:
         """Store a response that is not a stream."""
         await trio.lowlevel.checkpoint()
--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -1,5 +1,6 @@
 """One connection of a server: its stream, its h11 state and its limits."""
 
+import errno
 import math
 import sys
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 # How long a connection is read once more before it is closed as idle.
 LAST_READ_SECONDS = 0.05
 HEADERS_TOO_LARGE = 431
+_NOTHING = memoryview(b'')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,8 +62,10 @@
         self.stream = stream
         self.limits = limits
         self._idle_since = trio.current_time()
-        self._is_writing = False
         self._is_closing = False
+        # What is left to write, and whether an unknown part of it was written.
+        self._unsent = _NOTHING
+        self._is_torn = False
         self._idle_scope = trio.CancelScope()
         # Bounds every write; a scope for each write would cost more.
         self.write_scope = trio.CancelScope()
@@ -78,11 +82,15 @@
         """Whether the connection closes after the request under way."""
         return self._is_closing
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the last response has its end, written or not."""
+        return self.protocol.our_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
+
     @property
     def is_answered(self) -> bool:
         """Whether the last response was written to its end."""
-        states = {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}
-        return not self._is_writing and self.protocol.our_state in states
+        return self.is_ended and not (self._unsent or self._is_torn)
 
     def use_limits(self, limits: ServerLimits) -> None:
         """Set the limits of the waits to come.
@@ -134,13 +142,46 @@
     async def send(self, *events: h11.Event) -> None:
         """Write events in one call.
 
-        The write scope is cancelled if the peer reads too slowly.
+        If this is cancelled, ``flush`` writes what is left. The write scope is
+        cancelled if the peer reads too slowly.
         """
         payload = b''.join(self.protocol.send(event) or b'' for event in events)
         if payload:
-            now = trio.current_time()
-            self.write_scope.deadline = now + self.limits.write_seconds
-            self._is_writing = True
-            await self.stream.send_all(payload)
-            self._is_writing = False
-            self.write_scope.deadline = math.inf
+            self._unsent = memoryview(bytes(self._unsent) + payload)
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Write what is left of the events."""
+        if not self._unsent:
+            return
+        now = trio.current_time()
+        self.write_scope.deadline = now + self.limits.write_seconds
+        while self._unsent:
+            sent = await self._send_part()
+            self._unsent = self._unsent[sent:]
+        # A slice keeps all of the bytes in memory, however short it is.
+        self._unsent = _NOTHING
+        self.write_scope.deadline = math.inf
+
+    async def _send_part(self) -> int:
+        """Write some bytes and return their number; none if cancelled."""
+        if isinstance(self.stream, trio.SocketStream):
+            return await _send_to_socket(self.stream.socket, self._unsent)
+        # Such a stream doesn't tell how much it took before it was cancelled.
+        payload = self._unsent
+        self._unsent = _NOTHING
+        self._is_torn = True
+        await self.stream.send_all(payload)
+        self._is_torn = False
+        return 0
+
+
+async def _send_to_socket(
+    sock: trio.socket.SocketType, payload: memoryview
+) -> int:
+    try:
+        return await sock.send(payload)
+    except OSError as error:
+        if error.errno == errno.EBADF:
+            raise trio.ClosedResourceError from error
+        raise trio.BrokenResourceError(str(error)) from error
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -16,8 +16,8 @@
 from absl import logging
 
 from limpetdrift import telemetry
-from limpetdrift.logs import warn
 from limpetdrift.supervision import keep_running, run_contained
+from limpetdrift.transport.accepting import SharedListener, accept_queued
 from limpetdrift.transport.connection import (
     RECEIVE_BYTES,
     BadInputError,
@@ -42,9 +42,6 @@
 _TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
 _INTERNAL_ERROR = 500
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
-# The queue of a listener is empty if no connection comes out of it within this
-# time. It is below the interval at which callers connect to a busy entry.
-_QUEUE_CHECK_SECONDS = 0.002
 # How long the last responses may take when a server closes.
 LAST_WRITE_SECONDS = 0.28
 
@@ -65,9 +62,18 @@
 
     @property
     def started(self) -> bool:
-        """Whether sending of the response has begun."""
+        """Whether bytes of the response were handed to the connection."""
         return self._started
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the response was handed over to its end.
+
+        The server writes what is left of it after the handler has ended, also
+        if the handler was cancelled.
+        """
+        return self._started and self._connection.is_ended
+
     @property
     def cut_reason(self) -> CutReason | None:
         """Why this exchange can get no whole response, if that is known."""
@@ -87,7 +93,7 @@
 
     async def respond(self, response: Response) -> None:
         """Send a whole response."""
-        self._has_body = self._may_have_body(response.status)
+        self._has_body = _may_have_body(self.request, response.status)
         headers = (*response.headers, *self._close_headers)
         if response.status not in _STATUSES_WITHOUT_BODY:
             length = str(len(response.body))
@@ -101,7 +107,7 @@
 
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send a response head; without a content length, chunks follow."""
-        self._has_body = self._may_have_body(status)
+        self._has_body = _may_have_body(self.request, status)
         await self._send_head(status, (*headers, *self._close_headers))
 
     async def send(self, payload: bytes) -> None:
@@ -146,13 +152,12 @@
         headers = (*headers, *self._added_headers)
         # Raises an error if the head is invalid, before anything is sent.
         head = h11.Response(status_code=status, headers=encode_headers(headers))
+        # Until here a cancelled handler can still respond otherwise; a write to
+        # a socket is tried before it yields.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self._started = True
         await self._connection.send(head, *following)
 
-    def _may_have_body(self, status: int) -> bool:
-        is_head = self.request.method == 'HEAD'
-        return not is_head and status not in _STATUSES_WITHOUT_BODY
-
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
@@ -215,7 +220,7 @@
         The listeners are closed at the end. An error of a listener, reported
         under ``name``, ends no connection, and connections are accepted again.
         """
-        shared = [_SharedListener(each) for each in listeners]
+        shared = [SharedListener(each) for each in listeners]
         accept_scope = trio.CancelScope()
         self._accept_scopes.append(accept_scope)
         try:
@@ -239,7 +244,7 @@
                 for closing in listeners:
                     await run_contained(
                         name,
-                        _accept_queued,
+                        accept_queued,
                         closing,
                         self.handle_stream,
                         nursery,
@@ -253,8 +258,8 @@
 
         Those that the system has accepted already are still served, and
         requests that have begun to arrive are answered. After the timeout the
-        handlers are cancelled, and requests without any part of a response get
-        status 500.
+        handlers are cancelled, requests without any part of a response get
+        status 500, and whole responses under way are written to their ends.
         """
         self._is_closing = True
         for connection in self._connections:
@@ -309,11 +314,12 @@
             if request is None:
                 return
             await self._handle_request(connection, request)
-            if connection.protocol.our_state is not h11.DONE:
+            protocol = connection.protocol
+            if {protocol.our_state, protocol.their_state} != {h11.DONE}:
                 return
-            if connection.protocol.their_state is not h11.DONE:
+            if not connection.is_answered:
                 return
-            connection.protocol.start_next_cycle()
+            protocol.start_next_cycle()
 
     async def _handle_request(
         self, connection: Connection, request: Request
@@ -333,6 +339,8 @@
             exchange.mark_cut(CutReason.HANDLER_ERROR)
             if not exchange.started:
                 await exchange.respond(Response(status=_INTERNAL_ERROR))
+            if exchange.is_whole:
+                await connection.flush()
         finally:
             self._end_exchange(exchange, connection, started_at)
 
@@ -346,6 +354,8 @@
             exchange.mark_cut(CutReason.CANCELLED)
             if not exchange.started:
                 await exchange.respond(Response(status=_INTERNAL_ERROR))
+        if exchange.is_whole:
+            await connection.flush()
 
     def _end_exchange(
         self, exchange: Exchange, connection: Connection, started_at: float
@@ -376,6 +386,10 @@
 _CLOSING_ERRORS = (*_STREAM_ERRORS, h11.LocalProtocolError)
 
 
+def _may_have_body(request: Request, status: int) -> bool:
+    return request.method != 'HEAD' and status not in _STATUSES_WITHOUT_BODY
+
+
 def _no_request_id(request: Request) -> str:
     return ''
 
@@ -400,38 +414,6 @@
     return isinstance(error, trio.Cancelled)
 
 
-class _SharedListener(trio.abc.Listener):
-    """A listener that stays open when a task that accepts from it ends."""
-
-    def __init__(self, listener: trio.abc.Listener) -> None:
-        self._listener = listener
-
-    async def accept(self) -> trio.abc.Stream:
-        """Return the stream of the next connection."""
-        return await self._listener.accept()
-
-    async def aclose(self) -> None:
-        """Leave the listener open."""
-        await trio.lowlevel.checkpoint()
-
-
-async def _accept_queued(
-    listener: trio.abc.Listener,
-    handle_stream: Callable[[trio.abc.Stream], Awaitable[None]],
-    nursery: trio.Nursery,
-) -> None:
-    """Serve the connections that the system has accepted for a listener."""
-    scope = trio.CancelScope()
-    while not scope.cancelled_caught:
-        with trio.move_on_after(_QUEUE_CHECK_SECONDS) as scope:
-            try:
-                stream = await listener.accept()
-            except OSError as error:
-                warn('queued connections are lost', detail=str(error))
-                return
-            nursery.start_soon(handle_stream, stream)
-
-
 async def listen(address: Address) -> list[trio.SocketListener]:
     """Open listeners for one IP address and port."""
     return await trio.open_tcp_listeners(address.port, host=address.host)
--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -255,6 +255,10 @@
         self.started = False
         self.finished = False
 
+    @property
+    def is_whole(self) -> bool:
+        return self.response is not None or self.finished
+
     async def respond(self, response) -> None:
         self.started = True
         self.response = response
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -1,8 +1,8 @@
 """Runs a forwarder with scripted endpoints and callers, in virtual time."""
 
 import random
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 
 import trio
@@ -129,7 +129,8 @@
     """The response that a caller received, and whether it disconnected.
 
     ``is_partially_written`` is set during each write and stays set when the
-    write is cancelled. Each write takes ``write_seconds``. ``heads`` counts the
+    write is cancelled, unless it is that of the response's end, which the
+    server completes. Each write takes ``write_seconds``. ``heads`` counts the
     responses that were begun.
     """
 
@@ -144,23 +145,31 @@
     write_seconds: float = 0.0
     disconnected: trio.Event = field(default_factory=trio.Event)
 
+    @property
+    def is_whole(self) -> bool:
+        return self.response is not None or self.finished
+
     async def respond(self, response: Response) -> None:
-        self.heads += 1
-        await self._write()
-        self.response = response
+        await self._begin()
+        with self._ending():
+            self.response = response
+            await self._write()
 
     async def start(self, status: int, headers: object = ()) -> None:
-        self.heads += 1
+        await self._begin()
         await self._write()
         self.status = status
 
     async def send(self, payload: bytes) -> None:
+        assert not self.is_whole, 'write after the end of the response'
         await self._write()
         self.payload += payload
 
     async def finish(self) -> None:
-        await self._write()
-        self.finished = True
+        assert not self.is_whole, 'second end of the response'
+        with self._ending():
+            self.finished = True
+            await self._write()
 
     async def abort(self) -> None:
         self.aborted = True
@@ -168,6 +177,12 @@
     async def wait_closed(self) -> None:
         await self.disconnected.wait()
 
+    async def _begin(self) -> None:
+        """Begin a response, unless the handler is cancelled before."""
+        assert not self.is_whole, 'second response'
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self.heads += 1
+
     async def _write(self) -> None:
         """Write as a connection does: change the state, then send the bytes."""
         assert not self.is_partially_written, 'write after a cancelled write'
@@ -176,6 +191,15 @@
         await trio.sleep(self.write_seconds)
         self.is_partially_written = False
 
+    @contextmanager
+    def _ending(self) -> Iterator[None]:
+        """Write the end of the response, also if the handler is cancelled."""
+        assert not self.is_partially_written, 'write after a cancelled write'
+        try:
+            yield
+        finally:
+            self.is_partially_written = False
+
 
 @dataclass
 class SentRequest:
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -243,6 +243,7 @@
         self.status = 0
         self.headers = ()
         self.started = False
+        self.is_whole = False
         self.has_head = trio.Event()
         channel = trio.open_memory_channel(1000)
         self._sender = channel[0]
@@ -258,6 +259,7 @@
         self._sender.send_nowait(payload)
 
     async def finish(self) -> None:
+        self.is_whole = True
         self._sender.close()
 
     async def respond(self, response: Response) -> None:
