Test the decoders with changed bytes of true data

Rows of the three tables, reports, the configuration, the settings, all messages of peers, packed content, callers' heads and endpoints' heads: each is a value or the decoder's error within a time, and what a decoder returned is sent and read again as the same.

--- /dev/null
+++ b/tests/test_changed_bytes.py
@@ -0,0 +1,174 @@
+"""Tests that changed bytes of true data are a value or the decoder's error.
+
+What a decoder returns can be sent on, and is read again as the same.
+"""
+
+import json
+import time
+from collections.abc import Callable
+from functools import partial
+
+from expression import Result
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from corpus.make import make
+from limpetdrift.platform.admission import admit
+from limpetdrift.platform.configuration import decode_route_table
+from limpetdrift.platform.crash_rows import decode_rows as decode_crash_rows
+from limpetdrift.platform.endpoint_rows import decode_endpoint
+from limpetdrift.platform.endpoint_signals import decode_signals
+from limpetdrift.platform.limit_rows import decode_rows as decode_limit_rows
+from limpetdrift.platform.reports import decode_report
+from limpetdrift.platform.settings import decode_settings
+from limpetdrift.platform.store import StoredRow
+from limpetdrift.protocol.codec import decode, encode
+from limpetdrift.protocol.compatibility import EXCHANGED
+from limpetdrift.protocol.crashes import CrashNews
+from limpetdrift.protocol.limits import LimitRecord
+from limpetdrift.protocol.route_table import RouteTable
+from limpetdrift.protocol.routing_sync import pack, unpack
+from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.verdict import Verdict
+from test_platform_decoders import (
+    DOCUMENT,
+    ENGINE,
+    ROW,
+    make_admission,
+    make_request,
+)
+
+# Processor time of one decoding, far above that of any sample.
+MAX_DECODE_SECONDS = 0.5
+REPORT = {'active': 12, 'queued': 1, 'kvUsed': 41_000, 'pace': 1.5}
+SETTINGS = {
+    'nodeName': 'm-1',
+    'listen': {'front': '10.0.0.1:80', 'control': '10.0.0.1:81'},
+    'zone': 'z',
+    'region': 'r',
+    'platform': {'address': '10.0.0.2:80'},
+    'seeds': ['10.0.0.3:81'],
+    'limits': {'cpuShare': 0.5, 'maxFds': 4200},
+    'bounds': {'drainMs': 2000, 'graceS': 8},
+}
+KINDS = sorted((*EXCHANGED, ListedEndpoint), key=lambda kind: kind.__name__)
+SAMPLES: dict[str, tuple[bytes, Callable[[bytes], Result], type | None]] = {
+    'endpoint': (
+        json.dumps(ROW).encode(),
+        lambda payload: decode_endpoint('i-1', payload),
+        ListedEndpoint,
+    ),
+    'report': (
+        json.dumps(REPORT).encode(),
+        lambda payload: decode_report(payload, ENGINE),
+        None,
+    ),
+    'configuration': (
+        json.dumps(DOCUMENT).encode(),
+        decode_route_table,
+        RouteTable,
+    ),
+    'settings': (json.dumps(SETTINGS).encode(), decode_settings, None),
+    **{
+        kind.__name__: (
+            encode(make(kind, is_whole=True)),
+            partial(decode, kind=kind),
+            kind,
+        )
+        for kind in KINDS
+    },
+}
+INSERTED = st.sampled_from(
+    [b'[', b'{', b'"', b'9' * 30, b'-', b'e9', b'null', b'\xff']
+) | st.binary(max_size=4)
+
+
+@st.composite
+def changed_bytes(draw: st.DrawFn, sample: bytes) -> bytes:
+    """Draw a sample with up to three parts replaced."""
+    changed = sample
+    for _ in range(draw(st.integers(0, 3))):
+        first = draw(st.integers(0, len(changed)))
+        last = min(len(changed), first + draw(st.integers(0, 4)))
+        changed = changed[:first] + draw(INSERTED) + changed[last:]
+    return changed
+
+
+@given(name=st.sampled_from(sorted(SAMPLES)), choices=st.data())
+@settings(max_examples=1500)
+def test_changed_bytes_are_a_value_or_an_error(name, choices):
+    sample, decoder, kind = SAMPLES[name]
+    payload = choices.draw(changed_bytes(sample))
+    began_at = time.process_time()
+    decoded = decoder(payload)
+    assert time.process_time() - began_at < MAX_DECODE_SECONDS
+    if decoded.is_ok() and kind is not None:
+        assert decode(encode(decoded.ok), kind).ok == decoded.ok
+
+
+@given(
+    sample=st.sampled_from([LimitRecord, CrashNews]),
+    choices=st.data(),
+)
+def test_spoiled_row_of_our_own_tables_hides_no_other(sample, choices):
+    sound = encode(make(sample, is_whole=True))
+    spoiled = choices.draw(changed_bytes(sound))
+    rows = (
+        StoredRow(key='spoiled', version=1, value=spoiled),
+        StoredRow(key='empty', version=1, value=None),
+        StoredRow(key='sound', version=1, value=sound),
+    )
+    if sample is LimitRecord:
+        assert 'sound' in decode_limit_rows(rows)
+    else:
+        expected = decode_crash_rows(rows[2:], 100.0)
+        assert set(expected) <= set(decode_crash_rows(rows, 100.0))
+
+
+@given(payload=st.binary(max_size=80) | changed_bytes(pack({'a': [1, 2]})))
+def test_changed_packed_content_is_a_value_or_an_error(payload):
+    unpack(payload, RouteTable)
+    unpack(payload, tuple[ListedEndpoint, ...])
+
+
+# What a head may have: Latin-1 without control characters.
+HEAD_TEXT = st.text(
+    st.characters(max_codepoint=255, exclude_categories=('Cc',)), max_size=40
+) | st.sampled_from(
+    ['nan', 'inf', '-inf', '1e400', '9' * 5000, '²,³', '-1', '1,-1', ',' * 2000]
+)
+
+
+@given(
+    name=st.sampled_from(
+        ['deadline_ms', 'token_usage', 'prompt_prefix', 'last_event_id', 'host']
+    ),
+    text=HEAD_TEXT,
+)
+@settings(max_examples=300)
+def test_request_with_any_head_is_admitted_or_refused_as_not_run(name, text):
+    inputs = make_admission()
+    admitted = admit(make_request(**{name: text}), inputs)
+    if admitted.is_error():
+        assert admitted.error.verdict is Verdict.NOT_RUN
+        return
+    request = admitted.ok
+    longest = request.route.timeout_seconds
+    assert 0 <= request.deadline - request.arrived_at <= longest
+
+
+@given(
+    name=st.sampled_from(
+        ['server-limit', 'retry-after', 'cold-ms', 'server-leaving']
+    ),
+    text=HEAD_TEXT,
+    status=st.sampled_from([200, 421, 503]),
+)
+@settings(max_examples=300)
+def test_signals_in_any_head_are_numbers_that_are_not_negative(
+    name, text, status
+):
+    signals = decode_signals(ENGINE, status, ((name, text),))
+    assert signals.back_off_seconds >= 0
+    assert signals.cold_seconds >= 0
+    assert signals.rate_limit is None or signals.rate_limit >= 0
