Refuse a deadline that is no number

What callers saw: a request with `Deadline-Ms: nan` is given no time at all, and ends with a 503 or 504 that names its deadline.

Cause: `float` reads "nan", and the larger of 0 and that is 0.

Change: it is refused as any other text that is no number.

Evidence: on the code before, three spellings were admitted.

--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import isnan
 from random import Random
 
 from expression import Error, Ok, Result
@@ -173,9 +174,10 @@
     if not value:
         return _UNBOUNDED_SECONDS
     try:
-        return max(0, float(value)) / _MILLISECONDS
+        milliseconds = float(value)
     except ValueError:
         return None
+    return None if isnan(milliseconds) else max(0, milliseconds) / _MILLISECONDS
 
 
 def _parse_prompt_size(text: str) -> PromptSize | None:
--- a/tests/test_changed_bytes.py
+++ b/tests/test_changed_bytes.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from functools import partial
 
+import pytest
 from expression import Result
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -172,3 +173,9 @@
     assert signals.back_off_seconds >= 0
     assert signals.cold_seconds >= 0
     assert signals.rate_limit is None or signals.rate_limit >= 0
+
+
+# Guards against a deadline that is no number and ends the request at once.
+@pytest.mark.parametrize('text', ['nan', '-nan', 'NaN'])
+def test_deadline_that_is_no_number_is_refused(text):
+    assert admit(make_request(deadline_ms=text), make_admission()).is_error()
