Log a report that can't be read, once until one is read

What callers saw: nothing; operators saw a count of reports that weren't read, with "bad-answer" as its reason, and not which engine sent what.

Cause: the poller counted the failure only.

Change: the reader logs the engine and the reason, which names the field, when it is a new one for this engine.

Evidence: on the code before there was no line to log.

--- a/src/limpetdrift/platform/reports.py
+++ b/src/limpetdrift/platform/reports.py
@@ -5,10 +5,12 @@
 
 from limpetdrift.coordination.endpoints.endpoint_gate import EndpointGate
 from limpetdrift.coordination.planning.engine_report_poller import ReadReport
+from limpetdrift.logs import warn
 from limpetdrift.platform.endpoint_signals import decode_signals
 from limpetdrift.protocol.bounded import Pace, RequestCount, TokenCount
 from limpetdrift.protocol.codec import decode_json
 from limpetdrift.protocol.work import EngineReport, ListedEndpoint
+from limpetdrift.state.seen_faults import MAX_REASON_LENGTH, SeenFaults
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import OK, Request, Response, parse_address
 from limpetdrift.verdict import (
@@ -40,6 +42,7 @@
     It fails without a call while ``gate`` is closed to the engine.
     """
     lifetimes: dict[str, int] = {}
+    faults = SeenFaults()
 
     async def read(engine: ListedEndpoint) -> Result[EngineReport, Failure]:
         refusal = gate.check_call(engine)
@@ -67,6 +70,7 @@
         report = Error(_bad_report(f'status {response.status}'))
         if response.status == OK:
             report = decode_report(response.body, engine)
+            _log_fault(faults, engine, report)
         if report.is_ok() or response.status != OK:
             gate.apply_signals(
                 engine,
@@ -106,5 +110,21 @@
     )
 
 
+def _log_fault(
+    faults: SeenFaults,
+    engine: ListedEndpoint,
+    report: Result[EngineReport, Failure],
+) -> None:
+    """Log a report that can't be read once, until one is read."""
+    if report.is_ok():
+        faults.forget(engine.name)
+    elif faults.is_new(engine.name, report.error.detail):
+        warn(
+            'report of an engine can not be read',
+            endpoint=engine.name,
+            detail=report.error.detail[:MAX_REASON_LENGTH],
+        )
+
+
 def _bad_report(detail: str) -> Failure:
     return may_have_run(Reason.BAD_ANSWER, detail)
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -10,22 +10,26 @@
 
 import pytest
 import trio
+from expression import Ok
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from forward_harness import make_announcements
+from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
 from limpetdrift.coordination.engines.prompt_splitting import choose_split
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.platform.endpoint_signals import decode_signals
-from limpetdrift.platform.reports import decode_report
+from limpetdrift.platform.reports import decode_report, make_report_reader
 from limpetdrift.platform.settings import decode_settings
 from limpetdrift.protocol.bounded import MAX_PACE, MAX_REQUESTS, MAX_TOKENS
 from limpetdrift.protocol.codec import decode
 from limpetdrift.protocol.gossip import GossipMessage
 from limpetdrift.state.endpoint_limits import UNLIMITED
+from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.engine_ledger import EngineLedger
 from limpetdrift.transport.client import HttpClient
-from limpetdrift.transport.messages import Address, Request
+from limpetdrift.transport.messages import Address, Request, Response
 from limpetdrift.verdict import Verdict
 from test_platform_decoders import ENGINE
 from test_splitting import COST_MODEL, ENGINES, make_request
@@ -135,3 +139,39 @@
             )
 
     assert trio.run(fetch).error.verdict is Verdict.NOT_RUN
+
+
+class SpoilingClient:
+    """Fake of an HTTP client whose answers the test sets."""
+
+    def __init__(self) -> None:
+        self.body = b''
+
+    def drop_idle_connections(self, address) -> None:
+        """Do nothing, since there are no connections."""
+
+    async def fetch(self, address, request, *, timeout_seconds):
+        return Ok(Response(status=200, body=self.body))
+
+
+# Guards against a log line for each poll of an engine that spoils its reports.
+def test_spoiled_report_is_logged_once_until_one_is_read(monkeypatch):
+    logged = []
+    monkeypatch.setattr(
+        'limpetdrift.platform.reports.warn',
+        lambda message, **fields: logged.append(fields),
+    )
+    client = SpoilingClient()
+    gate = make_gate(EndpointView(clock=float), make_announcements())
+    read = make_report_reader(client, gate)
+    spoiled, sound = b'{"active":-1}', b'{"active":1}'
+
+    async def poll():
+        for body in (spoiled, spoiled, sound, spoiled, spoiled):
+            client.body = body
+            await read(ENGINE)
+
+    trio.run(poll)
+    assert len(logged) == 2
+    assert logged[0]['endpoint'] == ENGINE.name
+    assert 'active' in logged[0]['detail']
