Leave out an engine whose load fails a plan, not all prompts

Cause: a split is chosen over all engines at once, and an error in the cost of one was an error of the plan.

Change: after an error the engines are tried one by one, those that fail alone are left out and named in the log, and the split is chosen from the rest. The error is logged with its traceback and counted in limpet_plans_failed_total.

Evidence: with such a load in the ledger `choose_split` raises OverflowError; the new test has the split that the other engines have without it.

--- a/src/limpetdrift/coordination/planning/plan_making.py
+++ b/src/limpetdrift/coordination/planning/plan_making.py
@@ -1,17 +1,25 @@
 """Turns a chosen split into a plan, within the permits of its engines."""
 
+from absl import logging
+
+from limpetdrift import telemetry
 from limpetdrift.coordination.endpoints.endpoint_permits import EndpointPermits
-from limpetdrift.coordination.engines.prompt_splitting import Split
-from limpetdrift.logs import note
+from limpetdrift.coordination.engines.prompt_splitting import (
+    Split,
+    choose_split,
+)
+from limpetdrift.logs import note, warn
 from limpetdrift.protocol.plans import (
     EndpointId,
     Plan,
     PlanRequest,
     ReservedTokens,
 )
+from limpetdrift.protocol.route_table import EngineCostModel
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import PEER_SOURCE, EndpointView
 from limpetdrift.state.engine_ledger import EngineLedger
+from limpetdrift.state.engine_usage import EngineUsage
 
 
 def endpoint_id_of(endpoint: ListedEndpoint) -> EndpointId:
@@ -53,6 +61,43 @@
     )
 
 
+def choose_sound_split(
+    request: PlanRequest,
+    usages: tuple[EngineUsage, ...],
+    cost_model: EngineCostModel,
+) -> tuple[Split | None, tuple[EngineUsage, ...]]:
+    """Return the split of least cost, and the engines it was chosen from.
+
+    An engine whose load no plan can be made with is left out, so that it
+    doesn't keep prompts from all others.
+    """
+    try:
+        return choose_split(request, usages, cost_model), usages
+    except Exception:
+        logging.exception('plan failed')
+        telemetry.count('plans_failed')
+    sound = tuple(
+        each for each in usages if _is_plannable(request, each, cost_model)
+    )
+    split = choose_split(request, sound, cost_model) if sound else None
+    return split, sound
+
+
+def _is_plannable(
+    request: PlanRequest, usage: EngineUsage, cost_model: EngineCostModel
+) -> bool:
+    try:
+        choose_split(request, (usage,), cost_model)
+    except Exception as error:
+        warn(
+            'no plan can be made with the load of an engine',
+            engine=usage.endpoint.name,
+            error=repr(error),
+        )
+        return False
+    return True
+
+
 def take_permits(
     permits: EndpointPermits,
     split: Split,
--- a/src/limpetdrift/coordination/planning/planner.py
+++ b/src/limpetdrift/coordination/planning/planner.py
@@ -25,10 +25,8 @@
     PlanUse,
     make_bookings,
 )
-from limpetdrift.coordination.engines.prompt_splitting import (
-    choose_split,
-)
 from limpetdrift.coordination.planning.plan_making import (
+    choose_sound_split,
     endpoint_id_of,
     find_callable,
     make_plan,
@@ -273,7 +271,7 @@
         usages = self.permits.with_calls_left(
             self.ledger(request.service).usages(endpoints, passable)
         )
-        split = choose_split(request, usages, cost_model)
+        split, usages = choose_sound_split(request, usages, cost_model)
         refusal = self.admission.find_refusal(split, usages, request)
         if refusal is not None:
             return Error(refusal)
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -7,6 +7,7 @@
 import json
 import math
 import time
+from dataclasses import replace
 
 import pytest
 import trio
@@ -17,6 +18,7 @@
 from forward_harness import make_announcements
 from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
 from limpetdrift.coordination.engines.prompt_splitting import choose_split
+from limpetdrift.coordination.planning.plan_making import choose_sound_split
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.platform.endpoint_signals import decode_signals
@@ -141,6 +143,20 @@
     assert trio.run(fetch).error.verdict is Verdict.NOT_RUN
 
 
+# Guards against one engine that keeps prompts from all others.
+def test_engine_whose_load_fails_a_plan_is_left_out():
+    spoiled, *others = EngineLedger(clock=float).usages(ENGINES)
+    usages = (replace(spoiled, unplanned=10**310), *others)
+    request = make_request(60_000)
+    with pytest.raises(OverflowError):
+        choose_split(request, usages, COST_MODEL)
+    split, used = choose_sound_split(request, usages, COST_MODEL)
+    assert used == tuple(others)
+    assert split == choose_split(request, used, COST_MODEL)
+    nothing = choose_sound_split(request, usages[:1], COST_MODEL)
+    assert nothing == (None, ())
+
+
 class SpoilingClient:
     """Fake of an HTTP client whose answers the test sets."""
 
