--- a/src/limpetdrift/coordination/planning/plan_making.py
+++ b/src/limpetdrift/coordination/planning/plan_making.py
@@ -8,6 +8,7 @@
     Split,
     choose_split,
 )
+from limpetdrift.coordination.scheduling.returns import MIN_RETRY_AFTER_SECONDS
 from limpetdrift.logs import note, warn
 from limpetdrift.protocol.plans import (
     EndpointId,
@@ -20,6 +21,7 @@
 from limpetdrift.state.endpoint_view import PEER_SOURCE, EndpointView
 from limpetdrift.state.engine_ledger import EngineLedger
 from limpetdrift.state.engine_usage import EngineUsage
+from limpetdrift.verdict import Failure, Reason, not_run
 
 
 def endpoint_id_of(endpoint: ListedEndpoint) -> EndpointId:
@@ -98,6 +100,15 @@
     return True
 
 
+def refuse_for_engines(request: PlanRequest) -> Failure:
+    """Return the refusal of a prompt for which there is no engine."""
+    return not_run(
+        Reason.NO_ENDPOINT,
+        request.service,
+        retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
+    )
+
+
 def take_permits(
     permits: EndpointPermits,
     split: Split,
--- a/src/limpetdrift/coordination/planning/planner.py
+++ b/src/limpetdrift/coordination/planning/planner.py
@@ -32,10 +32,10 @@
     make_plan,
     mark_full,
     mark_leaving,
+    refuse_for_engines,
     take_permits,
 )
 from limpetdrift.coordination.scheduling.admission import Admission
-from limpetdrift.coordination.scheduling.returns import MIN_RETRY_AFTER_SECONDS
 from limpetdrift.coordination.scheduling.tentative_plans import TentativePlans
 from limpetdrift.coordination.scheduling.waiting import (
     WaitingPrompt,
@@ -134,13 +134,7 @@
         cost_model = self._inputs.find_cost_model(request.service)
         endpoints = self._orders.candidates(request)
         if cost_model is None or not endpoints:
-            return Error(
-                not_run(
-                    Reason.NO_ENDPOINT,
-                    request.service,
-                    retry_after_seconds=MIN_RETRY_AFTER_SECONDS,
-                ),
-            )
+            return Error(refuse_for_engines(request))
         permitted = waited.permitted if waited else frozenset()
         callable_now = find_callable(
             self.permits, endpoints, permitted, is_decider=is_decider
@@ -272,6 +266,8 @@
             self.ledger(request.service).usages(endpoints, passable)
         )
         split, usages = choose_sound_split(request, usages, cost_model)
+        if not usages:
+            return Error(refuse_for_engines(request))
         refusal = self.admission.find_refusal(split, usages, request)
         if refusal is not None:
             return Error(refusal)
--- a/tests/test_outside_data.py
+++ b/tests/test_outside_data.py
@@ -15,7 +15,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from forward_harness import make_announcements
+from forward_harness import make_announcements, make_endpoints
 from limpetdrift.coordination.endpoints.endpoint_gate import make_gate
 from limpetdrift.coordination.engines.prompt_splitting import choose_split
 from limpetdrift.coordination.planning.plan_making import choose_sound_split
@@ -27,12 +27,14 @@
 from limpetdrift.protocol.bounded import MAX_PACE, MAX_REQUESTS, MAX_TOKENS
 from limpetdrift.protocol.codec import decode
 from limpetdrift.protocol.gossip import GossipMessage
+from limpetdrift.protocol.work import EngineReport
 from limpetdrift.state.endpoint_limits import UNLIMITED
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.engine_ledger import EngineLedger
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import Address, Request, Response
-from limpetdrift.verdict import Verdict
+from limpetdrift.verdict import Reason, Verdict
+from planner_load import SERVICE, PlannerLoad
 from test_platform_decoders import ENGINE
 from test_splitting import COST_MODEL, ENGINES, make_request
 
@@ -157,6 +159,18 @@
     assert nothing == (None, ())
 
 
+@pytest.mark.parametrize('spoiled', [1, 3])
+def test_prompt_is_refused_if_all_engines_fail_its_plan(spoiled):
+    load = PlannerLoad(engines=3)
+    report = EngineReport(active=10**310, queued=0, memory_tokens=0)
+    for endpoint in make_endpoints(3)[:spoiled]:
+        engine = replace(endpoint, service=SERVICE)
+        load.planner.ledger(SERVICE).note_report(engine, report)
+    planned = load.send(make_request(60_000))
+    assert planned.is_ok() is (spoiled < 3)
+    assert planned.is_ok() or planned.error.reason is Reason.NO_ENDPOINT
+
+
 class SpoilingClient:
     """Fake of an HTTP client whose answers the test sets."""
 
