Confirm what a store shows at a start only on evidence

Cause: a start took the reply of any peer for the proof that nobody knows better, also of one that knows no configuration, and went on if nobody replied. It asked the seeds alone, which were starting too; it joined the others after this, and nobody asked again.

Change: a start asks its seeds and the entries with rows in the store (`EraPolls`), and `may_confirm` decides. Enough is a peer with a confirmed configuration that may itself confirm in this era (`settled_era` of its reply); or a row of this era with no newer version than the store's (rows now name the era and version that their writer knew, and are written again once it may confirm); or no row at all and one round of polls, as nobody has served yet; or what the operator wrote in this era. Else it waits for five seconds of polls, or `revokeMs` if shorter. An entry that ran before needs a peer with a confirmed configuration, once all members had 0.4 s. Members that are known later are asked too, so an entry that joined with too little learns it then.

What was weighed: `bootstrap` is no evidence, since a settings file may say so at each start. Meanwhile requests with a key get 503 (not run, `configuration-unconfirmed`) and the entry isn't ready. All that start together pay the five seconds only if the store returned meanwhile and the operator has not written; `recoveryS` is 12 s. Stores that name no era wait for nothing, as before.

Evidence: test_start_learns_of_a_revoked_key_from_entries_that_are_no_seeds failed on the code before: the three entries that start accept the key from 0.01 s after their start on. The other tests of test_era_start cover silent seeds, late answers, all six at once, a first start, the bound, a join, a stopped process. test_first_entry_of_a_site... counts one read of the store more, that of the rows.

An entry that replaces a reader knows of it only at its own next poll, and those that ask it before skip it as well.

--- a/src/limpetdrift/coordination/routing/poll_replies.py
+++ b/src/limpetdrift/coordination/routing/poll_replies.py
@@ -67,6 +67,7 @@
             if are_evacuations_outdated(self._inputs.evacuations, request)
             else None,
             is_store_behind=self._inputs.is_store_behind(),
+            settled_era=self._inputs.store_era.settled_era,
             routes=self._routes_packer.pack(
                 (routes.era, routes.version),
                 lambda: routes.table,
--- a/src/limpetdrift/coordination/routing/poll_targets.py
+++ b/src/limpetdrift/coordination/routing/poll_targets.py
@@ -1,12 +1,11 @@
 """Decides which peers are polled, and whether a reply is fresh.
 
 Answers a store that turns some entries away, and readers that die: a poll goes
-to an entry of the own failure domain where there is one, and several peers are
-polled at once where one that is dead may hide what another knows. All functions
-depend only on their arguments.
+to an entry of the own failure domain where there is one. All functions depend
+only on their arguments.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from random import Random
 
 from limpetdrift.coordination.rendezvous import choose_by_hash
@@ -14,27 +13,32 @@
 from limpetdrift.protocol.routing_sync import RoutingSyncReply
 from limpetdrift.transport.messages import Address
 
-# Peers that are polled at once for a newer configuration than the store's.
-MAX_PARALLEL_POLLS = 3
 # Staleness bound: above this age of the routes another reader is polled.
 # Together with the long-poll timeout it stays below the three seconds within
 # which a deployment of many entries must follow a change.
 STALENESS_BOUND_SECONDS = 1.5
 
 
+def other_addresses(own: Node, entries: Iterable[Node]) -> list[Address]:
+    """Return the peer addresses of all entries but the own."""
+    return other_seeds(own, (each.peer_address for each in entries))
+
+
+def other_seeds(own: Node, seeds: Iterable[Address]) -> list[Address]:
+    """Return all addresses but the own."""
+    return [each for each in seeds if each != own.peer_address]
+
+
 def choose_some(
-    own: Node,
-    entries: Iterable[Node],
-    seeds: Iterable[Address],
+    addresses: Iterable[Address],
+    excluded: Collection[Address],
+    limit: int,
     randomness: Random,
 ) -> list[Address]:
-    """Return a few random peers, or seeds before any peer is known."""
-    peers = [each.peer_address for each in entries]
-    addresses = [each for each in peers if each != own.peer_address]
-    if not addresses:
-        addresses = [each for each in seeds if each != own.peer_address]
-    count = min(MAX_PARALLEL_POLLS, len(addresses))
-    return randomness.sample(addresses, count)
+    """Return random addresses, at most ``limit`` with the excluded ones."""
+    others = [each for each in addresses if each not in excluded]
+    count = min(limit - len(excluded), len(others))
+    return randomness.sample(others, count)
 
 
 def choose_nearest(own: Node, candidates: Iterable[Node]) -> Node:
--- a/src/limpetdrift/coordination/routing/routing_relay.py
+++ b/src/limpetdrift/coordination/routing/routing_relay.py
@@ -16,14 +16,15 @@
 
 from limpetdrift import telemetry
 from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.coordination.routing.era_polls import EraPolls
 from limpetdrift.coordination.routing.poll_replies import (
     PollReplies,
     is_reply_due,
 )
 from limpetdrift.coordination.routing.poll_targets import (
     choose_nearest,
-    choose_some,
     is_fresh,
+    other_seeds,
 )
 from limpetdrift.coordination.routing.relay_inputs import RoutingRelayInputs
 from limpetdrift.coordination.routing.routing_merge import merge_reply
@@ -35,7 +36,7 @@
     RoutingSyncReply,
     RoutingSyncRequest,
 )
-from limpetdrift.supervision import run_contained
+from limpetdrift.supervision import keep_running
 from limpetdrift.transport.messages import Address
 from limpetdrift.verdict import Failure
 
@@ -73,6 +74,7 @@
         self.on_growth: list[Callable[[], None]] = []
         self._changed = trio.Event()
         self._replies = PollReplies(inputs=inputs)
+        self._era_polls = EraPolls(inputs=inputs, poll=self._poll_at_once)
 
     @property
     def is_store_reader(self) -> bool:
@@ -124,25 +126,13 @@
         return Ok(self._replies.make(request))
 
     async def run(self) -> None:
-        """Poll peers while this entry doesn't or can't read the store."""
-        was_small = self.readers.is_small_deployment
-        while True:
-            if was_small and not self.readers.is_small_deployment:
-                for callback in self.on_growth:
-                    callback()
-            was_small = self.readers.is_small_deployment
-            if self._inputs.store_era.is_peer_poll_due:
-                era = self._inputs.store_era.known
-                await self._poll_any()
-                self._inputs.store_era.record_peer_poll(era)
-            elif (
-                not self.is_store_reader or self._inputs.is_store_unreachable()
-            ):
-                await self.poll_peer()
-            # Also limits the rate of polls that fail at once.
-            await trio.sleep(
-                self._inputs.randomness.uniform(*_POLL_INTERVAL_SECONDS)
-            )
+        """Poll peers while this entry doesn't or can't read the store.
+
+        They are also polled for what an older copy of the store may lack.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(keep_running, 'era-polls', self._era_polls.run)
+            await self._poll_while_needed()
 
     async def poll_peer(self) -> None:
         """Poll one peer, and record whether it is stale."""
@@ -171,23 +161,36 @@
             may_read=not self._inputs.is_store_unreachable(),
         )
 
-    async def _poll_any(self) -> None:
-        """Poll some peers at once, until one has replied.
-
-        One that is dead or silent must not hide what another one knows.
-        """
-        async with trio.open_nursery() as nursery:
-
-            async def poll(address: Address) -> None:
-                reply = await self._poll(address, wait_seconds=0.0)
-                if reply.is_ok():
-                    nursery.cancel_scope.cancel()
+    async def _poll_while_needed(self) -> None:
+        was_small = self.readers.is_small_deployment
+        while True:
+            if was_small and not self.readers.is_small_deployment:
+                for callback in self.on_growth:
+                    callback()
+            was_small = self.readers.is_small_deployment
+            if not self._inputs.store_era.is_peer_poll_due and (
+                not self.is_store_reader or self._inputs.is_store_unreachable()
+            ):
+                await self.poll_peer()
+            # Also limits the rate of polls that fail at once.
+            await trio.sleep(
+                self._inputs.randomness.uniform(*_POLL_INTERVAL_SECONDS)
+            )
 
-            for address in self._choose_some():
-                nursery.start_soon(run_contained, 'peer-poll', poll, address)
+    async def _poll_at_once(
+        self, address: Address, timeout_seconds: float
+    ) -> Result[RoutingSyncReply, Failure]:
+        """Poll one peer for what it has now, and merge its reply."""
+        return await self._poll(
+            address, wait_seconds=0.0, reply_seconds=timeout_seconds
+        )
 
     async def _poll(
-        self, address: Address, *, wait_seconds: float
+        self,
+        address: Address,
+        *,
+        wait_seconds: float,
+        reply_seconds: float = REPLY_MARGIN_SECONDS,
     ) -> Result[RoutingSyncReply, Failure]:
         """Poll one peer, and merge its reply."""
         sent_at = self._inputs.clock()
@@ -204,7 +207,7 @@
                 wait_seconds=wait_seconds,
             ),
             RoutingSyncReply,
-            timeout_seconds=wait_seconds + REPLY_MARGIN_SECONDS,
+            timeout_seconds=wait_seconds + reply_seconds,
         )
         telemetry.count('knowledge_asked', outcome=_outcome(reply))
         if reply.is_ok() and merge_reply(
@@ -231,19 +234,12 @@
         own = self._inputs.node
         peers = [each for each in self._inputs.entries() if each != own]
         if not peers:
-            return '', next(iter(self._choose_some()), None)
+            seeds = other_seeds(own, self._inputs.seeds())
+            return '', self._inputs.randomness.choice(seeds) if seeds else None
         candidates = self.readers.others() or peers
         chosen = choose_nearest(own, candidates)
         return chosen.name, chosen.peer_address
 
-    def _choose_some(self) -> list[Address]:
-        return choose_some(
-            self._inputs.node,
-            self._inputs.entries(),
-            self._inputs.seeds(),
-            self._inputs.randomness,
-        )
-
 
 def max_retry_interval_seconds(entry_count: int) -> float:
     """Return the back-off ceiling of failing reads of the store."""
--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -117,6 +117,7 @@
         inputs=RegistrationInputs(
             store=store,
             node=node,
+            configuration_version=lambda: routes.version,
             count_peers=lambda: len(membership.live_entries()) - 1,
             join=lambda: membership.join_seeds(),
             is_assigned=lambda: membership.is_assigned(
@@ -126,7 +127,8 @@
         ),
         seeds=settings.seeds,
     )
-    store.era.on_rise.append(registration.write_again)
+    # A row says what its writer knew in an era, so it waits for the polls.
+    store.era.on_peer_poll.append(registration.write_again)
     call = make_peer_call(
         HttpClient(
             limits=ClientLimits(connect_seconds=PEER_CONNECT_TIMEOUT_SECONDS)
@@ -187,6 +189,7 @@
             entries=context.entries,
             call=call,
             seeds=registration.seeds,
+            read_registered=registration.read,
             clock=boot_time,
             randomness=context.randomness,
             revoke_seconds=context.settings.bounds.revoke_seconds,
--- a/src/limpetdrift/platform/registration.py
+++ b/src/limpetdrift/platform/registration.py
@@ -3,7 +3,8 @@
 A process writes one row after its start and deletes it at its end. The rows
 only serve to find a first peer; the peers' gossip decides which are live. So
 in a large deployment only a few processes write one. These write it again
-after the store came back from an older copy, which may lack it.
+after the store came back from an older copy, which may lack it: by the rows a
+start also knows whether the store may show an older copy.
 """
 
 import random
@@ -16,6 +17,7 @@
 from limpetdrift.platform.store import RowPage, StoreClient
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.node import Node
+from limpetdrift.protocol.registered import RegisteredNode, register_node
 from limpetdrift.transport.messages import Address
 
 TABLE = 'limpetdrift-entries'
@@ -39,6 +41,7 @@
 class RegistrationInputs:
     """The process to register, and the store.
 
+    ``configuration_version`` returns the version in force.
     ``count_peers`` returns the number of live peers; ``join`` contacts some of
     the seeds. ``is_assigned`` returns whether this process is one of those
     that write a row.
@@ -46,6 +49,7 @@
 
     store: StoreClient
     node: Node
+    configuration_version: Callable[[], int]
     count_peers: Callable[[], int]
     join: Callable[[], Awaitable[None]]
     is_assigned: Callable[[], bool]
@@ -84,7 +88,7 @@
             has_no_peer = self._inputs.count_peers() == 0
             if has_no_peer:
                 # The seeds of the settings may all be outdated or down.
-                await self._read_rows()
+                await self._read_rows(is_deleting=True)
                 await self._inputs.join()
             interval = (
                 NO_PEER_INTERVAL_SECONDS
@@ -97,6 +101,13 @@
                 )
             await self._wait_until_due(interval)
 
+    async def read(self) -> tuple[RegisteredNode, ...] | None:
+        """Return the rows of all processes, or ``None`` if the read fails.
+
+        The addresses in them are seeds from then on.
+        """
+        return await self._read_rows()
+
     def write_again(self) -> None:
         """Write the row again soon, since the store may have lost it."""
         if self._has_row:
@@ -121,27 +132,37 @@
 
     async def _write_row(self) -> None:
         node = self._inputs.node
-        written = await self._inputs.store.put(TABLE, node.name, encode(node))
+        row = register_node(
+            node,
+            self._inputs.store.era.settled_era,
+            self._inputs.configuration_version(),
+        )
+        written = await self._inputs.store.put(TABLE, node.name, encode(row))
         self._has_row = written.is_ok()
         self._is_row_lost = self._is_row_lost and written.is_error()
         if written.is_error():
             warn('registration failed', reason=written.error.reason)
 
-    async def _read_rows(self) -> None:
+    async def _read_rows(
+        self, *, is_deleting: bool = False
+    ) -> tuple[RegisteredNode, ...] | None:
         result = await self._inputs.store.read(TABLE)
         if result.is_error():
-            return
+            return None
         page: RowPage = result.ok
+        nodes: list[RegisteredNode] = []
         own = self._inputs.node
         for row in page.rows:
-            found = decode(row.value or b'', Node)
+            found = decode(row.value or b'', RegisteredNode)
             if found.is_error():
                 warn(
                     'registration row of a peer can not be decoded', key=row.key
                 )
                 continue
+            nodes.append(found.ok)
             self._seeds.add(found.ok.peer_address)
             age = own.incarnation - found.ok.incarnation
-            if age > _STALE_MILLISECONDS:
+            if is_deleting and age > _STALE_MILLISECONDS:
                 await self._inputs.store.delete(TABLE, row.key)
         note('peers read from the store', rows=len(page.rows))
+        return tuple(nodes)
--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -1,7 +1,7 @@
 """Keeps replicas of the route table and the endpoint list of the store."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 from functools import partial
 
@@ -22,6 +22,7 @@
 from limpetdrift.platform.store import RowPage, StoreClient, StoredRow
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
 from limpetdrift.protocol.node import Node
+from limpetdrift.protocol.registered import RegisteredNode
 from limpetdrift.protocol.routing_sync import digest_of
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
@@ -55,8 +56,9 @@
     """The caches to keep up to date, the store, and the peers.
 
     ``entries`` returns all live entries, with this one, ``node``. ``seeds``
-    returns addresses of peers. ``revoke_seconds`` is the time within
-    which a revoked key must be refused.
+    returns addresses of peers, and ``read_registered`` reads more from the
+    store. ``revoke_seconds`` is the time within which a revoked key must be
+    refused.
     """
 
     store: StoreClient
@@ -66,6 +68,7 @@
     entries: Callable[[], tuple[Node, ...]]
     call: PeerCall
     seeds: Callable[[], tuple[Address, ...]]
+    read_registered: Callable[[], Awaitable[tuple[RegisteredNode, ...] | None]]
     clock: Callable[[], float]
     randomness: random.Random
     revoke_seconds: float
@@ -176,6 +179,7 @@
             replace_endpoints=self._replace_endpoints,
             entries=inputs.entries,
             seeds=inputs.seeds,
+            read_registered=inputs.read_registered,
             is_store_unreachable=lambda: (
                 self._configuration_watcher.is_store_unreachable
             ),
@@ -185,6 +189,7 @@
             store_era=inputs.store.era,
             clock=inputs.clock,
             randomness=inputs.randomness,
+            revoke_seconds=inputs.revoke_seconds,
         )
 
     def _poll_again_for_others(self) -> None:
--- a/src/limpetdrift/protocol/compatibility.py
+++ b/src/limpetdrift/protocol/compatibility.py
@@ -89,6 +89,7 @@
     SyncReply,
     SyncRequest,
 )
-# Kept in the platform's store, where an earlier build may read them.
+# Kept in the platform's store, where an earlier build may read them. The row of
+# a ``Node`` also has the fields of a ``RegisteredNode``.
 ROWS: tuple[type, ...] = (CrashNews, LimitRecord, Node)
 EXCHANGED = frozenset((*MESSAGES, *ROWS))
--- a/src/limpetdrift/state/store_era.py
+++ b/src/limpetdrift/state/store_era.py
@@ -42,14 +42,17 @@
 class StoreEra:
     """The newest era that was seen in answers of the store or of peers.
 
-    The functions in ``on_rise`` are called with each rise from a known era.
-    One peer is polled after a start and after each such rise, since peers may
+    The functions in ``on_first`` are called when the first era is known, and
+    those in ``on_rise`` with each rise from a known era.
+    Peers are polled after a start and after each such rise, since they may
     know what an older copy of the store lacks; the functions in
-    ``on_peer_poll`` are called after it. A store whose answers name no era at
-    all does not come back from copies, so nothing waits for peers then.
+    ``on_peer_poll`` are called once this has settled what may be confirmed. A
+    store whose answers name no era at all does not come back from copies, so
+    nothing waits for peers then.
     """
 
     def __init__(self) -> None:
+        self.on_first: list[Callable[[], None]] = []
         self.on_rise: list[Callable[[], None]] = []
         self.on_peer_poll: list[Callable[[], None]] = []
         self._known = UNKNOWN_ERA
@@ -57,12 +60,23 @@
         self._is_unreadable_logged = False
         self._is_peer_poll_due = True
         self._is_without_eras = False
+        self._has_settled = False
 
     @property
     def is_peer_poll_due(self) -> bool:
-        """Whether a peer is yet to be polled in this era."""
+        """Whether peers are yet to be polled in this era."""
         return self._is_peer_poll_due and not self._is_without_eras
 
+    @property
+    def has_settled(self) -> bool:
+        """Whether the store's answers could be confirmed before this era."""
+        return self._has_settled
+
+    @property
+    def settled_era(self) -> int:
+        """The newest era if its answers may be confirmed, or no era."""
+        return UNKNOWN_ERA if self.is_peer_poll_due else self._known
+
     @property
     def known(self) -> int:
         """The newest era."""
@@ -108,20 +122,23 @@
             return
         before = self._known
         self._known = era
-        self._is_without_eras = False
+        if self._is_without_eras:
+            self._is_without_eras = False
+            self._has_settled = True
+        self._is_peer_poll_due = True
         note('era of the store has risen', before=before, era=era, call=call)
         if before == UNKNOWN_ERA:
             self._first = era
-            return
-        self._is_peer_poll_due = True
-        for listener in self.on_rise:
+        listeners = self.on_first if before == UNKNOWN_ERA else self.on_rise
+        for listener in listeners:
             listener()
 
     def record_peer_poll(self, era: int) -> None:
-        """Record that a peer was polled in an era, or that none could be."""
-        if era != self._known:
+        """Record that what the store shows in an era may be confirmed."""
+        if era != self._known or not self._is_peer_poll_due:
             return
         self._is_peer_poll_due = False
+        self._has_settled = self._has_settled or era != UNKNOWN_ERA
         for listener in self.on_peer_poll:
             listener()
 
--- a/src/limpetdrift/state/stored_configuration.py
+++ b/src/limpetdrift/state/stored_configuration.py
@@ -16,7 +16,7 @@
 class StoredConfiguration:
     """The version that the store showed last.
 
-    While a peer is yet to be polled in an era, reads put newer tables in force
+    While peers are yet to be polled in an era, reads put newer tables in force
     but confirm none: a process that has just started, or was cut off, may not
     know of a newer configuration than that of an older copy.
     """
@@ -50,9 +50,14 @@
     def accept(self, table: RouteTable, requested_at: float) -> bool:
         """Put a table that was read in force if newer; return whether it was.
 
-        ``requested_at`` is the start of the read.
+        ``requested_at`` is the start of the read. A newer table than an
+        earlier read of this era showed is one that the operator has written
+        since, so it is the newest.
         """
+        is_written_since = 0 < self._version < table.version
         self._version = table.version
+        if is_written_since:
+            self._store_era.record_peer_poll(self._era)
         is_due = self._store_era.is_peer_poll_due
         read_at = NEVER if is_due else requested_at
         return self._routes.accept_newer(table, read_at, self._era)
@@ -60,8 +65,8 @@
     def confirm(self, requested_at: float) -> None:
         """Confirm the table in force, if the store shows it.
 
-        ``requested_at`` is the start of the read. While a peer is yet to be
-        polled, the read is kept and takes effect after the poll.
+        ``requested_at`` is the start of the read. While peers are yet to be
+        polled, the read is kept and takes effect after the polls.
         """
         if self._store_era.is_peer_poll_due:
             self._unconfirmed_at = requested_at
--- a/tests/era_site.py
+++ b/tests/era_site.py
@@ -11,6 +11,10 @@
 from limpet_standins.local import call_local
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.coordination.peers import PeerRoutes
+from limpetdrift.platform.registration import (
+    Registration,
+    RegistrationInputs,
+)
 from limpetdrift.platform.store import StoreClient
 from limpetdrift.platform.store_replica import (
     CONFIGURATION_KEY,
@@ -56,11 +60,11 @@
 class EraEntry:
     """One entry's replicas of the store, with its own client."""
 
-    def __init__(self, number, site) -> None:
+    def __init__(self, number, site, lifetime=0) -> None:
         address = Address(host=f'10.0.0.{number}', port=1)
         self.node = Node(
-            name=f'e{number}',
-            incarnation=number,
+            name=f'e{number}.{lifetime}' if lifetime else f'e{number}',
+            incarnation=number + lifetime,
             role=Role.ENTRY,
             region='r',
             failure_domain='d',
@@ -71,6 +75,9 @@
         self.store = StoreClient(client=self.client, address=STORE_ADDRESS)
         self.routes = RouteTableCache(clock=trio.current_time)
         self.view = EndpointView(clock=trio.current_time)
+        self.registration = site.make_registration(self)
+        self.tasks = ()
+        self.scope = None
         peer_routes = PeerRoutes()
         self.replica = StoreReplica(
             inputs=ReplicaInputs(
@@ -78,9 +85,10 @@
                 routes=self.routes,
                 view=self.view,
                 node=self.node,
-                entries=lambda: site.nodes,
+                entries=lambda: site.nodes_known_to(self),
                 call=site.network.add_peer(address, peer_routes),
-                seeds=lambda: tuple(each.peer_address for each in site.nodes),
+                seeds=self.registration.seeds,
+                read_registered=self.registration.read,
                 clock=trio.current_time,
                 randomness=random.Random(number),
                 revoke_seconds=REVOKE_SECONDS,
@@ -88,6 +96,13 @@
         )
         self.replica.relay.register(peer_routes)
 
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self.scope = nursery.cancel_scope
+            nursery.start_soon(self.replica.run)
+            for task in self.tasks:
+                nursery.start_soon(task)
+
     def usable(self) -> list[str]:
         return [each.name for each in self.view.usable('s')]
 
@@ -104,19 +119,34 @@
         self.network = FakeNetwork(seed=1)
         self.nodes = ()
         self.nursery = None
+        self.count = count
         self.entries = [EraEntry(number, self) for number in range(count)]
         self.nodes = tuple(entry.node for entry in self.entries)
 
     def start(self, nursery) -> None:
         self.nursery = nursery
         for entry in self.entries:
-            nursery.start_soon(entry.replica.run)
+            nursery.start_soon(entry.run)
+
+    def nodes_known_to(self, entry) -> tuple[Node, ...]:
+        return self.nodes
+
+    def make_registration(self, entry) -> Registration:
+        """Return a registration that is not run; its seeds are all nodes."""
+        return make_registration(
+            entry,
+            seeds=tuple(
+                Address(host=f'10.0.0.{number}', port=1)
+                for number in range(self.count)
+            ),
+            count_peers=lambda: self.count,
+        )
 
     def add_entry(self) -> EraEntry:
         entry = EraEntry(len(self.entries), self)
         self.entries.append(entry)
         self.nodes = (*self.nodes, entry.node)
-        self.nursery.start_soon(entry.replica.run)
+        self.nursery.start_soon(entry.run)
         return entry
 
     def write_configuration(self, version: int, *keys: str) -> None:
@@ -165,3 +195,18 @@
 
     def return_to(self, copy) -> None:
         self.store.rows.return_to(copy)
+
+
+def make_registration(entry, *, seeds, count_peers) -> Registration:
+    return Registration(
+        inputs=RegistrationInputs(
+            store=entry.store,
+            node=entry.node,
+            configuration_version=lambda: entry.routes.version,
+            count_peers=count_peers,
+            join=trio.lowlevel.checkpoint,
+            is_assigned=lambda: True,
+            randomness=random.Random(entry.node.incarnation),
+        ),
+        seeds=seeds,
+    )
--- a/tests/fake_network.py
+++ b/tests/fake_network.py
@@ -30,6 +30,8 @@
         self.bytes = 0
         self.paths = set()
         self._routes = {}
+        # Seconds by which messages from an address are late.
+        self.delays = {}
         self._cuts = set()
         self._frozen = {}
 
@@ -97,7 +99,8 @@
             if frozen is not None:
                 await frozen.wait()
         jitter = self.randomness.uniform(0.5, 1.5)
-        await trio.sleep(self.latency_seconds * jitter)
+        delay = self.delays.get(source, 0)
+        await trio.sleep(self.latency_seconds * jitter + delay)
         lost = self.randomness.random() < self.loss_rate
         if lost or (source, target) in self._cuts:
             await trio.sleep_forever()
--- a/tests/knowledge_fakes.py
+++ b/tests/knowledge_fakes.py
@@ -84,6 +84,11 @@
         return Ok(RowPage(rows=changes, version=self.version, era=self.era))
 
 
+async def read_no_rows():
+    """Read the rows of entries where none has registered."""
+    return ()
+
+
 class RelayEntry:
     """One entry with a relay; ``read`` stands for its reads of the store."""
 
@@ -123,11 +128,13 @@
                 replace_endpoints=self._replace_endpoints,
                 entries=entries,
                 seeds=tuple,
+                read_registered=read_no_rows,
                 is_store_unreachable=lambda: self.is_store_unreachable,
                 is_store_behind=bool,
                 store_era=self.store_era,
                 clock=trio.current_time,
                 randomness=random.Random(number),
+                revoke_seconds=5.0,
             ),
         )
         self.routes.on_change.append(lambda table: self.relay.notify_waiters())
--- a/tests/test_interplay.py
+++ b/tests/test_interplay.py
@@ -17,6 +17,7 @@
     make_route,
     whole_response,
 )
+from knowledge_fakes import read_no_rows
 from limpetdrift.coordination.endpoints.endpoint_gate import (
     EndpointSignals,
     make_gate,
@@ -271,6 +272,8 @@
             store_era=era,
             clock=trio.current_time,
             randomness=random.Random(1),
+            read_registered=read_no_rows,
+            revoke_seconds=5.0,
         )
     )
     with trio.move_on_after(2):
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -13,6 +13,7 @@
     RegistrationInputs,
 )
 from limpetdrift.platform.store import RowPage
+from limpetdrift.state.store_era import StoreEra
 from limpetdrift.verdict import Reason, not_run
 from member_cluster import make_node
 from virtual_time import background_tasks, in_virtual_time
@@ -25,6 +26,7 @@
         self.written: list[str] = []
         self.written_at: list[float] = []
         self.failures = 0
+        self.era = StoreEra()
 
     async def put(self, table, key, content):
         if self.failures:
@@ -48,6 +50,7 @@
             inputs=RegistrationInputs(
                 store=self.store,
                 node=make_node(number),
+                configuration_version=int,
                 count_peers=lambda: 5,
                 join=trio.lowlevel.checkpoint,
                 is_assigned=lambda: self.is_assigned,
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -376,7 +376,8 @@
         await trio.sleep(0.1)
         assert site.entries[0].replica.is_synced
         assert site.entries[0].routes.age_seconds() < 0.2
-        assert len(site.entries[0].client.calls) == 4
+        # Two reads and two polls, and a read of the entries' rows.
+        assert len(site.entries[0].client.calls) == 5
 
 
 @in_virtual_time
@@ -492,6 +493,7 @@
         inputs=RegistrationInputs(
             store=entry.store,
             node=entry.node,
+            configuration_version=lambda: entry.routes.version,
             count_peers=lambda: 1,
             join=trio.lowlevel.checkpoint,
             is_assigned=lambda: True,
@@ -499,7 +501,7 @@
         ),
         seeds=(),
     )
-    entry.store.era.on_rise.append(registration.write_again)
+    entry.store.era.on_peer_poll.append(registration.write_again)
     return registration
 
 
