Compare attempts whose placement is not known yet

What callers saw: nothing; found by test_interplay after the count of attempts of carried requests looked at the placement of each attempt. Cause: an attempt may have an endpoint and no placement. Change: only a placement at a peer is left out of the comparison. Evidence: test_no_second_attempt_at_a_lifetime_whose_row_has_changed fails with AttributeError before, and passes.

--- a/src/limpetdrift/coordination/forwarding/attempt_race.py
+++ b/src/limpetdrift/coordination/forwarding/attempt_race.py
@@ -169,7 +169,7 @@
 
         Two at one peer are none: it may choose different endpoints.
         """
-        if attempt.placement.is_carried:
+        if attempt.placement is not None and attempt.placement.is_carried:
             return False
         identity = attempt.endpoint.identity
         return any(
