Take the sound endpoints of a peer's list that has an unusable one

What callers saw: nothing recorded. Beside an earlier build, an entry that doesn't read the store itself gets no endpoint list while one row names an address that no socket takes.

An earlier build lists such rows. Nothing was logged, and the poll counted as one of a fresh reader, so the entry neither read the store nor asked another peer.

Change: if the list can't be decoded, its endpoints are decoded one by one, and those that can't be used are left out and logged. What is no list at all is logged and counted in limpet_relayed_lists_unread_total.

Evidence: on the code before, 4 of 4 cases fail with "assert set() == {ListedEndpoint(...), ...}".

Result: test_lists_of_earlier_builds, test_era_relay, test_unusable_addresses, test_layers, test_platform_boundary, test_telemetry, test_relay_loads, test_evacuations and test_knowledge pass. test_mixed_builds and test_outside_messages fail and test_changed_bytes can't be collected, with and without this change: the corpus has 'text' as the host of each address.

--- a/src/limpetdrift/coordination/routing/routing_merge.py
+++ b/src/limpetdrift/coordination/routing/routing_merge.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from limpetdrift.logs import note
+from limpetdrift import telemetry
+from limpetdrift.logs import note, warn
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import (
     UNKNOWN_AGE_SECONDS,
@@ -17,10 +18,12 @@
     RoutingSyncReply,
     RoutingSyncRequest,
     unpack,
+    unpack_endpoints,
 )
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.state.evacuations import Evacuations
 from limpetdrift.state.route_cache import NEVER, RouteTableCache
+from limpetdrift.state.seen_faults import MAX_REASON_LENGTH
 from limpetdrift.state.store_era import StoreEra
 
 
@@ -118,12 +121,36 @@
         return is_evacuation_new
     if reply.endpoints is None or position < list_state.position:
         return is_evacuation_new
-    endpoints = unpack(reply.endpoints, tuple[ListedEndpoint, ...])
-    if endpoints.is_ok():
-        list_state.move_to(*position)
-        list_state.confirmed_at = sent_at - reply.list_age_seconds
-        replace_endpoints(endpoints.ok)
-    return endpoints.is_ok() or is_evacuation_new
+    endpoints = _unpack_usable(reply.endpoints)
+    if endpoints is None:
+        return is_evacuation_new
+    list_state.move_to(*position)
+    list_state.confirmed_at = sent_at - reply.list_age_seconds
+    replace_endpoints(endpoints)
+    return True
+
+
+def _unpack_usable(packed: bytes) -> tuple[ListedEndpoint, ...] | None:
+    """Return the endpoints of a packed list that can be used.
+
+    ``None`` if it is no list.
+    """
+    unpacked = unpack_endpoints(packed)
+    if unpacked.is_error():
+        telemetry.count('relayed_lists_unread')
+        warn(
+            'endpoint list of a peer can not be decoded',
+            detail=unpacked.error.detail[:MAX_REASON_LENGTH],
+        )
+        return None
+    endpoints, faults = unpacked.ok
+    if faults:
+        warn(
+            'endpoints of a peer can not be used',
+            count=len(faults),
+            first=faults[0][:MAX_REASON_LENGTH],
+        )
+    return endpoints
 
 
 def _merge_evacuations(
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from expression import Error, Result
+from expression import Error, Ok, Result
+from msgspec import Raw
 from xxhash import xxh32_intdigest
 
 from limpetdrift.protocol.bounded import BoundedInt, Era, Seconds
@@ -122,3 +123,23 @@
     except zlib.error as error:
         return Error(may_have_run(Reason.BAD_ANSWER, str(error)))
     return decode(payload, kind)
+
+
+def unpack_endpoints(
+    packed: bytes,
+) -> Result[tuple[tuple[ListedEndpoint, ...], tuple[str, ...]], Failure]:
+    """Decode a packed endpoint list, each endpoint on its own.
+
+    Returns the endpoints, and what is wrong with those that are left out. A
+    peer of an earlier build may list some that can't be used.
+    """
+    whole = unpack(packed, tuple[ListedEndpoint, ...])
+    if whole.is_ok():
+        return Ok((whole.ok, ()))
+    parts = unpack(packed, tuple[Raw, ...])
+    if parts.is_error():
+        return Error(parts.error)
+    decoded = [decode(bytes(each), ListedEndpoint) for each in parts.ok]
+    endpoints = tuple(each.ok for each in decoded if each.is_ok())
+    faults = tuple(each.error.detail for each in decoded if each.is_error())
+    return Ok((endpoints, faults))
