Answer callers under a head timeout below zero

What callers saw: nothing recorded. While a configuration with a negative headerTimeoutMs is in force, each connection is closed at its first request, without an answer.

Cause: the decoder takes any number within bounds, and trio raises ValueError on a wait of less than no time, for each request.

Change: a limit below zero counts as zero: a head that comes in one read is answered, as with 0.

Evidence: on the code before, 2 of 6 cases fail, with "ValueError: `seconds` must be non-negative" and a connection closed without a byte.

Result: test_limits_of_configurations, test_limits_of_open_connections, test_server_close and test_layers pass.

--- a/src/limpetdrift/platform/callers.py
+++ b/src/limpetdrift/platform/callers.py
@@ -91,6 +91,7 @@
             body_bytes=limits.body_bytes,
             header_bytes=limits.header_bytes,
             idle_seconds=limits.idle_seconds,
-            head_seconds=limits.head_seconds,
+            # A wait of less than no time is an error of trio.
+            head_seconds=max(0, limits.head_seconds),
         ),
     )
