Refuse settings with a number that no float holds

With such a number of cores the process ends at its start with a traceback, in place of a line and status 2.

Cause: the conversion catches ValueError, and a product of a float and an integer of 310 digits raises OverflowError.

Change: errors of arithmetic are errors of the settings.

Evidence: on the code before, 3 of 3 cases fail with "OverflowError: int too large to convert to float".

Result: test_numbers_of_settings, test_outside_data and test_platform_decoders pass.

--- a/src/limpetdrift/platform/settings.py
+++ b/src/limpetdrift/platform/settings.py
@@ -157,7 +157,7 @@
 def _convert_checked(file: _SettingsFile) -> Result[PlatformSettings, str]:
     try:
         return Ok(_convert(file))
-    except ValueError as error:
+    except (ValueError, ArithmeticError) as error:
         return Error(str(error))
 
 
