End the limit on a write when the write is cancelled

What callers saw: nothing recorded; no handler goes on after a cancelled write now. One that did, and wrote nothing for 20 s, lost its connection as that of a slow reader, however fast the caller read.

Cause: a write that is cancelled left its deadline on the connection.

Change: the deadline ends with each write, however it ends.

Evidence: on the code before, the test of a pause fails, with 1,000,000 of 1,000,001 bytes or less. The other test, that a write after a cancelled one neither loses nor doubles bytes, passes on it.

--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -156,12 +156,15 @@
             return
         now = trio.current_time()
         self.write_scope.deadline = now + self.limits.write_seconds
-        while self._unsent:
-            sent = await self._send_part()
-            self._unsent = self._unsent[sent:]
+        try:
+            while self._unsent:
+                sent = await self._send_part()
+                self._unsent = self._unsent[sent:]
+        finally:
+            # No write is under way after one that was cancelled.
+            self.write_scope.deadline = math.inf
         # A slice keeps all of the bytes in memory, however short it is.
         self._unsent = _NOTHING
-        self.write_scope.deadline = math.inf
 
     async def _send_part(self) -> int:
         """Write some bytes and return their number; none if cancelled."""
