Probe a service whose health path no head can hold as it is

What callers saw: nothing recorded. A healthPath with a space or a character outside of ASCII makes each probe of the service fail. After one failed connection the whole service then counts as cut off, and its requests are carried to peers, where the same holds.

Cause: the request can't be written, and the probe takes that for an endpoint that was not reached.

Change: the path is sent with such characters escaped.

--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from dataclasses import replace
+from urllib.parse import quote
 
 import trio
 
@@ -46,6 +47,8 @@
 _CRASH_CHECK_TIMEOUT_SECONDS = 0.3
 # Timeout of a probe of the link to the endpoints.
 PROBE_TIMEOUT_SECONDS = 0.5
+# Characters of a path of the configuration that are sent as they are.
+_PATH_CHARACTERS = "/%?=&:;,+@!$'()*"
 
 # Called with the load that an endpoint reports.
 OnLoad = Callable[[ListedEndpoint, EndpointLoad], None]
@@ -154,7 +157,10 @@
     async def probe(endpoint: ListedEndpoint) -> bool:
         answer = await client.fetch(
             parse_address(endpoint.address),
-            Request(method='GET', path=find_path(endpoint.service)),
+            Request(
+                method='GET',
+                path=quote(find_path(endpoint.service), safe=_PATH_CHARACTERS),
+            ),
             timeout_seconds=PROBE_TIMEOUT_SECONDS,
             new_connection=True,
         )
