Close pooled connections to addresses that are not asked again

What callers saw: nothing; seen by the review. The descriptors of a process that polls reports rose as engines came and went.

Cause: a pool looked at idle connections only when the same address was asked again, and kept an empty list for each address ever asked.

Change: each call looks through all of a client's idle connections if that was last done longer ago than one may be idle (30 s); no timer. So one stays open for twice that time at most while the client makes any call.

Evidence: test_descriptors_stay_level_while_servers_come_and_go failed before with "assert 40 <= (20 + 4)" after 20 servers, and "assert 61 <= (41 + 4)".

Result: test_idle_connections, test_client_failures, test_endless_answers, test_early_responses and test_second_copies pass.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -176,6 +176,7 @@
     def __init__(self, *, limits: ClientLimits | None = None) -> None:
         self._limits = limits or ClientLimits()
         self._idle: dict[Address, list[_PooledConnection]] = defaultdict(list)
+        self._swept_at = -math.inf
 
     @asynccontextmanager
     async def stream(
@@ -267,6 +268,7 @@
     async def _connect(
         self, address: Address, *, new_connection: bool
     ) -> _PooledConnection:
+        self._sweep()
         if not new_connection:
             pooled = self._take_idle(address)
             if pooled is not None:
@@ -301,11 +303,32 @@
             _close(connection)
         return None
 
+    def _sweep(self) -> None:
+        """Close all connections that are idle for too long.
+
+        Those to an address that is not asked again would stay open. They are
+        looked through once in the time that one may be idle.
+        """
+        now = trio.current_time()
+        earliest = now - self._limits.idle_seconds
+        if self._swept_at > earliest:
+            return
+        self._swept_at = now
+        for address, connections in list(self._idle.items()):
+            expired = [
+                each for each in connections if each.idle_since < earliest
+            ]
+            for connection in expired:
+                _close(connection)
+                connections.remove(connection)
+            if not connections:
+                self._idle.pop(address)
+
     def _release(self, address: Address, connection: _PooledConnection) -> None:
         protocol = connection.protocol
         states = {protocol.our_state, protocol.their_state}
         is_complete = connection.is_sent and states == {h11.DONE}
-        idle = self._idle[address]
+        idle = self._idle.get(address, ())
         has_more = bool(protocol.trailing_data[0])
         is_full = len(idle) >= self._limits.idle_connections
         if not is_complete or has_more or is_full:
@@ -313,7 +336,7 @@
             return
         protocol.start_next_cycle()
         connection.idle_since = trio.current_time()
-        idle.append(connection)
+        self._idle[address].append(connection)
 
 
 async def _connect(address: Address) -> trio.SocketStream:
