Bound a stream that has no new event ids

What callers saw: an endpoint that sends newlines, comments or events without ids without end took most of a core until the caller's deadline (seen by the review).

Cause: only one event's length was bounded, not what comes between two ids.

Change: after 50,000 events or 64 MB without a new id the answer is bad, as after an event that is too long. Streams have increasing ids by the protocol, and one without any passes up to these bounds.

--- a/src/limpetdrift/coordination/forwarding/delivery.py
+++ b/src/limpetdrift/coordination/forwarding/delivery.py
@@ -14,6 +14,7 @@
 )
 from limpetdrift.coordination.forwarding.event_relay import (
     StreamEvent,
+    progressing_events,
     whole_events,
 )
 from limpetdrift.coordination.forwarding.retry_policy import (
@@ -189,7 +190,7 @@
     if answer.is_for_other_request:
         raise FailureError(may_have_run(Reason.BAD_ANSWER, 'foreign answer'))
     events = whole_events(answer.chunks(), framed=answer.framed)
-    async for event in events:
+    async for event in progressing_events(events):
         is_progress = await _relay_event(progress, answer, attempt, event)
         progress.on_event(attempt)
         if not is_progress:
--- a/src/limpetdrift/coordination/forwarding/event_relay.py
+++ b/src/limpetdrift/coordination/forwarding/event_relay.py
@@ -19,6 +19,11 @@
 _COMMENT = b':'
 # Maximum length of one event. An engine that fails may send bytes without end.
 MAX_EVENT_BYTES = 1_048_576
+# Most events, and their bytes, that may follow each other without a new id:
+# comments, empty lines, events without ids or with known ones. An empty line
+# takes as long to relay as an event.
+MAX_UNNUMBERED_EVENTS = 50_000
+MAX_UNNUMBERED_BYTES = 67_108_864
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,6 +73,31 @@
         yield _read_event(rest)
 
 
+async def progressing_events(
+    events: AsyncIterator[StreamEvent],
+) -> AsyncIterator[StreamEvent]:
+    """Yield events while new ids come.
+
+    Raise ``FailureError`` after ``MAX_UNNUMBERED_EVENTS`` events or
+    ``MAX_UNNUMBERED_BYTES`` bytes without one.
+    """
+    last_number = -1
+    count = 0
+    length = 0
+    async for event in events:
+        count += 1
+        length += len(event.payload)
+        if event.number is not None and event.number > last_number:
+            last_number = event.number
+            count = 0
+            length = 0
+        if count > MAX_UNNUMBERED_EVENTS or length > MAX_UNNUMBERED_BYTES:
+            raise FailureError(
+                may_have_run(Reason.BAD_ANSWER, 'no new event ids'),
+            )
+        yield event
+
+
 def _read_event(payload: bytes) -> StreamEvent:
     number = None
     for line in payload.splitlines():
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 until its caller closes the connection.
 """
 
+import time
 import tracemalloc
 from dataclasses import dataclass
 from functools import partial
@@ -26,7 +27,10 @@
 from limpetdrift.coordination.forwarding.endpoint_response import (
     EndpointResponse,
 )
-from limpetdrift.coordination.forwarding.event_relay import MAX_EVENT_BYTES
+from limpetdrift.coordination.forwarding.event_relay import (
+    MAX_EVENT_BYTES,
+    MAX_UNNUMBERED_BYTES,
+)
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.transport.client import ClientLimits, HttpClient
 from limpetdrift.transport.messages import Address, Request
@@ -206,6 +210,58 @@
     assert len(exchange.payload) < MAX_EVENT_BYTES
 
 
+STREAMS = {
+    'newlines': b'\n' * 65_536,
+    'comments': b': x\n\n' * 10_000,
+    'events without ids': b'data: x\n\n' * 10_000,
+    'the same id': b'id: 1\ndata: x\n\n' * 10_000,
+    'long events without ids': b'data: ' + b'x' * 1_000_000 + b'\n\n',
+}
+MANY_CHUNKS = 100
+# Processor time of a stream that makes no progress, on a busy machine.
+STREAM_SECONDS = 30.0
+
+
+@pytest.mark.parametrize('name', list(STREAMS))
+@in_virtual_time
+async def test_stream_without_new_event_ids_ends_soon(name):
+    """Guards against a stream that takes a core until its deadline."""
+    chunks_read = []
+
+    async def chunks():
+        for each in repeat(STREAMS[name]):
+            chunks_read.append(name)
+            if len(chunks_read) == MANY_CHUNKS:
+                return
+            await trio.lowlevel.checkpoint()
+            yield each
+
+    harness = ForwardHarness(
+        EndpointResponse(status=200, headers=(), chunks=chunks)
+    )
+    exchange = CountingExchange()
+    began = time.process_time()
+    await harness.serve(make_route(attempt_limit=1), exchange)
+    assert time.process_time() - began < STREAM_SECONDS
+    assert len(chunks_read) < MANY_CHUNKS
+    assert not exchange.finished
+    assert exchange.length <= MAX_UNNUMBERED_BYTES
+
+
+@in_virtual_time
+async def test_long_stream_with_ids_and_many_comments_arrives_whole():
+    async def chunks():
+        for number in range(60):
+            yield b'id: %d\ndata: x\n\n' % number + b':\n\n' * 1000
+
+    harness = ForwardHarness(
+        EndpointResponse(status=200, headers=(), chunks=chunks)
+    )
+    exchange = CountingExchange()
+    await harness.serve(make_route(), exchange)
+    assert exchange.finished
+
+
 @in_virtual_time
 async def test_long_answer_arrives_whole():
     body = b'y' * (3 * MAX_BUFFERED_BYTES)
