Keep an answer whose reservation fails to be renewed by an error

An unexpected error in the renewal of one engine's memory cuts off the answer under way, and one in a release leaves the memory of other engines reserved until it expires.

Cause: the renewals share the nursery of the attempt, and the releases one nursery, without a boundary between them.

Change: renewals begin again after an error, and each release is contained.

--- a/src/limpetdrift/platform/reservations.py
+++ b/src/limpetdrift/platform/reservations.py
@@ -25,6 +25,7 @@
     ListedEndpoint,
     Reservation,
 )
+from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.transport.client import HttpClient
 from limpetdrift.transport.messages import OK, Request, parse_address
 from limpetdrift.verdict import (
@@ -121,7 +122,13 @@
     raised: Exception | None = None
     async with trio.open_nursery() as nursery:
         for reservation in reservations:
-            nursery.start_soon(_renew, orders, reservation)
+            nursery.start_soon(
+                keep_running,
+                'reservation-renewal',
+                _renew,
+                orders,
+                reservation,
+            )
         try:
             yield
         except Exception as error:
@@ -199,7 +206,13 @@
         try:
             async with trio.open_nursery() as nursery:
                 for reservation in reservations:
-                    nursery.start_soon(_release, orders, reservation)
+                    nursery.start_soon(
+                        run_contained,
+                        'reservation-release',
+                        _release,
+                        orders,
+                        reservation,
+                    )
         except Exception:
             # An error that leaves a system task would end the process.
             logging.exception('reserved memory could not be released')
--- a/tests/test_reservations.py
+++ b/tests/test_reservations.py
@@ -69,10 +69,10 @@
 
 
 @asynccontextmanager
-async def reserve(engine: SilentEngine):
+async def reserve(engine: SilentEngine, plan: DispatchPlan = PLAN):
     view = EndpointView(clock=trio.current_time)
     gate = make_gate(view, make_announcements())
-    async with make_reserver(engine, 'entry-1', gate, make_links(view))(PLAN):
+    async with make_reserver(engine, 'entry-1', gate, make_links(view))(plan):
         yield
 
 
