Leave out listed endpoints whose names no head can hold

What callers saw: nothing recorded. Beside an earlier build, each request that is placed at such an endpoint of a peer's list fails as internal, without another try.

Cause: rows are checked for such names since, lists of peers are not.

Change: such an endpoint of a peer's list is left out, as one with an unusable address.

Evidence: on the code before, 2 of 6 cases fail.

Result: test_lists_of_earlier_builds, test_era_relay, test_knowledge, test_relay_loads and test_layers pass.

--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -9,8 +9,13 @@
 from msgspec import Raw
 from xxhash import xxh32_intdigest
 
-from limpetdrift.protocol.bounded import BoundedInt, Era, Seconds
-from limpetdrift.protocol.codec import decode, encode
+from limpetdrift.protocol.bounded import (
+    BoundedInt,
+    Era,
+    Seconds,
+    is_header_text,
+)
+from limpetdrift.protocol.codec import decode, decode_json, encode
 from limpetdrift.protocol.work import ListedEndpoint
 from limpetdrift.verdict import Failure, Reason, may_have_run
 
@@ -135,11 +140,22 @@
     """
     whole = unpack(packed, tuple[ListedEndpoint, ...])
     if whole.is_ok():
-        return Ok((whole.ok, ()))
-    parts = unpack(packed, tuple[Raw, ...])
-    if parts.is_error():
-        return Error(parts.error)
-    decoded = [decode(bytes(each), ListedEndpoint) for each in parts.ok]
-    endpoints = tuple(each.ok for each in decoded if each.is_ok())
-    faults = tuple(each.error.detail for each in decoded if each.is_error())
+        decoded = [Ok(each) for each in whole.ok]
+    else:
+        parts = unpack(packed, tuple[Raw, ...])
+        if parts.is_error():
+            return Error(parts.error)
+        decoded = [
+            decode_json(bytes(each), ListedEndpoint) for each in parts.ok
+        ]
+    checked = [each.bind(_check_name) for each in decoded]
+    endpoints = tuple(each.ok for each in checked if each.is_ok())
+    faults = tuple(each.error for each in checked if each.is_error())
     return Ok((endpoints, faults))
+
+
+def _check_name(endpoint: ListedEndpoint) -> Result[ListedEndpoint, str]:
+    """Reject an endpoint whose name can't be sent in a head."""
+    if is_header_text(endpoint.name):
+        return Ok(endpoint)
+    return Error('name can not be sent in a head')
--- a/tests/test_lists_of_earlier_builds.py
+++ b/tests/test_lists_of_earlier_builds.py
@@ -45,6 +45,8 @@
         unusable('10.1..9:80'),
         unusable('localhost:80'),
         unusable('10.0.0.9:80', slots=2**63),
+        unusable('10.0.0.9:80', name='i-\u0142'),
+        unusable('10.0.0.9:80', name='i\n1'),
     ],
 )
 @in_virtual_time
