Log once what is wrong with a peer's list

A list with an unusable endpoint was logged with each poll. Its digest differs from that of the list here, so that the reader answers each poll at once.

Change: the faults are logged when they are new.

Evidence: on the code before, five polls log five lines.

Result: test_lists_of_earlier_builds and test_era_relay pass.

--- a/src/limpetdrift/coordination/routing/routing_merge.py
+++ b/src/limpetdrift/coordination/routing/routing_merge.py
@@ -26,18 +26,23 @@
 from limpetdrift.state.seen_faults import MAX_REASON_LENGTH
 from limpetdrift.state.store_era import StoreEra
 
+# Faults of a peer's list that are compared and logged.
+_MAX_FAULTS = 3
+
 
 @dataclass(kw_only=True, slots=True)
 class EndpointListState:
     """The endpoint list's version, its digest, and when it was confirmed.
 
-    Versions are ordered within one ``era`` of the store.
+    Versions are ordered within one ``era`` of the store. ``faults`` are those
+    of a peer's list that were logged last.
     """
 
     era: int = UNKNOWN_ERA
     version: int = 0
     digest: int = 0
     confirmed_at: float = NEVER
+    faults: tuple[str, ...] = ()
 
     @property
     def position(self) -> tuple[int, int]:
@@ -121,7 +126,7 @@
         return is_evacuation_new
     if reply.endpoints is None or position < list_state.position:
         return is_evacuation_new
-    endpoints = _unpack_usable(reply.endpoints)
+    endpoints = _unpack_usable(reply.endpoints, list_state)
     if endpoints is None:
         return is_evacuation_new
     list_state.move_to(*position)
@@ -130,26 +135,27 @@
     return True
 
 
-def _unpack_usable(packed: bytes) -> tuple[ListedEndpoint, ...] | None:
+def _unpack_usable(
+    packed: bytes, list_state: EndpointListState
+) -> tuple[ListedEndpoint, ...] | None:
     """Return the endpoints of a packed list that can be used.
 
-    ``None`` if it is no list.
+    ``None`` if it is no list. What is wrong is logged when it is new.
     """
     unpacked = unpack_endpoints(packed)
     if unpacked.is_error():
         telemetry.count('relayed_lists_unread')
+        endpoints, faults = None, (unpacked.error.detail,)
+    else:
+        endpoints, faults = unpacked.ok
+    shown = tuple(each[:MAX_REASON_LENGTH] for each in faults[:_MAX_FAULTS])
+    if shown and shown != list_state.faults:
         warn(
-            'endpoint list of a peer can not be decoded',
-            detail=unpacked.error.detail[:MAX_REASON_LENGTH],
-        )
-        return None
-    endpoints, faults = unpacked.ok
-    if faults:
-        warn(
-            'endpoints of a peer can not be used',
+            'endpoint list of a peer can not be used as a whole',
             count=len(faults),
-            first=faults[0][:MAX_REASON_LENGTH],
+            faults=shown,
         )
+    list_state.faults = shown
     return endpoints
 
 
--- a/tests/test_lists_of_earlier_builds.py
+++ b/tests/test_lists_of_earlier_builds.py
@@ -38,6 +38,24 @@
     return ListedBefore(**(fields | changes))
 
 
+def make_reader_and_entry(listed):
+    """Return an entry without the store, and a reader with a list."""
+    network = FakeNetwork(seed=1)
+    pair = []
+
+    def nodes():
+        return tuple(each.node for each in pair)
+
+    pair.extend(RelayEntry(number, network, nodes) for number in range(2))
+    entry, reader = pair
+    entry.is_store_unreachable = True
+    reader.store_era.learn(1, 'read')
+    reader.endpoints = listed
+    reader.endpoint_list_state.move_to(1, 40)
+    reader.endpoint_list_state.digest = digest_of(listed)
+    return entry
+
+
 @pytest.mark.parametrize(
     'wrong',
     [
@@ -53,20 +71,18 @@
 async def test_one_unusable_endpoint_of_a_peer_does_not_cost_the_whole_list(
     wrong,
 ):
-    network = FakeNetwork(seed=1)
-    pair = []
-
-    def nodes():
-        return tuple(each.node for each in pair)
-
-    pair.extend(RelayEntry(number, network, nodes) for number in range(2))
-    entry, reader = pair
-    entry.is_store_unreachable = True
     sound = make_endpoints(3)
-    reader.store_era.learn(1, 'read')
-    reader.endpoints = (*sound[:1], wrong, *sound[1:])
-    reader.endpoint_list_state.move_to(1, 40)
-    reader.endpoint_list_state.digest = digest_of(reader.endpoints)
+    entry = make_reader_and_entry((*sound[:1], wrong, *sound[1:]))
     await entry.relay.poll_peer()
     assert set(entry.endpoints) == set(sound)
     assert entry.endpoint_list_state.position == (1, 40)
+
+
+@in_virtual_time
+async def test_fault_of_a_peers_list_is_logged_once(caplog):
+    wrong = unusable('10.0.0.9:80800')
+    entry = make_reader_and_entry((*make_endpoints(2), wrong))
+    for _ in range(5):
+        await entry.relay.poll_peer()
+    lines = [each for each in caplog.messages if 'list of a peer' in each]
+    assert len(lines) == 1
