Take errors of probes for no cut link

What callers saw: nothing recorded. If each probe of a service ends with an error of our own, the entry counts as cut off from the service, and its requests are carried to peers or refused.

Cause: since a probe's error ends the probe only, and no endpoint reached was taken for all endpoints missed.

Change: without the result of any probe there is no verdict: requests that wait for it go on, and the endpoints are probed again after the interval.

Evidence: on the code before, the first test fails with "assert not True". The three others, where one of three probes fails, pass on it.

Result: test_errors_of_link_probes, test_task_restarts, test_link_probe, test_carrying, test_cut_entries, test_cut_exchanges and test_layers pass.

--- a/src/limpetdrift/coordination/membership/link_monitor.py
+++ b/src/limpetdrift/coordination/membership/link_monitor.py
@@ -141,11 +141,16 @@
             if not endpoints:
                 self._find_well(service, link)
                 break
-            if await self._reaches_any(endpoints):
+            is_reached = await self._reaches_any(endpoints)
+            if is_reached:
                 self._find_well(service, link)
                 break
-            if link.missed:
+            if is_reached is None:
+                # Requests that wait for the verdict go on without it.
+                _settle(link)
+            elif link.missed:
                 self._find_cut(service, link)
+            if link.missed:
                 await trio.sleep(PROBE_INTERVAL_SECONDS)
 
     def _choose_endpoints(
@@ -166,18 +171,21 @@
         usable.sort(key=lambda each: each.identity in link.missed)
         return usable[:PROBED_ENDPOINTS] if len(usable) > 1 else []
 
-    async def _reaches_any(self, endpoints: list[ListedEndpoint]) -> bool:
-        reached: list[ListedEndpoint] = []
+    async def _reaches_any(
+        self, endpoints: list[ListedEndpoint]
+    ) -> bool | None:
+        """Probe endpoints; ``None`` if each probe ended with an error."""
+        reached: list[bool] = []
 
         async def check(endpoint: ListedEndpoint) -> None:
-            if await self._probe(endpoint):
-                reached.append(endpoint)
+            reached.append(await self._probe(endpoint))
+            if reached[-1]:
                 nursery.cancel_scope.cancel()
 
         async with trio.open_nursery() as nursery:
             for endpoint in endpoints:
                 nursery.start_soon(run_contained, 'link-probe', check, endpoint)
-        return bool(reached)
+        return any(reached) if reached else None
 
     def _find_cut(self, service: str, link: _ServiceLink) -> None:
         link.blamed.clear()
