--- a/tests/test_failing_entries.py
+++ b/tests/test_failing_entries.py
@@ -26,7 +26,7 @@
 from pathlib import Path
 from limpetdrift.coordination.planning import engine_report_poller
 from limpetdrift.platform import program, registration
-from limpetdrift.transport import server
+from limpetdrift.transport import accepting
 
 async def fail(self):
     raise OverflowError('connect(): port must be 0-65535.')
@@ -34,7 +34,7 @@
 engine_report_poller.EngineReportPoller.run = fail
 registration.Registration.run = fail
 breaks, port = Path(sys.argv[1]), int(sys.argv[2])
-accept = server._SharedListener.accept
+accept = accepting.SharedListener.accept
 
 async def accept_or_fail(self):
     stream = await accept(self)
@@ -44,7 +44,7 @@
         raise OSError(9, 'listener is broken')
     return stream
 
-server._SharedListener.accept = accept_or_fail
+accepting.SharedListener.accept = accept_or_fail
 sys.argv = sys.argv[:1]
 program.run()
 """
