Give the tests' nodes and samples addresses that a socket takes

The nodes of a large failure domain had hosts up to 10.6.0.299, the sample of a listed endpoint the address 'text', and settled_era had no bound. Change: hosts go on in the next block, samples of addresses are addresses, and settled_era is an era as the others. Evidence: test_directory (1) and test_outside_messages (2) fail before and pass, as do test_mixed_builds and test_changed_bytes.

--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -99,7 +99,7 @@
     list_era: Era | None = None
     is_store_behind: bool = False
     evacuations: EvacuatedDomains | None = None
-    settled_era: int | None = None
+    settled_era: Era | None = None
 
 
 def digest_of(endpoints: Iterable[ListedEndpoint]) -> int:
--- a/tests/corpus/make.py
+++ b/tests/corpus/make.py
@@ -42,6 +42,8 @@
     msgspec.Raw: msgspec.Raw(b'{}'),
     Address: Address(host='127.0.0.1', port=3),
 }
+# Texts that a class checks, by the names of their fields.
+TEXTS = {'address': '127.0.0.1:3'}
 
 
 def sample(kind: object) -> object:
@@ -74,13 +76,20 @@
     hints = typing.get_type_hints(kind)
     return kind(
         **{
-            each.name: sample(hints[each.name])
+            each.name: sample_field(each.name, hints[each.name])
             for each in fields(kind)
             if is_whole or is_required(each)
         }
     )
 
 
+def sample_field(name: str, kind: object) -> object:
+    """Return a value of a field."""
+    if kind is str and name in TEXTS:
+        return TEXTS[name]
+    return sample(kind)
+
+
 def is_required(field: object) -> bool:
     """Return whether a field of a data class has no default."""
     return field.default is MISSING and field.default_factory is MISSING
--- a/tests/member_cluster.py
+++ b/tests/member_cluster.py
@@ -15,7 +15,8 @@
 def make_node(index, incarnation=1, region='kiambu'):
     domain = index % 3
     subnet = len(region)
-    host = f'10.{subnet}.0.{index}'
+    block, number = divmod(index, 256)
+    host = f'10.{subnet}.{block}.{number}'
     return Node(
         name=f'{region}-{index}',
         incarnation=incarnation,
