--- a/src/limpetdrift/coordination/forwarding/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding.py
@@ -218,8 +218,8 @@
         while True:
             placement = attempt.placement
             # A peer may choose another endpoint for a second attempt.
-            is_free = placement.is_carried
-            if not is_free and attempt.race.is_used_by_other(attempt):
+            is_at_peer = placement.is_carried
+            if not is_at_peer and attempt.race.is_used_by_other(attempt):
                 forget_refused_try(progress, attempt)
                 return Error(not_run(Reason.NO_ENDPOINT, 'no other endpoint'))
             progress.excluded.add(placement.endpoint.identity)
--- a/src/limpetdrift/platform/header_names.py
+++ b/src/limpetdrift/platform/header_names.py
@@ -117,6 +117,7 @@
 # Sent to the services of deployments other than the platform's.
 SERVICE_HEADERS = frozenset((ATTEMPT_HEADER, REQUEST_KEY_HEADER))
 
+# The tests check that no module defines a name that is not in here.
 ALL_HEADERS = (
     CALLER_HEADERS
     | ENTRY_HEADERS
--- a/src/limpetdrift/transport/messages.py
+++ b/src/limpetdrift/transport/messages.py
@@ -35,7 +35,9 @@
 
     def __post_init__(self) -> None:
         if not is_ip_address(self.host):
-            raise ValueError(f'expected an IP address, got {_cut(self.host)}')
+            raise ValueError(
+                f'expected an IP address, got {_quote_begin(self.host)}'
+            )
         if not 0 <= self.port <= MAX_PORT:
             raise ValueError(f'expected a port up to {MAX_PORT}')
 
@@ -68,7 +70,7 @@
     # Some digits outside of ASCII are no digits for ``int``.
     is_number = port.isascii() and port.isdigit()
     if not is_number or len(port) > _MAX_PORT_CHARACTERS:
-        raise ValueError(f'expected host:port, got {_cut(text)}')
+        raise ValueError(f'expected host:port, got {_quote_begin(text)}')
     return Address(host=host, port=int(port))
 
 
@@ -82,7 +84,7 @@
     """
     address = parse_listen_address(text)
     if not address.port:
-        raise ValueError(f'expected a port, got {_cut(text)}')
+        raise ValueError(f'expected a port, got {_quote_begin(text)}')
     return address
 
 
@@ -144,8 +146,8 @@
     return text.encode().decode('latin-1')
 
 
-def _cut(text: str) -> str:
-    """Return the begin of a text for an error message."""
+def _quote_begin(text: str) -> str:
+    """Return the first characters of a text, quoted for an error message."""
     return repr(text[:_MAX_SHOWN_CHARACTERS])
 
 
--- a/tests/test_unusable_addresses.py
+++ b/tests/test_unusable_addresses.py
@@ -20,6 +20,7 @@
     parse_listen_address,
 )
 from limpetdrift.verdict import Reason, not_run
+from test_platform_decoders import ROW
 
 LONG_LABEL = 'a' * 64
 MANY_DIGITS = '9' * 5000
@@ -49,13 +50,6 @@
     '\u0661.0.0.1:80',
     '',
 )
-ROW = {
-    'service': 's',
-    'address': '10.0.0.1:80',
-    'zone': 'd',
-    'slots': 8,
-    'state': 'ready',
-}
 NODE = Node(
     name='e.1',
     incarnation=1,
