Refuse heads that two readers could take for different requests

A bare line feed or a folded line also divides a head in two ways, and so does a version whose framing isn't known.

Change: transport/request_heads.py checks a head before h11 parses its lines, and its framing before the body is read: 400, or 505 for a version other than 1.0 and 1.1, and the connection is closed. All servers of the package use it.

--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -3,6 +3,7 @@
 import errno
 import math
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
@@ -124,12 +125,19 @@
         telemetry.count('transport_closed', reason=reason)
         return b''
 
-    async def next_event(self, read_seconds: float) -> h11.Event | type:
+    async def next_event(
+        self,
+        read_seconds: float,
+        check: Callable[[bytes], None] | None = None,
+    ) -> h11.Event | type:
         """Return the next event; ``read_seconds`` bounds each read.
 
+        ``check`` gets all bytes that are not parsed yet, before they are.
         Raise ``BadInputError`` if an incomplete head is over its limit.
         """
         while True:
+            if check is not None:
+                check(self.protocol.trailing_data[0])
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -11,6 +11,10 @@
     Connection,
 )
 from limpetdrift.transport.messages import Request
+from limpetdrift.transport.request_heads import (
+    check_head,
+    check_lines,
+)
 
 _BAD_REQUEST = 400
 _REQUEST_TIMEOUT = 408
@@ -44,9 +48,10 @@
         connection.protocol.receive_data(received)
     limits = connection.limits
     with trio.fail_after(limits.head_seconds):
-        event = await connection.next_event(limits.head_seconds)
+        event = await connection.next_event(limits.head_seconds, check_lines)
     if not isinstance(event, h11.Request):
         return None
+    check_head(event)
     # h11 applies its limit only to incomplete heads, so that a head which
     # arrives in one read can exceed it.
     size = sum(len(name) + len(text) for name, text in event.headers)
--- /dev/null
+++ b/tests/test_request_heads.py
@@ -0,0 +1,90 @@
+"""A request that could be read in two ways is refused, and nothing runs."""
+
+import pytest
+import trio
+
+from limpetdrift.transport.messages import Response
+from server_harness import ServerHarness, read_all
+from virtual_time import run_in_virtual_time
+
+HOST = b'Host: a\r\n'
+INNER = b'POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+LENGTH = b'Content-Length: %d\r\n' % (len(INNER) + 5)
+
+
+def play(sent):
+    """Return the requests that reach the handler, and all that is answered."""
+    handled = []
+    received = []
+
+    async def answer(exchange):
+        handled.append(exchange.request)
+        await exchange.respond(Response(status=200))
+
+    async def body():
+        async with trio.open_nursery() as nursery:
+            harness = ServerHarness(nursery=nursery, handler=answer)
+            stream = harness.connect()
+            await stream.send_all(sent)
+            await stream.send_eof()
+            received.append(await read_all(stream))
+
+    run_in_virtual_time(body)
+    return handled, received[0]
+
+
+@pytest.mark.parametrize('version', [b'1.0', b'1.1'])
+@pytest.mark.parametrize(
+    'framing',
+    [
+        LENGTH + CHUNKED,
+        CHUNKED + LENGTH,
+        LENGTH.lower() + CHUNKED.upper(),
+        CHUNKED.lower() + b'X: y\r\n' + LENGTH.upper(),
+    ],
+)
+def test_request_hidden_in_a_body_with_two_framings_is_not_run(
+    version, framing
+):
+    """Guards against a caller's second request that no check has seen."""
+    head = b'POST /outer HTTP/%s\r\n%s%s\r\n' % (version, HOST, framing)
+    handled, received = play(head + b'0\r\n\r\n' + INNER)
+    assert not handled
+    assert received.startswith(b'HTTP/1.1 400')
+    assert b'connection: close' in received.lower()
+    assert received.count(b'HTTP/1.1') == 1
+
+
+@pytest.mark.parametrize(
+    ('head', 'status'),
+    [
+        (b'GET /x HTTP/2.0\r\n' + HOST, 505),
+        (b'GET /x HTTP/0.9\r\n' + HOST, 505),
+        (b'GET /x HTTP/1.1\r\n' + HOST + b'A: b\r\n c\r\n', 400),
+        (b'GET /x HTTP/1.1\r\n' + HOST + b'A: b\r\n\tc\r\n', 400),
+        (b'GET /x HTTP/1.1\r\n' + HOST + b'A: b\nC: d\r\n', 400),
+        (b'GET /x HTTP/1.1\n' + HOST, 400),
+        (b'POST /x HTTP/1.0\r\n' + HOST + CHUNKED, 400),
+        (b'GET /x HTTP/1.1\r\n' + HOST + b'HOST: b\r\n', 400),
+    ],
+)
+def test_head_that_is_no_plain_request_is_refused_before_it_runs(head, status):
+    """Guards against heads that two readers take for different requests."""
+    handled, received = play(head + b'\r\n')
+    assert not handled
+    assert received.startswith(b'HTTP/1.1 %d' % status)
+
+
+def test_head_that_ends_in_line_feeds_alone_is_refused():
+    handled, received = play(b'GET /x HTTP/1.1\nHost: a\n\n')
+    assert not handled
+    assert received.startswith(b'HTTP/1.1 400')
+
+
+def test_body_may_have_any_line_ends():
+    payload = b'a\n b\r\n\r\n\nc'
+    head = b'POST /x HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n'
+    handled, received = play(head % (HOST, len(payload)) + payload)
+    assert [each.body for each in handled] == [payload]
+    assert received.startswith(b'HTTP/1.1 200')
