Refuse CONNECT before anything runs

Change: check_head refuses the method with 501, which the entry doesn't support for any target.

Evidence: two tests of test_request_heads fail before, with the request among those that were handled.

Result: they pass; the connection is closed after the 501.

--- a/src/limpetdrift/transport/request_heads.py
+++ b/src/limpetdrift/transport/request_heads.py
@@ -12,6 +12,7 @@
 from limpetdrift.transport.connection import BadInputError
 
 _BAD_REQUEST = 400
+_NOT_IMPLEMENTED = 501
 _VERSION_NOT_SUPPORTED = 505
 _VERSIONS = frozenset((b'1.0', b'1.1'))
 _HEAD_END = b'\r\n\r\n'
@@ -31,12 +32,15 @@
 
 
 def check_head(head: h11.Request) -> None:
-    """Raise ``BadInputError`` for an unknown version or ambiguous framing.
+    """Raise ``BadInputError`` for a head that this server can't serve.
 
-    A body has a length or comes in chunks, and chunks are of HTTP/1.1.
+    A body has a length or comes in chunks, and chunks are of HTTP/1.1. No
+    connection is turned into a tunnel.
     """
     if head.http_version not in _VERSIONS:
         raise BadInputError(_VERSION_NOT_SUPPORTED, 'expected HTTP/1.1')
+    if head.method == b'CONNECT':
+        raise BadInputError(_NOT_IMPLEMENTED, 'CONNECT is not supported')
     names = {name for name, _ in head.headers}
     if b'transfer-encoding' not in names:
         return
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -59,6 +59,8 @@
 @pytest.mark.parametrize(
     ('head', 'status'),
     [
+        (b'CONNECT /x HTTP/1.1\r\n' + HOST, 501),
+        (b'CONNECT a:80 HTTP/1.1\r\n' + HOST, 501),
         (b'GET /x HTTP/2.0\r\n' + HOST, 505),
         (b'GET /x HTTP/0.9\r\n' + HOST, 505),
         (b'GET /x HTTP/1.1\r\n' + HOST + b'A: b\r\n c\r\n', 400),
@@ -70,7 +72,7 @@
     ],
 )
 def test_head_that_is_no_plain_request_is_refused_before_it_runs(head, status):
-    """Guards against heads that two readers take for different requests."""
+    """Guards against a request that is run, and whose caller gets no byte."""
     handled, received = play(head + b'\r\n')
     assert not handled
     assert received.startswith(b'HTTP/1.1 %d' % status)
