Serve a request with an absolute target as its path at its host

What callers saw: POST http://HOST/look/x got 503 or 404, since the route was sought by the whole target.

Change: use_origin_form takes the authority for the host and the rest for the target, as RFC 9112, section 3.2.2 asks of a server. Method, path, query and body reach the endpoint as they were sent. A target that is no path, no http or https URL and not '*' gets 400.

--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -14,6 +14,7 @@
 from limpetdrift.transport.request_heads import (
     check_head,
     check_lines,
+    use_origin_form,
 )
 
 _BAD_REQUEST = 400
@@ -92,7 +93,7 @@
         target = urlsplit(head.target.decode('latin-1'))
     except ValueError as error:
         raise BadInputError(_BAD_REQUEST, f'target: {error}') from error
-    return Request(
+    request = Request(
         method=head.method.decode('ascii'),
         path=unquote(target.path),
         target=head.target.decode('latin-1'),
@@ -103,3 +104,4 @@
         ),
         body=body,
     )
+    return use_origin_form(request)
--- a/src/limpetdrift/transport/request_heads.py
+++ b/src/limpetdrift/transport/request_heads.py
@@ -6,10 +6,13 @@
 """
 
 import re
+from dataclasses import replace
+from urllib.parse import urlsplit
 
 import h11
 
 from limpetdrift.transport.connection import BadInputError
+from limpetdrift.transport.messages import Request
 
 _BAD_REQUEST = 400
 _NOT_IMPLEMENTED = 501
@@ -18,6 +21,9 @@
 _HEAD_END = b'\r\n\r\n'
 # A line feed that ends no line, or a line that continues the one before.
 _BAD_LINE = re.compile(rb'(?<!\r)\n|\n[ \t]')
+_SCHEMES = frozenset(('http', 'https'))
+# The target of a request that asks about the server as a whole.
+_SERVER_TARGET = '*'
 
 
 def check_lines(received: bytes) -> None:
@@ -50,3 +56,29 @@
         )
     if head.http_version == b'1.0':
         raise BadInputError(_BAD_REQUEST, 'transfer-encoding in HTTP/1.0')
+
+
+def use_origin_form(request: Request) -> Request:
+    """Return a request whose target is a path, with its authority as the host.
+
+    A target such as ``http://a.example/x`` takes the place of the ``host``
+    header (RFC 9112, section 3.2.2). Raises ``BadInputError`` for a target
+    that is neither this, a path nor ``*``.
+    """
+    if request.target.startswith('/') or request.target == _SERVER_TARGET:
+        return request
+    parts = urlsplit(request.target)
+    has_origin = parts.scheme in _SCHEMES and bool(parts.hostname)
+    if not has_origin or '@' in parts.netloc:
+        raise BadInputError(_BAD_REQUEST, 'target is no path')
+    after_scheme = request.target.partition('://')[2]
+    target = after_scheme[len(parts.netloc) :]
+    if not target.startswith('/'):
+        target = f'/{target}'
+    others = (pair for pair in request.headers if pair[0] != 'host')
+    return replace(
+        request,
+        path=request.path or '/',
+        target=target,
+        headers=(('host', parts.netloc), *others),
+    )
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -68,11 +68,15 @@
         (b'GET /x HTTP/1.1\r\n' + HOST + b'A: b\nC: d\r\n', 400),
         (b'GET /x HTTP/1.1\n' + HOST, 400),
         (b'POST /x HTTP/1.0\r\n' + HOST + CHUNKED, 400),
+        (b'GET ftp://a/x HTTP/1.1\r\n' + HOST, 400),
+        (b'GET x HTTP/1.1\r\n' + HOST, 400),
+        (b'GET http://u@a/x HTTP/1.1\r\n' + HOST, 400),
+        (b'GET http:///x HTTP/1.1\r\n' + HOST, 400),
         (b'GET /x HTTP/1.1\r\n' + HOST + b'HOST: b\r\n', 400),
     ],
 )
 def test_head_that_is_no_plain_request_is_refused_before_it_runs(head, status):
-    """Guards against a request that is run, and whose caller gets no byte."""
+    """Guards against a request that runs, though its caller gets no answer."""
     handled, received = play(head + b'\r\n')
     assert not handled
     assert received.startswith(b'HTTP/1.1 %d' % status)
@@ -90,3 +94,19 @@
     handled, received = play(head % (HOST, len(payload)) + payload)
     assert [each.body for each in handled] == [payload]
     assert received.startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize(
+    ('sent', 'target'),
+    [
+        (b'http://b.example:80/x?y=1', '/x?y=1'),
+        (b'HTTP://b.example:80', '/'),
+        (b'http://b.example:80?y', '/?y'),
+    ],
+)
+def test_absolute_target_is_served_as_its_path_at_its_host(sent, target):
+    handled, _ = play(b'GET %s HTTP/1.1\r\n%s\r\n' % (sent, HOST))
+    assert handled[0].target == target
+    assert handled[0].path == target.partition('?')[0]
+    hosts = [text for name, text in handled[0].headers if name == 'host']
+    assert hosts == ['b.example:80']
