Refuse a request with two of a header, and keep those that name it

What callers saw: 'Connection: Attempt-Id' took the id from the request that the endpoint got. Its answer then had no id of ours, so the request ran twice and the caller got 502.

Connection options were dropped whatever they name, and of two headers the entry reads the first while an endpoint may read the last.

Change: what callers write for endpoints (CALLER_HEADERS, now with 'model') is forwarded also if Connection names it. A request in which one of these, the deadline or the key comes twice is refused with 400 before anything is planned, with the name in the log line; a carried one as well.

Tests: admit_forged appended a second key or deadline and asked that it is not forwarded; such a request is now refused as a whole, which test_request_with_two_of_a_header_is_refused asks for each name.

--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -13,12 +13,14 @@
 
 from limpetdrift.platform.header_names import (
     AUTHORIZATION_HEADER,
+    CALLER_HEADERS,
     CONNECTION_HEADERS,
     DEADLINE_MS_HEADER,
     ENTRY_HEADERS,
     LAST_EVENT_ID_HEADER,
     PROMPT_PARTS_HEADER,
     REQUEST_ID_HEADER,
+    SINGLE_HEADERS,
     TOKEN_USAGE_HEADER,
     drop_foreign,
 )
@@ -62,6 +64,9 @@
 
     The verdict of each failure is ``NOT_RUN``.
     """
+    repeated = _repeated_header(request.headers)
+    if repeated:
+        return Error(not_run(Reason.BAD_REQUEST, f'{repeated} comes twice'))
     table = admission.routes.table
     if table is None:
         return Error(not_run(Reason.UNCONFIRMED, 'no configuration yet'))
@@ -217,6 +222,17 @@
         if key == 'connection'
         for name in text.split(',')
     }
-    return drop_foreign(
-        headers, CONNECTION_HEADERS | ENTRY_HEADERS | connection_names
-    )
+    # A caller must not take from an endpoint what tells its request apart.
+    named = connection_names - CALLER_HEADERS
+    return drop_foreign(headers, CONNECTION_HEADERS | ENTRY_HEADERS | named)
+
+
+def _repeated_header(headers: Headers) -> str:
+    """Return a name that comes twice though one is meant, or ``''``."""
+    seen = set()
+    for name, _ in headers:
+        if name in seen:
+            return name
+        if name in SINGLE_HEADERS:
+            seen.add(name)
+    return ''
--- a/src/limpetdrift/platform/header_names.py
+++ b/src/limpetdrift/platform/header_names.py
@@ -11,14 +11,16 @@
 
 REQUEST_ID_HEADER = 'attempt-id'
 HOST_HEADER = 'host'
+MODEL_HEADER = 'model'
 TOKEN_USAGE_HEADER = 'token-usage'
 PROMPT_PARTS_HEADER = 'prompt-prefix'
 LAST_EVENT_ID_HEADER = 'last-event-id'
-# Written by callers, and forwarded.
+# Written by callers, and forwarded, also if ``connection`` names them.
 CALLER_HEADERS = frozenset(
     (
         REQUEST_ID_HEADER,
         HOST_HEADER,
+        MODEL_HEADER,
         TOKEN_USAGE_HEADER,
         PROMPT_PARTS_HEADER,
         LAST_EVENT_ID_HEADER,
@@ -117,6 +119,15 @@
 # Sent to the services of deployments other than the platform's.
 SERVICE_HEADERS = frozenset((ATTEMPT_HEADER, REQUEST_KEY_HEADER))
 
+# An entry and an endpoint could each read another one of two of these.
+SINGLE_HEADERS = frozenset(
+    (
+        *CALLER_HEADERS,
+        DEADLINE_MS_HEADER,
+        AUTHORIZATION_HEADER,
+    )
+)
+
 # The tests check that no module defines a name that is not in here.
 ALL_HEADERS = (
     CALLER_HEADERS
