Refuse a prompt whose size can't be read

Change: on a route to engines, a size that is there and is no pair of counts gets 400, which names the header; nothing is planned or reserved. On other routes the header means nothing to an entry and is forwarded.

--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -140,6 +140,11 @@
     timeout = _requested_timeout_seconds(request)
     if timeout is None:
         return Error(not_run(Reason.BAD_REQUEST, 'deadline is no number'))
+    service = _draw_service(route, admission.randomness)
+    size = _parse_prompt_size(request.header(TOKEN_USAGE_HEADER))
+    if size is None and _has_bad_size(request, service, admission):
+        detail = f'{TOKEN_USAGE_HEADER} is no pair of counts'
+        return Error(not_run(Reason.BAD_REQUEST, detail))
     priority = route.priority
     if account is not None and account.priority is not None:
         priority = account.priority
@@ -151,14 +156,14 @@
             headers=_forwarded_headers(request.headers),
             body=request.body,
             route=route,
-            service=_draw_service(route, admission.randomness),
+            service=service,
             version=admission.routes.version,
             arrived_at=now,
             deadline=now + min(timeout, route.timeout_seconds),
             account=account.name if account else '',
             key=_bearer_key(request) if account else '',
             priority=min(_LOWEST_PRIORITY, max(0, priority)),
-            size=_parse_prompt_size(request.header(TOKEN_USAGE_HEADER)),
+            size=size,
             prompt_parts=parse_prompt_parts(
                 request.header(PROMPT_PARTS_HEADER)
             ),
@@ -196,6 +201,18 @@
     return PromptSize(prompt_tokens=prompt_tokens, answer_tokens=answer_tokens)
 
 
+def _has_bad_size(
+    request: Request, service_name: str, admission: AdmissionInputs
+) -> bool:
+    """Return whether a prompt names a size that no engine could be asked for.
+
+    A prompt without a size is planned with a usual one.
+    """
+    service = admission.routes.find_service(service_name)
+    is_prompt = service is not None and service.engine is not None
+    return is_prompt and bool(request.header(TOKEN_USAGE_HEADER))
+
+
 def parse_prompt_parts(text: str) -> tuple[str, ...]:
     """Return the ids in a list of ``ID:TOKENS``, without empty ones.
 
--- a/tests/test_platform_decoders.py
+++ b/tests/test_platform_decoders.py
@@ -237,6 +237,50 @@
     assert parse_load(f'1,{number},8') is None
 
 
+# More digits than any count has.
+LONG_NUMBER = '9' * 400
+ENGINE_FIGURES = {
+    'slots': 8,
+    'kvCapacity': 315000,
+    'stride': 51,
+    'step_ms': 0.85,
+    'per_seq_ms': 0.00425,
+    'context_per_k': 0.00285,
+    'read_per_s': 177000,
+    'pairs_per_m': 0.184,
+    'chunk': 2048,
+}
+
+
+def admit_prompt(usage: str):
+    services = [{'name': 's', 'engine': ENGINE_FIGURES}]
+    admission = make_admission(services=services)
+    return admit(make_request(token_usage=usage), admission)
+
+
+@pytest.mark.parametrize(
+    'usage',
+    ['nan,1', '1', '-5,-5', '1,2,3', ',', LONG_NUMBER, '1.5,1'],
+)
+def test_prompt_with_an_unreadable_size_is_refused_at_once(usage):
+    """Guards against a prompt that is planned with a size it doesn't have."""
+    refused = admit_prompt(usage).error
+    assert refused.reason is Reason.BAD_REQUEST
+    assert 'token-usage' in refused.detail
+
+
+@pytest.mark.parametrize(
+    ('usage', 'tokens'),
+    [('1000000000000,1', 10**12), ('0,0', 0), (' 7 , 8 ', 7)],
+)
+def test_prompt_of_any_sound_size_is_admitted(usage, tokens):
+    assert admit_prompt(usage).ok.size.prompt_tokens == tokens
+
+
+def test_prompt_without_a_size_is_admitted():
+    assert admit_prompt('').ok.size is None
+
+
 def test_route_with_the_longest_matching_prefix_is_found():
     route = make_admission().routes.find_route('shop.example', '/a/b/c')
     assert route.name == 'deep'
