--- a/src/limpetdrift/coordination/crashes/crash_exchange.py
+++ b/src/limpetdrift/coordination/crashes/crash_exchange.py
@@ -30,7 +30,7 @@
 )
 from limpetdrift.protocol.node import Node
 from limpetdrift.state.crash_evidence import CrashEvidence
-from limpetdrift.supervision import keep_running
+from limpetdrift.supervision import call_hooks, keep_running
 from limpetdrift.transport.messages import Address
 
 DIGEST_NAME = 'crashes'
@@ -157,8 +157,7 @@
         self._untold.update(key for key in keys if self._is_news(key))
         if self._untold:
             self._untold_added.set()
-        for hook in self._inputs.on_change:
-            hook()
+        call_hooks('crash-hooks', self._inputs.on_change)
 
     def _tell_harmless(self, key: str) -> None:
         """Tell all entries of a harmless key, unless another did meanwhile."""
--- a/src/limpetdrift/coordination/membership/link_monitor.py
+++ b/src/limpetdrift/coordination/membership/link_monitor.py
@@ -17,7 +17,11 @@
 from limpetdrift.logs import note, warn
 from limpetdrift.protocol.work import EndpointIdentity, ListedEndpoint
 from limpetdrift.state.endpoint_view import EndpointView
-from limpetdrift.supervision import keep_running, run_contained
+from limpetdrift.supervision import (
+    call_hooks,
+    keep_running,
+    run_contained,
+)
 from limpetdrift.verdict import Reason
 
 # Endpoints that are probed at a time, and the interval of the probes while the
@@ -217,8 +221,7 @@
         cut = frozenset(
             service for service, link in self._links.items() if link.is_cut
         )
-        for hook in self.on_change:
-            hook(cut)
+        call_hooks('link-hooks', self.on_change, cut)
 
 
 def _settle(link: _ServiceLink) -> None:
--- a/src/limpetdrift/coordination/membership/membership.py
+++ b/src/limpetdrift/coordination/membership/membership.py
@@ -34,7 +34,7 @@
     ProbeOutcome,
 )
 from limpetdrift.protocol.node import Node, Role
-from limpetdrift.supervision import run_contained
+from limpetdrift.supervision import call_hooks, run_contained
 from limpetdrift.transport.messages import Address
 
 _URGENT_STATES = frozenset((MemberState.LEAVING, MemberState.DEAD))
@@ -217,15 +217,13 @@
         changed = tuple(
             Member(node=record.node, state=record.state) for record in records
         )
-        for hook in self.on_change:
-            hook(changed)
+        call_hooks('member-hooks', self.on_change, changed)
         for record in records:
             if record.name == self.node.name:
                 self._own_record.refute_record(record)
 
     def _on_endpoints(self, records: tuple[EndpointRecord, ...]) -> None:
-        for hook in self.on_endpoints:
-            hook(records)
+        call_hooks('endpoint-hooks', self.on_endpoints, records)
 
 
 def _names_of(entries: Iterable[Node]) -> list[str]:
--- a/src/limpetdrift/state/route_cache.py
+++ b/src/limpetdrift/state/route_cache.py
@@ -17,6 +17,7 @@
     Service,
 )
 from limpetdrift.protocol.routing_sync import UNKNOWN_ERA
+from limpetdrift.supervision import call_hooks
 
 TableListener = Callable[[RouteTable], None]
 
@@ -113,8 +114,7 @@
         before = self._confirmed_at
         self._confirmed_at = max(before, requested_at)
         if before == NEVER and self._confirmed_at > NEVER:
-            for listener in self.on_first_confirmation:
-                listener()
+            call_hooks('confirmation-hooks', self.on_first_confirmation)
         return True
 
     def find_route(self, host: str, path: str) -> Route | None:
@@ -159,8 +159,7 @@
             key: account for account in table.accounts for key in account.keys
         }
         self._services = {service.name: service for service in table.services}
-        for listener in self.on_change:
-            listener(table)
+        call_hooks('route-table-hooks', self.on_change, table)
 
 
 def _prefix_length(route: Route) -> int:
--- a/src/limpetdrift/supervision.py
+++ b/src/limpetdrift/supervision.py
@@ -16,7 +16,7 @@
 """
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, replace
 
 import trio
@@ -125,6 +125,20 @@
     return True
 
 
+def call_hooks(
+    name: str, hooks: Iterable[Callable[..., None]], *arguments: object
+) -> None:
+    """Call each hook, also after one that has raised an error.
+
+    >>> call_hooks('members', self.on_change, changed)  # doctest: +SKIP
+    """
+    for hook in hooks:
+        try:
+            hook(*arguments)
+        except Exception as error:
+            record_error(name, error)
+
+
 def record_error(name: str, error: Exception) -> None:
     """Count an error of a task, and log it unless one like it just was."""
     kind = leaf_type(error)
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,6 +1,7 @@
 """Background tasks that fail: what begins again, and when."""
 
 import logging
+from functools import partial
 
 import pytest
 import trio
@@ -12,12 +13,15 @@
     must_leave,
 )
 from limpetdrift.platform.store_replica import CONFIGURATION_WATCHER
+from limpetdrift.protocol.route_table import RouteTable
+from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.supervision import (
     FIRST_DELAY_SECONDS,
     LOG_INTERVAL_SECONDS,
     MAX_DELAY_SECONDS,
     WELL_SECONDS,
     FailureSeries,
+    call_hooks,
     extend_series,
     failure_hook,
     keep_running,
@@ -177,3 +181,36 @@
                 assert received.startswith(b'HTTP/1.1 500')
         nursery.cancel_scope.cancel()
     assert harness.server.open_exchanges == 0
+
+
+@pytest.mark.parametrize('number', range(3))
+@in_virtual_time
+async def test_hook_that_fails_skips_no_other(number):
+    """Guards against an entry that is told of a change in part."""
+    called = []
+
+    def call(own_number, changed):
+        called.append((own_number, changed))
+        if own_number == number:
+            raise KeyError('unforeseen')
+
+    before = failures('some-hooks')
+    hooks = [partial(call, each) for each in range(3)]
+    call_hooks('some-hooks', hooks, 'changed')
+    assert called == [(0, 'changed'), (1, 'changed'), (2, 'changed')]
+    assert failures('some-hooks') == before + 1
+
+
+@in_virtual_time
+async def test_listener_that_fails_keeps_a_new_route_table_from_no_other():
+    """Guards against an entry that applies the limits of an older table."""
+    told = []
+
+    def fail(table):
+        raise KeyError('unforeseen')
+
+    routes = RouteTableCache(clock=trio.current_time)
+    routes.on_change += [fail, told.append]
+    table = RouteTable(version=3, routes=())
+    assert routes.accept_newer(table, trio.current_time())
+    assert told == [table]
