Serve callers without metrics if the metrics port is no port

Change: a text that is no port from 1 to 65535 is logged with the variable's name, and the entry serves callers without metrics.

--- a/src/limpetdrift/platform/metrics.py
+++ b/src/limpetdrift/platform/metrics.py
@@ -3,12 +3,14 @@
 import os
 
 from limpetdrift import telemetry
+from limpetdrift.logs import warn
 from limpetdrift.platform.directory import DirectoryInputs
 from limpetdrift.platform.entry_wiring import EntryComponents
 from limpetdrift.platform.settings import PlatformSettings
 from limpetdrift.programs.serving import add_health_routes
+from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.routing_sync import UNKNOWN_AGE_SECONDS
-from limpetdrift.transport.messages import Address
+from limpetdrift.transport.messages import MAX_PORT, Address
 from limpetdrift.transport.routing import Routes
 
 # Set by the deploy file to the port that it lists under ``metrics``.
@@ -18,13 +20,18 @@
 def metrics_address(settings: PlatformSettings) -> Address | None:
     """Return the address of the metrics, on the host of the callers' address.
 
-    ``None`` if the environment names no port, or callers have no address.
+    ``None`` if the environment names no usable port, or callers have no
+    address: callers are served without metrics as well.
     """
     port = os.environ.get(PORT_VARIABLE, '')
     callers = settings.listeners.callers
-    if callers is None or not port.isdigit():
+    if callers is None or not port:
         return None
-    return Address(host=callers.host, port=int(port))
+    number = parse_count(port)
+    if number is None or not 0 < number <= MAX_PORT:
+        warn('metrics are not served, bad port', variable=PORT_VARIABLE)
+        return None
+    return Address(host=callers.host, port=number)
 
 
 def add_metrics_routes(routes: Routes, inputs: DirectoryInputs) -> None:
