Try another endpoint after an error of our own, and reject such input

What callers saw: an error of our own while an attempt is placed, reserved or sent gave 503 or 502 (internal), though another endpoint stood there. In the record of the ended entries this is the request whose attempt met an address that no socket takes.

INTERNAL was among the reasons that no retry follows, whatever the verdict. And two kinds of message from peers could still fail far from where they come in: a plan that reserves memory at an engine without a part in it (KeyError after the plan was begun), and a node whose port is 0 (ValueError as it is asked to carry).

Change: the verdict alone decides, as for other failures: a request that has not run is sent to another endpoint within the route's attempts, one that may have run only if it is repeatable. Plan and Node reject the two when they are decoded.

--- a/src/limpetdrift/coordination/forwarding/retry_policy.py
+++ b/src/limpetdrift/coordination/forwarding/retry_policy.py
@@ -43,7 +43,6 @@
         Reason.NO_ENDPOINT,
         Reason.SERVICE_BACK_OFF,
         Reason.RETRY_BUDGET,
-        Reason.INTERNAL,
     ),
 )
 
--- a/src/limpetdrift/protocol/node.py
+++ b/src/limpetdrift/protocol/node.py
@@ -27,7 +27,8 @@
 
     ``incarnation`` grows with each start of a process under ``name``, so that
     messages of an earlier process can be told apart. Callers connect to
-    ``caller_address``, other nodes to ``peer_address``.
+    ``caller_address``, other nodes to ``peer_address``. Raises ``ValueError``
+    for an address without a port.
     """
 
     name: str
@@ -38,6 +39,12 @@
     caller_address: Address
     peer_address: Address
 
+    def __post_init__(self) -> None:
+        for address in (self.caller_address, self.peer_address):
+            # An entry that serves no callers has no address for them.
+            if address is not None and not address.port:
+                raise ValueError(f'expected a port, got {address}')
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Endpoint:
--- a/src/limpetdrift/protocol/plans.py
+++ b/src/limpetdrift/protocol/plans.py
@@ -156,7 +156,8 @@
     the plan is counted there. A plan with ``waiting`` is tentative: it is to be
     confirmed when its delay is over. ``alternative`` is the other group with
     the least expected load, ``None`` if its planner knows of none. It is asked
-    before this group while ``prefers_alternative``.
+    before this group while ``prefers_alternative``. Raises ``ValueError`` if
+    memory is reserved at an engine that has no part in the plan.
     """
 
     grant: str
@@ -172,6 +173,12 @@
     alternative: EngineGroup | None = None
     prefers_alternative: bool = False
 
+    def __post_init__(self) -> None:
+        for reserved in self.reserved:
+            if reserved.endpoint not in {self.writer, *self.helpers}:
+                name = reserved.endpoint.name
+                raise ValueError(f'reserved: {name} has no part')
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PlanStart:
