Forward a caller's header whatever its name, also through a peer

What callers saw: headers that begin with limpet- or x-limpet- reached no endpoint, on any request, though PROTOCOL.md says 'Other headers are also forwarded, except those that concern only one channel'.

Cause: what entries tell each other about a carried request stands among the caller's headers, and was kept apart by dropping the caller's by name.

Change: in a carried request such a name is escaped, and the peer gives it back; the entries' own are the ones without an escape. Straight, nothing is dropped.

--- a/src/limpetdrift/platform/admission.py
+++ b/src/limpetdrift/platform/admission.py
@@ -22,7 +22,6 @@
     REQUEST_ID_HEADER,
     SINGLE_HEADERS,
     TOKEN_USAGE_HEADER,
-    drop_foreign,
 )
 from limpetdrift.protocol.bounded import MAX_TOKENS
 from limpetdrift.protocol.counts import parse_count
@@ -241,7 +240,8 @@
     }
     # A caller must not take from an endpoint what tells its request apart.
     named = connection_names - CALLER_HEADERS
-    return drop_foreign(headers, CONNECTION_HEADERS | ENTRY_HEADERS | named)
+    dropped = CONNECTION_HEADERS | ENTRY_HEADERS | named
+    return tuple(pair for pair in headers if pair[0] not in dropped)
 
 
 def _repeated_header(headers: Headers) -> str:
--- a/src/limpetdrift/platform/carrying.py
+++ b/src/limpetdrift/platform/carrying.py
@@ -2,9 +2,9 @@
 
 The peer gets the caller's request with its key, and admits it as one of its
 own callers'. Method and target are in headers, so that a peer of an earlier
-build, which doesn't know the path, can't take the request for another call.
-Entries drop such headers from what callers send; a peer refuses a request that
-has one of them twice, since an earlier build doesn't drop the caller's.
+build, which doesn't know the path, can't take the request for another call. A
+caller's header with such a name is escaped; a peer refuses a request that has
+one of them twice, since an earlier build passes on the caller's as it is.
 """
 
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -164,7 +164,12 @@
     return Request(
         method='POST',
         path=CARRY_PATH,
-        headers=(*last_event_headers(caller_request, last_event_id), *added),
+        headers=(
+            *header_names.escape_peer_names(
+                last_event_headers(caller_request, last_event_id)
+            ),
+            *added,
+        ),
         body=caller_request.body,
     )
 
@@ -193,7 +198,7 @@
         method=request.header(header_names.CARRIED_METHOD_HEADER),
         path=target.partition('?')[0],
         target=target,
-        headers=header_names.drop_foreign(request.headers, frozenset()),
+        headers=header_names.unescape_peer_names(request.headers),
         body=request.body,
     )
     return Ok((unpacked, attempts))
--- a/src/limpetdrift/platform/header_names.py
+++ b/src/limpetdrift/platform/header_names.py
@@ -1,8 +1,9 @@
 """The names of all headers that an entry on the platform reads or writes.
 
 They are grouped by who may write them. What entries tell each other is never
-taken from a caller or an endpoint: ``drop_foreign`` removes it where their
-messages come in.
+taken from a caller or an endpoint. A caller's header may have any name, also
+one that entries use, and reaches the endpoint: where a peer carries the
+request, ``escape_peer_names`` keeps it apart from the entries' own.
 """
 
 from limpetdrift.coordination.peers import PEER_SECRET_HEADER
@@ -65,6 +66,11 @@
 )
 # The names of a later build also begin so.
 _PEER_PREFIXES = ('limpet-', 'x-limpet-')
+# Put before a caller's name that begins so, in a request that a peer carries.
+ESCAPE_PREFIX = 'limpet-caller-'
+_ESCAPED_PREFIXES = tuple(
+    f'{ESCAPE_PREFIX}{prefix}' for prefix in _PEER_PREFIXES
+)
 
 # Set on responses to requests that the endpoint has not begun to run.
 NOT_RUN_HEADER = 'not-executed'
@@ -142,7 +148,7 @@
 
 
 def drop_foreign(headers: Headers, names: frozenset[str]) -> Headers:
-    """Return headers without ``names`` and those that only entries write.
+    """Return an answer's headers without ``names`` and those of entries.
 
     >>> drop_foreign((('limpet-carried', '1'), ('x', '2')), frozenset())
     (('x', '2'),)
@@ -153,3 +159,33 @@
         for name, text in headers
         if not (name in dropped or name.startswith(_PEER_PREFIXES))
     )
+
+
+def escape_peer_names(headers: Headers) -> Headers:
+    """Return a caller's headers for a carried request, none as an entry's.
+
+    >>> escape_peer_names((('limpet-carried', '1'), ('x', '2')))
+    (('limpet-caller-limpet-carried', '1'), ('x', '2'))
+    """
+    return tuple((_escape(name), text) for name, text in headers)
+
+
+def unescape_peer_names(headers: Headers) -> Headers:
+    """Return the caller's headers in a carried request, as it wrote them.
+
+    An earlier build escapes none, so that its names that begin as entries' do
+    may be either one's, and are left out.
+
+    >>> unescape_peer_names((('limpet-caller-limpet-x', '1'), ('limpet-y', '')))
+    (('limpet-x', '1'),)
+    """
+    return tuple(
+        (name.removeprefix(ESCAPE_PREFIX), text)
+        for name, text in headers
+        if name.startswith(_ESCAPED_PREFIXES)
+        or not name.startswith(_PEER_PREFIXES)
+    )
+
+
+def _escape(name: str) -> str:
+    return f'{ESCAPE_PREFIX}{name}' if name.startswith(_PEER_PREFIXES) else name
