Confirm no configuration while the store shows one that can't be read

What could happen: a configuration with one field out of bounds or of another type is refused as a whole.

Input that can't be read was logged and then taken for no news, though it is news of unknown content.

Change: StoredConfiguration.reject; reads confirm nothing until a readable one, or another era, is shown. Keeping the keys that can be read was weighed: which ones were taken away can't be known from the rest.

Evidence: four new tests of test_store_era fail on (ages stay below the bound).

--- a/src/limpetdrift/platform/store_replica.py
+++ b/src/limpetdrift/platform/store_replica.py
@@ -248,6 +248,7 @@
     def _apply_configuration(self, payload: bytes, requested_at: float) -> None:
         decoded = decode_route_table(payload)
         if decoded.is_error():
+            self._stored.reject()
             telemetry.count('configurations_unread')
             warn('configuration can not be read', detail=decoded.error)
         elif self._stored.accept(decoded.ok, requested_at):
--- a/src/limpetdrift/state/stored_configuration.py
+++ b/src/limpetdrift/state/stored_configuration.py
@@ -3,7 +3,8 @@
 A store that came back from an older copy may show an older configuration. It
 then changes nothing and confirms nothing: a key that the newer one revoked
 would seem confirmed. The age of the configuration in force runs on until the
-store, or a peer, shows that version or a newer one.
+store, or a peer, shows that version or a newer one. One that can't be read may
+revoke keys as well, and has the same effect until it is replaced.
 """
 
 from limpetdrift.logs import warn
@@ -27,26 +28,33 @@
         self._version = 0
         self._era = UNKNOWN_ERA
         self._is_behind = False
+        self._is_unreadable = False
         self._unconfirmed_at = NEVER
         store_era.on_peer_poll.append(self._confirm_deferred_read)
 
     @property
     def is_behind(self) -> bool:
-        """Whether the last read showed an older table than that in force."""
-        return self._is_behind
+        """Whether the last read showed nothing that confirms the table."""
+        return self._is_behind or self._is_unreadable
 
     @property
     def is_confirmation_blocked(self) -> bool:
         """Whether no read can confirm the table in force for now."""
-        return self._is_behind or self._store_era.is_peer_poll_due
+        return self.is_behind or self._store_era.is_peer_poll_due
 
     def begin_era(self, era: int) -> None:
         """Forget what an earlier era showed."""
         if era != self._era:
             self._era = era
             self._version = 0
+            self._is_unreadable = False
             self._unconfirmed_at = NEVER
 
+    def reject(self) -> None:
+        """Record that the store shows a configuration that can't be read."""
+        self._is_unreadable = True
+        self._unconfirmed_at = NEVER
+
     def accept(self, table: RouteTable, requested_at: float) -> bool:
         """Put a table that was read in force if newer; return whether it was.
 
@@ -54,6 +62,7 @@
         earlier read of this era showed is one that the operator has written
         since, so it is the newest.
         """
+        self._is_unreadable = False
         is_written_since = 0 < self._version < table.version
         self._version = table.version
         if is_written_since:
@@ -68,6 +77,8 @@
         ``requested_at`` is the start of the read. While peers are yet to be
         polled, the read is kept and takes effect after the polls.
         """
+        if self._is_unreadable:
+            return
         if self._store_era.is_peer_poll_due:
             self._unconfirmed_at = requested_at
             return
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -22,7 +22,11 @@
 )
 from limpetdrift.platform.registration import TABLE as REGISTRATION_TABLE
 from limpetdrift.platform.store import RowPage, StoredRow
-from limpetdrift.platform.store_replica import CONFIRMATION_INTERVAL_SHARE
+from limpetdrift.platform.store_replica import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    CONFIRMATION_INTERVAL_SHARE,
+)
 from limpetdrift.platform.table_watcher import TableSubscription, TableWatcher
 from limpetdrift.protocol.codec import json_request
 from limpetdrift.protocol.route_table import RouteTable
@@ -471,6 +475,38 @@
         assert calls <= 1.1 * calm_calls
 
 
+@pytest.mark.parametrize(
+    'spoiled',
+    [
+        {'version': 2, 'limits': {'maxBodyBytes': 'many'}},
+        {'version': 2, 'routes': [{}]},
+        {'version': 'two'},
+        [],
+    ],
+)
+@in_virtual_time
+async def test_key_stays_valid_under_no_older_configuration_than_the_stored(
+    spoiled,
+):
+    """Guards against a revoked key: one field hides that it is taken away."""
+    site = EraSite(3)
+    async with background_tasks(site):
+        await settle(site)
+        site.store.put(CONFIGURATION_TABLE, CONFIGURATION_KEY, spoiled)
+        await trio.sleep(1)
+        calls = await count_calls(site, 10)
+        ages = [entry.routes.age_seconds() for entry in site.entries]
+        assert min(ages) > 10
+        assert {entry.routes.version for entry in site.entries} == {1}
+        site.write_configuration(3, 'third')
+        await trio.sleep(1)
+        assert {entry.routes.version for entry in site.entries} == {3}
+        calm_calls = await count_calls(site, 10)
+        ages = [entry.routes.age_seconds() for entry in site.entries]
+        assert max(ages) < REVOKE_SECONDS
+        assert calls <= 1.1 * calm_calls
+
+
 @in_virtual_time
 async def test_registration_row_that_the_copy_lacks_is_written_again():
     site = EraSite(2)
