--- /dev/null
+++ b/tests/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Fuzzer: random input from outside, for parsers, connections and a site."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -28,11 +28,18 @@
 
 
 @asynccontextmanager
-async def open_site(folder, entries: int = 1, **counts: int):
+async def open_site(
+    folder, entries: int = 1, *, production: str = '', **counts: int
+):
     """Open a site on ports that no other test uses."""
     with reserve_ports(PORTS_SEED) as port:
         async with trio.open_nursery() as nursery:
-            site = Site(folder=folder, port=port, nursery=nursery)
+            site = Site(
+                folder=folder,
+                port=port,
+                nursery=nursery,
+                production=production,
+            )
             try:
                 await site.open(entries, **counts)
                 yield site
