--- a/src/limpetdrift/coordination/routing/store_readers.py
+++ b/src/limpetdrift/coordination/routing/store_readers.py
@@ -126,7 +126,10 @@
             self._wake()
 
     def is_catching_up(self, name: str) -> bool:
-        """Return whether an entry was only now polled in a reader's place."""
+        """Return whether an entry was only now polled in a reader's place.
+
+        Its time begins with the first call for it.
+        """
         if not self._skipped():
             return False
         now = self._clock()
