--- a/tests/test_answers_at_the_deadline.py
+++ b/tests/test_answers_at_the_deadline.py
@@ -130,6 +130,7 @@
 @pytest.mark.parametrize('seed', SEEDS)
 @pytest.mark.parametrize('kind', PLAIN_KINDS)
 def test_answer_that_comes_as_the_deadline_passes_is_not_lost(kind, seed):
+    """Guards against a kept connection that closes without the answer."""
     scripts = (answer_after(DEADLINE_SECONDS), whole_response(200))
     first, second = play(ask_twice, *scripts, kind=kind, seed=seed)
     assert is_whole(first)
--- a/tests/test_rows_of_other_writers.py
+++ b/tests/test_rows_of_other_writers.py
@@ -196,6 +196,7 @@
     ],
 )
 def test_rows_of_another_writer_end_no_process(tmp_path, rows, service):
+    """Guards against processes that a row's address ends, again and again."""
     results, runs = trio.run(play_rows, tmp_path, service, rows)
     unserved = {
         request_id: outcome
