Send the fuzzer's inputs in the soak, beside kills, drains and outages

All checks of the soak hold for it, and two are new for each run: no process ends by an error of its own, no request runs that stood in a body.

--- a/tests/fuzz/grammar.py
+++ b/tests/fuzz/grammar.py
@@ -17,6 +17,8 @@
 import limpetdrift
 
 MAX_REPEATS = 5000
+# Begins the id of a request that stands in the body of another one.
+INNER_ID = 'inner'
 _PACKAGE = Path(limpetdrift.__file__).parent
 _HEADER_NAME = re.compile('[a-z][a-z0-9]*(-[a-z0-9]+)*')
 _MAX_NAME_LENGTH = 40
@@ -165,7 +167,7 @@
         target,
         (
             *own_head[:1],
-            f'Attempt-Id: inner{number}',
+            f'Attempt-Id: {INNER_ID}{number}',
             *own_head[2:],
             'Content-Length: 0',
         ),
--- a/tests/fuzz/run.py
+++ b/tests/fuzz/run.py
@@ -22,7 +22,8 @@
 
 from fuzz.decoders import DOCUMENTS, check_document
 from fuzz.grammar import SentRequest
-from fuzz.site import INPUTS, SpoiledInput, check_site
+from fuzz.inputs import SpoiledInput
+from fuzz.site import INPUTS, check_site
 from fuzz.wire import CONNECTIONS, check_connection
 from soak.builds import export_source
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,6 +7,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Iterator
 
+from fuzz.grammar import INNER_ID
 from limpet_standins.platform_endpoints import TurnedAway
 from soak.callers import Call
 from soak.site import (
@@ -303,6 +304,21 @@
     return _meets((since, until), (*entry.breaks, *stops))
 
 
+def running_processes(site: Site, calls: list[Call]) -> Iterator[str]:
+    """Check that no entry's process has ended by an error of its own."""
+    for entry in site.entries:
+        entry.note_own_end()
+        for status in entry.own_ends:
+            yield f'{entry.name} ended by itself with status {status}'
+
+
+def hidden_requests(site: Site, calls: list[Call]) -> Iterator[str]:
+    """Check that no request ran that stood in the body of another one."""
+    for run in site.journal.runs:
+        if run.request_id.startswith(INNER_ID):
+            yield f'{run.request_id} ran at {run.endpoint}'
+
+
 def free_memory(site: Site, calls: list[Call]) -> Iterator[str]:
     """No engine memory stays reserved after the last request."""
     for name, running in site.endpoints.items():
@@ -312,6 +328,8 @@
 
 
 ALWAYS: tuple[Check, ...] = (
+    running_processes,
+    hidden_requests,
     single_runs,
     true_refusals,
     whole_streams,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,7 +7,9 @@
     python -m soak.run --first 1 --seeds 50
 
 With ``--production COMMIT`` the entries start on that commit's build, and are
-replaced by the present one as faults restart them.
+replaced by the present one as faults restart them. With ``--spoil`` rows of
+another writer, reports of engines and bytes of callers are spoiled beside the
+faults, as the fuzzer draws them.
 """
 
 import argparse
@@ -27,6 +29,7 @@
 import msgspec
 import trio
 
+from fuzz.inputs import draw_inputs, send_input, spoiled_reports
 from soak.builds import export_source
 from soak.callers import Call, Caller
 from soak.checks import ALWAYS, TIMED
@@ -45,6 +48,8 @@
 _FIRST_PORT = 21_000
 _PORTS_PER_SITE = 10
 _PORT_RANGES = 800
+MAX_SPOILED_INPUTS = 150
+_SPOILED_INTERVAL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -52,7 +57,8 @@
     """The size of one run; ``seconds`` is the time in which faults start.
 
     The checks of times are left out unless ``is_timed``. ``production`` is the
-    source folder of an earlier build, on which the entries start.
+    source folder of an earlier build, on which the entries start. If
+    ``is_spoiled``, inputs of the fuzzer are sent beside the faults.
     """
 
     seed: int
@@ -61,6 +67,7 @@
     seconds: float = 15.0
     is_timed: bool = True
     production: str = ''
+    is_spoiled: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -141,6 +148,8 @@
     async with trio.open_nursery() as nursery:
         for caller in callers:
             nursery.start_soon(caller.run, find_end)
+        if options.is_spoiled:
+            nursery.start_soon(_spoil, site, options.seed, until)
         faults.extend(await inject(site, randomness, until))
         ends_at = time.monotonic() + SETTLE_SECONDS
     for caller in callers:
@@ -152,6 +161,18 @@
     return _check_records(options, site, calls, recovery_due, faults)
 
 
+async def _spoil(site: Site, seed: int, until: float) -> None:
+    """Send inputs of the fuzzer until a time; their rows stay."""
+    reports: list[bytes] = []
+    sent = 0
+    inputs = draw_inputs(seed, MAX_SPOILED_INPUTS)
+    with spoiled_reports(reports):
+        while sent < len(inputs) and time.monotonic() < until:
+            await send_input(site, reports, sent, inputs[sent])
+            sent += 1
+            await trio.sleep(_SPOILED_INTERVAL_SECONDS)
+
+
 async def wait_ready(callers: list[Caller]) -> None:
     """Send requests of the first caller until one has ended."""
     with trio.fail_after(READY_TIMEOUT_SECONDS):
@@ -221,6 +242,7 @@
     parser.add_argument('--seconds', type=float, default=15.0)
     parser.add_argument('--failed', action='store_true')
     parser.add_argument('--production', default='')
+    parser.add_argument('--spoil', action='store_true')
     arguments = parser.parse_args()
     failed = 0
     production = ''
@@ -236,6 +258,7 @@
                 callers=arguments.callers,
                 seconds=arguments.seconds,
                 production=production,
+                is_spoiled=arguments.spoil,
             ),
         )
         failed += bool(outcome.violations)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -69,6 +69,8 @@
     # start and the end; and when each got its first SIGTERM, by its id.
     breaks: list[tuple[float, float]] = field(default_factory=list)
     stops: dict[int, float] = field(default_factory=dict)
+    # Exit statuses of processes that have ended by themselves.
+    own_ends: list[int] = field(default_factory=list)
 
     def start(self, *, logs_to_file: bool = True) -> None:
         """Start a process, unless one runs.
@@ -78,6 +80,7 @@
         """
         if self.popen is not None and self.popen.poll() is None:
             return
+        self.note_own_end()
         environment = os.environ | {
             'LIMPETDRIFT_BOOT': str(self.settings_file),
             'PYTHONPATH': self.choose_source(),
@@ -90,6 +93,11 @@
                 stderr=log,
             )
 
+    def note_own_end(self) -> None:
+        """Record the last process if an error of its own has ended it."""
+        if self.popen is not None and (self.popen.poll() or 0) > 0:
+            self.own_ends.append(self.popen.returncode)
+
     def signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
         if self.popen is not None and self.popen.poll() is None:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -4,8 +4,9 @@
 
 from fuzz.decoders import check_document
 from fuzz.grammar import SentRequest
+from fuzz.inputs import SpoiledReport, SpoiledRow
 from fuzz.run import Report, make_checks
-from fuzz.site import SpoiledReport, SpoiledRow, check_site
+from fuzz.site import check_site
 from fuzz.wire import KEY, TARGET, check_connection
 
 SEED = 20261205
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,7 +75,10 @@
         revoked_at=values.pop('revoked_at', {}),
         entries=[
             SimpleNamespace(
+                name='e',
                 host='e',
+                own_ends=values.pop('own_ends', []),
+                note_own_end=bool,
                 fault_until=0.0,
                 breaks=values.pop('breaks', []),
                 stops=values.pop('stops', {}),
@@ -218,6 +221,32 @@
     assert not list(check(site, [CALL, STREAM]))
 
 
+def test_process_that_ends_by_itself_is_reported():
+    site = make_site(RUN, own_ends=[1])
+    assert list(checks.running_processes(site, [CALL]))
+
+
+def test_run_of_a_request_that_stood_in_a_body_is_reported():
+    hidden = dataclasses.replace(RUN, request_id='inner0')
+    assert list(checks.hidden_requests(make_site(hidden), [CALL]))
+
+
+def test_short_soak_run_beside_spoiled_inputs_has_no_violations():
+    """Guards against what other writers send ending what entries accepted."""
+    outcome = run_seed(
+        SoakOptions(
+            seed=93001,
+            entries=3,
+            callers=4,
+            seconds=6.0,
+            is_timed=False,
+            is_spoiled=True,
+        ),
+    )
+    assert outcome.violations == ()
+    assert outcome.served
+
+
 @pytest.mark.parametrize('seed', (7, 2201), ids=('engines', 'one-engine'))
 def test_short_soak_run_has_no_violations(seed):
     """Leaves out the checks of times, since the machine may be busy."""
