--- a/tests/fuzz/grammar.py
+++ b/tests/fuzz/grammar.py
@@ -106,7 +106,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Framing:
-    """Names the end of a body; ``encode`` returns headers and body bytes."""
+    """The headers that tell where a body ends, and how it is sent.
+
+    ``is_plain`` is set if all readers agree on its end.
+    """
 
     headers: tuple[str, ...]
     is_chunked: bool
