--- a/src/limpetdrift/coordination/routing/relay_inputs.py
+++ b/src/limpetdrift/coordination/routing/relay_inputs.py
@@ -23,7 +23,7 @@
 
     ``is_store_unreachable`` returns whether this entry can't reach the store,
     and ``is_store_behind`` whether the store shows an older configuration than
-    the one in force.
+    the one in force, or one that can't be read.
     ``endpoints`` returns the endpoint list, and ``replace_endpoints`` replaces
     it. ``entries`` returns all live entries, including this one. ``seeds``
     returns addresses of peers to poll before any peer is known.
--- a/src/limpetdrift/coordination/routing/routing_relay.py
+++ b/src/limpetdrift/coordination/routing/routing_relay.py
@@ -155,7 +155,7 @@
             self._record_stale(name, has_failed=True)
         elif is_fresh(reply.ok):
             self.readers.record_fresh()
-        elif reply.ok.is_cut or not self.readers.is_catching_up(name):
+        elif reply.ok.is_cut or not self.readers.may_catch_up(name):
             self._record_stale(name, has_failed=False)
 
     def _record_stale(self, name: str, *, has_failed: bool) -> None:
--- a/src/limpetdrift/coordination/routing/store_readers.py
+++ b/src/limpetdrift/coordination/routing/store_readers.py
@@ -114,7 +114,7 @@
     def take_place(self, skipped: Collection[str]) -> None:
         """Read the store for a time if this entry is next after ``skipped``.
 
-        A peer that skips these readers polls this entry.
+        These are the readers that a peer skips which polls this entry.
         """
         was_reader = self.is_reader
         names = self._skipped().union(skipped)
@@ -125,10 +125,11 @@
             note('reading the store in the place of others', skipped=skipped)
             self._wake()
 
-    def is_catching_up(self, name: str) -> bool:
-        """Return whether an entry was only now polled in a reader's place.
+    def may_catch_up(self, name: str) -> bool:
+        """Return whether an entry that is behind still has time to read.
 
-        Its time begins with the first call for it.
+        It has while readers are skipped, since it may have taken the place of
+        one. The time begins with the first call for it.
         """
         if not self._skipped():
             return False
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -307,4 +307,5 @@
         # The endpoint's retry time is meant for this entry, not for the caller,
         # whom another endpoint may serve.
         dropped |= {header_names.RETRY_AFTER_HEADER}
-    return header_names.drop_foreign(headers, dropped)
+    kept = tuple(pair for pair in headers if pair[0] not in dropped)
+    return header_names.drop_peer_headers(kept)
--- a/src/limpetdrift/platform/header_names.py
+++ b/src/limpetdrift/platform/header_names.py
@@ -67,9 +67,9 @@
 # The names of a later build also begin so.
 _PEER_PREFIXES = ('limpet-', 'x-limpet-')
 # Put before a caller's name that begins so, in a request that a peer carries.
-ESCAPE_PREFIX = 'limpet-caller-'
+_ESCAPE_PREFIX = 'limpet-caller-'
 _ESCAPED_PREFIXES = tuple(
-    f'{ESCAPE_PREFIX}{prefix}' for prefix in _PEER_PREFIXES
+    f'{_ESCAPE_PREFIX}{prefix}' for prefix in _PEER_PREFIXES
 )
 
 # Set on responses to requests that the endpoint has not begun to run.
@@ -125,7 +125,8 @@
 # Sent to the services of deployments other than the platform's.
 SERVICE_HEADERS = frozenset((ATTEMPT_HEADER, REQUEST_KEY_HEADER))
 
-# An entry and an endpoint could each read another one of two of these.
+# A request with two of one is refused: the entry would read the first, and an
+# endpoint perhaps the last.
 SINGLE_HEADERS = frozenset(
     (
         *CALLER_HEADERS,
@@ -147,17 +148,14 @@
 )
 
 
-def drop_foreign(headers: Headers, names: frozenset[str]) -> Headers:
-    """Return an answer's headers without ``names`` and those of entries.
+def drop_peer_headers(headers: Headers) -> Headers:
+    """Return the headers of an answer without what only entries write.
 
-    >>> drop_foreign((('limpet-carried', '1'), ('x', '2')), frozenset())
+    >>> drop_peer_headers((('limpet-carried', '1'), ('x', '2')))
     (('x', '2'),)
     """
-    dropped = names | PEER_HEADERS
     return tuple(
-        (name, text)
-        for name, text in headers
-        if not (name in dropped or name.startswith(_PEER_PREFIXES))
+        pair for pair in headers if not pair[0].startswith(_PEER_PREFIXES)
     )
 
 
@@ -180,7 +178,7 @@
     (('limpet-x', '1'),)
     """
     return tuple(
-        (name.removeprefix(ESCAPE_PREFIX), text)
+        (name.removeprefix(_ESCAPE_PREFIX), text)
         for name, text in headers
         if name.startswith(_ESCAPED_PREFIXES)
         or not name.startswith(_PEER_PREFIXES)
@@ -188,4 +186,6 @@
 
 
 def _escape(name: str) -> str:
-    return f'{ESCAPE_PREFIX}{name}' if name.startswith(_PEER_PREFIXES) else name
+    return (
+        f'{_ESCAPE_PREFIX}{name}' if name.startswith(_PEER_PREFIXES) else name
+    )
--- a/src/limpetdrift/protocol/routing_sync.py
+++ b/src/limpetdrift/protocol/routing_sync.py
@@ -86,9 +86,9 @@
     ``routes`` and ``endpoints`` are packed, and ``None`` if the polling entry
     has them already. ``is_cut`` is true if the replier can't reach the store,
     and ``is_store_behind`` if the store shows an older configuration than the
-    one in force. ``settled_era`` is the era in which the replier may confirm
-    what the store shows, ``UNKNOWN_ERA`` if it may not yet; entries of earlier
-    builds send none.
+    one in force, or one that can't be read. ``settled_era`` is the era in which
+    the replier may confirm what the store shows, ``UNKNOWN_ERA`` if it may not
+    yet; entries of earlier builds send none.
     """
 
     routes_version: BoundedInt
--- a/src/limpetdrift/state/stored_configuration.py
+++ b/src/limpetdrift/state/stored_configuration.py
@@ -34,7 +34,7 @@
 
     @property
     def is_behind(self) -> bool:
-        """Whether the last read showed nothing that confirms the table."""
+        """Whether the store shows an older table, or one that can't be read."""
         return self._is_behind or self._is_unreadable
 
     @property
--- a/src/limpetdrift/transport/request_heads.py
+++ b/src/limpetdrift/transport/request_heads.py
@@ -5,7 +5,6 @@
 second request in the body of the first.
 """
 
-import re
 from dataclasses import replace
 from urllib.parse import urlsplit
 
@@ -19,8 +18,6 @@
 _VERSION_NOT_SUPPORTED = 505
 _VERSIONS = frozenset((b'1.0', b'1.1'))
 _HEAD_END = b'\r\n\r\n'
-# A line feed that ends no line, or a line that continues the one before.
-_BAD_LINE = re.compile(rb'(?<!\r)\n|\n[ \t]')
 _SCHEMES = frozenset(('http', 'https'))
 # The target of a request that asks about the server as a whole.
 _SERVER_TARGET = '*'
@@ -33,7 +30,8 @@
     """
     end = received.find(_HEAD_END)
     head = received if end < 0 else received[: end + len(_HEAD_END)]
-    if _BAD_LINE.search(head):
+    is_folded = b'\n ' in head or b'\n\t' in head
+    if is_folded or head.count(b'\n') != head.count(b'\r\n'):
         raise BadInputError(_BAD_REQUEST, 'bare line feed or folded line')
 
 
--- a/tests/fuzz/decoders.py
+++ b/tests/fuzz/decoders.py
@@ -16,28 +16,11 @@
 from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.platform.reports import decode_report
 from limpetdrift.platform.settings import decode_settings
-from limpetdrift.protocol.work import ListedEndpoint
+from limpetdrift.transport.messages import MAX_PORT
+from test_platform_decoders import DOCUMENT, ENGINE, ROW
 
 # Processor time of one decoding, far above that of any sample.
 MAX_DECODE_SECONDS = 0.5
-MAX_PORT = 65_535
-ROW = {
-    'service': 's',
-    'address': '10.0.0.1:8080',
-    'zone': 'd',
-    'slots': 8,
-    'state': 'ready',
-    'born': 1700000000000,
-    'coldRemainingMs': 0,
-}
-ENGINE = ListedEndpoint(
-    name='i-1',
-    lifetime=1700000000000,
-    service='s',
-    address='10.0.0.1:80',
-    failure_domain='d',
-    slots=8,
-)
 REPORT = {
     'stage': 'combined',
     'models': [{'name': 'm', 'version': 1}],
@@ -46,15 +29,6 @@
     'kvUsed': 41_000,
     'pace': 1.5,
 }
-CONFIGURATION = {
-    'version': 7,
-    'routes': [
-        {'name': 'r', 'host': 'h', 'pathPrefix': '/', 'kind': 'streaming'}
-    ],
-    'services': [{'name': 's', 'engine': {'slots': 8, 'step_ms': 0.85}}],
-    'tenants': [{'name': 'acme', 'apiKeys': ['k1'], 'priority': 3}],
-    'limits': {'maxHeaderBytes': 16384},
-}
 SETTINGS = {
     'nodeName': 'm-1',
     'listen': {'front': '10.0.0.1:80', 'control': '10.0.0.1:81'},
@@ -62,12 +36,14 @@
     'region': 'r',
     'platform': {'address': '10.0.0.2:80'},
     'seeds': ['10.0.0.3:81'],
+    'limits': {'cpuShare': 0.5, 'maxFds': 4200},
+    'bounds': {'drainMs': 2000, 'graceS': 8},
 }
 Decoder = Callable[[bytes], Result]
 DECODERS: dict[str, tuple[dict[str, object], Decoder]] = {
     'row': (ROW, lambda payload: decode_endpoint('i-1', payload)),
     'report': (REPORT, lambda payload: decode_report(payload, ENGINE)),
-    'configuration': (CONFIGURATION, decode_route_table),
+    'configuration': (DOCUMENT, decode_route_table),
     'settings': (SETTINGS, decode_settings),
 }
 DOCUMENTS = st.sampled_from(sorted(DECODERS)).flatmap(
--- a/tests/fuzz/grammar.py
+++ b/tests/fuzz/grammar.py
@@ -7,16 +7,16 @@
 import ast
 import json
 import re
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from functools import cache
 from pathlib import Path
 
+from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
 import limpetdrift
 
-MAX_REPEATS = 5000
 # Begins the id of a request that stands in the body of another one.
 INNER_ID = 'inner'
 _PACKAGE = Path(limpetdrift.__file__).parent
@@ -24,33 +24,71 @@
 _MAX_NAME_LENGTH = 40
 # Integers at the borders of machine numbers, ports and lengths.
 _BORDERS = (0, -1, 1, 65_535, 65_536, 80_800, 2**31, 2**63, 2**64, 10**310)
-NUMBERS = (
+_NUMBERS = (
     st.sampled_from(_BORDERS)
     | st.integers()
     | st.floats(allow_nan=False, allow_infinity=False)
 )
-TEXTS = st.text(max_size=12) | st.integers(0, 10**6).map(str)
-VALUES = st.none() | st.booleans() | NUMBERS | TEXTS | st.just([]) | st.just({})
+_TEXTS = st.text(max_size=12) | st.integers(0, 10**6).map(str)
+_VALUES = (
+    st.none() | st.booleans() | _NUMBERS | _TEXTS | st.just([]) | st.just({})
+)
+_TOKENS = (b'[', b'{', b'"', b'9' * 30, b'-', b'e9', b'null', b'\xff')
 # Syntax and digits come more often than other bytes.
 _BYTES = st.sampled_from([bytes((code,)) for code in b'[{":,0-9e']) | (
     st.binary(min_size=1, max_size=1)
 )
-REPEATED_BYTES = st.builds(bytes.__mul__, _BYTES, st.integers(1, MAX_REPEATS))
-_INSERTED = st.binary(max_size=4) | REPEATED_BYTES
+_MAX_REPEATS = 5000
+_REPEATED_BYTES = st.builds(bytes.__mul__, _BYTES, st.integers(1, _MAX_REPEATS))
+_INSERTED = st.sampled_from(_TOKENS) | st.binary(max_size=4) | _REPEATED_BYTES
+
+
+def play_seed(
+    inputs: st.SearchStrategy,
+    check: Callable[[object], None],
+    *,
+    number: int,
+    count: int,
+    phases: Iterable[Phase] = (Phase.generate, Phase.shrink),
+) -> None:
+    """Call ``check`` with up to ``count`` inputs that a seed gives.
+
+    Raises what ``check`` raises, after it was called with shorter inputs.
+    """
+
+    @seed(number)
+    @settings(
+        max_examples=count,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+        phases=phases,
+    )
+    @given(inputs)
+    def check_each(found: object) -> None:
+        check(found)
+
+    check_each()
 
 
 @st.composite
 def change_bytes(draw: st.DrawFn, sample: bytes) -> bytes:
-    """Draw a sample with up to three parts replaced, or cut off."""
+    """Draw a sample with up to three parts replaced."""
     changed = sample
-    for _ in range(draw(st.integers(1, 3))):
+    for _ in range(draw(st.integers(0, 3))):
         first = draw(st.integers(0, len(changed)))
         last = min(len(changed), first + draw(st.integers(0, 4)))
-        rest = changed[last:] if draw(st.booleans()) else b''
-        changed = changed[:first] + draw(_INSERTED) + rest
+        changed = changed[:first] + draw(_INSERTED) + changed[last:]
     return changed
 
 
+@st.composite
+def cut_bytes(draw: st.DrawFn, sample: bytes) -> bytes:
+    """Draw the begin of a sample, and one byte again and again after it."""
+    begin = sample[: draw(st.integers(0, len(sample)))]
+    return begin + draw(_REPEATED_BYTES)
+
+
 @st.composite
 def change_text(draw: st.DrawFn, sample: str) -> str:
     """Draw a text with one character more, less or another."""
@@ -68,11 +106,15 @@
     changed = dict(sample)
     old = sample[name]
     if isinstance(old, str):
-        changed[name] = draw(change_text(old) | VALUES)
+        changed[name] = draw(change_text(old) | _VALUES)
     else:
-        changed[name] = draw(VALUES)
-    payload = json.dumps(changed).encode()
-    return draw(st.just(payload) | change_bytes(json.dumps(sample).encode()))
+        changed[name] = draw(_VALUES)
+    payload = json.dumps(sample).encode()
+    return draw(
+        st.just(json.dumps(changed).encode())
+        | change_bytes(payload)
+        | cut_bytes(payload)
+    )
 
 
 @cache
@@ -145,7 +187,7 @@
     text = draw(
         st.sampled_from(('/a/other', 'PUT', '1', 'nan', '-1', 'close', '1,1'))
         | st.sampled_from(known_header_names())
-        | TEXTS.map(lambda found: ''.join(filter(str.isalnum, found)))
+        | _TEXTS.map(lambda found: ''.join(filter(str.isalnum, found)))
     )
     text = text.encode('ascii', 'ignore').decode()
     return (
--- a/tests/fuzz/inputs.py
+++ b/tests/fuzz/inputs.py
@@ -9,31 +9,29 @@
 from dataclasses import dataclass
 
 import trio
-from hypothesis import HealthCheck, Phase, given, seed, settings
+from hypothesis import Phase
 from hypothesis import strategies as st
 
 from fuzz.decoders import REPORT
-from fuzz.grammar import SentRequest, change_document, sent_requests
+from fuzz.grammar import (
+    SentRequest,
+    change_document,
+    play_seed,
+    sent_requests,
+)
 from limpet_standins.platform_endpoints import StandinEndpoint
 from limpetdrift.platform.endpoint_rows import decode_endpoint
 from limpetdrift.transport.messages import Response
 from server_harness import read_all
 from soak.site import EntryProcess, Site
+from test_platform_decoders import ROW
 
 READ_SECONDS = 3.0
 OK = 200
 KEY = 'key-0'
 TARGET = '/twice/x'
-ROW = {
-    'service': 'engines',
-    # Nobody listens there.
-    'address': '127.0.0.1:4999',
-    'zone': 'zone-1',
-    'version': 'v1',
-    'slots': 8,
-    'state': 'ready',
-    'born': 1,
-}
+# Nobody listens there.
+UNUSED_ADDRESS = '127.0.0.1:4999'
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -61,7 +59,9 @@
         lambda service: st.builds(
             SpoiledRow,
             service=st.just(service),
-            payload=change_document(ROW | {'service': service}),
+            payload=change_document(
+                ROW | {'service': service, 'address': UNUSED_ADDRESS}
+            ),
         )
     )
     .filter(lambda row: decode_endpoint('other', row.payload).is_error())
@@ -73,20 +73,13 @@
 def draw_inputs(number: int, count: int) -> list[SpoiledInput]:
     """Return the inputs that a seed gives, up to ``count``."""
     found: list[SpoiledInput] = []
-
-    @seed(number)
-    @settings(
-        max_examples=count,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
+    play_seed(
+        INPUT,
+        found.append,
+        number=number,
+        count=count,
         phases=(Phase.generate,),
     )
-    @given(INPUT)
-    def collect(spoiled: SpoiledInput) -> None:
-        found.append(spoiled)
-
-    collect()
     return found
 
 
--- a/tests/fuzz/run.py
+++ b/tests/fuzz/run.py
@@ -17,11 +17,10 @@
 from functools import partial
 from pathlib import Path
 
-from hypothesis import HealthCheck, Phase, given, seed, settings
 from hypothesis import strategies as st
 
 from fuzz.decoders import DOCUMENTS, check_document
-from fuzz.grammar import SentRequest
+from fuzz.grammar import SentRequest, play_seed
 from fuzz.inputs import SpoiledInput
 from fuzz.site import INPUTS, check_site
 from fuzz.wire import CONNECTIONS, check_connection
@@ -85,20 +84,11 @@
     number: int,
     report: Report,
 ) -> None:
-    @seed(number)
-    @settings(
-        max_examples=examples,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-        phases=(Phase.generate, Phase.shrink),
-    )
-    @given(inputs)
-    def check_each(found) -> None:
+    def count_and_check(found: object) -> None:
         report.inputs += 1
         check(found)
 
-    check_each()
+    play_seed(inputs, count_and_check, number=number, count=examples)
 
 
 def _check_document(found: tuple[str, bytes]) -> None:
--- a/tests/fuzz/wire.py
+++ b/tests/fuzz/wire.py
@@ -4,52 +4,25 @@
 body of another one never runs. Plain requests are all answered.
 """
 
-import json
-import random
-
 import trio
 from hypothesis import strategies as st
 from trio.testing import memory_stream_pair
 
 from fuzz.grammar import SentRequest, sent_requests
-from limpetdrift.platform.admission import AdmissionInputs, admit
+from limpetdrift.platform.admission import admit
 from limpetdrift.platform.carrying import pack_request, unpack_request
-from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_client import _request_headers
-from limpetdrift.protocol.work import DispatchPlan, ListedEndpoint
-from limpetdrift.state.route_cache import RouteTableCache
+from limpetdrift.protocol.work import DispatchPlan
 from limpetdrift.transport.messages import Request, Response
 from limpetdrift.transport.server import Exchange, Server
+from test_platform_decoders import ENGINE, make_admission
 from virtual_time import run_in_virtual_time
 
 KEY = 'k1'
 TARGET = '/a/x?q=%20'
 SECONDS_LEFT = 4.0
 READ_SECONDS = 30.0
-CONFIGURATION = {
-    'version': 1,
-    'routes': [
-        {
-            'name': 'r',
-            'host': 'shop.example',
-            'pathPrefix': '/a/',
-            'kind': 'idempotent',
-            'service': 's',
-        }
-    ],
-    'services': [{'name': 's'}],
-    'tenants': [{'name': 'acme', 'apiKeys': [KEY]}],
-}
-PLAN = DispatchPlan(
-    endpoint=ListedEndpoint(
-        name='i-1',
-        lifetime=1,
-        service='s',
-        address='10.0.0.1:80',
-        failure_domain='d',
-        slots=8,
-    )
-)
+PLAN = DispatchPlan(endpoint=ENGINE)
 # Up to three requests in a row, and whether a peer carries them.
 CONNECTIONS = st.tuples(
     st.tuples(*(sent_requests(each, KEY, TARGET) for each in range(3))),
@@ -65,12 +38,12 @@
         self.runs: list[Request] = []
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one request of a caller with its id."""
+        """Answer one request of a caller."""
         request = exchange.request
-        admitted = admit(request, _make_admission())
+        admitted = admit(request, make_admission())
         if self._is_carried and admitted.is_ok():
             request = _unpack(pack_request(admitted.ok, SECONDS_LEFT, None))
-            admitted = admit(request, _make_admission()) if request else None
+            admitted = admit(request, make_admission()) if request else None
         if admitted is None or admitted.is_error():
             await exchange.respond(Response(status=400))
             return
@@ -135,19 +108,6 @@
     return entry.runs, b''.join(received)
 
 
-def _make_admission() -> AdmissionInputs:
-    routes = RouteTableCache(clock=float)
-    table = decode_route_table(json.dumps(CONFIGURATION).encode()).ok
-    routes.accept_newer(table, 0)
-    return AdmissionInputs(
-        routes=routes,
-        clock=float,
-        randomness=random.Random(1),
-        key_staleness_bound_seconds=4.0,
-        lookup_staleness_bound_seconds=2.0,
-    )
-
-
 def _unpack(packed: Request) -> Request | None:
     """Return the caller's request; earlier builds return it without more."""
     unpacked = unpack_request(packed)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,7 +29,12 @@
 import msgspec
 import trio
 
-from fuzz.inputs import draw_inputs, send_input, spoiled_reports
+from fuzz.inputs import (
+    SpoiledInput,
+    draw_inputs,
+    send_input,
+    spoiled_reports,
+)
 from soak.builds import export_source
 from soak.callers import Call, Caller
 from soak.checks import ALWAYS, TIMED
@@ -136,6 +141,10 @@
         Caller(site=site, number=number, seed=options.seed)
         for number in range(options.callers)
     ]
+    spoiled = []
+    if options.is_spoiled:
+        # Takes a second, in which the stand-ins answer nothing.
+        spoiled = draw_inputs(options.seed, MAX_SPOILED_INPUTS)
     await wait_ready(callers)
     until = time.monotonic() + options.seconds
     faults: list[str] = []
@@ -148,8 +157,7 @@
     async with trio.open_nursery() as nursery:
         for caller in callers:
             nursery.start_soon(caller.run, find_end)
-        if options.is_spoiled:
-            nursery.start_soon(_spoil, site, options.seed, until)
+        nursery.start_soon(_spoil, site, spoiled, until)
         faults.extend(await inject(site, randomness, until))
         ends_at = time.monotonic() + SETTLE_SECONDS
     for caller in callers:
@@ -161,15 +169,14 @@
     return _check_records(options, site, calls, recovery_due, faults)
 
 
-async def _spoil(site: Site, seed: int, until: float) -> None:
+async def _spoil(site: Site, inputs: list[SpoiledInput], until: float) -> None:
     """Send inputs of the fuzzer until a time; their rows stay."""
     reports: list[bytes] = []
-    sent = 0
-    inputs = draw_inputs(seed, MAX_SPOILED_INPUTS)
     with spoiled_reports(reports):
-        while sent < len(inputs) and time.monotonic() < until:
-            await send_input(site, reports, sent, inputs[sent])
-            sent += 1
+        for number, spoiled in enumerate(inputs):
+            if time.monotonic() >= until:
+                return
+            await send_input(site, reports, number, spoiled)
             await trio.sleep(_SPOILED_INTERVAL_SECONDS)
 
 
--- a/tests/test_changed_bytes.py
+++ b/tests/test_changed_bytes.py
@@ -14,6 +14,8 @@
 from hypothesis import strategies as st
 
 from corpus.make import make
+from fuzz.decoders import MAX_DECODE_SECONDS, REPORT, SETTINGS
+from fuzz.grammar import change_bytes
 from limpetdrift.platform.admission import admit
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.crash_rows import decode_rows as decode_crash_rows
@@ -39,19 +41,6 @@
     make_request,
 )
 
-# Processor time of one decoding, far above that of any sample.
-MAX_DECODE_SECONDS = 0.5
-REPORT = {'active': 12, 'queued': 1, 'kvUsed': 41_000, 'pace': 1.5}
-SETTINGS = {
-    'nodeName': 'm-1',
-    'listen': {'front': '10.0.0.1:80', 'control': '10.0.0.1:81'},
-    'zone': 'z',
-    'region': 'r',
-    'platform': {'address': '10.0.0.2:80'},
-    'seeds': ['10.0.0.3:81'],
-    'limits': {'cpuShare': 0.5, 'maxFds': 4200},
-    'bounds': {'drainMs': 2000, 'graceS': 8},
-}
 KINDS = sorted((*EXCHANGED, ListedEndpoint), key=lambda kind: kind.__name__)
 SAMPLES: dict[str, tuple[bytes, Callable[[bytes], Result], type | None]] = {
     'endpoint': (
@@ -79,27 +68,13 @@
         for kind in KINDS
     },
 }
-INSERTED = st.sampled_from(
-    [b'[', b'{', b'"', b'9' * 30, b'-', b'e9', b'null', b'\xff']
-) | st.binary(max_size=4)
-
-
-@st.composite
-def changed_bytes(draw: st.DrawFn, sample: bytes) -> bytes:
-    """Draw a sample with up to three parts replaced."""
-    changed = sample
-    for _ in range(draw(st.integers(0, 3))):
-        first = draw(st.integers(0, len(changed)))
-        last = min(len(changed), first + draw(st.integers(0, 4)))
-        changed = changed[:first] + draw(INSERTED) + changed[last:]
-    return changed
 
 
 @given(name=st.sampled_from(sorted(SAMPLES)), choices=st.data())
 @settings(max_examples=1500)
 def test_changed_bytes_are_a_value_or_an_error(name, choices):
     sample, decoder, kind = SAMPLES[name]
-    payload = choices.draw(changed_bytes(sample))
+    payload = choices.draw(change_bytes(sample))
     began_at = time.process_time()
     decoded = decoder(payload)
     assert time.process_time() - began_at < MAX_DECODE_SECONDS
@@ -113,7 +88,7 @@
 )
 def test_spoiled_row_of_our_own_tables_hides_no_other(sample, choices):
     sound = encode(make(sample, is_whole=True))
-    spoiled = choices.draw(changed_bytes(sound))
+    spoiled = choices.draw(change_bytes(sound))
     rows = (
         StoredRow(key='spoiled', version=1, value=spoiled),
         StoredRow(key='empty', version=1, value=None),
@@ -126,7 +101,7 @@
         assert set(expected) <= set(decode_crash_rows(rows, 100.0))
 
 
-@given(payload=st.binary(max_size=80) | changed_bytes(pack({'a': [1, 2]})))
+@given(payload=st.binary(max_size=80) | change_bytes(pack({'a': [1, 2]})))
 def test_changed_packed_content_is_a_value_or_an_error(payload):
     unpack(payload, RouteTable)
     unpack(payload, tuple[ListedEndpoint, ...])
--- a/tests/test_header_names.py
+++ b/tests/test_header_names.py
@@ -40,8 +40,8 @@
 FORGED = 'forged'
 # A name that a later build may use among entries.
 LATER_HEADER = 'limpet-carried-later'
-NOT_CALLERS = sorted(ENTRY_HEADERS - SINGLE_HEADERS)
-NOT_FROM_CALLERS = sorted(
+ENTRY_ONLY_HEADERS = sorted(ENTRY_HEADERS - SINGLE_HEADERS)
+ENTRY_OR_PEER_HEADERS = sorted(
     (ENTRY_HEADERS | PEER_HEADERS | {LATER_HEADER}) - SINGLE_HEADERS
 )
 # Names that a caller may choose, one of them as an entry would escape another.
@@ -104,13 +104,13 @@
     return received
 
 
-@pytest.mark.parametrize('name', NOT_CALLERS)
+@pytest.mark.parametrize('name', ENTRY_ONLY_HEADERS)
 def test_caller_sets_no_header_that_an_endpoint_takes_from_the_entry(name):
     sent, _ = send_to_endpoint(admit_forged(name))
     assert (name, FORGED) not in sent.headers
 
 
-@pytest.mark.parametrize('name', NOT_FROM_CALLERS)
+@pytest.mark.parametrize('name', ENTRY_OR_PEER_HEADERS)
 def test_caller_sets_no_header_that_a_peer_takes_from_the_entry(name):
     """Guards against a caller's method and target that a peer runs."""
     packed = pack_request(admit_forged(name), SECONDS_LEFT, None)
--- a/tests/test_knowledge.py
+++ b/tests/test_knowledge.py
@@ -510,9 +510,9 @@
     return most
 
 
-async def play_rejected_reader(domains=3):
+async def play_rejected_reader():
     """Return the most readers, and the most skipped, as one is rejected."""
-    cluster = Cluster(80, domains=domains)
+    cluster = Cluster(80, domains=3)
     async with background_tasks(cluster):
         await trio.sleep(5 + DIRECT_READ_SECONDS)
         reader = next(
@@ -547,11 +547,11 @@
     """Guards against a cascade of entries that are skipped as they begin."""
     cluster = Cluster(20)
     readers = cluster.entries[0].relay.readers
-    assert not readers.is_catching_up('e1')
+    assert not readers.may_catch_up('e1')
     readers.record_stale('e2', has_failed=False, may_read=True)
-    assert readers.is_catching_up('e1')
+    assert readers.may_catch_up('e1')
     await trio.sleep(CATCH_UP_SECONDS + 0.01)
-    assert not readers.is_catching_up('e1')
+    assert not readers.may_catch_up('e1')
     readers.record_stale('e1', has_failed=False, may_read=True)
     assert readers.skipped_names == ('e1', 'e2')
 
--- a/tests/test_outside_messages.py
+++ b/tests/test_outside_messages.py
@@ -16,7 +16,9 @@
 from hypothesis import strategies as st
 
 from corpus.make import make
+from forward_harness import make_endpoints
 from limpetdrift.coordination.engines.prompt_splitting import choose_split
+from limpetdrift.coordination.planning.plan_requests import make_dispatch_plan
 from limpetdrift.platform.admission import admit
 from limpetdrift.platform.configuration import decode_route_table
 from limpetdrift.platform.endpoint_signals import decode_signals
@@ -24,7 +26,13 @@
 from limpetdrift.protocol.codec import decode, encode
 from limpetdrift.protocol.compatibility import EXCHANGED
 from limpetdrift.protocol.gossip import MemberRecord
-from limpetdrift.protocol.plans import PlanRequest
+from limpetdrift.protocol.node import Node
+from limpetdrift.protocol.plans import (
+    EndpointId,
+    Plan,
+    PlanRequest,
+    ReservedTokens,
+)
 from limpetdrift.protocol.route_table import RouteTable
 from limpetdrift.protocol.routing_sync import pack, unpack
 from limpetdrift.protocol.work import ListedEndpoint
@@ -254,3 +262,31 @@
     body = json.loads(encode(make(kind, is_whole=True))) | {field: -1}
     decoded = decode(json.dumps(body).encode(), kind)
     assert field in decoded.error.detail
+
+
+def test_plan_that_reserves_at_an_engine_without_a_part_is_rejected():
+    """Guards against a peer's plan that fails after it was begun."""
+    writer, helper, other = make_endpoints(3)
+    first, second, third = (
+        EndpointId(name=each.name, lifetime=each.lifetime)
+        for each in (writer, helper, other)
+    )
+    tokens = (ReservedTokens(endpoint=second, tokens=5),)
+    plan = Plan(grant='g', writer=first, helpers=(second,), reserved=tokens)
+    assert decode(encode(plan), Plan).ok == plan
+    assert make_dispatch_plan(plan, writer, [helper], 0).reserved
+    spoiled = encode(plan).replace(
+        encode(tokens), encode((replace(tokens[0], endpoint=third),))
+    )
+    assert 'has no part' in decode(spoiled, Plan).error.detail
+
+
+@pytest.mark.parametrize('field', ['caller_address', 'peer_address'])
+def test_node_without_a_port_is_rejected(field):
+    """Guards against a peer that fails each call to it with an error."""
+    node = make(Node, is_whole=True)
+    address = getattr(node, field)
+    payload = encode(node).replace(
+        encode(address), encode(address).replace(b'%d' % address.port, b'0')
+    )
+    assert 'expected a port' in decode(payload, Node).error.detail
