--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 	$(BIN)/flake8 src tests
 
 test: setup
-	PYTHONHASHSEED=0 $(BIN)/python -m pytest -n 6 -rs --dist worksteal $(RED)
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest -n 6 -rs --dist worksteal -m 'not alone' $(RED)
+	PYTHONHASHSEED=0 $(BIN)/python -m pytest -rs -m alone $(RED)
 
 demo: setup
 	$(BIN)/python -m limpet_standins.demo
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -29,7 +29,13 @@
 
 @asynccontextmanager
 async def open_site(
-    folder, entries: int = 1, *, production: str = '', **counts: int
+    folder,
+    entries: int = 1,
+    *,
+    production: str = '',
+    limits: dict[str, int] | None = None,
+    configuration: dict[str, object] | None = None,
+    **counts: int,
 ):
     """Open a site on ports that no other test uses."""
     with reserve_ports(PORTS_SEED) as port:
@@ -39,6 +45,8 @@
                 port=port,
                 nursery=nursery,
                 production=production,
+                limits=limits or {},
+                configuration=configuration or {},
             )
             try:
                 await site.open(entries, **counts)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -135,7 +135,7 @@
     sites run side by side. ``keys`` maps each valid API key to its client
     account. ``revoked_at`` holds when each revoked key was revoked, by the
     monotonic clock in seconds. Entries start on the sources in ``production``,
-    if it names an earlier build.
+    if it names an earlier build. ``limits`` are those of each entry's machine.
     """
 
     folder: Path
@@ -155,6 +155,7 @@
     configuration_version: int = 0
     endpoint_count: int = 0
     production: str = ''
+    limits: dict[str, int] = field(default_factory=dict)
 
     async def open(self, entries: int, engines: int, desks: int) -> None:
         """Start the store, the endpoints of both services and the entries."""
@@ -287,9 +288,8 @@
         subnet, host_number = divmod(number, _ENTRIES_PER_SUBNET)
         host = '.'.join(('127.0', str(1 + subnet), str(1 + host_number)))
         settings = self.folder / f'{name}.json'
-        settings.write_text(
-            json.dumps(_settings(name, host, self.port, store)),
-        )
+        document = _settings(name, host, self.port, store)
+        settings.write_text(json.dumps(document | {'limits': self.limits}))
         return EntryProcess(
             name=name,
             host=host,
