Read chunked bodies in linear time, and give others the event loop

Callers of an entry got no answer while 100 others sent bodies in chunks of two bytes: h11 parsed each chunk on its own, into an object of its own, and all chunks of a read before anything else ran.

h11 now gets only heads and announced bodies. Parts of long bodies are parsed one in a pass of the event loop (ConnectionAccount.parse_turn). A body has a least rate as well, so that a byte now and then no longer keeps it open.

Connections count what they hold in an account, which has no bounds yet.

Evidence: test_chunk_decoder compares with h11 for any split of the bytes.

--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -2,24 +2,31 @@
 
 import errno
 import math
-import sys
-from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
 import trio
 
 from limpetdrift import telemetry
+from limpetdrift.transport.bad_input import (
+    BAD_REQUEST,
+    REQUEST_TIMEOUT,
+    BadInputError,
+)
+from limpetdrift.transport.bodies import BodyBuffer
+from limpetdrift.transport.connection_account import ConnectionAccount
+from limpetdrift.transport.holding import Holding
 from limpetdrift.transport.messages import (
     DEFAULT_BODY_LIMIT_BYTES,
     DEFAULT_HEADER_LIMIT_BYTES,
 )
+from limpetdrift.transport.shedding import Phase
 
-# Maximum size of one read.
-RECEIVE_BYTES = 65_536
+# Maximum size of one read: of a head with a short body, and of a long body.
+HEAD_READ_BYTES = 16_384
+BODY_READ_BYTES = 65_536
 # How long a connection is read once more before it is closed as idle.
 LAST_READ_SECONDS = 0.05
-HEADERS_TOO_LARGE = 431
 _NOTHING = memoryview(b'')
 
 
@@ -31,7 +38,9 @@
     body and headers. ``idle_seconds`` bounds the wait for the first byte of a
     request, ``head_seconds`` the wait for the rest of its head,
     ``body_seconds`` each read of its body, and ``write_seconds`` each write
-    to the peer.
+    to the peer. All reads of a body together may take
+    ``body_grace_seconds``, and a second more for each
+    ``body_bytes_per_second`` that have arrived.
     """
 
     body_bytes: int = DEFAULT_BODY_LIMIT_BYTES
@@ -39,44 +48,44 @@
     idle_seconds: float = 75.0
     head_seconds: float = 10.0
     body_seconds: float = 10.0
+    body_grace_seconds: float = 30.0
+    body_bytes_per_second: float = 8192.0
     write_seconds: float = 20.0
 
 
-class BadInputError(Exception):
-    """A request exceeds a limit or breaks the protocol.
-
-    ``status`` is the HTTP status to respond with.
-    """
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-
-
 class Connection:
     """The stream and the h11 state of one accepted connection.
 
     ``limits`` are those in force; each wait uses those at its beginning.
+    ``received`` holds what has arrived and is not parsed, ``body`` what has
+    arrived of a request's body. ``holding`` counts both in the account.
     """
 
-    def __init__(self, *, stream: trio.abc.Stream, limits: ServerLimits):
+    def __init__(
+        self,
+        *,
+        stream: trio.abc.Stream,
+        limits: ServerLimits,
+        account: ConnectionAccount,
+    ) -> None:
         self.stream = stream
         self.limits = limits
+        self.holding = Holding(account=account, drop=self._drop_request)
+        self.received = bytearray()
+        self.body = BodyBuffer()
         self._idle_since = trio.current_time()
         self._is_closing = False
         # What is left to write, and whether an unknown part of it was written.
         self._unsent = _NOTHING
         self._is_torn = False
         self._idle_scope = trio.CancelScope()
-        # Bounds every write; a scope for each write would cost more.
+        # Bounds each read of a request; a scope for each would cost more.
+        self._receive_scope = trio.CancelScope()
+        # Bounds every write.
         self.write_scope = trio.CancelScope()
         # Bounds the handler of the request under way.
         self.handler_scope = trio.CancelScope()
-        self.protocol = h11.Connection(
-            h11.SERVER,
-            # h11's own bound can't change; next_event enforces the limit.
-            max_incomplete_event_size=sys.maxsize,
-        )
+        self.protocol = h11.Connection(h11.SERVER)
 
     @property
     def is_closing(self) -> bool:
@@ -111,41 +120,57 @@
 
     async def wait_first_bytes(self) -> bytes:
         """Return a request's first bytes, ``b''`` when the connection ends."""
+        self.holding.enter(Phase.IDLE)
         self._idle_since = trio.current_time()
         self._idle_scope = trio.CancelScope(
             deadline=self._idle_since + self.limits.idle_seconds
         )
         if not self._is_closing:
             with self._idle_scope:
-                return await self.stream.receive_some(RECEIVE_BYTES)
+                return await self.stream.receive_some(HEAD_READ_BYTES)
+        if self.holding.is_shed:
+            return b''
         # A request may have arrived as the wait ended.
         with trio.move_on_after(LAST_READ_SECONDS):
-            return await self.stream.receive_some(RECEIVE_BYTES)
+            return await self.stream.receive_some(HEAD_READ_BYTES)
         reason = 'server-closing' if self._is_closing else 'idle-limit'
         telemetry.count('transport_closed', reason=reason)
         return b''
 
-    async def next_event(
-        self,
-        read_seconds: float,
-        check: Callable[[bytes], None] | None = None,
-    ) -> h11.Event | type:
-        """Return the next event; ``read_seconds`` bounds each read.
+    def begin_request(self) -> trio.CancelScope:
+        """Return the scope in which a request has to be received.
 
-        ``check`` gets all bytes that are not parsed yet, before they are.
-        Raise ``BadInputError`` if an incomplete head is over its limit.
+        Raises ``BadInputError`` if the connection was shed meanwhile.
         """
-        while True:
-            if check is not None:
-                check(self.protocol.trailing_data[0])
-            event = self.protocol.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if len(self.protocol.trailing_data[0]) > self.limits.header_bytes:
-                raise BadInputError(HEADERS_TOO_LARGE, 'headers over the limit')
-            with trio.fail_after(read_seconds):
-                received = await self.stream.receive_some(RECEIVE_BYTES)
-            self.protocol.receive_data(received)
+        self.holding.check()
+        self.holding.enter(Phase.RECEIVING)
+        self._receive_scope = trio.CancelScope()
+        return self._receive_scope
+
+    def check_received(self) -> None:
+        """Raise ``BadInputError`` if the scope of ``begin_request`` has ended.
+
+        The request came too slowly, or had to make room for others.
+        """
+        self.holding.check()
+        if self._receive_scope.cancelled_caught:
+            raise BadInputError(REQUEST_TIMEOUT, 'request came too slowly')
+
+    async def receive_more(self, max_bytes: int, until: float) -> int:
+        """Read more of a request until a time; return the number of bytes.
+
+        Raises ``BadInputError`` if the peer has closed the connection.
+        """
+        self._receive_scope.deadline = until
+        arrived = await self.stream.receive_some(max_bytes)
+        self._receive_scope.deadline = math.inf
+        # The bytes before these are lost if the connection was shed.
+        self.holding.check()
+        if not arrived:
+            raise BadInputError(BAD_REQUEST, 'request ended early')
+        self.holding.note_progress()
+        self.received += arrived
+        return len(arrived)
 
     async def send(self, *events: h11.Event) -> None:
         """Write events in one call.
@@ -155,7 +180,9 @@
         """
         payload = b''.join(self.protocol.send(event) or b'' for event in events)
         if payload:
-            self._unsent = memoryview(bytes(self._unsent) + payload)
+            if self._unsent:
+                payload = bytes(self._unsent) + payload
+            self._unsent = memoryview(payload)
             await self.flush()
 
     async def flush(self) -> None:
@@ -164,15 +191,30 @@
             return
         now = trio.current_time()
         self.write_scope.deadline = now + self.limits.write_seconds
+        # A slice keeps all of the bytes in memory, however short it is.
+        length = self._unsent.nbytes
+        is_held = False
         try:
             while self._unsent:
                 sent = await self._send_part()
                 self._unsent = self._unsent[sent:]
+                if self._unsent:
+                    self.holding.hold_answer(length)
+                    is_held = True
         finally:
             # No write is under way after one that was cancelled.
             self.write_scope.deadline = math.inf
-        # A slice keeps all of the bytes in memory, however short it is.
         self._unsent = _NOTHING
+        if is_held:
+            self.holding.hold_answer(0)
+
+    def _drop_request(self) -> None:
+        self.body.clear()
+        self.received.clear()
+        self._idle_scope.cancel()
+        self._receive_scope.cancel()
+        if self._unsent:
+            self.write_scope.cancel()
 
     async def _send_part(self) -> int:
         """Write some bytes and return their number; none if cancelled."""
--- /dev/null
+++ b/src/limpetdrift/transport/connection_account.py
@@ -0,0 +1,269 @@
+"""Accounts for the memory and the descriptors of a process's connections.
+
+Each connection counts from its acceptance on, and each part of a request's body
+before it is read. What is passed on stays in the account until it has been
+answered. When the account is full, ``shedding`` decides which connection makes
+room, and whether the one that asks is refused.
+"""
+
+import math
+from dataclasses import dataclass
+from functools import partial
+from typing import Protocol
+
+import trio
+
+from limpetdrift import telemetry
+from limpetdrift.logs import note, warn
+from limpetdrift.transport.shedding import ConnectionUsage, choose_to_shed
+
+# What a connection counts for: its objects, a head, a short body, and the
+# bytes that its socket has received and that are not read yet.
+CONNECTION_BYTES = 65_536
+# Memory that a process needs without connections.
+PROCESS_BYTES = 64_000_000
+# Share of the rest that connections may take. Buffers that are copied once, and
+# free parts of the heap, take up some more.
+CONNECTIONS_SHARE = 0.6
+# Holds a body of the usual limit with its copy, whatever the machine has.
+MIN_ACCOUNT_BYTES = 12_000_000
+# Shares of callers in memory and descriptors; peers, the readiness probe and
+# metrics keep the rest of the memory, and as many descriptors as own calls do.
+CALLERS_MEMORY_SHARE = 0.75
+CALLERS_DESCRIPTORS_SHARE = 0.5
+INTERNAL_DESCRIPTORS_SHARE = 0.25
+# Descriptors that the platform reserves for files.
+FILE_DESCRIPTORS = 200
+MIN_CONNECTIONS = 16
+# An account that was full has room again below this share of its memory.
+_LOW_SHARE = 0.125
+# An account that was full is crowded until it has room for this share more.
+_SPARE_SHARE = 0.25
+
+
+class Holder(Protocol):
+    """A connection, as its account sees it."""
+
+    def usage(self) -> ConnectionUsage:
+        """Return what the connection holds."""
+
+    def shed(self) -> None:
+        """Drop what was received, and close the connection soon."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AccountLimits:
+    """The memory, in bytes, and the number of connections of an account.
+
+    ``name`` is that of the account in logs and metrics.
+    """
+
+    name: str = 'connections'
+    memory_bytes: float = math.inf
+    connections: float = math.inf
+
+    @property
+    def largest_body(self) -> float:
+        """The length of a body for which the empty account has room."""
+        return self.memory_bytes - 2 * CONNECTION_BYTES
+
+
+class ConnectionAccount:
+    """The connections of one or more servers, and the memory that they hold.
+
+    ``parse_turn`` is held while a part of a long body is parsed, so that one
+    of them at most delays the other tasks in each pass of the event loop.
+    """
+
+    def __init__(self, *, limits: AccountLimits | None = None) -> None:
+        self.parse_turn = trio.Lock()
+        self._limits = limits or AccountLimits()
+        self._used_bytes = 0
+        # In the order in which they were accepted.
+        self._holders: dict[Holder, None] = {}
+        self._is_full = False
+        self._is_crowded = False
+
+    @property
+    def used_bytes(self) -> int:
+        """The memory that all connections hold."""
+        return self._used_bytes
+
+    @property
+    def connections(self) -> int:
+        """The number of open connections."""
+        return len(self._holders)
+
+    @property
+    def is_crowded(self) -> bool:
+        """Whether connections close after a request, to leave their place.
+
+        Callers that always have another request would keep all others out.
+        """
+        return self._is_crowded
+
+    @property
+    def limits(self) -> AccountLimits:
+        """The limits of the account."""
+        return self._limits
+
+    def open(self, holder: Holder) -> bool:
+        """Count a connection; return whether there is room for it."""
+        while not self._has_room(CONNECTION_BYTES, connections=1):
+            if not self._shed_one(CONNECTION_BYTES, is_new=True):
+                self._record_full('refused', holder)
+                return False
+        self._holders[holder] = None
+        self._charge(CONNECTION_BYTES)
+        return True
+
+    def close(self, holder: Holder, held_bytes: int) -> None:
+        """Remove a connection with all that it holds, unless it was shed."""
+        if holder in self._holders:
+            self._holders.pop(holder)
+            self.release(held_bytes)
+
+    def reserve(self, holder: Holder, amount: int) -> bool:
+        """Count more bytes of a request; return whether there is room."""
+        while not self._has_room(amount):
+            requested = holder.usage().held_bytes + amount
+            if not self._shed_one(requested, is_new=False):
+                self._record_full('refused', holder)
+                return False
+        self._charge(amount)
+        return True
+
+    def charge_answer(self, amount: int) -> None:
+        """Count bytes that can't be refused, and close others for them."""
+        self._charge(amount)
+        while not self._has_room(0):
+            if not self._shed_one(amount, is_new=False):
+                return
+
+    def release(self, amount: int) -> None:
+        """Count bytes no longer."""
+        self._used_bytes -= amount
+        if self._is_crowded:
+            self._is_crowded = not self._has_room(
+                int(_SPARE_SHARE * self._used_bytes),
+                connections=int(_SPARE_SHARE * len(self._holders)),
+            )
+        if self._used_bytes > _LOW_SHARE * self._limits.memory_bytes:
+            return
+        if self._is_full and self._has_room(CONNECTION_BYTES, connections=1):
+            self._is_full = False
+            note('connections have room again', account=self._limits.name)
+
+    def _charge(self, amount: int) -> None:
+        self._used_bytes += amount
+
+    def _has_room(self, amount: int, *, connections: int = 0) -> bool:
+        limits = self._limits
+        return (
+            self._used_bytes + amount <= limits.memory_bytes
+            and len(self._holders) + connections <= limits.connections
+        )
+
+    def _shed_one(self, requested_bytes: int, *, is_new: bool) -> bool:
+        """Close one connection; return whether there was one to close."""
+        chosen = choose_to_shed(
+            ((each, each.usage()) for each in self._holders),
+            requested_bytes=requested_bytes,
+            is_new=is_new,
+            now=trio.current_time(),
+        )
+        if chosen is None:
+            return False
+        self._record_full('shed', chosen)
+        held_bytes = chosen.usage().held_bytes
+        chosen.shed()
+        self.close(chosen, held_bytes)
+        return True
+
+    def _record_full(self, action: str, holder: Holder) -> None:
+        telemetry.count(
+            'connections_over_account',
+            account=self._limits.name,
+            action=action,
+            phase=holder.usage().phase.value,
+        )
+        self._is_crowded = True
+        if not self._is_full:
+            self._is_full = True
+            warn(
+                'connections have no room',
+                account=self._limits.name,
+                used_bytes=self._used_bytes,
+                connections=len(self._holders),
+            )
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Accounts:
+    """The accounts of one process.
+
+    ``callers`` is for all that callers connect to, ``internal`` for peers,
+    operators and probes, whom callers can't keep out.
+    """
+
+    callers: ConnectionAccount
+    internal: ConnectionAccount
+
+
+def make_accounts(*, memory_bytes: int, descriptors: int) -> Accounts:
+    """Divide the memory and the descriptors of a process's machine.
+
+    >>> make_accounts(
+    ...     memory_bytes=300_000_000, descriptors=4200
+    ... ).callers.limits.connections
+    2000
+    """
+    memory = max(
+        MIN_ACCOUNT_BYTES,
+        int((memory_bytes - PROCESS_BYTES) * CONNECTIONS_SHARE),
+    )
+    callers_memory = int(memory * CALLERS_MEMORY_SHARE)
+    sockets = max(0, descriptors - FILE_DESCRIPTORS)
+    return Accounts(
+        callers=ConnectionAccount(
+            limits=AccountLimits(
+                name='callers',
+                memory_bytes=callers_memory,
+                connections=_share(sockets, CALLERS_DESCRIPTORS_SHARE),
+            ),
+        ),
+        internal=ConnectionAccount(
+            limits=AccountLimits(
+                name='internal',
+                memory_bytes=memory - callers_memory,
+                connections=_share(sockets, INTERNAL_DESCRIPTORS_SHARE),
+            ),
+        ),
+    )
+
+
+def watch_accounts(accounts: Accounts) -> None:
+    """Register gauges of what the accounts hold, and of their limits."""
+    for account in (accounts.callers, accounts.internal):
+        limits = account.limits
+        name = f'connections_{limits.name}'
+        telemetry.watch(f'{name}_bytes', partial(_used_bytes, account))
+        telemetry.watch(f'{name}_open', partial(_connections, account))
+        telemetry.watch(
+            f'{name}_bytes_limit', partial(float, limits.memory_bytes)
+        )
+        telemetry.watch(
+            f'{name}_open_limit', partial(float, limits.connections)
+        )
+
+
+def _used_bytes(account: ConnectionAccount) -> float:
+    return account.used_bytes
+
+
+def _connections(account: ConnectionAccount) -> float:
+    return account.connections
+
+
+def _share(sockets: int, share: float) -> int:
+    return max(MIN_CONNECTIONS, int(sockets * share))
--- /dev/null
+++ b/src/limpetdrift/transport/holding.py
@@ -0,0 +1,110 @@
+"""What one connection counts for in the account of its process."""
+
+from collections.abc import Callable
+
+import trio
+
+from limpetdrift.transport.bad_input import UNAVAILABLE, BadInputError
+from limpetdrift.transport.connection_account import (
+    CONNECTION_BYTES,
+    ConnectionAccount,
+)
+from limpetdrift.transport.shedding import ConnectionUsage, Phase
+
+# Body of a request that ``CONNECTION_BYTES`` covers.
+SHORT_BODY_BYTES = 16_384
+
+
+class Holding:
+    """The phase of a connection, and the memory that it holds.
+
+    ``drop`` is called when the account closes the connection to make room.
+    """
+
+    def __init__(
+        self, *, account: ConnectionAccount, drop: Callable[[], None]
+    ) -> None:
+        self._account = account
+        self._drop = drop
+        self._phase = Phase.IDLE
+        self._progress_at = trio.current_time()
+        self._held_bytes = CONNECTION_BYTES
+        self._answer_bytes = 0
+        self._is_shed = False
+
+    @property
+    def account(self) -> ConnectionAccount:
+        """The account of the connection."""
+        return self._account
+
+    @property
+    def is_shed(self) -> bool:
+        """Whether the account has closed the connection to make room."""
+        return self._is_shed
+
+    def usage(self) -> ConnectionUsage:
+        """Return what the connection holds, for its account."""
+        return ConnectionUsage(
+            phase=self._phase,
+            held_bytes=self._held_bytes + self._answer_bytes,
+            progress_at=self._progress_at,
+        )
+
+    def shed(self) -> None:
+        """Drop what has arrived of a request, and close the connection."""
+        self._is_shed = True
+        self._drop()
+
+    def open(self) -> bool:
+        """Count the connection; return whether the account has room."""
+        return self._account.open(self)
+
+    def leave(self) -> None:
+        """Count the connection no longer."""
+        self._account.close(self, self._held_bytes + self._answer_bytes)
+
+    def enter(self, phase: Phase) -> None:
+        """Begin a phase, which is progress."""
+        self._phase = phase
+        self.note_progress()
+
+    def note_progress(self) -> None:
+        """Record that the peer has sent or read something."""
+        self._progress_at = trio.current_time()
+
+    def check(self) -> None:
+        """Raise ``BadInputError`` if the connection had to make room."""
+        if self._is_shed:
+            raise _no_room()
+
+    def reserve_body(self, length: int) -> None:
+        """Count a body of ``length`` bytes, before its bytes are read.
+
+        Raises ``BadInputError`` if the account has no room for them.
+        """
+        needed = CONNECTION_BYTES + max(0, length - SHORT_BODY_BYTES)
+        amount = needed - self._held_bytes
+        if not amount:
+            return
+        if amount > 0 and not self._account.reserve(self, amount):
+            raise _no_room()
+        if amount < 0:
+            self._account.release(-amount)
+        self._held_bytes = needed
+
+    def hold_answer(self, length: int) -> None:
+        """Count an answer that the peer doesn't read at once, until 0 is left.
+
+        It can't be refused, so that others make room for it.
+        """
+        self.enter(Phase.ANSWERING if length else Phase.SERVING)
+        amount = length - self._answer_bytes
+        self._answer_bytes = length
+        if amount > 0:
+            self._account.charge_answer(amount)
+        elif not self._is_shed:
+            self._account.release(-amount)
+
+
+def _no_room() -> BadInputError:
+    return BadInputError(UNAVAILABLE, 'no memory for the request now')
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -1,25 +1,34 @@
 """Reads requests from a connection, within its limits."""
 
+from collections.abc import Callable
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
 import trio
 
-from limpetdrift.transport.connection import (
+from limpetdrift.transport.bad_input import (
+    BAD_REQUEST,
+    BODY_TOO_LARGE,
     HEADERS_TOO_LARGE,
     BadInputError,
+)
+from limpetdrift.transport.bodies import ChunkDecoder, drop_first
+from limpetdrift.transport.connection import (
+    BODY_READ_BYTES,
+    HEAD_READ_BYTES,
     Connection,
+    ServerLimits,
 )
 from limpetdrift.transport.messages import Request
 from limpetdrift.transport.request_heads import (
     check_head,
-    check_lines,
+    find_head_end,
     use_origin_form,
 )
+from limpetdrift.transport.shedding import Phase
 
-_BAD_REQUEST = 400
-_REQUEST_TIMEOUT = 408
-_BODY_TOO_LARGE = 413
+# Moves what has arrived of a body to its buffer; returns whether it is whole.
+_ReadBody = Callable[[], bool]
 
 
 async def receive_request(connection: Connection) -> Request | None:
@@ -27,72 +36,160 @@
 
     Raise ``BadInputError`` if it exceeds a limit or breaks the protocol.
     """
-    try:
-        head = await _receive_head(connection)
-        if head is None:
+    if not connection.received:
+        arrived = await connection.wait_first_bytes()
+        if not arrived:
             return None
-        return await _receive_body(connection, head)
+        connection.received += arrived
+    request = None
+    try:
+        with connection.begin_request():
+            head = await _receive_head(connection)
+            await _receive_body(connection, head)
+            request = _make_request(head, connection.body.join())
     except h11.RemoteProtocolError as error:
-        status = error.error_status_hint or _BAD_REQUEST
+        status = error.error_status_hint or BAD_REQUEST
         raise BadInputError(status, str(error)) from error
-    except trio.TooSlowError as error:
-        raise BadInputError(
-            _REQUEST_TIMEOUT, 'request came too slowly'
-        ) from error
+    connection.check_received()
+    if request is not None:
+        connection.holding.enter(Phase.SERVING)
+        connection.holding.reserve_body(len(request.body))
+    return request
 
 
-async def _receive_head(connection: Connection) -> h11.Request | None:
-    if not connection.protocol.trailing_data[0]:
-        received = await connection.wait_first_bytes()
-        if not received:
-            return None
-        connection.protocol.receive_data(received)
+async def _receive_head(connection: Connection) -> h11.Request:
     limits = connection.limits
-    with trio.fail_after(limits.head_seconds):
-        event = await connection.next_event(limits.head_seconds, check_lines)
+    received = connection.received
+    length = find_head_end(received)
+    until = 0.0 if length else trio.current_time() + limits.head_seconds
+    while not length:
+        checked = len(received)
+        if checked > limits.header_bytes:
+            raise BadInputError(HEADERS_TOO_LARGE, 'headers over the limit')
+        await connection.receive_more(HEAD_READ_BYTES, until)
+        length = find_head_end(received, checked)
+    # h11 gets no byte of the body, whose chunks it would parse one by one.
+    connection.protocol.receive_data(bytes(received[:length]))
+    drop_first(received, length)
+    event = connection.protocol.next_event()
     if not isinstance(event, h11.Request):
-        return None
+        raise BadInputError(BAD_REQUEST, 'no request')
     check_head(event)
-    # h11 applies its limit only to incomplete heads, so that a head which
-    # arrives in one read can exceed it.
+    # The whole head may have arrived in one read.
     size = sum(len(name) + len(text) for name, text in event.headers)
     if size > limits.header_bytes:
         raise BadInputError(HEADERS_TOO_LARGE, 'headers over the limit')
     return event
 
 
-async def _receive_body(connection: Connection, head: h11.Request) -> Request:
-    limits = connection.limits
-    _check_length(head, limits.body_bytes)
+async def _receive_body(connection: Connection, head: h11.Request) -> None:
+    read_body = _make_reader(connection, head)
     if connection.protocol.they_are_waiting_for_100_continue:
         await connection.send(
             h11.InformationalResponse(status_code=100, headers=[]),
         )
-    parts: list[bytes] = []
-    size = 0
+    if read_body():
+        return
+    limits = connection.limits
+    arrived_bytes = 0
+    waited_seconds = 0.0
     while True:
-        event = await connection.next_event(limits.body_seconds)
-        if isinstance(event, h11.EndOfMessage):
-            return _make_request(head, b''.join(parts))
-        if not isinstance(event, h11.Data):
-            raise BadInputError(_BAD_REQUEST, 'body ended early')
-        size += len(event.data)
-        if size > limits.body_bytes:
-            raise BadInputError(_BODY_TOO_LARGE, 'body over the limit')
-        parts.append(bytes(event.data))
-
-
-def _check_length(head: h11.Request, limit: int) -> None:
+        connection.holding.reserve_body(
+            connection.body.length + BODY_READ_BYTES
+        )
+        began_at = trio.current_time()
+        seconds = allowed_seconds(limits, arrived_bytes, waited_seconds)
+        arrived_bytes += await connection.receive_more(
+            BODY_READ_BYTES, began_at + seconds
+        )
+        waited_seconds += trio.current_time() - began_at
+        # Others go on before the next part of a long body is parsed.
+        async with connection.holding.account.parse_turn:
+            if read_body():
+                return
+
+
+def allowed_seconds(
+    limits: ServerLimits, arrived_bytes: int, waited_seconds: float
+) -> float:
+    """Return how long the next read of a body may take.
+
+    ``waited_seconds`` is what the reads before it took, in which
+    ``arrived_bytes`` have arrived.
+
+    >>> allowed_seconds(ServerLimits(), 0, 29.0)
+    1.0
+    """
+    left_seconds = (
+        limits.body_grace_seconds
+        + arrived_bytes / limits.body_bytes_per_second
+        - waited_seconds
+    )
+    return max(0.0, min(limits.body_seconds, left_seconds))
+
+
+def _make_reader(connection: Connection, head: h11.Request) -> _ReadBody:
+    """Return the reader for the framing of a body.
+
+    Raises ``BadInputError`` for a length that is over the limit.
+    """
+    max_bytes = int(
+        min(
+            connection.limits.body_bytes,
+            connection.holding.account.limits.largest_body,
+        )
+    )
+    length = 0
     for name, text in head.headers:
-        if name == b'content-length' and int(text) > limit:
-            raise BadInputError(_BODY_TOO_LARGE, 'body over the limit')
+        if name == b'transfer-encoding':
+            return _make_chunk_reader(connection, max_bytes)
+        if name == b'content-length':
+            length = int(text)
+    if length > max_bytes:
+        raise BadInputError(BODY_TOO_LARGE, 'body over the limit')
+    return _make_length_reader(connection, length)
+
+
+def _make_chunk_reader(connection: Connection, max_bytes: int) -> _ReadBody:
+    protocol = connection.protocol
+    decoder = ChunkDecoder(
+        max_bytes=max_bytes, max_line_bytes=connection.limits.header_bytes
+    )
+
+    def read() -> bool:
+        connection.body.append(decoder.decode(connection.received))
+        if decoder.end is None:
+            return False
+        protocol.receive_data(decoder.end)
+        return isinstance(protocol.next_event(), h11.EndOfMessage)
+
+    return read
+
+
+def _make_length_reader(connection: Connection, length: int) -> _ReadBody:
+    protocol = connection.protocol
+    body = connection.body
+
+    def read() -> bool:
+        part = connection.received[: length - body.length]
+        if part:
+            drop_first(connection.received, len(part))
+            protocol.receive_data(part)
+            event = protocol.next_event()
+            if isinstance(event, h11.Data):
+                body.append(event.data)
+        if body.length < length:
+            return False
+        return isinstance(protocol.next_event(), h11.EndOfMessage)
+
+    return read
 
 
 def _make_request(head: h11.Request, body: bytes) -> Request:
     try:
         target = urlsplit(head.target.decode('latin-1'))
     except ValueError as error:
-        raise BadInputError(_BAD_REQUEST, f'target: {error}') from error
+        raise BadInputError(BAD_REQUEST, f'target: {error}') from error
     request = Request(
         method=head.method.decode('ascii'),
         path=unquote(target.path),
--- a/src/limpetdrift/transport/request_heads.py
+++ b/src/limpetdrift/transport/request_heads.py
@@ -5,34 +5,55 @@
 second request in the body of the first.
 """
 
+import re
+import sys
 from dataclasses import replace
 from urllib.parse import urlsplit
 
 import h11
 
-from limpetdrift.transport.connection import BadInputError
+from limpetdrift.transport.bad_input import (
+    BAD_REQUEST,
+    NOT_IMPLEMENTED,
+    VERSION_NOT_SUPPORTED,
+    BadInputError,
+)
 from limpetdrift.transport.messages import Request
 
-_BAD_REQUEST = 400
-_NOT_IMPLEMENTED = 501
-_VERSION_NOT_SUPPORTED = 505
 _VERSIONS = frozenset((b'1.0', b'1.1'))
 _HEAD_END = b'\r\n\r\n'
+# A line feed before a blank, or without a carriage return before it.
+_BAD_LINE_END = re.compile(rb'\n(?:[ \t]|(?<!\r\n))')
+# The first byte of a request line; a TLS handshake begins with another one.
+_MIN_FIRST_BYTE = 0x21
 _SCHEMES = frozenset(('http', 'https'))
 # The target of a request that asks about the server as a whole.
 _SERVER_TARGET = '*'
 
 
-def check_lines(received: bytes) -> None:
-    """Check the lines of a head, which may not have arrived to its end.
+def find_head_end(received: bytearray, start: int = 0) -> int:
+    r"""Return the length of a request head, 0 if it has not arrived whole.
 
-    Raises ``BadInputError`` for a bare line feed or a folded line.
+    Bytes before ``start`` were looked at before. Raises ``BadInputError`` for
+    a bare line feed, a folded line, or a first byte that begins no request.
+
+    >>> find_head_end(bytearray(b'GET / HTTP/1.1\r\n\r\nrest'))
+    18
     """
-    end = received.find(_HEAD_END)
-    head = received if end < 0 else received[: end + len(_HEAD_END)]
-    is_folded = b'\n ' in head or b'\n\t' in head
-    if is_folded or head.count(b'\n') != head.count(b'\r\n'):
-        raise BadInputError(_BAD_REQUEST, 'bare line feed or folded line')
+    begin = received.find(_HEAD_END, max(0, start - len(_HEAD_END)))
+    end = len(received) if begin < 0 else begin + len(_HEAD_END)
+    check_lines(received, max(0, start - 1), end)
+    if received[0] < _MIN_FIRST_BYTE:
+        raise BadInputError(BAD_REQUEST, 'illegal request line')
+    return 0 if begin < 0 else end
+
+
+def check_lines(
+    received: bytes | bytearray, start: int = 0, end: int = sys.maxsize
+) -> None:
+    """Raise ``BadInputError`` for a bare line feed or a folded line."""
+    if _BAD_LINE_END.search(received, start, end):
+        raise BadInputError(BAD_REQUEST, 'bare line feed or folded line')
 
 
 def check_head(head: h11.Request) -> None:
@@ -42,18 +63,18 @@
     connection is turned into a tunnel.
     """
     if head.http_version not in _VERSIONS:
-        raise BadInputError(_VERSION_NOT_SUPPORTED, 'expected HTTP/1.1')
+        raise BadInputError(VERSION_NOT_SUPPORTED, 'expected HTTP/1.1')
     if head.method == b'CONNECT':
-        raise BadInputError(_NOT_IMPLEMENTED, 'CONNECT is not supported')
+        raise BadInputError(NOT_IMPLEMENTED, 'CONNECT is not supported')
     names = {name for name, _ in head.headers}
     if b'transfer-encoding' not in names:
         return
     if b'content-length' in names:
         raise BadInputError(
-            _BAD_REQUEST, 'both content-length and transfer-encoding'
+            BAD_REQUEST, 'both content-length and transfer-encoding'
         )
     if head.http_version == b'1.0':
-        raise BadInputError(_BAD_REQUEST, 'transfer-encoding in HTTP/1.0')
+        raise BadInputError(BAD_REQUEST, 'transfer-encoding in HTTP/1.0')
 
 
 def use_origin_form(request: Request) -> Request:
@@ -68,7 +89,7 @@
     parts = urlsplit(request.target)
     has_origin = parts.scheme in _SCHEMES and bool(parts.hostname)
     if not has_origin or '@' in parts.netloc:
-        raise BadInputError(_BAD_REQUEST, 'target is no path')
+        raise BadInputError(BAD_REQUEST, 'target is no path')
     after_scheme = request.target.partition('://')[2]
     target = after_scheme[len(parts.netloc) :]
     if not target.startswith('/'):
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -6,6 +6,8 @@
 response and is counted; it never reaches a handler.
 """
 
+import math
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
@@ -18,12 +20,13 @@
 from limpetdrift import telemetry
 from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.transport.accepting import SharedListener, accept_queued
+from limpetdrift.transport.bad_input import UNAVAILABLE, BadInputError
 from limpetdrift.transport.connection import (
-    RECEIVE_BYTES,
-    BadInputError,
+    HEAD_READ_BYTES,
     Connection,
     ServerLimits,
 )
+from limpetdrift.transport.connection_account import ConnectionAccount
 from limpetdrift.transport.cut_exchanges import (
     CutExchange,
     CutReason,
@@ -38,10 +41,15 @@
     encode_headers,
 )
 from limpetdrift.transport.receiving import receive_request
+from limpetdrift.transport.shedding import STALL_SECONDS
 
 _TEXT_HEADERS = (('content-type', 'text/plain; charset=utf-8'),)
 _INTERNAL_ERROR = 500
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# The system doubles it, for its own data about what was received.
+RECEIVE_BUFFER_BYTES = 32_768
+# Time in which connections that have stalled make room for others.
+_RETRY_AFTER_SECONDS = str(math.ceil(STALL_SECONDS))
 # How long the last responses may take when a server closes.
 LAST_WRITE_SECONDS = 0.28
 
@@ -55,10 +63,8 @@
         self._started = False
         self._has_body = True
         self._cut_reason: CutReason | None = None
-        self._close_headers: Headers = ()
+        self._closes = connection.is_closing
         self._added_headers: Headers = ()
-        if connection.is_closing:
-            self.close_afterwards()
 
     @property
     def started(self) -> bool:
@@ -85,7 +91,7 @@
 
     def close_afterwards(self) -> None:
         """Send ``connection: close`` with the response."""
-        self._close_headers = (('connection', 'close'),)
+        self._closes = True
 
     def add_headers(self, headers: Headers) -> None:
         """Send headers with the response, whatever it is."""
@@ -94,7 +100,7 @@
     async def respond(self, response: Response) -> None:
         """Send a whole response."""
         self._has_body = _may_have_body(self.request, response.status)
-        headers = (*response.headers, *self._close_headers)
+        headers = response.headers
         if response.status not in _STATUSES_WITHOUT_BODY:
             length = str(len(response.body))
             headers = (*headers, ('content-length', length))
@@ -108,7 +114,7 @@
     async def start(self, status: int, headers: Headers = ()) -> None:
         """Send a response head; without a content length, chunks follow."""
         self._has_body = _may_have_body(self.request, status)
-        await self._send_head(status, (*headers, *self._close_headers))
+        await self._send_head(status, headers)
 
     async def send(self, payload: bytes) -> None:
         """Send a part of the body, unless the response may have none."""
@@ -128,28 +134,29 @@
         """Return once the peer has closed or reset the connection.
 
         Data that arrives meanwhile is buffered for the next request. If that
-        is more than ``RECEIVE_BYTES``, and so more than a whole request head
-        within the default limit, nothing more is read, and this waits until
-        it is cancelled.
+        is more than ``HEAD_READ_BYTES``, nothing more is read, and this waits
+        until it is cancelled.
         """
-        protocol = self._connection.protocol
-        while len(protocol.trailing_data[0]) <= RECEIVE_BYTES:
+        buffered = self._connection.received
+        while len(buffered) <= HEAD_READ_BYTES:
             try:
-                received = await self._connection.stream.receive_some(
-                    RECEIVE_BYTES,
+                arrived = await self._connection.stream.receive_some(
+                    HEAD_READ_BYTES,
                 )
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                received = b''
-            if not received:
+                arrived = b''
+            if not arrived:
                 self._cut_reason = CutReason.PEER_CLOSED
                 return
-            protocol.receive_data(received)
+            buffered += arrived
         await trio.sleep_forever()
 
     async def _send_head(
         self, status: int, headers: Headers, *following: h11.Event
     ) -> None:
         headers = (*headers, *self._added_headers)
+        if self._closes or self._connection.holding.account.is_crowded:
+            headers = (*headers, ('connection', 'close'))
         # Raises an error if the head is invalid, before anything is sent.
         head = h11.Response(status_code=status, headers=encode_headers(headers))
         # Until here a cancelled handler can still respond otherwise; a write to
@@ -165,7 +172,9 @@
 class Server:
     """Passes the requests of each connection to one handler.
 
-    ``find_request_id`` returns the id under which a request is logged.
+    ``account`` bounds what all connections hold, also those of other servers
+    with the same account. ``find_request_id`` returns the id under which a
+    request is logged.
     """
 
     def __init__(
@@ -173,9 +182,11 @@
         *,
         handler: Handler,
         limits: ServerLimits | None = None,
+        account: ConnectionAccount | None = None,
         find_request_id: Callable[[Request], str] | None = None,
     ) -> None:
         self._handler = handler
+        self._account = account or ConnectionAccount()
         self._find_request_id = find_request_id or _no_request_id
         self._cuts = CutRecorder()
         self._limits = limits or ServerLimits()
@@ -275,7 +286,13 @@
 
     async def handle_stream(self, stream: trio.abc.Stream) -> None:
         """Serve the requests of one connection in order until it is closed."""
-        connection = Connection(stream=stream, limits=self._limits)
+        connection = Connection(
+            stream=stream, limits=self._limits, account=self._account
+        )
+        if not connection.holding.open():
+            telemetry.count('transport_closed', reason='no-room')
+            await trio.aclose_forcefully(stream)
+            return
         if self._is_closing:
             connection.close_when_idle()
         self._connections.add(connection)
@@ -300,27 +317,36 @@
             logging.exception('connection failed')
             telemetry.count('transport_closed', reason='error')
         finally:
+            connection.holding.leave()
             await trio.aclose_forcefully(connection.stream)
         if connection.write_scope.cancelled_caught:
             telemetry.count('transport_closed', reason='slow-reader')
 
     async def _serve_requests(self, connection: Connection) -> None:
-        while True:
-            try:
-                request = await receive_request(connection)
-            except BadInputError as error:
-                await _reject(connection, error)
-                return
-            if request is None:
-                return
-            await self._handle_request(connection, request)
-            protocol = connection.protocol
+        protocol = connection.protocol
+        while await self._serve_request(connection):
+            connection.holding.reserve_body(0)
             if {protocol.our_state, protocol.their_state} != {h11.DONE}:
                 return
             if not connection.is_answered:
                 return
             protocol.start_next_cycle()
 
+    async def _serve_request(self, connection: Connection) -> bool:
+        """Serve one request; return whether another one may follow it.
+
+        The request is forgotten before the connection waits for the next one.
+        """
+        try:
+            request = await receive_request(connection)
+        except BadInputError as error:
+            await _reject(connection, error)
+            return False
+        if request is None:
+            return False
+        await self._handle_request(connection, request)
+        return True
+
     async def _handle_request(
         self, connection: Connection, request: Request
     ) -> None:
@@ -328,7 +354,7 @@
         started_at = trio.current_time()
         self._open_exchanges += 1
         try:
-            await self._call_handler(exchange, connection)
+            await _call_handler(self._handler, exchange, connection)
         except Exception as error:
             # A stream error before the response began is that of another
             # connection of the handler, so this peer can still be answered.
@@ -344,19 +370,6 @@
         finally:
             self._end_exchange(exchange, connection, started_at)
 
-    async def _call_handler(
-        self, exchange: Exchange, connection: Connection
-    ) -> None:
-        connection.handler_scope = trio.CancelScope()
-        with connection.handler_scope:
-            await self._handler(exchange)
-        if connection.handler_scope.cancelled_caught:
-            exchange.mark_cut(CutReason.CANCELLED)
-            if not exchange.started:
-                await exchange.respond(Response(status=_INTERNAL_ERROR))
-        if exchange.is_whole:
-            await connection.flush()
-
     def _end_exchange(
         self, exchange: Exchange, connection: Connection, started_at: float
     ) -> None:
@@ -378,6 +391,20 @@
         )
 
 
+async def _call_handler(
+    handler: Handler, exchange: Exchange, connection: Connection
+) -> None:
+    connection.handler_scope = trio.CancelScope()
+    with connection.handler_scope:
+        await handler(exchange)
+    if connection.handler_scope.cancelled_caught:
+        exchange.mark_cut(CutReason.CANCELLED)
+        if not exchange.started:
+            await exchange.respond(Response(status=_INTERNAL_ERROR))
+    if exchange.is_whole:
+        await connection.flush()
+
+
 _STREAM_ERRORS = (
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -415,8 +442,17 @@
 
 
 async def listen(address: Address) -> list[trio.SocketListener]:
-    """Open listeners for one IP address and port."""
-    return await trio.open_tcp_listeners(address.port, host=address.host)
+    """Open listeners for one IP address and port.
+
+    The connections that they accept have small receive buffers, since what a
+    peer sends before it is read takes memory, too.
+    """
+    listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+    for listener in listeners:
+        listener.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+    return listeners
 
 
 def bound_address(listeners: list[trio.SocketListener]) -> Address:
@@ -429,11 +465,15 @@
     telemetry.count('bad_input', status=str(error.status))
     if connection.protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
         return
+    connection.body.clear()
     exchange = Exchange(
         request=Request(method='', path=''),
         connection=connection,
     )
-    headers = (*_TEXT_HEADERS, ('connection', 'close'))
+    exchange.close_afterwards()
+    headers: Headers = _TEXT_HEADERS
+    if error.status == UNAVAILABLE:
+        headers = (*headers, ('retry-after', _RETRY_AFTER_SECONDS))
     await exchange.respond(
         Response(
             status=error.status,
--- /dev/null
+++ b/src/limpetdrift/transport/shedding.py
@@ -0,0 +1,101 @@
+"""Chooses the connection to close when the account of connections is full.
+
+The load is a crowd of callers that send more than they may, or stop in the
+middle of a request and stay connected, or don't read their answers. A request
+that is being served is never given up, since it may have run.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeVar
+
+Key = TypeVar('Key')
+
+# A request without a byte for this time has stalled. Networks lose and resend
+# a segment within it.
+STALL_SECONDS = 2.0
+# Callers that keep a connection open send the next request mostly sooner.
+MIN_IDLE_SECONDS = 1.0
+
+_STALLED_RANK = 2
+_IDLE_RANK = 1
+_LARGER_RANK = 0
+
+
+class Phase(Enum):
+    """What a connection does.
+
+    It waits for a request, receives or serves one, or waits until its peer
+    reads the answer.
+    """
+
+    IDLE = 'idle'
+    RECEIVING = 'receiving'
+    SERVING = 'serving'
+    ANSWERING = 'answering'
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ConnectionUsage:
+    """What a connection holds, and when its peer last sent or read something.
+
+    ``held_bytes`` counts memory, and ``progress_at`` is in seconds.
+    """
+
+    phase: Phase
+    held_bytes: int
+    progress_at: float
+
+
+def choose_to_shed(
+    usages: Iterable[tuple[Key, ConnectionUsage]],
+    *,
+    requested_bytes: int,
+    is_new: bool,
+    now: float,
+) -> Key | None:
+    """Return the connection to close, so that another one gets memory.
+
+    That one would hold ``requested_bytes``, and ``is_new`` says that it has
+    just been accepted. A request or an answer that has stalled goes first, the
+    largest before others. A new connection then takes the place of the one
+    that was idle longest. At last a request that is larger than the one that
+    asks makes room, so that ordinary requests go before large ones. ``None``
+    if there is no such connection, and the one that asks has to be refused.
+
+    >>> stalled = ConnectionUsage(
+    ...     phase=Phase.RECEIVING, held_bytes=5, progress_at=0.0
+    ... )
+    >>> choose_to_shed(
+    ...     [('a', stalled)], requested_bytes=9, is_new=False, now=3.0
+    ... )
+    'a'
+    """
+    chosen = None
+    highest: tuple[int, float] | None = None
+    for key, usage in usages:
+        rank = _shedding_rank(usage, requested_bytes, is_new, now)
+        if rank is not None and (highest is None or rank > highest):
+            highest = rank
+            chosen = key
+    return chosen
+
+
+def _shedding_rank(
+    usage: ConnectionUsage, requested_bytes: int, is_new: bool, now: float
+) -> tuple[int, float] | None:
+    """Return the rank of a connection, ``None`` if it stays open."""
+    quiet_seconds = now - usage.progress_at
+    if usage.phase is Phase.IDLE:
+        if is_new and quiet_seconds >= MIN_IDLE_SECONDS:
+            return (_IDLE_RANK, quiet_seconds)
+        return None
+    if usage.phase is Phase.SERVING:
+        return None
+    if quiet_seconds >= STALL_SECONDS:
+        return (_STALLED_RANK, usage.held_bytes)
+    is_receiving = usage.phase is Phase.RECEIVING
+    if is_receiving and usage.held_bytes > requested_bytes:
+        return (_LARGER_RANK, usage.held_bytes)
+    return None
--- a/tests/server_harness.py
+++ b/tests/server_harness.py
@@ -11,11 +11,12 @@
 class ServerHarness:
     """A server whose connections are pairs of memory streams."""
 
-    def __init__(self, *, nursery, handler, limits=None):
+    def __init__(self, *, nursery, handler, limits=None, account=None):
         self.nursery = nursery
         self.server = Server(
             handler=handler,
             limits=limits or ServerLimits(),
+            account=account,
             find_request_id=lambda request: request.header('id'),
         )
 
