Bound what the connections of a process hold

A crowd ended an entry for want of memory, or used up its descriptors. Limits held for one request; nothing summed what all connections held, and memoryMb and maxFds of the settings decided nothing.

Each process has an account for its callers' connections and one for those of peers, probes and metrics. A connection counts from its acceptance, a body before it is read and until its request is answered, an answer while its caller doesn't read it. transport/shedding.py decides who gives way when an account is full: what has stalled for 2 s, for a new connection the one that was idle longest, then a larger body on its way; never a request that is served. Otherwise the one that asks gets 503 with Retry-After, or 413 if it never fits. While an account is full, connections close after their request, since callers with always another request kept all others out. Memory and descriptors are one commit, since one owner counts both.

Evidence: test_crowds, played alone.

--- a/src/limpetdrift/platform/entry_wiring.py
+++ b/src/limpetdrift/platform/entry_wiring.py
@@ -56,6 +56,13 @@
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.route_cache import RouteTableCache
 from limpetdrift.transport.client import ClientLimits, HttpClient
+from limpetdrift.transport.connection import ServerLimits
+from limpetdrift.transport.connection_account import (
+    Accounts,
+    ConnectionAccount,
+    make_accounts,
+)
+from limpetdrift.transport.holding import SHORT_BODY_BYTES
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server
 
@@ -92,6 +99,7 @@
     drain: Drain
     directory: DirectoryInputs
     links: CarrierLinks
+    accounts: Accounts
     callers: Server
     peers: Server
 
@@ -211,8 +219,12 @@
             ),
         ),
     )
+    accounts = make_accounts(
+        memory_bytes=context.settings.memory_bytes,
+        descriptors=context.settings.descriptors,
+    )
     callers, carried, drain = _build_caller_server(
-        context, planning, crash_guard, links
+        context, planning, crash_guard, links, accounts
     )
 
     def is_ready() -> bool:
@@ -247,6 +259,7 @@
             ),
         ),
         links=links,
+        accounts=accounts,
         callers=callers,
         peers=_build_peer_server(
             (
@@ -257,6 +270,7 @@
                 links.carriers,
             ),
             carried,
+            accounts,
         ),
     )
 
@@ -266,6 +280,7 @@
     planning: Planning,
     crash_guard: CrashGuard,
     links: CarrierLinks,
+    accounts: Accounts,
 ) -> tuple[Server, CarriedRequests, Drain]:
     bounds = context.settings.bounds
     admission = AdmissionInputs(
@@ -286,6 +301,7 @@
     )
     callers = Server(
         handler=make_caller_handler(handler_inputs),
+        account=accounts.callers,
         find_request_id=lambda request: request.header(REQUEST_ID_HEADER),
     )
     carried = CarriedRequests(serve=make_carried_handler(handler_inputs))
@@ -312,7 +328,9 @@
 
 
 def _build_peer_server(
-    components: Iterable[PeerComponent], carried: CarriedRequests
+    components: Iterable[PeerComponent],
+    carried: CarriedRequests,
+    accounts: Accounts,
 ) -> Server:
     peer_routes = PeerRoutes()
     for component in components:
@@ -320,14 +338,22 @@
     routes = Routes()
     peer_routes.mount(routes, '')
     routes.add('POST', CARRY_PATH, carried.handle)
-    return Server(handler=routes.handle)
+    return Server(handler=routes.handle, account=accounts.internal)
 
 
 def serve_routes(
     add_routes: Callable[[Routes, DirectoryInputs], None],
     inputs: DirectoryInputs,
+    account: ConnectionAccount,
 ) -> Server:
-    """Return a server with the routes that ``add_routes`` adds."""
+    """Return a server with the routes that ``add_routes`` adds.
+
+    Their requests have no bodies to speak of.
+    """
     routes = Routes()
     add_routes(routes, inputs)
-    return Server(handler=routes.handle)
+    return Server(
+        handler=routes.handle,
+        limits=ServerLimits(body_bytes=SHORT_BODY_BYTES),
+        account=account,
+    )
--- a/src/limpetdrift/platform/metrics.py
+++ b/src/limpetdrift/platform/metrics.py
@@ -10,6 +10,7 @@
 from limpetdrift.programs.serving import add_health_routes
 from limpetdrift.protocol.counts import parse_count
 from limpetdrift.protocol.routing_sync import UNKNOWN_AGE_SECONDS
+from limpetdrift.transport.connection_account import watch_accounts
 from limpetdrift.transport.messages import MAX_PORT, Address
 from limpetdrift.transport.routing import Routes
 
@@ -48,6 +49,7 @@
     telemetry.watch('configuration_version', lambda: entry.routes.version)
     telemetry.watch('entries_listed', lambda: len(entry.directory.entries()))
     telemetry.watch('requests_open', lambda: entry.callers.open_exchanges)
+    watch_accounts(entry.accounts)
     planner = entry.planning.planner
     telemetry.watch('prompts_waiting', lambda: len(planner.tentative))
     telemetry.watch(
--- a/src/limpetdrift/platform/program.py
+++ b/src/limpetdrift/platform/program.py
@@ -93,17 +93,23 @@
         (
             'directory-server',
             listeners.directory,
-            serve_routes(add_directory_routes, entry.directory),
+            serve_routes(
+                add_directory_routes, entry.directory, entry.accounts.callers
+            ),
         ),
         (
             'readiness-server',
             listeners.readiness,
-            serve_routes(add_readiness_routes, entry.directory),
+            serve_routes(
+                add_readiness_routes, entry.directory, entry.accounts.internal
+            ),
         ),
         (
             'metrics-server',
             metrics_address(settings),
-            serve_routes(add_metrics_routes, entry.directory),
+            serve_routes(
+                add_metrics_routes, entry.directory, entry.accounts.internal
+            ),
         ),
     )
     register_gauges(entry)
--- a/src/limpetdrift/platform/settings.py
+++ b/src/limpetdrift/platform/settings.py
@@ -15,6 +15,7 @@
 
 SETTINGS_VARIABLE = 'LIMPETDRIFT_BOOT'
 _MILLISECONDS = 1000.0
+_MEGABYTE = 1_000_000
 
 
 class _Listen(msgspec.Struct, kw_only=True):
@@ -110,7 +111,8 @@
 
     ``seeds`` are peers' addresses, which may be outdated. ``cores`` is the
     processor capacity of the process, in units of one core of relative speed
-    1; ``descriptors`` is its limit of open file descriptors.
+    1; ``memory_bytes`` is the memory of its machine, and ``descriptors`` its
+    limit of open file descriptors.
     """
 
     instance: str
@@ -122,6 +124,7 @@
     store: Address
     heartbeat_seconds: float
     cores: float
+    memory_bytes: int
     descriptors: int
     bounds: Bounds
 
@@ -177,6 +180,7 @@
         store=parse_address(file.platform.address),
         heartbeat_seconds=file.heartbeat_ms / _MILLISECONDS,
         cores=file.limits.cpu_share * file.limits.cores,
+        memory_bytes=file.limits.memory_mb * _MEGABYTE,
         descriptors=file.limits.max_fds,
         bounds=_convert_bounds(file.bounds),
     )
