Return free memory to the system after a crowd

The C library kept what a crowd had used. One second after less than an eighth of an account is used, where more than a quarter was, its free pages go back (malloc_trim).

--- a/src/limpetdrift/transport/connection_account.py
+++ b/src/limpetdrift/transport/connection_account.py
@@ -15,6 +15,8 @@
 
 from limpetdrift import telemetry
 from limpetdrift.logs import note, warn
+from limpetdrift.supervision import run_contained
+from limpetdrift.transport.heap import return_free_memory
 from limpetdrift.transport.shedding import ConnectionUsage, choose_to_shed
 
 # What a connection counts for: its objects, a head, a short body, and the
@@ -35,8 +37,11 @@
 # Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 MIN_CONNECTIONS = 16
-# An account that was full has room again below this share of its memory.
+# Free memory is returned to the system once less than the second share of the
+# account is used, after more than the first one was.
+_HIGH_SHARE = 0.25
 _LOW_SHARE = 0.125
+_RETURN_DELAY_SECONDS = 1.0
 # An account that was full is crowded until it has room for this share more.
 _SPARE_SHARE = 0.25
 
@@ -83,6 +88,7 @@
         self._holders: dict[Holder, None] = {}
         self._is_full = False
         self._is_crowded = False
+        self._is_high = False
 
     @property
     def used_bytes(self) -> int:
@@ -153,9 +159,14 @@
         if self._is_full and self._has_room(CONNECTION_BYTES, connections=1):
             self._is_full = False
             note('connections have room again', account=self._limits.name)
+        if self._is_high:
+            self._is_high = False
+            trio.lowlevel.spawn_system_task(_return_memory_later)
 
     def _charge(self, amount: int) -> None:
         self._used_bytes += amount
+        if self._used_bytes > _HIGH_SHARE * self._limits.memory_bytes:
+            self._is_high = True
 
     def _has_room(self, amount: int, *, connections: int = 0) -> bool:
         limits = self._limits
@@ -267,3 +278,14 @@
 
 def _share(sockets: int, share: float) -> int:
     return max(MIN_CONNECTIONS, int(sockets * share))
+
+
+async def _return_memory_later() -> None:
+    # The connections that gave it back still end meanwhile.
+    await trio.sleep(_RETURN_DELAY_SECONDS)
+    await run_contained('heap', _return_memory)
+
+
+async def _return_memory() -> None:
+    return_free_memory()
+    await trio.lowlevel.checkpoint()
