Send long bodies without a copy of them

While a long request was sent and answered, its body stood in memory twice: in the request, and behind the head in what was written. The parts are now written one after the other from where they stand. Short requests are still one write.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -199,8 +199,8 @@
         connection = await self._connect(address, new_connection=new_connection)
         try:
             with idle_timeout.scope:
-                payload = _encode_request(connection.protocol, address, request)
-                async with _sending(connection, payload, idle_timeout):
+                parts = _encode_request(connection.protocol, address, request)
+                async with _sending(connection, parts, idle_timeout):
                     yield await _open_response(
                         connection,
                         address,
@@ -434,7 +434,7 @@
 @asynccontextmanager
 async def _sending(
     connection: _PooledConnection,
-    payload: bytes,
+    parts: tuple[bytes, ...],
     idle_timeout: IdleTimeout,
 ) -> AsyncIterator[None]:
     """Send a request; a long one is sent while its response is read.
@@ -443,9 +443,9 @@
     """
     connection.is_sent = False
     idle_timeout.start()
-    if len(payload) <= SHORT_REQUEST_BYTES:
+    if len(parts) == 1:
         try:
-            await _send(connection, payload, idle_timeout)
+            await _send(connection, parts, idle_timeout)
         except _BROKEN_ERRORS as error:
             raise FailureError(
                 may_have_run(Reason.CONNECTION_BROKEN, repr(error)),
@@ -454,7 +454,7 @@
         return
     failure = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_send_long, connection, payload, idle_timeout)
+        nursery.start_soon(_send_long, connection, parts, idle_timeout)
         # Raised outside of the nursery, which would wrap it.
         try:
             yield
@@ -467,11 +467,11 @@
 
 async def _send_long(
     connection: _PooledConnection,
-    payload: bytes,
+    parts: tuple[bytes, ...],
     idle_timeout: IdleTimeout,
 ) -> None:
     try:
-        await _send(connection, payload, idle_timeout)
+        await _send(connection, parts, idle_timeout)
     except _BROKEN_ERRORS as error:
         # The response may have arrived before; else reading it fails, too.
         telemetry.count('requests_sent_in_part', reason=type(error).__name__)
@@ -479,14 +479,15 @@
 
 async def _send(
     connection: _PooledConnection,
-    payload: bytes,
+    parts: tuple[bytes, ...],
     idle_timeout: IdleTimeout,
 ) -> None:
-    remaining = memoryview(payload)
-    while remaining:
-        await connection.stream.send_all(remaining[:SHORT_REQUEST_BYTES])
-        remaining = remaining[SHORT_REQUEST_BYTES:]
-        idle_timeout.extend()
+    for part in parts:
+        remaining = memoryview(part)
+        while remaining:
+            await connection.stream.send_all(remaining[:SHORT_REQUEST_BYTES])
+            remaining = remaining[SHORT_REQUEST_BYTES:]
+            idle_timeout.extend()
     connection.is_sent = True
 
 
@@ -494,7 +495,8 @@
     protocol: h11.Connection,
     address: Address,
     request: Request,
-) -> bytes:
+) -> tuple[bytes, ...]:
+    """Return a short request as a whole, a long one's body without a copy."""
     own_headers = [('content-length', str(len(request.body)))]
     if not request.header('host'):
         own_headers.append(('host', str(address)))
@@ -507,10 +509,14 @@
     except (h11.LocalProtocolError, UnicodeEncodeError) as error:
         # A name or path from outside that no request can hold.
         raise FailureError(not_run(Reason.INTERNAL, str(error))) from error
-    payload = protocol.send(head) or b''
+    head_bytes = protocol.send(head) or b''
+    # The framing is a length, so that the bytes are those of the body.
     if request.body:
-        payload += protocol.send(h11.Data(data=request.body)) or b''
-    return payload + (protocol.send(h11.EndOfMessage()) or b'')
+        protocol.send(h11.Data(data=request.body))
+    protocol.send(h11.EndOfMessage())
+    if len(head_bytes) + len(request.body) <= SHORT_REQUEST_BYTES:
+        return (head_bytes + request.body,)
+    return (head_bytes, request.body)
 
 
 def _request_target(request: Request) -> str:
