Give limpet-entry and limpet-steward accounts of their connections

Their listeners had no bound on what all connections hold. Their settings have limits.memory and limits.descriptors, divided as on the platform; the steward's health routes take no body over 16 KiB.

--- a/src/limpetdrift/programs/entry_wiring.py
+++ b/src/limpetdrift/programs/entry_wiring.py
@@ -34,8 +34,12 @@
 from limpetdrift.coordination.membership.drain import Drain, DrainTiming
 from limpetdrift.coordination.peers import PeerRoutes, make_peer_call
 from limpetdrift.coordination.runs.run_streams import add_owner_stream_routes
+from limpetdrift.programs.process_accounts import make_process_accounts
 from limpetdrift.programs.run_wiring import RequestInputs, Wiring, build_runs
-from limpetdrift.programs.serving import Task, add_health_routes
+from limpetdrift.programs.serving import (
+    Task,
+    add_health_routes,
+)
 from limpetdrift.programs.site_wiring import (
     SiteView,
     build_membership,
@@ -124,9 +128,13 @@
         client=wiring.client,
         peer_secret=wiring.secret,
     )
-    peers = Server(handler=_make_peer_routes(wiring, streams).handle)
+    accounts = make_process_accounts(wiring.settings.limits)
+    peers = Server(
+        handler=_make_peer_routes(wiring, streams).handle,
+        account=accounts.internal,
+    )
     caller_routes = Routes()
-    callers = Server(handler=caller_routes.handle)
+    callers = Server(handler=caller_routes.handle, account=accounts.callers)
 
     async def wait_until_idle() -> None:
         await runs.registry.wait_until_idle()
--- a/src/limpetdrift/programs/steward.py
+++ b/src/limpetdrift/programs/steward.py
@@ -25,6 +25,7 @@
     DesiredState,
     Reconciler,
 )
+from limpetdrift.programs.process_accounts import make_process_accounts
 from limpetdrift.programs.serving import (
     add_health_routes,
     announce,
@@ -42,6 +43,8 @@
 from limpetdrift.state.leases import Lease
 from limpetdrift.state.site import SiteConfig
 from limpetdrift.transport.client import HttpClient
+from limpetdrift.transport.connection import ServerLimits
+from limpetdrift.transport.holding import SHORT_BODY_BYTES
 from limpetdrift.transport.messages import Address
 from limpetdrift.transport.routing import Routes
 from limpetdrift.transport.server import Server, bound_address, listen
@@ -93,7 +96,7 @@
         )
         nursery.start_soon(reconciler.run)
         _start_sweep(settings, client, budget, leases[SWEEP_GROUP], nursery)
-        address = await _serve_health(settings.listen, nursery)
+        address = await _serve_health(settings, nursery)
         announce(settings.name, address=address)
 
 
@@ -176,11 +179,17 @@
     )
 
 
-async def _serve_health(address: Address, nursery: trio.Nursery) -> Address:
+async def _serve_health(
+    settings: StewardSettings, nursery: trio.Nursery
+) -> Address:
     routes = Routes()
     add_health_routes(routes, lambda: True)
-    listeners = await listen(address)
-    server = Server(handler=routes.handle)
+    listeners = await listen(settings.listen)
+    server = Server(
+        handler=routes.handle,
+        limits=ServerLimits(body_bytes=SHORT_BODY_BYTES),
+        account=make_process_accounts(settings.limits).internal,
+    )
     await nursery.start(server.serve, listeners)
     return bound_address(listeners)
 
--- a/src/limpetdrift/settings.py
+++ b/src/limpetdrift/settings.py
@@ -16,7 +16,7 @@
 from limpetdrift.protocol.configuration import Complaint, Complaints
 from limpetdrift.protocol.node import Endpoint
 from limpetdrift.state.checked_yaml import load_document
-from limpetdrift.state.options import Unit, option
+from limpetdrift.state.options import Unit, at_least, option
 from limpetdrift.transport.messages import Address
 
 Settings = TypeVar('Settings')
@@ -26,6 +26,10 @@
 DEFAULT_STORE_READS_PER_SECOND = 2_000.0
 DEFAULT_STORE_WRITES_PER_SECOND = 300.0
 DEFAULT_LOADS_IN_FLIGHT = 2
+DEFAULT_MEMORY_BYTES = 1_073_741_824
+MIN_MEMORY_BYTES = 67_108_864
+DEFAULT_DESCRIPTORS = 4096
+MIN_DESCRIPTORS = 256
 
 
 def _check_policy(name: str) -> str:
@@ -66,6 +70,23 @@
     weights: Address | None = option(None, about='The weight store.')
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MachineLimits:
+    """What a process may take of its machine."""
+
+    memory: float = option(
+        DEFAULT_MEMORY_BYTES,
+        unit=Unit.SIZE,
+        check=at_least(MIN_MEMORY_BYTES),
+        about='Memory of the process, of which connections get a part.',
+    )
+    descriptors: int = option(
+        DEFAULT_DESCRIPTORS,
+        check=at_least(MIN_DESCRIPTORS),
+        about='Open descriptors, of which connections get a part.',
+    )
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EntrySettings:
     """Settings of ``limpet-entry``."""
@@ -96,6 +117,7 @@
         '', about='The file of the configuration until the store answers.'
     )
     endpoints: tuple[Endpoint, ...] = option((), about='Known endpoints.')
+    limits: MachineLimits = field(default_factory=MachineLimits)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -128,6 +150,7 @@
         DEFAULT_LOADS_IN_FLIGHT,
         about='How many engines load from the weight store at a time.',
     )
+    limits: MachineLimits = field(default_factory=MachineLimits)
 
 
 def load_settings(
