--- a/tests/fuzz/run.py
+++ b/tests/fuzz/run.py
@@ -19,6 +19,7 @@
 
 from hypothesis import strategies as st
 
+from fuzz.crowds import CROWDS_IN_A_ROW, check_crowds
 from fuzz.decoders import DOCUMENTS, check_document
 from fuzz.grammar import SentRequest, play_seed
 from fuzz.inputs import SpoiledInput
@@ -28,7 +29,7 @@
 
 SECONDS_PER_MINUTE = 60
 # Inputs of one seed. Each input of the running site takes seconds.
-EXAMPLES = {'decoders': 500, 'wire': 300, 'site': 2}
+EXAMPLES = {'decoders': 500, 'wire': 300, 'site': 2, 'crowds': 2}
 
 
 @dataclass(kw_only=True)
@@ -55,6 +56,9 @@
             INPUTS,
             partial(_check_on_new_site, production),
         ),
+        'crowds': partial(
+            _check, EXAMPLES['crowds'], CROWDS_IN_A_ROW, _check_crowds
+        ),
     }
 
 
@@ -104,6 +108,11 @@
         check_site(inputs, Path(folder), production)
 
 
+def _check_crowds(crowds: list[tuple]) -> None:
+    with tempfile.TemporaryDirectory(prefix='fuzz-') as folder:
+        check_crowds(crowds, Path(folder))
+
+
 def main() -> None:
     """Run the uses that were asked for, and print what each has tried."""
     parser = argparse.ArgumentParser()
