Count a trickle as stalled, and leave room for slow parsing

A connection that waited for its turn to be parsed for 2 s could be chosen to make room for itself, and its bytes then stayed in the account. A byte now and then kept a request from having stalled. A new connection could take the place of a short body whose next read is reserved. The account now closes only others, progress is a read of 1 KiB or more, and only a body that is larger by a read makes room for another.

--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -168,7 +168,7 @@
         self.holding.check()
         if not arrived:
             raise BadInputError(BAD_REQUEST, 'request ended early')
-        self.holding.note_progress()
+        self.holding.note_progress(len(arrived))
         self.received += arrived
         return len(arrived)
 
--- a/src/limpetdrift/transport/connection_account.py
+++ b/src/limpetdrift/transport/connection_account.py
@@ -116,7 +116,7 @@
     def open(self, holder: Holder) -> bool:
         """Count a connection; return whether there is room for it."""
         while not self._has_room(CONNECTION_BYTES, connections=1):
-            if not self._shed_one(CONNECTION_BYTES, is_new=True):
+            if not self._shed_other(holder, CONNECTION_BYTES, is_new=True):
                 self._record_full('refused', holder)
                 return False
         self._holders[holder] = None
@@ -133,17 +133,17 @@
         """Count more bytes of a request; return whether there is room."""
         while not self._has_room(amount):
             requested = holder.usage().held_bytes + amount
-            if not self._shed_one(requested, is_new=False):
+            if not self._shed_other(holder, requested, is_new=False):
                 self._record_full('refused', holder)
                 return False
         self._charge(amount)
         return True
 
-    def charge_answer(self, amount: int) -> None:
+    def charge_answer(self, holder: Holder, amount: int) -> None:
         """Count bytes that can't be refused, and close others for them."""
         self._charge(amount)
         while not self._has_room(0):
-            if not self._shed_one(amount, is_new=False):
+            if not self._shed_other(holder, amount, is_new=False):
                 return
 
     def release(self, amount: int) -> None:
@@ -152,7 +152,7 @@
         if self._is_crowded:
             self._is_crowded = not self._has_room(
                 int(_SPARE_SHARE * self._used_bytes),
-                connections=int(_SPARE_SHARE * len(self._holders)),
+                connections=1 + int(_SPARE_SHARE * len(self._holders)),
             )
         if self._used_bytes > _LOW_SHARE * self._limits.memory_bytes:
             return
@@ -175,10 +175,16 @@
             and len(self._holders) + connections <= limits.connections
         )
 
-    def _shed_one(self, requested_bytes: int, *, is_new: bool) -> bool:
-        """Close one connection; return whether there was one to close."""
+    def _shed_other(
+        self, holder: Holder, requested_bytes: int, *, is_new: bool
+    ) -> bool:
+        """Close another connection; return whether there was one to close."""
         chosen = choose_to_shed(
-            ((each, each.usage()) for each in self._holders),
+            (
+                (each, each.usage())
+                for each in self._holders
+                if each is not holder
+            ),
             requested_bytes=requested_bytes,
             is_new=is_new,
             now=trio.current_time(),
--- a/src/limpetdrift/transport/holding.py
+++ b/src/limpetdrift/transport/holding.py
@@ -13,6 +13,8 @@
 
 # Body of a request that ``CONNECTION_BYTES`` covers.
 SHORT_BODY_BYTES = 16_384
+# Least bytes of a read that keep a request from having stalled.
+MIN_PROGRESS_BYTES = 1024
 
 
 class Holding:
@@ -68,9 +70,13 @@
         self._phase = phase
         self.note_progress()
 
-    def note_progress(self) -> None:
-        """Record that the peer has sent or read something."""
-        self._progress_at = trio.current_time()
+    def note_progress(self, length: int = MIN_PROGRESS_BYTES) -> None:
+        """Record that the peer has sent or read some bytes.
+
+        A peer that sends a byte now and then has stalled.
+        """
+        if length >= MIN_PROGRESS_BYTES:
+            self._progress_at = trio.current_time()
 
     def check(self) -> None:
         """Raise ``BadInputError`` if the connection had to make room."""
@@ -101,7 +107,7 @@
         amount = length - self._answer_bytes
         self._answer_bytes = length
         if amount > 0:
-            self._account.charge_answer(amount)
+            self._account.charge_answer(self, amount)
         elif not self._is_shed:
             self._account.release(-amount)
 
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -99,12 +99,14 @@
         )
         began_at = trio.current_time()
         seconds = allowed_seconds(limits, arrived_bytes, waited_seconds)
-        arrived_bytes += await connection.receive_more(
+        length = await connection.receive_more(
             BODY_READ_BYTES, began_at + seconds
         )
+        arrived_bytes += length
         waited_seconds += trio.current_time() - began_at
         # Others go on before the next part of a long body is parsed.
         async with connection.holding.account.parse_turn:
+            connection.holding.note_progress(length)
             if read_body():
                 return
 
--- a/src/limpetdrift/transport/shedding.py
+++ b/src/limpetdrift/transport/shedding.py
@@ -17,6 +17,8 @@
 STALL_SECONDS = 2.0
 # Callers that keep a connection open send the next request mostly sooner.
 MIN_IDLE_SECONDS = 1.0
+# Above what is reserved for the next read of a body.
+LARGER_BY_BYTES = 65_536
 
 _STALLED_RANK = 2
 _IDLE_RANK = 1
@@ -96,6 +98,6 @@
     if quiet_seconds >= STALL_SECONDS:
         return (_STALLED_RANK, usage.held_bytes)
     is_receiving = usage.phase is Phase.RECEIVING
-    if is_receiving and usage.held_bytes > requested_bytes:
+    if is_receiving and usage.held_bytes > requested_bytes + LARGER_BY_BYTES:
         return (_LARGER_RANK, usage.held_bytes)
     return None
--- a/tests/test_connection_account.py
+++ b/tests/test_connection_account.py
@@ -1,5 +1,6 @@
 """Connections stay within their account, and give way in a fixed order."""
 
+from contextlib import suppress
 from functools import partial
 
 import pytest
@@ -17,6 +18,7 @@
 )
 from limpetdrift.transport.messages import Response
 from limpetdrift.transport.shedding import (
+    LARGER_BY_BYTES,
     STALL_SECONDS,
     ConnectionUsage,
     Phase,
@@ -43,7 +45,7 @@
 
 
 STALLED = usage(Phase.RECEIVING, 10, STALL_SECONDS)
-LARGER = usage(Phase.RECEIVING, 1000)
+LARGER = usage(Phase.RECEIVING, 600 + LARGER_BY_BYTES)
 IDLE = usage(Phase.IDLE, 0, 5.0)
 LONGER_IDLE = usage(Phase.IDLE, 0, 6.0)
 SERVING = usage(Phase.SERVING, 9000, 50.0)
@@ -58,8 +60,8 @@
         ((SERVING, IDLE), False, None),
         ((SERVING,), True, None),
         ((usage(Phase.IDLE),), True, None),
-        ((usage(Phase.RECEIVING, 500),), False, None),
-        ((usage(Phase.RECEIVING, 501), LARGER), False, 1),
+        ((usage(Phase.RECEIVING, 500 + LARGER_BY_BYTES),), False, None),
+        ((usage(Phase.RECEIVING, 501 + LARGER_BY_BYTES), LARGER), False, 1),
     ],
 )
 def test_connections_give_way_in_order(usages, is_new, chosen):
@@ -147,6 +149,51 @@
     on_site(body)
 
 
+def test_body_that_trickles_makes_room_as_a_stalled_one():
+    async def body(site):
+        first = await site.send(head_of_body(LARGE_BYTES), b'z' * 100_000)
+        for _ in range(5):
+            await trio.sleep(STALL_SECONDS / 4)
+            await first.send_all(b'z')
+        await site.send(head_of_body(LARGE_BYTES), b'z' * LARGE_BYTES)
+        assert (await read_all(first)).startswith(b'HTTP/1.1 503')
+        assert site.served == [LARGE_BYTES]
+
+    on_site(body)
+
+
+def test_body_that_waited_for_its_turn_does_not_shed_itself():
+    async def body(site):
+        stream = await site.send(head_of_body(LARGE_BYTES), b'z' * 200_000)
+        other = await site.send(head_of_body(LARGE_BYTES), b'z' * 190_000)
+        async with site.account.parse_turn:
+            await stream.send_all(b'z' * 100)
+            await other.send_all(b'z' * 100)
+            await trio.sleep(2 * STALL_SECONDS)
+        await wait_all_tasks_blocked()
+        await stream.send_all(b'z' * (LARGE_BYTES - 200_100))
+        await wait_all_tasks_blocked()
+        assert site.served == [LARGE_BYTES]
+
+    on_site(body, memory_bytes=700_000)
+
+
+def test_connections_close_while_the_account_is_crowded():
+    async def body(site):
+        site.released.set()
+        streams = [await site.send(head_of_body(5)) for _ in range(3)]
+        refused = await site.send()
+        assert await read_all(refused) == b''
+        await streams[0].send_all(b'hello' + HEAD)
+        answer = await read_all(streams[0])
+        assert b'connection: close' in answer.lower()
+        assert answer.count(b'HTTP/1.1') == 1
+        assert site.served == [5]
+        assert await (await site.send(HEAD)).receive_some(8) == b'HTTP/1.1'
+
+    on_site(body, connections=3)
+
+
 def test_body_that_asks_is_refused_beside_smaller_ones():
     async def body(site):
         await site.send(head_of_body(LARGE_BYTES), b'z' * LARGE_BYTES)
@@ -256,7 +303,9 @@
     async def body(site):
         for length, share, pause_seconds in callers:
             sent = b'z' * int(length * share)
-            await site.send(head_of_body(length), sent)
+            # Refused while the account is full of requests that are served.
+            with suppress(trio.BrokenResourceError):
+                await site.send(head_of_body(length), sent)
             assert site.account.used_bytes <= 500_000
             await trio.sleep(pause_seconds)
 
