--- a/src/limpet_standins/small_site.py
+++ b/src/limpet_standins/small_site.py
@@ -160,8 +160,13 @@
     call(address, 'POST', '/control/instances', {'instances': instances})
 
 
-def start_entries(site: SmallSite, entries: int) -> None:
-    """Start the entries with each other as seeds, and configure them."""
+def start_entries(
+    site: SmallSite, entries: int, limits: dict[str, Any] | None = None
+) -> None:
+    """Start the entries with each other as seeds, and configure them.
+
+    ``limits`` are those of each entry's machine, in place of the defaults.
+    """
     nodes = [_node(number) for number in range(1, entries + 1)]
     peer_secret = site.processes.write('peer-secret', secrets.token_hex())
     operator_secret = site.processes.write(
@@ -178,6 +183,7 @@
             'peer_secret': {'file': str(peer_secret)},
             'operator_secret': {'file': str(operator_secret)},
             'seeds': [each['peer_address'] for each in nodes],
+            'limits': limits or {},
         }
         name = node['name']
         path = site.processes.write(f'{name}.yaml', yaml.safe_dump(settings))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,8 @@
 With ``--production COMMIT`` the entries start on that commit's build, and are
 replaced by the present one as faults restart them. With ``--spoil`` rows of
 another writer, reports of engines and bytes of callers are spoiled beside the
-faults, as the fuzzer draws them.
+faults, as the fuzzer draws them. With ``--crowd`` callers outside of the limits
+call beside them.
 """
 
 import argparse
@@ -20,7 +21,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from functools import partial
 from itertools import chain
 from math import inf
@@ -38,6 +39,7 @@
 from soak.builds import export_source
 from soak.callers import Call, Caller
 from soak.checks import ALWAYS, TIMED
+from soak.crowds import play_crowds, watch_memory
 from soak.faults import inject
 from soak.seeds import FAILED_SEEDS
 from soak.site import Site
@@ -63,7 +65,8 @@
 
     The checks of times are left out unless ``is_timed``. ``production`` is the
     source folder of an earlier build, on which the entries start. If
-    ``is_spoiled``, inputs of the fuzzer are sent beside the faults.
+    ``is_spoiled``, inputs of the fuzzer are sent beside the faults. If
+    ``is_crowded``, crowds of callers outside of the limits come beside them.
     """
 
     seed: int
@@ -73,6 +76,7 @@
     is_timed: bool = True
     production: str = ''
     is_spoiled: bool = False
+    is_crowded: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -148,6 +152,7 @@
     await wait_ready(callers)
     until = time.monotonic() + options.seconds
     faults: list[str] = []
+    over_memory: set[str] = set()
     # Unknown until the last fault has ended.
     ends_at = inf
 
@@ -158,7 +163,12 @@
         for caller in callers:
             nursery.start_soon(caller.run, find_end)
         nursery.start_soon(_spoil, site, spoiled, until)
-        faults.extend(await inject(site, randomness, until))
+        async with trio.open_nursery() as crowds:
+            if options.is_crowded:
+                crowds.start_soon(watch_memory, site, over_memory)
+                nursery.start_soon(play_crowds, site, options.seed, until)
+            faults.extend(await inject(site, randomness, until))
+            crowds.cancel_scope.cancel()
         ends_at = time.monotonic() + SETTLE_SECONDS
     for caller in callers:
         caller.close()
@@ -166,7 +176,10 @@
     await trio.sleep(4)
     calls = list(chain.from_iterable(each.calls for each in callers))
     recovery_due = ends_at - SETTLE_SECONDS / 2
-    return _check_records(options, site, calls, recovery_due, faults)
+    outcome = _check_records(options, site, calls, recovery_due, faults)
+    return replace(
+        outcome, violations=(*outcome.violations, *sorted(over_memory))
+    )
 
 
 async def _spoil(site: Site, inputs: list[SpoiledInput], until: float) -> None:
@@ -250,6 +263,7 @@
     parser.add_argument('--failed', action='store_true')
     parser.add_argument('--production', default='')
     parser.add_argument('--spoil', action='store_true')
+    parser.add_argument('--crowd', action='store_true')
     arguments = parser.parse_args()
     failed = 0
     production = ''
@@ -266,6 +280,7 @@
                 seconds=arguments.seconds,
                 production=production,
                 is_spoiled=arguments.spoil,
+                is_crowded=arguments.crowd,
             ),
         )
         failed += bool(outcome.violations)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -41,6 +41,14 @@
     assert report.inputs
 
 
+@pytest.mark.alone
+def test_crowds_of_a_seed_stay_within_the_limits():
+    report = Report()
+    make_checks('')['crowds'](SEED, report)
+    assert not report.failed
+    assert report.inputs
+
+
 @pytest.mark.parametrize('is_carried', [False, True])
 @pytest.mark.parametrize('found', FOUND_CONNECTIONS)
 def test_connection_that_was_found_breaks_no_promise(found, is_carried):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -247,6 +247,23 @@
     assert outcome.served
 
 
+@pytest.mark.alone
+def test_short_soak_run_beside_crowds_has_no_violations():
+    """Guards against crowds that end an entry beside kills and outages."""
+    outcome = run_seed(
+        SoakOptions(
+            seed=95001,
+            entries=3,
+            callers=4,
+            seconds=6.0,
+            is_timed=False,
+            is_crowded=True,
+        ),
+    )
+    assert outcome.violations == ()
+    assert outcome.served
+
+
 @pytest.mark.parametrize('seed', (7, 2201), ids=('engines', 'one-engine'))
 def test_short_soak_run_has_no_violations(seed):
     """Leaves out the checks of times, since the machine may be busy."""
