Keep a part of the account for ordinary requests, and one for long bodies

Long bodies that are served could fill the account, so that ordinary callers were turned away for as long as endpoints took; idle connections could fill it, so that no long body was read. Long bodies now leave a quarter to others, and idle connections make room for them while they have less than a quarter.

--- a/src/limpetdrift/transport/connection_account.py
+++ b/src/limpetdrift/transport/connection_account.py
@@ -42,6 +42,10 @@
 _HIGH_SHARE = 0.25
 _LOW_SHARE = 0.125
 _RETURN_DELAY_SECONDS = 1.0
+# Share of an account in which long bodies have room, and that which they get
+# in place of idle connections.
+_BODIES_SHARE = 0.75
+_BODIES_MINIMUM_SHARE = 0.25
 # An account that was full is crowded until it has room for this share more.
 _SPARE_SHARE = 0.25
 
@@ -70,7 +74,20 @@
     @property
     def largest_body(self) -> float:
         """The length of a body for which the empty account has room."""
-        return self.memory_bytes - 2 * CONNECTION_BYTES
+        return self.bodies_bytes - 2 * CONNECTION_BYTES
+
+    @property
+    def bodies_bytes(self) -> float:
+        """The memory in which long bodies have room beside connections.
+
+        The rest is for ordinary requests, also while long ones are served.
+        """
+        return _BODIES_SHARE * self.memory_bytes
+
+    @property
+    def bodies_minimum(self) -> float:
+        """The memory of long bodies for which idle connections make room."""
+        return _BODIES_MINIMUM_SHARE * self.memory_bytes
 
 
 class ConnectionAccount:
@@ -116,7 +133,7 @@
     def open(self, holder: Holder) -> bool:
         """Count a connection; return whether there is room for it."""
         while not self._has_room(CONNECTION_BYTES, connections=1):
-            if not self._shed_other(holder, CONNECTION_BYTES, is_new=True):
+            if not self._shed_other(holder, CONNECTION_BYTES, closes_idle=True):
                 self._record_full('refused', holder)
                 return False
         self._holders[holder] = None
@@ -131,9 +148,15 @@
 
     def reserve(self, holder: Holder, amount: int) -> bool:
         """Count more bytes of a request; return whether there is room."""
-        while not self._has_room(amount):
+        while self._used_bytes + amount > self._limits.bodies_bytes:
             requested = holder.usage().held_bytes + amount
-            if not self._shed_other(holder, requested, is_new=False):
+            body_bytes = (
+                self._used_bytes - len(self._holders) * CONNECTION_BYTES
+            )
+            has_share = body_bytes + amount > self._limits.bodies_minimum
+            if not self._shed_other(
+                holder, requested, closes_idle=not has_share
+            ):
                 self._record_full('refused', holder)
                 return False
         self._charge(amount)
@@ -143,7 +166,7 @@
         """Count bytes that can't be refused, and close others for them."""
         self._charge(amount)
         while not self._has_room(0):
-            if not self._shed_other(holder, amount, is_new=False):
+            if not self._shed_other(holder, amount, closes_idle=False):
                 return
 
     def release(self, amount: int) -> None:
@@ -176,7 +199,7 @@
         )
 
     def _shed_other(
-        self, holder: Holder, requested_bytes: int, *, is_new: bool
+        self, holder: Holder, requested_bytes: int, *, closes_idle: bool
     ) -> bool:
         """Close another connection; return whether there was one to close."""
         chosen = choose_to_shed(
@@ -186,7 +209,7 @@
                 if each is not holder
             ),
             requested_bytes=requested_bytes,
-            is_new=is_new,
+            closes_idle=closes_idle,
             now=trio.current_time(),
         )
         if chosen is None:
--- a/src/limpetdrift/transport/shedding.py
+++ b/src/limpetdrift/transport/shedding.py
@@ -54,30 +54,31 @@
     usages: Iterable[tuple[Key, ConnectionUsage]],
     *,
     requested_bytes: int,
-    is_new: bool,
+    closes_idle: bool,
     now: float,
 ) -> Key | None:
     """Return the connection to close, so that another one gets memory.
 
-    That one would hold ``requested_bytes``, and ``is_new`` says that it has
-    just been accepted. A request or an answer that has stalled goes first, the
-    largest before others. A new connection then takes the place of the one
-    that was idle longest. At last a request that is larger than the one that
-    asks makes room, so that ordinary requests go before large ones. ``None``
-    if there is no such connection, and the one that asks has to be refused.
+    That one would hold ``requested_bytes``. A request or an answer that has
+    stalled goes first, the largest before others. The connection that was idle
+    longest is next, but only if ``closes_idle``: for a connection that was
+    just accepted, or a body while bodies have less than their share. At last a
+    request that is larger than the one that asks makes room, so that ordinary
+    requests go before large ones. ``None`` if there is no such connection, and
+    the one that asks has to be refused.
 
     >>> stalled = ConnectionUsage(
     ...     phase=Phase.RECEIVING, held_bytes=5, progress_at=0.0
     ... )
     >>> choose_to_shed(
-    ...     [('a', stalled)], requested_bytes=9, is_new=False, now=3.0
+    ...     [('a', stalled)], requested_bytes=9, closes_idle=False, now=3.0
     ... )
     'a'
     """
     chosen = None
     highest: tuple[int, float] | None = None
     for key, usage in usages:
-        rank = _shedding_rank(usage, requested_bytes, is_new, now)
+        rank = _shedding_rank(usage, requested_bytes, closes_idle, now)
         if rank is not None and (highest is None or rank > highest):
             highest = rank
             chosen = key
@@ -85,12 +86,12 @@
 
 
 def _shedding_rank(
-    usage: ConnectionUsage, requested_bytes: int, is_new: bool, now: float
+    usage: ConnectionUsage, requested_bytes: int, closes_idle: bool, now: float
 ) -> tuple[int, float] | None:
     """Return the rank of a connection, ``None`` if it stays open."""
     quiet_seconds = now - usage.progress_at
     if usage.phase is Phase.IDLE:
-        if is_new and quiet_seconds >= MIN_IDLE_SECONDS:
+        if closes_idle and quiet_seconds >= MIN_IDLE_SECONDS:
             return (_IDLE_RANK, quiet_seconds)
         return None
     if usage.phase is Phase.SERVING:
