Count long answers from the first byte that is written

An answer was counted once a part of it had been written. With a full send buffer that is never, so that callers that send requests and read nothing held memory that was in no account.

Evidence: test_slow_readers (five callers that don't read 6 MB each give way to an ordinary request once they have stalled).

--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -15,7 +15,7 @@
 )
 from limpetdrift.transport.bodies import BodyBuffer
 from limpetdrift.transport.connection_account import ConnectionAccount
-from limpetdrift.transport.holding import Holding
+from limpetdrift.transport.holding import SHORT_BODY_BYTES, Holding
 from limpetdrift.transport.messages import (
     DEFAULT_BODY_LIMIT_BYTES,
     DEFAULT_HEADER_LIMIT_BYTES,
@@ -193,14 +193,16 @@
         self.write_scope.deadline = now + self.limits.write_seconds
         # A slice keeps all of the bytes in memory, however short it is.
         length = self._unsent.nbytes
-        is_held = False
+        is_held = length > SHORT_BODY_BYTES
+        if is_held:
+            self.holding.hold_answer(length)
         try:
             while self._unsent:
                 sent = await self._send_part()
                 self._unsent = self._unsent[sent:]
                 if self._unsent:
-                    self.holding.hold_answer(length)
                     is_held = True
+                    self.holding.hold_answer(length)
         finally:
             # No write is under way after one that was cancelled.
             self.write_scope.deadline = math.inf
