Give peers half of the account of connections

An entry that plans for others has a connection for each prompt that waits at any entry; at a quarter of the account a machine of 200 MB had room for 311, with up to 194 other entries. Callers and peers now have half each, 622 there, and 1,080 at 300 MB.

--- a/src/limpetdrift/transport/connection_account.py
+++ b/src/limpetdrift/transport/connection_account.py
@@ -29,11 +29,11 @@
 CONNECTIONS_SHARE = 0.6
 # Holds a body of the usual limit with its copy, whatever the machine has.
 MIN_ACCOUNT_BYTES = 12_000_000
-# Shares of callers in memory and descriptors; peers, the readiness probe and
-# metrics keep the rest of the memory, and as many descriptors as own calls do.
-CALLERS_MEMORY_SHARE = 0.75
-CALLERS_DESCRIPTORS_SHARE = 0.5
-INTERNAL_DESCRIPTORS_SHARE = 0.25
+# Share of callers in memory; peers, probes and metrics have the rest, since an
+# entry that plans has a connection for each prompt that waits at any entry.
+CALLERS_MEMORY_SHARE = 0.5
+# Share of each account in descriptors; the process's own calls have the rest.
+DESCRIPTORS_SHARE = 0.375
 # Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 MIN_CONNECTIONS = 16
@@ -256,7 +256,7 @@
     >>> make_accounts(
     ...     memory_bytes=300_000_000, descriptors=4200
     ... ).callers.limits.connections
-    2000
+    1500
     """
     memory = max(
         MIN_ACCOUNT_BYTES,
@@ -264,19 +264,20 @@
     )
     callers_memory = int(memory * CALLERS_MEMORY_SHARE)
     sockets = max(0, descriptors - FILE_DESCRIPTORS)
+    connections = max(MIN_CONNECTIONS, int(sockets * DESCRIPTORS_SHARE))
     return Accounts(
         callers=ConnectionAccount(
             limits=AccountLimits(
                 name='callers',
                 memory_bytes=callers_memory,
-                connections=_share(sockets, CALLERS_DESCRIPTORS_SHARE),
+                connections=connections,
             ),
         ),
         internal=ConnectionAccount(
             limits=AccountLimits(
                 name='internal',
                 memory_bytes=memory - callers_memory,
-                connections=_share(sockets, INTERNAL_DESCRIPTORS_SHARE),
+                connections=connections,
             ),
         ),
     )
@@ -305,10 +306,6 @@
     return account.connections
 
 
-def _share(sockets: int, share: float) -> int:
-    return max(MIN_CONNECTIONS, int(sockets * share))
-
-
 async def _return_memory_later() -> None:
     # The connections that gave it back still end meanwhile.
     await trio.sleep(_RETURN_DELAY_SECONDS)
