Refuse illegal bytes of long heads before h11 matches them

A head of 16 KB with blanks before a NUL, form feed, vertical tab or bare carriage return held the event loop for 1.07 s: h11 matches the blanks in quadratic time before it refuses the line. Sixty callers would hold an entry for a minute. Heads and trailers over 512 bytes are searched for such bytes first; shorter ones take h11 a millisecond.

Evidence: test_blanks_before_an_illegal_byte_take_linear_time, with heads of 150 KB.

--- a/src/limpetdrift/transport/bodies.py
+++ b/src/limpetdrift/transport/bodies.py
@@ -12,7 +12,7 @@
     HEADERS_TOO_LARGE,
     BadInputError,
 )
-from limpetdrift.transport.request_heads import check_lines
+from limpetdrift.transport.request_heads import check_bytes, check_lines
 
 # Parts of this size leave no gaps in the heap that other bodies can't use.
 _SEGMENT_BYTES = 65_536
@@ -164,6 +164,7 @@
             end = begin + len(_TRAILER_END)
         trailer = received[position:end]
         check_lines(trailer)
+        check_bytes(trailer, len(trailer))
         self._trailer = _LAST_CHUNK + trailer
         return end
 
--- a/src/limpetdrift/transport/request_heads.py
+++ b/src/limpetdrift/transport/request_heads.py
@@ -24,6 +24,10 @@
 _HEAD_END = b'\r\n\r\n'
 # A line feed before a blank, or without a carriage return before it.
 _BAD_LINE_END = re.compile(rb'\n(?:[ \t]|(?<!\r\n))')
+# Bytes that no head may hold. h11 matches blanks before one of them in quadratic
+# time, which matters in heads over ``_LONG_HEAD_BYTES``.
+_BAD_BYTE = re.compile(rb'[\x00\x0b\x0c]|\r(?!\n)')
+_LONG_HEAD_BYTES = 512
 # The first byte of a request line; a TLS handshake begins with another one.
 _MIN_FIRST_BYTE = 0x21
 _SCHEMES = frozenset(('http', 'https'))
@@ -45,7 +49,16 @@
     check_lines(received, max(0, start - 1), end)
     if received[0] < _MIN_FIRST_BYTE:
         raise BadInputError(BAD_REQUEST, 'illegal request line')
-    return 0 if begin < 0 else end
+    if begin < 0:
+        return 0
+    check_bytes(received, end)
+    return end
+
+
+def check_bytes(received: bytes | bytearray, length: int) -> None:
+    """Raise ``BadInputError`` for a byte that no head or trailer may hold."""
+    if length > _LONG_HEAD_BYTES and _BAD_BYTE.search(received, 0, length):
+        raise BadInputError(BAD_REQUEST, 'illegal byte in the head')
 
 
 def check_lines(
--- a/tests/test_request_heads.py
+++ b/tests/test_request_heads.py
@@ -1,8 +1,11 @@
 """A request that could be read in two ways is refused, and nothing runs."""
 
+import time
+
 import pytest
 import trio
 
+from limpetdrift.transport.connection import ServerLimits
 from limpetdrift.transport.messages import Response
 from server_harness import ServerHarness, read_all
 from virtual_time import run_in_virtual_time
@@ -13,7 +16,7 @@
 LENGTH = b'Content-Length: %d\r\n' % (len(INNER) + 5)
 
 
-def play(sent):
+def play(sent, limits=None):
     """Return the requests that reach the handler, and all that is answered."""
     handled = []
     received = []
@@ -24,7 +27,9 @@
 
     async def body():
         async with trio.open_nursery() as nursery:
-            harness = ServerHarness(nursery=nursery, handler=answer)
+            harness = ServerHarness(
+                nursery=nursery, handler=answer, limits=limits
+            )
             stream = harness.connect()
             await stream.send_all(sent)
             await stream.send_eof()
@@ -34,6 +39,23 @@
     return handled, received[0]
 
 
+@pytest.mark.parametrize('part', ['head', 'trailer'])
+@pytest.mark.parametrize('byte', [b'\x00', b'\x0b', b'\x0c', b'\r'])
+def test_blanks_before_an_illegal_byte_take_linear_time(part, byte):
+    """Guards against a caller whose head stops the event loop."""
+    limits = ServerLimits(header_bytes=400_000)
+    line = b'x:' + b' ' * 150_000 + byte + b'a\r\n\r\n'
+    sent = b'POST /x HTTP/1.1\r\n' + HOST
+    if part == 'trailer':
+        sent += CHUNKED + b'\r\n0\r\n'
+    began_at = time.process_time()
+    handled, answer = play(sent + line, limits)
+    assert not handled
+    assert answer.startswith(b'HTTP/1.1 400')
+    # Quadratic time takes over a minute.
+    assert time.process_time() - began_at < 5
+
+
 @pytest.mark.parametrize('version', [b'1.0', b'1.1'])
 @pytest.mark.parametrize(
     'framing',
