--- a/src/limpetdrift/transport/request_heads.py
+++ b/src/limpetdrift/transport/request_heads.py
@@ -24,8 +24,8 @@
 _HEAD_END = b'\r\n\r\n'
 # A line feed before a blank, or without a carriage return before it.
 _BAD_LINE_END = re.compile(rb'\n(?:[ \t]|(?<!\r\n))')
-# Bytes that no head may hold. h11 matches blanks before one of them in quadratic
-# time, which matters in heads over ``_LONG_HEAD_BYTES``.
+# Bytes that no head may hold. h11 matches blanks before one of them in
+# quadratic time, which matters in heads over ``_LONG_HEAD_BYTES``.
 _BAD_BYTE = re.compile(rb'[\x00\x0b\x0c]|\r(?!\n)')
 _LONG_HEAD_BYTES = 512
 # The first byte of a request line; a TLS handshake begins with another one.
