--- a/src/limpetdrift/programs/entry_wiring.py
+++ b/src/limpetdrift/programs/entry_wiring.py
@@ -36,10 +36,7 @@
 from limpetdrift.coordination.runs.run_streams import add_owner_stream_routes
 from limpetdrift.programs.process_accounts import make_process_accounts
 from limpetdrift.programs.run_wiring import RequestInputs, Wiring, build_runs
-from limpetdrift.programs.serving import (
-    Task,
-    add_health_routes,
-)
+from limpetdrift.programs.serving import Task, add_health_routes
 from limpetdrift.programs.site_wiring import (
     SiteView,
     build_membership,
--- a/src/limpetdrift/transport/connection_account.py
+++ b/src/limpetdrift/transport/connection_account.py
@@ -37,9 +37,9 @@
 # Descriptors that the platform reserves for files.
 FILE_DESCRIPTORS = 200
 MIN_CONNECTIONS = 16
-# Free memory is returned to the system once less than the second share of the
-# account is used, after more than the first one was.
-_HIGH_SHARE = 0.25
+# Free memory is returned to the system once less than ``_LOW_SHARE`` of the
+# account is used, after more than ``_FILLED_SHARE`` was.
+_FILLED_SHARE = 0.25
 _LOW_SHARE = 0.125
 _RETURN_DELAY_SECONDS = 1.0
 # Share of an account in which long bodies have room, and that which they get
@@ -105,7 +105,7 @@
         self._holders: dict[Holder, None] = {}
         self._is_full = False
         self._is_crowded = False
-        self._is_high = False
+        self._was_filled = False
 
     @property
     def used_bytes(self) -> int:
@@ -182,14 +182,14 @@
         if self._is_full and self._has_room(CONNECTION_BYTES, connections=1):
             self._is_full = False
             note('connections have room again', account=self._limits.name)
-        if self._is_high:
-            self._is_high = False
+        if self._was_filled:
+            self._was_filled = False
             trio.lowlevel.spawn_system_task(_return_memory_later)
 
     def _charge(self, amount: int) -> None:
         self._used_bytes += amount
-        if self._used_bytes > _HIGH_SHARE * self._limits.memory_bytes:
-            self._is_high = True
+        if self._used_bytes > _FILLED_SHARE * self._limits.memory_bytes:
+            self._was_filled = True
 
     def _has_room(self, amount: int, *, connections: int = 0) -> bool:
         limits = self._limits
--- a/src/limpetdrift/transport/shedding.py
+++ b/src/limpetdrift/transport/shedding.py
@@ -12,8 +12,8 @@
 
 Key = TypeVar('Key')
 
-# A request without a byte for this time has stalled. Networks lose and resend
-# a segment within it.
+# A request or answer without progress for this time has stalled. Networks lose
+# and resend a segment within it.
 STALL_SECONDS = 2.0
 # Callers that keep a connection open send the next request mostly sooner.
 MIN_IDLE_SECONDS = 1.0
