Use the status that messages name, and drop an unused parameter

Found on reading the diff: UNAVAILABLE stood in transport/messages.py already, and no test gave ask_until_served a body. The 22 tests of test_crowds hold, alone.

--- a/src/limpetdrift/transport/holding.py
+++ b/src/limpetdrift/transport/holding.py
@@ -4,11 +4,12 @@
 
 import trio
 
-from limpetdrift.transport.bad_input import UNAVAILABLE, BadInputError
+from limpetdrift.transport.bad_input import BadInputError
 from limpetdrift.transport.connection_account import (
     CONNECTION_BYTES,
     ConnectionAccount,
 )
+from limpetdrift.transport.messages import UNAVAILABLE
 from limpetdrift.transport.shedding import ConnectionUsage, Phase
 
 # Body of a request that ``CONNECTION_BYTES`` covers.
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -20,7 +20,7 @@
 from limpetdrift import telemetry
 from limpetdrift.supervision import keep_running, run_contained
 from limpetdrift.transport.accepting import SharedListener, accept_queued
-from limpetdrift.transport.bad_input import UNAVAILABLE, BadInputError
+from limpetdrift.transport.bad_input import BadInputError
 from limpetdrift.transport.connection import (
     HEAD_READ_BYTES,
     Connection,
@@ -34,6 +34,7 @@
     CutTotals,
 )
 from limpetdrift.transport.messages import (
+    UNAVAILABLE,
     Address,
     Headers,
     Request,
--- a/tests/crowd_site.py
+++ b/tests/crowd_site.py
@@ -41,7 +41,7 @@
     return Address(host=site.entries[0].host, port=site.port + listener)
 
 
-async def ask_until_served(site, name, body=b'hello'):
+async def ask_until_served(site, name):
     """Send ordinary requests, one after the other, until one is served."""
     client = HttpClient()
     with trio.move_on_after(HANG_SECONDS):
@@ -57,7 +57,7 @@
                         ('authorization', 'Bearer key-0'),
                         ('deadline-ms', '15000'),
                     ),
-                    body=body,
+                    body=b'hello',
                 ),
                 timeout_seconds=15.0,
                 new_connection=True,
