--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,104 +1,102 @@
-"""A machine that is cut off from the servers goes back to an older version.
+"""Machines that are cut off from all servers don't use their peers.
 
-Its peers carry its requests by their own desired state. One of them is
-partitioned from the store, so that it learns of a new version later. Without
-trouble no machine is cut off from anything.
+The servers of the service name a limit that no traffic comes near. Without
+trouble they name it as well, and no machine is cut off.
 """
 
 import asyncio
-import math
 import time
 from dataclasses import dataclass
+from itertools import count
 from pathlib import Path
 
-from standins_2 import BROKEN, HELD, UNUSABLE, Site, ask, run_case
-
-OLD_SERVICE, NEW_SERVICE = 'kiosk-desk', 'status-desk'
-JOIN_SECONDS = 5.0
-CUT_SECONDS = 3.0
-CHANGE_AFTER_SECONDS = 0.1
-PLAY_SECONDS = 1.9
-INTERVAL_SECONDS = 0.05
-WAIT_SECONDS = 1.0
-ROLLBACK_SLACK_SECONDS = 0.25
+from standins_2 import BROKEN, HELD, OK, UNUSABLE, Entry, Site, ask, run_case
+
+MACHINES = 4
+CUT_MACHINES = 2
+# Requests a second that each server takes; all together get 40.
+LIMIT = '200'
+JOIN_SECONDS = 4.0
+CALM_SECONDS = 4.0
+CUT_SECONDS = 12.0
+CONTACT_SECONDS = 3.0
+INTERVAL_SECONDS = 0.2
+WAIT_SECONDS = 1.5
+KINDS = ('job-confirm', 'status-check')
+# From the rule: less than two thirds of the others' share, and more than 10 +
+# 1 in 50 of the first tries.
+LEAST_SHARE = 2 / 3
+FAILED_BASE = 10
+FAILED_SHARE = 1 / 50
+# Each request has an id of its own.
+numbers = count()
 
 
 @dataclass(frozen=True, kw_only=True)
-class Sent:
-    """A request of a client to the machine, and when it was sent."""
+class FirstTry:
+    """A client's first try at a machine, and how it ended."""
 
-    name: str
     at: float
+    entry: Entry
+    status: int
 
 
-async def send_all(site: Site, seconds: float, sent: list[Sent]) -> None:
-    """Send requests to the first machine for a time, one each interval."""
-    ends_at = time.monotonic() + seconds
+async def send_all(site: Site, ends_at: float, tries: list[FirstTry]) -> None:
+    """Send requests of each kind to each machine until a time."""
     calls = []
     while time.monotonic() < ends_at:
-        request = Sent(name=f'request-{len(sent)}', at=time.monotonic())
-        sent.append(request)
-        call = call_once(site, request.name)
-        calls.append(asyncio.create_task(call))
+        for entry in site.entries:
+            for kind in KINDS:
+                name = f'{kind}-{next(numbers)}'
+                call = call_once(site, entry, name, f'/{kind}/x', tries)
+                calls.append(asyncio.create_task(call))
         await asyncio.sleep(INTERVAL_SECONDS)
     await asyncio.gather(*calls)
 
 
-async def call_once(site: Site, name: str) -> None:
-    """Send one request to the first machine."""
-    site.record.write(name, 'sent to the first machine')
-    status = await ask(site.entries[0], name, '/status-check/x', WAIT_SECONDS)
-    site.record.write(name, 'answered', status)
-
-
-def find_runs(site: Site, service: str) -> dict[str, float]:
-    """Return when requests ran at a service, by their ids."""
-    servers = [each for each in site.servers if each.service == service]
-    return {name: at for each in servers for name, at in each.runs.items()}
+async def call_once(
+    site: Site, entry: Entry, name: str, target: str, tries: list[FirstTry]
+) -> None:
+    """Send one request to one machine."""
+    at = time.monotonic()
+    status = await ask(entry, name, target, WAIT_SECONDS)
+    site.record.write(name, 'at', entry.host, 'answered', status)
+    tries.append(FirstTry(at=at, entry=entry, status=status))
 
 
-def count_regressions(site: Site, sent: list[Sent]) -> int:
-    """Return how many requests ran as only the older version allows.
-
-    They were sent more than the slack after a server saw the newer version, by
-    a request that was sent to the same machine.
-    """
-    moved = find_runs(site, NEW_SERVICE)
-    others = find_runs(site, OLD_SERVICE)
-    seen_at = min(moved.values(), default=math.inf)
-    back = [
-        f'{each.name} after {each.at - seen_at:.3f} s'
-        for each in sent
-        if each.at > seen_at + ROLLBACK_SLACK_SECONDS and each.name in others
-    ]
-    site.record.write('requests run:', len(moved) + len(others))
-    site.record.write('ran at the new service:', len(moved))
-    site.record.write('ran at the old service after that:', back)
-    return len(back)
+def is_broken(site: Site, cut: list[FirstTry], others: list[FirstTry]) -> bool:
+    """Return whether the rule was broken by these first tries."""
+    served = sum(each.status == OK for each in cut)
+    served_elsewhere = sum(each.status == OK for each in others)
+    site.record.write('at machines cut off:', served, 'of', len(cut))
+    site.record.write('at the others:', served_elsewhere, 'of', len(others))
+    share = served / len(cut)
+    share_elsewhere = served_elsewhere / len(others)
+    failed = len(cut) - served
+    is_worse = share < LEAST_SHARE * share_elsewhere
+    return is_worse and failed > FAILED_BASE + FAILED_SHARE * len(cut)
 
 
 async def play(site: Site, has_trouble: bool) -> int:
-    """Return whether the machine went back to an older version."""
-    services = {OLD_SERVICE: 3, NEW_SERVICE: 3}
-    if not await site.open(entries=3, services=services):
+    """Return whether the machines that are cut off served their clients."""
+    if not await site.open(entries=MACHINES, services={'kiosk-desk': 3}):
         return UNUSABLE
-    site.write_configuration(2, {})
+    for server in site.servers:
+        server.signals = (('Server-Limit', LIMIT),)
     await asyncio.sleep(JOIN_SECONDS)
-    first, second, _ = site.entries
+    await send_all(site, time.monotonic() + CALM_SECONDS, [])
+    cut_machines = set(site.entries[:CUT_MACHINES])
     if has_trouble:
-        site.record.write('the first machine is cut off from all servers')
+        site.record.write('two machines are cut off from all servers')
         for server in site.servers:
-            server.cut.entries.add(first)
-    sent: list[Sent] = []
-    await send_all(site, CUT_SECONDS, sent)
-    if has_trouble:
-        site.record.write('the second machine is partitioned from the store')
-        site.store.cut.entries.add(second)
-    await asyncio.sleep(CHANGE_AFTER_SECONDS)
-    site.write_configuration(3, {'status-check': NEW_SERVICE})
-    site.record.write('the store has acknowledged version 3')
-    await send_all(site, PLAY_SECONDS, sent)
-    return BROKEN if count_regressions(site, sent) else HELD
+            server.cut.entries.update(cut_machines)
+    cut_at = time.monotonic()
+    tries: list[FirstTry] = []
+    await send_all(site, cut_at + CUT_SECONDS, tries)
+    counted = [each for each in tries if each.at > cut_at + CONTACT_SECONDS]
+    cut = [each for each in counted if each.entry in cut_machines]
+    others = [each for each in counted if each.entry not in cut_machines]
+    return BROKEN if is_broken(site, cut, others) else HELD
 
 
 if __name__ == '__main__':
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -268,6 +268,8 @@
     runs: dict[str, float] = field(default_factory=dict)
     # The entries whose channels are reset.
     cut: Cut = field(default_factory=Cut)
+    # Headers of all answers to requests, beside those that each has.
+    signals: tuple[tuple[str, str], ...] = ()
 
     async def start(self, store: Store) -> None:
         """Listen, and write the row of the list."""
@@ -294,6 +296,7 @@
             body,
             ('Attempt-Id', name),
             ('Server-Seal', f'{self.name}.{name}'),
+            *self.signals,
         )
 
     async def _serve(
