Take an answer as broken if its connection was reset during the upload

A server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer (MIXED).

Cause: a socket reports a reset once, to the sender or the receiver. When the task that sends a long request gets it, the one that reads the answer finds an ordinary end of the connection, which ends an answer without a length.

Change: at the end of a connection whose request is still being written, the reader stops the sender and asks whether it failed.

An orderly end during an upload still ends an answer.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -78,16 +78,27 @@
 class _PooledConnection:
     """A connection, its h11 state and the time since which it is idle.
 
-    ``is_sent`` is whether the last request was written to its end.
+    ``is_sent`` is whether the last request was written to its end, and
+    ``sending`` the state of a long one.
     """
 
     stream: trio.abc.Stream
     protocol: h11.Connection
     is_sent: bool = False
+    sending: '_Sending | None' = None
     reused: bool = False
     idle_since: float = 0.0
 
 
+@dataclass(kw_only=True, slots=True)
+class _Sending:
+    """A long request that is sent while its answer is read."""
+
+    scope: trio.CancelScope
+    ended: trio.Event
+    has_failed: bool = False
+
+
 class IdleTimeout:
     """Cancels a call that waits for its peer longer than the idle timeout.
 
@@ -442,6 +453,7 @@
     A server may respond before it has read a long body, and read no further.
     """
     connection.is_sent = False
+    connection.sending = None
     idle_timeout.start()
     if len(parts) == 1:
         try:
@@ -453,8 +465,11 @@
         yield
         return
     failure = None
+    connection.sending = _Sending(scope=trio.CancelScope(), ended=trio.Event())
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_send_long, connection, parts, idle_timeout)
+        nursery.start_soon(
+            _send_long, connection, connection.sending, parts, idle_timeout
+        )
         # Raised outside of the nursery, which would wrap it.
         try:
             yield
@@ -467,14 +482,34 @@
 
 async def _send_long(
     connection: _PooledConnection,
+    sending: _Sending,
     parts: tuple[bytes, ...],
     idle_timeout: IdleTimeout,
 ) -> None:
     try:
-        await _send(connection, parts, idle_timeout)
+        with sending.scope:
+            await _send(connection, parts, idle_timeout)
     except _BROKEN_ERRORS as error:
-        # The response may have arrived before; else reading it fails, too.
+        # A response of a known length may have arrived whole before.
+        sending.has_failed = True
         telemetry.count('requests_sent_in_part', reason=type(error).__name__)
+    finally:
+        sending.ended.set()
+
+
+async def _check_end(connection: _PooledConnection) -> None:
+    """Raise ``BrokenResourceError`` if the peer did not end a connection.
+
+    A socket reports that its connection was reset once, to the one that sends
+    or the one that receives. The other then finds an ordinary end.
+    """
+    sending = connection.sending
+    if sending is None:
+        return
+    sending.scope.cancel()
+    await sending.ended.wait()
+    if sending.has_failed:
+        raise trio.BrokenResourceError('reset while the request was sent')
 
 
 async def _send(
@@ -539,6 +574,8 @@
             idle_timeout.start()
             received = await connection.stream.receive_some(RECEIVE_BYTES)
             idle_timeout.stop()
+            if not received:
+                await _check_end(connection)
             connection.protocol.receive_data(received)
     except _BROKEN_ERRORS as error:
         raise FailureError(
--- a/tests/test_early_responses.py
+++ b/tests/test_early_responses.py
@@ -1,5 +1,8 @@
 """Servers that answer a long request before they have read its body."""
 
+import socket
+import struct
+
 import pytest
 import trio
 
@@ -109,3 +112,40 @@
 
     trio.run(main)
     assert b''.join(parts) == b'early'
+
+
+# Abortive close: the connection is reset at once.
+LINGER = struct.pack('ii', 1, 0)
+UNFRAMED = b'HTTP/1.1 200 OK\r\n\r\nfirst part'
+
+
+async def answer_in_part_and_reset(stream):
+    await stream.receive_some(1000)
+    await stream.send_all(UNFRAMED)
+    await trio.sleep(0.05)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER)
+    stream.socket.close()
+
+
+async def answer_whole_and_end(stream):
+    await stream.receive_some(1000)
+    await stream.send_all(UNFRAMED)
+    await stream.send_eof()
+    await trio.sleep_forever()
+
+
+def test_unframed_answer_that_is_reset_while_the_body_is_sent_is_not_whole():
+    """Guards against the part of an answer that passed for the whole (MIXED).
+
+    Whether the reset reaches the sender or the receiver is left to chance.
+    """
+    results, _ = fetch(answer_in_part_and_reset, count=24)
+    for each in results:
+        assert each.is_error()
+        assert each.error.reason is Reason.CONNECTION_BROKEN
+        assert each.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_unframed_answer_that_ends_while_the_body_is_sent_is_whole():
+    results, _ = fetch(answer_whole_and_end, count=8)
+    assert {each.ok.body for each in results} == {b'first part'}
