Read answers by one rule of what a sound head is, and fuzz them

Here a blank before a name passed: the line was joined to the value before it, so that a length or chunks which it named were not seen.

Cause: what an answer is was left to h11, which repairs heads: folded lines, line feeds alone, a length beside chunks, chunks of HTTP/1.0, other versions, control bytes in values.

Change: transport/response_heads.py is the rule for the heads of all answers, since HttpClient reads those of endpoints, peers, the store, probes and notices.

--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -19,6 +19,7 @@
 from expression import Error, Ok, Result
 
 from limpetdrift import telemetry
+from limpetdrift.transport.bodies import drop_first
 from limpetdrift.transport.messages import (
     Address,
     Headers,
@@ -26,6 +27,11 @@
     Response,
     encode_headers,
 )
+from limpetdrift.transport.response_heads import (
+    UnsoundAnswerError,
+    check_response,
+    find_response_head,
+)
 from limpetdrift.verdict import (
     Failure,
     FailureError,
@@ -48,6 +54,7 @@
     trio.BrokenResourceError,
     trio.ClosedResourceError,
     h11.RemoteProtocolError,
+    UnsoundAnswerError,
 )
 
 
@@ -418,7 +425,8 @@
     idle_timeout: IdleTimeout,
     whole_bytes: int,
 ) -> ResponseStream:
-    event = await _next_event(connection, idle_timeout)
+    received = bytearray()
+    event = await _next_head(connection, idle_timeout, received)
     interim_count = 0
     while isinstance(event, h11.InformationalResponse):
         interim_count += 1
@@ -428,11 +436,9 @@
                     Reason.BAD_ANSWER, f'{address}: only interim responses'
                 ),
             )
-        event = await _next_event(connection, idle_timeout)
-    if not isinstance(event, h11.Response):
-        raise FailureError(
-            may_have_run(Reason.CONNECTION_BROKEN, f'{address}: no response'),
-        )
+        event = await _next_head(connection, idle_timeout, received)
+    if received:
+        connection.protocol.receive_data(bytes(received))
     return ResponseStream(
         status=event.status_code,
         headers=_decode_headers(event.headers),
@@ -562,6 +568,42 @@
     return f'{request.path}?{urlencode(request.query)}'
 
 
+async def _next_head(
+    connection: _PooledConnection,
+    idle_timeout: IdleTimeout,
+    received: bytearray,
+) -> h11.Response | h11.InformationalResponse:
+    """Read the next head; bytes after it stay in ``received``."""
+    try:
+        end = await _receive_head(connection, idle_timeout, received)
+        connection.protocol.receive_data(bytes(received[:end]))
+        head = connection.protocol.next_event()
+        check_response(head)
+    except _BROKEN_ERRORS as error:
+        raise FailureError(
+            may_have_run(Reason.CONNECTION_BROKEN, repr(error)),
+        ) from error
+    drop_first(received, end)
+    return head
+
+
+async def _receive_head(
+    connection: _PooledConnection,
+    idle_timeout: IdleTimeout,
+    received: bytearray,
+) -> int:
+    """Receive until a head is whole; return its length."""
+    end = find_response_head(received) if received else 0
+    while not end:
+        checked = len(received)
+        part = await _receive(connection, idle_timeout)
+        if not part:
+            raise UnsoundAnswerError('no response')
+        received += part
+        end = find_response_head(received, checked)
+    return end
+
+
 async def _next_event(
     connection: _PooledConnection,
     idle_timeout: IdleTimeout,
@@ -571,18 +613,26 @@
             event = connection.protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            idle_timeout.start()
-            received = await connection.stream.receive_some(RECEIVE_BYTES)
-            idle_timeout.stop()
-            if not received:
+            part = await _receive(connection, idle_timeout)
+            if not part:
                 await _check_end(connection)
-            connection.protocol.receive_data(received)
+            connection.protocol.receive_data(part)
     except _BROKEN_ERRORS as error:
         raise FailureError(
             may_have_run(Reason.CONNECTION_BROKEN, repr(error)),
         ) from error
 
 
+async def _receive(
+    connection: _PooledConnection, idle_timeout: IdleTimeout
+) -> bytes:
+    """Return the next bytes, none if the peer has ended the connection."""
+    idle_timeout.start()
+    part = await connection.stream.receive_some(RECEIVE_BYTES)
+    idle_timeout.stop()
+    return part
+
+
 def _decode_headers(headers: h11._headers.Headers) -> Headers:  # noqa: WPS437
     return tuple(
         (name.decode('ascii'), text.decode('latin-1')) for name, text in headers
--- a/tests/fuzz/run.py
+++ b/tests/fuzz/run.py
@@ -19,6 +19,7 @@
 
 from hypothesis import strategies as st
 
+from fuzz.answers import ANSWERS, SentAnswer, check_answer
 from fuzz.crowds import CROWDS_IN_A_ROW, check_crowds
 from fuzz.decoders import DOCUMENTS, check_document
 from fuzz.grammar import SentRequest, play_seed
@@ -29,7 +30,13 @@
 
 SECONDS_PER_MINUTE = 60
 # Inputs of one seed. Each input of the running site takes seconds.
-EXAMPLES = {'decoders': 500, 'wire': 300, 'site': 2, 'crowds': 2}
+EXAMPLES = {
+    'decoders': 500,
+    'wire': 300,
+    'answers': 200,
+    'site': 2,
+    'crowds': 2,
+}
 
 
 @dataclass(kw_only=True)
@@ -50,6 +57,7 @@
         'wire': partial(
             _check, EXAMPLES['wire'], CONNECTIONS, _check_connection
         ),
+        'answers': partial(_check, EXAMPLES['answers'], ANSWERS, _check_answer),
         'site': partial(
             _check,
             EXAMPLES['site'],
@@ -103,6 +111,10 @@
     check_connection(*found)
 
 
+def _check_answer(found: tuple[SentAnswer, bool, bool]) -> None:
+    check_answer(*found)
+
+
 def _check_on_new_site(production: str, inputs: list[SpoiledInput]) -> None:
     with tempfile.TemporaryDirectory(prefix='fuzz-') as folder:
         check_site(inputs, Path(folder), production)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -33,7 +33,7 @@
 "zone": "zone-1", "version": "v1", "slots": 8, "state": "ready", "born": 1}"""
 
 
-@pytest.mark.parametrize('name', ['decoders', 'wire'])
+@pytest.mark.parametrize('name', ['decoders', 'wire', 'answers'])
 @pytest.mark.parametrize('number', range(2))
 def test_no_input_of_a_seed_breaks_a_promise(name, number):
     report = Report()
