Parse heads of many lines in turn, and count their lines

Cause: a head was taken for as costly as its bytes. Parsed lines take many times as much memory, which nothing counted and which was kept while the body was awaited, and all heads that had arrived were parsed in one pass of the loop.

Change: a head of more than 64 lines is parsed in turn and leaves as much time to others as it took; its lines count in the account; while its body is awaited it is kept as bytes.

The crowds of the fuzzer have the shape.

Issues: 57, 63

--- a/src/limpetdrift/transport/holding.py
+++ b/src/limpetdrift/transport/holding.py
@@ -14,6 +14,8 @@
 
 # Body of a request that ``CONNECTION_BYTES`` covers.
 SHORT_BODY_BYTES = 16_384
+# What a line of a request's head counts for, once it is parsed.
+LINE_BYTES = 256
 # Least bytes of a read that keep a request from having stalled.
 MIN_PROGRESS_BYTES = 1024
 
@@ -31,7 +33,8 @@
         self._drop = drop
         self._phase = Phase.IDLE
         self._progress_at = trio.current_time()
-        self._held_bytes = CONNECTION_BYTES
+        self._body_bytes = 0
+        self._line_bytes = 0
         self._answer_bytes = 0
         self._is_shed = False
 
@@ -49,7 +52,10 @@
         """Return what the connection holds, for its account."""
         return ConnectionUsage(
             phase=self._phase,
-            held_bytes=self._held_bytes + self._answer_bytes,
+            held_bytes=CONNECTION_BYTES
+            + self._body_bytes
+            + self._line_bytes
+            + self._answer_bytes,
             progress_at=self._progress_at,
         )
 
@@ -64,7 +70,7 @@
 
     def leave(self) -> None:
         """Count the connection no longer."""
-        self._account.close(self, self._held_bytes + self._answer_bytes)
+        self._account.close(self, self.usage().held_bytes)
 
     def enter(self, phase: Phase) -> None:
         """Begin a phase, which is progress."""
@@ -89,15 +95,23 @@
 
         Raises ``BadInputError`` if the account has no room for them.
         """
-        needed = CONNECTION_BYTES + max(0, length - SHORT_BODY_BYTES)
-        amount = needed - self._held_bytes
-        if not amount:
-            return
-        if amount > 0 and not self._account.reserve(self, amount):
-            raise _no_room()
-        if amount < 0:
-            self._account.release(-amount)
-        self._held_bytes = needed
+        needed = max(0, length - SHORT_BODY_BYTES)
+        _reserve(self, needed - self._body_bytes)
+        self._body_bytes = needed
+
+    def reserve_lines(self, count: int) -> None:
+        """Count the lines of a head, before they are parsed.
+
+        Raises ``BadInputError`` if the account has no room for them.
+        """
+        needed = count * LINE_BYTES
+        _reserve(self, needed - self._line_bytes)
+        self._line_bytes = needed
+
+    def release_request(self) -> None:
+        """Count a request that was answered no longer."""
+        self.reserve_lines(0)
+        self.reserve_body(0)
 
     def hold_answer(self, length: int) -> None:
         """Count an answer that the peer doesn't read at once, until 0 is left.
@@ -113,5 +127,12 @@
             self._account.release(-amount)
 
 
+def _reserve(holding: Holding, amount: int) -> None:
+    if amount > 0 and not holding.account.reserve(holding, amount):
+        raise _no_room()
+    if amount < 0 and not holding.is_shed:
+        holding.account.release(-amount)
+
+
 def _no_room() -> BadInputError:
     return BadInputError(UNAVAILABLE, 'no memory for the request now')
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -1,6 +1,7 @@
 """Reads requests from a connection, within its limits."""
 
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager, nullcontext
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
@@ -27,6 +28,10 @@
 )
 from limpetdrift.transport.shedding import Phase
 
+# Lines of a head that need no turn and no memory beside their connection's.
+FEW_LINES = 64
+_NO_TURN = nullcontext()
+
 # Moves what has arrived of a body to its buffer; returns whether it is whole.
 _ReadBody = Callable[[], bool]
 
@@ -44,9 +49,8 @@
     request = None
     try:
         with connection.begin_request():
-            head = await _receive_head(connection)
-            await _receive_body(connection, head)
-            request = _make_request(head, connection.body.join())
+            head_bytes = await _receive_head(connection)
+            request = await _receive_rest(connection, head_bytes)
     except h11.RemoteProtocolError as error:
         status = error.error_status_hint or BAD_REQUEST
         raise BadInputError(status, str(error)) from error
@@ -57,7 +61,8 @@
     return request
 
 
-async def _receive_head(connection: Connection) -> h11.Request:
+async def _receive_head(connection: Connection) -> bytes:
+    """Return a whole head, before anything of it is parsed."""
     limits = connection.limits
     received = connection.received
     length = find_head_end(received)
@@ -68,28 +73,86 @@
             raise BadInputError(HEADERS_TOO_LARGE, 'headers over the limit')
         await connection.receive_more(HEAD_READ_BYTES, until)
         length = find_head_end(received, checked)
-    # h11 gets no byte of the body, whose chunks it would parse one by one.
-    connection.protocol.receive_data(bytes(received[:length]))
+    head_bytes = bytes(received[:length])
     drop_first(received, length)
-    event = connection.protocol.next_event()
-    if not isinstance(event, h11.Request):
-        raise BadInputError(BAD_REQUEST, 'no request')
-    check_head(event)
+    return head_bytes
+
+
+async def _receive_rest(connection: Connection, head_bytes: bytes) -> Request:
+    """Receive the body, and return the request.
+
+    One head of many lines is parsed at a time, and other tasks go on before
+    the next one. While its body is awaited, it is kept as bytes, since its
+    parsed lines take many times as much memory.
+    """
+    lines = head_bytes.count(b'\n')
+    turn: AbstractAsyncContextManager[None] = _NO_TURN
+    if lines > FEW_LINES:
+        turn = connection.holding.account.parse_turn
+    async with turn:
+        began_at = trio.current_time()
+        _count_lines(connection, lines)
+        head = _parse_head(connection, head_bytes)
+        read_body = _make_reader(connection, head)
+        is_awaited = connection.protocol.they_are_waiting_for_100_continue
+        request = None
+        if not is_awaited and read_body():
+            request = _make_request(head, connection.body.join())
+        if lines > FEW_LINES:
+            head = None
+            await _leave_time(began_at)
+    if request is not None:
+        return request
+    connection.holding.reserve_lines(0)
+    await _receive_body(connection, read_body)
+    async with turn:
+        _count_lines(connection, lines)
+        if head is None:
+            head = _read_head(h11.Connection(h11.SERVER), head_bytes)
+        return _make_request(head, connection.body.join())
+
+
+async def _leave_time(began_at: float) -> None:
+    """Let other tasks run for as long as a head has taken to parse."""
+    await trio.sleep(trio.current_time() - began_at)
+
+
+def _count_lines(connection: Connection, lines: int) -> None:
+    """Count the lines of a head that is parsed next.
+
+    Raises ``BadInputError`` if they have no room.
+    """
+    if lines > FEW_LINES:
+        connection.holding.check()
+        connection.holding.reserve_lines(lines)
+
+
+def _parse_head(connection: Connection, head_bytes: bytes) -> h11.Request:
+    # h11 gets no byte of the body, whose chunks it would parse one by one.
+    head = _read_head(connection.protocol, head_bytes)
+    check_head(head)
     # The whole head may have arrived in one read.
-    size = sum(len(name) + len(text) for name, text in event.headers)
-    if size > limits.header_bytes:
+    size = sum(len(name) + len(text) for name, text in head.headers)
+    if size > connection.limits.header_bytes:
         raise BadInputError(HEADERS_TOO_LARGE, 'headers over the limit')
+    return head
+
+
+def _read_head(protocol: h11.Connection, head_bytes: bytes) -> h11.Request:
+    protocol.receive_data(head_bytes)
+    event = protocol.next_event()
+    if not isinstance(event, h11.Request):
+        raise BadInputError(BAD_REQUEST, 'no request')
     return event
 
 
-async def _receive_body(connection: Connection, head: h11.Request) -> None:
-    read_body = _make_reader(connection, head)
+async def _receive_body(connection: Connection, read_body: _ReadBody) -> None:
     if connection.protocol.they_are_waiting_for_100_continue:
         await connection.send(
             h11.InformationalResponse(status_code=100, headers=[]),
         )
-    if read_body():
-        return
+        if read_body():
+            return
     limits = connection.limits
     arrived_bytes = 0
     waited_seconds = 0.0
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -326,7 +326,7 @@
     async def _serve_requests(self, connection: Connection) -> None:
         protocol = connection.protocol
         while await self._serve_request(connection):
-            connection.holding.reserve_body(0)
+            connection.holding.release_request()
             if {protocol.our_state, protocol.their_state} != {h11.DONE}:
                 return
             if not connection.is_answered:
--- a/tests/crowd_callers.py
+++ b/tests/crowd_callers.py
@@ -77,6 +77,15 @@
     yield head + b'x-padding: ' + b'z' * (length - len(head))
 
 
+def many_lines(
+    number: int, lines: int, announced: int, *, key: str = 'key-0'
+) -> Parts:
+    """Send a head of many short lines, and none of the announced body."""
+    head = make_head(number, f'Content-Length: {announced}')
+    added = b''.join(b'h%d:\r\n' % (each % 10) for each in range(lines))
+    yield head[:-2].replace(b'key-0', key.encode()) + added + b'\r\n'
+
+
 def nothing(number: int) -> Parts:
     """Only connect."""
     return iter(())
--- a/tests/fuzz/crowds.py
+++ b/tests/fuzz/crowds.py
@@ -15,6 +15,7 @@
     announced_body,
     chunked_body,
     giant_chunk,
+    many_lines,
     nothing,
     requests_in_a_row,
     small_chunks,
@@ -27,6 +28,7 @@
 MAX_SMALL_CHUNKS_BYTES = 60_000
 MAX_REQUESTS = 200
 MAX_HEAD_BYTES = 20_000
+MAX_HEAD_LINES = 6500
 LISTENERS = 4
 
 _LENGTHS = st.integers(0, MAX_BODY_BYTES)
@@ -55,6 +57,13 @@
         st.just(unfinished_head),
         length=st.integers(200, MAX_HEAD_BYTES),
     ),
+    st.builds(
+        partial,
+        st.just(many_lines),
+        lines=st.integers(0, MAX_HEAD_LINES),
+        announced=st.sampled_from((0, 10)),
+        key=st.sampled_from(('key-0', 'unknown')),
+    ),
     st.just(nothing),
 )
 # The offset of a listener's port, the size of a crowd, and what it sends.
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -16,6 +16,7 @@
     announced_body,
     chunked_body,
     giant_chunk,
+    many_lines,
     nothing,
     requests_in_a_row,
     small_chunks,
@@ -127,6 +128,14 @@
     trio.run(check_memory, tmp_path, 10 * LARGE_CROWD, make_parts)
 
 
+@LISTENERS
+@pytest.mark.parametrize(('lines', 'announced'), [(3100, 0), (6000, 10)])
+def test_memory_with_heads_of_many_lines(tmp_path, listener, lines, announced):
+    """Guards against parsed lines that no account counts (review/6)."""
+    make_parts = partial(many_lines, lines=lines, announced=announced)
+    trio.run(check_memory, tmp_path, 2 * LARGE_CROWD, make_parts, listener)
+
+
 @LISTENERS
 def test_descriptors_with_idle_connections(tmp_path, listener):
     async def check():
@@ -159,6 +168,21 @@
     trio.run(check)
 
 
+def test_request_with_a_head_of_many_lines_is_served_in_calm(tmp_path):
+    async def check():
+        async with open_entry(tmp_path) as site:
+            stream = await trio.open_tcp_stream(site.entries[0].host, site.port)
+            async with stream:
+                for part in many_lines(0, 3100, 0):
+                    await stream.send_all(part)
+                answer = b''
+                with trio.move_on_after(HANG_SECONDS):
+                    answer = await stream.receive_some(65_536)
+            assert answer.startswith(b'HTTP/1.1 200')
+
+    trio.run(check)
+
+
 def test_large_request_in_small_chunks_is_served_in_calm(tmp_path):
     async def check():
         async with open_entry(tmp_path) as site:
