Free memory that is reserved for an engine that never begins

Cause: a silent attempt goes on, since its engine may only pause, and its memory was renewed for as long as it did.

Change: an attempt whose memory has had no event within 5.5 s, or 1.5 times the planned time to it plus 0.9 s if that is longer, ends, and its memory is released.

--- a/src/limpetdrift/coordination/forwarding/attempt_race.py
+++ b/src/limpetdrift/coordination/forwarding/attempt_race.py
@@ -37,11 +37,13 @@
     counts the events received, the first at ``answered_at``. ``has_written`` is
     set once a part of the answer went to the caller.
     ``failed`` lists endpoints that failed the attempt. ``placement`` is the
-    current one, since a placement that waits may be replaced.
+    current one, since a placement that waits may be replaced. ``memory_scope``
+    ends the attempt if the memory that is reserved for it stays unused.
     """
 
     race: 'AttemptRace'
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    memory_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     endpoint: ListedEndpoint | None = None
     placement: DispatchPlan | None = None
     silent_at: float = math.inf
@@ -69,8 +71,13 @@
         self.is_sent = True
         self.sent_at = trio.current_time()
 
+    def bound_unused_memory(self, timeout_seconds: float) -> None:
+        """End the attempt if no event of the answer comes in this time."""
+        self.memory_scope.deadline = trio.current_time() + timeout_seconds
+
     def count_event(self) -> None:
         """Record that an event of the answer has arrived."""
+        self.memory_scope.deadline = math.inf
         self.events += 1
         self.answered_at = min(self.answered_at, trio.current_time())
 
--- a/src/limpetdrift/coordination/forwarding/forwarding.py
+++ b/src/limpetdrift/coordination/forwarding/forwarding.py
@@ -47,6 +47,9 @@
     may_retry,
     schedule_try_beside,
 )
+from limpetdrift.coordination.forwarding.retry_policy import (
+    unused_memory_timeout_seconds,
+)
 from limpetdrift.logs import is_sampled
 from limpetdrift.protocol.route_table import RequestKind
 from limpetdrift.protocol.work import (
@@ -60,6 +63,7 @@
     Failure,
     FailureError,
     Reason,
+    may_have_run,
     not_run,
 )
 
@@ -242,9 +246,20 @@
         attempt: RacingAttempt,
         placement: DispatchPlan,
     ) -> Outcome:
+        if placement.reserved:
+            attempt.bound_unused_memory(
+                unused_memory_timeout_seconds(
+                    placement.read_seconds - placement.delay_seconds
+                )
+            )
+        # If the memory stays unused.
+        outcome: Outcome = Error(
+            may_have_run(Reason.IDLE_TIMEOUT, 'reserved memory was not used')
+        )
         try:
-            async with self._inputs.reserve_memory(placement) as reserved:
-                outcome = await self._send(progress, attempt, reserved)
+            with attempt.memory_scope:
+                async with self._inputs.reserve_memory(placement) as reserved:
+                    outcome = await self._send(progress, attempt, reserved)
         except FailureError as error:
             outcome = Error(error.failure)
         if outcome.is_error():
--- a/src/limpetdrift/coordination/forwarding/retry_policy.py
+++ b/src/limpetdrift/coordination/forwarding/retry_policy.py
@@ -19,6 +19,10 @@
 # seconds without an event.
 _FIRST_EVENT_MARGIN_SECONDS = 0.9
 _FIRST_EVENT_FACTOR = 1.5
+# Time from the reservation of memory to the first event, after which an engine
+# is taken for one that won't use the memory. If its release gets no answer, the
+# memory expires within the 9 s that the platform allows.
+_UNUSED_MEMORY_SECONDS = 5.5
 # Idle timeout of a begun stream, as a multiple of the longest pause that the
 # route allows, and its lower bound. After it another engine is tried as well.
 _IDLE_TIMEOUT_FACTOR = 3.0
@@ -105,6 +109,22 @@
     return min(seconds_left, timeout)
 
 
+def unused_memory_timeout_seconds(expected_seconds: float) -> float:
+    """Return how long memory is kept for an engine without a first event.
+
+    This handles engines that accept a prompt and never read it, also if no
+    other may be tried: the memory of its helpers would be kept from all others
+    until the deadline. ``expected_seconds`` is the planned time to the event.
+
+    >>> unused_memory_timeout_seconds(2.0)
+    5.5
+    """
+    return max(
+        _UNUSED_MEMORY_SECONDS,
+        expected_seconds * _FIRST_EVENT_FACTOR + _FIRST_EVENT_MARGIN_SECONDS,
+    )
+
+
 def stream_idle_timeout_seconds(
     route: Route,
     *,
--- a/tests/test_attempt_race.py
+++ b/tests/test_attempt_race.py
@@ -27,6 +27,7 @@
 from limpetdrift.platform.reservations import (
     ORDER_TIMEOUT_SECONDS,
     RELEASE_WAIT_SECONDS,
+    RESERVATION_TTL_SECONDS,
     make_reserver,
 )
 from limpetdrift.protocol.route_table import RequestKind
@@ -43,6 +44,8 @@
 
 IDEMPOTENT = make_route(kind=RequestKind.IDEMPOTENT, timeout_seconds=1.0)
 RELEASE_SECONDS = 2.0
+# Time for which the platform allows memory to be unused.
+IDLE_MEMORY_SECONDS = 9.0
 
 
 def serve(harness, route, *, seed=1, during=None):
@@ -468,3 +471,48 @@
     exchange, _ = serve(harness, IDEMPOTENT)
     assert [each.endpoint for each in harness.sent] == ['i-0']
     assert exchange.response.body == b'late'
+
+
+def place_with_memory(harness, reserved_at):
+    """Make placements reserve memory; record the times in ``reserved_at``."""
+
+    async def place(work, excluded):
+        placed = await harness._place(work, excluded)
+        return placed.map(
+            lambda plan: replace(
+                plan, reserved=((plan.endpoint, 1000),), read_seconds=0.5
+            )
+        )
+
+    @asynccontextmanager
+    async def reserve(placement):
+        began_at = trio.current_time()
+        try:
+            yield placement
+        finally:
+            reserved_at.append(trio.current_time() - began_at)
+
+    use(harness, place=place, reserve_memory=reserve)
+
+
+@pytest.mark.parametrize('attempt_limit', [1, 2])
+def test_memory_of_an_engine_that_never_begins_is_not_kept(attempt_limit):
+    """Guards against memory that nobody uses until the deadline (STUCK)."""
+    harness = make_harness(hang)
+    seconds = []
+    place_with_memory(harness, seconds)
+    route = make_route(timeout_seconds=15.0, attempt_limit=attempt_limit)
+    exchange, _ = serve(harness, route)
+    assert exchange.response.status == 502
+    assert len(seconds) == attempt_limit
+    assert max(seconds) + RESERVATION_TTL_SECONDS < IDLE_MEMORY_SECONDS
+
+
+def test_memory_of_a_stream_that_has_begun_is_kept_to_its_end():
+    harness = make_harness(paused_after(1, 8.0, events(1, 3)))
+    seconds = []
+    place_with_memory(harness, seconds)
+    route = make_route(timeout_seconds=15.0, attempt_limit=1)
+    exchange, _ = serve(harness, route)
+    assert numbers(exchange.payload) == [1, 2, 3]
+    assert seconds[0] > 8.0
