Bound the memory of answers, so that slow readers shut nobody out

Cause: an answer was counted only once it was there, and by half: its body was kept beside the bytes joined for the socket. What can't be refused was charged beyond the limit of the account, which then refused each new connection, while a caller that reads a little never counted as stalled.

Change: memory for an answer of more than 16 KiB is reserved before it is read, up to the share of the account that bodies have. Without room the answer is passed on as its caller reads it. A body is written without a copy. For a new connection the caller makes room that has taken longest to read, if for 2 s and if no idle connection can.

Crowds of the fuzzer ask for long answers. Two fakes of answers got the field that the forwarder uses now.

Issues: 57, 63

--- a/src/limpet_standins/platform_endpoints.py
+++ b/src/limpet_standins/platform_endpoints.py
@@ -366,6 +366,8 @@
         await exchange.abort()
         return
     body = exchange.request.header('attempt-id').encode()
+    # A caller may ask for a longer answer.
+    padding = b'z' * int(exchange.request.header('answer-bytes', '0'))
     await exchange.respond(
-        Response(status=_OK, headers=make_headers(), body=body)
+        Response(status=_OK, headers=make_headers(), body=body + padding)
     )
--- a/src/limpetdrift/coordination/forwarding/delivery.py
+++ b/src/limpetdrift/coordination/forwarding/delivery.py
@@ -22,6 +22,7 @@
     stream_idle_timeout_seconds,
 )
 from limpetdrift.protocol.work import CallerRequest, EndpointIdentity
+from limpetdrift.transport.holding import AnswerMemory
 from limpetdrift.transport.messages import Response
 from limpetdrift.transport.server import Exchange
 from limpetdrift.verdict import (
@@ -36,6 +37,10 @@
 # Longest body that is kept until it is whole, so that another endpoint can
 # answer if it breaks off.
 MAX_BUFFERED_BYTES = 1_048_576
+# Longest body for which no memory is reserved, and the part of a longer one for
+# which it is before it is read.
+SHORT_ANSWER_BYTES = 16_384
+ANSWER_READ_BYTES = 65_536
 # Longest body that is passed on. An endpoint that fails may send one without
 # end.
 MAX_BODY_BYTES = 67_108_864
@@ -108,10 +113,15 @@
         return Error(may_have_run(Reason.PEER_FAILED, detail))
     if answer.is_for_other_request or progress.is_head_sent:
         return Error(may_have_run(Reason.BAD_ANSWER, 'not what was asked'))
-    chunks = answer.chunks()
-    body = await _read_up_to(chunks, MAX_BUFFERED_BYTES)
+    memory = progress.exchange.make_answer_memory()
+    try:
+        chunks = answer.chunks()
+        body, is_whole = await _read_body(answer, chunks, memory)
+    finally:
+        # It counts again as it is written, at once.
+        memory.release()
     is_failure = is_failure_of_endpoint(progress.request.route, answer.status)
-    if len(body) > MAX_BUFFERED_BYTES:
+    if not is_whole:
         if is_failure:
             return Error(may_have_run(Reason.BAD_ANSWER, 'failure too long'))
         await _relay_long_body(progress, answer, attempt, body, chunks)
@@ -136,16 +146,30 @@
     return Ok(None)
 
 
-async def _read_up_to(chunks: AsyncIterator[bytes], limit: int) -> bytes:
-    """Read a body to its end, or until it is longer than ``limit`` bytes."""
+async def _read_body(
+    answer: EndpointResponse,
+    chunks: AsyncIterator[bytes],
+    memory: AnswerMemory,
+) -> tuple[bytes, bool]:
+    """Read a body as long as there is memory; return if it is whole, too.
+
+    It is not if it is longer than ``MAX_BUFFERED_BYTES``.
+    """
     received = []
     length = 0
+    is_whole = True
     async for chunk in chunks:
         received.append(chunk)
         length += len(chunk)
-        if length > limit:
+        if length <= SHORT_ANSWER_BYTES:
+            continue
+        is_whole = length <= MAX_BUFFERED_BYTES and memory.reserve(
+            length + ANSWER_READ_BYTES
+        )
+        if not is_whole:
             break
-    return b''.join(received)
+        answer.expect_bytes(ANSWER_READ_BYTES)
+    return b''.join(received), is_whole
 
 
 async def _relay_long_body(
@@ -162,6 +186,7 @@
     """
     await attempt.claim_answer()
     progress.is_answer_final = True
+    answer.expect_bytes(SHORT_ANSWER_BYTES)
     await _send_head(progress, answer)
     await progress.exchange.send(begin)
     length = len(begin)
--- a/src/limpetdrift/coordination/forwarding/endpoint_response.py
+++ b/src/limpetdrift/coordination/forwarding/endpoint_response.py
@@ -23,7 +23,8 @@
     refusal. A body that is not ``framed`` ends with its connection. ``load`` is
     the load that the endpoint reports in the response, if any. With
     ``is_failure_of_peer``, no endpoint has answered: the peer that was to pass
-    the request on got no answer.
+    the request on got no answer. ``expect_bytes`` sets how much of the body
+    may be read at a time.
     """
 
     status: int
@@ -36,6 +37,7 @@
     framed: bool = True
     failed_address: str = ''
     load: EndpointLoad | None = None
+    expect_bytes: Callable[[int], None] = lambda length: None
 
 
 # Sends a request to an endpoint. The arguments are the request, its placement,
--- a/src/limpetdrift/platform/carrying.py
+++ b/src/limpetdrift/platform/carrying.py
@@ -239,5 +239,6 @@
         is_for_other_request=answer.is_for_other_request,
         is_failure_of_peer=is_own and answer.status >= _SERVER_ERROR,
         chunks=answer.chunks,
+        expect_bytes=answer.expect_bytes,
         framed=answer.framed,
     )
--- a/src/limpetdrift/platform/endpoint_client.py
+++ b/src/limpetdrift/platform/endpoint_client.py
@@ -200,6 +200,7 @@
         failed_address=headers.get(header_names.FAILED_ADDRESS_HEADER, ''),
         load=parse_load(headers.get(header_names.LOAD_HEADER, '')),
         chunks=stream.chunks,
+        expect_bytes=stream.expect_bytes,
         framed='content-length' in headers or 'transfer-encoding' in headers,
     )
 
--- a/src/limpetdrift/transport/client.py
+++ b/src/limpetdrift/transport/client.py
@@ -40,6 +40,8 @@
     not_run,
 )
 
+# Maximum size of one read: of a head with a short body, and of a long body.
+HEAD_RECEIVE_BYTES = 16_384
 RECEIVE_BYTES = 262_144
 # Time without an acknowledgement after which a connection breaks, and interval
 # of the TCP keep-alive probes. The socket options take whole seconds.
@@ -86,13 +88,15 @@
     """A connection, its h11 state and the time since which it is idle.
 
     ``is_sent`` is whether the last request was written to its end, and
-    ``sending`` the state of a long one.
+    ``sending`` the state of a long one. ``read_bytes`` is the maximum size of
+    the next read.
     """
 
     stream: trio.abc.Stream
     protocol: h11.Connection
     is_sent: bool = False
     sending: '_Sending | None' = None
+    read_bytes: int = HEAD_RECEIVE_BYTES
     reused: bool = False
     idle_since: float = 0.0
 
@@ -149,6 +153,13 @@
         self._connection = connection
         self._idle_timeout = idle_timeout
 
+    def expect_bytes(self, length: int) -> None:
+        """Set how much of the body may be read at a time.
+
+        It is ``HEAD_RECEIVE_BYTES`` before, and ``RECEIVE_BYTES`` at most.
+        """
+        self._connection.read_bytes = min(RECEIVE_BYTES, length)
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in parts; raise ``FailureError`` if it breaks off."""
         while True:
@@ -160,6 +171,7 @@
     async def lines(self) -> AsyncIterator[bytes]:
         """Yield the body's lines without the trailing newlines."""
         rest = b''
+        self.expect_bytes(RECEIVE_BYTES)
         async for chunk in self.chunks():
             *whole, rest = (rest + chunk).split(b'\n')
             for line in whole:
@@ -172,6 +184,7 @@
         """Return the whole body; raise ``FailureError`` if it is too long."""
         chunks = []
         length = 0
+        self.expect_bytes(RECEIVE_BYTES)
         async for chunk in self.chunks():
             length += len(chunk)
             self._check_length(length)
@@ -460,6 +473,7 @@
     """
     connection.is_sent = False
     connection.sending = None
+    connection.read_bytes = HEAD_RECEIVE_BYTES
     idle_timeout.start()
     if len(parts) == 1:
         try:
@@ -628,7 +642,7 @@
 ) -> bytes:
     """Return the next bytes, none if the peer has ended the connection."""
     idle_timeout.start()
-    part = await connection.stream.receive_some(RECEIVE_BYTES)
+    part = await connection.stream.receive_some(connection.read_bytes)
     idle_timeout.stop()
     return part
 
--- a/src/limpetdrift/transport/connection.py
+++ b/src/limpetdrift/transport/connection.py
@@ -2,6 +2,7 @@
 
 import errno
 import math
+from collections import deque
 from dataclasses import dataclass
 
 import h11
@@ -27,7 +28,6 @@
 BODY_READ_BYTES = 65_536
 # How long a connection is read once more before it is closed as idle.
 LAST_READ_SECONDS = 0.05
-_NOTHING = memoryview(b'')
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,7 +76,7 @@
         self._idle_since = trio.current_time()
         self._is_closing = False
         # What is left to write, and whether an unknown part of it was written.
-        self._unsent = _NOTHING
+        self._unsent: deque[memoryview] = deque()
         self._is_torn = False
         self._idle_scope = trio.CancelScope()
         # Bounds each read of a request; a scope for each would cost more.
@@ -178,12 +178,12 @@
         If this is cancelled, ``flush`` writes what is left. The write scope is
         cancelled if the peer reads too slowly.
         """
-        payload = b''.join(self.protocol.send(event) or b'' for event in events)
-        if payload:
-            if self._unsent:
-                payload = bytes(self._unsent) + payload
-            self._unsent = memoryview(payload)
-            await self.flush()
+        parts = [self.protocol.send(event) or b'' for event in events]
+        if sum(map(len, parts)) <= SHORT_BODY_BYTES:
+            parts = [b''.join(parts)]
+        # A long body is not copied to join it to its head.
+        self._unsent.extend(memoryview(part) for part in parts if part)
+        await self.flush()
 
     async def flush(self) -> None:
         """Write what is left of the events."""
@@ -192,21 +192,19 @@
         now = trio.current_time()
         self.write_scope.deadline = now + self.limits.write_seconds
         # A slice keeps all of the bytes in memory, however short it is.
-        length = self._unsent.nbytes
+        length = sum(part.nbytes for part in self._unsent)
         is_held = length > SHORT_BODY_BYTES
         if is_held:
             self.holding.hold_answer(length)
         try:
             while self._unsent:
-                sent = await self._send_part()
-                self._unsent = self._unsent[sent:]
+                await self._send_part()
                 if self._unsent:
                     is_held = True
                     self.holding.hold_answer(length)
         finally:
             # No write is under way after one that was cancelled.
             self.write_scope.deadline = math.inf
-        self._unsent = _NOTHING
         if is_held:
             self.holding.hold_answer(0)
 
@@ -218,17 +216,21 @@
         if self._unsent:
             self.write_scope.cancel()
 
-    async def _send_part(self) -> int:
-        """Write some bytes and return their number; none if cancelled."""
+    async def _send_part(self) -> None:
+        """Write some bytes; none if cancelled."""
         if isinstance(self.stream, trio.SocketStream):
-            return await _send_to_socket(self.stream.socket, self._unsent)
+            part = self._unsent[0]
+            sent = await _send_to_socket(self.stream.socket, part)
+            self._unsent.popleft()
+            if sent < part.nbytes:
+                self._unsent.appendleft(part[sent:])
+            return
         # Such a stream doesn't tell how much it took before it was cancelled.
-        payload = self._unsent
-        self._unsent = _NOTHING
+        payload = b''.join(self._unsent)
+        self._unsent.clear()
         self._is_torn = True
         await self.stream.send_all(payload)
         self._is_torn = False
-        return 0
 
 
 async def _send_to_socket(
--- a/src/limpetdrift/transport/connection_account.py
+++ b/src/limpetdrift/transport/connection_account.py
@@ -146,8 +146,14 @@
             self._holders.pop(holder)
             self.release(held_bytes)
 
-    def reserve(self, holder: Holder, amount: int) -> bool:
-        """Count more bytes of a request; return whether there is room."""
+    def reserve(
+        self, holder: Holder, amount: int, *, for_answer: bool = False
+    ) -> bool:
+        """Count more bytes of a request; return whether there is room.
+
+        An answer without room is passed on as its peer reads it, so that no
+        idle connection is closed ``for_answer``.
+        """
         while self._used_bytes + amount > self._limits.bodies_bytes:
             requested = holder.usage().held_bytes + amount
             body_bytes = (
@@ -155,9 +161,14 @@
             )
             has_share = body_bytes + amount > self._limits.bodies_minimum
             if not self._shed_other(
-                holder, requested, closes_idle=not has_share
+                holder, requested, closes_idle=not (for_answer or has_share)
             ):
-                self._record_full('refused', holder)
+                if for_answer:
+                    telemetry.count(
+                        'answers_without_room', account=self._limits.name
+                    )
+                else:
+                    self._record_full('refused', holder)
                 return False
         self._charge(amount)
         return True
--- a/src/limpetdrift/transport/holding.py
+++ b/src/limpetdrift/transport/holding.py
@@ -24,15 +24,18 @@
     """The phase of a connection, and the memory that it holds.
 
     ``drop`` is called when the account closes the connection to make room.
+    ``kept_bytes`` are those of answers that are kept until they are whole.
     """
 
     def __init__(
         self, *, account: ConnectionAccount, drop: Callable[[], None]
     ) -> None:
+        self.kept_bytes = 0
         self._account = account
         self._drop = drop
         self._phase = Phase.IDLE
-        self._progress_at = trio.current_time()
+        self._phase_since = trio.current_time()
+        self._progress_at = self._phase_since
         self._body_bytes = 0
         self._line_bytes = 0
         self._answer_bytes = 0
@@ -55,8 +58,10 @@
             held_bytes=CONNECTION_BYTES
             + self._body_bytes
             + self._line_bytes
-            + self._answer_bytes,
+            + self._answer_bytes
+            + self.kept_bytes,
             progress_at=self._progress_at,
+            phase_since=self._phase_since,
         )
 
     def shed(self) -> None:
@@ -73,8 +78,10 @@
         self._account.close(self, self.usage().held_bytes)
 
     def enter(self, phase: Phase) -> None:
-        """Begin a phase, which is progress."""
-        self._phase = phase
+        """Begin a phase, or go on with it, which is progress."""
+        if phase is not self._phase:
+            self._phase = phase
+            self._phase_since = trio.current_time()
         self.note_progress()
 
     def note_progress(self, length: int = MIN_PROGRESS_BYTES) -> None:
@@ -127,6 +134,33 @@
             self._account.release(-amount)
 
 
+class AnswerMemory:
+    """The memory of an answer that is kept until it is whole."""
+
+    def __init__(self, *, holding: Holding) -> None:
+        self._holding = holding
+        self._kept_bytes = 0
+
+    def reserve(self, length: int) -> bool:
+        """Count ``length`` bytes in all; return whether there is room."""
+        amount = length - self._kept_bytes
+        if amount > 0:
+            holding = self._holding
+            if not holding.account.reserve(holding, amount, for_answer=True):
+                return False
+            holding.kept_bytes += amount
+            self._kept_bytes = length
+        return True
+
+    def release(self) -> None:
+        """Count the answer no longer, such as before it is written."""
+        holding = self._holding
+        holding.kept_bytes -= self._kept_bytes
+        if not holding.is_shed:
+            holding.account.release(self._kept_bytes)
+        self._kept_bytes = 0
+
+
 def _reserve(holding: Holding, amount: int) -> None:
     if amount > 0 and not holding.account.reserve(holding, amount):
         raise _no_room()
--- a/src/limpetdrift/transport/server.py
+++ b/src/limpetdrift/transport/server.py
@@ -33,6 +33,7 @@
     CutRecorder,
     CutTotals,
 )
+from limpetdrift.transport.holding import AnswerMemory
 from limpetdrift.transport.messages import (
     UNAVAILABLE,
     Address,
@@ -56,10 +57,17 @@
 
 
 class Exchange:
-    """One request, and the methods to send its one response."""
+    """One request, and the methods to send its one response.
+
+    ``make_answer_memory`` returns what counts a body that is kept until it is
+    whole.
+    """
 
     def __init__(self, *, request: Request, connection: Connection) -> None:
         self.request = request
+        self.make_answer_memory = partial(
+            AnswerMemory, holding=connection.holding
+        )
         self._connection = connection
         self._started = False
         self._has_body = True
--- a/src/limpetdrift/transport/shedding.py
+++ b/src/limpetdrift/transport/shedding.py
@@ -15,14 +15,17 @@
 # A request or answer without progress for this time has stalled. Networks lose
 # and resend a segment within it.
 STALL_SECONDS = 2.0
+# A write that takes longer has a slow reader, who makes room for new callers.
+SLOW_WRITE_SECONDS = 2.0
 # Callers that keep a connection open send the next request mostly sooner.
 MIN_IDLE_SECONDS = 1.0
 # Above what is reserved for the next read of a body.
 LARGER_BY_BYTES = 65_536
 
-_STALLED_RANK = 2
-_IDLE_RANK = 1
-_LARGER_RANK = 0
+_STALLED_RANK = 3
+_IDLE_RANK = 2
+_LARGER_RANK = 1
+_SLOW_RANK = 0
 
 
 class Phase(Enum):
@@ -42,12 +45,14 @@
 class ConnectionUsage:
     """What a connection holds, and when its peer last sent or read something.
 
-    ``held_bytes`` counts memory, and ``progress_at`` is in seconds.
+    ``held_bytes`` counts memory. ``progress_at`` is in seconds, as is
+    ``phase_since``, when the phase began.
     """
 
     phase: Phase
     held_bytes: int
     progress_at: float
+    phase_since: float = 0.0
 
 
 def choose_to_shed(
@@ -62,10 +67,11 @@
     That one would hold ``requested_bytes``. A request or an answer that has
     stalled goes first, the largest before others. The connection that was idle
     longest is next, but only if ``closes_idle``: for a connection that was
-    just accepted, or a body while bodies have less than their share. At last a
+    just accepted, or a body while bodies have less than their share. Then a
     request that is larger than the one that asks makes room, so that ordinary
-    requests go before large ones. ``None`` if there is no such connection, and
-    the one that asks has to be refused.
+    requests go before large ones. At last, and in place of idle connections
+    only, it is the answer that has taken its peer the longest. ``None`` if
+    there is no such connection, and the one that asks has to be refused.
 
     >>> stalled = ConnectionUsage(
     ...     phase=Phase.RECEIVING, held_bytes=5, progress_at=0.0
@@ -101,4 +107,7 @@
     is_receiving = usage.phase is Phase.RECEIVING
     if is_receiving and usage.held_bytes > requested_bytes + LARGER_BY_BYTES:
         return (_LARGER_RANK, usage.held_bytes)
+    write_seconds = now - usage.phase_since
+    if closes_idle and not is_receiving and write_seconds >= SLOW_WRITE_SECONDS:
+        return (_SLOW_RANK, write_seconds)
     return None
--- a/tests/crash_site.py
+++ b/tests/crash_site.py
@@ -12,6 +12,7 @@
 
 import trio
 
+from forward_harness import make_answer_memory
 from limit_site import (
     ENGINES_SERVICE,
     EndpointClient,
@@ -101,6 +102,9 @@
         self.headers = (('content-length', '2'),)
         self._crash = crash
 
+    def expect_bytes(self, length: int) -> None:
+        """Do nothing: chunks are as they were sent."""
+
     async def chunks(self):
         for number in range(1, _EVENTS + 1):
             yield f'id: {number}\ndata: x\n\n'.encode()
@@ -259,6 +263,9 @@
     def is_whole(self) -> bool:
         return self.response is not None or self.finished
 
+    def make_answer_memory(self):
+        return make_answer_memory()
+
     async def respond(self, response) -> None:
         self.started = True
         self.response = response
--- a/tests/crowd_callers.py
+++ b/tests/crowd_callers.py
@@ -1,5 +1,6 @@
 """Crowds of callers that stop short, send too much, or only stay connected."""
 
+import socket
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -14,19 +15,22 @@
 SMALL_CHUNK = b'2\r\nzz\r\n'
 SMALL_CHUNKS_IN_WRITE = 10_000
 PADDING = 'z' * 1000
+# A slow reader reads a part of this size at each interval.
+SLOW_READ_BYTES = 4096
+SLOW_READ_INTERVAL_SECONDS = 0.5
 _CONNECT_SECONDS = 5.0
 # The parts that one caller sends.
 Parts = Iterator[bytes]
 
 
-def make_head(number: int, *lines: str) -> bytes:
+def make_head(number: int, *lines: str, deadline_ms: int = 1500) -> bytes:
     """Return the head of a caller's request up to the framing in ``lines``."""
     fixed = (
         'POST /twice/x HTTP/1.1',
         f'Host: {HOST}',
         f'Attempt-Id: crowd-{number}',
         'Authorization: Bearer key-0',
-        'Deadline-Ms: 1500',
+        f'Deadline-Ms: {deadline_ms}',
     )
     return '\r\n'.join((*fixed, *lines, '', '')).encode()
 
@@ -86,6 +90,12 @@
     yield head[:-2].replace(b'key-0', key.encode()) + added + b'\r\n'
 
 
+def long_answer(number: int, length: int) -> Parts:
+    """Ask for an answer of a length."""
+    lines = ('Content-Length: 0', f'Answer-Bytes: {length}')
+    yield make_head(number, *lines, deadline_ms=15_000)
+
+
 def nothing(number: int) -> Parts:
     """Only connect."""
     return iter(())
@@ -95,12 +105,14 @@
 class Crowd:
     """Callers of one address; each sends its parts and stays connected.
 
-    ``sending`` is the number of those that have not sent everything yet.
+    ``sending`` is the number of those that have not sent everything yet. With
+    ``reads_slowly``, each then reads a small part of its answer at a time.
     """
 
     address: Address
     size: int
     make_parts: Callable[[int], Parts]
+    reads_slowly: bool = False
     sending: int = field(init=False)
     _has_sent: trio.Event = field(init=False, default_factory=trio.Event)
 
@@ -130,6 +142,8 @@
                 await self._send(stream, number)
             finally:
                 self._note_end()
+            if self.reads_slowly:
+                await _read_slowly(stream)
             await trio.sleep_forever()
 
     async def _send(self, stream: trio.SocketStream, number: int) -> None:
@@ -139,6 +153,19 @@
 
     async def _connect(self) -> trio.SocketStream:
         with trio.fail_after(_CONNECT_SECONDS):
-            return await trio.open_tcp_stream(
+            stream = await trio.open_tcp_stream(
                 self.address.host, self.address.port
             )
+        if self.reads_slowly:
+            stream.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READ_BYTES
+            )
+        return stream
+
+
+async def _read_slowly(stream: trio.SocketStream) -> None:
+    arrived = b'.'
+    with suppress(trio.BrokenResourceError):
+        while arrived:
+            await trio.sleep(SLOW_READ_INTERVAL_SECONDS)
+            arrived = await stream.receive_some(SLOW_READ_BYTES)
--- a/tests/crowd_site.py
+++ b/tests/crowd_site.py
@@ -68,7 +68,7 @@
     raise AssertionError(f'no request was served {name} the crowd')
 
 
-async def play(site, size, make_parts, listener=CALLERS):
+async def play(site, size, make_parts, listener=CALLERS, **kind):
     """Play a crowd; return the peaks of what the entry holds."""
     process = site.entries[0].popen
     usage = Usage(pid=process.pid)
@@ -76,6 +76,7 @@
         address=listener_address(site, listener),
         size=size,
         make_parts=make_parts,
+        **kind,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(usage.watch)
--- a/tests/cut_site.py
+++ b/tests/cut_site.py
@@ -116,6 +116,9 @@
         self._opened = opened
         self._find_cut = find_cut
 
+    def expect_bytes(self, length: int) -> None:
+        """Do nothing: chunks are as they were sent."""
+
     async def chunks(self):
         async for chunk in self._opened.chunks():
             yield chunk
--- a/tests/forward_harness.py
+++ b/tests/forward_harness.py
@@ -35,6 +35,8 @@
 from limpetdrift.state.endpoint_view import EndpointView
 from limpetdrift.state.rate_budget import LEADING_SHARE
 from limpetdrift.state.retry_budget import RetryBudget
+from limpetdrift.transport.connection_account import ConnectionAccount
+from limpetdrift.transport.holding import AnswerMemory, Holding
 from limpetdrift.transport.messages import Response
 from limpetdrift.verdict import (
     Failure,
@@ -124,6 +126,12 @@
     )
 
 
+def make_answer_memory() -> AnswerMemory:
+    """Return memory that is never full."""
+    account = ConnectionAccount()
+    return AnswerMemory(holding=Holding(account=account, drop=lambda: None))
+
+
 @dataclass
 class FakeExchange:
     """The response that a caller received, and whether it disconnected.
@@ -149,6 +157,9 @@
     def is_whole(self) -> bool:
         return self.response is not None or self.finished
 
+    def make_answer_memory(self) -> AnswerMemory:
+        return make_answer_memory()
+
     async def respond(self, response: Response) -> None:
         await self._begin()
         with self._ending():
--- a/tests/fuzz/crowds.py
+++ b/tests/fuzz/crowds.py
@@ -15,6 +15,7 @@
     announced_body,
     chunked_body,
     giant_chunk,
+    long_answer,
     many_lines,
     nothing,
     requests_in_a_row,
@@ -64,11 +65,16 @@
         announced=st.sampled_from((0, 10)),
         key=st.sampled_from(('key-0', 'unknown')),
     ),
+    st.builds(partial, st.just(long_answer), length=_LENGTHS),
     st.just(nothing),
 )
-# The offset of a listener's port, the size of a crowd, and what it sends.
+# The offset of a listener's port, the size of a crowd, what it sends, and
+# whether it reads slowly or not at all.
 CROWDS = st.tuples(
-    st.integers(0, LISTENERS - 1), st.integers(1, MAX_CROWD), _SHAPES
+    st.integers(0, LISTENERS - 1),
+    st.integers(1, MAX_CROWD),
+    _SHAPES,
+    st.booleans(),
 )
 # Played one after the other on one entry.
 CROWDS_IN_A_ROW = st.lists(CROWDS, min_size=1, max_size=3)
@@ -81,7 +87,9 @@
 
 async def _check_crowds(crowds: list[tuple], folder: Path) -> None:
     async with open_entry(folder) as site:
-        for listener, size, make_parts in crowds:
-            usage = await play(site, size, make_parts, listener)
+        for listener, size, make_parts, reads_slowly in crowds:
+            usage = await play(
+                site, size, make_parts, listener, reads_slowly=reads_slowly
+            )
             assert usage.memory_bytes <= MEMORY_BYTES, 'too much memory'
             assert usage.descriptors <= DESCRIPTORS, 'too many descriptors'
--- a/tests/limit_site.py
+++ b/tests/limit_site.py
@@ -14,7 +14,7 @@
 
 from era_site import STORE_ADDRESS, LocalClient
 from fake_network import FakeNetwork
-from forward_harness import FakeExchange, make_route
+from forward_harness import FakeExchange, make_answer_memory, make_route
 from limpet_standins.platform_store import StandinStore
 from limpetdrift.coordination.forwarding.forwarding import (
     Forwarder,
@@ -198,6 +198,9 @@
         self.status = 200
         self.headers = (('content-length', '2'), *headers)
 
+    def expect_bytes(self, length: int) -> None:
+        """Do nothing: chunks are as they were sent."""
+
     async def chunks(self):
         """Yield one event, and end after the time of a stream."""
         yield b'id: 1\ndata: x\n\n'
@@ -262,6 +265,9 @@
         self.is_whole = True
         self._sender.close()
 
+    def make_answer_memory(self):
+        return make_answer_memory()
+
     async def respond(self, response: Response) -> None:
         headers = (*response.headers, ('content-length', '0'))
         await self.start(response.status, headers)
@@ -274,6 +280,9 @@
     async def wait_closed(self) -> None:
         await trio.sleep_forever()
 
+    def expect_bytes(self, length: int) -> None:
+        """Do nothing: chunks are as they were sent."""
+
     async def chunks(self):
         async for chunk in self._receiver:
             if chunk is None:
--- a/tests/soak/crowds.py
+++ b/tests/soak/crowds.py
@@ -15,6 +15,7 @@
     announced_body,
     chunked_body,
     giant_chunk,
+    many_lines,
     nothing,
     small_chunks,
     unfinished_head,
@@ -38,6 +39,8 @@
     partial(small_chunks, length=SMALL_CHUNKS_BYTES),
     partial(giant_chunk, length=BODY_BYTES),
     partial(unfinished_head, length=16_000),
+    partial(many_lines, lines=3000, announced=10),
+    partial(many_lines, lines=6000, announced=10),
     nothing,
 )
 
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -16,6 +16,7 @@
     announced_body,
     chunked_body,
     giant_chunk,
+    long_answer,
     many_lines,
     nothing,
     requests_in_a_row,
@@ -57,9 +58,9 @@
 )
 
 
-async def check_memory(folder, size, make_parts, listener=CALLERS):
+async def check_memory(folder, size, make_parts, listener=CALLERS, **kind):
     async with open_entry(folder) as site:
-        usage = await play(site, size, make_parts, listener)
+        usage = await play(site, size, make_parts, listener, **kind)
         assert usage.memory_bytes <= MEMORY_BYTES
         assert usage.descriptors <= DESCRIPTORS
 
@@ -128,6 +129,22 @@
     trio.run(check_memory, tmp_path, 10 * LARGE_CROWD, make_parts)
 
 
+@pytest.mark.parametrize('reads_slowly', [False, True])
+@pytest.mark.parametrize('length', [20_000, 250_000, 900_000])
+def test_memory_with_long_answers(tmp_path, length, reads_slowly):
+    """Guards against answers that no account bounds (review/8 and 9)."""
+    make_parts = partial(long_answer, length=length)
+    trio.run(
+        partial(
+            check_memory,
+            tmp_path,
+            LARGE_CROWD,
+            make_parts,
+            reads_slowly=reads_slowly,
+        )
+    )
+
+
 @LISTENERS
 @pytest.mark.parametrize(('lines', 'announced'), [(3100, 0), (6000, 10)])
 def test_memory_with_heads_of_many_lines(tmp_path, listener, lines, announced):
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -184,7 +184,9 @@
 
     @asynccontextmanager
     async def stream(address, request, **options: object):
-        yield SimpleNamespace(status=421, headers=headers, chunks=None)
+        yield SimpleNamespace(
+            status=421, headers=headers, chunks=None, expect_bytes=None
+        )
 
     async def run() -> EndpointResponse:
         view = EndpointView(clock=time.monotonic)
--- a/tests/test_header_names.py
+++ b/tests/test_header_names.py
@@ -85,7 +85,12 @@
     @asynccontextmanager
     async def stream(address, request, **options: object):
         received.append(request)
-        yield SimpleNamespace(status=200, headers=answer_headers, chunks=None)
+        yield SimpleNamespace(
+            status=200,
+            headers=answer_headers,
+            chunks=None,
+            expect_bytes=None,
+        )
 
     async def run():
         view = EndpointView(clock=trio.current_time)
