--- a/src/limpetdrift/transport/connection_account.py
+++ b/src/limpetdrift/transport/connection_account.py
@@ -94,11 +94,13 @@
     """The connections of one or more servers, and the memory that they hold.
 
     ``parse_turn`` is held while a part of a long body is parsed, so that one
-    of them at most delays the other tasks in each pass of the event loop.
+    of them at most delays the other tasks in each pass of the event loop, and
+    ``head_turn`` while a head of many lines is, which takes longer.
     """
 
     def __init__(self, *, limits: AccountLimits | None = None) -> None:
         self.parse_turn = trio.Lock()
+        self.head_turn = trio.Lock()
         self._limits = limits or AccountLimits()
         self._used_bytes = 0
         # In the order in which they were accepted.
--- a/src/limpetdrift/transport/receiving.py
+++ b/src/limpetdrift/transport/receiving.py
@@ -88,7 +88,7 @@
     lines = head_bytes.count(b'\n')
     turn: AbstractAsyncContextManager[None] = _NO_TURN
     if lines > FEW_LINES:
-        turn = connection.holding.account.parse_turn
+        turn = connection.holding.account.head_turn
     async with turn:
         began_at = trio.current_time()
         _count_lines(connection, lines)
--- a/tests/test_heads_of_many_lines.py
+++ b/tests/test_heads_of_many_lines.py
@@ -16,6 +16,7 @@
 
 LINES = 3000
 CROWD = 40
+LONG_BODY_BYTES = 1_000_000
 PLAYS = 4
 # Requests of the crowd that may be served before an ordinary one.
 MAX_BEFORE = 6
@@ -55,6 +56,30 @@
         assert served.index('/ordinary') <= MAX_BEFORE
 
 
+def test_long_body_does_not_wait_for_heads_of_many_lines():
+    """Each of its parts would wait for the heads of the whole crowd."""
+    served = []
+
+    async def handle(exchange):
+        served.append(exchange.request.path)
+        await exchange.respond(Response(status=200))
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            harness = ServerHarness(nursery=nursery, handler=handle)
+            streams = [harness.connect() for _ in range(CROWD)]
+            last = harness.connect()
+            body = b'z' * LONG_BODY_BYTES
+            nursery.start_soon(last.send_all, make_request(b'long', b'', body))
+            for stream in streams:
+                await stream.send_all(make_request(b'crowd', MANY_LINES))
+            await read_all(last)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert len(served) < CROWD
+
+
 @pytest.mark.parametrize('waits', [False, True])
 def test_request_with_many_lines_is_received_whole(waits):
     received = []
