--- a/src/limpetdrift/coordination/forwarding/retry_policy.py
+++ b/src/limpetdrift/coordination/forwarding/retry_policy.py
@@ -20,8 +20,8 @@
 _FIRST_EVENT_MARGIN_SECONDS = 0.9
 _FIRST_EVENT_FACTOR = 1.5
 # Time from the reservation of memory to the first event, after which an engine
-# is taken for one that won't use the memory. If its release gets no answer, the
-# memory expires within the 9 s that the platform allows.
+# is taken for one that won't use the memory. A reservation lasts 3.2 s: even if
+# its release gets no answer, it ends within the 9 s that the platform allows.
 _UNUSED_MEMORY_SECONDS = 5.5
 # Idle timeout of a begun stream, as a multiple of the longest pause that the
 # route allows, and its lower bound. After it another engine is tried as well.
--- a/tests/fuzz/answers.py
+++ b/tests/fuzz/answers.py
@@ -60,7 +60,7 @@
     part_bytes: int = 0
 
 
-# Draws an answer, spoiled in one way.
+# Returns the lines of a head, spoiled in one way.
 Spoil = Callable[[st.DrawFn, list[bytes]], list[bytes]]
 
 
