--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -24,6 +24,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = 'shop.example'
 START = time.monotonic()
+READ_TOKENS_PER_S = 177_000
 
 
 def now() -> float:
@@ -211,7 +212,10 @@
         if self.away:
             status, page = 503, {}
         else:
-            status, page = await self._answer(request)
+            status, page = await self.answer(request)
+        return await self.send(writer, status, page)
+
+    async def send(self, writer, status: int, page: dict) -> bool:
         writer.write(
             render(
                 status,
@@ -225,7 +229,7 @@
         await writer.drain()
         return True
 
-    async def _answer(self, request) -> tuple[int, dict]:
+    async def answer(self, request) -> tuple[int, dict]:
         query = request.query
         if request.path == '/-/rows-get':
             table = query['table']
@@ -280,8 +284,9 @@
         self.target = target
         self.host = host
         self.port = 0
-        self.refusing = False
         self._server = None
+        self._deaf = None
+        self._fillers: list[socket.socket] = []
         self._pairs: set = set()
 
     @property
@@ -307,13 +312,42 @@
             for writer in pair['writers']:
                 reset(writer)
 
-    async def refuse(self) -> None:
+    async def refuse(self, *, resets: bool = True) -> None:
         """Refuse new connections, and reset those that are open."""
-        self._server.close()
-        self._server = None
-        self.reset()
+        await self.close_listener()
+        if resets:
+            self.reset()
+
+    async def hang(self) -> None:
+        """Let new connections hang; silence those that are open.
+
+        The queue of the listening socket is full, so that the system drops
+        the first packet of a connection, as a partition does.
+        """
+        self.silence()
+        await self.close_listener()
+        self._deaf = socket.socket()
+        self._deaf.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._deaf.bind((self.host, self.port))
+        self._deaf.listen(0)
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self._fillers.append(filler)
+
+    async def close_listener(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
 
     async def accept(self) -> None:
+        """Accept connections again after ``refuse`` or ``hang``."""
+        for each in (self._deaf, *self._fillers):
+            if each is not None:
+                each.close()
+        self._deaf = None
+        self._fillers.clear()
         if self._server is None:
             await self.start()
 
@@ -327,7 +361,9 @@
             reset(writer)
             return
         pair = _Pair(
-            silent=asyncio.Event(), writers=(writer, far_writer)
+            silent=asyncio.Event(),
+            rejected=asyncio.Event(),
+            writers=(writer, far_writer),
         )
         self._pairs.add(pair)
         try:
@@ -342,9 +378,22 @@
             writer.close()
             far_writer.close()
 
+    async def reject(self) -> None:
+        """Answer each packet with a reset: refuse new connections.
+
+        Those that are open are reset once anything is sent on them.
+        """
+        await self.close_listener()
+        for pair in self._pairs:
+            pair['rejected'].set()
+
     async def _pump(self, reader, writer, pair) -> None:
         while True:
             part = await reader.read(65536)
+            if pair['rejected'].is_set():
+                for each in pair['writers']:
+                    reset(each)
+                return
             if pair['silent'].is_set():
                 if not part:
                     # The end that gives up its side is told nothing either.
@@ -365,6 +414,39 @@
         return self is other
 
 
+class LinkedStore:
+    """The store as one entry sees it: each server behind a relay of its own.
+
+    The relays stand for the links between this machine and the servers.
+    """
+
+    def __init__(self, world) -> None:
+        self.world = world
+        self.relays: dict[str, Relay] = {}
+        self.http = HttpServer(self.handle)
+
+    async def relay_for(self, address: str) -> Relay:
+        if address not in self.relays:
+            relay = Relay(address)
+            self.relays[address] = relay
+            await relay.start()
+        return self.relays[address]
+
+    async def handle(self, request, reader, writer) -> bool:
+        store = self.world.store
+        await asyncio.sleep(0.004)
+        status, page = (503, {}) if store.away else await store.answer(request)
+        for row in page.get('rows', ()):
+            if row['table'] == 'servers' and 'value' in row:
+                text = json.loads(base64.b64decode(row['value']))
+                relay = await self.relay_for(text['address'])
+                text['address'] = relay.address
+                row['value'] = base64.b64encode(
+                    json.dumps(text).encode()
+                ).decode()
+        return await store.send(writer, status, page)
+
+
 class Backend:
     """A server of one service: one lifetime under one id."""
 
@@ -503,6 +585,8 @@
             await asyncio.wait(
                 {work, gone}, return_when=asyncio.FIRST_COMPLETED
             )
+            if gone.done() and not gone.cancelled():
+                gone.exception()
             if not work.done():
                 self.world.record.add('caller-left', **line)
                 work.cancel()
@@ -526,7 +610,10 @@
             await self._send(writer, 200, headers, f'ok {attempt}'.encode())
             return True
         prompt, _, answer = usage.partition(',')
-        await asyncio.sleep(min(5.0, int(prompt) / 400_000))
+        readers = 1 + len(list(filter(None, request.get('helpers').split(','))))
+        await asyncio.sleep(
+            min(5.0, int(prompt) / READ_TOKENS_PER_S / readers)
+        )
         head = [
             'HTTP/1.1 200 OK',
             'content-type: text/event-stream',
@@ -708,7 +795,9 @@
         self.version = 0
         self.keys = {'key-0': 'acme', 'key-1': 'bolt'}
         self.attempts = 0
-        self.services = options.get('services')
+        # Whether each machine has links of its own to the servers.
+        self.has_links = options.get('has_links', False)
+        self.links: list[LinkedStore] = []
 
     def _find_ports(self) -> int:
         for _ in range(200):
@@ -758,7 +847,7 @@
             'step_ms': 0.85,
             'per_seq_ms': 0.00425,
             'context_per_k': 0.00285,
-            'read_per_s': 400000,
+            'read_per_s': READ_TOKENS_PER_S,
             'pairs_per_m': 0.0,
             'chunk': 2048,
             'usual': {'prompt': 4960, 'answer': 1600},
@@ -804,7 +893,13 @@
             zone = self.zones[number % len(self.zones)]
             await self.add_backend(f'm-{number}', 'drift-models', zone)
         for number in range(self.entry_count):
-            relay = Relay(self.store_http.address)
+            target = self.store_http.address
+            if self.has_links:
+                linked = LinkedStore(self)
+                await linked.http.start()
+                self.links.append(linked)
+                target = linked.http.address
+            relay = Relay(target)
             await relay.start()
             self.relays.append(relay)
             zone = self.zones[number % len(self.zones)]
