--- a/review/11/case.py
+++ b/review/11/case.py
@@ -18,6 +18,7 @@
 
 
 async def play(world, trouble: bool) -> list[dict]:
+    """Play the case; return what broke the rule."""
     await world.open(desks=3)
     for backend in world.backends.values():
         backend.work_s = WORK_S
@@ -39,9 +40,7 @@
     world.store.delete('servers', LEAVER)
     acked = world.record.add('row removed', server=LEAVER)['t']
     await asyncio.sleep(DRAIN_S + 0.06)
-    asyncio.get_running_loop().call_later(
-        acked + EXIT_S - now(), leaver.crash
-    )
+    asyncio.get_running_loop().call_later(acked + EXIT_S - now(), leaver.crash)
     tasks = []
     while now() < acked + DRAIN_S + 1.5:
         for entry in world.entries:
@@ -67,6 +66,4 @@
 
 
 if __name__ == '__main__':
-    run_case(
-        play, str(Path(__file__).with_name('record.txt')), entries=6
-    )
+    run_case(play, str(Path(__file__).with_name('record.txt')), entries=6)
--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -40,6 +40,7 @@
         self.lines: list[dict] = []
 
     def add(self, what: str, **fields: object) -> dict:
+        """Write one line, and return it."""
         line = {'t': round(now(), 4), 'what': what, **fields}
         self.lines.append(line)
         self._file.write(json.dumps(line) + '\n')
@@ -47,10 +48,13 @@
         return line
 
     def of(self, what: str) -> list[dict]:
+        """Return the lines of one kind."""
         return [each for each in self.lines if each['what'] == what]
 
 
 class Request:
+    """A request as a stand-in has read it."""
+
     def __init__(self, method, target, headers, body) -> None:
         self.method = method
         self.target = target
@@ -61,10 +65,12 @@
         self.query = dict(parse_qsl(split.query))
 
     def get(self, name: str, default: str = '') -> str:
+        """Return the value of a header."""
         return self.headers.get(name, default)
 
 
 async def read_request(reader) -> Request | None:
+    """Read a request; return ``None`` at the end of a connection."""
     try:
         head = await reader.readuntil(b'\r\n\r\n')
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -83,6 +89,7 @@
 
 
 def render(status: int, headers, body: bytes) -> bytes:
+    """Return a response with a length."""
     lines = [f'HTTP/1.1 {status} X']
     lines += [f'{name}: {value}' for name, value in headers]
     lines.append(f'content-length: {len(body)}')
@@ -112,9 +119,11 @@
 
     @property
     def address(self) -> str:
+        """Return host and port."""
         return f'{self.host}:{self.port}'
 
     async def start(self) -> None:
+        """Listen, on the port of the last time if there was one."""
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port, limit=1 << 20
         )
@@ -164,6 +173,7 @@
         self.changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: object) -> int:
+        """Write a row with JSON content."""
         text = base64.b64encode(json.dumps(value).encode()).decode()
         return self._write(table, key, text)
 
@@ -178,13 +188,16 @@
         return self.version
 
     def delete(self, table: str, key: str) -> None:
+        """Delete a row, if it exists."""
         if (table, key) in self.rows:
             self._write(table, key, None)
 
     def copy(self):
+        """Return a copy of all rows, to which the store may return."""
         return dict(self.rows), list(self.log), self.version
 
     def return_to(self, copy) -> None:
+        """Go on from a copy, in a new era."""
         rows, log, version = copy
         self.rows, self.log, self.version = dict(rows), list(log), version
         self.era += 1
@@ -208,6 +221,7 @@
         return row
 
     async def handle(self, request, reader, writer) -> bool:
+        """Answer a call."""
         await asyncio.sleep(0.004)
         if self.away:
             status, page = 503, {}
@@ -216,6 +230,7 @@
         return await self.send(writer, status, page)
 
     async def send(self, writer, status: int, page: dict) -> bool:
+        """Send a page with the era."""
         writer.write(
             render(
                 status,
@@ -230,6 +245,7 @@
         return True
 
     async def answer(self, request) -> tuple[int, dict]:
+        """Return the status and the page for a call."""
         query = request.query
         if request.path == '/-/rows-get':
             table = query['table']
@@ -291,9 +307,11 @@
 
     @property
     def address(self) -> str:
+        """Return host and port."""
         return f'{self.host}:{self.port}'
 
     async def start(self) -> None:
+        """Listen, on the port of the last time if there was one."""
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port
         )
@@ -308,6 +326,7 @@
         return count
 
     def reset(self) -> None:
+        """Reset the connections that are open."""
         for pair in list(self._pairs):
             for writer in pair['writers']:
                 reset(writer)
@@ -337,6 +356,7 @@
             self._fillers.append(filler)
 
     async def close_listener(self) -> None:
+        """Stop listening, so that new connections are refused."""
         if self._server is not None:
             self._server.close()
             self._server = None
@@ -426,6 +446,7 @@
         self.http = HttpServer(self.handle)
 
     async def relay_for(self, address: str) -> Relay:
+        """Return the relay to a server's address."""
         if address not in self.relays:
             relay = Relay(address)
             self.relays[address] = relay
@@ -433,6 +454,7 @@
         return self.relays[address]
 
     async def handle(self, request, reader, writer) -> bool:
+        """Answer a call with the relays' addresses."""
         store = self.world.store
         await asyncio.sleep(0.004)
         status, page = (503, {}) if store.away else await store.answer(request)
@@ -469,10 +491,12 @@
         self.tickets: dict[str, tuple[int, float]] = {}
 
     async def start(self) -> None:
+        """Start to listen."""
         await self.http.start()
         self.is_up = True
 
     def row(self, state='ready') -> dict:
+        """Return the server's entry in the list."""
         return {
             'service': self.service,
             'address': self.http.address,
@@ -486,9 +510,11 @@
         }
 
     def list(self, state='ready') -> None:
+        """Write the entry to the store."""
         self.world.store.put('servers', self.name, self.row(state))
 
     def crash(self) -> None:
+        """Stop listening, and reset all connections."""
         self.is_up = False
         self.http.stop()
         self.world.record.add('server-crash', server=self.name)
@@ -510,6 +536,7 @@
         return found
 
     async def handle(self, request, reader, writer) -> bool:
+        """Answer one request."""
         if request.path == '/-/report':
             body = {
                 'stage': 'combined',
@@ -565,14 +592,10 @@
         }
         if request.get('expect-instance', self.name) != self.name:
             self.world.record.add('misdirected', **line)
-            return await self._send(
-                writer, 421, [('Not-Executed', '1')], b''
-            )
+            return await self._send(writer, 421, [('Not-Executed', '1')], b'')
         if self.active >= self.slots:
             self.world.record.add('full', **line)
-            return await self._send(
-                writer, 503, [('Not-Executed', '1')], b''
-            )
+            return await self._send(writer, 503, [('Not-Executed', '1')], b'')
         self.world.record.add('run', **line)
         if self.on_request is not None:
             handled = await self.on_request(self, request, writer)
@@ -611,9 +634,7 @@
             return True
         prompt, _, answer = usage.partition(',')
         readers = 1 + len(list(filter(None, request.get('helpers').split(','))))
-        await asyncio.sleep(
-            min(5.0, int(prompt) / READ_TOKENS_PER_S / readers)
-        )
+        await asyncio.sleep(min(5.0, int(prompt) / READ_TOKENS_PER_S / readers))
         head = [
             'HTTP/1.1 200 OK',
             'content-type: text/event-stream',
@@ -648,9 +669,11 @@
         self.write_settings()
 
     def at(self, offset: int) -> str:
+        """Return the address of one of the listeners."""
         return f'{self.host}:{self.world.port + offset}'
 
     def write_settings(self) -> None:
+        """Write the settings file."""
         world = self.world
         seeds = [
             f'127.0.{1 + world.network}.{1 + each}:{world.port + 9}'
@@ -707,6 +730,7 @@
         self.settings.write_text(json.dumps(document))
 
     def start(self) -> None:
+        """Start a process."""
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
@@ -730,6 +754,7 @@
         self.world.record.add('entry-start', entry=self.name)
 
     def signal(self, number: int) -> None:
+        """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
             self.world.record.add(
@@ -737,12 +762,14 @@
             )
 
     def end(self) -> None:
+        """Kill the process, also if it is stopped."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
 
     def memory_mb(self) -> float:
+        """Return the resident memory of the process."""
         text = Path(f'/proc/{self.process.pid}/status').read_text()
         for line in text.splitlines():
             if line.startswith('VmRSS'):
@@ -818,6 +845,7 @@
         raise SystemExit(2)
 
     def configuration(self, **changes) -> dict:
+        """Return the next desired state."""
         self.version += 3
         routes = [
             {
@@ -872,10 +900,12 @@
         } | changes
 
     def publish(self, **changes) -> None:
+        """Write the next desired state."""
         self.store.put('op', 'config', self.configuration(**changes))
         self.record.add('config', version=self.version, keys=list(self.keys))
 
     async def add_backend(self, name, service, zone=None, **options):
+        """Start a server, and list it."""
         backend = Backend(self, name, service, zone or self.zones[0], **options)
         await backend.start()
         self.backends[name] = backend
@@ -884,6 +914,7 @@
         return backend
 
     async def open(self, desks=3, engines=0) -> None:
+        """Start everything, and wait until the entries are ready."""
         await self.store_http.start()
         self.publish()
         for number in range(desks):
@@ -910,6 +941,7 @@
             await self.wait_ready(entry)
 
     async def wait_ready(self, entry, seconds=30.0) -> None:
+        """Wait until an entry says that it is ready."""
         until = now() + seconds
         while now() < until:
             answer = await fetch(entry.at(0), 'GET', '/-/readiness', [], b'', 1)
@@ -920,6 +952,7 @@
         raise CannotRunError(f'{entry.name} was not ready')
 
     async def call(self, entry, path, key='key-0', seconds=2.0, **options):
+        """Send a request; return its id, when it was sent, and its answer."""
         self.attempts += 1
         attempt = options.get('attempt') or f'a-{self.attempts:05d}'
         headers = [
@@ -951,6 +984,7 @@
         return attempt, sent['t'], answer
 
     def close(self) -> None:
+        """End all processes, and remove their files."""
         for entry in self.entries:
             entry.end()
         self.store_http.stop()
