--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -1058,10 +1058,15 @@
 
     async def main() -> int:
         world = World(record_path, **options)
+        playing = asyncio.current_task()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            # The processes that were started are ended then, too.
+            loop.add_signal_handler(number, playing.cancel)
         try:
             async with asyncio.timeout(110):
                 broken = await play(world, trouble)
-        except (CannotRunError, TimeoutError) as error:
+        except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
             world.record.add('cannot-run', reason=repr(error))
             print('cannot run:', repr(error))
             return 2
